Lay the ground: build front door, base, events, settings, metrics, wire

Cause: an empty repository. Change: CMake and build.sh, the shared vocabulary, numbered events, settings checked against a schema, metrics, and protobuf over ZeroMQ with CURVE keys on the libevent loop.

--- /dev/null
+++ b/build.sh
@@ -0,0 +1,112 @@
+#!/usr/bin/env bash
+# Front door of the project: ./build.sh COMMAND [OPTIONS]
+set -euo pipefail
+cd "$(dirname "${BASH_SOURCE[0]}")"
+
+usage() {
+  cat <<'TEXT'
+usage: ./build.sh COMMAND [OPTIONS]
+
+  build [--sanitize] [TARGET...]  build everything, or the named targets, into out/
+  test [--sanitize]    build, then run every test; without --sanitize also format and lint
+  demo                 run the whole system on loopback, step by step
+  bench [NAME...]      run the measurements; --capacity measures the slopes of docs/CAPACITY.md
+  soak [OPTIONS]       long randomised runs of the pure steps (--seed N --steps M --seeds K)
+  proto                regenerate libs/wire/generated (needs protobuf-compiler)
+  format               rewrite the sources with clang-format
+  check-format         fail when clang-format would change something
+  lint                 run clang-tidy on the sources
+  install-packages     install the Debian packages that all of this needs
+TEXT
+}
+
+packages=(libevent-dev libzmq3-dev cppzmq-dev libprotobuf-dev protobuf-compiler
+  libboost-dev libboost-program-options-dev libfmt-dev catch2 nlohmann-json3-dev
+  libvalijson-dev librapidcheck-dev libsodium-dev libxxhash-dev ccache gnuplot-nox
+  ninja-build libclang-rt-14-dev valgrind cmake g++ pkg-config clang-format clang-tidy curl)
+
+install_packages() {
+  export DEBIAN_FRONTEND=noninteractive
+  apt-get update -qq
+  apt-get install -y -qq --no-install-recommends "${packages[@]}"
+}
+
+jobs="${JOBS:-$(nproc)}"
+
+sources() {
+  git ls-files --cached --others --exclude-standard 'libs/*.cpp' 'libs/*.h' 'apps/*.cpp' 'apps/*.h' \
+    'tools/*.cpp' 'tools/*.h' | grep -v '/generated/'
+}
+
+configure() { # FOLDER CMAKE_OPTIONS...
+  local folder=$1
+  shift
+  cmake -S . -B "$folder" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo "$@" >"$folder.configure.log" 2>&1 ||
+    { cat "$folder.configure.log"; return 1; }
+}
+
+build() {
+  mkdir -p out
+  local folder=out/build options=()
+  if [[ "${1:-}" == --sanitize ]]; then
+    folder=out/sanitize
+    options=(-DWASABIVALE_SANITIZE=ON)
+    shift
+  fi
+  configure "$folder" "${options[@]}"
+  ninja -C "$folder" -j "$jobs" --quiet "$@"
+}
+
+check_format() {
+  sources | xargs -r clang-format --dry-run --Werror
+  echo "format: clean"
+}
+
+# Lints the files whose text, or that of any header, changed since they were last clean.
+lint() {
+  mkdir -p out/lint
+  [[ -f out/build/compile_commands.json ]] || { mkdir -p out; configure out/build; }
+  local headers
+  headers=$(sources | grep '\.h$' | cat - <(echo .clang-tidy) | xargs cat | sha256sum | cut -c1-16)
+  sources | grep '\.cpp$' | xargs -P "$jobs" -n 1 bash -c '
+    key="out/lint/$(cat "$1" | sha256sum | cut -c1-16)-$0"
+    [[ -e "$key" ]] && exit 0
+    clang-tidy --quiet -p out/build "$1" 2>out/lint/stderr.$$ >out/lint/stdout.$$ || {
+      cat out/lint/stdout.$$; grep -E "error" out/lint/stderr.$$; rm -f out/lint/std*.$$; exit 1; }
+    rm -f out/lint/std*.$$; touch "$key"' "$headers" || { echo "lint: failed"; return 1; }
+  echo "lint: clean"
+}
+
+run_tests() {
+  local folder=out/build
+  if [[ "${1:-}" == --sanitize ]]; then
+    build --sanitize
+    folder=out/sanitize
+  else
+    check_format
+    build
+    lint
+  fi
+  ctest --test-dir "$folder" --output-on-failure -j "$((jobs / 2 > 0 ? jobs / 2 : 1))"
+}
+
+proto() {
+  protoc --proto_path=libs/wire/proto --cpp_out=libs/wire/generated libs/wire/proto/*.proto
+}
+
+command=${1:-help}
+shift || true
+case "$command" in
+build) build "$@" ;;
+test) run_tests "$@" ;;
+demo) build && exec tools/demo/demo.sh "$@" ;;
+bench) build && exec tools/bench/bench.sh "$@" ;;
+soak) build wasabivale-soak && exec out/build/bin/wasabivale-soak "$@" ;;
+proto) proto ;;
+format) sources | xargs -r clang-format -i ;;
+check-format) check_format ;;
+lint) lint ;;
+install-packages) install_packages ;;
+help | --help | -h) usage ;;
+*) usage >&2; exit 2 ;;
+esac
--- /dev/null
+++ b/cmake/CatchMain.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/libs/settings/tests/SettingsTest.cpp
@@ -0,0 +1,57 @@
+#include "settings/settings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace wasabivale::settings;
+
+static const Json Schema = Json::parse(R"({
+  "type": "object", "additionalProperties": false,
+  "required": ["id", "port"],
+  "properties": {
+    "id": {"type": "string", "minLength": 1},
+    "port": {"type": "integer", "minimum": 1, "maximum": 65535},
+    "peers": {"type": "array", "items": {"type": "object",
+      "additionalProperties": false, "properties": {"id": {"type": "string"}}}}
+  }})");
+
+SCENARIO("settings are checked before they are used") {
+  GIVEN("a valid document") {
+    const auto Loaded = parse(R"({"id": "a", "port": 80})", Schema, "f.json");
+    THEN("it is returned") {
+      REQUIRE(std::holds_alternative<Json>(Loaded));
+      CHECK(std::get<Json>(Loaded)["port"] == 80);
+    }
+  }
+  GIVEN("a table of broken documents") {
+    struct Case {
+      std::string m_Text;
+      std::string m_Place;
+    };
+    const std::vector<Case> Cases = {
+        {R"({"id": "a", "port": 0})", "f.json: /port: 0: "},
+        {R"({"id": "a", "port": "x"})", "f.json: /port: \"x\": "},
+        {R"({"id": "", "port": 1})", "f.json: /id: \"\": "},
+        {R"({"id": "a"})", "f.json: /: "},
+        {R"({"id": "a", "port": 1, "prot": 2})", "f.json: /: "},
+        {R"({"id": "a", "port": 1, "peers": [{"id": 3}]})",
+         "f.json: /peers/0/id: 3: "},
+        {R"({"id": )", "f.json: byte "},
+    };
+    for (const Case &Broken : Cases) {
+      THEN("its place is named: " + Broken.m_Text) {
+        const auto Loaded = parse(Broken.m_Text, Schema, "f.json");
+        REQUIRE(std::holds_alternative<std::vector<Problem>>(Loaded));
+        bool Found = false;
+        for (const auto &Finding : std::get<std::vector<Problem>>(Loaded))
+          Found = Found || describe(Finding).rfind(Broken.m_Place, 0) == 0;
+        CHECK(Found);
+      }
+    }
+  }
+  GIVEN("a file that does not exist") {
+    THEN("it is named") {
+      const auto Loaded = load("/nonexistent/x.json", Schema);
+      REQUIRE(std::holds_alternative<std::vector<Problem>>(Loaded));
+    }
+  }
+}
