--- a/build.sh
+++ b/build.sh
@@ -32,6 +32,7 @@
 }
 
 jobs="${JOBS:-$(nproc)}"
+export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
 
 sources() {
   git ls-files --cached --others --exclude-standard 'libs/*.cpp' 'libs/*.h' 'apps/*.cpp' 'apps/*.h' \
--- /dev/null
+++ b/libs/http/include/http/http.h
@@ -0,0 +1,183 @@
+/// \file
+/// HTTP/1.1 server and client on libevent's `evhttp`, with what this system
+/// needs beside it: bounded bodies and headers, notice of a caller that has
+/// gone, the bytes that a slow reader has not taken yet, and a client that
+/// never sends a request twice and knows whether its first byte has left.
+///
+/// Everything runs on the thread of the loop that is passed in. Callbacks are
+/// called from the loop only, never from within a call of this library, except
+/// where said.
+
+#ifndef WASABIVALE_HTTP_HTTP_H
+#define WASABIVALE_HTTP_HTTP_H
+
+#include "base/base.h"
+
+#include <event2/event.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+struct evhttp_request;
+
+namespace wasabivale::http {
+
+/// Header names in lower case with their values. A repeated header keeps its
+/// first value.
+using Headers = std::map<std::string, std::string>;
+
+/// IPv4 address and port.
+struct Address {
+  std::string m_Host;
+  std::uint16_t m_Port = 0;
+
+  bool operator==(const Address &) const = default;
+};
+
+/// Parses `ip:port`. Names are refused: processes are known by IP numbers.
+Result<Address> parseAddress(std::string_view Text);
+std::string printAddress(const Address &Value);
+
+struct Request {
+  std::string m_Method; ///< GET, POST, PUT, DELETE, HEAD, OPTIONS or PATCH.
+  std::string m_Path;   ///< Without the query.
+  std::string m_Query;
+  Headers m_Headers;
+  std::string m_Body;
+  std::string m_PeerAddress;
+};
+
+struct Response {
+  int m_Status = 0;
+  Headers m_Headers;
+  std::string m_Body; ///< Empty when the body was taken by `OnChunk`.
+};
+
+/// \returns the value of header \p Name (lower case), or an empty view.
+std::string_view header(const Headers &In, const std::string &Name);
+
+// --- Server ---------------------------------------------------------------
+
+/// One request that waits for its answer. Exactly one of `reply` and
+/// `startStream` ... `finish` answers it; dropping the last reference without
+/// an answer closes the connection. After the caller has gone every call is
+/// harmless and does nothing.
+class Exchange {
+public:
+  virtual ~Exchange() = default;
+
+  [[nodiscard]] virtual const Request &request() const = 0;
+  /// Sends a whole answer.
+  virtual void reply(int Status, const Headers &With,
+                     std::string_view Body) = 0;
+  /// Starts an answer of unknown length (chunked).
+  virtual void startStream(int Status, const Headers &With) = 0;
+  virtual void write(std::string_view Piece) = 0;
+  /// Ends a stream in order.
+  virtual void finish() = 0;
+  /// Breaks the connection, so that the caller sees that a stream is not
+  /// whole.
+  virtual void abort() = 0;
+  /// Bytes written here that the caller's connection has not taken yet.
+  [[nodiscard]] virtual std::size_t pendingBytes() const = 0;
+  [[nodiscard]] virtual bool isGone() const = 0;
+  /// Called once when the caller's connection ends before the answer did.
+  virtual void onGone(std::function<void()> Callback) = 0;
+};
+
+struct ServerLimits {
+  std::size_t m_HeaderBytes = 16U << 10U;
+  std::size_t m_BodyBytes = 4U << 20U;
+  /// Longest silence of a connection, reading or writing.
+  std::chrono::milliseconds m_Silence{30'000};
+  /// Longest time from a request's first byte to its last.
+  std::chrono::milliseconds m_FirstRequest{10'000};
+  std::size_t m_Connections = 20'000;
+};
+
+using Handler = std::function<void(std::shared_ptr<Exchange>)>;
+
+class Server {
+public:
+  virtual ~Server() = default;
+  /// Connections that are open now.
+  [[nodiscard]] virtual std::size_t connections() const = 0;
+  /// Connections closed for being over `m_Connections` or too slow to send a
+  /// request.
+  [[nodiscard]] virtual std::uint64_t refusedConnections() const = 0;
+  [[nodiscard]] virtual std::uint64_t slowSenders() const = 0;
+  /// Stops accepting connections; those that are open go on.
+  virtual void stopAccepting() = 0;
+};
+
+/// Listens on \p At. \p Loop must outlive the server. Exchanges that outlive
+/// the server count as gone.
+Result<std::unique_ptr<Server>> listen(event_base *Loop, const Address &At,
+                                       const ServerLimits &Limits,
+                                       Handler OnRequest);
+
+// --- Client ---------------------------------------------------------------
+
+struct ClientRequest {
+  Address m_To;
+  std::string m_Method = "POST";
+  std::string m_Path;
+  Headers m_Headers;
+  std::string m_Body;
+  /// When the call ends with an error if the answer is not complete.
+  TimePoint m_Deadline;
+};
+
+struct ClientHandlers {
+  /// Status and headers have arrived. Optional.
+  std::function<void(int Status, const Headers &)> m_OnHead;
+  /// A piece of the body has arrived. When unset, the body is collected.
+  std::function<void(std::string_view Piece)> m_OnChunk;
+  /// The call has ended: the answer is complete, or it failed. Called once,
+  /// last, and not at all after `cancel`.
+  std::function<void(Result<Response>)> m_OnDone;
+};
+
+/// One request on its own fresh connection. It is sent at most once.
+class ClientCall {
+public:
+  virtual ~ClientCall() = default;
+  /// Whether any byte of the request has been handed to the kernel. While it
+  /// is false the peer can't have seen the request.
+  [[nodiscard]] virtual bool hasSent() const = 0;
+  /// Ends the call and closes its connection; no callback follows.
+  virtual void cancel() = 0;
+  /// Stops and resumes reading from the connection; the kernel's buffers then
+  /// slow the peer down.
+  virtual void pause() = 0;
+  virtual void resume() = 0;
+};
+
+/// Starts a call. The call lives until its end even when the reference that is
+/// returned is dropped; to stop it, `cancel` it.
+std::shared_ptr<ClientCall> call(event_base *Loop, ClientRequest What,
+                                 ClientHandlers Handlers);
+
+// --- Timers ---------------------------------------------------------------
+
+/// A timer on a loop; stops when it is destroyed.
+class Timer {
+public:
+  /// Calls \p Callback every \p Interval, or once after it.
+  Timer(event_base *Loop, std::chrono::milliseconds Interval, bool Repeats,
+        std::function<void()> Callback);
+  ~Timer();
+  Timer(const Timer &) = delete;
+  Timer &operator=(const Timer &) = delete;
+
+private:
+  std::function<void()> m_Callback;
+  event *m_Event;
+};
+
+} // namespace wasabivale::http
+
+#endif // WASABIVALE_HTTP_HTTP_H
--- /dev/null
+++ b/libs/http/src/Client.cpp
@@ -0,0 +1,204 @@
+#include "Headers.h"
+
+#include <algorithm>
+#include <event2/bufferevent.h>
+#include <optional>
+#include <utility>
+
+namespace wasabivale::http {
+
+namespace {
+
+evhttp_cmd_type methodOf(const std::string &Name) {
+  if (Name == "GET")
+    return EVHTTP_REQ_GET;
+  if (Name == "PUT")
+    return EVHTTP_REQ_PUT;
+  if (Name == "DELETE")
+    return EVHTTP_REQ_DELETE;
+  return EVHTTP_REQ_POST;
+}
+
+const char *textOf(evhttp_request_error Kind) {
+  switch (Kind) {
+  case EVREQ_HTTP_TIMEOUT:
+    return "timed out";
+  case EVREQ_HTTP_EOF:
+    return "the connection ended early";
+  case EVREQ_HTTP_INVALID_HEADER:
+    return "the answer's headers are invalid";
+  case EVREQ_HTTP_BUFFER_ERROR:
+    return "the connection broke";
+  case EVREQ_HTTP_REQUEST_CANCEL:
+    return "cancelled";
+  case EVREQ_HTTP_DATA_TOO_LONG:
+    return "the answer is too long";
+  }
+  return "the connection failed";
+}
+
+/// Keeps itself alive (`m_Self`) until the call has ended. The evhttp
+/// connection must not be freed inside its own callbacks; it is freed from a
+/// fresh turn of the loop.
+class ClientCallState final : public ClientCall {
+public:
+  ClientCallState(event_base *Loop, ClientRequest What, ClientHandlers Handlers)
+      : m_Loop(Loop), m_What(std::move(What)), m_Handlers(std::move(Handlers)) {
+  }
+
+  ~ClientCallState() override {
+    if (m_Connection != nullptr)
+      evhttp_connection_free(m_Connection);
+  }
+
+  void start(std::shared_ptr<ClientCallState> Self) {
+    m_Self = std::move(Self);
+    bufferevent *Buffer =
+        bufferevent_socket_new(m_Loop, -1, BEV_OPT_CLOSE_ON_FREE);
+    evbuffer_add_cb(bufferevent_get_output(Buffer), onOutput, this);
+    m_Connection = evhttp_connection_base_bufferevent_new(
+        m_Loop, nullptr, Buffer, m_What.m_To.m_Host.c_str(),
+        m_What.m_To.m_Port);
+    evhttp_connection_set_retries(m_Connection, 0);
+    evhttp_request *Raw = evhttp_request_new(onComplete, this);
+    evhttp_request_set_header_cb(Raw, onHead);
+    evhttp_request_set_chunked_cb(Raw, onChunk);
+    evhttp_request_set_error_cb(Raw, onError);
+    evkeyvalq *Out = evhttp_request_get_output_headers(Raw);
+    addHeaders(Out, m_What.m_Headers);
+    evhttp_add_header(Out, "Host", printAddress(m_What.m_To).c_str());
+    evhttp_add_header(Out, "Connection", "close");
+    evbuffer_add(evhttp_request_get_output_buffer(Raw), m_What.m_Body.data(),
+                 m_What.m_Body.size());
+    const auto Left = std::chrono::ceil<std::chrono::milliseconds>(
+        m_What.m_Deadline - BootClock::now());
+    m_Deadline.emplace(m_Loop, std::max(Left, std::chrono::milliseconds(0)),
+                       false, [this] { end("timed out"); });
+    // On failure evhttp frees the request, or has already reported the error.
+    if (evhttp_make_request(m_Connection, Raw, methodOf(m_What.m_Method),
+                            m_What.m_Path.c_str()) != 0)
+      m_FailedAtStart.emplace(m_Loop, std::chrono::milliseconds(0), false,
+                              [this] { end("the connection failed"); });
+  }
+
+  [[nodiscard]] bool hasSent() const override { return m_HasSent; }
+
+  void cancel() override {
+    m_Handlers = {};
+    close();
+  }
+
+  void pause() override {
+    if (m_Connection != nullptr && !m_Ended)
+      bufferevent_disable(evhttp_connection_get_bufferevent(m_Connection),
+                          EV_READ);
+  }
+
+  void resume() override {
+    if (m_Connection != nullptr && !m_Ended)
+      bufferevent_enable(evhttp_connection_get_bufferevent(m_Connection),
+                         EV_READ);
+  }
+
+private:
+  static void onOutput(evbuffer *, const evbuffer_cb_info *Info,
+                       void *Argument) {
+    if (Info->n_deleted > 0)
+      static_cast<ClientCallState *>(Argument)->m_HasSent = true;
+  }
+
+  static int onHead(evhttp_request *Raw, void *Argument) {
+    auto &Self = *static_cast<ClientCallState *>(Argument);
+    if (Self.m_Ended)
+      return 0;
+    Self.m_Response.m_Status = evhttp_request_get_response_code(Raw);
+    Self.m_Response.m_Headers =
+        toHeaders(evhttp_request_get_input_headers(Raw));
+    if (Self.m_Handlers.m_OnHead)
+      Self.m_Handlers.m_OnHead(Self.m_Response.m_Status,
+                               Self.m_Response.m_Headers);
+    return 0;
+  }
+
+  static void onChunk(evhttp_request *Raw, void *Argument) {
+    auto &Self = *static_cast<ClientCallState *>(Argument);
+    const std::string Piece = takeBody(evhttp_request_get_input_buffer(Raw));
+    if (Self.m_Ended)
+      return;
+    if (Self.m_Handlers.m_OnChunk)
+      Self.m_Handlers.m_OnChunk(Piece);
+    else
+      Self.m_Response.m_Body += Piece;
+  }
+
+  static void onError(evhttp_request_error Kind, void *Argument) {
+    static_cast<ClientCallState *>(Argument)->m_ErrorText = textOf(Kind);
+  }
+
+  static void onComplete(evhttp_request *Raw, void *Argument) {
+    auto &Self = *static_cast<ClientCallState *>(Argument);
+    if (Raw == nullptr || evhttp_request_get_response_code(Raw) == 0) {
+      Self.end(Self.m_ErrorText);
+      return;
+    }
+    Self.m_Response.m_Body += takeBody(evhttp_request_get_input_buffer(Raw));
+    Self.m_Response.m_Status = evhttp_request_get_response_code(Raw);
+    Self.endWith(std::move(Self.m_Response));
+  }
+
+  void end(const char *Message) {
+    endWith(Error{"http.call", printAddress(m_What.m_To), Message});
+  }
+
+  void endWith(Result<Response> Ending) {
+    if (m_Ended)
+      return;
+    const auto OnDone = std::move(m_Handlers.m_OnDone);
+    m_Handlers = {};
+    close();
+    if (OnDone)
+      OnDone(std::move(Ending));
+  }
+
+  void close() {
+    if (m_Ended)
+      return;
+    m_Ended = true;
+    const timeval AtOnce{0, 0};
+    auto *Last = new std::shared_ptr<ClientCallState>(std::move(m_Self));
+    event_base_once(
+        m_Loop, -1, EV_TIMEOUT,
+        [](evutil_socket_t, short, void *Argument) {
+          const std::unique_ptr<std::shared_ptr<ClientCallState>> Held(
+              static_cast<std::shared_ptr<ClientCallState> *>(Argument));
+          if (auto *Raw = std::exchange((*Held)->m_Connection, nullptr))
+            evhttp_connection_free(Raw);
+          (*Held)->m_Deadline.reset();
+        },
+        Last, &AtOnce);
+  }
+
+  event_base *m_Loop;
+  ClientRequest m_What;
+  ClientHandlers m_Handlers;
+  Response m_Response;
+  const char *m_ErrorText = "the connection failed";
+  evhttp_connection *m_Connection = nullptr;
+  std::optional<Timer> m_Deadline;
+  std::optional<Timer> m_FailedAtStart;
+  std::shared_ptr<ClientCallState> m_Self;
+  bool m_HasSent = false;
+  bool m_Ended = false;
+};
+
+} // namespace
+
+std::shared_ptr<ClientCall> call(event_base *Loop, ClientRequest What,
+                                 ClientHandlers Handlers) {
+  auto Made = std::make_shared<ClientCallState>(Loop, std::move(What),
+                                                std::move(Handlers));
+  Made->start(Made);
+  return Made;
+}
+
+} // namespace wasabivale::http
--- /dev/null
+++ b/libs/http/src/Headers.h
@@ -0,0 +1,21 @@
+/// \file
+/// Conversions between evhttp's types and this library's.
+
+#ifndef WASABIVALE_HTTP_SRC_HEADERS_H
+#define WASABIVALE_HTTP_SRC_HEADERS_H
+
+#include "http/http.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+namespace wasabivale::http {
+
+Headers toHeaders(const evkeyvalq *From);
+void addHeaders(evkeyvalq *To, const Headers &From);
+std::string takeBody(evbuffer *From);
+
+} // namespace wasabivale::http
+
+#endif // WASABIVALE_HTTP_SRC_HEADERS_H
--- /dev/null
+++ b/libs/http/src/Server.cpp
@@ -0,0 +1,359 @@
+#include "Headers.h"
+
+#include <cstring>
+#include <event2/bufferevent.h>
+#include <unordered_map>
+#include <utility>
+
+namespace wasabivale::http {
+
+namespace {
+
+constexpr int AnyMethod = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
+                          EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
+                          EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH;
+
+std::string methodName(evhttp_cmd_type Method) {
+  switch (Method) {
+  case EVHTTP_REQ_GET:
+    return "GET";
+  case EVHTTP_REQ_POST:
+    return "POST";
+  case EVHTTP_REQ_HEAD:
+    return "HEAD";
+  case EVHTTP_REQ_PUT:
+    return "PUT";
+  case EVHTTP_REQ_DELETE:
+    return "DELETE";
+  case EVHTTP_REQ_OPTIONS:
+    return "OPTIONS";
+  case EVHTTP_REQ_PATCH:
+    return "PATCH";
+  default:
+    return "OTHER";
+  }
+}
+
+Request toRequest(evhttp_request *From) {
+  Request Made;
+  Made.m_Method = methodName(evhttp_request_get_command(From));
+  const evhttp_uri *Uri = evhttp_request_get_evhttp_uri(From);
+  const char *Path = Uri == nullptr ? nullptr : evhttp_uri_get_path(Uri);
+  const char *Query = Uri == nullptr ? nullptr : evhttp_uri_get_query(Uri);
+  Made.m_Path = Path == nullptr ? "" : Path;
+  Made.m_Query = Query == nullptr ? "" : Query;
+  Made.m_Headers = toHeaders(evhttp_request_get_input_headers(From));
+  Made.m_Body = takeBody(evhttp_request_get_input_buffer(From));
+  if (evhttp_connection *Connection = evhttp_request_get_connection(From)) {
+    char *Host = nullptr;
+    ev_uint16_t Port = 0;
+    evhttp_connection_get_peer(Connection, &Host, &Port);
+    Made.m_PeerAddress = Host == nullptr ? "" : Host;
+  }
+  return Made;
+}
+
+/// An exchange owns its evhttp request until it is answered. evhttp keeps a
+/// request whose connection broke until it is answered, so that every path
+/// below answers exactly once.
+class ServerExchange final : public Exchange {
+public:
+  ServerExchange(event_base *Loop, evhttp_request *Raw)
+      : m_Raw(Raw), m_Request(toRequest(Raw)) {
+    evhttp_connection *Connection = evhttp_request_get_connection(Raw);
+    // evhttp does not read while a request is being answered, and would not
+    // notice that the caller has gone until a write fails.
+    bufferevent *Buffer = evhttp_connection_get_bufferevent(Connection);
+    m_Hangup =
+        event_new(Loop, bufferevent_getfd(Buffer), EV_CLOSED, onHangup, this);
+    event_add(m_Hangup, nullptr);
+  }
+
+  ~ServerExchange() override {
+    m_OnGone = nullptr;
+    if (m_Raw != nullptr)
+      abort();
+  }
+
+  [[nodiscard]] const Request &request() const override { return m_Request; }
+
+  void reply(int Status, const Headers &With, std::string_view Body) override {
+    if (m_Raw == nullptr)
+      return;
+    addHeaders(evhttp_request_get_output_headers(m_Raw), With);
+    evbuffer *Buffer = evbuffer_new();
+    evbuffer_add(Buffer, Body.data(), Body.size());
+    evhttp_request *Raw = release();
+    evhttp_send_reply(Raw, Status, nullptr, Buffer);
+    evbuffer_free(Buffer);
+  }
+
+  void startStream(int Status, const Headers &With) override {
+    if (m_Raw == nullptr)
+      return;
+    addHeaders(evhttp_request_get_output_headers(m_Raw), With);
+    evhttp_send_reply_start(m_Raw, Status, nullptr);
+  }
+
+  void write(std::string_view Piece) override {
+    if (m_Raw == nullptr || m_Gone || Piece.empty())
+      return;
+    evbuffer *Buffer = evbuffer_new();
+    evbuffer_add(Buffer, Piece.data(), Piece.size());
+    evhttp_send_reply_chunk(m_Raw, Buffer);
+    evbuffer_free(Buffer);
+  }
+
+  void finish() override {
+    if (m_Raw == nullptr)
+      return;
+    evhttp_request *Raw = release();
+    evhttp_send_reply_end(Raw);
+  }
+
+  void abort() override {
+    if (m_Raw == nullptr)
+      return;
+    evhttp_request *Raw = release();
+    evhttp_connection *Connection = evhttp_request_get_connection(Raw);
+    if (Connection == nullptr) {
+      evhttp_request_free(Raw);
+      return;
+    }
+    // The connection takes the request with it.
+    evhttp_connection_free(Connection);
+  }
+
+  [[nodiscard]] std::size_t pendingBytes() const override {
+    if (m_Raw == nullptr || m_Gone)
+      return 0;
+    evhttp_connection *Connection = evhttp_request_get_connection(m_Raw);
+    if (Connection == nullptr)
+      return 0;
+    bufferevent *Buffer = evhttp_connection_get_bufferevent(Connection);
+    return evbuffer_get_length(bufferevent_get_output(Buffer));
+  }
+
+  [[nodiscard]] bool isGone() const override { return m_Gone; }
+
+  void onGone(std::function<void()> Callback) override {
+    m_OnGone = std::move(Callback);
+  }
+
+  /// Called by the connection when it ends before the answer did.
+  void noteGone() {
+    if (m_Gone || m_Raw == nullptr)
+      return;
+    m_Gone = true;
+    if (m_Hangup != nullptr) {
+      event_free(m_Hangup);
+      m_Hangup = nullptr;
+    }
+    if (auto Callback = std::exchange(m_OnGone, nullptr))
+      Callback();
+  }
+
+  /// Called just before the request is answered or given up.
+  void onReleased(std::function<void()> Callback) {
+    m_OnReleased = std::move(Callback);
+  }
+
+  /// The server ends and takes the request with it.
+  void detach() {
+    m_OnReleased = nullptr;
+    noteGone();
+    if (m_Raw != nullptr)
+      release();
+  }
+
+private:
+  evhttp_request *release() {
+    if (m_Hangup != nullptr) {
+      event_free(m_Hangup);
+      m_Hangup = nullptr;
+    }
+    if (m_OnReleased)
+      m_OnReleased();
+    return std::exchange(m_Raw, nullptr);
+  }
+
+  static void onHangup(evutil_socket_t, short, void *Argument) {
+    static_cast<ServerExchange *>(Argument)->noteGone();
+  }
+
+  evhttp_request *m_Raw;
+  event *m_Hangup = nullptr;
+  Request m_Request;
+  bool m_Gone = false;
+  std::function<void()> m_OnGone;
+  std::function<void()> m_OnReleased;
+};
+
+timeval toTimeval(std::chrono::milliseconds Value) {
+  return {Value.count() / 1000,
+          static_cast<suseconds_t>(Value.count() % 1000 * 1000)};
+}
+
+/// A caller's connection, known from its accept to its close.
+struct Connection {
+  ServerExchange *m_Current = nullptr;
+  /// Arrival of the first byte of a request that is not whole yet.
+  TimePoint m_FirstByte = TimePoint::max();
+};
+
+constexpr std::chrono::milliseconds SweepInterval{250};
+
+class ServerState final : public Server {
+public:
+  ServerState(event_base *Loop, const ServerLimits &Limits, Handler OnRequest)
+      : m_Loop(Loop), m_Limits(Limits), m_OnRequest(std::move(OnRequest)),
+        m_Sweep(Loop, SweepInterval, true, [this] { closeSlowSenders(); }) {}
+
+  ~ServerState() override {
+    for (const auto &[Raw, Known] : std::exchange(m_Open, {}))
+      if (Known->m_Current != nullptr)
+        Known->m_Current->detach();
+    if (m_Http != nullptr)
+      evhttp_free(m_Http);
+  }
+
+  Status open(const Address &At) {
+    m_Http = evhttp_new(m_Loop);
+    evhttp_set_max_headers_size(
+        m_Http, static_cast<ev_ssize_t>(m_Limits.m_HeaderBytes));
+    evhttp_set_max_body_size(m_Http,
+                             static_cast<ev_ssize_t>(m_Limits.m_BodyBytes));
+    evhttp_set_allowed_methods(m_Http, AnyMethod);
+    const timeval Silence = toTimeval(m_Limits.m_Silence);
+    evhttp_set_timeout_tv(m_Http, &Silence);
+    evhttp_set_gencb(m_Http, onRequest, this);
+    evhttp_set_bevcb(m_Http, onAccept, this);
+    m_Socket =
+        evhttp_bind_socket_with_handle(m_Http, At.m_Host.c_str(), At.m_Port);
+    if (m_Socket == nullptr)
+      return Error{"http.listen", printAddress(At),
+                   evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR())};
+    return std::monostate{};
+  }
+
+  [[nodiscard]] std::size_t connections() const override {
+    return m_Open.size();
+  }
+  [[nodiscard]] std::uint64_t refusedConnections() const override {
+    return m_Refused;
+  }
+  [[nodiscard]] std::uint64_t slowSenders() const override {
+    return m_SlowSenders;
+  }
+  void stopAccepting() override {
+    if (m_Socket != nullptr)
+      evhttp_del_accept_socket(m_Http, std::exchange(m_Socket, nullptr));
+  }
+
+private:
+  struct Accepted {
+    ServerState *m_Owner;
+    bufferevent *m_Buffer;
+  };
+
+  static bufferevent *onAccept(event_base *Loop, void *Argument) {
+    bufferevent *Buffer =
+        bufferevent_socket_new(Loop, -1, BEV_OPT_CLOSE_ON_FREE);
+    auto *Made = new Accepted{static_cast<ServerState *>(Argument), Buffer};
+    // evhttp makes its connection right after this call; it is known as the
+    // argument of the buffer's callbacks before any byte can be read.
+    const timeval AtOnce{0, 0};
+    event_base_once(Loop, -1, EV_TIMEOUT, onAccepted, Made, &AtOnce);
+    return Buffer;
+  }
+
+  static void onAccepted(evutil_socket_t, short, void *Argument) {
+    const std::unique_ptr<Accepted> Made(static_cast<Accepted *>(Argument));
+    void *Owner = nullptr;
+    bufferevent_getcb(Made->m_Buffer, nullptr, nullptr, nullptr, &Owner);
+    if (Owner != nullptr)
+      Made->m_Owner->adopt(static_cast<evhttp_connection *>(Owner),
+                           Made->m_Buffer);
+  }
+
+  void adopt(evhttp_connection *Raw, bufferevent *Buffer) {
+    auto &Known = m_Open[Raw];
+    Known = std::make_unique<Connection>();
+    evhttp_connection_set_closecb(Raw, onClosed, this);
+    evbuffer_add_cb(bufferevent_get_input(Buffer), onInput, Known.get());
+    if (m_Open.size() <= m_Limits.m_Connections)
+      return;
+    ++m_Refused;
+    evhttp_connection_free(Raw);
+  }
+
+  static void onInput(evbuffer *, const evbuffer_cb_info *Info,
+                      void *Argument) {
+    auto &Known = *static_cast<Connection *>(Argument);
+    if (Info->n_added > 0 && Known.m_Current == nullptr &&
+        Known.m_FirstByte == TimePoint::max())
+      Known.m_FirstByte = BootClock::now();
+  }
+
+  static void onClosed(evhttp_connection *Raw, void *Argument) {
+    auto &Self = *static_cast<ServerState *>(Argument);
+    const auto Found = Self.m_Open.find(Raw);
+    if (Found == Self.m_Open.end())
+      return;
+    ServerExchange *Current = Found->second->m_Current;
+    Self.m_Open.erase(Found);
+    if (Current != nullptr)
+      Current->noteGone();
+  }
+
+  static void onRequest(evhttp_request *Raw, void *Argument) {
+    auto &Self = *static_cast<ServerState *>(Argument);
+    evhttp_connection *Key = evhttp_request_get_connection(Raw);
+    auto Made = std::make_shared<ServerExchange>(Self.m_Loop, Raw);
+    if (const auto Found = Self.m_Open.find(Key); Found != Self.m_Open.end()) {
+      Found->second->m_Current = Made.get();
+      Found->second->m_FirstByte = TimePoint::max();
+      Made->onReleased([&Self, Key] {
+        if (const auto Still = Self.m_Open.find(Key);
+            Still != Self.m_Open.end())
+          Still->second->m_Current = nullptr;
+      });
+    }
+    Self.m_OnRequest(std::move(Made));
+  }
+
+  void closeSlowSenders() {
+    const TimePoint Oldest = BootClock::now() - m_Limits.m_FirstRequest;
+    std::vector<evhttp_connection *> Slow;
+    for (const auto &[Raw, Known] : m_Open)
+      if (Known->m_FirstByte < Oldest)
+        Slow.push_back(Raw);
+    for (evhttp_connection *Raw : Slow) {
+      ++m_SlowSenders;
+      evhttp_connection_free(Raw);
+    }
+  }
+
+  event_base *m_Loop;
+  ServerLimits m_Limits;
+  Handler m_OnRequest;
+  evhttp *m_Http = nullptr;
+  evhttp_bound_socket *m_Socket = nullptr;
+  std::unordered_map<evhttp_connection *, std::unique_ptr<Connection>> m_Open;
+  std::uint64_t m_Refused = 0;
+  std::uint64_t m_SlowSenders = 0;
+  Timer m_Sweep;
+};
+
+} // namespace
+
+Result<std::unique_ptr<Server>> listen(event_base *Loop, const Address &At,
+                                       const ServerLimits &Limits,
+                                       Handler OnRequest) {
+  auto Made = std::make_unique<ServerState>(Loop, Limits, std::move(OnRequest));
+  if (Status Opened = Made->open(At); failed(Opened))
+    return errorOf(Opened);
+  return std::unique_ptr<Server>(std::move(Made));
+}
+
+} // namespace wasabivale::http
--- /dev/null
+++ b/libs/http/tests/HttpTest.cpp
@@ -0,0 +1,179 @@
+#include "http/http.h"
+
+#include <arpa/inet.h>
+#include <catch2/catch.hpp>
+#include <optional>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace wasabivale;
+using namespace std::chrono_literals;
+
+namespace {
+
+const http::Address At{"127.0.0.1", 28421};
+
+struct Loop {
+  event_base *m_Base = event_base_new();
+  ~Loop() { event_base_free(m_Base); }
+  bool turnUntil(const std::function<bool()> &Done) const {
+    const TimePoint End = BootClock::now() + 20s;
+    while (!Done() && BootClock::now() < End) {
+      const timeval Tick{0, 2000};
+      event_base_loopexit(m_Base, &Tick);
+      event_base_dispatch(m_Base);
+    }
+    return Done();
+  }
+};
+
+http::ClientRequest get(const std::string &Path) {
+  http::ClientRequest What;
+  What.m_To = At;
+  What.m_Method = "GET";
+  What.m_Path = Path;
+  What.m_Deadline = BootClock::now() + 10s;
+  return What;
+}
+
+int connectRaw() {
+  const int Descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Peer{};
+  Peer.sin_family = AF_INET;
+  Peer.sin_port = htons(At.m_Port);
+  inet_pton(AF_INET, At.m_Host.c_str(), &Peer.sin_addr);
+  REQUIRE(::connect(Descriptor, reinterpret_cast<sockaddr *>(&Peer),
+                    sizeof(Peer)) == 0);
+  return Descriptor;
+}
+
+} // namespace
+
+SCENARIO("addresses are IP numbers with a port") {
+  CHECK(!failed(http::parseAddress("127.0.0.1:80")));
+  for (const char *Bad : {"", "127.0.0.1", "localhost:80", "1.2.3.4:0",
+                          "1.2.3.4:70000", "1.2.3.4:8x", ":80"}) {
+    INFO(Bad);
+    CHECK(failed(http::parseAddress(Bad)));
+  }
+}
+
+SCENARIO("a server answers and a client hears it") {
+  Loop Loop;
+  std::vector<std::shared_ptr<http::Exchange>> Open;
+  http::ServerLimits Limits;
+  Limits.m_FirstRequest = 300ms;
+  Limits.m_BodyBytes = 1000;
+  auto Server = http::listen(Loop.m_Base, At, Limits,
+                             [&](std::shared_ptr<http::Exchange> Arrived) {
+                               if (Arrived->request().m_Path == "/now")
+                                 Arrived->reply(200, {{"X-A", "b"}}, "body");
+                               else
+                                 Open.push_back(std::move(Arrived));
+                             });
+  REQUIRE(!failed(Server));
+  std::string Pieces;
+  std::optional<Result<http::Response>> Ending;
+  http::ClientHandlers Handlers;
+  Handlers.m_OnDone = [&](Result<http::Response> Answer) {
+    Ending = std::move(Answer);
+  };
+
+  GIVEN("a request that is answered at once") {
+    http::call(Loop.m_Base, get("/now"), Handlers);
+    REQUIRE(Loop.turnUntil([&] { return Ending.has_value(); }));
+    THEN("status, headers and body arrive") {
+      REQUIRE(!failed(*Ending));
+      CHECK(valueOf(*Ending).m_Status == 200);
+      CHECK(valueOf(*Ending).m_Body == "body");
+      CHECK(http::header(valueOf(*Ending).m_Headers, "x-a") == "b");
+    }
+  }
+  GIVEN("a stream") {
+    Handlers.m_OnChunk = [&](std::string_view Piece) { Pieces += Piece; };
+    auto Call = http::call(Loop.m_Base, get("/stream"), Handlers);
+    CHECK(!Call->hasSent());
+    REQUIRE(Loop.turnUntil([&] { return !Open.empty(); }));
+    CHECK(Call->hasSent());
+    Open[0]->startStream(200, {});
+    Open[0]->write("one ");
+    REQUIRE(Loop.turnUntil([&] { return Pieces == "one "; }));
+    WHEN("it is finished") {
+      Open[0]->write("two");
+      Open[0]->finish();
+      REQUIRE(Loop.turnUntil([&] { return Ending.has_value(); }));
+      THEN("it is whole") {
+        CHECK(!failed(*Ending));
+        CHECK(Pieces == "one two");
+      }
+    }
+    WHEN("the server breaks it") {
+      Open[0]->abort();
+      REQUIRE(Loop.turnUntil([&] { return Ending.has_value(); }));
+      THEN("the client sees an error") { CHECK(failed(*Ending)); }
+    }
+    WHEN("the client cancels") {
+      bool Gone = false;
+      Open[0]->onGone([&] { Gone = true; });
+      Call->cancel();
+      THEN("the server notices, and no callback follows") {
+        REQUIRE(Loop.turnUntil([&] { return Gone; }));
+        CHECK(!Ending);
+        Open[0]->write("late");
+        Open[0]->finish();
+      }
+    }
+    WHEN("the client does not read") {
+      Call->pause();
+      const std::string Piece(1U << 20U, 'x');
+      for (int I = 0; I < 16; ++I)
+        Open[0]->write(Piece);
+      REQUIRE(Loop.turnUntil([&] { return Open[0]->pendingBytes() > 0; }));
+      THEN("the server sees what waits, and all arrives in the end") {
+        CHECK(Open[0]->pendingBytes() > Piece.size());
+        Call->resume();
+        Open[0]->finish();
+        REQUIRE(Loop.turnUntil([&] { return Ending.has_value(); }));
+        CHECK(Pieces.size() == 4 + 16 * Piece.size());
+      }
+    }
+  }
+  GIVEN("a port at which nobody listens") {
+    auto What = get("/now");
+    What.m_To.m_Port = 1;
+    auto Call = http::call(Loop.m_Base, What, Handlers);
+    REQUIRE(Loop.turnUntil([&] { return Ending.has_value(); }));
+    THEN("the call fails, and nothing was sent") {
+      REQUIRE(failed(*Ending));
+      CHECK(errorOf(*Ending).m_Peer == "127.0.0.1:1");
+      CHECK(!Call->hasSent());
+    }
+  }
+  GIVEN("a deadline that passes") {
+    auto What = get("/stream");
+    What.m_Deadline = BootClock::now() + 50ms;
+    http::call(Loop.m_Base, What, Handlers);
+    REQUIRE(Loop.turnUntil([&] { return Ending.has_value(); }));
+    THEN("the call fails") { CHECK(failed(*Ending)); }
+  }
+  GIVEN("a body over the limit") {
+    auto What = get("/now");
+    What.m_Method = "POST";
+    What.m_Body.assign(2000, 'x');
+    http::call(Loop.m_Base, What, Handlers);
+    REQUIRE(Loop.turnUntil([&] { return Ending.has_value(); }));
+    THEN("it is refused") {
+      CHECK((failed(*Ending) || valueOf(*Ending).m_Status == 413));
+    }
+  }
+  GIVEN("a sender that never ends its request") {
+    const int Descriptor = connectRaw();
+    REQUIRE(::send(Descriptor, "GET /now HTTP/1.1\r\n", 19, 0) == 19);
+    THEN("its connection is closed") {
+      REQUIRE(
+          Loop.turnUntil([&] { return valueOf(Server)->slowSenders() == 1; }));
+      CHECK(valueOf(Server)->connections() == 0);
+    }
+    ::close(Descriptor);
+  }
+}
