--- a/libs/consensus/model/src/Model.cpp
+++ b/libs/consensus/model/src/Model.cpp
@@ -138,6 +138,7 @@
   void checkLeases();
   void checkLeadership(const Node &Of, const Actions &Done);
   void checkHealed();
+  [[nodiscard]] std::string describeNodes() const;
 
   RunOptions m_With;
   Random m_Rng;
@@ -533,6 +534,29 @@
     m_Report.m_Failure = std::move(What);
 }
 
+/// State of every member, for the report of a failure.
+std::string World::describeNodes() const {
+  std::string Text;
+  for (const Node &Each : m_Nodes) {
+    Text += fmt::format("\n  {} disk={:.6}", Each.m_Id.m_Value,
+                        Each.m_Disk.m_Incarnation);
+    if (!Each.m_State) {
+      Text += " down";
+      continue;
+    }
+    const State &Of = *Each.m_State;
+    Text += fmt::format(" role={} term={} vote={} last={}/{} commit={} "
+                        "members:",
+                        static_cast<int>(Of.m_Role), Of.m_HardState.m_Term,
+                        Of.m_HardState.m_VotedFor.m_Value, lastTerm(Of),
+                        lastIndex(Of), Of.m_CommitIndex);
+    for (const Member &Known : Of.m_Membership.m_Members)
+      Text += fmt::format(" {}:{:.6}:{}", Known.m_Id.m_Value,
+                          Known.m_Incarnation, Known.m_Voter ? "v" : "l");
+  }
+  return Text;
+}
+
 void World::checkLeadership(const Node &Of, const Actions &Done) {
   for (const Leadership Each : Done.m_Leadership) {
     if (Each != Leadership::Gained)
@@ -613,6 +637,8 @@
     turnAll();
   if (m_Report.m_Failure.empty())
     checkHealed();
+  if (!m_Report.m_Failure.empty())
+    m_Report.m_Failure += describeNodes();
   return m_Report;
 }
 
--- a/libs/consensus/src/Election.cpp
+++ b/libs/consensus/src/Election.cpp
@@ -68,7 +68,7 @@
 void startPreVote(Turn &In) {
   State &Self = In.m_Self;
   resetElection(In);
-  if (!selfIsVoter(Self))
+  if (!mayCampaign(Self))
     return;
   Self.m_Role = Role::PreCandidate;
   Self.m_Leader = {};
@@ -81,7 +81,7 @@
 
 void startCampaign(Turn &In, bool Transfer) {
   State &Self = In.m_Self;
-  WASABIVALE_INVARIANT(selfIsVoter(Self));
+  WASABIVALE_INVARIANT(mayCampaign(Self));
   Self.m_Role = Role::Candidate;
   Self.m_Leader = {};
   Self.m_HardState = {Self.m_HardState.m_Term + 1, Self.m_Options.m_Self};
--- a/libs/consensus/src/Internal.h
+++ b/libs/consensus/src/Internal.h
@@ -42,12 +42,17 @@
 void takeSnapshot(Turn &In, const SnapshotTaken &Taken);
 /// Reads the newest membership of the log again.
 void refreshMembership(State &Self);
+/// The membership before the newest one.
+Membership previousMembership(const State &Self);
 
 // Membership.cpp
 bool isVoter(const Membership &In, const NodeId &Id);
 /// Whether the reply comes from the disk that the membership names.
 bool isKnown(const State &Self, const Message &From);
 bool selfIsVoter(const State &Self);
+/// Whether this member may lead: it is a voter, or the change that takes its
+/// vote may not be committed yet, so that only it may hold the longest log.
+bool mayCampaign(const State &Self);
 void changeMembership(Turn &In, const ChangeMembership &Wanted);
 /// Promotes one learner that has caught up, if no change is under way.
 void promoteLearners(Turn &In);
--- a/libs/consensus/src/Log.cpp
+++ b/libs/consensus/src/Log.cpp
@@ -42,6 +42,17 @@
   return valueOf(Decoded);
 }
 
+Membership previousMembership(const State &Self) {
+  const Index Covered = Self.m_Snapshot ? Self.m_Snapshot->m_Index : 0;
+  if (Self.m_MembershipIndex <= Covered)
+    return Self.m_Membership;
+  const Record *Before =
+      findMembershipRecord(Self, Covered, Self.m_MembershipIndex - 1);
+  if (Before != nullptr)
+    return membershipOf(*Before);
+  return Self.m_Snapshot ? Self.m_Snapshot->m_Membership : Membership{};
+}
+
 void refreshMembership(State &Self) {
   const Index Covered = Self.m_Snapshot ? Self.m_Snapshot->m_Index : 0;
   const Record *Newest = findMembershipRecord(Self, Covered, lastIndex(Self));
--- a/libs/consensus/src/Membership.cpp
+++ b/libs/consensus/src/Membership.cpp
@@ -98,10 +98,21 @@
   return Found != nullptr && Found->m_Incarnation == From.m_FromIncarnation;
 }
 
-bool selfIsVoter(const State &Self) {
-  const Member *Found = findMember(Self.m_Membership, Self.m_Options.m_Self);
+static bool isVotingDisk(const Membership &In, const Options &Own) {
+  const Member *Found = findMember(In, Own.m_Self);
   return Found != nullptr && Found->m_Voter &&
-         Found->m_Incarnation == Self.m_Options.m_Incarnation;
+         Found->m_Incarnation == Own.m_Incarnation;
+}
+
+bool selfIsVoter(const State &Self) {
+  return isVotingDisk(Self.m_Membership, Self.m_Options);
+}
+
+bool mayCampaign(const State &Self) {
+  if (selfIsVoter(Self))
+    return true;
+  return Self.m_MembershipIndex > Self.m_CommitIndex &&
+         isVotingDisk(previousMembership(Self), Self.m_Options);
 }
 
 static bool changeIsUnderWay(const State &Self) {
