--- a/libs/consensus/model/include/consensus_model/consensus_model.h
+++ b/libs/consensus/model/include/consensus_model/consensus_model.h
@@ -59,6 +59,11 @@
 /// a lease at one instant.
 RunReport run(const RunOptions &With);
 
+/// One scripted run: a leader whose records of an earlier term are held by a
+/// quorum commits them only with one of its own term. \returns what did not
+/// hold; empty if all did.
+std::string checkEarlierTerm();
+
 } // namespace wasabivale::consensus
 
 #endif // WASABIVALE_CONSENSUS_MODEL_CONSENSUS_MODEL_H
--- a/libs/consensus/model/src/Model.cpp
+++ b/libs/consensus/model/src/Model.cpp
@@ -116,12 +116,14 @@
 
   // Steps.
   void act(Node &Which, const Event &Happened);
-  void perform(Node &Which, Actions Done);
+  void perform(Node &Which, const Actions &Done);
   void apply(Node &Which, const Record &Next);
   void install(Node &Which, const Snapshot &From);
   void post(const Message &What);
   void deliver();
   void turn(Node &Which);
+  void turnAll();
+  void runUntil(TimePoint End);
 
   // Load and faults.
   void propose();
@@ -147,6 +149,7 @@
   std::vector<Flight> m_Flights;
   std::set<std::pair<NodeId, NodeId>> m_Cut;
   TimePoint m_CutUntil;
+  TimePoint m_QuietUntil; ///< No proposals before.
   bool m_Healed = false;
   RunReport m_Report;
   std::uint64_t m_LastToken = 0;
@@ -299,7 +302,7 @@
   perform(Which, step(*Which.m_State, Happened, clockOf(Which), m_Rng));
 }
 
-void World::perform(Node &Which, Actions Done) {
+void World::perform(Node &Which, const Actions &Done) {
   constexpr int CrashPerMille = 1;
   const std::vector<Write> Writes = writesOf(Done.m_Persist);
   const bool Crashes = !m_Healed && !Writes.empty() && happens(CrashPerMille);
@@ -393,7 +396,10 @@
 void World::propose() {
   constexpr int ProposePerMille = 250;
   constexpr std::size_t LargestBatch = 6;
-  if (!happens(ProposePerMille))
+  constexpr int QuietPerMille = 4;
+  if (happens(QuietPerMille))
+    m_QuietUntil = m_Now + pickDuration(4s);
+  if (m_Now < m_QuietUntil || !happens(ProposePerMille))
     return;
   Node *To = happens(PerMille / 5) ? &m_Nodes[pick(m_Nodes.size())] : leader();
   if (To == nullptr || m_Now < To->m_PausedUntil)
@@ -461,6 +467,12 @@
   m_CutUntil = m_Now + pickDuration(4s);
   const bool OneWay = happens(PerMille / 4);
   Node *Leads = leader();
+  if (Leads != nullptr && happens(PerMille / 3)) {
+    const NodeId &Other = m_Nodes[pick(m_Nodes.size())].m_Id;
+    m_Cut.insert({Leads->m_Id, Other});
+    m_Cut.insert({Other, Leads->m_Id});
+    return;
+  }
   std::set<NodeId> Side;
   for (const Node &Each : m_Nodes)
     if (happens(PerMille / 3))
@@ -607,16 +619,22 @@
   }
 }
 
+void World::turnAll() {
+  m_Now += StepLength;
+  deliver();
+  for (Node &Each : m_Nodes)
+    turn(Each);
+  checkLeases();
+  ++m_Report.m_Counts.m_Steps;
+}
+
+void World::runUntil(TimePoint End) {
+  while (m_Now < End && m_Report.m_Failure.empty())
+    turnAll();
+}
+
 RunReport World::run() {
   ++m_Report.m_Counts.m_Runs;
-  const auto turnAll = [this] {
-    m_Now += StepLength;
-    deliver();
-    for (Node &Each : m_Nodes)
-      turn(Each);
-    checkLeases();
-    ++m_Report.m_Counts.m_Steps;
-  };
   for (std::uint64_t At = 0; At < m_With.m_Steps && m_Report.m_Failure.empty();
        ++At) {
     turnAll();
@@ -627,14 +645,10 @@
     checkLeases();
   }
   heal();
-  const TimePoint Settled = m_Now + HealedTime / 2;
-  const TimePoint End = m_Now + HealedTime;
-  while (m_Now < Settled && m_Report.m_Failure.empty())
-    turnAll();
+  runUntil(m_Now + HealedTime / 2);
   if (Node *At = leader(); At != nullptr)
     act(*At, Propose{{{++m_LastToken, std::to_string(m_LastToken)}}});
-  while (m_Now < End && m_Report.m_Failure.empty())
-    turnAll();
+  runUntil(m_Now + HealedTime / 2);
   if (m_Report.m_Failure.empty())
     checkHealed();
   if (!m_Report.m_Failure.empty())
@@ -679,6 +693,37 @@
       Value.m_Transfers, Value.m_Snapshots, Value.m_Installs);
 }
 
+std::string checkEarlierTerm() {
+  Membership Members;
+  for (const char *Id : {"c1", "c2", "c3"})
+    Members.m_Members.push_back({{Id}, Id, true, "", {}, {}});
+  const Record Old{2, 2, RecordKind::Command, "old"};
+  Random Rng(1);
+  Options Own;
+  Own.m_Self = {"c1"};
+  Own.m_Incarnation = "c1";
+  TimePoint Now{1h};
+  State Self =
+      start(Own, {{3, {}}, nullptr, {firstRecord(Members), Old}}, Now, Rng);
+  Now += Own.m_Timing.m_ElectionMax;
+  step(Self, Tick{}, Now, Rng);
+  const auto Answer = [&](Term At, Body Content) {
+    const Message From{{"c2"}, "c2", {"c1"}, "", At, std::move(Content)};
+    step(Self, Receive{From}, Now, Rng);
+  };
+  Answer(4, VoteReply{true, true});
+  Answer(4, VoteReply{false, true});
+  if (Self.m_Role != Role::Leader)
+    return "no leader was elected";
+  Answer(4, AppendReply{true, Old.m_Index, Self.m_Round});
+  if (Self.m_CommitIndex != 0)
+    return "a record of an earlier term was committed by counting";
+  Answer(4, AppendReply{true, Self.m_TermStart, Self.m_Round});
+  return Self.m_CommitIndex == Self.m_TermStart
+             ? ""
+             : "a record of this term did not commit those before it";
+}
+
 RunReport run(const RunOptions &With) {
 #if WASABIVALE_MUTATIONS
   try {
--- a/libs/store/src/SystemFiles.cpp
+++ b/libs/store/src/SystemFiles.cpp
@@ -130,7 +130,7 @@
   }
 
   Result<int> lock(const std::string &Path) override {
-    const Result<int> Opened = open(Path);
+    Result<int> Opened = open(Path);
     if (failed(Opened))
       return Opened;
     if (::flock(valueOf(Opened), LOCK_EX | LOCK_NB) == 0)
