Add thin entry, control and command line, and a deployment generator

Cause: the whole path has to stand first. Change: an entry takes announcements and streams a completion from an engine; one control member registers targets and pushes the fleet; wasabivale status shows it; wasabivale-deployment writes settings with fresh keys for the demo and tests. Checked by hand: announce, status, readiness and two refusals. Conclusion: the path holds up to the engine.

--- /dev/null
+++ b/apps/control/src/ControlSettings.cpp
@@ -0,0 +1,85 @@
+#include "ControlSettings.h"
+
+#include "daemon/daemon.h"
+
+namespace wasabivale::control {
+
+using settings::Json;
+
+Json controlSchema() {
+  Json Schema = Json::parse(R"({
+    "type": "object", "additionalProperties": false,
+    "required": ["id", "region", "zone", "keys", "listen", "operators",
+                 "admin", "data_folder", "cluster_id", "members", "entries"],
+    "properties": {
+      "id": {"$ref": "#/definitions/name"},
+      "region": {"$ref": "#/definitions/name"},
+      "zone": {"$ref": "#/definitions/name"},
+      "keys": {"type": "object", "additionalProperties": false,
+        "required": ["public", "secret"],
+        "properties": {"public": {"$ref": "#/definitions/z85_key"},
+                       "secret": {"$ref": "#/definitions/z85_key"}}},
+      "listen": {"$ref": "#/definitions/address"},
+      "admin": {"type": "object", "additionalProperties": false,
+        "required": ["listen"],
+        "properties": {"listen": {"$ref": "#/definitions/address"}}},
+      "operators": {"type": "object", "additionalProperties": false,
+        "required": ["listen", "tokens"],
+        "properties": {
+          "listen": {"$ref": "#/definitions/address"},
+          "tokens": {"type": "array", "items": {"type": "object",
+            "additionalProperties": false, "required": ["name", "token_hash"],
+            "properties": {"name": {"$ref": "#/definitions/name"},
+              "token_hash": {"type": "string",
+                             "pattern": "^[0-9a-f]{64}$"}}}}}},
+      "data_folder": {"type": "string", "minLength": 1},
+      "cluster_id": {"$ref": "#/definitions/name"},
+      "members": {"type": "array", "minItems": 1, "maxItems": 7,
+        "items": {"type": "object", "additionalProperties": false,
+          "required": ["id", "address", "public_key", "operators"],
+          "properties": {"id": {"$ref": "#/definitions/name"},
+            "address": {"$ref": "#/definitions/address"},
+            "operators": {"$ref": "#/definitions/address"},
+            "public_key": {"$ref": "#/definitions/z85_key"}}}},
+      "entries": {"type": "array",
+        "items": {"type": "object", "additionalProperties": false,
+          "required": ["id", "public_key"],
+          "properties": {"id": {"$ref": "#/definitions/name"},
+            "public_key": {"$ref": "#/definitions/z85_key"}}}}
+    }})");
+  Schema["definitions"] = daemon::sharedDefinitions();
+  return Schema;
+}
+
+Result<ControlSettings> toControlSettings(const Json &Document) {
+  ControlSettings Made;
+  Made.m_Id = {Document["id"]};
+  Made.m_Region = {Document["region"]};
+  Made.m_Zone = {Document["zone"]};
+  Made.m_Keys = {Document["keys"]["public"], Document["keys"]["secret"]};
+  Made.m_Listen = Document["listen"];
+  Made.m_DataFolder = Document["data_folder"];
+  Made.m_ClusterId = Document["cluster_id"];
+  const auto Operators =
+      http::parseAddress(Document["operators"]["listen"].get<std::string>());
+  if (failed(Operators))
+    return errorOf(Operators);
+  Made.m_OperatorsListen = valueOf(Operators);
+  const auto Admin =
+      http::parseAddress(Document["admin"]["listen"].get<std::string>());
+  if (failed(Admin))
+    return errorOf(Admin);
+  Made.m_AdminListen = valueOf(Admin);
+  for (const Json &Entry : Document["operators"]["tokens"])
+    Made.m_Operators.push_back({Entry["name"], Entry["token_hash"]});
+  for (const Json &Entry : Document["members"])
+    Made.m_Members.push_back({{Entry["id"]},
+                              Entry["public_key"],
+                              Entry["address"],
+                              Entry["operators"]});
+  for (const Json &Entry : Document["entries"])
+    Made.m_Entries.push_back({{Entry["id"]}, Entry["public_key"], ""});
+  return Made;
+}
+
+} // namespace wasabivale::control
--- /dev/null
+++ b/apps/control/src/ControlSettings.h
@@ -0,0 +1,50 @@
+/// \file
+/// Settings of a control member.
+
+#ifndef WASABIVALE_CONTROL_CONTROLSETTINGS_H
+#define WASABIVALE_CONTROL_CONTROLSETTINGS_H
+
+#include "http/http.h"
+#include "settings/settings.h"
+#include "wire/wire.h"
+
+namespace wasabivale::control {
+
+/// An operator's name and the digest of its bearer token.
+struct Operator {
+  std::string m_Name;
+  std::string m_TokenHash;
+};
+
+/// Another control member as the settings name it.
+struct MemberAddress {
+  NodeId m_Id;
+  std::string m_PublicKey;
+  std::string m_Address;          ///< For other processes, `ip:port`.
+  std::string m_OperatorsAddress; ///< For operators, `ip:port`.
+};
+
+struct ControlSettings {
+  NodeId m_Id;
+  RegionId m_Region;
+  ZoneId m_Zone;
+  wire::KeyPair m_Keys;
+  std::string m_Listen;
+  http::Address m_OperatorsListen;
+  http::Address m_AdminListen;
+  std::string m_DataFolder;
+  std::string m_ClusterId;
+  std::vector<MemberAddress> m_Members; ///< With this member itself.
+  std::vector<wire::Peer> m_Entries;
+  std::vector<Operator> m_Operators;
+};
+
+/// JSON schema of the settings file.
+settings::Json controlSchema();
+
+/// \pre Document is valid under `controlSchema`.
+Result<ControlSettings> toControlSettings(const settings::Json &Document);
+
+} // namespace wasabivale::control
+
+#endif // WASABIVALE_CONTROL_CONTROLSETTINGS_H
--- /dev/null
+++ b/apps/entry/src/ControlLink.cpp
@@ -0,0 +1,228 @@
+#include "ControlLink.h"
+
+#include "events/events.h"
+
+namespace wasabivale::entry {
+
+namespace {
+
+constexpr std::chrono::milliseconds TurnInterval{50};
+constexpr std::chrono::milliseconds ReportInterval{500};
+constexpr std::chrono::milliseconds HelloInterval{250};
+constexpr std::chrono::milliseconds ResendInterval{300};
+/// Silence of the leader after which another member is asked.
+constexpr std::chrono::milliseconds LeaderSilence{1500};
+constexpr std::size_t OpenRenewalsKept = 16;
+
+} // namespace
+
+ControlLink::ControlLink(const EntrySettings &Settings,
+                         metrics::Registry &Registry, Handlers Callbacks)
+    : m_Settings(Settings), m_Registry(Registry),
+      m_Handlers(std::move(Callbacks)) {}
+
+Result<std::unique_ptr<ControlLink>>
+ControlLink::open(event_base *Loop, const EntrySettings &Settings,
+                  metrics::Registry &Registry, Handlers Callbacks) {
+  std::unique_ptr<ControlLink> Made(
+      new ControlLink(Settings, Registry, std::move(Callbacks)));
+  wire::HubOptions Options;
+  Options.m_Self = Settings.m_Id;
+  Options.m_Region = Settings.m_Region;
+  Options.m_Zone = Settings.m_Zone;
+  Options.m_Keys = Settings.m_Keys;
+  Options.m_Peers = Settings.m_Control;
+  auto Hub = wire::Hub::open(
+      Loop, Options, Registry,
+      [Link = Made.get()](const NodeId &From, const wire::Envelope &Message) {
+        Link->take(From, Message);
+      });
+  if (failed(Hub))
+    return errorOf(Hub);
+  Made->m_Hub = std::move(valueOf(Hub));
+  Made->m_Timer = std::make_unique<http::Timer>(
+      Loop, TurnInterval, true, [Link = Made.get()] { Link->turn(); });
+  return Made;
+}
+
+void ControlLink::take(const NodeId &From, const wire::Envelope &Message) {
+  // What a former leader sent before a partition may arrive after it.
+  if (Message.term() < m_HighestTerm) {
+    m_Registry
+        .counter("wasabivale_entry_stale_total",
+                 "Messages of an older term that were dropped")
+        .add();
+    return;
+  }
+  switch (Message.body_case()) {
+  case wire::Envelope::kFleetUpdate:
+    m_HighestTerm = Message.term();
+    follow(From);
+    takeFleet(Message.fleet_update());
+    break;
+  case wire::Envelope::kControlGrant:
+    m_HighestTerm = Message.term();
+    follow(From);
+    takeGrant(Message.control_grant());
+    break;
+  case wire::Envelope::kCallReply:
+    takeReply(Message.call_reply());
+    break;
+  case wire::Envelope::kRedirect:
+    if (!Message.redirect().leader().empty()) {
+      m_Leader = NodeId{Message.redirect().leader()};
+      m_LastHeard = BootClock::now();
+      sendHello(*m_Leader);
+    } else if (m_Leader == From) {
+      loseLeader();
+    }
+    break;
+  default:
+    break;
+  }
+}
+
+void ControlLink::follow(const NodeId &Leader) {
+  m_LastHeard = BootClock::now();
+  if (m_Leader == Leader)
+    return;
+  m_Leader = Leader;
+  events::emit(events::Event::ControlReached,
+               {{"leader", Leader}, {"term", m_HighestTerm}});
+}
+
+void ControlLink::loseLeader() {
+  if (!m_Leader)
+    return;
+  events::emit(events::Event::ControlLost, {{"leader", *m_Leader}});
+  m_Leader.reset();
+}
+
+void ControlLink::takeFleet(const wire::FleetUpdate &Update) {
+  const bool Whole = Update.from_revision() == 0;
+  const bool Newer = Update.revision() > m_FleetRevision ||
+                     Update.configuration_revision() > m_ConfigurationRevision;
+  if (!Newer)
+    return;
+  if (!Whole && Update.from_revision() != m_FleetRevision) {
+    sendHello(*m_Leader);
+    return;
+  }
+  if (Update.revision() < m_FleetRevision ||
+      Update.configuration_revision() < m_ConfigurationRevision)
+    return;
+  m_FleetRevision = Update.revision();
+  m_ConfigurationRevision = Update.configuration_revision();
+  m_Handlers.m_OnFleet(Update);
+  reportNow();
+}
+
+void ControlLink::takeGrant(const wire::ControlGrant &Grant) {
+  const auto Sent = m_RenewalSent.find(Grant.renewal());
+  if (Sent == m_RenewalSent.end())
+    return;
+  const TimePoint End =
+      Sent->second + std::chrono::nanoseconds(Grant.lease_ns());
+  m_LeaseEnd = std::max(m_LeaseEnd, End);
+  m_RenewalSent.erase(m_RenewalSent.begin(), std::next(Sent));
+  if (Grant.fleet_revision() > m_FleetRevision ||
+      Grant.configuration_revision() > m_ConfigurationRevision)
+    sendHello(*m_Leader);
+  m_Handlers.m_OnGrant(Grant);
+}
+
+void ControlLink::takeReply(const wire::CallReply &Reply) {
+  const auto Found = m_Calls.find(Reply.request_id());
+  if (Found == m_Calls.end())
+    return;
+  const OnReply Done = std::move(Found->second.m_Done);
+  m_Calls.erase(Found);
+  Done(Reply);
+}
+
+void ControlLink::call(wire::Command Command, TimePoint Deadline,
+                       OnReply Done) {
+  if (Command.request_id().empty())
+    Command.set_request_id(randomIdentity());
+  Command.set_actor(m_Settings.m_Id.m_Value);
+  const std::string Key = Command.request_id();
+  m_Calls[Key] =
+      Call{std::move(Command), Deadline, TimePoint::min(), std::move(Done)};
+  sendCalls(BootClock::now());
+}
+
+void ControlLink::sendCalls(TimePoint Now) {
+  if (!m_Leader)
+    return;
+  for (auto &[Key, Open] : m_Calls) {
+    if (Now < Open.m_NextSend)
+      continue;
+    wire::Envelope Message;
+    Message.mutable_call_request()->set_request_id(Key);
+    *Message.mutable_call_request()->mutable_command() = Open.m_Command;
+    // A message that could not go out now is sent again at the next turn.
+    if (!failed(m_Hub->send(*m_Leader, std::move(Message))))
+      Open.m_NextSend = Now + ResendInterval;
+  }
+}
+
+void ControlLink::sendHello(const NodeId &To) {
+  wire::Envelope Message;
+  Message.mutable_entry_hello()->set_fleet_revision(m_FleetRevision);
+  Message.mutable_entry_hello()->set_configuration_revision(
+      m_ConfigurationRevision);
+  // Lost hellos are repeated by the timer.
+  (void)m_Hub->send(To, std::move(Message));
+}
+
+void ControlLink::sendReport(TimePoint Now) {
+  wire::Envelope Message;
+  wire::EntryReport &Report = *Message.mutable_entry_report();
+  Report.set_fleet_revision(m_FleetRevision);
+  Report.set_configuration_revision(m_ConfigurationRevision);
+  Report.set_renewal(++m_Renewal);
+  m_Handlers.m_FillReport(Report);
+  if (failed(m_Hub->send(*m_Leader, std::move(Message))))
+    return;
+  m_RenewalSent[m_Renewal] = Now;
+  while (m_RenewalSent.size() > OpenRenewalsKept)
+    m_RenewalSent.erase(m_RenewalSent.begin());
+}
+
+void ControlLink::reportNow() {
+  if (m_Leader)
+    sendReport(BootClock::now());
+}
+
+void ControlLink::turn() {
+  const TimePoint Now = BootClock::now();
+  std::vector<OnReply> Late;
+  for (auto Open = m_Calls.begin(); Open != m_Calls.end();) {
+    if (Open->second.m_Deadline > Now) {
+      ++Open;
+      continue;
+    }
+    Late.push_back(std::move(Open->second.m_Done));
+    Open = m_Calls.erase(Open);
+  }
+  for (const OnReply &Done : Late)
+    Done(Error{"control.call", m_Leader ? m_Leader->m_Value : "",
+               "no reply in time"});
+  if (m_Leader && Now - m_LastHeard > LeaderSilence)
+    loseLeader();
+  if (!m_Leader) {
+    if (Now < m_NextHello)
+      return;
+    m_NextHello = Now + HelloInterval;
+    sendHello(m_Settings.m_Control[m_NextMember++ % m_Settings.m_Control.size()]
+                  .m_Id);
+    return;
+  }
+  sendCalls(Now);
+  if (Now < m_NextReport)
+    return;
+  m_NextReport = Now + ReportInterval;
+  sendReport(Now);
+}
+
+} // namespace wasabivale::entry
--- /dev/null
+++ b/apps/entry/src/ControlLink.h
@@ -0,0 +1,97 @@
+/// \file
+/// An entry's tie to control: finds the leader, renews the lease, receives the
+/// fleet and the configuration, and makes calls that change replicated state.
+
+#ifndef WASABIVALE_ENTRY_CONTROLLINK_H
+#define WASABIVALE_ENTRY_CONTROLLINK_H
+
+#include "EntrySettings.h"
+#include "metrics/metrics.h"
+#include "wire/wire.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+
+namespace wasabivale::entry {
+
+class ControlLink {
+public:
+  using OnReply = std::function<void(Result<wire::CallReply>)>;
+
+  struct Handlers {
+    /// A newer fleet or configuration has arrived.
+    std::function<void(const wire::FleetUpdate &)> m_OnFleet;
+    /// The leader answered a report.
+    std::function<void(const wire::ControlGrant &)> m_OnGrant;
+    /// Fills in a report before it is sent.
+    std::function<void(wire::EntryReport &)> m_FillReport;
+  };
+
+  static Result<std::unique_ptr<ControlLink>>
+  open(event_base *Loop, const EntrySettings &Settings,
+       metrics::Registry &Registry, Handlers Callbacks);
+
+  /// Sends \p Command to the leader, again as often as needed: its request id
+  /// makes it idempotent. \p Done is called once, from the loop, with the reply
+  /// or, at \p Deadline, with an error; the command may have been committed
+  /// then all the same.
+  void call(wire::Command Command, TimePoint Deadline, OnReply Done);
+
+  /// Whether a leader has confirmed this entry within its lease.
+  [[nodiscard]] bool holdsLease(TimePoint Now) const {
+    return Now < m_LeaseEnd;
+  }
+  [[nodiscard]] std::uint64_t session() const { return m_Hub->session(); }
+  [[nodiscard]] std::uint64_t fleetRevision() const { return m_FleetRevision; }
+  [[nodiscard]] std::uint64_t configurationRevision() const {
+    return m_ConfigurationRevision;
+  }
+  /// Sends a report at once, outside the usual interval.
+  void reportNow();
+
+private:
+  struct Call {
+    wire::Command m_Command;
+    TimePoint m_Deadline;
+    TimePoint m_NextSend;
+    OnReply m_Done;
+  };
+
+  ControlLink(const EntrySettings &Settings, metrics::Registry &Registry,
+              Handlers Callbacks);
+  void take(const NodeId &From, const wire::Envelope &Message);
+  void takeFleet(const wire::FleetUpdate &Update);
+  void takeGrant(const wire::ControlGrant &Grant);
+  void takeReply(const wire::CallReply &Reply);
+  void follow(const NodeId &Leader);
+  void loseLeader();
+  void turn();
+  void sendCalls(TimePoint Now);
+  void sendHello(const NodeId &To);
+  void sendReport(TimePoint Now);
+
+  const EntrySettings &m_Settings;
+  metrics::Registry &m_Registry;
+  Handlers m_Handlers;
+  std::unique_ptr<wire::Hub> m_Hub;
+  std::unique_ptr<http::Timer> m_Timer;
+  std::optional<NodeId> m_Leader;
+  std::size_t m_NextMember = 0;
+  std::uint64_t m_HighestTerm = 0;
+  std::uint64_t m_FleetRevision = 0;
+  std::uint64_t m_ConfigurationRevision = 0;
+  std::uint64_t m_Renewal = 0;
+  /// When each renewal that is still unanswered was sent: a lease counts from
+  /// there.
+  std::map<std::uint64_t, TimePoint> m_RenewalSent;
+  TimePoint m_LeaseEnd;
+  TimePoint m_LastHeard;
+  TimePoint m_NextReport;
+  TimePoint m_NextHello;
+  std::map<std::string, Call> m_Calls;
+};
+
+} // namespace wasabivale::entry
+
+#endif // WASABIVALE_ENTRY_CONTROLLINK_H
--- /dev/null
+++ b/apps/entry/src/EntrySettings.cpp
@@ -0,0 +1,103 @@
+#include "EntrySettings.h"
+
+#include "daemon/daemon.h"
+
+namespace wasabivale::entry {
+
+using settings::Json;
+
+Json entrySchema() {
+  Json Schema = Json::parse(R"({
+    "type": "object", "additionalProperties": false,
+    "required": ["id", "region", "zone", "keys", "control", "callers",
+                 "targets", "admin"],
+    "properties": {
+      "id": {"$ref": "#/definitions/name"},
+      "region": {"$ref": "#/definitions/name"},
+      "zone": {"$ref": "#/definitions/name"},
+      "keys": {"type": "object", "additionalProperties": false,
+        "required": ["public", "secret"],
+        "properties": {"public": {"$ref": "#/definitions/z85_key"},
+                       "secret": {"$ref": "#/definitions/z85_key"}}},
+      "control": {"type": "array", "minItems": 1, "maxItems": 7,
+        "items": {"type": "object", "additionalProperties": false,
+          "required": ["id", "address", "public_key"],
+          "properties": {"id": {"$ref": "#/definitions/name"},
+            "address": {"$ref": "#/definitions/address"},
+            "public_key": {"$ref": "#/definitions/z85_key"}}}},
+      "callers": {"type": "object", "additionalProperties": false,
+        "required": ["listen"],
+        "properties": {
+          "listen": {"$ref": "#/definitions/address"},
+          "header_bytes": {"type": "integer", "minimum": 1024,
+                           "maximum": 1048576},
+          "body_bytes": {"type": "integer", "minimum": 1024,
+                         "maximum": 67108864},
+          "connections": {"type": "integer", "minimum": 1,
+                          "maximum": 1000000},
+          "streams": {"type": "integer", "minimum": 1, "maximum": 1000000},
+          "pending_bytes": {"type": "integer", "minimum": 4096,
+                            "maximum": 67108864},
+          "reader_patience_ms": {"type": "integer", "minimum": 100,
+                                 "maximum": 3600000},
+          "request_ms": {"type": "integer", "minimum": 100,
+                         "maximum": 3600000}}},
+      "targets": {"type": "object", "additionalProperties": false,
+        "required": ["listen"],
+        "properties": {"listen": {"$ref": "#/definitions/address"}}},
+      "admin": {"type": "object", "additionalProperties": false,
+        "required": ["listen"],
+        "properties": {"listen": {"$ref": "#/definitions/address"}}},
+      "stop_patience_ms": {"type": "integer", "minimum": 0,
+                           "maximum": 3600000}
+    }})");
+  Schema["definitions"] = daemon::sharedDefinitions();
+  return Schema;
+}
+
+static Status readAddress(const Json &From, http::Address &To) {
+  const auto Parsed = http::parseAddress(From["listen"].get<std::string>());
+  if (failed(Parsed))
+    return errorOf(Parsed);
+  To = valueOf(Parsed);
+  return std::monostate{};
+}
+
+static void readLimits(const Json &From, EntrySettings &To) {
+  To.m_CallerLimits.m_HeaderBytes =
+      From.value("header_bytes", To.m_CallerLimits.m_HeaderBytes);
+  To.m_CallerLimits.m_BodyBytes =
+      From.value("body_bytes", To.m_CallerLimits.m_BodyBytes);
+  To.m_CallerLimits.m_Connections =
+      From.value("connections", To.m_CallerLimits.m_Connections);
+  To.m_CallerLimits.m_FirstRequest = std::chrono::milliseconds(
+      From.value("request_ms", To.m_CallerLimits.m_FirstRequest.count()));
+  To.m_Streams = From.value("streams", To.m_Streams);
+  To.m_PendingBytes = From.value("pending_bytes", To.m_PendingBytes);
+  To.m_ReaderPatience = std::chrono::milliseconds(
+      From.value("reader_patience_ms", To.m_ReaderPatience.count()));
+}
+
+Result<EntrySettings> toEntrySettings(const Json &Document) {
+  EntrySettings Made;
+  Made.m_Id = {Document["id"]};
+  Made.m_Region = {Document["region"]};
+  Made.m_Zone = {Document["zone"]};
+  Made.m_Keys = {Document["keys"]["public"], Document["keys"]["secret"]};
+  for (const Json &Entry : Document["control"])
+    Made.m_Control.push_back(
+        {{Entry["id"]}, Entry["public_key"], Entry["address"]});
+  const std::pair<const char *, http::Address *> Addresses[] = {
+      {"callers", &Made.m_CallersListen},
+      {"targets", &Made.m_TargetsListen},
+      {"admin", &Made.m_AdminListen}};
+  for (const auto &[Name, To] : Addresses)
+    if (Status Read = readAddress(Document[Name], *To); failed(Read))
+      return errorOf(Read);
+  readLimits(Document["callers"], Made);
+  Made.m_StopPatience = std::chrono::milliseconds(
+      Document.value("stop_patience_ms", Made.m_StopPatience.count()));
+  return Made;
+}
+
+} // namespace wasabivale::entry
--- /dev/null
+++ b/apps/entry/src/Main.cpp
@@ -0,0 +1,52 @@
+// wasabivale-entry: the data path on every entry VM.
+
+#include "Entry.h"
+#include "EntrySettings.h"
+#include "daemon/daemon.h"
+#include "events/events.h"
+
+using namespace wasabivale;
+
+static int run(const entry::EntrySettings &Settings) {
+  daemon::EventLoop Loop;
+  metrics::Registry Registry;
+  auto Entry = entry::Entry::open(Loop.base(), Settings, Registry);
+  if (failed(Entry)) {
+    events::emitError(events::Event::ListenFailed, errorOf(Entry));
+    return daemon::ExitFailed;
+  }
+  bool Stopping = false;
+  auto Platform = daemon::listenForPlatform(
+      Loop.base(), Settings.m_AdminListen, Registry, [&] {
+        return Stopping ? std::string("stopping") : valueOf(Entry)->notReady();
+      });
+  if (failed(Platform)) {
+    events::emitError(events::Event::ListenFailed, errorOf(Platform));
+    return daemon::ExitFailed;
+  }
+  Loop.onStop([&] {
+    Stopping = true;
+    events::emit(events::Event::ProcessStopping, {{"id", Settings.m_Id}});
+    Loop.end();
+  });
+  events::emit(events::Event::ProcessStarted,
+               {{"id", Settings.m_Id},
+                {"callers", http::printAddress(Settings.m_CallersListen)}});
+  Loop.run();
+  events::emit(events::Event::ProcessStopped, {{"id", Settings.m_Id}});
+  return daemon::ExitOk;
+}
+
+int main(int ArgumentCount, char **Arguments) {
+  auto Read = daemon::readSettings(ArgumentCount, Arguments, "wasabivale-entry",
+                                   "the data path on an entry VM",
+                                   entry::entrySchema());
+  if (const int *Code = std::get_if<int>(&Read))
+    return *Code;
+  const auto Settings = entry::toEntrySettings(std::get<settings::Json>(Read));
+  if (failed(Settings)) {
+    events::emitError(events::Event::SettingsInvalid, errorOf(Settings));
+    return daemon::ExitUsage;
+  }
+  return run(valueOf(Settings));
+}
--- /dev/null
+++ b/libs/daemon/include/daemon/daemon.h
@@ -0,0 +1,86 @@
+/// \file
+/// What every program of this project shares: options, checked settings, the
+/// event loop with its signals, and the platform's endpoints.
+
+#ifndef WASABIVALE_DAEMON_DAEMON_H
+#define WASABIVALE_DAEMON_DAEMON_H
+
+#include "base/base.h"
+#include "http/http.h"
+#include "metrics/metrics.h"
+#include "settings/settings.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace wasabivale::daemon {
+
+/// Exit codes of every program.
+inline constexpr int ExitOk = 0;
+inline constexpr int ExitFailed = 1;
+inline constexpr int ExitUsage = 2;
+
+/// Reads `--help --version --config FILE --check-config`.
+/// \returns the valid settings, or the code with which the program is to end;
+/// whatever the user has to be told has been printed then. Each finding in the
+/// settings is one line on standard error.
+std::variant<settings::Json, int>
+readSettings(int ArgumentCount, char **Arguments, const std::string &Program,
+             const std::string &Summary, const settings::Json &Schema);
+
+/// JSON schema pieces that several programs share, under their names:
+/// `address` (ip:port), `name`, `z85_key`.
+settings::Json sharedDefinitions();
+
+/// The process's event loop. SIGTERM and SIGINT call the stop handler once;
+/// further ones are ignored. SIGPIPE is ignored.
+class EventLoop {
+public:
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop &) = delete;
+  EventLoop &operator=(const EventLoop &) = delete;
+
+  [[nodiscard]] event_base *base() const { return m_Base; }
+  void onStop(std::function<void()> Handler) { m_OnStop = std::move(Handler); }
+  /// Called with the length of the gap when the loop did not turn for longer
+  /// than `PauseThreshold`: the process was paused, and leases are doubtful.
+  void onPause(std::function<void(Duration)> Handler) {
+    m_OnPause = std::move(Handler);
+  }
+  /// Turns until `end`.
+  void run();
+  void end();
+
+private:
+  static void onSignal(evutil_socket_t, short, void *Argument);
+  void noteTurn();
+
+  event_base *m_Base;
+  event *m_Terminate;
+  event *m_Interrupt;
+  std::unique_ptr<http::Timer> m_Watch;
+  TimePoint m_LastTurn;
+  bool m_Stopping = false;
+  std::function<void()> m_OnStop;
+  std::function<void(Duration)> m_OnPause;
+};
+
+/// A gap between two turns of the loop from which on the process takes itself
+/// for paused.
+inline constexpr std::chrono::milliseconds PauseThreshold{1000};
+
+/// Answers `/healthz`, `/readyz` and `/metrics`.
+/// \param NotReady yields the reason why the process is not ready, or an empty
+/// string; \param BeforePrint brings gauges up to date.
+Result<std::unique_ptr<http::Server>>
+listenForPlatform(event_base *Loop, const http::Address &At,
+                  const metrics::Registry &Registry,
+                  std::function<std::string()> NotReady,
+                  std::function<void()> BeforePrint = nullptr);
+
+} // namespace wasabivale::daemon
+
+#endif // WASABIVALE_DAEMON_DAEMON_H
--- /dev/null
+++ b/libs/daemon/src/EventLoop.cpp
@@ -0,0 +1,63 @@
+#include "daemon/daemon.h"
+
+#include "events/events.h"
+
+#include <csignal>
+
+namespace wasabivale::daemon {
+
+namespace {
+
+constexpr std::chrono::milliseconds WatchInterval{100};
+
+} // namespace
+
+EventLoop::EventLoop()
+    : m_Base(event_base_new()),
+      m_Terminate(evsignal_new(m_Base, SIGTERM, onSignal, this)),
+      m_Interrupt(evsignal_new(m_Base, SIGINT, onSignal, this)),
+      m_LastTurn(BootClock::now()) {
+  std::signal(SIGPIPE, SIG_IGN);
+  event_add(m_Terminate, nullptr);
+  event_add(m_Interrupt, nullptr);
+  m_Watch = std::make_unique<http::Timer>(m_Base, WatchInterval, true,
+                                          [this] { noteTurn(); });
+}
+
+EventLoop::~EventLoop() {
+  m_Watch.reset();
+  event_free(m_Interrupt);
+  event_free(m_Terminate);
+  event_base_free(m_Base);
+}
+
+void EventLoop::onSignal(evutil_socket_t, short, void *Argument) {
+  auto &Self = *static_cast<EventLoop *>(Argument);
+  if (Self.m_Stopping)
+    return;
+  Self.m_Stopping = true;
+  if (Self.m_OnStop)
+    Self.m_OnStop();
+  else
+    Self.end();
+}
+
+void EventLoop::noteTurn() {
+  const TimePoint Now = BootClock::now();
+  const Duration Gap = Now - m_LastTurn;
+  m_LastTurn = Now;
+  if (Gap < PauseThreshold)
+    return;
+  events::emit(
+      events::Event::ProcessPaused,
+      {{"gap_ms",
+        std::chrono::duration_cast<std::chrono::milliseconds>(Gap).count()}});
+  if (m_OnPause)
+    m_OnPause(Gap);
+}
+
+void EventLoop::run() { event_base_dispatch(m_Base); }
+
+void EventLoop::end() { event_base_loopbreak(m_Base); }
+
+} // namespace wasabivale::daemon
--- /dev/null
+++ b/libs/daemon/src/ReadSettings.cpp
@@ -0,0 +1,84 @@
+#include "daemon/daemon.h"
+
+#include "events/events.h"
+
+#include <boost/program_options.hpp>
+#include <fmt/format.h>
+#include <sstream>
+
+namespace wasabivale::daemon {
+
+namespace options = boost::program_options;
+
+settings::Json sharedDefinitions() {
+  return settings::Json::parse(R"({
+    "address": {"type": "string", "description": "ip:port",
+      "pattern": "^[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}$"},
+    "name": {"type": "string", "pattern": "^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$"},
+    "z85_key": {"type": "string", "minLength": 40, "maxLength": 40}
+  })");
+}
+
+static void printProblems(const std::vector<settings::Problem> &Problems) {
+  for (const settings::Problem &Finding : Problems) {
+    events::emit(events::Event::SettingsInvalid,
+                 {{"file", Finding.m_File},
+                  {"pointer", Finding.m_Pointer},
+                  {"value", Finding.m_Value},
+                  {"expected", Finding.m_Expected}});
+    fmt::print(stderr, "{}\n", settings::describe(Finding));
+  }
+}
+
+static std::variant<settings::Json, int>
+loadAndReport(const std::string &File, const settings::Json &Schema) {
+  auto Loaded = settings::load(File, Schema);
+  if (auto *Problems = std::get_if<std::vector<settings::Problem>>(&Loaded)) {
+    printProblems(*Problems);
+    return ExitUsage;
+  }
+  return std::get<settings::Json>(std::move(Loaded));
+}
+
+std::variant<settings::Json, int>
+readSettings(int ArgumentCount, char **Arguments, const std::string &Program,
+             const std::string &Summary, const settings::Json &Schema) {
+  options::options_description Known("Options");
+  auto Add = Known.add_options();
+  Add("help,h", "print this text");
+  Add("version", "print the version");
+  Add("config", options::value<std::string>(), "settings file (JSON)");
+  Add("check-config", "check the settings and end: 0 valid, 2 not");
+  options::variables_map Given;
+  try {
+    options::store(options::parse_command_line(ArgumentCount, Arguments, Known),
+                   Given);
+  } catch (const options::error &Failure) {
+    fmt::print(stderr, "{}: {}\n", Program, Failure.what());
+    return ExitUsage;
+  }
+  if (Given.count("help") != 0) {
+    std::ostringstream Text;
+    Text << Known;
+    fmt::print("{}: {}\n\n{}", Program, Summary, Text.str());
+    return ExitOk;
+  }
+  if (Given.count("version") != 0) {
+    fmt::print("{} {}\n", Program, WASABIVALE_VERSION);
+    return ExitOk;
+  }
+  if (Given.count("config") == 0) {
+    fmt::print(stderr, "{}: --config FILE is required\n", Program);
+    return ExitUsage;
+  }
+  const auto File = Given["config"].as<std::string>();
+  auto Loaded = loadAndReport(File, Schema);
+  if (std::holds_alternative<settings::Json>(Loaded) &&
+      Given.count("check-config") != 0) {
+    fmt::print("{}: valid\n", File);
+    return ExitOk;
+  }
+  return Loaded;
+}
+
+} // namespace wasabivale::daemon
--- /dev/null
+++ b/tools/demo/processes.sh
@@ -0,0 +1,73 @@
+# Functions for scripts that run the system's processes on loopback.
+# Processes are started here and ended by pid when the script ends.
+
+bin=$PWD/out/build/bin
+pids=()
+steps=0
+
+step() {
+  steps=$((steps + 1))
+  echo "step $steps: $1"
+}
+
+fail() {
+  echo "failed: $1" >&2
+  tail -n 5 "$folder"/*.log >&2 || true
+  exit 1
+}
+
+end_all() {
+  local pid
+  for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+}
+trap end_all EXIT
+
+# start NAME COMMAND...: sets last_pid; the log is $folder/NAME.log
+start() {
+  local name=$1
+  shift
+  "$@" >>"$folder/$name.log" 2>&1 &
+  last_pid=$!
+  pids+=("$last_pid")
+}
+
+# start_deployment NAME CONTROL ENTRIES FIRST_PORT
+start_deployment() {
+  folder=$PWD/out/$1
+  rm -rf "$folder"
+  "$bin/wasabivale-deployment" --folder "$folder" --control "$2" --entries "$3" --first-port "$4"
+  first_port=$4
+  export WASABIVALE_TOKEN
+  WASABIVALE_TOKEN=$(cat "$folder/operator.token")
+  local i
+  for i in $(seq "$2"); do
+    start "control-$i" "$bin/wasabivale-control" --config "$folder/control-$i.json"
+    declare -g "control_${i}_pid=$last_pid"
+  done
+  for i in $(seq "$3"); do
+    start "entry-$i" "$bin/wasabivale-entry" --config "$folder/entry-$i.json"
+    declare -g "entry_${i}_pid=$last_pid"
+  done
+  for i in $(seq "$3"); do
+    wait_for "entry-$i is ready" curl -sf "127.0.0.1:$(($4 + 102 + 10 * i))/readyz"
+  done
+}
+
+# wait_for WHAT COMMAND...: until the command succeeds, 30 s at most
+wait_for() {
+  local what=$1 end=$((SECONDS + 30))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    ((SECONDS < end)) || fail "timed out waiting: $what"
+    sleep 0.1
+  done
+}
+
+fleet_serves() {
+  local count
+  count=$("$bin/wasabivale" status --server "127.0.0.1:$((first_port + 11))" --output json |
+    grep -o '"state":"serving"' | wc -l)
+  [[ "$count" -eq "$1" ]]
+}
