--- /dev/null
+++ b/libs/targets/src/Client.cpp
@@ -0,0 +1,272 @@
+#include "targets/targets.h"
+
+#include <utility>
+
+namespace wasabivale::targets {
+
+namespace {
+
+constexpr int HttpOk = 200;
+constexpr int HttpBadRequest = 400;
+constexpr int HttpNotFound = 404;
+constexpr int HttpConflict = 409;
+constexpr int HttpTooMany = 429;
+constexpr int HttpUnavailable = 503;
+
+http::ClientRequest post(const http::Address &To, std::string Path,
+                         std::string Body, TimePoint Deadline) {
+  http::ClientRequest What;
+  What.m_To = To;
+  What.m_Path = std::move(Path);
+  What.m_Headers = {{"Content-Type", "application/json"}};
+  What.m_Body = std::move(Body);
+  What.m_Deadline = Deadline;
+  return What;
+}
+
+bool refusedForGood(int HttpStatus) {
+  return HttpStatus == HttpBadRequest || HttpStatus == HttpNotFound ||
+         HttpStatus == HttpConflict;
+}
+
+bool refusedForNow(int HttpStatus, std::string_view Body) {
+  return (HttpStatus == HttpTooMany || HttpStatus == HttpUnavailable) &&
+         saysNotRun(Body);
+}
+
+/// Collects the answer to one run. Lives in the handlers of its call.
+struct RunState {
+  RunHandlers m_Handlers;
+  StreamReader m_Reader;
+  std::string m_Peer;
+  std::string m_Refusal; ///< Body of an answer other than 200.
+  std::weak_ptr<http::ClientCall> m_Call;
+  RunEnding m_Ending;
+  bool m_Ended = false;
+};
+
+/// Ends its run with the call, so that no piece that has already arrived
+/// follows a `cancel`.
+class RunCall final : public http::ClientCall {
+public:
+  RunCall(std::shared_ptr<RunState> Run, std::shared_ptr<ClientCall> Call)
+      : m_Run(std::move(Run)), m_Call(std::move(Call)) {}
+
+  [[nodiscard]] bool hasSent() const override { return m_Call->hasSent(); }
+  void cancel() override {
+    m_Run->m_Ended = true;
+    m_Call->cancel();
+  }
+  void pause() override { m_Call->pause(); }
+  void resume() override { m_Call->resume(); }
+
+private:
+  std::shared_ptr<RunState> m_Run;
+  std::shared_ptr<http::ClientCall> m_Call;
+};
+
+void endRun(RunState &Run, RunResult How, Error Failure) {
+  if (std::exchange(Run.m_Ended, true))
+    return;
+  Run.m_Ending.m_Result = How;
+  Run.m_Ending.m_Offset = Run.m_Reader.offset();
+  Run.m_Ending.m_Duplicates = Run.m_Reader.duplicates();
+  Run.m_Ending.m_Failure = std::move(Failure);
+  Run.m_Ending.m_Failure.m_Peer = Run.m_Peer;
+  if (const auto OnEnd = std::exchange(Run.m_Handlers, {}).m_OnEnd)
+    OnEnd(std::move(Run.m_Ending));
+}
+
+void takePieces(RunState &Run, std::string_view Bytes) {
+  std::vector<StreamEvent> Events;
+  const Status Fed = Run.m_Reader.feed(Bytes, Events);
+  for (StreamEvent &Event : Events) {
+    if (auto *End = std::get_if<StreamEnd>(&Event))
+      Run.m_Ending.m_End = std::move(*End);
+    const auto *Piece = std::get_if<StreamPiece>(&Event);
+    if (Run.m_Ended)
+      return;
+    if (Piece != nullptr && Run.m_Handlers.m_OnPiece)
+      Run.m_Handlers.m_OnPiece(*Piece);
+  }
+  if (!failed(Fed))
+    return;
+  if (const auto Call = Run.m_Call.lock())
+    Call->cancel();
+  endRun(Run, RunResult::Broken, errorOf(Fed));
+}
+
+void takeChunk(RunState &Run, std::string_view Bytes) {
+  if (Run.m_Ended)
+    return;
+  if (Run.m_Ending.m_HttpStatus == HttpOk)
+    return takePieces(Run, Bytes);
+  if (Run.m_Refusal.size() + Bytes.size() <= MaxLineBytes)
+    Run.m_Refusal += Bytes;
+}
+
+void endCall(RunState &Run, const Result<http::Response> &Answer) {
+  const auto Call = Run.m_Call.lock();
+  const bool Sent = Call == nullptr || Call->hasSent();
+  if (failed(Answer)) {
+    if (Run.m_Reader.isWhole())
+      return endRun(Run, RunResult::Whole, {});
+    return endRun(Run, Sent ? RunResult::Broken : RunResult::NotRun,
+                  errorOf(Answer));
+  }
+  const int HttpStatus = valueOf(Answer).m_Status;
+  Run.m_Ending.m_HttpStatus = HttpStatus;
+  const Error Refusal{"targets.run", "",
+                      "the engine answered " + std::to_string(HttpStatus)};
+  if (HttpStatus == HttpOk && Run.m_Reader.isWhole())
+    return endRun(Run, RunResult::Whole, {});
+  if (HttpStatus == HttpOk)
+    return endRun(Run, RunResult::Broken,
+                  {"targets.run", "", "the stream ended without its marker"});
+  if (refusedForNow(HttpStatus, Run.m_Refusal))
+    return endRun(Run, RunResult::NotRun, Refusal);
+  endRun(Run,
+         refusedForGood(HttpStatus) ? RunResult::Refused : RunResult::Broken,
+         Refusal);
+}
+
+CallEnding readCallEnding(const Result<http::Response> &Answer, bool Sent,
+                          const std::string &Peer) {
+  CallEnding Ending;
+  if (failed(Answer)) {
+    Ending.m_Result = Sent ? CallResult::Unknown : CallResult::NotRun;
+    Ending.m_Failure = errorOf(Answer);
+    return Ending;
+  }
+  const http::Response &Got = valueOf(Answer);
+  Ending.m_HttpStatus = Got.m_Status;
+  if (Got.m_Status == HttpOk) {
+    auto Parsed = parseServiceAnswer(Got.m_Body);
+    if (failed(Parsed)) {
+      Ending.m_Failure = errorOf(Parsed);
+    } else {
+      Ending.m_Result = CallResult::Answered;
+      Ending.m_Answer = std::move(valueOf(Parsed));
+    }
+  } else {
+    if (refusedForNow(Got.m_Status, Got.m_Body))
+      Ending.m_Result = CallResult::NotRun;
+    else if (refusedForGood(Got.m_Status))
+      Ending.m_Result = CallResult::Refused;
+    Ending.m_Failure = {"targets.call", "",
+                        "the service answered " + std::to_string(Got.m_Status)};
+  }
+  Ending.m_Failure.m_Peer = Peer;
+  return Ending;
+}
+
+/// Calls and reads the answer's body by \p Parse.
+template <typename T, typename Parser>
+std::shared_ptr<http::ClientCall>
+callAndParse(event_base *Loop, http::ClientRequest What, Parser Parse,
+             std::function<void(Result<T>)> OnEnd) {
+  http::ClientHandlers Handlers;
+  Handlers.m_OnDone =
+      [Parse, OnEnd = std::move(OnEnd),
+       Peer = http::printAddress(What.m_To)](Result<http::Response> Answer) {
+        Result<T> Read = failed(Answer) ? Result<T>(errorOf(Answer))
+                                        : Parse(valueOf(Answer));
+        if (failed(Read))
+          std::get<Error>(Read).m_Peer = Peer;
+        OnEnd(std::move(Read));
+      };
+  return http::call(Loop, std::move(What), std::move(Handlers));
+}
+
+} // namespace
+
+std::shared_ptr<http::ClientCall> runOnEngine(event_base *Loop,
+                                              const http::Address &Engine,
+                                              const RunRequest &What,
+                                              RunHandlers Handlers) {
+  auto Run = std::make_shared<RunState>(
+      RunState{std::move(Handlers),
+               StreamReader(What.m_StreamId, What.m_Offset, What.m_MaxTokens),
+               http::printAddress(Engine),
+               {},
+               {},
+               {},
+               false});
+  http::ClientHandlers Inner;
+  Inner.m_OnHead = [Run](int HttpStatus, const http::Headers &) {
+    Run->m_Ending.m_HttpStatus = HttpStatus;
+    if (HttpStatus == HttpOk && Run->m_Handlers.m_OnStarted)
+      Run->m_Handlers.m_OnStarted();
+  };
+  Inner.m_OnChunk = [Run](std::string_view Bytes) { takeChunk(*Run, Bytes); };
+  Inner.m_OnDone = [Run](Result<http::Response> Answer) {
+    // A body that is not chunked may come whole with the end.
+    if (!failed(Answer))
+      takeChunk(*Run, valueOf(Answer).m_Body);
+    endCall(*Run, Answer);
+  };
+  auto Call = http::call(Loop,
+                         post(Engine, "/engine/v1/run",
+                              print(What, BootClock::now()), What.m_Deadline),
+                         std::move(Inner));
+  Run->m_Call = Call;
+  return std::make_shared<RunCall>(Run, Call);
+}
+
+std::shared_ptr<http::ClientCall>
+callService(event_base *Loop, const http::Address &Service,
+            const ServiceCall &What, TimePoint Deadline,
+            std::function<void(CallEnding)> OnEnd) {
+  auto Made = std::make_shared<std::weak_ptr<http::ClientCall>>();
+  http::ClientHandlers Handlers;
+  Handlers.m_OnDone =
+      [Made, OnEnd = std::move(OnEnd),
+       Peer = http::printAddress(Service)](Result<http::Response> Answer) {
+        const auto Call = Made->lock();
+        OnEnd(readCallEnding(Answer, Call == nullptr || Call->hasSent(), Peer));
+      };
+  auto Call =
+      http::call(Loop, post(Service, "/service/v1/call", print(What), Deadline),
+                 std::move(Handlers));
+  *Made = Call;
+  return Call;
+}
+
+std::shared_ptr<http::ClientCall>
+cancelRun(event_base *Loop, const http::Address &Engine,
+          const RequestId &Request, TimePoint Deadline,
+          std::function<void(Result<bool>)> OnEnd) {
+  return callAndParse<bool>(
+      Loop, post(Engine, "/engine/v1/cancel", printCancel(Request), Deadline),
+      [](const http::Response &Got) { return parseCancelAnswer(Got.m_Body); },
+      std::move(OnEnd));
+}
+
+std::shared_ptr<http::ClientCall>
+getState(event_base *Loop, const http::Address &Target, TimePoint Deadline,
+         std::function<void(Result<TargetState>)> OnEnd) {
+  http::ClientRequest What = post(Target, "/target/v1/state", "", Deadline);
+  What.m_Method = "GET";
+  What.m_Headers.clear();
+  return callAndParse<TargetState>(
+      Loop, std::move(What),
+      [](const http::Response &Got) -> Result<TargetState> {
+        if (Got.m_Status != HttpOk)
+          return Error{"targets.state", "", "unexpected status"};
+        return parseTargetState(Got.m_Body);
+      },
+      std::move(OnEnd));
+}
+
+std::shared_ptr<http::ClientCall>
+sendOrder(event_base *Loop, const http::Address &Target, const Order &What,
+          TimePoint Deadline, std::function<void(Result<OrderAnswer>)> OnEnd) {
+  return callAndParse<OrderAnswer>(
+      Loop, post(Target, "/target/v1/orders", print(What), Deadline),
+      [](const http::Response &Got) {
+        return parseOrderAnswer(Got.m_Status, Got.m_Body);
+      },
+      std::move(OnEnd));
+}
+
+} // namespace wasabivale::targets
