--- a/apps/entry/src/Entry.cpp
+++ b/apps/entry/src/Entry.cpp
@@ -201,14 +201,16 @@
   http::ClientRequest What;
   What.m_To = valueOf(http::parseAddress(Target.address()));
   What.m_Path = "/engine/v1/run";
-  What.m_Body = Json{
-      {"request", randomIdentity()},
-      {"stream_id", randomIdentity()},
-      {"model", Model},
-      {"prompt", Body.value("prompt", "")},
-      {"max_tokens", Body.value("max_tokens", 16)},
-      {"priority", 5},
-      {"offset", 0}}.dump();
+  What.m_Body =
+      Json{{"request", randomIdentity()},
+           {"stream_id", randomIdentity()},
+           {"model", Model},
+           {"prompt", Body.value("prompt", "")},
+           {"max_tokens", Body.value("max_tokens", 16)},
+           {"priority", 5},
+           {"offset", 0},
+           {"deadline_ms", std::chrono::milliseconds(DefaultDeadline).count()}}
+          .dump();
   What.m_Deadline = BootClock::now() + DefaultDeadline;
   auto Passing = std::make_shared<Stream>();
   Passing->m_Caller = Arrived;
