Add routing, limits and retries as pure libraries

The entry program needs deciding code for targets, admission and retries that runs under real and virtual time alike.

--- /dev/null
+++ b/libs/limits/src/Internal.h
@@ -0,0 +1,54 @@
+// Shared by the modules of this library; not for its users.
+
+#ifndef WASABIVALE_LIMITS_INTERNAL_H
+#define WASABIVALE_LIMITS_INTERNAL_H
+
+#include "limits/limits.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wasabivale::limits {
+
+inline double seconds(Duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+/// Bounded, so that no estimate overflows a time point.
+inline Duration fromSeconds(double Value) {
+  constexpr double Day = 86400;
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(std::clamp(Value, -Day, Day)));
+}
+
+// Shares.cpp
+/// The caller's concurrent requests at this entry, as a whole number.
+std::uint32_t runningShare(const Caller &Who);
+/// Whether the caller's lease and concurrency allow a start now.
+bool mayStart(const Caller &Who, TimePoint Now);
+void refill(const Settings &Options, Caller &Who, TimePoint Now);
+/// The first rate that does not cover the request, and when it will.
+std::optional<Refused> overRate(const Settings &Options, const Caller &Who,
+                                const Arrival &Wanted);
+void charge(Caller &Who, double Requests, double PromptTokens,
+            double OutputTokens);
+Use &useOf(State &Entry, CallerIndex Index);
+void notePeak(State &Entry, CallerIndex Index);
+void freeIfUnused(State &Entry, CallerIndex Index);
+
+// Queue.cpp
+/// Weight and size of the backlog changed: files the caller anew.
+void fileBacklog(State &Entry, CallerIndex Index, std::uint32_t Queued);
+void enqueue(State &Entry, Ticket Id, TimePoint Now);
+/// Takes a waiting request out of its queue.
+void dequeue(State &Entry, Ticket Id, TimePoint Now);
+/// Lists the flows of a caller that may start, and unlists all others.
+void relist(State &Entry, CallerIndex Index, TimePoint Now);
+/// Marks a request as running and charges it to the fair queue.
+void start(State &Entry, Ticket Id, TimePoint Now);
+/// Expected wait of a request that would join the queue now.
+double expectedWait(const ModelQueue &Queue, const Caller &Who,
+                    CallerIndex Index, const Arrival &Wanted);
+
+} // namespace wasabivale::limits
+
+#endif // WASABIVALE_LIMITS_INTERNAL_H
--- /dev/null
+++ b/libs/limits/src/Queue.cpp
@@ -0,0 +1,251 @@
+// Fair queue: start-time fair queueing across callers for each model, and
+// priority with ageing within a caller.
+
+#include "Internal.h"
+
+namespace wasabivale::limits {
+
+namespace {
+
+Held &heldOf(State &Entry, Ticket Id) {
+  const auto Found = Entry.m_Held.find(Id);
+  WASABIVALE_INVARIANT(Found != Entry.m_Held.end());
+  return Found->second;
+}
+
+unsigned headPriority(const State &Entry, const Flow &Line) {
+  const Ticket Head = std::get<Ticket>(*Line.m_Waiting.begin());
+  return Entry.m_Held.at(Head).m_Priority;
+}
+
+void unlist(ModelQueue &Queue, CallerIndex Index, Flow &Line) {
+  if (!Line.m_Listed)
+    return;
+  Queue.m_Order.erase({Line.m_Key, Index});
+  Queue.m_Starved.erase({Line.m_LastStart, Index});
+  Line.m_Listed = false;
+}
+
+void list(const State &Entry, ModelQueue &Queue, CallerIndex Index,
+          Flow &Line) {
+  const double Credit = seconds(Entry.m_Settings.m_PriorityCredit);
+  Line.m_Key = std::max(Queue.m_Virtual, Line.m_Finish) -
+               Credit * headPriority(Entry, Line);
+  Queue.m_Order.insert({Line.m_Key, Index});
+  Queue.m_Starved.insert({Line.m_LastStart, Index});
+  Line.m_Listed = true;
+}
+
+/// Lists a flow anew: its head, its caller or its tags have changed.
+void relistFlow(const State &Entry, ModelQueue &Queue, CallerIndex Index,
+                Flow &Line, TimePoint Now) {
+  unlist(Queue, Index, Line);
+  if (!Line.m_Waiting.empty() && mayStart(Entry.m_Callers[Index], Now))
+    list(Entry, Queue, Index, Line);
+}
+
+/// A caller whose turn has come: by starvation, else by the fair order.
+CallerIndex turnOf(const State &Entry, ModelQueue &Queue, TimePoint Now) {
+  const auto &[LastStart, Waiting] = *Queue.m_Starved.begin();
+  const bool Starved = Now - LastStart >= Entry.m_Settings.m_StarvationBound;
+  Queue.m_LastWasStarved = Starved && !Queue.m_LastWasStarved;
+  return Queue.m_LastWasStarved ? Waiting : Queue.m_Order.begin()->second;
+}
+
+/// Unlists flows at the front whose caller's lease has run out.
+template <typename OrderType>
+void dropLapsed(const State &Entry, ModelQueue &Queue, const OrderType &Order,
+                TimePoint Now) {
+  while (!Order.empty()) {
+    const CallerIndex Index = Order.begin()->second;
+    if (mayStart(Entry.m_Callers[Index], Now))
+      return;
+    unlist(Queue, Index, Queue.m_Flows.at(Index));
+  }
+}
+
+bool hasTurn(const State &Entry, ModelQueue &Queue, TimePoint Now) {
+  dropLapsed(Entry, Queue, Queue.m_Starved, Now);
+  dropLapsed(Entry, Queue, Queue.m_Order, Now);
+  return !Queue.m_Order.empty();
+}
+
+/// Of the models with work and room, the one that has waited longest.
+ModelQueue *nextModel(State &Entry, TimePoint Now, const CapacityView &Room) {
+  ModelQueue *Best = nullptr;
+  for (auto &[Model, Queue] : Entry.m_Models) {
+    if (Best != nullptr && Queue.m_LastStart >= Best->m_LastStart)
+      continue;
+    if (!hasTurn(Entry, Queue, Now) || Room(Model).m_FreeSlots == 0)
+      continue;
+    Best = &Queue;
+  }
+  return Best;
+}
+
+Refused lateRefusal(const Held &Request, const ModelQueue &Queue,
+                    TimePoint Now) {
+  if (Request.m_Deadline <= Now)
+    return {Refusal::DeadlinePassed, {}};
+  // The work that waits now must shrink by what this request lacked.
+  const Duration Lacking = Now + Request.m_ServiceTime - Request.m_Deadline;
+  return {Refusal::CannotMeetDeadline,
+          std::max(Lacking, fromSeconds(Queue.m_Work > 0 ? 1 : 0.1))};
+}
+
+} // namespace
+
+void fileBacklog(State &Entry, CallerIndex Index, std::uint32_t Queued) {
+  Caller &Who = Entry.m_Callers[Index];
+  if (Who.m_Queued > 0)
+    Entry.m_ByBacklog.erase({Who.m_Queued / Who.m_Weight, Index});
+  Who.m_Queued = Queued;
+  if (Who.m_Queued > 0)
+    Entry.m_ByBacklog.insert({Who.m_Queued / Who.m_Weight, Index});
+}
+
+void enqueue(State &Entry, Ticket Id, TimePoint Now) {
+  Held &Request = heldOf(Entry, Id);
+  const CallerIndex Index = Request.m_Caller;
+  ModelQueue &Queue = Entry.m_Models[Request.m_Model];
+  Flow &Line = Queue.m_Flows[Index];
+  unlist(Queue, Index, Line);
+  if (Line.m_Waiting.empty()) {
+    Queue.m_Weights += Entry.m_Callers[Index].m_Weight;
+    Line.m_LastStart = Now;
+  }
+  const TimePoint Rank =
+      Now - Entry.m_Settings.m_AgeStep * static_cast<int>(Request.m_Priority);
+  Request.m_Place = {Rank, Id};
+  Line.m_Waiting.insert(Request.m_Place);
+  Line.m_Work += seconds(Request.m_ServiceTime);
+  Queue.m_Work += seconds(Request.m_ServiceTime);
+  Entry.m_ByLatestStart.insert({Request.m_LatestStart, Id});
+  ++Entry.m_QueuedCount;
+  fileBacklog(Entry, Index, Entry.m_Callers[Index].m_Queued + 1);
+  relistFlow(Entry, Queue, Index, Line, Now);
+}
+
+void dequeue(State &Entry, Ticket Id, TimePoint Now) {
+  Held &Request = heldOf(Entry, Id);
+  WASABIVALE_INVARIANT(!Request.m_Running);
+  const CallerIndex Index = Request.m_Caller;
+  ModelQueue &Queue = Entry.m_Models.at(Request.m_Model);
+  Flow &Line = Queue.m_Flows.at(Index);
+  unlist(Queue, Index, Line);
+  const std::size_t Waited = Line.m_Waiting.erase(Request.m_Place);
+  WASABIVALE_INVARIANT(Waited == 1);
+  Entry.m_ByLatestStart.erase({Request.m_LatestStart, Id});
+  Line.m_Work -= seconds(Request.m_ServiceTime);
+  Queue.m_Work -= seconds(Request.m_ServiceTime);
+  if (Line.m_Waiting.empty()) {
+    Queue.m_Work -= Line.m_Work;
+    Line.m_Work = 0; // Sheds what rounding left.
+    Queue.m_Weights -= Entry.m_Callers[Index].m_Weight;
+  }
+  WASABIVALE_INVARIANT(Entry.m_QueuedCount > 0);
+  --Entry.m_QueuedCount;
+  WASABIVALE_INVARIANT(Entry.m_Callers[Index].m_Queued > 0);
+  fileBacklog(Entry, Index, Entry.m_Callers[Index].m_Queued - 1);
+  relistFlow(Entry, Queue, Index, Line, Now);
+}
+
+void relist(State &Entry, CallerIndex Index, TimePoint Now) {
+  if (Entry.m_Callers[Index].m_Queued == 0)
+    return;
+  for (auto &[Model, Queue] : Entry.m_Models) {
+    const auto Found = Queue.m_Flows.find(Index);
+    if (Found != Queue.m_Flows.end())
+      relistFlow(Entry, Queue, Index, Found->second, Now);
+  }
+}
+
+void start(State &Entry, Ticket Id, TimePoint Now) {
+  Held &Request = heldOf(Entry, Id);
+  const CallerIndex Index = Request.m_Caller;
+  Caller &Who = Entry.m_Callers[Index];
+  ModelQueue &Queue = Entry.m_Models[Request.m_Model];
+  Flow &Line = Queue.m_Flows[Index];
+  unlist(Queue, Index, Line);
+  Queue.m_Virtual = std::max(Queue.m_Virtual, Line.m_Finish);
+  Line.m_Finish =
+      Queue.m_Virtual + seconds(Request.m_ServiceTime) / Who.m_Weight;
+  Line.m_LastStart = Now;
+  Queue.m_LastStart = Now;
+  Request.m_Running = true;
+  Request.m_StartedAt = Now;
+  ++Who.m_Running;
+  ++Entry.m_RunningCount;
+  WASABIVALE_INVARIANT(Who.m_Running <= runningShare(Who));
+  relistFlow(Entry, Queue, Index, Line, Now);
+  relist(Entry, Index, Now);
+  notePeak(Entry, Index);
+}
+
+double expectedWait(const ModelQueue &Queue, const Caller &Who,
+                    CallerIndex Index, const Arrival &Wanted) {
+  const double Slots = std::max(1.0, Wanted.m_Capacity.m_Slots);
+  const double Service = seconds(Wanted.m_ServiceTime);
+  const auto Found = Queue.m_Flows.find(Index);
+  const double Own = Found == Queue.m_Flows.end() ? 0 : Found->second.m_Work;
+  const bool Waits = Own > 0;
+  const double Weights = Queue.m_Weights + (Waits ? 0 : Who.m_Weight);
+  // Served at its fair part, behind one request of each other caller.
+  const double Round = std::min(
+      Queue.m_Work, static_cast<double>(Queue.m_Order.size()) * Service);
+  const double Fair = Own * Weights / Who.m_Weight + Round;
+  const double Ahead = std::min(Queue.m_Work, Fair);
+  const double SlotFrees = Wanted.m_Capacity.m_FreeSlots > 0 ? 0 : Service;
+  double Wait = (SlotFrees + Ahead) / Slots;
+  const std::uint32_t Share = runningShare(Who);
+  if (Who.m_Running >= Share)
+    Wait = std::max(Wait, Service * (Who.m_Queued + 1) / std::max(1U, Share));
+  return Wait;
+}
+
+std::optional<Ticket> nextToStart(State &Entry, TimePoint Now,
+                                  const CapacityView &Room) {
+  if (Entry.m_QueuedCount == 0)
+    return std::nullopt;
+  ModelQueue *Queue = nextModel(Entry, Now, Room);
+  if (Queue == nullptr)
+    return std::nullopt;
+  const CallerIndex Index = turnOf(Entry, *Queue, Now);
+  const Flow &Line = Queue->m_Flows.at(Index);
+  const Ticket Id = std::get<Ticket>(*Line.m_Waiting.begin());
+  dequeue(Entry, Id, Now);
+  start(Entry, Id, Now);
+  return Id;
+}
+
+std::vector<RefusedTicket> expire(State &Entry, TimePoint Now) {
+  std::vector<RefusedTicket> Late;
+  while (!Entry.m_ByLatestStart.empty() &&
+         Entry.m_ByLatestStart.begin()->first < Now) {
+    const Ticket Id = Entry.m_ByLatestStart.begin()->second;
+    const Held &Request = heldOf(Entry, Id);
+    Late.push_back(
+        {Id, lateRefusal(Request, Entry.m_Models.at(Request.m_Model), Now)});
+    abandon(Entry, Id, Now);
+  }
+  return Late;
+}
+
+std::optional<TimePoint> nextExpiry(const State &Entry) {
+  if (Entry.m_ByLatestStart.empty())
+    return std::nullopt;
+  return Entry.m_ByLatestStart.begin()->first + Duration(1);
+}
+
+void abandon(State &Entry, Ticket Id, TimePoint Now) {
+  dequeue(Entry, Id, Now);
+  const Held Request = heldOf(Entry, Id);
+  // It used nothing: its budgets get back what they were charged.
+  charge(Entry.m_Callers[Request.m_Caller], -1.0,
+         -static_cast<double>(Request.m_PromptTokens),
+         -static_cast<double>(Request.m_OutputTokens));
+  Entry.m_Held.erase(Id);
+  freeIfUnused(Entry, Request.m_Caller);
+}
+
+} // namespace wasabivale::limits
--- /dev/null
+++ b/libs/retries/include/retries/retries.h
@@ -0,0 +1,271 @@
+/// \file
+/// Retries, and requests that crash the targets that run them.
+///
+/// Pure deciding code over plain structs: no I/O, no clock, no threads. Three
+/// parts: `decide` after a failed try (entry); `Watch`, an entry's hold on
+/// fingerprints that are under suspicion; `Suspicion`, the fleet-wide
+/// decision on crashes, deterministic and fed by log time (control).
+
+#ifndef WASABIVALE_RETRIES_RETRIES_H
+#define WASABIVALE_RETRIES_RETRIES_H
+
+#include "base/base.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace wasabivale::retries {
+
+// --- Retry decisions (entry) ------------------------------------------------
+
+struct Settings {
+  double m_CallerShare = 0.2; ///< Retries for each success of a caller.
+  double m_TargetShare = 0.2; ///< Retries for each success of a target.
+  double m_MaxTokens = 10;    ///< Most retries saved up, and the start value.
+  Duration m_BackoffBase = std::chrono::milliseconds(50);
+  Duration m_BackoffCap = std::chrono::seconds(2);
+  std::uint32_t m_MaxTries = 4;
+};
+
+/// Why a try failed.
+enum class FailureKind : std::uint8_t {
+  ConnectFailed, ///< No connection; nothing was sent.
+  TargetFull,    ///< The target says that it did not run it.
+  TargetError,   ///< The target answered with an error.
+  Broken,        ///< The connection broke.
+  Stalled,       ///< No progress within the allowed time.
+  Malformed,     ///< The answer was not understood or not whole.
+  CannotResume,  ///< The target cannot continue this stream.
+  Refused,       ///< The target says that the request itself is wrong.
+};
+/// `connect_failed`, ... : a metric label for retries.
+std::string_view failureKindName(FailureKind Value);
+inline constexpr std::size_t FailureKindCount = 8;
+
+/// A request and its tries so far.
+struct Attempt {
+  CallerId m_Caller;
+  TargetId m_Target;         ///< Of the try that failed.
+  std::uint32_t m_Tries = 1; ///< Made so far, the failed one included.
+  TimePoint m_Deadline;
+  Duration m_ServiceTime{}; ///< What another try is expected to take.
+  bool m_NotRepeatable = false;
+  /// Whether an earlier try, before the failed one, may have run.
+  bool m_MayHaveRun = false;
+  std::vector<TargetId> m_Avoid; ///< Targets that failed it before.
+};
+
+/// Facts about the failure.
+struct Failure {
+  FailureKind m_Kind = FailureKind::Broken;
+  bool m_NotRunProven = false;    ///< The target's word, or nothing was sent.
+  bool m_BytesSent = false;       ///< Any byte may have left.
+  bool m_FirstBytePassed = false; ///< The caller has part of the answer.
+  bool m_Resumable = false;       ///< A target can continue at an offset.
+  std::uint64_t m_Offset = 0;     ///< Tokens passed on to the caller.
+};
+
+/// Try again from the start.
+struct RetryAt {
+  TimePoint m_When;
+  std::vector<TargetId> m_Avoid;
+};
+/// Continue the stream.
+struct ResumeAt {
+  TimePoint m_When;
+  std::uint64_t m_Offset = 0;
+  std::vector<TargetId> m_Avoid; ///< Empty: the same target may continue.
+};
+/// Tell the caller.
+struct GiveUp {
+  Refusal m_Reason = Refusal::TargetFailed;
+  Outcome m_Outcome = Outcome::Unknown;
+};
+using RetryDecision = std::variant<RetryAt, ResumeAt, GiveUp>;
+
+/// Retries left; refilled by successes.
+struct Budget {
+  double m_Tokens = 0;
+};
+
+struct State {
+  Settings m_Settings;
+  std::unordered_map<CallerId, Budget> m_Callers;
+  std::unordered_map<TargetId, Budget> m_Targets;
+};
+
+/// A request of \p Caller was completed by \p Target.
+void noteSuccess(State &Entry, const CallerId &Caller, const TargetId &Target);
+
+/// Forgets the budgets of those that are gone.
+void forgetCaller(State &Entry, const CallerId &Caller);
+void forgetTarget(State &Entry, const TargetId &Target);
+
+/// Whether any try of the request may have run, the failed one included.
+bool mayHaveRun(const Attempt &Request, const Failure &Facts);
+
+/// Decides what follows a failed try. Never another try of a not repeatable
+/// request that may have run; `not_run` only if no try may have run. A retry
+/// is paid from the budgets of the caller and of the failed target.
+RetryDecision decide(State &Entry, const Attempt &Request, const Failure &Facts,
+                     TimePoint Now, Random &Rng);
+
+// --- Fingerprints -----------------------------------------------------------
+
+/// Hash of what a request asks, whoever asks it.
+using Fingerprint = std::uint64_t;
+
+/// Fingerprint of a model and a prompt (or of a service and its call's body).
+Fingerprint fingerprintOf(const ModelId &Model, std::string_view Prompt);
+
+/// Most targets that one fingerprint takes when its caller resends it after
+/// each failure. See docs/design/0007-retries-and-quarantine.md for copies
+/// that already run elsewhere when the first target crashes.
+inline constexpr std::uint32_t MaxTargetsLost = 2;
+
+// --- Fleet-wide suspicion (control) -----------------------------------------
+
+struct SuspicionSettings {
+  Duration m_QuarantineFor = std::chrono::minutes(10);
+  Duration m_SuspectFor = std::chrono::minutes(2);
+  /// Longest isolated re-run; its target is free for another one afterwards.
+  Duration m_RerunFor = std::chrono::seconds(30);
+  std::size_t m_MaxSuspects = 4096; ///< The least suspect are dropped first.
+};
+
+/// A target's process went away while these were running there, as one entry
+/// saw it.
+struct Crash {
+  TargetId m_Target;
+  std::string m_Incarnation;
+  std::vector<Fingerprint> m_Running;
+};
+
+enum class Verdict : std::uint8_t {
+  Suspect,     ///< May run alone, at one target at a time, by permission.
+  Quarantined, ///< Not run at all.
+};
+
+struct Suspect {
+  Verdict m_Verdict = Verdict::Suspect;
+  double m_Weight = 0; ///< Sum of 1/n over the crashes it was running at.
+  TimePoint m_Until;   ///< Log time.
+  /// Incarnations that crashed under it.
+  std::set<std::pair<TargetId, std::string>> m_Crashes;
+  std::optional<NodeId> m_RerunBy; ///< Entry that may run it now.
+  TargetId m_RerunAt;
+  TimePoint m_RerunUntil;
+  std::uint64_t m_Revision = 0; ///< Of the last change, for deltas.
+};
+
+/// Deterministic: the same events with the same log times give the same
+/// state on every member.
+struct Suspicion {
+  SuspicionSettings m_Settings;
+  std::uint64_t m_Revision = 0; ///< Raised by each change.
+  std::map<Fingerprint, Suspect> m_Suspects;
+  /// Fingerprints seen at each crashed incarnation, from all entries.
+  std::map<std::pair<TargetId, std::string>, std::set<Fingerprint>> m_Crashes;
+  std::map<std::pair<TargetId, std::string>, TimePoint> m_CrashedAt;
+};
+
+/// A crash, reported by one or more entries. Reports of the same incarnation
+/// add up to one crash. \returns the revision from which on entries know it.
+std::uint64_t applyCrash(Suspicion &Fleet, const Crash &Report,
+                         TimePoint LogNow);
+
+/// An entry asks to run a suspect alone at a target. Granted if neither the
+/// fingerprint nor the target has another permission.
+bool permitRerun(Suspicion &Fleet, Fingerprint Print, const NodeId &Entry,
+                 const TargetId &Target, TimePoint LogNow);
+
+/// An isolated re-run ended. \p Completed clears the suspect: a bystander.
+void endRerun(Suspicion &Fleet, Fingerprint Print, const NodeId &Entry,
+              bool Completed, TimePoint LogNow);
+
+/// Lifts what has expired; called with every applied command's log time.
+void expireSuspicion(Suspicion &Fleet, TimePoint LogNow);
+
+/// An operator lifts a quarantine.
+bool liftQuarantine(Suspicion &Fleet, Fingerprint Print);
+
+/// A suspect as told to an entry.
+struct SuspectNotice {
+  Fingerprint m_Print = 0;
+  Verdict m_Verdict = Verdict::Suspect;
+  Duration m_Remaining{};
+  bool m_RerunPermitted = false; ///< To the entry that is told.
+  TargetId m_RerunAt;
+};
+
+/// Everything that \p Entry must know now, guilty ones first, most suspect
+/// next. Sent whole whenever the entry's revision is not the newest.
+std::vector<SuspectNotice> noticesFor(const Suspicion &Fleet,
+                                      const NodeId &Entry, TimePoint LogNow);
+
+// --- An entry's hold on suspects --------------------------------------------
+
+/// What an entry may do with a fingerprint now.
+enum class Gate : std::uint8_t {
+  Open,        ///< Run it anywhere.
+  SameTarget,  ///< A copy is in flight: only at that target.
+  Hold,        ///< Suspect: ask for permission and wait.
+  Isolated,    ///< Permitted: alone, at the named target.
+  Quarantined, ///< Refuse with `Refusal::Quarantined`, `not_run`.
+};
+
+struct GateDecision {
+  Gate m_Gate = Gate::Open;
+  TargetId m_Target; ///< For SameTarget and Isolated.
+};
+
+/// One entry's knowledge of suspects and its own runs in flight.
+struct Watch {
+  struct Run {
+    TargetId m_Target;
+    std::string m_Incarnation;
+    std::uint32_t m_Count = 0;
+  };
+  struct Known {
+    Verdict m_Verdict = Verdict::Suspect;
+    TimePoint m_Until;
+    bool m_RerunPermitted = false;
+    TargetId m_RerunAt;
+    /// Seen here first; held until control has settled that report.
+    bool m_Local = false;
+  };
+  std::uint64_t m_Revision = 0; ///< Of the notices last applied.
+  std::unordered_map<Fingerprint, Run> m_Running;
+  std::unordered_map<Fingerprint, Known> m_Suspects;
+  std::vector<Crash> m_Unreported; ///< To be sent to control.
+  Duration m_LocalHold = std::chrono::minutes(2);
+};
+
+/// Whether a request may run now. A quarantine or hold binds every caller.
+GateDecision gateOf(const Watch &Entry, Fingerprint Print, TimePoint Now);
+
+void noteRun(Watch &Entry, Fingerprint Print, const TargetId &Target,
+             std::string_view Incarnation);
+void noteRunEnded(Watch &Entry, Fingerprint Print);
+
+/// This entry saw a target's process go away: everything in flight there is
+/// suspect at once. \returns the crash, also queued in `m_Unreported`.
+Crash noteCrash(Watch &Entry, const TargetId &Target,
+                std::string_view Incarnation, TimePoint Now);
+
+/// Control's notices replace all that is known but local suspects that
+/// control has not settled yet. \p SettledCrashes says that every crash of
+/// this entry reported so far is known to all entries.
+void applyNotices(Watch &Entry, const std::vector<SuspectNotice> &Notices,
+                  std::uint64_t Revision, bool SettledCrashes, TimePoint Now);
+
+} // namespace wasabivale::retries
+
+#endif // WASABIVALE_RETRIES_RETRIES_H
--- /dev/null
+++ b/libs/retries/src/Decide.cpp
@@ -0,0 +1,163 @@
+// What follows a failed try: another one, a resumed stream, or an answer.
+
+#include "retries/retries.h"
+
+#include <algorithm>
+
+namespace wasabivale::retries {
+
+namespace {
+
+constexpr double RetryCost = 1;
+
+template <typename Key>
+Budget &budgetOf(std::unordered_map<Key, Budget> &Budgets, const Key &Id,
+                 const Settings &Options) {
+  const auto [Found, Added] = Budgets.try_emplace(Id);
+  if (Added)
+    Found->second.m_Tokens = Options.m_MaxTokens;
+  return Found->second;
+}
+
+void earn(Budget &Saved, double Share, double Most) {
+  Saved.m_Tokens = std::min(Most, Saved.m_Tokens + Share);
+}
+
+/// Pays a retry from both budgets, or from neither.
+bool pay(State &Entry, const Attempt &Request) {
+  Budget &Caller =
+      budgetOf(Entry.m_Callers, Request.m_Caller, Entry.m_Settings);
+  Budget &Target =
+      budgetOf(Entry.m_Targets, Request.m_Target, Entry.m_Settings);
+  if (Caller.m_Tokens < RetryCost || Target.m_Tokens < RetryCost)
+    return false;
+  Caller.m_Tokens -= RetryCost;
+  Target.m_Tokens -= RetryCost;
+  return true;
+}
+
+/// Exponential backoff with full jitter: uniform between zero and a ceiling
+/// that doubles with each try.
+Duration backoff(const Settings &Options, std::uint32_t Tries, Random &Rng) {
+  constexpr std::uint32_t MaxDoublings = 20;
+  const std::uint32_t Doublings =
+      std::min(Tries > 0 ? Tries - 1 : 0, MaxDoublings);
+  const Duration Ceiling = std::min(
+      Options.m_BackoffCap, Duration(Options.m_BackoffBase * (1 << Doublings)));
+  std::uniform_int_distribution<Duration::rep> Jitter(0, Ceiling.count());
+  return Duration(Jitter(Rng));
+}
+
+Refusal reasonOf(FailureKind Kind) {
+  switch (Kind) {
+  case FailureKind::Stalled:
+    return Refusal::TargetTimeout;
+  case FailureKind::Refused:
+    return Refusal::TargetRefused;
+  case FailureKind::CannotResume:
+    return Refusal::StreamBroken;
+  default:
+    return Refusal::TargetFailed;
+  }
+}
+
+GiveUp giveUp(Refusal Reason, bool MayHaveRun) {
+  return {Reason, MayHaveRun ? Outcome::Unknown : Outcome::NotRun};
+}
+
+bool isAvoidable(FailureKind Kind) { return Kind != FailureKind::TargetFull; }
+
+std::vector<TargetId> avoidNext(const Attempt &Request, const Failure &Facts) {
+  std::vector<TargetId> Avoid = Request.m_Avoid;
+  const bool Known =
+      std::find(Avoid.begin(), Avoid.end(), Request.m_Target) != Avoid.end();
+  if (!Known && isAvoidable(Facts.m_Kind))
+    Avoid.push_back(Request.m_Target);
+  return Avoid;
+}
+
+/// Whether the kind of failure and the state of the answer leave a way on.
+bool hasWayOn(const Attempt &Request, const Failure &Facts, bool MayHaveRun) {
+  if (Request.m_NotRepeatable && MayHaveRun)
+    return false;
+  if (Facts.m_Kind == FailureKind::Refused)
+    return false;
+  if (!Facts.m_FirstBytePassed)
+    return true;
+  return Facts.m_Resumable && Facts.m_Kind != FailureKind::CannotResume;
+}
+
+/// Why there is no way on.
+Refusal deadEnd(const Failure &Facts) {
+  if (Facts.m_FirstBytePassed && Facts.m_Kind != FailureKind::Refused)
+    return Refusal::StreamBroken;
+  return reasonOf(Facts.m_Kind);
+}
+
+} // namespace
+
+std::string_view failureKindName(FailureKind Value) {
+  switch (Value) {
+  case FailureKind::ConnectFailed:
+    return "connect_failed";
+  case FailureKind::TargetFull:
+    return "target_full";
+  case FailureKind::TargetError:
+    return "target_error";
+  case FailureKind::Broken:
+    return "broken";
+  case FailureKind::Stalled:
+    return "stalled";
+  case FailureKind::Malformed:
+    return "malformed";
+  case FailureKind::CannotResume:
+    return "cannot_resume";
+  case FailureKind::Refused:
+    return "refused";
+  }
+  return "broken";
+}
+
+void noteSuccess(State &Entry, const CallerId &Caller, const TargetId &Target) {
+  const Settings &Options = Entry.m_Settings;
+  earn(budgetOf(Entry.m_Callers, Caller, Options), Options.m_CallerShare,
+       Options.m_MaxTokens);
+  earn(budgetOf(Entry.m_Targets, Target, Options), Options.m_TargetShare,
+       Options.m_MaxTokens);
+}
+
+void forgetCaller(State &Entry, const CallerId &Caller) {
+  Entry.m_Callers.erase(Caller);
+}
+
+void forgetTarget(State &Entry, const TargetId &Target) {
+  Entry.m_Targets.erase(Target);
+}
+
+bool mayHaveRun(const Attempt &Request, const Failure &Facts) {
+  if (Request.m_MayHaveRun || Facts.m_FirstBytePassed)
+    return true;
+  return Facts.m_BytesSent && !Facts.m_NotRunProven;
+}
+
+RetryDecision decide(State &Entry, const Attempt &Request, const Failure &Facts,
+                     TimePoint Now, Random &Rng) {
+  const bool Ran = mayHaveRun(Request, Facts);
+  if (!hasWayOn(Request, Facts, Ran))
+    return giveUp(deadEnd(Facts), Ran);
+  if (Now >= Request.m_Deadline)
+    return giveUp(Refusal::DeadlinePassed, Ran);
+  if (Request.m_Tries >= Entry.m_Settings.m_MaxTries)
+    return giveUp(deadEnd(Facts), Ran);
+  const TimePoint When = Now + backoff(Entry.m_Settings, Request.m_Tries, Rng);
+  if (When + Request.m_ServiceTime > Request.m_Deadline)
+    return giveUp(Refusal::CannotMeetDeadline, Ran);
+  if (!pay(Entry, Request))
+    return giveUp(Refusal::RetryBudgetSpent, Ran);
+  WASABIVALE_INVARIANT(!(Request.m_NotRepeatable && Ran));
+  if (Facts.m_FirstBytePassed)
+    return ResumeAt{When, Facts.m_Offset, avoidNext(Request, Facts)};
+  return RetryAt{When, avoidNext(Request, Facts)};
+}
+
+} // namespace wasabivale::retries
--- /dev/null
+++ b/libs/routing/src/Internal.h
@@ -0,0 +1,120 @@
+// Shared by the modules of this library; not for its users.
+
+#ifndef WASABIVALE_ROUTING_INTERNAL_H
+#define WASABIVALE_ROUTING_INTERNAL_H
+
+#include "routing/routing.h"
+
+#include <algorithm>
+
+namespace wasabivale::routing {
+
+/// Longest history of own work, in samples and in their least distance.
+inline constexpr std::size_t MaxHistory = 12;
+inline constexpr Duration HistoryStep = std::chrono::milliseconds(250);
+/// A report older than this counts less and less, and after the second
+/// duration not at all.
+inline constexpr Duration ReportFresh = std::chrono::seconds(3);
+inline constexpr Duration ReportGone = std::chrono::seconds(13);
+
+inline double seconds(Duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+inline Duration fromSeconds(double Value) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Value));
+}
+inline std::size_t roleIndex(Role Value) {
+  return static_cast<std::size_t>(Value);
+}
+
+/// Uniform in [0, 1).
+inline double drawUnit(Random &Rng) {
+  return static_cast<double>(Rng() >> 11) * 0x1.0p-53;
+}
+/// Uniform in [0, Count).
+inline std::size_t drawIndex(Random &Rng, std::size_t Count) {
+  return static_cast<std::size_t>(drawUnit(Rng) * static_cast<double>(Count));
+}
+
+// Fleet.cpp
+Pool &poolOf(State &Fleet, Kind Which, const ModelId &Model);
+Pool *findPool(State &Fleet, Kind Which, const ModelId &Model);
+/// Whether new work may go to the slot (a probe aside).
+bool isEligible(const Slot &Place);
+/// Puts the slot into, or takes it out of, the lists of its pools, as its
+/// state demands.
+void listSlot(State &Fleet, SlotIndex Index);
+void unlistSlot(State &Fleet, SlotIndex Index);
+/// Frees a slot that is neither current nor has work.
+void freeIfUnused(State &Fleet, SlotIndex Index);
+
+// Placement.cpp
+void addPlacement(State &Fleet, Pool &Group, SlotIndex Index);
+void removePlacement(State &Fleet, Pool &Group, SlotIndex Index);
+Partition &partitionOf(Pool &Group, std::uint64_t Block);
+/// Adds \p Work, in seconds of one engine, to a bucket's demand.
+void addDemand(Partition &Bucket, double Work, TimePoint Now);
+/// How many targets in rendezvous order share the bucket now.
+std::size_t replicasOf(const State &Fleet, const Partition &Bucket,
+                       TimePoint Now);
+
+// Work.cpp
+/// Brings the sums of the slot's pools up to date.
+void refreshSums(State &Fleet, SlotIndex Index);
+void rememberWork(Slot &Place, TimePoint Now);
+std::uint32_t totalRequests(const Slot &Place, TimePoint Now);
+double foreignWeight(const Slot &Place, TimePoint Now);
+
+// Hints.cpp
+bool hasBlock(const CacheHints &Hints, std::uint64_t Block);
+void addBlock(const Settings &Options, Slot &Place, std::uint64_t Block);
+std::uint32_t cachedBlocks(const Slot &Place,
+                           const std::vector<std::uint64_t> &Blocks);
+
+// Health.cpp
+double warmFraction(const Settings &Options, const Slot &Place, TimePoint Now);
+void noteSlowness(State &Fleet, SlotIndex Index, Pool &Group, Duration Observed,
+                  Duration Expected, TimePoint Now);
+void noteGood(State &Fleet, SlotIndex Index, bool Probe, TimePoint Now);
+void noteBad(State &Fleet, SlotIndex Index, TryOutcome What, bool Probe,
+             TimePoint Now);
+void noteProbeUnused(State &Fleet, SlotIndex Index, TimePoint Now);
+/// Returns ejected targets while more are ejected than the limit allows.
+void releaseExcess(State &Fleet, Pool &Group, TimePoint Now);
+
+// Estimates.cpp
+struct Leaning {
+  Estimate m_Estimate;
+  double m_Cost = 0; ///< Seconds; what is compared.
+  /// Time to the first token at a target as fast as announced.
+  Duration m_NormalFirst{};
+};
+Leaning leanWhole(const State &Fleet, const Pool &Group, const Slot &Place,
+                  const Request &Wanted, TimePoint Now);
+/// Prefill part of a split: first token is when its KV is ready.
+Leaning leanPrefill(const State &Fleet, const Pool &Group, const Slot &Place,
+                    const Request &Wanted, TimePoint Now);
+/// Decode part of a split whose prefill ends as \p Prefill says.
+Leaning leanDecode(const State &Fleet, const Pool &Group, const Slot &Place,
+                   const Request &Wanted, const Leaning &Prefill,
+                   TimePoint Now);
+std::uint64_t kvBlocksNeeded(const Request &Wanted);
+
+// Choose.cpp
+struct Pick {
+  SlotIndex m_Run = 0;
+  std::optional<SlotIndex> m_Prefill;
+  Leaning m_Leaning;
+  bool m_Probe = false;
+};
+std::optional<Pick> pick(State &Fleet, Pool &Group, const Request &Wanted,
+                         TimePoint Now, Random &Rng, bool MayProbe);
+
+// Tries.cpp
+Choice reserve(State &Fleet, Pool &Group, const Pick &Chosen,
+               const Request &Wanted, TimePoint Now);
+
+} // namespace wasabivale::routing
+
+#endif // WASABIVALE_ROUTING_INTERNAL_H
