--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -150,10 +150,18 @@
   Duration m_ReportLag = std::chrono::milliseconds(1000);
   Duration m_OtherZoneCost = std::chrono::milliseconds(3);
   Duration m_OtherRegionCost = std::chrono::milliseconds(60);
-  /// Cost of a second of prefill beside one running decode stream.
+  /// Prompt tokens that one step of an engine prefills, by role. A step also
+  /// makes one token for each decoding stream, so each slows the other.
+  std::array<double, 3> m_ChunkTokens{512, 4096, 64};
+  /// Part by which each further stream of a batch lengthens a step.
+  double m_BatchSlowdown = 0.02;
+  /// Weight of the delay that a prefill brings to each running stream.
   double m_HarmWeight = 0.1;
   Duration m_KvTransferSetup = std::chrono::milliseconds(10);
   Duration m_KvTransferPerBlock = std::chrono::milliseconds(2);
+  /// Value of placing a prefix where its bucket's next request will look, as
+  /// part of the time to prefill it.
+  double m_AffinityWeight = 0.5;
   std::uint32_t m_Samples = 2; ///< Random candidates beside affine ones.
   double m_MaxEjectedShare = 1.0 / 3.0;
   std::uint32_t m_FailuresToEject = 3; ///< Consecutive; a stall counts twice.
@@ -198,9 +206,11 @@
 
 /// Work of other entries, worked out from a report and own work at its time.
 struct ForeignWork {
-  std::uint32_t m_Requests = 0;
+  std::uint64_t m_Requests = 0;
   std::uint64_t m_PromptTokens = 0;
   std::uint64_t m_KvBlocks = 0;
+
+  bool operator==(const ForeignWork &) const = default;
 };
 
 /// Blocks that a target is believed to hold: one tag in the cell that a block
@@ -210,10 +220,13 @@
   std::uint64_t m_NextEvent = 0;      ///< Zero: none seen.
 };
 
-/// Room that the sums of a pool count for a slot.
+/// What the sums of a pool hold: of one slot, or of all.
 struct Room {
-  std::uint32_t m_Free = 0;
-  std::uint32_t m_Max = 0;
+  std::uint64_t m_Free = 0; ///< Free places in running batches.
+  std::uint64_t m_Max = 0;  ///< All places in running batches.
+  ForeignWork m_Foreign;
+
+  bool operator==(const Room &) const = default;
 };
 
 /// Everything known about one incarnation of a target.
@@ -254,9 +267,8 @@
   std::vector<SlotIndex> m_Ejected;  ///< Ejected or probing.
   std::vector<SlotIndex> m_Placed;   ///< In the partitions.
   std::vector<Partition> m_Partitions;
-  std::size_t m_Next = 0; ///< Round robin position.
-  std::array<std::uint64_t, 3> m_Free{};
-  std::array<std::uint64_t, 3> m_Max{};
+  std::size_t m_Next = 0;     ///< Round robin position.
+  std::array<Room, 3> m_Sums; ///< Over m_ByRole.
   double m_LogSlowness = 0;   ///< Mean over the pool's answers.
   double m_MeanSeconds = 0.5; ///< Mean time from start to end.
 };
@@ -276,6 +288,7 @@
   TimePoint m_ProgressAt;
   Duration m_ExpectedFirst{}; ///< From start to first token, or to the end
                               ///< of a service's call, at a normal target.
+  Duration m_ExpectedStep{};  ///< For each further token.
   TimePoint m_FirstTokenAt;
   std::uint32_t m_Tokens = 0; ///< Output tokens seen.
   bool m_Started = false;
--- a/libs/routing/src/Choose.cpp
+++ b/libs/routing/src/Choose.cpp
@@ -50,7 +50,7 @@
     Kept = Offer;
 }
 
-void offerWhole(Search &Task, SlotIndex Index) {
+void offerWhole(Search &Task, SlotIndex Index, double Value) {
   const Slot &Place = Task.slot(Index);
   if (!isEligible(Place) || isAvoided(Task.m_Wanted, Place))
     return;
@@ -58,24 +58,26 @@
   Offer.m_Run = Index;
   Offer.m_Leaning =
       leanWhole(Task.m_Fleet, Task.m_Group, Place, Task.m_Wanted, Task.m_Now);
+  Offer.m_Leaning.m_Cost -= Value;
   keepBetter(isWarmEnough(Task, Place) ? Task.m_Best : Task.m_Reluctant, Offer);
 }
 
-void offerPrefill(Search &Task, SlotIndex Index) {
+void offerPrefill(Search &Task, SlotIndex Index, double Value) {
   const Slot &Place = Task.slot(Index);
   if (!isEligible(Place) || isAvoided(Task.m_Wanted, Place))
     return;
   if (!isWarmEnough(Task, Place))
     return;
-  const Leaning Found =
+  Leaning Found =
       leanPrefill(Task.m_Fleet, Task.m_Group, Place, Task.m_Wanted, Task.m_Now);
+  Found.m_Cost -= Value;
   if (Task.m_PrefillAt && Found.m_Cost >= Task.m_Prefill.m_Cost)
     return;
   Task.m_PrefillAt = Index;
   Task.m_Prefill = Found;
 }
 
-void offerDecode(Search &Task, SlotIndex Index) {
+void offerDecode(Search &Task, SlotIndex Index, double Value) {
   const Slot &Place = Task.slot(Index);
   if (!isEligible(Place) || isAvoided(Task.m_Wanted, Place))
     return;
@@ -86,6 +88,7 @@
   Offer.m_Prefill = Task.m_PrefillAt;
   Offer.m_Leaning = leanDecode(Task.m_Fleet, Task.m_Group, Place, Task.m_Wanted,
                                Task.m_Prefill, Task.m_Now);
+  Offer.m_Leaning.m_Cost -= Value;
   keepBetter(Task.m_Best, Offer);
 }
 
@@ -97,7 +100,7 @@
     const std::size_t Start =
         List.empty() ? 0 : drawIndex(Task.m_Rng, List.size());
     for (std::size_t I = 0; I < List.size(); ++I)
-      Offer(Task, List[(Start + I) % List.size()]);
+      Offer(Task, List[(Start + I) % List.size()], 0);
     return;
   }
   for (std::uint32_t I = 0; I < Count; ++I) {
@@ -107,7 +110,7 @@
         break;
       Index = List[drawIndex(Task.m_Rng, List.size())];
     }
-    Offer(Task, Index);
+    Offer(Task, Index, 0);
   }
 }
 
@@ -115,8 +118,8 @@
   return Task.m_Group.m_ByRole[roleIndex(Which)];
 }
 
-/// The deepest bucket of the prompt that its predecessors are too hot for: a
-/// first block that everyone shares says little about where to go.
+/// Bucket of the first block, or of a deeper one if the prompt's first blocks
+/// are too hot: a block that everyone shares says little about where to go.
 Partition *affineBucket(Search &Task) {
   if (Task.m_Wanted.m_Blocks.empty() || Task.m_Group.m_Partitions.empty())
     return nullptr;
@@ -136,22 +139,25 @@
   const std::size_t Count = Task.m_Group.m_ByRole[Part].size();
   if (Count == 0)
     return false;
-  const double Busy =
-      static_cast<double>(Task.m_Group.m_Max[Part] - Task.m_Group.m_Free[Part]);
+  const Room &Sum = Task.m_Group.m_Sums[Part];
+  const double Busy = static_cast<double>(Sum.m_Max - Sum.m_Free);
   const double Mean = (Busy + 1) / static_cast<double>(Count);
   const double Half = Place.m_Target.m_MaxRunning / 2.0;
   const double Bound = std::max(std::ceil(LoadBound * Mean), Half);
-  return totalRequests(Place, Task.m_Now) + 1 <= Bound;
+  const Load There = loadOf(Task.m_Fleet, Task.m_Group, Place, Task.m_Now);
+  return There.m_Requests + 1 <= Bound;
 }
 
-void offerAffine(Search &Task, SlotIndex Index, bool Splits) {
+/// \p Home: one of the targets that share the bucket.
+void offerAffine(Search &Task, SlotIndex Index, bool Splits, bool Home) {
   const Slot &Place = Task.slot(Index);
   if (!isEligible(Place) || !isWithinBound(Task, Place))
     return;
+  const double Value = Home ? homeValue(Task.m_Fleet, Place, Task.m_Wanted) : 0;
   if (Place.m_Target.m_Role == Role::Mixed)
-    offerWhole(Task, Index);
+    offerWhole(Task, Index, Value);
   if (Splits)
-    offerPrefill(Task, Index);
+    offerPrefill(Task, Index, Value);
 }
 
 /// Two of the targets that share the bucket, and the next one in order.
@@ -162,13 +168,13 @@
   const std::size_t Sharing =
       std::max<std::size_t>(1, replicasOf(Task.m_Fleet, *Bucket, Task.m_Now));
   const std::size_t First = drawIndex(Task.m_Rng, Sharing);
-  offerAffine(Task, Bucket->m_Slots[First], Splits);
+  offerAffine(Task, Bucket->m_Slots[First], Splits, true);
   if (Sharing > 1) {
     const std::size_t Step = 1 + drawIndex(Task.m_Rng, Sharing - 1);
-    offerAffine(Task, Bucket->m_Slots[(First + Step) % Sharing], Splits);
+    offerAffine(Task, Bucket->m_Slots[(First + Step) % Sharing], Splits, true);
   }
   if (Sharing < Bucket->m_Count)
-    offerAffine(Task, Bucket->m_Slots[Sharing], Splits);
+    offerAffine(Task, Bucket->m_Slots[Sharing], Splits, false);
 }
 
 void offerWholes(Search &Task) {
@@ -201,7 +207,7 @@
 void offerEverything(Search &Task) {
   for (const std::vector<SlotIndex> &List : Task.m_Group.m_ByRole) {
     for (SlotIndex Index : List)
-      offerWhole(Task, Index);
+      offerWhole(Task, Index, 0);
   }
 }
 
--- a/libs/routing/src/Estimates.cpp
+++ b/libs/routing/src/Estimates.cpp
@@ -13,9 +13,18 @@
 constexpr double MinSlowness = 0.5;
 constexpr double MaxSlowness = 20;
 /// Slowdown of decode at an engine whose role is prefill.
-constexpr double PrefillRoleSlowdown = 2;
-/// Part of others' requests at an engine that is taken to be decoding.
-constexpr double ForeignDecoding = 0.7;
+constexpr double PrefillRoleSlowdown = 3;
+
+/// A target as it is believed to be now.
+struct View {
+  const Settings &m_Options;
+  const Pool &m_Group;
+  const Slot &m_Place;
+  const Target &m_Target;
+  Load m_Load;
+  double m_Slowness = 1;
+  TimePoint m_Now;
+};
 
 double slownessOf(const Slot &Place) {
   if (Place.m_Health.m_Samples < TrustedSamples)
@@ -24,58 +33,84 @@
                     MaxSlowness);
 }
 
-double distanceSeconds(const Settings &Options, const Slot &Place) {
-  if (Place.m_Target.m_Region != Options.m_Region)
-    return seconds(Options.m_OtherRegionCost);
-  if (Place.m_Target.m_Zone != Options.m_Zone)
-    return seconds(Options.m_OtherZoneCost);
+View viewOf(const State &Fleet, const Pool &Group, const Slot &Place,
+            TimePoint Now) {
+  return {Fleet.m_Settings,
+          Group,
+          Place,
+          Place.m_Target,
+          loadOf(Fleet, Group, Place, Now),
+          slownessOf(Place),
+          Now};
+}
+
+double distanceSeconds(const View &At) {
+  if (At.m_Target.m_Region != At.m_Options.m_Region)
+    return seconds(At.m_Options.m_OtherRegionCost);
+  if (At.m_Target.m_Zone != At.m_Options.m_Zone)
+    return seconds(At.m_Options.m_OtherZoneCost);
   return 0;
 }
 
-/// Seconds until a place in the running batch and KV memory are free.
-double slotWait(const Pool &Group, const Slot &Place, std::uint64_t KvNeeded,
-                TimePoint Now) {
-  const double Max = std::max<double>(1, Place.m_Target.m_MaxRunning);
-  const double Over = totalRequests(Place, Now) + 1 - Max;
-  double Wait = Over > 0 ? Group.m_MeanSeconds * Over / Max : 0;
-  if (Place.m_FullUntil > Now)
-    Wait = std::max(Wait, seconds(Place.m_FullUntil - Now));
-  const double Total = static_cast<double>(Place.m_Target.m_KvBlocks);
-  if (Total == 0)
-    return Wait;
-  const double Others = static_cast<double>(Place.m_Foreign.m_KvBlocks) *
-                        foreignWeight(Place, Now);
-  const double Used = static_cast<double>(Place.m_Own.m_KvBlocks) + Others;
+/// Seconds until KV memory for the request is free.
+double memoryWait(const View &At, std::uint64_t KvNeeded) {
+  const double Total = At.m_Target.m_KvBlocks;
+  const double Used = At.m_Load.m_KvBlocks;
   const double Missing = Used + static_cast<double>(KvNeeded) - Total;
-  if (Missing > 0)
-    Wait += Group.m_MeanSeconds * Missing / std::max(1.0, Used);
-  return Wait;
+  if (Total == 0 || Missing <= 0)
+    return 0;
+  return At.m_Group.m_MeanSeconds * Missing / std::max(1.0, Used);
+}
+
+/// Seconds until a place in the running batch and KV memory are free.
+double slotWait(const View &At, std::uint64_t KvNeeded) {
+  const double Max = std::max<double>(1, At.m_Target.m_MaxRunning);
+  const double Over = At.m_Load.m_Requests + 1 - Max;
+  double Wait = Over > 0 ? At.m_Group.m_MeanSeconds * Over / Max : 0;
+  if (At.m_Place.m_FullUntil > At.m_Now)
+    Wait = std::max(Wait, seconds(At.m_Place.m_FullUntil - At.m_Now));
+  return Wait + memoryWait(At, KvNeeded);
 }
 
 /// Prompt tokens that the engine prefills before those of this priority.
-double tokensAhead(const Slot &Place, unsigned Priority, TimePoint Now) {
+double tokensAhead(const View &At, unsigned Priority) {
   std::uint64_t Own = 0;
   for (unsigned I = std::min(Priority, MaxPriority); I <= MaxPriority; ++I)
-    Own += Place.m_PromptByPriority[I];
-  return static_cast<double>(Own) +
-         static_cast<double>(Place.m_Foreign.m_PromptTokens) *
-             foreignWeight(Place, Now);
+    Own += At.m_Place.m_PromptByPriority[I];
+  return static_cast<double>(Own) + At.m_Load.m_ForeignPromptTokens;
+}
+
+/// Time of one step of the engine that prefills nothing.
+double stepSeconds(const View &At, double Streams) {
+  const double Alone = 1 / std::max(0.1, At.m_Target.m_DecodeTokensPerSecond);
+  return Alone *
+         (1 + At.m_Options.m_BatchSlowdown * std::max(0.0, Streams - 1));
 }
 
-double prefillSeconds(const Slot &Place, double Tokens) {
-  return Tokens / std::max(1.0, Place.m_Target.m_PrefillTokensPerSecond);
+double plainPrefill(const View &At, double Tokens) {
+  return Tokens / std::max(1.0, At.m_Target.m_PrefillTokensPerSecond);
 }
 
-double decodeSeconds(const Slot &Place, const Request &Wanted) {
-  const double Plain = Wanted.m_ExpectedOutputTokens /
-                       std::max(0.1, Place.m_Target.m_DecodeTokensPerSecond);
-  return Place.m_Target.m_Role == Role::Prefill ? Plain * PrefillRoleSlowdown
-                                                : Plain;
+/// Time to prefill, by steps that also decode the running streams.
+double prefillSeconds(const View &At, double Tokens) {
+  if (At.m_Load.m_Decoding < 1)
+    return plainPrefill(At, Tokens);
+  const double Chunk =
+      At.m_Options.m_ChunkTokens[roleIndex(At.m_Target.m_Role)];
+  const double Steps = Tokens / std::max(1.0, Chunk);
+  return plainPrefill(At, Tokens) +
+         Steps * stepSeconds(At, At.m_Load.m_Decoding);
 }
 
-double uncachedTokens(const Slot &Place, const Request &Wanted,
+double tokenSeconds(const View &At) {
+  const double Step = stepSeconds(At, At.m_Load.m_Decoding + 1);
+  return At.m_Target.m_Role == Role::Prefill ? Step * PrefillRoleSlowdown
+                                             : Step;
+}
+
+double uncachedTokens(const View &At, const Request &Wanted,
                       std::uint32_t &Cached) {
-  Cached = cachedBlocks(Place, Wanted.m_Blocks);
+  Cached = cachedBlocks(At.m_Place, Wanted.m_Blocks);
   const std::uint64_t Known = std::uint64_t(Cached) * BlockTokens;
   return Known >= Wanted.m_PromptTokens
              ? 0
@@ -83,36 +118,65 @@
 }
 
 /// Delay that this prefill brings to the streams that decode beside it.
-double harmSeconds(const State &Fleet, const Slot &Place, double Prefill,
-                   TimePoint Now) {
-  const double Others =
-      Place.m_Foreign.m_Requests * ForeignDecoding * foreignWeight(Place, Now);
-  const double Streams = Place.m_Own.m_Decoding + Others;
-  return Streams * Prefill * Fleet.m_Settings.m_HarmWeight;
+double harmSeconds(const View &At, double Tokens) {
+  return At.m_Load.m_Decoding * plainPrefill(At, Tokens) *
+         At.m_Options.m_HarmWeight;
 }
 
-double doubtSeconds(const Settings &Options, const Slot &Place) {
-  return Place.m_Health.m_FailurePoints * seconds(Options.m_FailureCost);
+double doubtSeconds(const View &At) {
+  return At.m_Place.m_Health.m_FailurePoints *
+         seconds(At.m_Options.m_FailureCost);
 }
 
-Leaning leanService(const State &Fleet, const Pool &Group, const Slot &Place,
-                    const Request &Wanted, TimePoint Now) {
-  const double Distance = distanceSeconds(Fleet.m_Settings, Place);
-  const double Wait = slotWait(Group, Place, 0, Now);
-  const double Slowness = slownessOf(Place);
+Leaning leanService(const View &At, const Request &Wanted) {
+  const double Distance = distanceSeconds(At);
+  const double Wait = slotWait(At, 0);
   const double Normal = Wait + seconds(Wanted.m_ServiceTime);
+  const double Crowd =
+      At.m_Load.m_Requests / std::max<double>(1, At.m_Target.m_MaxRunning);
   Leaning Found;
-  Found.m_Estimate.m_Start = Now + fromSeconds(Distance + Wait * Slowness);
-  Found.m_Estimate.m_Finish = Now + fromSeconds(Distance + Normal * Slowness);
+  Found.m_Estimate.m_Start =
+      At.m_Now + fromSeconds(Distance + Wait * At.m_Slowness);
+  Found.m_Estimate.m_Finish =
+      At.m_Now + fromSeconds(Distance + Normal * At.m_Slowness);
   Found.m_Estimate.m_FirstToken = Found.m_Estimate.m_Finish;
   Found.m_NormalFirst = fromSeconds(Distance + Normal);
-  const double Busy = totalRequests(Place, Now);
-  const double Crowd = Busy / std::max<double>(1, Place.m_Target.m_MaxRunning);
-  Found.m_Cost = Distance + (Normal + Crowd * Group.m_MeanSeconds) * Slowness +
-                 doubtSeconds(Fleet.m_Settings, Place);
+  Found.m_Cost = Distance +
+                 (Normal + Crowd * At.m_Group.m_MeanSeconds) * At.m_Slowness +
+                 doubtSeconds(At);
   return Found;
 }
 
+Leaning leanPrefill(const View &At, const Request &Wanted) {
+  Leaning Found;
+  const double Tokens =
+      uncachedTokens(At, Wanted, Found.m_Estimate.m_CachedBlocks);
+  const double Distance = distanceSeconds(At);
+  const double Ahead = tokensAhead(At, Wanted.m_Priority);
+  const double Own = prefillSeconds(At, Tokens);
+  const double Wait =
+      slotWait(At, kvBlocksNeeded(Wanted)) + prefillSeconds(At, Ahead);
+  const double First = Distance + (Wait + Own) * At.m_Slowness;
+  Found.m_Estimate.m_Start =
+      At.m_Now + fromSeconds(Distance + Wait * At.m_Slowness);
+  Found.m_Estimate.m_FirstToken = At.m_Now + fromSeconds(First);
+  Found.m_Estimate.m_Finish = Found.m_Estimate.m_FirstToken;
+  Found.m_NormalFirst = fromSeconds(Distance + Wait + Own);
+  Found.m_Cost = First + harmSeconds(At, Tokens) + doubtSeconds(At);
+  return Found;
+}
+
+/// Adds the decode part at \p At, from \p First seconds on.
+void addDecode(Leaning &Found, const View &At, const Request &Wanted,
+               double First) {
+  const double Step = tokenSeconds(At);
+  const double Decode = Wanted.m_ExpectedOutputTokens * Step * At.m_Slowness;
+  Found.m_NormalStep = fromSeconds(Step);
+  Found.m_Estimate.m_FirstToken = At.m_Now + fromSeconds(First);
+  Found.m_Estimate.m_Finish = At.m_Now + fromSeconds(First + Decode);
+  Found.m_Cost += Decode;
+}
+
 } // namespace
 
 std::uint64_t kvBlocksNeeded(const Request &Wanted) {
@@ -121,57 +185,41 @@
   return (Tokens + BlockTokens - 1) / BlockTokens;
 }
 
+double homeValue(const State &Fleet, const Slot &Place, const Request &Wanted) {
+  const double Tokens =
+      static_cast<double>(Wanted.m_Blocks.size()) * BlockTokens;
+  return Fleet.m_Settings.m_AffinityWeight * Tokens /
+         std::max(1.0, Place.m_Target.m_PrefillTokensPerSecond);
+}
+
 Leaning leanPrefill(const State &Fleet, const Pool &Group, const Slot &Place,
                     const Request &Wanted, TimePoint Now) {
-  Leaning Found;
-  const double Tokens =
-      uncachedTokens(Place, Wanted, Found.m_Estimate.m_CachedBlocks);
-  const double Distance = distanceSeconds(Fleet.m_Settings, Place);
-  const double Slowness = slownessOf(Place);
-  const double Ahead = tokensAhead(Place, Wanted.m_Priority, Now);
-  const double Own = prefillSeconds(Place, Tokens);
-  const double Wait = slotWait(Group, Place, kvBlocksNeeded(Wanted), Now) +
-                      prefillSeconds(Place, Ahead);
-  const double First = Distance + (Wait + Own) * Slowness;
-  Found.m_Estimate.m_Start = Now + fromSeconds(Distance + Wait * Slowness);
-  Found.m_Estimate.m_FirstToken = Now + fromSeconds(First);
-  Found.m_Estimate.m_Finish = Found.m_Estimate.m_FirstToken;
-  Found.m_NormalFirst = fromSeconds(Distance + Wait + Own);
-  Found.m_Cost = First + harmSeconds(Fleet, Place, Own, Now) +
-                 doubtSeconds(Fleet.m_Settings, Place);
-  return Found;
+  return leanPrefill(viewOf(Fleet, Group, Place, Now), Wanted);
 }
 
 Leaning leanWhole(const State &Fleet, const Pool &Group, const Slot &Place,
                   const Request &Wanted, TimePoint Now) {
+  const View At = viewOf(Fleet, Group, Place, Now);
   if (Wanted.m_Kind == Kind::Service)
-    return leanService(Fleet, Group, Place, Wanted, Now);
-  Leaning Found = leanPrefill(Fleet, Group, Place, Wanted, Now);
-  const double Decode = decodeSeconds(Place, Wanted) * slownessOf(Place);
-  Found.m_Estimate.m_Finish =
-      Found.m_Estimate.m_FirstToken + fromSeconds(Decode);
-  Found.m_Cost += Decode;
+    return leanService(At, Wanted);
+  Leaning Found = leanPrefill(At, Wanted);
+  addDecode(Found, At, Wanted, seconds(Found.m_Estimate.m_FirstToken - Now));
   return Found;
 }
 
 Leaning leanDecode(const State &Fleet, const Pool &Group, const Slot &Place,
                    const Request &Wanted, const Leaning &Prefill,
                    TimePoint Now) {
+  const View At = viewOf(Fleet, Group, Place, Now);
   const std::uint64_t Blocks = kvBlocksNeeded(Wanted);
-  const Settings &Options = Fleet.m_Settings;
   const double Transfer =
-      seconds(Options.m_KvTransferSetup) +
-      static_cast<double>(Blocks) * seconds(Options.m_KvTransferPerBlock);
+      seconds(At.m_Options.m_KvTransferSetup) +
+      static_cast<double>(Blocks) * seconds(At.m_Options.m_KvTransferPerBlock);
   const double Prefilled = seconds(Prefill.m_Estimate.m_FirstToken - Now);
-  const double Ready = Prefilled + Transfer;
-  const double Room = slotWait(Group, Place, Blocks, Now);
-  const double First = std::max(Ready, Room);
-  const double Decode = decodeSeconds(Place, Wanted) * slownessOf(Place);
+  const double First = std::max(Prefilled + Transfer, slotWait(At, Blocks));
   Leaning Found = Prefill;
-  Found.m_Estimate.m_FirstToken = Now + fromSeconds(First);
-  Found.m_Estimate.m_Finish = Now + fromSeconds(First + Decode);
-  Found.m_Cost = Prefill.m_Cost + (First - Prefilled) + Decode +
-                 distanceSeconds(Options, Place) + doubtSeconds(Options, Place);
+  Found.m_Cost += First - Prefilled + distanceSeconds(At) + doubtSeconds(At);
+  addDecode(Found, At, Wanted, First);
   return Found;
 }
 
--- a/libs/routing/src/Fleet.cpp
+++ b/libs/routing/src/Fleet.cpp
@@ -135,8 +135,7 @@
     eraseValue(Group.m_InZone, Index);
     eraseValue(Group.m_InRegion, Index);
     eraseValue(Group.m_Ejected, Index);
-    Group.m_Free[roleIndex(Described.m_Role)] -= Place.m_Counted.m_Free;
-    Group.m_Max[roleIndex(Described.m_Role)] -= Place.m_Counted.m_Max;
+    subtract(Group.m_Sums[roleIndex(Described.m_Role)], Place.m_Counted);
   }
   Fleet.m_Slots[Index].m_Counted = {};
 }
--- a/libs/routing/src/Internal.h
+++ b/libs/routing/src/Internal.h
@@ -12,10 +12,6 @@
 /// Longest history of own work, in samples and in their least distance.
 inline constexpr std::size_t MaxHistory = 12;
 inline constexpr Duration HistoryStep = std::chrono::milliseconds(250);
-/// A report older than this counts less and less, and after the second
-/// duration not at all.
-inline constexpr Duration ReportFresh = std::chrono::seconds(3);
-inline constexpr Duration ReportGone = std::chrono::seconds(13);
 
 inline double seconds(Duration Value) {
   return std::chrono::duration<double>(Value).count();
@@ -63,8 +59,17 @@
 /// Brings the sums of the slot's pools up to date.
 void refreshSums(State &Fleet, SlotIndex Index);
 void rememberWork(Slot &Place, TimePoint Now);
-std::uint32_t totalRequests(const Slot &Place, TimePoint Now);
-double foreignWeight(const Slot &Place, TimePoint Now);
+void subtract(Room &Sum, const Room &Part);
+/// Work believed to be at a target now: own, and others' as far as their last
+/// report still tells.
+struct Load {
+  double m_Requests = 0;
+  double m_Decoding = 0;
+  double m_ForeignPromptTokens = 0;
+  double m_KvBlocks = 0;
+};
+Load loadOf(const State &Fleet, const Pool &Group, const Slot &Place,
+            TimePoint Now);
 
 // Hints.cpp
 bool hasBlock(const CacheHints &Hints, std::uint64_t Block);
@@ -87,8 +92,10 @@
 struct Leaning {
   Estimate m_Estimate;
   double m_Cost = 0; ///< Seconds; what is compared.
-  /// Time to the first token at a target as fast as announced.
+  /// Time to the first token, and for each further one, at a target as fast
+  /// as announced.
   Duration m_NormalFirst{};
+  Duration m_NormalStep{};
 };
 Leaning leanWhole(const State &Fleet, const Pool &Group, const Slot &Place,
                   const Request &Wanted, TimePoint Now);
@@ -99,6 +106,8 @@
 Leaning leanDecode(const State &Fleet, const Pool &Group, const Slot &Place,
                    const Request &Wanted, const Leaning &Prefill,
                    TimePoint Now);
+/// Seconds that placing the prompt's prefix at its home is worth.
+double homeValue(const State &Fleet, const Slot &Place, const Request &Wanted);
 std::uint64_t kvBlocksNeeded(const Request &Wanted);
 
 // Choose.cpp
--- a/libs/routing/src/Tries.cpp
+++ b/libs/routing/src/Tries.cpp
@@ -178,6 +178,7 @@
           : static_cast<std::uint32_t>(Wanted.m_PromptTokens - Cached);
   Task.m_KvBlocks = kvBlocksNeeded(Wanted);
   Task.m_ExpectedFirst = Chosen.m_Leaning.m_NormalFirst;
+  Task.m_ExpectedStep = Chosen.m_Leaning.m_NormalStep;
   Task.m_StartedAt = Now;
   Task.m_ProgressAt = Now;
   Task.m_Probe = Chosen.m_Probe;
--- a/libs/routing/src/Verify.cpp
+++ b/libs/routing/src/Verify.cpp
@@ -32,19 +32,16 @@
 }
 
 void verifyPool(const State &Fleet, const Pool &Group) {
-  std::array<std::uint64_t, 3> Free{};
-  std::array<std::uint64_t, 3> Max{};
   std::size_t Serving = Group.m_Ejected.size();
   for (std::size_t Part = 0; Part < Group.m_ByRole.size(); ++Part) {
     Serving += Group.m_ByRole[Part].size();
+    Room Left = Group.m_Sums[Part];
     for (SlotIndex Index : Group.m_ByRole[Part]) {
       WASABIVALE_INVARIANT(isEligible(Fleet.m_Slots[Index]));
-      Free[Part] += Fleet.m_Slots[Index].m_Counted.m_Free;
-      Max[Part] += Fleet.m_Slots[Index].m_Counted.m_Max;
+      subtract(Left, Fleet.m_Slots[Index].m_Counted);
     }
+    WASABIVALE_INVARIANT(Left == Room());
   }
-  WASABIVALE_INVARIANT(Free == Group.m_Free);
-  WASABIVALE_INVARIANT(Max == Group.m_Max);
   WASABIVALE_INVARIANT(Group.m_Ejected.empty() ||
                        Group.m_Ejected.size() < Serving);
   for (SlotIndex Index : Group.m_Ejected) {
--- a/libs/routing/src/Work.cpp
+++ b/libs/routing/src/Work.cpp
@@ -26,25 +26,55 @@
 Room roomOf(const Slot &Place) {
   if (!isEligible(Place))
     return {};
-  const std::uint32_t Max = Place.m_Target.m_MaxRunning;
-  const std::uint32_t Busy =
+  const std::uint64_t Max = Place.m_Target.m_MaxRunning;
+  const std::uint64_t Busy =
       Place.m_Own.m_Requests + Place.m_Foreign.m_Requests;
-  return {Max > Busy ? Max - Busy : 0, Max};
+  return {above(Max, Busy), Max, Place.m_Foreign};
+}
+
+void add(Room &Sum, const Room &Part) {
+  Sum.m_Free += Part.m_Free;
+  Sum.m_Max += Part.m_Max;
+  Sum.m_Foreign.m_Requests += Part.m_Foreign.m_Requests;
+  Sum.m_Foreign.m_PromptTokens += Part.m_Foreign.m_PromptTokens;
+  Sum.m_Foreign.m_KvBlocks += Part.m_Foreign.m_KvBlocks;
+}
+
+/// A reported value drawn towards the mean, as its weight tells.
+double blend(std::uint64_t Reported, std::uint64_t Sum, double Count,
+             double Weight) {
+  const double Mean = static_cast<double>(Sum) / Count;
+  return Mean + (static_cast<double>(Reported) - Mean) * Weight;
+}
+
+/// What is left of a deviation from the mean when what caused it takes
+/// \p Turnover seconds to pass.
+double leftAfter(double Age, double Turnover) {
+  constexpr double ShortestTurnover = 0.25;
+  return std::exp(-Age / std::max(ShortestTurnover, Turnover));
 }
 
 } // namespace
 
+void subtract(Room &Sum, const Room &Part) {
+  WASABIVALE_INVARIANT(Sum.m_Free >= Part.m_Free && Sum.m_Max >= Part.m_Max);
+  Sum.m_Free -= Part.m_Free;
+  Sum.m_Max -= Part.m_Max;
+  Sum.m_Foreign.m_Requests -= Part.m_Foreign.m_Requests;
+  Sum.m_Foreign.m_PromptTokens -= Part.m_Foreign.m_PromptTokens;
+  Sum.m_Foreign.m_KvBlocks -= Part.m_Foreign.m_KvBlocks;
+}
+
 void refreshSums(State &Fleet, SlotIndex Index) {
   Slot &Place = Fleet.m_Slots[Index];
   const Room Now = roomOf(Place);
-  const Room Before = Place.m_Counted;
-  if (Now.m_Free == Before.m_Free && Now.m_Max == Before.m_Max)
+  if (Now == Place.m_Counted)
     return;
   const std::size_t Part = roleIndex(Place.m_Target.m_Role);
   for (const ModelId &Model : Place.m_Target.m_Models) {
     Pool &Group = poolOf(Fleet, Place.m_Target.m_Kind, Model);
-    Group.m_Free[Part] = Group.m_Free[Part] - Before.m_Free + Now.m_Free;
-    Group.m_Max[Part] = Group.m_Max[Part] - Before.m_Max + Now.m_Max;
+    subtract(Group.m_Sums[Part], Place.m_Counted);
+    add(Group.m_Sums[Part], Now);
   }
   Place.m_Counted = Now;
 }
@@ -58,19 +88,34 @@
   History.push_back({Now, Place.m_Own});
 }
 
-double foreignWeight(const Slot &Place, TimePoint Now) {
-  const Duration Age = Now - Place.m_ReportAt;
-  if (Age <= ReportFresh)
-    return 1;
-  if (Age >= ReportGone)
-    return 0;
-  return seconds(ReportGone - Age) / seconds(ReportGone - ReportFresh);
-}
-
-std::uint32_t totalRequests(const Slot &Place, TimePoint Now) {
-  const double Others = Place.m_Foreign.m_Requests * foreignWeight(Place, Now);
-  return Place.m_Own.m_Requests +
-         static_cast<std::uint32_t>(std::lround(Others));
+// A report tells little about work that has come and gone since it was
+// written. What it says beyond the mean of the target's peers is believed the
+// less, the older it is beside the time that work stays at a target; else all
+// entries would flock to what was idle a while ago.
+Load loadOf(const State &Fleet, const Pool &Group, const Slot &Place,
+            TimePoint Now) {
+  /// Part of others' requests that is taken to be decoding.
+  constexpr double ForeignDecoding = 0.7;
+  const std::size_t Part = roleIndex(Place.m_Target.m_Role);
+  const ForeignWork &Sum = Group.m_Sums[Part].m_Foreign;
+  const double Count = static_cast<double>(
+      std::max<std::size_t>(1, Group.m_ByRole[Part].size()));
+  const double Age = std::max(
+      0.0, seconds(Now - Place.m_ReportAt + Fleet.m_Settings.m_ReportLag));
+  const double Weight = leftAfter(Age, Group.m_MeanSeconds);
+  const double Backlog = static_cast<double>(Place.m_Foreign.m_PromptTokens) /
+                         std::max(1.0, Place.m_Target.m_PrefillTokensPerSecond);
+  const ForeignWork &Others = Place.m_Foreign;
+  const double Requests =
+      blend(Others.m_Requests, Sum.m_Requests, Count, Weight);
+  Load Found;
+  Found.m_Requests = Place.m_Own.m_Requests + Requests;
+  Found.m_Decoding = Place.m_Own.m_Decoding + Requests * ForeignDecoding;
+  Found.m_ForeignPromptTokens = blend(Others.m_PromptTokens, Sum.m_PromptTokens,
+                                      Count, leftAfter(Age, Backlog));
+  Found.m_KvBlocks = static_cast<double>(Place.m_Own.m_KvBlocks) +
+                     blend(Others.m_KvBlocks, Sum.m_KvBlocks, Count, Weight);
+  return Found;
 }
 
 void applyLoad(State &Fleet, const TargetId &Id, std::string_view Incarnation,
@@ -85,8 +130,7 @@
   const std::uint32_t Requests = Report.m_Running + Report.m_Waiting;
   Place.m_ReportedRequests = Requests;
   Place.m_ReportAt = Now;
-  Place.m_Foreign.m_Requests =
-      static_cast<std::uint32_t>(above(Requests, Then.m_Requests));
+  Place.m_Foreign.m_Requests = above(Requests, Then.m_Requests);
   Place.m_Foreign.m_PromptTokens =
       above(Report.m_PrefillTokensWaiting, Then.m_PromptTokens);
   const std::uint64_t KvUsed =
@@ -103,11 +147,12 @@
     return {};
   const Pool &Group = Found->second;
   // A split needs its decode slot for longest, so decode slots are counted.
-  const bool Split = Group.m_Max[roleIndex(Role::Decode)] > 0;
-  const std::size_t Part = roleIndex(Split ? Role::Decode : Role::Prefill);
-  const std::size_t Mixed = roleIndex(Role::Mixed);
-  const std::uint64_t Free = Group.m_Free[Mixed] + Group.m_Free[Part];
-  const std::uint64_t Max = Group.m_Max[Mixed] + Group.m_Max[Part];
+  const bool Split = Group.m_Sums[roleIndex(Role::Decode)].m_Max > 0;
+  const Room &Part =
+      Group.m_Sums[roleIndex(Split ? Role::Decode : Role::Prefill)];
+  const Room &Mixed = Group.m_Sums[roleIndex(Role::Mixed)];
+  const std::uint64_t Free = Mixed.m_Free + Part.m_Free;
+  const std::uint64_t Max = Mixed.m_Max + Part.m_Max;
   const std::uint64_t Entries =
       std::max<std::uint64_t>(1, Fleet.m_Settings.m_Entries);
   return {static_cast<std::uint32_t>((Free + Entries - 1) / Entries),
