--- a/libs/limits/include/limits/limits.h
+++ b/libs/limits/include/limits/limits.h
@@ -142,9 +142,12 @@
 
 /// One caller's waiting requests for one model.
 struct Flow {
-  double m_Finish = 0;   ///< Virtual finish time of its last start, seconds.
+  /// Virtual finish time of its last start, or the virtual time at which it
+  /// became backlogged: seconds of slot time for each unit of weight.
+  double m_Finish = 0;
   double m_Key = 0;      ///< Where it stands in the model's order.
   bool m_Listed = false; ///< In that order: it has work and may start.
+  bool m_Barred = false; ///< It has work, but its caller's share is in use.
   std::set<Place> m_Waiting;
   double m_Work = 0;     ///< Seconds of slot time that wait.
   TimePoint m_LastStart; ///< Or when it last became backlogged.
--- a/libs/limits/src/Admission.cpp
+++ b/libs/limits/src/Admission.cpp
@@ -182,7 +182,7 @@
   Decision Made;
   if (AtOnce) {
     const Ticket Id = hold(Entry, Index, Wanted, Now);
-    start(Entry, Id, Now);
+    start(Entry, Id, false, Now);
     Made.m_Verdict = Admitted{Id};
     return Made;
   }
--- a/libs/limits/src/Internal.h
+++ b/libs/limits/src/Internal.h
@@ -43,8 +43,9 @@
 void dequeue(State &Entry, Ticket Id, TimePoint Now);
 /// Lists the flows of a caller that may start, and unlists all others.
 void relist(State &Entry, CallerIndex Index, TimePoint Now);
-/// Marks a request as running and charges it to the fair queue.
-void start(State &Entry, Ticket Id, TimePoint Now);
+/// Marks a request as running and charges it to the fair queue; \p Waited
+/// tells whether it comes from there.
+void start(State &Entry, Ticket Id, bool Waited, TimePoint Now);
 /// Expected wait of a request that would join the queue now.
 double expectedWait(const ModelQueue &Queue, const Caller &Who,
                     CallerIndex Index, const Arrival &Wanted);
--- a/libs/limits/src/Queue.cpp
+++ b/libs/limits/src/Queue.cpp
@@ -29,8 +29,10 @@
 void list(const State &Entry, ModelQueue &Queue, CallerIndex Index,
           Flow &Line) {
   const double Credit = seconds(Entry.m_Settings.m_PriorityCredit);
-  Line.m_Key = std::max(Queue.m_Virtual, Line.m_Finish) -
-               Credit * headPriority(Entry, Line);
+  if (Line.m_Barred) // Time that it could not use is not made up for.
+    Line.m_Finish = std::max(Queue.m_Virtual, Line.m_Finish);
+  Line.m_Barred = false;
+  Line.m_Key = Line.m_Finish - Credit * headPriority(Entry, Line);
   Queue.m_Order.insert({Line.m_Key, Index});
   Queue.m_Starved.insert({Line.m_LastStart, Index});
   Line.m_Listed = true;
@@ -40,8 +42,12 @@
 void relistFlow(const State &Entry, ModelQueue &Queue, CallerIndex Index,
                 Flow &Line, TimePoint Now) {
   unlist(Queue, Index, Line);
-  if (!Line.m_Waiting.empty() && mayStart(Entry.m_Callers[Index], Now))
+  if (Line.m_Waiting.empty())
+    return;
+  if (mayStart(Entry.m_Callers[Index], Now))
     list(Entry, Queue, Index, Line);
+  else
+    Line.m_Barred = true;
 }
 
 /// A caller whose turn has come: by starvation, else by the fair order.
@@ -60,7 +66,9 @@
     const CallerIndex Index = Order.begin()->second;
     if (mayStart(Entry.m_Callers[Index], Now))
       return;
-    unlist(Queue, Index, Queue.m_Flows.at(Index));
+    Flow &Line = Queue.m_Flows.at(Index);
+    unlist(Queue, Index, Line);
+    Line.m_Barred = true;
   }
 }
 
@@ -93,6 +101,18 @@
           std::max(Lacking, fromSeconds(Queue.m_Work > 0 ? 1 : 0.1))};
 }
 
+/// Charges a start to the fair queue. A flow that waits keeps its own tag,
+/// although priority may have let the virtual time run ahead of it.
+void chargeStart(ModelQueue &Queue, Flow &Line, double Cost, bool Waited,
+                 TimePoint Now) {
+  const double Tag =
+      Waited ? Line.m_Finish : std::max(Queue.m_Virtual, Line.m_Finish);
+  Queue.m_Virtual = std::max(Queue.m_Virtual, Tag);
+  Line.m_Finish = Tag + Cost;
+  Line.m_LastStart = Now;
+  Queue.m_LastStart = Now;
+}
+
 } // namespace
 
 void fileBacklog(State &Entry, CallerIndex Index, std::uint32_t Queued) {
@@ -112,6 +132,7 @@
   unlist(Queue, Index, Line);
   if (Line.m_Waiting.empty()) {
     Queue.m_Weights += Entry.m_Callers[Index].m_Weight;
+    Line.m_Finish = std::max(Queue.m_Virtual, Line.m_Finish);
     Line.m_LastStart = Now;
   }
   const TimePoint Rank =
@@ -160,18 +181,15 @@
   }
 }
 
-void start(State &Entry, Ticket Id, TimePoint Now) {
+void start(State &Entry, Ticket Id, bool Waited, TimePoint Now) {
   Held &Request = heldOf(Entry, Id);
   const CallerIndex Index = Request.m_Caller;
   Caller &Who = Entry.m_Callers[Index];
   ModelQueue &Queue = Entry.m_Models[Request.m_Model];
   Flow &Line = Queue.m_Flows[Index];
   unlist(Queue, Index, Line);
-  Queue.m_Virtual = std::max(Queue.m_Virtual, Line.m_Finish);
-  Line.m_Finish =
-      Queue.m_Virtual + seconds(Request.m_ServiceTime) / Who.m_Weight;
-  Line.m_LastStart = Now;
-  Queue.m_LastStart = Now;
+  chargeStart(Queue, Line, seconds(Request.m_ServiceTime) / Who.m_Weight,
+              Waited, Now);
   Request.m_Running = true;
   Request.m_StartedAt = Now;
   ++Who.m_Running;
@@ -214,7 +232,7 @@
   const Flow &Line = Queue->m_Flows.at(Index);
   const Ticket Id = std::get<Ticket>(*Line.m_Waiting.begin());
   dequeue(Entry, Id, Now);
-  start(Entry, Id, Now);
+  start(Entry, Id, true, Now);
   return Id;
 }
 
--- /dev/null
+++ b/libs/limits/tests/FairnessTest.cpp
@@ -0,0 +1,144 @@
+#include "Fixture.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace wasabivale;
+using namespace wasabivale::limits;
+using namespace wasabivale::limits::test;
+
+namespace {
+
+/// Queues \p Count requests and remembers whose they are.
+void queue(State &Entry, std::map<Ticket, int> &Owners, int Caller, int Count,
+           unsigned Priority, TimePoint Now) {
+  for (int I = 0; I < Count; ++I) {
+    const Decision Made =
+        admit(Entry, arrival(Caller, FullHouse, Priority), Now);
+    REQUIRE_FALSE(refusalOf(Made));
+    Owners[ticketOf(Made)] = Caller;
+  }
+}
+
+/// Starts and ends \p Count requests one by one. \returns starts by caller.
+std::map<int, int> serve(State &Entry, const std::map<Ticket, int> &Owners,
+                         int Count, TimePoint Now) {
+  std::map<int, int> Served;
+  for (int I = 0; I < Count; ++I) {
+    const std::optional<Ticket> Next = nextToStart(Entry, Now, always({1, 8}));
+    if (!Next)
+      break;
+    ++Served[Owners.at(*Next)];
+    finished(Entry, *Next, {100, 50, true}, Now + 1s);
+    verify(Entry);
+  }
+  return Served;
+}
+
+} // namespace
+
+SCENARIO("waiting callers are served by weight") {
+  State Entry = entryOf(3);
+  setShare(Entry, caller(2), 2, {}, TimePoint::max(), at(0s));
+  std::map<Ticket, int> Owners;
+  for (int I = 0; I < 3; ++I)
+    queue(Entry, Owners, I, 100, 5, at(0s));
+  const auto Served = serve(Entry, Owners, 80, at(0s));
+  CHECK(Served.at(0) == Approx(20).margin(1));
+  CHECK(Served.at(1) == Approx(20).margin(1));
+  CHECK(Served.at(2) == Approx(40).margin(1));
+}
+
+SCENARIO("long requests do not starve short ones of other callers") {
+  State Entry = entryOf(2);
+  std::map<Ticket, int> Owners;
+  for (int I = 0; I < 20; ++I) {
+    Arrival Long = arrival(0, FullHouse);
+    Long.m_ServiceTime = 10s;
+    Owners[ticketOf(admit(Entry, Long, at(0s)))] = 0;
+  }
+  queue(Entry, Owners, 1, 40, 5, at(0s));
+  const auto Served = serve(Entry, Owners, 33, at(0s));
+  CHECK(Served.at(0) <= 4);
+  CHECK(Served.at(1) >= 29);
+}
+
+SCENARIO("priority leads, but only by its credit") {
+  State Entry = entryOf(2);
+  std::map<Ticket, int> Owners;
+  GIVEN("one caller's own requests") {
+    queue(Entry, Owners, 0, 1, 0, at(0s));
+    const Ticket Overnight = Owners.begin()->first;
+    queue(Entry, Owners, 0, 3, 9, at(1s));
+    THEN("urgent ones go first") {
+      for (int I = 0; I < 3; ++I)
+        CHECK_FALSE(nextToStart(Entry, at(1s), always(Roomy)) == Overnight);
+    }
+    THEN("age outweighs priority after its step times the difference") {
+      queue(Entry, Owners, 0, 3, 9,
+            at(0s) + 9 * Entry.m_Settings.m_AgeStep + 1s);
+      std::vector<Ticket> Order;
+      while (auto Next = nextToStart(Entry, at(20s), always(Roomy)))
+        Order.push_back(*Next);
+      REQUIRE(Order.size() == 7);
+      CHECK(Order[3] == Overnight);
+    }
+  }
+  GIVEN("a caller that marks everything urgent") {
+    queue(Entry, Owners, 0, 100, 9, at(0s));
+    queue(Entry, Owners, 1, 100, 0, at(0s));
+    THEN("its lead over the other is the credit of nine steps") {
+      const auto Served = serve(Entry, Owners, 100, at(0s));
+      const double Lead = 9 * 0.5; // Credits of 500 ms, requests of 1 s.
+      CHECK(Served.at(0) - Served.at(1) <= Lead + 2);
+      CHECK(Served.at(0) - Served.at(1) >= Lead - 2);
+    }
+  }
+}
+
+SCENARIO("a caller is started within the starvation bound") {
+  State Entry = entryOf(2);
+  setShare(Entry, caller(0), 1000, {}, TimePoint::max(), at(0s));
+  std::map<Ticket, int> Owners;
+  queue(Entry, Owners, 0, 200, 9, at(0s));
+  queue(Entry, Owners, 1, 1, 0, at(0s));
+  const Duration Bound = Entry.m_Settings.m_StarvationBound;
+  // Weight and priority keep the first caller ahead until then.
+  CHECK(serve(Entry, Owners, 50, at(Bound - 1s)).count(1) == 0);
+  CHECK(serve(Entry, Owners, 2, at(Bound)).at(1) == 1);
+}
+
+SCENARIO("a full queue is cleared at the cost of callers over their share") {
+  State Entry = entryOf(3);
+  Entry.m_Settings.m_MaxQueued = 12;
+  std::map<Ticket, int> Owners;
+  queue(Entry, Owners, 0, 12, 9, at(0s));
+  WHEN("others arrive that are under their share") {
+    std::size_t Evicted = 0;
+    for (int I = 0; I < 4; ++I) {
+      for (int Caller : {1, 2}) {
+        const Decision Made =
+            admit(Entry, arrival(Caller, FullHouse, 0), at(0s));
+        CHECK_FALSE(refusalOf(Made));
+        for (const RefusedTicket &Out : Made.m_Evicted) {
+          CHECK(Owners.at(Out.m_Ticket) == 0);
+          CHECK(Out.m_Refused.m_Reason == Refusal::OverFairShare);
+        }
+        Evicted += Made.m_Evicted.size();
+        Owners[ticketOf(Made)] = Caller;
+        verify(Entry);
+      }
+    }
+    THEN("each has its third, and only the first has lost requests") {
+      CHECK(Evicted == 8);
+      CHECK(refusalOf(admit(Entry, arrival(1, FullHouse), at(0s))) ==
+            Refusal::OverFairShare);
+    }
+  }
+  WHEN("the caller over its share asks for more") {
+    THEN("it is refused itself") {
+      CHECK(refusalOf(admit(Entry, arrival(0, FullHouse), at(0s))) ==
+            Refusal::OverFairShare);
+    }
+  }
+}
