--- /dev/null
+++ b/libs/roles/src/Pools.h
@@ -0,0 +1,37 @@
+/// \file
+/// Groups engines into pools: sets of models whose engines overlap and which
+/// are therefore planned together.
+
+#ifndef WASABIVALE_ROLES_POOLS_H
+#define WASABIVALE_ROLES_POOLS_H
+
+#include "roles/roles.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace wasabivale::roles {
+
+struct Pool {
+  std::string m_Name; ///< Its models in order, joined by `+`.
+  std::vector<const Engine *> m_Engines;
+  Demand m_Demand;
+};
+
+/// \returns the pools by name; they point into \p Seen.
+std::map<std::string, Pool> groupPools(const Observation &Seen);
+
+/// Demand of one interval as rates.
+WorkRate ratesOf(const Demand &Counted, Duration Interval);
+
+/// Summed rates of the engines of \p Of that serve.
+SplitCapacity capacityOf(const Pool &Of);
+
+/// \p Split with (or, for \p Sign -1, without) the rates of an engine.
+SplitCapacity withEngine(SplitCapacity Split, Role As, double PrefillRate,
+                         double DecodeRate, double Sign);
+
+} // namespace wasabivale::roles
+
+#endif // WASABIVALE_ROLES_POOLS_H
