--- a/libs/enginemodel/include/enginemodel/enginemodel.h
+++ b/libs/enginemodel/include/enginemodel/enginemodel.h
@@ -15,12 +15,12 @@
 
 #include "base/base.h"
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -117,7 +117,10 @@
   std::uint64_t m_Arrival = 0;
   RunKey m_Run = 0;
 
-  auto operator<=>(const Place &) const = default;
+  bool operator<(const Place &Other) const {
+    return std::tie(m_Unimportance, m_Arrival, m_Run) <
+           std::tie(Other.m_Unimportance, Other.m_Arrival, Other.m_Run);
+  }
 };
 
 /// A cached block. An implementation detail of `Engine`.
--- a/libs/enginemodel/src/Memory.cpp
+++ b/libs/enginemodel/src/Memory.cpp
@@ -29,7 +29,9 @@
 }
 
 std::uint64_t unreservedBlocks(const Engine &At) {
-  return At.m_Settings.m_KvBlocks - At.m_PrivateBlocks - At.m_Cache.size();
+  const std::uint64_t Used = At.m_PrivateBlocks + At.m_Cache.size();
+  WASABIVALE_INVARIANT(Used <= At.m_Settings.m_KvBlocks);
+  return At.m_Settings.m_KvBlocks - Used;
 }
 
 } // namespace
--- a/libs/targets/include/targets/targets.h
+++ b/libs/targets/include/targets/targets.h
@@ -14,13 +14,13 @@
 #include "http/http.h"
 
 #include <chrono>
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -58,7 +58,11 @@
   std::uint64_t m_Term = 0;
   std::uint64_t m_Sequence = 0;
 
-  auto operator<=>(const Fence &) const = default;
+  bool operator==(const Fence &) const = default;
+  bool operator<(const Fence &Other) const {
+    return std::tie(m_Term, m_Sequence) <
+           std::tie(Other.m_Term, Other.m_Sequence);
+  }
 };
 
 /// A target makes itself known to an entry.
--- a/libs/targets/src/Client.cpp
+++ b/libs/targets/src/Client.cpp
@@ -199,7 +199,7 @@
       Run->m_Handlers.m_OnStarted();
   };
   Inner.m_OnChunk = [Run](std::string_view Bytes) { takeChunk(*Run, Bytes); };
-  Inner.m_OnDone = [Run](Result<http::Response> Answer) {
+  Inner.m_OnDone = [Run](const Result<http::Response> &Answer) {
     // A body that is not chunked may come whole with the end.
     if (!failed(Answer))
       takeChunk(*Run, valueOf(Answer).m_Body);
