--- /dev/null
+++ b/libs/replication/local/include/replication_local/replication_local.h
@@ -0,0 +1,67 @@
+/// \file
+/// Several replicas on loopback, in one process and on one loop, with real
+/// hubs and data folders: for tests and measurements.
+
+#ifndef WASABIVALE_REPLICATION_LOCAL_REPLICATION_LOCAL_H
+#define WASABIVALE_REPLICATION_LOCAL_REPLICATION_LOCAL_H
+
+#include "replication/replication.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace wasabivale::replication {
+
+struct LocalOptions {
+  int m_Members = 3;
+  int m_FirstPort = 28500; ///< One port for each member.
+  std::string m_Root;      ///< Folder for the data folders; made and removed.
+  consensus::Timing m_Timing;
+  consensus::Limits m_Limits;
+  std::uint64_t m_SnapshotEvery = 20'000;
+};
+
+/// One member; its state is the list of the payloads it has applied.
+struct LocalMember {
+  NodeId m_Id;
+  wire::KeyPair m_Keys;
+  std::string m_Address;
+  std::string m_Folder;
+  std::unique_ptr<wire::Hub> m_Hub;
+  std::unique_ptr<Replica> m_Replica; ///< Null while it is stopped.
+  std::vector<std::string> m_Applied;
+};
+
+class LocalCluster {
+public:
+  explicit LocalCluster(LocalOptions Options);
+  ~LocalCluster();
+  LocalCluster(const LocalCluster &) = delete;
+  LocalCluster &operator=(const LocalCluster &) = delete;
+
+  Status start(LocalMember &Which);
+  Status startAll();
+  /// Ends a member at once, as a crash would.
+  static void stop(LocalMember &Which);
+
+  /// Turns the loop until \p Done holds or \p Limit has passed. \returns
+  /// whether it holds.
+  bool turnUntil(const std::function<bool()> &Done, Duration Limit) const;
+
+  /// \returns the member that holds the lease, or null.
+  LocalMember *leader();
+  std::vector<LocalMember> &members() { return m_Members; }
+
+private:
+  static ReplicaCallbacks callbacks(LocalMember &Of);
+
+  LocalOptions m_Options;
+  event_base *m_Loop;
+  metrics::Registry m_Registry;
+  std::vector<LocalMember> m_Members;
+};
+
+} // namespace wasabivale::replication
+
+#endif // WASABIVALE_REPLICATION_LOCAL_REPLICATION_LOCAL_H
