--- a/libs/replication/local/include/replication_local/replication_local.h
+++ b/libs/replication/local/include/replication_local/replication_local.h
@@ -31,6 +31,8 @@
   std::unique_ptr<wire::Hub> m_Hub;
   std::unique_ptr<Replica> m_Replica; ///< Null while it is stopped.
   std::vector<std::string> m_Applied;
+  store::Files *m_Files = nullptr; ///< Null: the system's.
+  std::vector<Error> m_Failures;   ///< Told by `m_Failed`.
 };
 
 class LocalCluster {
--- a/libs/replication/local/src/LocalCluster.cpp
+++ b/libs/replication/local/src/LocalCluster.cpp
@@ -64,7 +64,9 @@
   };
   Made.m_Gained = [] {};
   Made.m_Lost = [] {};
-  Made.m_Failed = [](const Error &) {};
+  Made.m_Failed = [&Of](const Error &Failure) {
+    Of.m_Failures.push_back(Failure);
+  };
   return Made;
 }
 
@@ -90,6 +92,7 @@
     return errorOf(Hub);
   Which.m_Hub = std::move(valueOf(Hub));
   Own.m_Folder = Which.m_Folder;
+  Own.m_Files = Which.m_Files;
   Own.m_Cluster = "local";
   Own.m_Self = Which.m_Id;
   Own.m_Timing = m_Options.m_Timing;
--- a/libs/replication/tests/ReplicaTest.cpp
+++ b/libs/replication/tests/ReplicaTest.cpp
@@ -1,4 +1,5 @@
 #include "replication_local/replication_local.h"
+#include "store_faults/store_faults.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -170,6 +171,45 @@
   }
 }
 
+SCENARIO("a member whose disk fails takes part no longer") {
+  std::vector<store::FaultyFiles> Disks(3);
+  Cluster Members(3);
+  for (std::size_t At = 0; At < Disks.size(); ++At)
+    Members.members()[At].m_Files = &Disks[At];
+  REQUIRE(!failed(Members.startAll()));
+  std::vector<std::string> Acknowledged;
+  REQUIRE(Members.commit(20, Acknowledged));
+  LocalMember &Broken = *Members.leader();
+  const auto Index =
+      static_cast<std::size_t>(&Broken - Members.members().data());
+
+  WHEN("a sync of the leader fails with a proposal under way") {
+    Disks[Index].m_Fault = store::Fault::Sync;
+    Verdict Given = Verdict::Committed;
+    Broken.m_Replica->propose(
+        "doubtful", [&](const Decision &Done) { Given = Done.m_Verdict; });
+    REQUIRE(Members.waitFor([&] { return !Broken.m_Failures.empty(); }));
+    THEN("nothing is acknowledged and the process is told to end") {
+      CHECK(Given == Verdict::Lost);
+      CHECK(Broken.m_Failures.size() == 1);
+      CHECK(Broken.m_Failures.front().m_Step == "store.sync");
+      CHECK_FALSE(Broken.m_Replica->isLeader());
+      AND_THEN("the others go on without it, though its disk works again") {
+        Disks[Index].m_Fault = store::Fault::None;
+        CHECK(Members.commit(20, Acknowledged));
+        CHECK(Members.leader() != &Broken);
+        CHECK(std::count(Broken.m_Applied.begin(), Broken.m_Applied.end(),
+                         Acknowledged.back()) == 0);
+      }
+      AND_THEN("later proposals to it are refused") {
+        Broken.m_Replica->propose(
+            "x", [&](const Decision &Done) { Given = Done.m_Verdict; });
+        REQUIRE(Members.waitFor([&] { return Given == Verdict::NotLeader; }));
+      }
+    }
+  }
+}
+
 SCENARIO("a single listed member forms at once") {
   Cluster Members(1);
   REQUIRE(!failed(Members.startAll()));
--- /dev/null
+++ b/libs/store/faults/include/store_faults/store_faults.h
@@ -0,0 +1,83 @@
+/// \file
+/// File operations with faults that can be switched on, for tests.
+
+#ifndef WASABIVALE_STORE_FAULTS_STORE_FAULTS_H
+#define WASABIVALE_STORE_FAULTS_STORE_FAULTS_H
+
+#include "store/store.h"
+
+namespace wasabivale::store {
+
+enum class Fault : std::uint8_t {
+  None,
+  Full,      ///< Writes fail with no space left.
+  ShortThen, ///< A write takes half, the next one fails.
+  ShortOnce, ///< A write takes half, the next ones work.
+  Sync,
+  Rename,
+  SyncFolder,
+};
+
+/// The system's files with one kind of fault switched on.
+class FaultyFiles final : public Files {
+public:
+  Fault m_Fault = Fault::None;
+  bool m_WasShort = false;
+
+  Status makeFolder(const std::string &Path) override {
+    return m_Real.makeFolder(Path);
+  }
+  Result<std::vector<std::string>> list(const std::string &Path) override {
+    return m_Real.list(Path);
+  }
+  Result<std::string> read(const std::string &Path) override {
+    return m_Real.read(Path);
+  }
+  Result<int> open(const std::string &Path) override {
+    return m_Real.open(Path);
+  }
+  Result<std::size_t> write(int File, std::string_view Bytes) override {
+    if (m_Fault == Fault::Full || (m_Fault == Fault::ShortThen && m_WasShort))
+      return Error{"store.write", "", "No space left on device"};
+    const bool Short = !m_WasShort && (m_Fault == Fault::ShortThen ||
+                                       m_Fault == Fault::ShortOnce);
+    m_WasShort = m_WasShort || Short;
+    return m_Real.write(File,
+                        Short ? Bytes.substr(0, Bytes.size() / 2) : Bytes);
+  }
+  Status sync(int File) override {
+    if (m_Fault == Fault::Sync)
+      return Error{"store.sync", "", "Input/output error"};
+    return m_Real.sync(File);
+  }
+  Status truncate(int File, std::uint64_t Size) override {
+    return m_Real.truncate(File, Size);
+  }
+  void close(int File) override { m_Real.close(File); }
+  Status rename(const std::string &From, const std::string &To) override {
+    if (m_Fault == Fault::Rename)
+      return Error{"store.rename", From, "Input/output error"};
+    return m_Real.rename(From, To);
+  }
+  Status remove(const std::string &Path) override {
+    return m_Real.remove(Path);
+  }
+  Status syncFolder(const std::string &Path) override {
+    if (m_Fault == Fault::SyncFolder)
+      return Error{"store.sync_folder", Path, "Input/output error"};
+    return m_Real.syncFolder(Path);
+  }
+  Result<std::uint64_t> number(const std::string &Path) override {
+    return m_Real.number(Path);
+  }
+  Result<int> lock(const std::string &Path) override {
+    return m_Real.lock(Path);
+  }
+
+private:
+  Files &m_Real = systemFiles();
+};
+
+} // namespace wasabivale::store
+
+#endif // WASABIVALE_STORE_FAULTS_STORE_FAULTS_H
--- a/libs/store/tests/StoreTest.cpp
+++ b/libs/store/tests/StoreTest.cpp
@@ -1,4 +1,5 @@
 #include "store/store.h"
+#include "store_faults/store_faults.h"
 
 #include <catch2/catch.hpp>
 #include <filesystem>
@@ -8,6 +9,8 @@
 
 using namespace wasabivale;
 using namespace wasabivale::consensus;
+using store::Fault;
+using store::FaultyFiles;
 using store::Store;
 
 namespace {
@@ -26,76 +29,6 @@
   }
 };
 
-enum class Fault : std::uint8_t {
-  None,
-  Full,      ///< Writes fail with no space left.
-  ShortThen, ///< A write takes half, the next one fails.
-  ShortOnce, ///< A write takes half, the next ones work.
-  Sync,
-  Rename,
-  SyncFolder,
-};
-
-/// The system's files with one kind of fault switched on.
-class FaultyFiles final : public store::Files {
-public:
-  Fault m_Fault = Fault::None;
-  bool m_WasShort = false;
-
-  Status makeFolder(const std::string &Path) override {
-    return m_Real.makeFolder(Path);
-  }
-  Result<std::vector<std::string>> list(const std::string &Path) override {
-    return m_Real.list(Path);
-  }
-  Result<std::string> read(const std::string &Path) override {
-    return m_Real.read(Path);
-  }
-  Result<int> open(const std::string &Path) override {
-    return m_Real.open(Path);
-  }
-  Result<std::size_t> write(int File, std::string_view Bytes) override {
-    if (m_Fault == Fault::Full || (m_Fault == Fault::ShortThen && m_WasShort))
-      return Error{"store.write", "", "No space left on device"};
-    const bool Short = !m_WasShort && (m_Fault == Fault::ShortThen ||
-                                       m_Fault == Fault::ShortOnce);
-    m_WasShort = m_WasShort || Short;
-    return m_Real.write(File,
-                        Short ? Bytes.substr(0, Bytes.size() / 2) : Bytes);
-  }
-  Status sync(int File) override {
-    if (m_Fault == Fault::Sync)
-      return Error{"store.sync", "", "Input/output error"};
-    return m_Real.sync(File);
-  }
-  Status truncate(int File, std::uint64_t Size) override {
-    return m_Real.truncate(File, Size);
-  }
-  void close(int File) override { m_Real.close(File); }
-  Status rename(const std::string &From, const std::string &To) override {
-    if (m_Fault == Fault::Rename)
-      return Error{"store.rename", From, "Input/output error"};
-    return m_Real.rename(From, To);
-  }
-  Status remove(const std::string &Path) override {
-    return m_Real.remove(Path);
-  }
-  Status syncFolder(const std::string &Path) override {
-    if (m_Fault == Fault::SyncFolder)
-      return Error{"store.sync_folder", Path, "Input/output error"};
-    return m_Real.syncFolder(Path);
-  }
-  Result<std::uint64_t> number(const std::string &Path) override {
-    return m_Real.number(Path);
-  }
-  Result<int> lock(const std::string &Path) override {
-    return m_Real.lock(Path);
-  }
-
-private:
-  store::Files &m_Real = store::systemFiles();
-};
-
 Result<std::unique_ptr<Store>> tryOpen(const Folder &In,
                                        store::Files &Through) {
   return Store::open(Through, In.m_Path, "test", {"c1"});
@@ -322,7 +255,7 @@
     std::size_t m_Records; ///< That are left; unused if it is refused.
     const char *m_Refusal; ///< Part of the error; null if it opens.
   };
-  const auto flip = [](std::size_t Byte) {
+  const auto Flip = [](std::size_t Byte) {
     return [Byte](std::string Bytes) {
       Bytes[Byte] = static_cast<char>(Bytes[Byte] ^ 1);
       return Bytes;
@@ -331,30 +264,32 @@
   const std::string AtSecond = fmt::format("byte {}", Second);
   const std::string AtThird = fmt::format("byte {}", Third);
   const std::vector<Row> Table = {
-      {"whole", [](std::string Bytes) { return Bytes; }, 3, nullptr},
+      {"whole", [](const std::string &Bytes) { return Bytes; }, 3, nullptr},
       {"header of the last record cut",
-       [&](std::string Bytes) { return Bytes.substr(0, Third + 7); }, 2,
+       [&](const std::string &Bytes) { return Bytes.substr(0, Third + 7); }, 2,
        nullptr},
       {"payload of the last record cut",
-       [&](std::string Bytes) { return Bytes.substr(0, Bytes.size() - 9); }, 2,
-       nullptr},
+       [&](const std::string &Bytes) {
+         return Bytes.substr(0, Bytes.size() - 9);
+       },
+       2, nullptr},
       {"zeros in place of the last record",
-       [&](std::string Bytes) {
+       [&](const std::string &Bytes) {
          return Bytes.substr(0, Third) + std::string(RecordBytes, '\0');
        },
        2, nullptr},
       {"zeros after the last record",
-       [](std::string Bytes) { return Bytes + std::string(100, '\0'); }, 3,
-       nullptr},
-      {"file header cut", [](std::string Bytes) { return Bytes.substr(0, 5); },
-       0, nullptr},
-      {"bit in the file header", flip(3), 0, "byte 0"},
-      {"bit in a length in the middle", flip(Second), 0, AtSecond.c_str()},
-      {"bit in a payload in the middle", flip(Second + 41), 0,
+       [](const std::string &Bytes) { return Bytes + std::string(100, '\0'); },
+       3, nullptr},
+      {"file header cut",
+       [](const std::string &Bytes) { return Bytes.substr(0, 5); }, 0, nullptr},
+      {"bit in the file header", Flip(3), 0, "byte 0"},
+      {"bit in a length in the middle", Flip(Second), 0, AtSecond.c_str()},
+      {"bit in a payload in the middle", Flip(Second + 41), 0,
        AtSecond.c_str()},
-      {"bit in the last length", flip(Third), 0, AtThird.c_str()},
-      {"bit in the last payload", flip(Third + 41), 0, AtThird.c_str()},
-      {"bit in the last checksum", flip(Good.size() - 1), 0, AtThird.c_str()},
+      {"bit in the last length", Flip(Third), 0, AtThird.c_str()},
+      {"bit in the last payload", Flip(Third + 41), 0, AtThird.c_str()},
+      {"bit in the last checksum", Flip(Good.size() - 1), 0, AtThird.c_str()},
       {"a record missing",
        [&](const std::string &Bytes) {
          return Bytes.substr(0, Second) + Bytes.substr(Third);
@@ -381,7 +316,7 @@
     for (const char *Name :
          {"vote", "identity", "snapshot-00000000000000000002"}) {
       const std::string Whole = slurp(At.file(Name));
-      spill(At.file(Name), flip(Whole.size() - 1)(Whole));
+      spill(At.file(Name), Flip(Whole.size() - 1)(Whole));
       CHECK(errorAtOpen(At).find(At.file(Name)) != std::string::npos);
       spill(At.file(Name), Whole);
     }
