--- a/libs/ledger/src/Apply.cpp
+++ b/libs/ledger/src/Apply.cpp
@@ -10,7 +10,7 @@
 
 constexpr std::string_view ResolveKind = "resolve";
 
-Reply refuse(Refusal Reason, std::string Message = {}) {
+Reply refuse(Refusal Reason, const std::string &Message = {}) {
   Reply Out;
   Out.m_Refusal = Reason;
   Out.m_Message =
