--- a/libs/fleet/src/Apply.cpp
+++ b/libs/fleet/src/Apply.cpp
@@ -1,5 +1,5 @@
 #include "Configuration.h"
-#include "Mutations.h"
+#include "FleetMutations.h"
 #include "Orders.h"
 #include "Plans.h"
 #include "Replies.h"
--- a/libs/fleet/src/Barriers.cpp
+++ b/libs/fleet/src/Barriers.cpp
@@ -1,4 +1,4 @@
-#include "Mutations.h"
+#include "FleetMutations.h"
 #include "fleet/fleet.h"
 
 #include <algorithm>
--- a/libs/fleet/src/Configuration.cpp
+++ b/libs/fleet/src/Configuration.cpp
@@ -1,6 +1,6 @@
 #include "Configuration.h"
 
-#include "Mutations.h"
+#include "FleetMutations.h"
 #include "Replies.h"
 
 #include <fmt/format.h>
--- a/libs/fleet/src/Mutations.cpp
+++ b/libs/fleet/src/FleetMutations.cpp
@@ -1,4 +1,4 @@
-#include "Mutations.h"
+#include "FleetMutations.h"
 
 #if defined(WASABIVALE_MUTATIONS)
 namespace wasabivale::fleet {
--- a/libs/fleet/src/Mutations.h
+++ b/libs/fleet/src/FleetMutations.h
@@ -3,8 +3,8 @@
 /// Shipped builds contain none of them. In a test build a broken invariant is
 /// noted instead of ending the process.
 
-#ifndef WASABIVALE_FLEET_SRC_MUTATIONS_H
-#define WASABIVALE_FLEET_SRC_MUTATIONS_H
+#ifndef WASABIVALE_FLEET_SRC_FLEETMUTATIONS_H
+#define WASABIVALE_FLEET_SRC_FLEETMUTATIONS_H
 
 #include "base/base.h"
 
@@ -42,4 +42,4 @@
 
 } // namespace wasabivale::fleet
 
-#endif // WASABIVALE_FLEET_SRC_MUTATIONS_H
+#endif // WASABIVALE_FLEET_SRC_FLEETMUTATIONS_H
--- a/libs/fleet/src/Orders.cpp
+++ b/libs/fleet/src/Orders.cpp
@@ -1,6 +1,6 @@
 #include "Orders.h"
 
-#include "Mutations.h"
+#include "FleetMutations.h"
 #include "Plans.h"
 #include "Replies.h"
 #include "Targets.h"
--- a/libs/fleet/src/Plans.cpp
+++ b/libs/fleet/src/Plans.cpp
@@ -1,7 +1,7 @@
 #include "Plans.h"
 
 #include "Configuration.h"
-#include "Mutations.h"
+#include "FleetMutations.h"
 #include "Planner.h"
 #include "Policy.h"
 #include "Replies.h"
--- a/libs/fleet/src/RequestTable.cpp
+++ b/libs/fleet/src/RequestTable.cpp
@@ -1,4 +1,4 @@
-#include "Mutations.h"
+#include "FleetMutations.h"
 #include "Replies.h"
 
 namespace wasabivale::fleet {
--- a/libs/ledger/src/Apply.cpp
+++ b/libs/ledger/src/Apply.cpp
@@ -1,4 +1,4 @@
-#include "Mutations.h"
+#include "LedgerMutations.h"
 #include "Records.h"
 
 #include <algorithm>
--- a/libs/ledger/src/Mutations.cpp
+++ b/libs/ledger/src/LedgerMutations.cpp
@@ -1,4 +1,4 @@
-#include "Mutations.h"
+#include "LedgerMutations.h"
 
 #if defined(WASABIVALE_MUTATIONS)
 namespace wasabivale::ledger {
--- a/libs/ledger/src/Mutations.h
+++ b/libs/ledger/src/LedgerMutations.h
@@ -2,8 +2,8 @@
 /// Faults that a test build switches on, to show that its tests see them.
 /// Shipped builds contain none of them.
 
-#ifndef WASABIVALE_LEDGER_SRC_MUTATIONS_H
-#define WASABIVALE_LEDGER_SRC_MUTATIONS_H
+#ifndef WASABIVALE_LEDGER_SRC_LEDGERMUTATIONS_H
+#define WASABIVALE_LEDGER_SRC_LEDGERMUTATIONS_H
 
 #include <cstdint>
 
@@ -25,4 +25,4 @@
 
 } // namespace wasabivale::ledger
 
-#endif // WASABIVALE_LEDGER_SRC_MUTATIONS_H
+#endif // WASABIVALE_LEDGER_SRC_LEDGERMUTATIONS_H
--- a/libs/ledger/src/Records.cpp
+++ b/libs/ledger/src/Records.cpp
@@ -1,6 +1,6 @@
 #include "Records.h"
 
-#include "Mutations.h"
+#include "LedgerMutations.h"
 
 namespace wasabivale::ledger {
 
