--- a/libs/ledger/src/Apply.cpp
+++ b/libs/ledger/src/Apply.cpp
@@ -1,4 +1,4 @@
-#include "Mutations.h"
+#include "LedgerMutations.h"
 #include "Records.h"
 
 #include <algorithm>
@@ -10,7 +10,7 @@
 
 constexpr std::string_view ResolveKind = "resolve";
 
-Reply refuse(Refusal Reason, std::string Message = {}) {
+Reply refuse(Refusal Reason, const std::string &Message = {}) {
   Reply Out;
   Out.m_Refusal = Reason;
   Out.m_Message =
