Judge crash suspects fleet-wide, and settle a crash before its re-run

One popular request on two machines of a failed rack would have been taken for guilty, and an entry could re-run a suspect before others knew of it. Mass crashes no longer convict, a permitted isolated run does, and a crash counts as settled once every entry with a lease knows it.

--- a/libs/retries/include/retries/retries.h
+++ b/libs/retries/include/retries/retries.h
@@ -133,10 +133,19 @@
 // --- Fleet-wide suspicion (control) -----------------------------------------
 
 struct SuspicionSettings {
+  /// First quarantine; each further one of a fingerprint lasts twice as long.
   Duration m_QuarantineFor = std::chrono::minutes(10);
+  Duration m_MaxQuarantine = std::chrono::hours(6);
   Duration m_SuspectFor = std::chrono::minutes(2);
-  /// Longest isolated re-run; its target is free for another one afterwards.
-  Duration m_RerunFor = std::chrono::seconds(30);
+  /// After its quarantine a fingerprint stays a suspect for this long.
+  Duration m_ProbationFor = std::chrono::hours(1);
+  /// Longest isolated re-run. The entry cancels the run by then, so that the
+  /// fingerprint and the target are free for another one.
+  Duration m_RerunFor = std::chrono::seconds(60);
+  /// This many targets that crash within the window have a common cause: a
+  /// rack, a switch, a zone. Such crashes convict nobody.
+  std::size_t m_MassCrash = 4;
+  Duration m_MassCrashWindow = std::chrono::seconds(10);
   std::size_t m_MaxSuspects = 4096; ///< The least suspect are dropped first.
 };
 
@@ -148,6 +157,17 @@
   std::vector<Fingerprint> m_Running;
 };
 
+/// A crashed incarnation.
+using CrashKey = std::pair<TargetId, std::string>;
+
+/// What all entries together reported of a crash.
+struct CrashRecord {
+  TimePoint m_At; ///< Log time of the first report.
+  std::set<Fingerprint> m_Running;
+  /// The suspect that was permitted to run there: it alone did it.
+  std::optional<Fingerprint> m_Culprit;
+};
+
 enum class Verdict : std::uint8_t {
   Suspect,     ///< May run alone, at one target at a time, by permission.
   Quarantined, ///< Not run at all.
@@ -155,14 +175,12 @@
 
 struct Suspect {
   Verdict m_Verdict = Verdict::Suspect;
-  double m_Weight = 0; ///< Sum of 1/n over the crashes it was running at.
-  TimePoint m_Until;   ///< Log time.
-  /// Incarnations that crashed under it.
-  std::set<std::pair<TargetId, std::string>> m_Crashes;
+  TimePoint m_Until;            ///< Log time.
+  std::set<CrashKey> m_Crashes; ///< That it was running at.
+  std::uint32_t m_Convictions = 0;
   std::optional<NodeId> m_RerunBy; ///< Entry that may run it now.
   TargetId m_RerunAt;
   TimePoint m_RerunUntil;
-  std::uint64_t m_Revision = 0; ///< Of the last change, for deltas.
 };
 
 /// Deterministic: the same events with the same log times give the same
@@ -171,13 +189,16 @@
   SuspicionSettings m_Settings;
   std::uint64_t m_Revision = 0; ///< Raised by each change.
   std::map<Fingerprint, Suspect> m_Suspects;
-  /// Fingerprints seen at each crashed incarnation, from all entries.
-  std::map<std::pair<TargetId, std::string>, std::set<Fingerprint>> m_Crashes;
-  std::map<std::pair<TargetId, std::string>, TimePoint> m_CrashedAt;
+  std::map<CrashKey, CrashRecord> m_Crashes; ///< Of the last quarantine time.
 };
 
+/// How suspect a fingerprint is: the sum over its crashes of one divided by
+/// the number of requests that were running there.
+double weightOf(const Suspicion &Fleet, const Suspect &Known);
+
 /// A crash, reported by one or more entries. Reports of the same incarnation
-/// add up to one crash. \returns the revision from which on entries know it.
+/// add up to one crash; a repeated report changes nothing. \returns the
+/// revision from which on entries know it.
 std::uint64_t applyCrash(Suspicion &Fleet, const Crash &Report,
                          TimePoint LogNow);
 
@@ -203,6 +224,7 @@
   Duration m_Remaining{};
   bool m_RerunPermitted = false; ///< To the entry that is told.
   TargetId m_RerunAt;
+  Duration m_RerunLeft{}; ///< The run must have ended by then.
 };
 
 /// Everything that \p Entry must know now, guilty ones first, most suspect
@@ -210,6 +232,31 @@
 std::vector<SuspectNotice> noticesFor(const Suspicion &Fleet,
                                       const NodeId &Entry, TimePoint LogNow);
 
+// --- Who knows of suspects (leader of control, not replicated) ---------------
+
+/// What the leader knows of each entry's knowledge. A crash is settled once
+/// no entry can act on older knowledge: each has applied its revision or has
+/// lost its lease.
+struct Settlement {
+  struct Entry {
+    std::uint64_t m_Applied = 0; ///< Revision of the notices that it applied.
+    std::uint64_t m_Needed = 0;  ///< Revision of its newest crash report.
+    TimePoint m_LeaseUntil;
+  };
+  std::map<NodeId, Entry> m_Entries;
+  /// End of all leases that an earlier leader may have granted.
+  TimePoint m_CompleteFrom;
+};
+
+/// An entry reported; its lease is renewed until \p LeaseUntil.
+void noteEntry(Settlement &Known, const NodeId &Id, std::uint64_t Applied,
+               TimePoint LeaseUntil);
+/// A crash report of this entry was applied with this revision.
+void noteCrashApplied(Settlement &Known, const NodeId &Id,
+                      std::uint64_t Revision);
+/// Whether all crashes that the entry has reported are known to every entry.
+bool crashesSettled(const Settlement &Known, const NodeId &Id, TimePoint Now);
+
 // --- An entry's hold on suspects --------------------------------------------
 
 /// What an entry may do with a fingerprint now.
@@ -223,11 +270,13 @@
 
 struct GateDecision {
   Gate m_Gate = Gate::Open;
-  TargetId m_Target; ///< For SameTarget and Isolated.
+  TargetId m_Target;                       ///< For SameTarget and Isolated.
+  TimePoint m_RunUntil = TimePoint::max(); ///< For Isolated: cancel it then.
 };
 
 /// One entry's knowledge of suspects and its own runs in flight.
 struct Watch {
+  /// Copies of one fingerprint in flight at one incarnation of a target.
   struct Run {
     TargetId m_Target;
     std::string m_Incarnation;
@@ -238,11 +287,13 @@
     TimePoint m_Until;
     bool m_RerunPermitted = false;
     TargetId m_RerunAt;
+    TimePoint m_RerunUntil;
     /// Seen here first; held until control has settled that report.
     bool m_Local = false;
   };
   std::uint64_t m_Revision = 0; ///< Of the notices last applied.
-  std::unordered_map<Fingerprint, Run> m_Running;
+  /// In the order in which the targets took the first copy.
+  std::unordered_map<Fingerprint, std::vector<Run>> m_Running;
   std::unordered_map<Fingerprint, Known> m_Suspects;
   std::vector<Crash> m_Unreported; ///< To be sent to control.
   Duration m_LocalHold = std::chrono::minutes(2);
@@ -253,6 +304,10 @@
 
 void noteRun(Watch &Entry, Fingerprint Print, const TargetId &Target,
              std::string_view Incarnation);
+/// \pre `noteRun` was called with the same arguments.
+void noteRunEnded(Watch &Entry, Fingerprint Print, const TargetId &Target,
+                  std::string_view Incarnation);
+/// As above, at the target that took the first of the copies in flight.
 void noteRunEnded(Watch &Entry, Fingerprint Print);
 
 /// This entry saw a target's process go away: everything in flight there is
--- a/libs/retries/src/Suspicion.cpp
+++ b/libs/retries/src/Suspicion.cpp
@@ -8,53 +8,136 @@
 
 namespace {
 
-/// Permissions in force, other than that of \p Print, at \p Target.
-bool isTargetTaken(const Suspicion &Fleet, Fingerprint Print,
-                   const TargetId &Target, TimePoint LogNow) {
-  return std::any_of(
-      Fleet.m_Suspects.begin(), Fleet.m_Suspects.end(), [&](const auto &One) {
-        const Suspect &Other = One.second;
-        return One.first != Print && Other.m_RerunBy &&
-               Other.m_RerunAt == Target && Other.m_RerunUntil > LogNow;
-      });
-}
+bool hasPermission(const Suspect &Known) { return Known.m_RerunBy.has_value(); }
 
 void endPermission(Suspect &Known) {
   Known.m_RerunBy.reset();
   Known.m_RerunAt = {};
 }
 
-/// More suspect: more crashes, then more weight.
-bool isMoreSuspect(const Suspect &Left, const Suspect &Right) {
-  if (Left.m_Crashes.size() != Right.m_Crashes.size())
-    return Left.m_Crashes.size() > Right.m_Crashes.size();
-  return Left.m_Weight > Right.m_Weight;
+/// The suspect that may run at the target now.
+std::optional<Fingerprint> permittedAt(const Suspicion &Fleet,
+                                       const TargetId &Target) {
+  for (const auto &[Print, Known] : Fleet.m_Suspects) {
+    if (hasPermission(Known) && Known.m_RerunAt == Target)
+      return Print;
+  }
+  return std::nullopt;
+}
+
+/// Whether the crash was one of many at the same time.
+bool isMassCrash(const Suspicion &Fleet, const CrashRecord &Record) {
+  const Duration Window = Fleet.m_Settings.m_MassCrashWindow;
+  const auto Near = std::count_if(
+      Fleet.m_Crashes.begin(), Fleet.m_Crashes.end(), [&](const auto &One) {
+        const Duration Apart = One.second.m_At - Record.m_At;
+        return Apart <= Window && -Apart <= Window;
+      });
+  return static_cast<std::size_t>(Near) >= Fleet.m_Settings.m_MassCrash;
+}
+
+bool isGuilty(const Suspicion &Fleet, Fingerprint Print, const Suspect &Known) {
+  std::size_t Evidence = 0;
+  for (const CrashKey &Key : Known.m_Crashes) {
+    const auto Found = Fleet.m_Crashes.find(Key);
+    if (Found == Fleet.m_Crashes.end())
+      continue;
+    if (Found->second.m_Culprit == Print)
+      return true;
+    Evidence += isMassCrash(Fleet, Found->second) ? 0 : 1;
+  }
+  return Evidence >= MaxTargetsLost;
+}
+
+Duration quarantineTime(const SuspicionSettings &Options,
+                        std::uint32_t Convictions) {
+  constexpr std::uint32_t MaxDoublings = 16;
+  const int Doublings = static_cast<int>(std::min(Convictions, MaxDoublings));
+  return std::min(Options.m_MaxQuarantine,
+                  Options.m_QuarantineFor * (1 << Doublings));
+}
+
+void judge(const Suspicion &Fleet, Fingerprint Print, Suspect &Known,
+           TimePoint LogNow) {
+  const SuspicionSettings &Options = Fleet.m_Settings;
+  const bool Guilty = isGuilty(Fleet, Print, Known);
+  const bool Before = Known.m_Verdict == Verdict::Quarantined;
+  if (Guilty == Before)
+    return;
+  if (Guilty) {
+    Known.m_Verdict = Verdict::Quarantined;
+    Known.m_Until = LogNow + quarantineTime(Options, Known.m_Convictions);
+    ++Known.m_Convictions;
+    endPermission(Known);
+    return;
+  }
+  // More crashes at the same time have shown a common cause.
+  Known.m_Verdict = Verdict::Suspect;
+  Known.m_Until = LogNow + Options.m_SuspectFor;
+  --Known.m_Convictions;
+}
+
+/// More suspect: quarantined first, then by weight.
+bool isMoreSuspect(const Suspicion &Fleet, const Suspect &Left,
+                   const Suspect &Right) {
+  if (Left.m_Verdict != Right.m_Verdict)
+    return Left.m_Verdict == Verdict::Quarantined;
+  return weightOf(Fleet, Left) > weightOf(Fleet, Right);
 }
 
 void dropLeastSuspect(Suspicion &Fleet) {
   while (Fleet.m_Suspects.size() > Fleet.m_Settings.m_MaxSuspects) {
-    const auto Least =
-        std::min_element(Fleet.m_Suspects.begin(), Fleet.m_Suspects.end(),
-                         [](const auto &Left, const auto &Right) {
-                           return isMoreSuspect(Right.second, Left.second);
-                         });
+    const auto Least = std::min_element(
+        Fleet.m_Suspects.begin(), Fleet.m_Suspects.end(),
+        [&](const auto &Left, const auto &Right) {
+          return isMoreSuspect(Fleet, Right.second, Left.second);
+        });
     Fleet.m_Suspects.erase(Least);
   }
 }
 
-void weigh(Suspicion &Fleet, Fingerprint Print,
-           const std::pair<TargetId, std::string> &Where, double Weight,
-           TimePoint LogNow) {
-  const SuspicionSettings &Options = Fleet.m_Settings;
+void addSuspect(Suspicion &Fleet, Fingerprint Print, const CrashKey &Key,
+                TimePoint LogNow) {
   Suspect &Known = Fleet.m_Suspects[Print];
-  if (Known.m_Crashes.insert(Where).second)
-    Known.m_Weight += Weight;
-  endPermission(Known);
-  const bool Guilty = Known.m_Crashes.size() >= MaxTargetsLost;
-  Known.m_Verdict = Guilty ? Verdict::Quarantined : Verdict::Suspect;
+  Known.m_Crashes.insert(Key);
   Known.m_Until =
-      LogNow + (Guilty ? Options.m_QuarantineFor : Options.m_SuspectFor);
-  Known.m_Revision = Fleet.m_Revision;
+      std::max(Known.m_Until, LogNow + Fleet.m_Settings.m_SuspectFor);
+}
+
+CrashRecord &recordOf(Suspicion &Fleet, const CrashKey &Key, TimePoint LogNow) {
+  const auto [Found, Added] = Fleet.m_Crashes.try_emplace(Key);
+  if (Added) {
+    Found->second.m_At = LogNow;
+    Found->second.m_Culprit = permittedAt(Fleet, Key.first);
+  }
+  return Found->second;
+}
+
+/// A quarantine that is over leaves a suspect; a suspicion that is over
+/// leaves nothing. \returns whether anything changed.
+bool expireSuspects(Suspicion &Fleet, TimePoint LogNow) {
+  bool Changed = false;
+  for (auto One = Fleet.m_Suspects.begin(); One != Fleet.m_Suspects.end();) {
+    Suspect &Known = One->second;
+    if (hasPermission(Known) && Known.m_RerunUntil <= LogNow) {
+      endPermission(Known);
+      Changed = true;
+    }
+    if (Known.m_Until > LogNow) {
+      ++One;
+      continue;
+    }
+    Changed = true;
+    if (Known.m_Verdict == Verdict::Suspect) {
+      One = Fleet.m_Suspects.erase(One);
+      continue;
+    }
+    Known.m_Verdict = Verdict::Suspect;
+    Known.m_Crashes.clear();
+    Known.m_Until = LogNow + Fleet.m_Settings.m_ProbationFor;
+    ++One;
+  }
+  return Changed;
 }
 
 } // namespace
@@ -63,23 +146,33 @@
   return hashBytes(Prompt, hashBytes(Model.m_Value));
 }
 
+double weightOf(const Suspicion &Fleet, const Suspect &Known) {
+  double Weight = 0;
+  for (const CrashKey &Key : Known.m_Crashes) {
+    const auto Found = Fleet.m_Crashes.find(Key);
+    if (Found != Fleet.m_Crashes.end())
+      Weight += 1 / static_cast<double>(Found->second.m_Running.size());
+  }
+  return Weight;
+}
+
 std::uint64_t applyCrash(Suspicion &Fleet, const Crash &Report,
                          TimePoint LogNow) {
   expireSuspicion(Fleet, LogNow);
-  ++Fleet.m_Revision;
-  const std::pair<TargetId, std::string> Where{Report.m_Target,
-                                               Report.m_Incarnation};
-  std::set<Fingerprint> &Seen = Fleet.m_Crashes[Where];
-  Fleet.m_CrashedAt.try_emplace(Where, LogNow);
-  std::set<Fingerprint> New;
+  const CrashKey Key{Report.m_Target, Report.m_Incarnation};
+  CrashRecord &Record = recordOf(Fleet, Key, LogNow);
+  bool New = false;
   for (Fingerprint Print : Report.m_Running) {
-    if (Seen.insert(Print).second)
-      New.insert(Print);
+    New = Record.m_Running.insert(Print).second || New;
+    const bool Bystander = Record.m_Culprit && Record.m_Culprit != Print;
+    if (!Bystander)
+      addSuspect(Fleet, Print, Key, LogNow);
   }
-  const double Weight =
-      Seen.empty() ? 0 : 1.0 / static_cast<double>(Seen.size());
-  for (Fingerprint Print : New)
-    weigh(Fleet, Print, Where, Weight, LogNow);
+  if (!New)
+    return Fleet.m_Revision;
+  ++Fleet.m_Revision;
+  for (auto &[Print, Known] : Fleet.m_Suspects)
+    judge(Fleet, Print, Known, LogNow);
   dropLeastSuspect(Fleet);
   return Fleet.m_Revision;
 }
@@ -91,15 +184,15 @@
   if (Found == Fleet.m_Suspects.end())
     return false;
   Suspect &Known = Found->second;
-  if (Known.m_Verdict == Verdict::Quarantined || Known.m_RerunBy)
+  if (Known.m_Verdict == Verdict::Quarantined || hasPermission(Known))
     return false;
-  if (isTargetTaken(Fleet, Print, Target, LogNow))
+  if (permittedAt(Fleet, Target))
     return false;
   Known.m_RerunBy = Entry;
   Known.m_RerunAt = Target;
   Known.m_RerunUntil = LogNow + Fleet.m_Settings.m_RerunFor;
   Known.m_Until = std::max(Known.m_Until, Known.m_RerunUntil);
-  Known.m_Revision = ++Fleet.m_Revision;
+  ++Fleet.m_Revision;
   return true;
 }
 
@@ -110,35 +203,18 @@
   if (Found == Fleet.m_Suspects.end() || Found->second.m_RerunBy != Entry)
     return;
   ++Fleet.m_Revision;
-  if (Completed && Found->second.m_Verdict == Verdict::Suspect) {
+  if (Completed)
     Fleet.m_Suspects.erase(Found);
-    return;
-  }
-  endPermission(Found->second);
-  Found->second.m_Revision = Fleet.m_Revision;
+  else
+    endPermission(Found->second);
 }
 
 void expireSuspicion(Suspicion &Fleet, TimePoint LogNow) {
-  for (auto &[Print, Known] : Fleet.m_Suspects) {
-    if (Known.m_RerunBy && Known.m_RerunUntil <= LogNow) {
-      endPermission(Known);
-      Known.m_Revision = ++Fleet.m_Revision;
-    }
-  }
-  const std::size_t Dropped =
-      std::erase_if(Fleet.m_Suspects, [&](const auto &One) {
-        return One.second.m_Until <= LogNow;
-      });
-  if (Dropped > 0)
+  if (expireSuspects(Fleet, LogNow))
     ++Fleet.m_Revision;
-  for (auto One = Fleet.m_CrashedAt.begin(); One != Fleet.m_CrashedAt.end();) {
-    if (One->second + Fleet.m_Settings.m_QuarantineFor > LogNow) {
-      ++One;
-      continue;
-    }
-    Fleet.m_Crashes.erase(One->first);
-    One = Fleet.m_CrashedAt.erase(One);
-  }
+  std::erase_if(Fleet.m_Crashes, [&](const auto &One) {
+    return One.second.m_At + Fleet.m_Settings.m_QuarantineFor <= LogNow;
+  });
 }
 
 bool liftQuarantine(Suspicion &Fleet, Fingerprint Print) {
@@ -151,23 +227,26 @@
 std::vector<SuspectNotice> noticesFor(const Suspicion &Fleet,
                                       const NodeId &Entry, TimePoint LogNow) {
   std::vector<std::pair<Fingerprint, const Suspect *>> Ordered;
-  for (const auto &[Print, Known] : Fleet.m_Suspects)
-    Ordered.emplace_back(Print, &Known);
+  for (const auto &[Print, Known] : Fleet.m_Suspects) {
+    if (Known.m_Until > LogNow)
+      Ordered.emplace_back(Print, &Known);
+  }
   std::stable_sort(Ordered.begin(), Ordered.end(),
-                   [](const auto &Left, const auto &Right) {
-                     return isMoreSuspect(*Left.second, *Right.second);
+                   [&](const auto &Left, const auto &Right) {
+                     return isMoreSuspect(Fleet, *Left.second, *Right.second);
                    });
   std::vector<SuspectNotice> Notices;
   for (const auto &[Print, Known] : Ordered) {
-    if (Known->m_Until <= LogNow)
-      continue;
     SuspectNotice Notice;
     Notice.m_Print = Print;
     Notice.m_Verdict = Known->m_Verdict;
     Notice.m_Remaining = Known->m_Until - LogNow;
-    Notice.m_RerunPermitted = Known->m_RerunBy == Entry;
-    if (Notice.m_RerunPermitted)
+    Notice.m_RerunPermitted =
+        Known->m_RerunBy == Entry && Known->m_RerunUntil > LogNow;
+    if (Notice.m_RerunPermitted) {
       Notice.m_RerunAt = Known->m_RerunAt;
+      Notice.m_RerunLeft = Known->m_RerunUntil - LogNow;
+    }
     Notices.push_back(std::move(Notice));
   }
   return Notices;
