--- /dev/null
+++ b/tools/decision-bench/src/RetriesBench.cpp
@@ -0,0 +1,70 @@
+#include "Benches.h"
+#include "retries/retries.h"
+
+namespace wasabivale::decisionbench {
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace retries;
+
+constexpr std::uint64_t Calls = 20000;
+constexpr std::uint32_t CrashSize = 32; ///< Requests running at a target.
+
+void benchDecide(std::vector<Row> &Rows) {
+  State Entry;
+  Random Rng(1);
+  const TimePoint Now{1000s};
+  Attempt Request;
+  Request.m_Caller = {"caller"};
+  Request.m_Target = {"engine"};
+  Request.m_Deadline = Now + 60s;
+  const Failure Facts{FailureKind::Broken, false, true};
+  const Cost Each = measure(Calls, [&] {
+    for (int I = 0; I < 5; ++I)
+      noteSuccess(Entry, Request.m_Caller, Request.m_Target);
+    decide(Entry, Request, Facts, Now, Rng);
+  });
+  addCost(Rows, "retry_decision", Each);
+}
+
+void benchGate(std::vector<Row> &Rows) {
+  Watch Entry;
+  const TimePoint Now{1000s};
+  Fingerprint Next = 0;
+  const Cost Each = measure(Calls, [&] {
+    ++Next;
+    gateOf(Entry, Next, Now);
+    noteRun(Entry, Next, {"engine"}, "first");
+    noteRunEnded(Entry, Next, {"engine"}, "first");
+  });
+  addCost(Rows, "suspect_gate", Each);
+}
+
+void benchCrash(std::vector<Row> &Rows) {
+  Suspicion Fleet;
+  TimePoint LogNow{1000s};
+  std::uint64_t Next = 0;
+  // One crash a minute, far above what is expected.
+  const Cost Each = measure(200, [&] {
+    Crash Report{{"engine-" + std::to_string(Next)}, "first", {}};
+    for (std::uint32_t I = 0; I < CrashSize; ++I)
+      Report.m_Running.push_back(Next * CrashSize + I);
+    ++Next;
+    LogNow += 60s;
+    applyCrash(Fleet, Report, LogNow);
+  });
+  addCost(Rows, "apply_crash_32_running", Each);
+}
+
+} // namespace
+
+std::vector<Row> benchRetries() {
+  std::vector<Row> Rows;
+  benchDecide(Rows);
+  benchGate(Rows);
+  benchCrash(Rows);
+  return Rows;
+}
+
+} // namespace wasabivale::decisionbench
