--- a/libs/targets/src/Work.cpp
+++ b/libs/targets/src/Work.cpp
@@ -12,6 +12,8 @@
 constexpr std::uint64_t MaxPriority = 9;
 /// Longest time left that a request may carry: a day.
 constexpr std::uint64_t MaxDeadlineMs = 86'400'000;
+/// Time left of a request that names none.
+constexpr std::uint64_t DefaultDeadlineMs = 60'000;
 constexpr std::uint64_t LowestHttpStatus = 100;
 constexpr std::uint64_t HighestHttpStatus = 599;
 
@@ -50,8 +52,8 @@
   In.number("priority", Made.m_Priority, Optional, MaxPriority);
   In.number("offset", Made.m_Offset, Optional, MaxStreamTokens);
   In.text("stream_id", Made.m_StreamId, Required);
-  std::uint64_t Left = 0;
-  In.number("deadline_ms", Left, Required, MaxDeadlineMs);
+  std::uint64_t Left = DefaultDeadlineMs;
+  In.number("deadline_ms", Left, Optional, MaxDeadlineMs);
   Made.m_Deadline = Now + std::chrono::milliseconds(Left);
   In.text("kv_ticket", Made.m_KvTicket, Optional);
   In.flag("prefill_only", Made.m_PrefillOnly, Optional);
--- a/tools/fake-targets/src/Options.cpp
+++ b/tools/fake-targets/src/Options.cpp
@@ -3,6 +3,7 @@
 #include "settings/settings.h"
 
 #include <boost/program_options.hpp>
+#include <map>
 #include <sstream>
 
 namespace wasabivale::faketargets {
@@ -14,19 +15,19 @@
 
 constexpr int ExitSettings = 2;
 
-/// Keys that take a list: repeat the option for each member.
-constexpr std::string_view ListKeys[] = {"announce", "zones", "models",
-                                         "service_names"};
+/// Keys that hold a list; the option is repeated for each member.
+const std::map<std::string, std::string> ListOptions = {
+    {"announce", "announce"},
+    {"zones", "zone"},
+    {"models", "model"},
+    {"service_names", "service-name"}};
 
-bool isList(std::string_view Key) {
-  for (const std::string_view Known : ListKeys)
-    if (Known == Key)
-      return true;
-  return false;
-}
+bool isList(const std::string &Key) { return ListOptions.count(Key) > 0; }
 
 /// `first_port` on file is `--first-port` on the command line.
 std::string optionName(std::string Key) {
+  if (const auto List = ListOptions.find(Key); List != ListOptions.end())
+    return List->second;
   for (char &Byte : Key)
     if (Byte == '_')
       Byte = '-';
@@ -36,8 +37,8 @@
 po::options_description describeOptions() {
   po::options_description Known(
       "wasabivale-fake-targets: stand-ins for engines and services.\n"
-      "Every key of the settings file is also an option; repeat the options "
-      "that take a list");
+      "Every key of the settings file is also an option; those of lists are "
+      "repeated for each member");
   auto Add = Known.add_options();
   Add("help", "print this text");
   Add("version", "print the version");
@@ -48,7 +49,8 @@
     const std::string Text = Value.value("type", "one of the known names");
     if (isList(Key))
       Add(optionName(Key).c_str(),
-          po::value<std::vector<std::string>>()->composing(), "list of text");
+          po::value<std::vector<std::string>>()->composing(),
+          "text, repeatable");
     else
       Add(optionName(Key).c_str(), po::value<std::string>(), Text.c_str());
   }
@@ -112,7 +114,9 @@
   const po::options_description Known = describeOptions();
   po::variables_map Given;
   try {
-    po::store(po::parse_command_line(Count, Arguments, Known), Given);
+    constexpr int Style = po::command_line_style::default_style &
+                          ~po::command_line_style::allow_guessing;
+    po::store(po::parse_command_line(Count, Arguments, Known, Style), Given);
   } catch (const po::error &Failure) {
     return end(std::string("wasabivale-fake-targets: ") + Failure.what(),
                ExitSettings);
--- a/tools/fake-targets/src/Settings.h
+++ b/tools/fake-targets/src/Settings.h
@@ -37,7 +37,7 @@
   std::chrono::milliseconds m_CacheDelay{500};
   double m_CacheDropShare = 0;
   /// Longest stay after SIGTERM when no order withdraws the target.
-  std::chrono::milliseconds m_LeaveWait{10'000};
+  std::chrono::milliseconds m_LeaveWait{3000};
 };
 
 /// JSON schema of the settings file; the keys are those of `apply`.
