--- /dev/null
+++ b/apps/entry/src/Arrival.h
@@ -0,0 +1,78 @@
+/// \file
+/// Reads and checks a caller's request.
+
+#ifndef WASABIVALE_ENTRY_ARRIVAL_H
+#define WASABIVALE_ENTRY_ARRIVAL_H
+
+#include "Configuration.h"
+#include "Rejection.h"
+#include "http/http.h"
+
+#include <string>
+#include <variant>
+
+namespace wasabivale::entry {
+
+/// Bytes of text that count as one token.
+inline constexpr std::size_t BytesPerToken = 4;
+/// Deepest nesting of a request's JSON.
+inline constexpr std::size_t MaxRequestDepth = 32;
+/// Most tokens that a request may ask for.
+inline constexpr std::uint64_t MaxOutputTokens = 1U << 17U;
+/// `max_tokens` of a request that names none.
+inline constexpr std::uint64_t DefaultOutputTokens = 16;
+/// Longest `Idempotency-Key`.
+inline constexpr std::size_t MaxKeyBytes = 128;
+/// Longest name of a model or service.
+inline constexpr std::size_t MaxModelBytes = 256;
+
+enum class Api : std::uint8_t {
+  Completions,
+  Chat,
+  Models,
+  Service,
+};
+
+/// A request that is well formed and whose caller is known.
+struct Arrival {
+  RequestId m_Id;
+  Api m_Api = Api::Completions;
+  CallerId m_Caller;
+  unsigned m_Priority = 5;
+  TimePoint m_At;
+  TimePoint m_Deadline;
+  bool m_NotRepeatable = false;
+  std::string m_Key;        ///< `Idempotency-Key` of a not repeatable request.
+  std::string m_BodyDigest; ///< Set with the key.
+
+  std::string m_Model; ///< Model, or name of the service.
+  std::string m_Prompt;
+  std::uint64_t m_MaxTokens = DefaultOutputTokens;
+  bool m_Stream = false;
+
+  std::string m_Method; ///< Of a service's call, as are path and body.
+  std::string m_Path;
+  std::string m_Body;
+
+  [[nodiscard]] bool isService() const { return m_Api == Api::Service; }
+  /// Whether the ledger keeps this request.
+  [[nodiscard]] bool isKept() const { return !m_Key.empty(); }
+};
+
+struct ArrivalRules {
+  bool m_AllowAnonymous = false;
+};
+
+/// Reads a request. \returns the refusal when it is not well formed, its
+/// caller is not known, or it names what is not configured.
+std::variant<Arrival, Rejection> readArrival(const http::Request &From,
+                                             const Configuration &Known,
+                                             const ArrivalRules &Rules,
+                                             TimePoint Now);
+
+/// Tokens of \p Text by this system's arithmetic.
+std::uint32_t tokensOf(std::string_view Text);
+
+} // namespace wasabivale::entry
+
+#endif // WASABIVALE_ENTRY_ARRIVAL_H
--- /dev/null
+++ b/apps/entry/src/Context.h
@@ -0,0 +1,59 @@
+/// \file
+/// What all requests of an entry share.
+
+#ifndef WASABIVALE_ENTRY_CONTEXT_H
+#define WASABIVALE_ENTRY_CONTEXT_H
+
+#include "Configuration.h"
+#include "EntryMetrics.h"
+#include "EntrySettings.h"
+#include "FleetView.h"
+#include "LedgerClient.h"
+#include "Suspects.h"
+#include "limits/limits.h"
+#include "retries/retries.h"
+#include "routing/routing.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace wasabivale::entry {
+
+/// Demand of one model since the last report, and what its answers are like.
+struct ModelUse {
+  wire::ModelDemand m_Demand;
+  /// Mean of generated tokens over those that were asked for.
+  double m_OutputShare = 1;
+  /// Started requests that have no target yet: they will take free slots.
+  std::uint32_t m_Unplaced = 0;
+};
+
+struct Context {
+  Context(event_base *Loop, const EntrySettings &Settings,
+          EntryMetrics &Metrics, LedgerClient &Ledger)
+      : m_Loop(Loop), m_Settings(Settings), m_Metrics(Metrics),
+        m_Ledger(Ledger) {}
+
+  event_base *m_Loop;
+  const EntrySettings &m_Settings;
+  EntryMetrics &m_Metrics;
+  LedgerClient &m_Ledger;
+  /// Whether new work may be sent to targets.
+  std::function<bool(TimePoint)> m_HoldsLease;
+  /// Asks for a report to control before the next is due.
+  std::function<void()> m_ReportSoon;
+
+  Random m_Random = randomFromSystem();
+  Configuration m_Configuration;
+  FleetView m_Fleet;
+  limits::State m_Limits;
+  routing::State m_Routing;
+  retries::State m_Retries;
+  Suspects m_Suspects{m_Loop};
+  std::map<std::string, ModelUse> m_Models; ///< By model; not services.
+};
+
+} // namespace wasabivale::entry
+
+#endif // WASABIVALE_ENTRY_CONTEXT_H
--- a/apps/entry/src/ControlLink.cpp
+++ b/apps/entry/src/ControlLink.cpp
@@ -12,37 +12,63 @@
 constexpr std::chrono::milliseconds ResendInterval{300};
 /// Silence of the leader after which another member is asked.
 constexpr std::chrono::milliseconds LeaderSilence{1500};
+/// Shortest time between two new sessions.
+constexpr std::chrono::milliseconds RenewInterval{1000};
 constexpr std::size_t OpenRenewalsKept = 16;
 
 } // namespace
 
-ControlLink::ControlLink(const EntrySettings &Settings,
+ControlLink::ControlLink(event_base *Loop, const EntrySettings &Settings,
                          metrics::Registry &Registry, Handlers Callbacks)
-    : m_Settings(Settings), m_Registry(Registry),
+    : m_Loop(Loop), m_Settings(Settings), m_Registry(Registry),
       m_Handlers(std::move(Callbacks)) {}
 
 Result<std::unique_ptr<ControlLink>>
 ControlLink::open(event_base *Loop, const EntrySettings &Settings,
                   metrics::Registry &Registry, Handlers Callbacks) {
   std::unique_ptr<ControlLink> Made(
-      new ControlLink(Settings, Registry, std::move(Callbacks)));
+      new ControlLink(Loop, Settings, Registry, std::move(Callbacks)));
+  if (Status Opened = Made->openHub(); failed(Opened))
+    return errorOf(Opened);
+  Made->m_Timer = std::make_unique<http::Timer>(
+      Loop, TurnInterval, true, [Link = Made.get()] { Link->turn(); });
+  return Made;
+}
+
+Status ControlLink::openHub() {
   wire::HubOptions Options;
-  Options.m_Self = Settings.m_Id;
-  Options.m_Region = Settings.m_Region;
-  Options.m_Zone = Settings.m_Zone;
-  Options.m_Keys = Settings.m_Keys;
-  Options.m_Peers = Settings.m_Control;
+  Options.m_Self = m_Settings.m_Id;
+  Options.m_Region = m_Settings.m_Region;
+  Options.m_Zone = m_Settings.m_Zone;
+  Options.m_Keys = m_Settings.m_Keys;
+  Options.m_Peers = m_Settings.m_Control;
   auto Hub = wire::Hub::open(
-      Loop, Options, Registry,
-      [Link = Made.get()](const NodeId &From, const wire::Envelope &Message) {
-        Link->take(From, Message);
+      m_Loop, Options, m_Registry,
+      [this](const NodeId &From, const wire::Envelope &Message) {
+        take(From, Message);
       });
   if (failed(Hub))
     return errorOf(Hub);
-  Made->m_Hub = std::move(valueOf(Hub));
-  Made->m_Timer = std::make_unique<http::Timer>(
-      Loop, TurnInterval, true, [Link = Made.get()] { Link->turn(); });
-  return Made;
+  m_Hub = std::move(valueOf(Hub));
+  return std::monostate{};
+}
+
+void ControlLink::renewSession() {
+  const TimePoint Now = BootClock::now();
+  if (Now < m_NextRenewal)
+    return;
+  m_NextRenewal = Now + RenewInterval;
+  // Not from here: this may be a call of the hub that is to be closed.
+  m_Renew = std::make_unique<http::Timer>(
+      m_Loop, std::chrono::milliseconds(0), false, [this] {
+        m_Renew.reset();
+        m_Hub.reset();
+        m_RenewalSent.clear();
+        loseLeader();
+        if (Status Opened = openHub(); failed(Opened))
+          events::emitError(events::Event::ListenFailed, errorOf(Opened));
+        events::emit(events::Event::SessionRenewed, {{"session", session()}});
+      });
 }
 
 void ControlLink::take(const NodeId &From, const wire::Envelope &Message) {
@@ -111,9 +137,10 @@
   if (Update.revision() < m_FleetRevision ||
       Update.configuration_revision() < m_ConfigurationRevision)
     return;
+  if (!m_Handlers.m_OnFleet(Update))
+    return;
   m_FleetRevision = Update.revision();
   m_ConfigurationRevision = Update.configuration_revision();
-  m_Handlers.m_OnFleet(Update);
   reportNow();
 }
 
@@ -128,7 +155,7 @@
   if (Grant.fleet_revision() > m_FleetRevision ||
       Grant.configuration_revision() > m_ConfigurationRevision)
     sendHello(*m_Leader);
-  m_Handlers.m_OnGrant(Grant);
+  m_Handlers.m_OnGrant(Grant, m_LeaseEnd);
 }
 
 void ControlLink::takeReply(const wire::CallReply &Reply) {
--- a/apps/entry/src/ControlLink.h
+++ b/apps/entry/src/ControlLink.h
@@ -20,10 +20,12 @@
   using OnReply = std::function<void(Result<wire::CallReply>)>;
 
   struct Handlers {
-    /// A newer fleet or configuration has arrived.
-    std::function<void(const wire::FleetUpdate &)> m_OnFleet;
-    /// The leader answered a report.
-    std::function<void(const wire::ControlGrant &)> m_OnGrant;
+    /// A newer fleet or configuration has arrived. False when it could not be
+    /// applied: this entry then stays at the former revision.
+    std::function<bool(const wire::FleetUpdate &)> m_OnFleet;
+    /// The leader answered a report and with it extended the lease.
+    std::function<void(const wire::ControlGrant &, TimePoint LeaseEnd)>
+        m_OnGrant;
     /// Fills in a report before it is sent.
     std::function<void(wire::EntryReport &)> m_FillReport;
   };
@@ -49,6 +51,10 @@
   }
   /// Sends a report at once, outside the usual interval.
   void reportNow();
+  /// Starts a new session: control has taken the present one for ended and
+  /// accepts nothing more from it. At most once in `RenewInterval`.
+  void renewSession();
+  [[nodiscard]] TimePoint leaseEnd() const { return m_LeaseEnd; }
 
 private:
   struct Call {
@@ -58,12 +64,13 @@
     OnReply m_Done;
   };
 
-  ControlLink(const EntrySettings &Settings, metrics::Registry &Registry,
-              Handlers Callbacks);
+  ControlLink(event_base *Loop, const EntrySettings &Settings,
+              metrics::Registry &Registry, Handlers Callbacks);
   void take(const NodeId &From, const wire::Envelope &Message);
   void takeFleet(const wire::FleetUpdate &Update);
   void takeGrant(const wire::ControlGrant &Grant);
   void takeReply(const wire::CallReply &Reply);
+  Status openHub();
   void follow(const NodeId &Leader);
   void loseLeader();
   void turn();
@@ -71,11 +78,13 @@
   void sendHello(const NodeId &To);
   void sendReport(TimePoint Now);
 
+  event_base *m_Loop;
   const EntrySettings &m_Settings;
   metrics::Registry &m_Registry;
   Handlers m_Handlers;
   std::unique_ptr<wire::Hub> m_Hub;
   std::unique_ptr<http::Timer> m_Timer;
+  std::unique_ptr<http::Timer> m_Renew;
   std::optional<NodeId> m_Leader;
   std::size_t m_NextMember = 0;
   std::uint64_t m_HighestTerm = 0;
@@ -89,6 +98,7 @@
   TimePoint m_LastHeard;
   TimePoint m_NextReport;
   TimePoint m_NextHello;
+  TimePoint m_NextRenewal;
   std::map<std::string, Call> m_Calls;
 };
 
--- /dev/null
+++ b/apps/entry/src/DataPath.cpp
@@ -0,0 +1,344 @@
+#include "DataPath.h"
+
+#include "Text.h"
+#include "events/events.h"
+
+namespace wasabivale::entry {
+
+namespace {
+
+constexpr std::chrono::milliseconds SweepInterval{50};
+/// A lapse of the lease shorter than this is waited out by new requests.
+constexpr std::chrono::milliseconds LapseGrace{1000};
+constexpr std::string_view ServiceCapacity = "service:";
+
+limits::Limits toLimits(const wire::Share &From) {
+  return {From.requests_per_second(), From.prompt_tokens_per_second(),
+          From.output_tokens_per_second(), From.running()};
+}
+
+limits::Limits scale(const limits::Limits &By, double Share) {
+  return {By.m_RequestsPerSecond * Share, By.m_PromptTokensPerSecond * Share,
+          By.m_OutputTokensPerSecond * Share,
+          std::max(1.0, By.m_Running * Share)};
+}
+
+} // namespace
+
+DataPath::DataPath(event_base *Loop, const EntrySettings &Settings,
+                   EntryMetrics &Metrics, Ties To)
+    : m_Shared(Loop, Settings, Metrics, To.m_Ledger) {
+  m_Shared.m_HoldsLease = std::move(To.m_HoldsLease);
+  m_Shared.m_ReportSoon = std::move(To.m_ReportSoon);
+  m_Shared.m_Routing.m_Settings.m_Zone = Settings.m_Zone;
+  m_Shared.m_Routing.m_Settings.m_Region = Settings.m_Region;
+  m_Shared.m_Routing.m_Settings.m_Policy = Settings.m_Policy;
+  m_Shared.m_Routing.m_Settings.m_Entries = Settings.m_Entries;
+  m_Shared.m_Limits.m_Settings.m_MaxQueued = Settings.m_Queue;
+  m_Sweep = std::make_unique<http::Timer>(Loop, SweepInterval, true,
+                                          [this] { sweep(); });
+}
+
+DataPath::~DataPath() { endAll(); }
+
+void DataPath::refuse(http::Exchange &Arrived, const RequestId &Id,
+                      Rejection Why) {
+  m_Shared.m_Metrics.m_Registry.refusals(Why.m_Reason).add();
+  events::emit(events::Event::RequestRefused,
+               {{"request", Id},
+                {"reason", refusalInfo(Why.m_Reason).m_Name},
+                {"outcome", outcomeName(Why.m_Outcome)}});
+  replyRejection(Arrived, Id, Why);
+}
+
+void DataPath::take(const std::shared_ptr<http::Exchange> &Arrived) {
+  const TimePoint Now = BootClock::now();
+  const RequestId Id{randomIdentity()};
+  if (m_Stopping)
+    return refuse(*Arrived, Id, notRun(Refusal::Stopping, "stop"));
+  auto Read = readArrival(Arrived->request(), m_Shared.m_Configuration,
+                          {m_Shared.m_Settings.m_AllowAnonymous}, Now);
+  if (auto *Why = std::get_if<Rejection>(&Read))
+    return refuse(*Arrived, Id, std::move(*Why));
+  Arrival &Asked = std::get<Arrival>(Read);
+  Asked.m_Id = Id;
+  m_Shared.m_Metrics.m_Requests.add();
+  if (Asked.m_Api == Api::Models)
+    return answerModels(*Arrived);
+  if (auto Why = refuseAtOnce(Now)) {
+    // See Serving::outcomeSoFar.
+    if (Asked.isKept())
+      Why->m_Outcome = Outcome::Unknown;
+    return refuse(*Arrived, Id, std::move(*Why));
+  }
+  admit(Arrived, std::move(Asked));
+}
+
+void DataPath::answerModels(http::Exchange &Arrived) {
+  const auto &Configured = m_Shared.m_Configuration.m_Models;
+  const auto Names =
+      Configured.empty() ? m_Shared.m_Fleet.servedModels() : Configured;
+  std::string Body = R"({"object":"list","data":[)";
+  for (const std::string &Name : Names) {
+    if (Body.back() == '}')
+      Body += ',';
+    Body += R"({"object":"model","owned_by":"wasabivale","id":)";
+    appendJsonString(Body, Name);
+    Body += '}';
+  }
+  Body += "]}";
+  Arrived.reply(200, {{"Content-Type", "application/json"}}, Body);
+}
+
+std::optional<Rejection> DataPath::refuseAtOnce(TimePoint Now) const {
+  const bool Lapsed = !m_Shared.m_HoldsLease(Now) &&
+                      (!m_HadLease || Now - m_LeaseLostAt > LapseGrace);
+  if (Lapsed)
+    return notRun(Refusal::NoConfiguration, "lease");
+  if (m_Open.size() >= m_Shared.m_Settings.m_Streams)
+    return notRun(Refusal::TooManyStreams, "admission");
+  return std::nullopt;
+}
+
+void DataPath::admit(const std::shared_ptr<http::Exchange> &Arrived,
+                     Arrival Asked) {
+  const TimePoint Now = BootClock::now();
+  ensureShare(Asked.m_Caller, Now);
+  auto Made =
+      std::make_shared<Serving>(m_Shared, Arrived, std::move(Asked),
+                                [this](Serving &Which) { takeEnded(Which); });
+  m_Open[Made.get()] = Made;
+  Made->watchCaller();
+  const Arrival &For = Made->arrival();
+  ModelUse *Use = nullptr;
+  if (!For.isService()) {
+    Use = &m_Shared.m_Models[For.m_Model];
+    Use->m_Demand.set_requests(Use->m_Demand.requests() + 1);
+    Use->m_Demand.set_prompt_tokens(Use->m_Demand.prompt_tokens() +
+                                    tokensOf(For.m_Prompt));
+  }
+  const routing::Request Wanted = describeForRouting(
+      For, blocksOf(For.m_Model, For.m_Prompt), Use ? Use->m_OutputShare : 1);
+  const auto Expected =
+      routing::estimate(m_Shared.m_Routing, Wanted, Now, m_Shared.m_Random);
+  if (failed(Expected))
+    return Made->refuseUnstarted({Refusal::NoTarget, Duration(0)});
+  limits::Arrival Ask;
+  Ask.m_Caller = For.m_Caller;
+  Ask.m_Model = capacityName(For);
+  Ask.m_Priority = For.m_Priority;
+  Ask.m_PromptTokens = Wanted.m_PromptTokens;
+  Ask.m_OutputTokens = Wanted.m_ExpectedOutputTokens;
+  Ask.m_Deadline = For.m_Deadline;
+  Ask.m_Capacity = capacity(Ask.m_Model, Now);
+  // While a target is free its own queue counts; otherwise ours stands for it.
+  const TimePoint From =
+      Ask.m_Capacity.m_FreeSlots > 0 ? Now : valueOf(Expected).m_Start;
+  Ask.m_ServiceTime =
+      std::max<Duration>(valueOf(Expected).m_Finish - From, Duration(0));
+  const limits::Decision Decided = limits::admit(m_Shared.m_Limits, Ask, Now);
+  takeRefused(Decided.m_Evicted);
+  if (const auto *Why = std::get_if<limits::Refused>(&Decided.m_Verdict))
+    return Made->refuseUnstarted(*Why);
+  if (const auto *Wait = std::get_if<limits::Queued>(&Decided.m_Verdict)) {
+    m_Waiting[Wait->m_Ticket] = Made.get();
+    return Made->enqueue(Wait->m_Ticket);
+  }
+  Made->begin(std::get<limits::Admitted>(Decided.m_Verdict).m_Ticket);
+}
+
+limits::Capacity DataPath::capacity(const ModelId &Name, TimePoint Now) const {
+  const bool IsService = Name.m_Value.rfind(ServiceCapacity, 0) == 0;
+  const routing::Capacity Room = routing::capacityFor(
+      m_Shared.m_Routing,
+      IsService ? routing::Kind::Service : routing::Kind::Engine,
+      IsService ? ModelId{Name.m_Value.substr(ServiceCapacity.size())} : Name);
+  limits::Capacity Told{Room.m_FreeSlots, Room.m_Slots};
+  const auto Use = m_Shared.m_Models.find(Name.m_Value);
+  const std::uint32_t Unplaced =
+      Use == m_Shared.m_Models.end() ? 0 : Use->second.m_Unplaced;
+  Told.m_FreeSlots -= std::min(Told.m_FreeSlots, Unplaced);
+  // Nothing starts without a lease.
+  if (!m_Shared.m_HoldsLease(Now))
+    Told.m_FreeSlots = 0;
+  return Told;
+}
+
+void DataPath::ensureShare(const CallerId &Caller, TimePoint Now) {
+  if (!m_Shares.insert(Caller.m_Value).second)
+    return;
+  const auto Known = m_Shared.m_Configuration.m_Callers.find(Caller);
+  // Until control has granted a share, the part that it leaves to everyone.
+  const limits::Limits Share =
+      Known == m_Shared.m_Configuration.m_Callers.end()
+          ? limits::Limits{}
+          : scale(Known->second.m_Limits, limits::FloorShare);
+  const double Weight = Known == m_Shared.m_Configuration.m_Callers.end()
+                            ? 1
+                            : Known->second.m_Weight;
+  limits::setShare(m_Shared.m_Limits, Caller, Weight, Share, TimePoint::max(),
+                   Now);
+}
+
+void DataPath::takeRefused(const std::vector<limits::RefusedTicket> &Which) {
+  for (const limits::RefusedTicket &One : Which) {
+    const auto Found = m_Waiting.find(One.m_Ticket);
+    if (Found == m_Waiting.end())
+      continue;
+    Serving *Refused = Found->second;
+    m_Waiting.erase(Found);
+    Refused->refuseUnstarted(One.m_Refused);
+  }
+}
+
+void DataPath::takeEnded(Serving &Which) {
+  m_Waiting.erase(Which.ticket());
+  m_Open.erase(&Which);
+  pumpSoon();
+}
+
+void DataPath::pumpSoon() {
+  if (m_Pump != nullptr || m_Waiting.empty())
+    return;
+  m_Pump = std::make_unique<http::Timer>(
+      m_Shared.m_Loop, std::chrono::milliseconds(0), false, [this] {
+        m_Pump.reset();
+        pump();
+      });
+}
+
+void DataPath::pump() {
+  const TimePoint Now = BootClock::now();
+  takeRefused(limits::expire(m_Shared.m_Limits, Now));
+  const limits::CapacityView Room = [this, Now](const ModelId &Name) {
+    return capacity(Name, Now);
+  };
+  while (const auto Next = limits::nextToStart(m_Shared.m_Limits, Now, Room)) {
+    const auto Found = m_Waiting.find(*Next);
+    WASABIVALE_INVARIANT(Found != m_Waiting.end());
+    Serving *Starting = Found->second;
+    m_Waiting.erase(Found);
+    Starting->begin(*Next);
+  }
+}
+
+void DataPath::sweep() {
+  const TimePoint Now = BootClock::now();
+  const bool Holds = m_Shared.m_HoldsLease(Now);
+  if (m_HadLease && Holds)
+    m_LeaseLostAt = Now;
+  m_HadLease = m_HadLease || Holds;
+  std::vector<std::shared_ptr<Serving>> Running;
+  for (const auto &[Key, One] : m_Open)
+    if (One->phase() == Phase::Running)
+      Running.push_back(One);
+  for (const auto &One : Running)
+    One->check(Now);
+  if (!m_Waiting.empty())
+    pump();
+}
+
+bool DataPath::takeFleet(const wire::FleetUpdate &Update) {
+  const TimePoint Now = BootClock::now();
+  if (!Update.configuration().empty()) {
+    auto Read = readConfiguration(Update.configuration(),
+                                  Update.configuration_revision());
+    if (failed(Read)) {
+      events::emitError(events::Event::ConfigurationUnreadable, errorOf(Read));
+      return false;
+    }
+    applyCallers(valueOf(Read), Now);
+    m_Shared.m_Configuration = std::move(valueOf(Read));
+    events::emit(events::Event::ConfigurationApplied,
+                 {{"revision", Update.configuration_revision()}});
+  }
+  m_Shared.m_Fleet.apply(Update, m_Shared.m_Routing, Now);
+  events::emit(
+      events::Event::FleetApplied,
+      {{"revision", Update.revision()}, {"targets", m_Shared.m_Fleet.size()}});
+  pumpSoon();
+  return true;
+}
+
+void DataPath::applyCallers(const Configuration &Next, TimePoint Now) {
+  for (const auto &[Id, Former] : m_Shared.m_Configuration.m_Callers) {
+    if (Next.m_Callers.count(Id) != 0)
+      continue;
+    m_Shares.erase(Id.m_Value);
+    retries::forgetCaller(m_Shared.m_Retries, Id);
+    takeRefused(limits::removeCaller(m_Shared.m_Limits, Id, Now));
+  }
+  // A share that was cut from other limits is not used any further.
+  for (const auto &[Id, One] : Next.m_Callers) {
+    const auto Former = m_Shared.m_Configuration.m_Callers.find(Id);
+    const bool Same = Former != m_Shared.m_Configuration.m_Callers.end() &&
+                      Former->second.m_Limits == One.m_Limits &&
+                      Former->second.m_Weight == One.m_Weight;
+    if (!Same)
+      m_Shares.erase(Id.m_Value);
+  }
+}
+
+void DataPath::takeGrant(const wire::ControlGrant &Grant, TimePoint LeaseEnd) {
+  const TimePoint Now = BootClock::now();
+  for (const wire::Share &Share : Grant.shares()) {
+    const CallerId Id{Share.caller()};
+    const auto Known = m_Shared.m_Configuration.m_Callers.find(Id);
+    if (Known == m_Shared.m_Configuration.m_Callers.end())
+      continue;
+    m_Shares.insert(Share.caller());
+    limits::setShare(m_Shared.m_Limits, Id, Known->second.m_Weight,
+                     toLimits(Share), LeaseEnd, Now);
+  }
+  if (Grant.entries() > 0)
+    m_Shared.m_Routing.m_Settings.m_Entries = Grant.entries();
+  m_Shared.m_Suspects.takeGrant(Grant, Now);
+  pumpSoon();
+}
+
+void DataPath::fillReport(wire::EntryReport &Report) {
+  const TimePoint Now = BootClock::now();
+  m_Shared.m_Fleet.fillBarriers(m_Shared.m_Routing, Report);
+  m_Shared.m_Suspects.fillReport(Report, Now);
+  for (auto &[Name, Use] : m_Shared.m_Models) {
+    if (Use.m_Demand.requests() == 0 && Use.m_Demand.output_tokens() == 0 &&
+        Use.m_Demand.refused() == 0)
+      continue;
+    Use.m_Demand.set_model(Name);
+    *Report.add_demand() = std::exchange(Use.m_Demand, {});
+  }
+  for (const limits::Use &One : limits::takeUse(m_Shared.m_Limits)) {
+    wire::ShareUse &Use = *Report.add_shares();
+    Use.set_caller(One.m_Caller.m_Value);
+    Use.set_requests(One.m_Requests);
+    Use.set_prompt_tokens(One.m_PromptTokens);
+    Use.set_output_tokens(One.m_OutputTokens);
+    Use.set_wanted_requests(One.m_WantedRequests);
+    Use.set_wanted_tokens(One.m_WantedPromptTokens + One.m_WantedOutputTokens);
+    Use.set_wanted_prompt_tokens(One.m_WantedPromptTokens);
+    Use.set_wanted_output_tokens(One.m_WantedOutputTokens);
+    Use.set_running(One.m_PeakRunning);
+  }
+}
+
+void DataPath::endAll() {
+  std::vector<std::shared_ptr<Serving>> All;
+  for (const auto &[Key, One] : m_Open)
+    All.push_back(One);
+  for (const auto &One : All)
+    One->endForStop();
+}
+
+void DataPath::updateGauges() {
+  EntryMetrics &Metrics = m_Shared.m_Metrics;
+  std::size_t Paused = 0;
+  for (const auto &[Key, One] : m_Open)
+    Paused += One->isPaused() ? 1 : 0;
+  Metrics.m_Open.m_Value = static_cast<double>(m_Open.size());
+  Metrics.m_Queued.m_Value = static_cast<double>(m_Waiting.size());
+  Metrics.m_Running.m_Value =
+      static_cast<double>(m_Open.size() - m_Waiting.size());
+  Metrics.m_Paused.m_Value = static_cast<double>(Paused);
+}
+
+} // namespace wasabivale::entry
--- /dev/null
+++ b/apps/entry/src/DataPath.h
@@ -0,0 +1,81 @@
+/// \file
+/// The requests of an entry: admission, the waiting queue, and what all of
+/// them report to control.
+
+#ifndef WASABIVALE_ENTRY_DATAPATH_H
+#define WASABIVALE_ENTRY_DATAPATH_H
+
+#include "Context.h"
+#include "Serving.h"
+
+#include <memory>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace wasabivale::entry {
+
+class DataPath {
+public:
+  struct Ties {
+    LedgerClient &m_Ledger;
+    std::function<bool(TimePoint)> m_HoldsLease;
+    std::function<void()> m_ReportSoon;
+  };
+
+  DataPath(event_base *Loop, const EntrySettings &Settings,
+           EntryMetrics &Metrics, Ties To);
+  ~DataPath();
+  DataPath(const DataPath &) = delete;
+  DataPath &operator=(const DataPath &) = delete;
+
+  /// Takes a caller's request.
+  void take(const std::shared_ptr<http::Exchange> &Arrived);
+
+  /// Applies a fleet or configuration. \returns false when the configuration
+  /// can't be read; nothing is applied then.
+  bool takeFleet(const wire::FleetUpdate &Update);
+  void takeGrant(const wire::ControlGrant &Grant, TimePoint LeaseEnd);
+  void fillReport(wire::EntryReport &Report);
+
+  /// From now on every new request is refused.
+  void stopTaking() { m_Stopping = true; }
+  /// Requests that are not answered yet.
+  [[nodiscard]] std::size_t open() const { return m_Open.size(); }
+  /// Ends every request, for a process whose patience is over.
+  void endAll();
+
+  [[nodiscard]] const FleetView &fleet() const { return m_Shared.m_Fleet; }
+  [[nodiscard]] routing::State &routing() { return m_Shared.m_Routing; }
+  [[nodiscard]] const Context &context() const { return m_Shared; }
+  void updateGauges();
+
+private:
+  void refuse(http::Exchange &Arrived, const RequestId &Id, Rejection Why);
+  void answerModels(http::Exchange &Arrived);
+  void admit(const std::shared_ptr<http::Exchange> &Arrived, Arrival Asked);
+  [[nodiscard]] std::optional<Rejection> refuseAtOnce(TimePoint Now) const;
+  void ensureShare(const CallerId &Caller, TimePoint Now);
+  [[nodiscard]] limits::Capacity capacity(const ModelId &Name,
+                                          TimePoint Now) const;
+  void takeRefused(const std::vector<limits::RefusedTicket> &Which);
+  void takeEnded(Serving &Which);
+  /// Starts whatever may start now; from a fresh turn of the loop.
+  void pumpSoon();
+  void pump();
+  void sweep();
+  void applyCallers(const Configuration &Next, TimePoint Now);
+
+  Context m_Shared;
+  bool m_Stopping = false;
+  std::unordered_map<Serving *, std::shared_ptr<Serving>> m_Open;
+  std::unordered_map<limits::Ticket, Serving *> m_Waiting;
+  std::unordered_set<std::string> m_Shares; ///< Callers with a share.
+  TimePoint m_LeaseLostAt;
+  bool m_HadLease = false;
+  std::unique_ptr<http::Timer> m_Sweep;
+  std::unique_ptr<http::Timer> m_Pump;
+};
+
+} // namespace wasabivale::entry
+
+#endif // WASABIVALE_ENTRY_DATAPATH_H
--- a/apps/entry/src/Entry.h
+++ b/apps/entry/src/Entry.h
@@ -1,44 +1,65 @@
 /// \file
-/// An entry: takes announcements from targets and requests from callers.
+/// An entry: takes announcements from targets and requests from callers, and
+/// ties the data path to control.
 
 #ifndef WASABIVALE_ENTRY_ENTRY_H
 #define WASABIVALE_ENTRY_ENTRY_H
 
 #include "ControlLink.h"
+#include "DataPath.h"
 #include "EntrySettings.h"
+#include "LedgerClient.h"
+#include "TargetsApi.h"
 #include "metrics/metrics.h"
 
-#include <map>
 #include <memory>
 
 namespace wasabivale::entry {
 
 class Entry {
 public:
+  /// \p Settings and \p Registry outlive the entry.
   static Result<std::unique_ptr<Entry>> open(event_base *Loop,
                                              const EntrySettings &Settings,
                                              metrics::Registry &Registry);
+  ~Entry();
+  Entry(const Entry &) = delete;
+  Entry &operator=(const Entry &) = delete;
+
   /// \returns why the entry should get no requests; empty when it should.
   [[nodiscard]] std::string notReady() const;
+  /// Turns unready, goes on taking requests for `m_StopLag`, finishes what runs
+  /// within `m_StopPatience`, reports to control, and calls \p Done.
+  void stop(std::function<void()> Done);
+  /// Brings gauges up to date.
+  void updateGauges();
 
 private:
-  Entry(event_base *Loop, metrics::Registry &Registry);
-  void takeFleet(const wire::FleetUpdate &Update);
-  void takeFromTarget(const std::shared_ptr<http::Exchange> &Arrived);
-  void announce(const std::shared_ptr<http::Exchange> &Arrived,
-                const settings::Json &Body);
-  void takeFromCaller(const std::shared_ptr<http::Exchange> &Arrived);
-  void complete(const std::shared_ptr<http::Exchange> &Arrived,
-                const settings::Json &Body);
-  void refuse(http::Exchange &Arrived, Refusal Reason, Outcome Told);
+  Entry(event_base *Loop, const EntrySettings &Settings,
+        metrics::Registry &Registry);
+  Status openControl();
+  Status listenToAll();
+  void stopTaking();
+  void finishStop();
+  void fillReport(wire::EntryReport &Report);
+  void reportSoon();
+  [[nodiscard]] LedgerClient::Call controlCall();
 
   event_base *m_Loop;
+  const EntrySettings &m_Settings;
   metrics::Registry &m_Registry;
+  EntryMetrics m_Metrics;
+  LedgerClient m_Ledger;
+  std::unique_ptr<DataPath> m_Requests;
+  TargetsApi m_TargetsApi;
   std::unique_ptr<ControlLink> m_Control;
   std::unique_ptr<http::Server> m_Targets;
   std::unique_ptr<http::Server> m_Callers;
-  std::map<std::string, wire::Target> m_Fleet;
-  std::size_t m_NextTarget = 0;
+  std::unique_ptr<http::Timer> m_ReportTimer;
+  std::unique_ptr<http::Timer> m_StopTimer;
+  std::function<void()> m_OnStopped;
+  TimePoint m_StopBy;
+  bool m_Stopping = false;
 };
 
 } // namespace wasabivale::entry
--- a/apps/entry/src/EntrySettings.cpp
+++ b/apps/entry/src/EntrySettings.cpp
@@ -41,7 +41,19 @@
           "reader_patience_ms": {"type": "integer", "minimum": 100,
                                  "maximum": 3600000},
           "request_ms": {"type": "integer", "minimum": 100,
-                         "maximum": 3600000}}},
+                         "maximum": 3600000},
+          "queue": {"type": "integer", "minimum": 0, "maximum": 1000000},
+          "allow_anonymous": {"type": "boolean"}}},
+      "routing": {"type": "object", "additionalProperties": false,
+        "properties": {
+          "policy": {"type": "string", "enum": ["round_robin",
+            "least_reported_load", "affinity_and_work"]},
+          "entries": {"type": "integer", "minimum": 1, "maximum": 1000},
+          "token_patience_ms": {"type": "integer", "minimum": 100,
+                                "maximum": 3600000},
+          "call_patience_ms": {"type": "integer", "minimum": 100,
+                               "maximum": 3600000}}},
+      "stop_lag_ms": {"type": "integer", "minimum": 0, "maximum": 60000},
       "targets": {"type": "object", "additionalProperties": false,
         "required": ["listen"],
         "properties": {"listen": {"$ref": "#/definitions/address"}}},
@@ -74,10 +86,22 @@
       From.value("request_ms", To.m_CallerLimits.m_FirstRequest.count()));
   To.m_Streams = From.value("streams", To.m_Streams);
   To.m_PendingBytes = From.value("pending_bytes", To.m_PendingBytes);
+  To.m_Queue = From.value("queue", To.m_Queue);
+  To.m_AllowAnonymous = From.value("allow_anonymous", To.m_AllowAnonymous);
   To.m_ReaderPatience = std::chrono::milliseconds(
       From.value("reader_patience_ms", To.m_ReaderPatience.count()));
 }
 
+static void readRouting(const Json &From, EntrySettings &To) {
+  if (const auto Policy = routing::policyFromName(From.value("policy", "")))
+    To.m_Policy = *Policy;
+  To.m_Entries = From.value("entries", To.m_Entries);
+  To.m_Patience.m_Token = std::chrono::milliseconds(
+      From.value("token_patience_ms", To.m_Patience.m_Token.count()));
+  To.m_Patience.m_Call = std::chrono::milliseconds(
+      From.value("call_patience_ms", To.m_Patience.m_Call.count()));
+}
+
 Result<EntrySettings> toEntrySettings(const Json &Document) {
   EntrySettings Made;
   Made.m_Id = {Document["id"]};
@@ -95,6 +119,9 @@
     if (Status Read = readAddress(Document[Name], *To); failed(Read))
       return errorOf(Read);
   readLimits(Document["callers"], Made);
+  readRouting(Document.value("routing", Json::object()), Made);
+  Made.m_StopLag = std::chrono::milliseconds(
+      Document.value("stop_lag_ms", Made.m_StopLag.count()));
   Made.m_StopPatience = std::chrono::milliseconds(
       Document.value("stop_patience_ms", Made.m_StopPatience.count()));
   return Made;
--- a/apps/entry/src/EntrySettings.h
+++ b/apps/entry/src/EntrySettings.h
@@ -4,7 +4,9 @@
 #ifndef WASABIVALE_ENTRY_ENTRYSETTINGS_H
 #define WASABIVALE_ENTRY_ENTRYSETTINGS_H
 
+#include "Try.h"
 #include "http/http.h"
+#include "routing/routing.h"
 #include "settings/settings.h"
 #include "wire/wire.h"
 
@@ -27,6 +29,19 @@
   std::size_t m_PendingBytes = 256U << 10U;
   /// How long a slow reader may leave them waiting.
   std::chrono::milliseconds m_ReaderPatience{30'000};
+  /// Requests that may wait for their start.
+  std::size_t m_Queue = 512;
+  /// Longest silence of a target before its try is given up.
+  Try::Patience m_Patience;
+  routing::Policy m_Policy = routing::Policy::AffinityAndWork;
+  /// Entries that share the fleet, until control tells.
+  std::uint32_t m_Entries = 1;
+  /// Whether requests without a key are served, as caller `anonymous`, until a
+  /// first configuration has been accepted.
+  bool m_AllowAnonymous = false;
+  /// How long a process that was asked to stop still takes new requests, so
+  /// that the platform can see that it is not ready.
+  std::chrono::milliseconds m_StopLag{1'000};
   /// Time that running requests have to finish when the process is stopped.
   std::chrono::milliseconds m_StopPatience{30'000};
 };
--- /dev/null
+++ b/apps/entry/src/FleetView.cpp
@@ -0,0 +1,108 @@
+#include "FleetView.h"
+
+namespace wasabivale::entry {
+
+namespace {
+
+routing::Role roleOf(const std::string &Name) {
+  if (Name == "prefill")
+    return routing::Role::Prefill;
+  if (Name == "decode")
+    return routing::Role::Decode;
+  return routing::Role::Mixed;
+}
+
+routing::Target toRouting(const FleetView::Known &From) {
+  const wire::Target &Given = From.m_Description;
+  routing::Target Made;
+  Made.m_Id = {Given.id()};
+  Made.m_Incarnation = Given.incarnation();
+  Made.m_Generation = Given.generation();
+  Made.m_Kind = Given.kind() == "service" ? routing::Kind::Service
+                                          : routing::Kind::Engine;
+  Made.m_Zone = {Given.zone()};
+  Made.m_Region = {Given.region()};
+  for (const std::string &Model : Given.models())
+    Made.m_Models.push_back({Model});
+  Made.m_Role = roleOf(Given.role());
+  if (Given.prefill_tokens_per_second() > 0)
+    Made.m_PrefillTokensPerSecond = Given.prefill_tokens_per_second();
+  if (Given.decode_tokens_per_second() > 0)
+    Made.m_DecodeTokensPerSecond = Given.decode_tokens_per_second();
+  Made.m_KvBlocks = static_cast<std::uint32_t>(Given.kv_blocks());
+  Made.m_MaxRunning = std::max(1U, Given.max_running());
+  Made.m_Serving = Given.state() == "serving" && From.m_Address.has_value();
+  return Made;
+}
+
+} // namespace
+
+void FleetView::apply(const wire::FleetUpdate &Update, routing::State &Routing,
+                      TimePoint Now) {
+  std::set<TargetId> Left;
+  if (Update.from_revision() == 0)
+    for (const auto &[Id, Target] : m_Targets)
+      Left.insert(Id);
+  for (const std::string &Removed : Update.removed_targets())
+    Left.insert({Removed});
+  for (const wire::Target &Target : Update.targets()) {
+    const TargetId Id{Target.id()};
+    Left.erase(Id);
+    Known &Here = m_Targets[Id];
+    Here.m_Description = Target;
+    Here.m_Address.reset();
+    if (auto Address = http::parseAddress(Target.address()); !failed(Address))
+      Here.m_Address = valueOf(Address);
+    routing::updateTarget(Routing, toRouting(Here), Now);
+  }
+  for (const TargetId &Id : Left)
+    remove(Id, Routing, Now);
+}
+
+void FleetView::remove(const TargetId &Id, routing::State &Routing,
+                       TimePoint Now) {
+  if (m_Targets.erase(Id) != 0)
+    routing::removeTarget(Routing, Id, Now);
+}
+
+const FleetView::Known *FleetView::find(const TargetId &Id) const {
+  const auto Found = m_Targets.find(Id);
+  return Found == m_Targets.end() ? nullptr : &Found->second;
+}
+
+bool FleetView::isCurrent(const TargetId &Id,
+                          std::string_view Incarnation) const {
+  const Known *Here = find(Id);
+  return Here != nullptr && Here->m_Description.incarnation() == Incarnation &&
+         Here->m_Description.state() != "lost";
+}
+
+bool FleetView::isClosing(const TargetId &Id) const {
+  const Known *Here = find(Id);
+  return Here != nullptr && Here->m_Description.state() != "serving";
+}
+
+std::set<std::string> FleetView::servedModels() const {
+  std::set<std::string> Names;
+  for (const auto &[Id, Target] : m_Targets)
+    if (Target.m_Description.kind() != "service")
+      Names.insert(Target.m_Description.models().begin(),
+                   Target.m_Description.models().end());
+  return Names;
+}
+
+void FleetView::fillBarriers(const routing::State &Routing,
+                             wire::EntryReport &Report) const {
+  for (const auto &[Id, Target] : m_Targets) {
+    if (Target.m_Description.state() == "serving")
+      continue;
+    wire::BarrierState &Barrier = *Report.add_barriers();
+    const std::uint64_t Generation = Target.m_Description.generation();
+    Barrier.set_target(Id.m_Value);
+    Barrier.set_generation(Generation);
+    // Work of this generation itself began before the target was closed.
+    Barrier.set_in_flight(routing::inFlight(Routing, Id));
+  }
+}
+
+} // namespace wasabivale::entry
--- /dev/null
+++ b/apps/entry/src/FleetView.h
@@ -0,0 +1,53 @@
+/// \file
+/// The fleet as control last described it, and the barriers that this entry
+/// acknowledges.
+
+#ifndef WASABIVALE_ENTRY_FLEETVIEW_H
+#define WASABIVALE_ENTRY_FLEETVIEW_H
+
+#include "base/base.h"
+#include "http/http.h"
+#include "routing/routing.h"
+#include "wire.pb.h"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace wasabivale::entry {
+
+class FleetView {
+public:
+  struct Known {
+    wire::Target m_Description;
+    std::optional<http::Address> m_Address; ///< None if it is not usable.
+  };
+
+  /// Applies an update here and to \p Routing. From its return on a target that
+  /// is not serving gets no new work.
+  void apply(const wire::FleetUpdate &Update, routing::State &Routing,
+             TimePoint Now);
+
+  /// The target, or null.
+  [[nodiscard]] const Known *find(const TargetId &Id) const;
+  /// Whether this incarnation is registered and still reporting.
+  [[nodiscard]] bool isCurrent(const TargetId &Id,
+                               std::string_view Incarnation) const;
+  /// Whether the target gets no new work and waits for what runs there.
+  [[nodiscard]] bool isClosing(const TargetId &Id) const;
+  [[nodiscard]] std::set<std::string> servedModels() const;
+  [[nodiscard]] std::size_t size() const { return m_Targets.size(); }
+
+  /// Acknowledges the generation of every target that gets no new work.
+  void fillBarriers(const routing::State &Routing,
+                    wire::EntryReport &Report) const;
+
+private:
+  void remove(const TargetId &Id, routing::State &Routing, TimePoint Now);
+
+  std::map<TargetId, Known> m_Targets;
+};
+
+} // namespace wasabivale::entry
+
+#endif // WASABIVALE_ENTRY_FLEETVIEW_H
--- a/apps/entry/src/Main.cpp
+++ b/apps/entry/src/Main.cpp
@@ -15,19 +15,17 @@
     events::emitError(events::Event::ListenFailed, errorOf(Entry));
     return daemon::ExitFailed;
   }
-  bool Stopping = false;
   auto Platform = daemon::listenForPlatform(
-      Loop.base(), Settings.m_AdminListen, Registry, [&] {
-        return Stopping ? std::string("stopping") : valueOf(Entry)->notReady();
-      });
+      Loop.base(), Settings.m_AdminListen, Registry,
+      [&] { return valueOf(Entry)->notReady(); },
+      [&] { valueOf(Entry)->updateGauges(); });
   if (failed(Platform)) {
     events::emitError(events::Event::ListenFailed, errorOf(Platform));
     return daemon::ExitFailed;
   }
   Loop.onStop([&] {
-    Stopping = true;
     events::emit(events::Event::ProcessStopping, {{"id", Settings.m_Id}});
-    Loop.end();
+    valueOf(Entry)->stop([&] { Loop.end(); });
   });
   events::emit(events::Event::ProcessStarted,
                {{"id", Settings.m_Id},
--- /dev/null
+++ b/apps/entry/src/Rejection.cpp
@@ -0,0 +1,56 @@
+#include "Rejection.h"
+
+#include "Text.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace wasabivale::entry {
+
+Refusal refusalFromNumber(std::uint32_t Number, Refusal Otherwise) {
+  for (std::size_t I = 0; I < refusalCount(); ++I)
+    if (refusalAt(I).m_Number == Number)
+      return static_cast<Refusal>(Number);
+  return Otherwise;
+}
+
+Rejection notRun(Refusal Reason, std::string Step, std::string Detail) {
+  Rejection Made;
+  Made.m_Reason = Reason;
+  Made.m_Step = std::move(Step);
+  Made.m_Detail = std::move(Detail);
+  return Made;
+}
+
+std::string printRejection(const Rejection &Value) {
+  const RefusalInfo &Info = refusalInfo(Value.m_Reason);
+  std::string Text = fmt::format(
+      R"({{"error":{{"number":{},"reason":"{}","outcome":"{}","message":)",
+      Info.m_Number, Info.m_Name, outcomeName(Value.m_Outcome));
+  appendJsonString(Text, Value.m_Detail.empty() ? Info.m_Text : Value.m_Detail);
+  Text += R"(,"step":)";
+  appendJsonString(Text, Value.m_Step);
+  Text += R"(,"peer":)";
+  appendJsonString(Text, Value.m_Peer);
+  Text += "}}";
+  return Text;
+}
+
+void replyRejection(http::Exchange &To, const RequestId &Request,
+                    const Rejection &Value) {
+  const RefusalInfo &Info = refusalInfo(Value.m_Reason);
+  http::Headers With = {
+      {"Content-Type", "application/json"},
+      {OutcomeHeader, std::string(outcomeName(Value.m_Outcome))}};
+  if (!Request.empty())
+    With[RequestHeader] = Request.m_Value;
+  if (Info.m_RetryHelps) {
+    const auto After = std::max<std::chrono::seconds>(
+        std::chrono::ceil<std::chrono::seconds>(Value.m_RetryAfter),
+        DefaultRetryAfter);
+    With["Retry-After"] = std::to_string(After.count());
+  }
+  To.reply(Info.m_HttpStatus, With, printRejection(Value));
+}
+
+} // namespace wasabivale::entry
--- /dev/null
+++ b/apps/entry/src/Serving.cpp
@@ -0,0 +1,633 @@
+#include "Serving.h"
+
+#include "events/events.h"
+
+#include <algorithm>
+
+namespace wasabivale::entry {
+
+using retries::FailureKind;
+using retries::Gate;
+using routing::TryOutcome;
+
+namespace {
+
+constexpr std::size_t BlockBytes = routing::BlockTokens * BytesPerToken;
+constexpr const char *ServiceCapacity = "service:";
+
+/// Waits before another look for a target: for a lease, for a suspect's turn.
+constexpr std::chrono::milliseconds LeaseLook{50};
+constexpr std::chrono::milliseconds SuspectLook{100};
+/// Longest wait for the ledger's word.
+constexpr std::chrono::seconds LedgerPatience{3};
+/// Weight of the newest answer in a model's mean share of output.
+constexpr double OutputShareStep = 0.05;
+
+struct Change {
+  Phase m_From;
+  Phase m_To;
+};
+
+/// Every legal change of phase. `Ended` is reached from all but itself.
+constexpr Change LegalChanges[] = {
+    {Phase::Arrived, Phase::Queued},  {Phase::Arrived, Phase::Reserving},
+    {Phase::Arrived, Phase::Placing}, {Phase::Queued, Phase::Reserving},
+    {Phase::Queued, Phase::Placing},  {Phase::Reserving, Phase::Placing},
+    {Phase::Placing, Phase::Running}, {Phase::Running, Phase::Placing},
+    {Phase::Running, Phase::Probing}, {Phase::Probing, Phase::Placing},
+};
+
+bool isLegal(Phase From, Phase To) {
+  if (To == Phase::Ended)
+    return From != Phase::Ended;
+  return std::any_of(
+      std::begin(LegalChanges), std::end(LegalChanges),
+      [&](const Change &One) { return One.m_From == From && One.m_To == To; });
+}
+
+} // namespace
+
+std::vector<std::uint64_t> blocksOf(const std::string &Model,
+                                    std::string_view Prompt) {
+  std::vector<std::uint64_t> Blocks;
+  std::uint64_t Before = hashBytes(Model);
+  for (std::size_t At = 0; At + BlockBytes <= Prompt.size(); At += BlockBytes) {
+    Before = hashBytes(Prompt.substr(At, BlockBytes), Before);
+    Blocks.push_back(Before);
+  }
+  return Blocks;
+}
+
+routing::Request describeForRouting(const Arrival &Asked,
+                                    const std::vector<std::uint64_t> &Blocks,
+                                    double OutputShare) {
+  routing::Request Made;
+  Made.m_Kind =
+      Asked.isService() ? routing::Kind::Service : routing::Kind::Engine;
+  Made.m_Model = {Asked.m_Model};
+  Made.m_Priority = Asked.m_Priority;
+  if (!Asked.isService()) {
+    Made.m_PromptTokens = tokensOf(Asked.m_Prompt);
+    Made.m_ExpectedOutputTokens =
+        std::max(1U, static_cast<std::uint32_t>(
+                         static_cast<double>(Asked.m_MaxTokens) * OutputShare));
+    Made.m_Blocks = Blocks;
+  }
+  // The one request that tests a doubtful target had better be repeatable.
+  Made.m_MayProbe = !Asked.m_NotRepeatable;
+  Made.m_MaySplit = !Asked.m_NotRepeatable;
+  return Made;
+}
+
+ModelId capacityName(const Arrival &Asked) {
+  return {Asked.isService() ? ServiceCapacity + Asked.m_Model : Asked.m_Model};
+}
+
+Serving::Serving(Context &Shared, std::shared_ptr<http::Exchange> Caller,
+                 Arrival Asked, OnEnded Done)
+    : m_Shared(Shared), m_Asked(std::move(Asked)), m_Caller(std::move(Caller)),
+      m_Writer(m_Caller, m_Asked,
+               m_Asked.isKept() ? Shared.m_Configuration.m_MaxAnswerBytes : 0),
+      m_Done(std::move(Done)), m_StreamId(randomIdentity()) {
+  m_Print = retries::fingerprintOf(
+      capacityName(m_Asked),
+      m_Asked.isService() ? m_Asked.m_Method + m_Asked.m_Path + m_Asked.m_Body
+                          : m_Asked.m_Prompt);
+  if (!m_Asked.isService())
+    m_Blocks = blocksOf(m_Asked.m_Model, m_Asked.m_Prompt);
+}
+
+void Serving::watchCaller() {
+  m_Caller->onGone([Weak = weak_from_this()] {
+    if (const auto Self = Weak.lock())
+      Self->takeGone();
+  });
+}
+
+void Serving::enter(Phase Next) {
+  WASABIVALE_INVARIANT(isLegal(m_Phase, Next));
+  m_Phase = Next;
+  const bool Unplaced = Next == Phase::Reserving || Next == Phase::Placing ||
+                        Next == Phase::Probing;
+  if (Unplaced == m_Unplaced)
+    return;
+  m_Unplaced = Unplaced;
+  ModelUse &Use = m_Shared.m_Models[capacityName(m_Asked).m_Value];
+  WASABIVALE_INVARIANT(Unplaced || Use.m_Unplaced > 0);
+  Use.m_Unplaced += Unplaced ? 1 : -1;
+}
+
+ModelUse *Serving::modelUse() {
+  return m_Asked.isService() ? nullptr : &m_Shared.m_Models[m_Asked.m_Model];
+}
+
+Outcome Serving::outcomeSoFar() const {
+  // An earlier arrival with the same key may have run, until the ledger has
+  // granted the key to this one.
+  if (m_MayHaveRun || (m_Asked.isKept() && !m_KeyGranted))
+    return Outcome::Unknown;
+  return Outcome::NotRun;
+}
+
+// --- Before the start -------------------------------------------------------
+
+void Serving::enqueue(limits::Ticket Id) {
+  m_Ticket = Id;
+  enter(Phase::Queued);
+}
+
+void Serving::begin(limits::Ticket Id) {
+  m_Ticket = Id;
+  m_Started = true;
+  m_Shared.m_Metrics.m_QueueWait.record(BootClock::now() - m_Asked.m_At);
+  if (m_Asked.isKept())
+    return reserve();
+  enter(Phase::Placing);
+  place();
+}
+
+void Serving::refuseUnstarted(const limits::Refused &Why) {
+  WASABIVALE_INVARIANT(!m_Started);
+  Rejection Told;
+  Told.m_Reason = Why.m_Reason;
+  Told.m_Outcome = outcomeSoFar();
+  Told.m_Step = "admission";
+  Told.m_RetryAfter = Why.m_RetryAfter;
+  refuse(std::move(Told));
+}
+
+void Serving::takeGone() {
+  if (m_Phase == Phase::Ended || m_CallerGone)
+    return;
+  m_CallerGone = true;
+  m_Shared.m_Metrics.m_CallersGone.add();
+  const TimePoint Now = BootClock::now();
+  // The ledger's word must be waited for, and what runs under a key goes on:
+  // its answer is kept for a resend.
+  if (m_Phase == Phase::Reserving)
+    return;
+  if (m_Asked.isKept() &&
+      (m_Phase == Phase::Running || m_Phase == Phase::Probing)) {
+    if (m_Try != nullptr)
+      m_Try->resume(Now);
+    return;
+  }
+  if (m_Phase == Phase::Queued)
+    limits::abandon(m_Shared.m_Limits, m_Ticket, Now);
+  if (m_KeyGranted)
+    m_Shared.m_Ledger.release(m_Asked);
+  if (m_Try != nullptr)
+    m_MayHaveRun = true;
+  end();
+}
+
+// --- The ledger -------------------------------------------------------------
+
+void Serving::reserve() {
+  enter(Phase::Reserving);
+  const TimePoint Asked = BootClock::now();
+  const TimePoint Deadline =
+      std::min<TimePoint>(m_Asked.m_Deadline, Asked + LedgerPatience);
+  m_Shared.m_Ledger.begin(
+      m_Asked, m_Shared.m_Configuration.m_Retention, Deadline,
+      [Weak = weak_from_this(), Asked, For = m_Asked,
+       &Shared = m_Shared](const KeyAnswer &Answer) {
+        Shared.m_Metrics.m_LedgerBegin.record(BootClock::now() - Asked);
+        const auto Self = Weak.lock();
+        if (Self != nullptr && Self->m_Phase == Phase::Reserving)
+          return Self->takeKey(Answer);
+        if (Answer.m_Verdict == KeyVerdict::Granted)
+          Shared.m_Ledger.release(For);
+      });
+}
+
+void Serving::takeKey(const KeyAnswer &Answer) {
+  Rejection Why;
+  Why.m_Step = "ledger.begin";
+  Why.m_Outcome = Outcome::Unknown;
+  Why.m_Detail = Answer.m_Detail;
+  switch (Answer.m_Verdict) {
+  case KeyVerdict::Granted:
+    m_KeyGranted = true;
+    enter(Phase::Placing);
+    if (!m_CallerGone)
+      return place();
+    m_Shared.m_Ledger.release(m_Asked);
+    return end();
+  case KeyVerdict::Stored:
+    m_Writer.pass(Answer.m_Stored);
+    return end();
+  case KeyVerdict::Dropped:
+    Why.m_Reason = Refusal::AnswerTooLarge;
+    Why.m_Outcome = Outcome::Completed;
+    return refuse(std::move(Why));
+  case KeyVerdict::InProgress:
+    Why.m_Reason = Refusal::KeyInProgress;
+    return refuse(std::move(Why));
+  case KeyVerdict::Unknown:
+    Why.m_Reason = Refusal::KeyOutcomeUnknown;
+    return refuse(std::move(Why));
+  case KeyVerdict::Conflict:
+    // This body was run neither now nor under this key before.
+    Why.m_Reason = Refusal::KeyConflict;
+    Why.m_Outcome = Outcome::NotRun;
+    return refuse(std::move(Why));
+  case KeyVerdict::Refused:
+    Why.m_Reason = Answer.m_Reason;
+    return refuse(std::move(Why));
+  }
+}
+
+// --- Placing ----------------------------------------------------------------
+
+routing::Request Serving::routingRequest() const {
+  const auto Use = m_Shared.m_Models.find(m_Asked.m_Model);
+  const double Share =
+      Use == m_Shared.m_Models.end() ? 1.0 : Use->second.m_OutputShare;
+  routing::Request Wanted = describeForRouting(m_Asked, m_Blocks, Share);
+  Wanted.m_Avoid = m_Avoid;
+  if (m_Offset > 0)
+    Wanted.m_MaySplit = false;
+  return Wanted;
+}
+
+void Serving::waitUntil(TimePoint When) {
+  const auto Left = std::chrono::ceil<std::chrono::milliseconds>(
+      std::max<Duration>(When - BootClock::now(), Duration(0)));
+  m_Wake = std::make_unique<http::Timer>(m_Shared.m_Loop, Left, false,
+                                         [Weak = weak_from_this()] {
+                                           const auto Self = Weak.lock();
+                                           if (Self == nullptr)
+                                             return;
+                                           Self->m_Wake.reset();
+                                           if (Self->m_Phase == Phase::Placing)
+                                             Self->place();
+                                         });
+}
+
+void Serving::place() {
+  const TimePoint Now = BootClock::now();
+  if (Now >= m_Asked.m_Deadline) {
+    const Refusal Reason =
+        m_MayHaveRun ? Refusal::TargetTimeout : Refusal::DeadlinePassed;
+    return giveUp(Reason, outcomeSoFar(), Error{"place", "", ""});
+  }
+  // Without a lease a drain may have begun that this entry has not heard of.
+  if (!m_Shared.m_HoldsLease(Now)) {
+    m_Shared.m_Metrics.m_LeaseWaits.add();
+    return waitUntil(Now + LeaseLook);
+  }
+  routing::Request Wanted = routingRequest();
+  if (!passGate(Wanted, Now))
+    return;
+  placeAt(std::move(Wanted), Now);
+}
+
+bool Serving::passGate(routing::Request &Wanted, TimePoint Now) {
+  const retries::GateDecision Decided = m_Shared.m_Suspects.gate(m_Print, Now);
+  switch (Decided.m_Gate) {
+  case Gate::Open:
+    return true;
+  case Gate::SameTarget: {
+    const FleetView::Known *There = m_Shared.m_Fleet.find(Decided.m_Target);
+    // Copies of a popular request may outgrow one target.
+    if (There != nullptr &&
+        routing::inFlight(m_Shared.m_Routing, Decided.m_Target) <
+            There->m_Description.max_running())
+      Wanted.m_Only = Decided.m_Target;
+    return true;
+  }
+  case Gate::Hold: {
+    auto Where =
+        routing::choose(m_Shared.m_Routing, Wanted, Now, m_Shared.m_Random);
+    if (!failed(Where)) {
+      m_Shared.m_Suspects.want(m_Print, valueOf(Where).m_Run.m_Target);
+      routing::noteEnded(m_Shared.m_Routing, valueOf(Where).m_Try,
+                         TryOutcome::NotSent, Now);
+    }
+    waitUntil(Now + SuspectLook);
+    return false;
+  }
+  case Gate::Isolated:
+    Wanted.m_MaySplit = false;
+    Wanted.m_MayProbe = false;
+    if (!Decided.m_Target.empty())
+      Wanted.m_Only = Decided.m_Target;
+    return true;
+  case Gate::Quarantined:
+    giveUp(Refusal::Quarantined, outcomeSoFar(), Error{"quarantine", "", ""});
+    return false;
+  }
+  return true;
+}
+
+void Serving::placeAt(routing::Request Wanted, TimePoint Now) {
+  auto Where =
+      routing::choose(m_Shared.m_Routing, Wanted, Now, m_Shared.m_Random);
+  if (failed(Where) && Wanted.m_Only) {
+    Wanted.m_Only.reset();
+    Where = routing::choose(m_Shared.m_Routing, Wanted, Now, m_Shared.m_Random);
+  }
+  if (failed(Where))
+    return giveUp(Refusal::NoTarget, outcomeSoFar(), errorOf(Where));
+  const bool Alone =
+      m_Shared.m_Suspects.gate(m_Print, Now).m_Gate == Gate::Isolated;
+  const TargetId &Target = valueOf(Where).m_Run.m_Target;
+  if (Alone && m_Shared.m_Suspects.isTaken(Target)) {
+    routing::noteEnded(m_Shared.m_Routing, valueOf(Where).m_Try,
+                       TryOutcome::NotSent, Now);
+    return waitUntil(Now + SuspectLook);
+  }
+  send(std::move(valueOf(Where)), Now);
+}
+
+void Serving::send(routing::Choice Where, TimePoint Now) {
+  WASABIVALE_INVARIANT(!(m_Asked.m_NotRepeatable && m_MayHaveRun));
+  WASABIVALE_INVARIANT(!m_Asked.isKept() || m_KeyGranted);
+  const FleetView::Known *Run = m_Shared.m_Fleet.find(Where.m_Run.m_Target);
+  const FleetView::Known *Prefill =
+      Where.m_Prefill ? m_Shared.m_Fleet.find(Where.m_Prefill->m_Target)
+                      : nullptr;
+  WASABIVALE_INVARIANT(Run != nullptr && Run->m_Address.has_value());
+  WASABIVALE_INVARIANT(!Where.m_Prefill ||
+                       (Prefill != nullptr && Prefill->m_Address.has_value()));
+  enter(Phase::Running);
+  ++m_Tries;
+  m_LastTarget = Where.m_Run.m_Target;
+  m_ServiceTime = std::max<Duration>(
+      Where.m_Estimate.m_Finish - Where.m_Estimate.m_Start, Duration(0));
+  const routing::Leg First = Where.m_Prefill.value_or(Where.m_Run);
+  m_Shared.m_Suspects.noteRun(m_Print, First.m_Target, First.m_Incarnation,
+                              Now);
+  m_RunNoted = true;
+  TryPlan Plan;
+  Plan.m_Run = *Run->m_Address;
+  if (Prefill != nullptr)
+    Plan.m_Prefill = *Prefill->m_Address;
+  Plan.m_Choice = std::move(Where);
+  Plan.m_StreamId = m_StreamId;
+  Plan.m_Offset = m_Offset;
+  TryHandlers Handlers;
+  Handlers.m_OnPiece = [this](const targets::StreamPiece &Piece) {
+    takePiece(Piece);
+  };
+  Handlers.m_OnEnd = [Weak = weak_from_this()](const TryEnding &Ending) {
+    if (const auto Self = Weak.lock())
+      Self->takeEnding(Ending);
+  };
+  m_Try = Try::start(m_Shared.m_Loop, m_Asked, std::move(Plan),
+                     m_Shared.m_Settings.m_Patience, m_Shared.m_Routing,
+                     m_Shared.m_Metrics, std::move(Handlers), Now);
+}
+
+// --- Running ----------------------------------------------------------------
+
+void Serving::takePiece(const targets::StreamPiece &Piece) {
+  const TimePoint Now = BootClock::now();
+  EntryMetrics &Metrics = m_Shared.m_Metrics;
+  if (m_Offset == 0)
+    Metrics.m_FirstToken.record(Now - m_Asked.m_At);
+  else
+    Metrics.m_BetweenTokens.record(Now - m_LastPieceAt);
+  m_LastPieceAt = Now;
+  m_Offset = Piece.m_Offset + Piece.m_Tokens;
+  Metrics.m_Tokens.add(Piece.m_Tokens);
+  Metrics.m_Bytes.add(Piece.m_Text.size());
+  m_Writer.piece(Piece.m_Text);
+  pauseIfSlow(Now);
+}
+
+void Serving::pauseIfSlow(TimePoint Now) {
+  if (m_CallerGone || m_Try == nullptr || m_Try->isPaused() ||
+      m_Caller->pendingBytes() <= m_Shared.m_Settings.m_PendingBytes)
+    return;
+  m_Shared.m_Metrics.m_Pauses.add();
+  m_PausedSince = Now;
+  m_Try->pause();
+}
+
+void Serving::checkReader(TimePoint Now) {
+  if (m_Caller->pendingBytes() <= m_Shared.m_Settings.m_PendingBytes / 2)
+    return m_Try->resume(Now);
+  if (Now - m_PausedSince <= m_Shared.m_Settings.m_ReaderPatience)
+    return;
+  m_Shared.m_Metrics.m_SlowReaders.add();
+  m_Shared.m_Metrics.m_Registry.refusals(Refusal::ReaderTooSlow).add();
+  events::emit(events::Event::ReaderGivenUp,
+               {{"request", m_Asked.m_Id}, {"caller", m_Asked.m_Caller}});
+  // The caller's buffer is full: there is no room to tell it why. A run that
+  // the ledger keeps goes on as if the caller had gone.
+  m_Writer.drop();
+  takeGone();
+}
+
+void Serving::check(TimePoint Now) {
+  if (m_Phase != Phase::Running || m_Try == nullptr)
+    return;
+  const auto Self = shared_from_this();
+  if (m_Try->isPaused())
+    checkReader(Now);
+  if (m_Phase == Phase::Running && m_Try != nullptr)
+    m_Try->check(Now);
+}
+
+void Serving::noteTryOver(bool Completed) {
+  if (std::exchange(m_RunNoted, false))
+    m_Shared.m_Suspects.noteRunEnded(m_Print, Completed);
+  if (m_Shared.m_Fleet.isClosing(m_LastTarget) &&
+      routing::inFlight(m_Shared.m_Routing, m_LastTarget) == 0)
+    m_Shared.m_ReportSoon();
+}
+
+void Serving::takeEnding(const TryEnding &Ending) {
+  if (m_Phase != Phase::Running)
+    return;
+  const std::shared_ptr<Try> Over = std::exchange(m_Try, nullptr);
+  if (Ending.m_Whole) {
+    noteTryOver(true);
+    return complete(Ending);
+  }
+  const routing::Leg At = Over->leg();
+  if (!Ending.m_MayBeCrash || !Ending.m_Failure.m_BytesSent)
+    return takeFailure(Ending);
+  enter(Phase::Probing);
+  m_Shared.m_Suspects.probe(At.m_Target, At.m_Incarnation, Over->address(),
+                            [Weak = weak_from_this(), Ending](bool) {
+                              const auto Self = Weak.lock();
+                              if (Self != nullptr &&
+                                  Self->m_Phase == Phase::Probing)
+                                Self->takeFailure(Ending);
+                            });
+}
+
+void Serving::takeFailure(const TryEnding &Ending) {
+  noteTryOver(false);
+  decideNext(Ending, BootClock::now());
+}
+
+void Serving::decideNext(const TryEnding &Ending, TimePoint Now) {
+  retries::Failure Facts = Ending.m_Failure;
+  Facts.m_FirstBytePassed = m_Writer.hasPassed();
+  Facts.m_Resumable = !m_Asked.isService();
+  Facts.m_Offset = m_Offset;
+  retries::Attempt So;
+  So.m_Caller = m_Asked.m_Caller;
+  So.m_Target = m_LastTarget;
+  So.m_Tries = m_Tries;
+  So.m_Deadline = m_Asked.m_Deadline;
+  So.m_ServiceTime = m_ServiceTime;
+  So.m_NotRepeatable = m_Asked.m_NotRepeatable;
+  So.m_MayHaveRun = m_MayHaveRun;
+  So.m_Avoid = m_Avoid;
+  m_MayHaveRun = retries::mayHaveRun(So, Facts);
+  const retries::RetryDecision Next =
+      retries::decide(m_Shared.m_Retries, So, Facts, Now, m_Shared.m_Random);
+  if (const auto *Stop = std::get_if<retries::GiveUp>(&Next)) {
+    const bool Late = Stop->m_Reason == Refusal::DeadlinePassed;
+    return giveUp(Late ? Refusal::TargetTimeout : Stop->m_Reason,
+                  Stop->m_Outcome, Ending.m_Error);
+  }
+  if (m_CallerGone) {
+    if (m_KeyGranted)
+      m_Shared.m_Ledger.release(m_Asked);
+    return end();
+  }
+  if (m_Phase != Phase::Placing)
+    enter(Phase::Placing);
+  if (const auto *Resume = std::get_if<retries::ResumeAt>(&Next)) {
+    m_Shared.m_Metrics.countRetry(Facts.m_Kind, true);
+    m_Avoid = Resume->m_Avoid;
+    return waitUntil(Resume->m_When);
+  }
+  const auto &Again = std::get<retries::RetryAt>(Next);
+  m_Shared.m_Metrics.countRetry(Facts.m_Kind, false);
+  m_Avoid = Again.m_Avoid;
+  // Nothing was passed on: begin a new stream, so that no line of the former
+  // can be taken for one of it.
+  m_Writer.restart();
+  m_Offset = 0;
+  m_StreamId = randomIdentity();
+  waitUntil(Again.m_When);
+}
+
+// --- The end ----------------------------------------------------------------
+
+void Serving::complete(const TryEnding &Ending) {
+  const TimePoint Now = BootClock::now();
+  if (m_Asked.isService()) {
+    m_Writer.pass({Ending.m_Answer.m_Status, Ending.m_Answer.m_ContentType,
+                   Ending.m_Answer.m_Body});
+  } else {
+    m_Writer.finish(Ending.m_End.m_Finish, tokensOf(m_Asked.m_Prompt),
+                    Ending.m_End.m_Length);
+  }
+  const bool InTime = Now <= m_Asked.m_Deadline;
+  EntryMetrics &Metrics = m_Shared.m_Metrics;
+  Metrics.m_Total.record(Now - m_Asked.m_At);
+  if (!m_CallerGone)
+    (InTime ? Metrics.m_Completed : Metrics.m_CompletedLate).add();
+  if (ModelUse *Use = modelUse()) {
+    const double Share = static_cast<double>(Ending.m_End.m_Length) /
+                         static_cast<double>(m_Asked.m_MaxTokens);
+    Use->m_OutputShare += OutputShareStep * (Share - Use->m_OutputShare);
+    wire::ModelDemand &Demand = Use->m_Demand;
+    Demand.set_output_tokens(Demand.output_tokens() + Ending.m_End.m_Length);
+    Demand.set_cached_prompt_tokens(Demand.cached_prompt_tokens() +
+                                    Ending.m_End.m_CachedBlocks *
+                                        routing::BlockTokens);
+    Demand.set_completed_in_time(Demand.completed_in_time() + (InTime ? 1 : 0));
+  }
+  retries::noteSuccess(m_Shared.m_Retries, m_Asked.m_Caller, m_LastTarget);
+  m_MayHaveRun = true;
+  if (m_KeyGranted) {
+    KeptAnswer Kept = m_Writer.kept();
+    // Status zero says that the answer was too large to be kept.
+    if (Kept.m_Body.size() > m_Shared.m_Configuration.m_MaxAnswerBytes)
+      Kept = KeptAnswer{0, "", ""};
+    m_Shared.m_Ledger.finish(m_Asked, Kept);
+  }
+  end();
+}
+
+void Serving::giveUp(Refusal Reason, Outcome Told, const Error &Last) {
+  if (m_KeyGranted) {
+    if (Told == Outcome::NotRun)
+      m_Shared.m_Ledger.release(m_Asked);
+    else
+      m_Shared.m_Ledger.finishUnknown(m_Asked);
+  }
+  if (m_Tries > 0)
+    events::emit(events::Event::RequestFailed,
+                 {{"request", m_Asked.m_Id},
+                  {"reason", refusalInfo(Reason).m_Name},
+                  {"outcome", outcomeName(Told)},
+                  {"target", m_LastTarget},
+                  {"tries", m_Tries},
+                  {"step", Last.m_Step},
+                  {"message", Last.m_Message}});
+  Rejection Why;
+  Why.m_Reason = Reason;
+  Why.m_Outcome = Told;
+  Why.m_Step = Last.m_Step;
+  Why.m_Peer = m_LastTarget.m_Value;
+  Why.m_Detail =
+      Last.m_Message.empty()
+          ? ""
+          : std::string(refusalInfo(Reason).m_Text) + ": " + Last.m_Message;
+  refuse(std::move(Why));
+}
+
+void Serving::refuse(Rejection Why) {
+  // The invariant behind the promise: not run is said only of what can't have
+  // run.
+  WASABIVALE_INVARIANT(Why.m_Outcome != Outcome::NotRun || !m_MayHaveRun);
+  m_Shared.m_Metrics.m_Registry.refusals(Why.m_Reason).add();
+  events::emit(events::Event::RequestRefused,
+               {{"request", m_Asked.m_Id},
+                {"caller", m_Asked.m_Caller},
+                {"reason", refusalInfo(Why.m_Reason).m_Name},
+                {"outcome", outcomeName(Why.m_Outcome)}});
+  if (ModelUse *Use = modelUse())
+    Use->m_Demand.set_refused(Use->m_Demand.refused() + 1);
+  m_Writer.refuse(Why);
+  end();
+}
+
+void Serving::endTry(TryOutcome Evidence, TimePoint Now) {
+  if (m_Try == nullptr)
+    return;
+  m_Try->cancel(Evidence, Now);
+  m_Try.reset();
+}
+
+void Serving::end() {
+  const auto Self = shared_from_this();
+  const TimePoint Now = BootClock::now();
+  const bool InService = m_Phase == Phase::Running;
+  enter(Phase::Ended);
+  m_Wake.reset();
+  endTry(TryOutcome::Cancelled, Now);
+  if (InService || m_RunNoted)
+    noteTryOver(false);
+  m_Shared.m_Suspects.dropWish(m_Print);
+  if (m_Started)
+    limits::finished(m_Shared.m_Limits, m_Ticket,
+                     {m_Asked.isService() ? 0 : tokensOf(m_Asked.m_Prompt),
+                      static_cast<std::uint32_t>(m_Offset), m_MayHaveRun},
+                     Now);
+  if (const auto Done = std::exchange(m_Done, nullptr))
+    Done(*this);
+}
+
+void Serving::endForStop() {
+  if (m_Phase == Phase::Ended)
+    return;
+  const bool Running = m_Phase == Phase::Running || m_Phase == Phase::Probing;
+  if (m_Phase == Phase::Queued)
+    limits::abandon(m_Shared.m_Limits, m_Ticket, BootClock::now());
+  if (Running)
+    m_MayHaveRun = true;
+  giveUp(Refusal::Stopping, outcomeSoFar(), Error{"stop", "", ""});
+}
+
+} // namespace wasabivale::entry
--- /dev/null
+++ b/apps/entry/src/Serving.h
@@ -0,0 +1,127 @@
+/// \file
+/// The life of one request, from its admission to the end of its answer.
+
+#ifndef WASABIVALE_ENTRY_SERVING_H
+#define WASABIVALE_ENTRY_SERVING_H
+
+#include "AnswerWriter.h"
+#include "Arrival.h"
+#include "Context.h"
+#include "Try.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace wasabivale::entry {
+
+/// States of a request. Legal changes are those of the table in Serving.cpp;
+/// any other breaks an invariant.
+enum class Phase : std::uint8_t {
+  Arrived,   ///< Admitted, or about to wait.
+  Queued,    ///< Waits for its start.
+  Reserving, ///< Started; waits for the ledger to grant its key.
+  Placing,   ///< Looks for a target, or waits until it may.
+  Running,   ///< A target has it.
+  Probing,   ///< Its connection broke; the target is looked at.
+  Ended,     ///< Answered, or nobody waits for the answer.
+};
+
+class Serving : public std::enable_shared_from_this<Serving> {
+public:
+  using OnEnded = std::function<void(Serving &)>;
+
+  /// \param Done called once, from the turn in which the request ended.
+  Serving(Context &Shared, std::shared_ptr<http::Exchange> Caller,
+          Arrival Asked, OnEnded Done);
+  /// Watches for the caller's going away. Call right after the making.
+  void watchCaller();
+
+  /// Waits for its start under \p Id.
+  void enqueue(limits::Ticket Id);
+  /// Starts; \p Id is counted as running in the limits.
+  void begin(limits::Ticket Id);
+  /// Refuses a request that waits, or has just arrived.
+  void refuseUnstarted(const limits::Refused &Why);
+  /// Looks at a slow reader, a silent target and the deadline.
+  void check(TimePoint Now);
+  /// The process ends now: ends the request, whatever it is doing.
+  void endForStop();
+
+  [[nodiscard]] Phase phase() const { return m_Phase; }
+  [[nodiscard]] bool isPaused() const {
+    return m_Try != nullptr && m_Try->isPaused();
+  }
+  [[nodiscard]] const Arrival &arrival() const { return m_Asked; }
+  [[nodiscard]] limits::Ticket ticket() const { return m_Ticket; }
+  [[nodiscard]] const RequestId &id() const { return m_Asked.m_Id; }
+
+private:
+  void enter(Phase Next);
+  void takeGone();
+  void reserve();
+  void takeKey(const KeyAnswer &Answer);
+  void place();
+  void placeAt(routing::Request Wanted, TimePoint Now);
+  void send(routing::Choice Where, TimePoint Now);
+  void waitUntil(TimePoint When);
+  [[nodiscard]] routing::Request routingRequest() const;
+  /// Applies the gate for suspects. \returns whether to go on.
+  bool passGate(routing::Request &Wanted, TimePoint Now);
+  void takePiece(const targets::StreamPiece &Piece);
+  void takeEnding(const TryEnding &Ending);
+  void takeFailure(const TryEnding &Ending);
+  void decideNext(const TryEnding &Ending, TimePoint Now);
+  void complete(const TryEnding &Ending);
+  void giveUp(Refusal Reason, Outcome Told, const Error &Last);
+  void refuse(Rejection Why);
+  void endTry(routing::TryOutcome Evidence, TimePoint Now);
+  void noteTryOver(bool Completed);
+  void end();
+  void pauseIfSlow(TimePoint Now);
+  void checkReader(TimePoint Now);
+  [[nodiscard]] ModelUse *modelUse();
+  [[nodiscard]] Outcome outcomeSoFar() const;
+
+  Context &m_Shared;
+  Arrival m_Asked;
+  std::shared_ptr<http::Exchange> m_Caller;
+  AnswerWriter m_Writer;
+  OnEnded m_Done;
+  Phase m_Phase = Phase::Arrived;
+  limits::Ticket m_Ticket = 0;
+  bool m_Started = false; ///< Counted as running in the limits.
+  bool m_CallerGone = false;
+  bool m_KeyGranted = false;
+  bool m_MayHaveRun = false;
+  bool m_Unplaced = false;
+  retries::Fingerprint m_Print = 0;
+  std::vector<std::uint64_t> m_Blocks;
+  std::vector<TargetId> m_Avoid;
+  std::shared_ptr<Try> m_Try;
+  bool m_RunNoted = false; ///< A run is registered with the suspects.
+  TargetId m_LastTarget;
+  std::string m_StreamId;
+  std::uint64_t m_Offset = 0; ///< Tokens taken in order.
+  std::uint32_t m_Tries = 0;
+  Duration m_ServiceTime{0};
+  std::unique_ptr<http::Timer> m_Wake;
+  TimePoint m_LastPieceAt;
+  TimePoint m_PausedSince;
+};
+
+/// Chained hashes of the whole blocks of a prompt, as engines report them.
+std::vector<std::uint64_t> blocksOf(const std::string &Model,
+                                    std::string_view Prompt);
+
+/// Where routing looks for a request's targets.
+routing::Request describeForRouting(const Arrival &Asked,
+                                    const std::vector<std::uint64_t> &Blocks,
+                                    double OutputShare);
+
+/// Name under which the limits count a request's capacity.
+ModelId capacityName(const Arrival &Asked);
+
+} // namespace wasabivale::entry
+
+#endif // WASABIVALE_ENTRY_SERVING_H
--- /dev/null
+++ b/apps/entry/src/Try.cpp
@@ -0,0 +1,323 @@
+#include "Try.h"
+
+#include <algorithm>
+
+namespace wasabivale::entry {
+
+using retries::FailureKind;
+using routing::TryOutcome;
+
+namespace {
+
+constexpr std::chrono::seconds CancelTimeout{2};
+/// A first token may take this many times its estimate, and the patience of a
+/// token beside it.
+constexpr int FirstTokenFactor = 3;
+constexpr int HttpConflict = 409;
+constexpr int HttpNotFound = 404;
+constexpr std::string_view StreamStep = "targets.stream";
+
+/// What a run or call that was not whole means for the request.
+struct Reading {
+  FailureKind m_Kind = FailureKind::Broken;
+  TryOutcome m_Evidence = TryOutcome::Failed;
+  bool m_NotRun = false;
+  bool m_MayBeCrash = false;
+};
+
+Reading readRefusal(int HttpStatus) {
+  if (HttpStatus == HttpConflict)
+    return {FailureKind::CannotResume, TryOutcome::NotSent, true, false};
+  // The model or service is not there any more; another target may have it.
+  if (HttpStatus == HttpNotFound)
+    return {FailureKind::TargetFull, TryOutcome::Full, true, false};
+  return {FailureKind::Refused, TryOutcome::NotSent, true, false};
+}
+
+Reading readNotRun(int HttpStatus) {
+  if (HttpStatus == 0)
+    return {FailureKind::ConnectFailed, TryOutcome::Failed, true, false};
+  return {FailureKind::TargetFull, TryOutcome::Full, true, false};
+}
+
+Reading readBroken(int HttpStatus, const Error &Why) {
+  if (Why.m_Step == StreamStep)
+    return {FailureKind::Malformed, TryOutcome::Failed, false, false};
+  constexpr int HttpOk = 200;
+  if (HttpStatus != 0 && HttpStatus != HttpOk)
+    return {FailureKind::TargetError, TryOutcome::Failed, false, false};
+  return {FailureKind::Broken, TryOutcome::Failed, false, true};
+}
+
+Reading readRun(const targets::RunEnding &Ending) {
+  if (Ending.m_Result == targets::RunResult::NotRun)
+    return readNotRun(Ending.m_HttpStatus);
+  if (Ending.m_Result == targets::RunResult::Refused)
+    return readRefusal(Ending.m_HttpStatus);
+  return readBroken(Ending.m_HttpStatus, Ending.m_Failure);
+}
+
+Reading readCall(const targets::CallEnding &Ending) {
+  if (Ending.m_Result == targets::CallResult::NotRun)
+    return readNotRun(Ending.m_HttpStatus);
+  if (Ending.m_Result == targets::CallResult::Refused)
+    return readRefusal(Ending.m_HttpStatus);
+  return readBroken(Ending.m_HttpStatus, Ending.m_Failure);
+}
+
+} // namespace
+
+Try::Try(event_base *Loop, const Arrival &For, TryPlan Plan,
+         const Patience &Limits, routing::State &Routing, EntryMetrics &Metrics,
+         TryHandlers Handlers, TimePoint Now)
+    : m_Loop(Loop), m_For(For), m_Plan(std::move(Plan)), m_Patience(Limits),
+      m_Routing(Routing), m_Metrics(Metrics),
+      m_Handlers(std::move(Handlers)), m_Id{randomIdentity()},
+      m_SilentSince(Now) {
+  const Duration Expected = std::max<Duration>(
+      m_Plan.m_Choice.m_Estimate.m_FirstToken - Now, Duration(0));
+  m_FirstTokenBy = Now + Expected * FirstTokenFactor + m_Patience.m_Token;
+}
+
+Try::~Try() {
+  if (m_Call != nullptr)
+    m_Call->cancel();
+  release(TryOutcome::Cancelled, BootClock::now());
+}
+
+std::shared_ptr<Try> Try::start(event_base *Loop, const Arrival &For,
+                                TryPlan Plan, const Patience &Limits,
+                                routing::State &Routing, EntryMetrics &Metrics,
+                                TryHandlers Handlers, TimePoint Now) {
+  std::shared_ptr<Try> Made(new Try(Loop, For, std::move(Plan), Limits, Routing,
+                                    Metrics, std::move(Handlers), Now));
+  routing::noteStarted(Routing, Made->m_Plan.m_Choice.m_Try, Now);
+  if (For.isService())
+    Made->startCall();
+  else if (Made->m_Plan.m_Prefill)
+    Made->startPrefill(Now);
+  else
+    Made->startRun({});
+  return Made;
+}
+
+const http::Address &Try::address() const {
+  return m_InPrefill ? *m_Plan.m_Prefill : m_Plan.m_Run;
+}
+
+const routing::Leg &Try::leg() const {
+  return m_InPrefill ? *m_Plan.m_Choice.m_Prefill : m_Plan.m_Choice.m_Run;
+}
+
+targets::RunRequest Try::runRequest() const {
+  targets::RunRequest Made;
+  Made.m_Request = m_Id;
+  Made.m_Model = {m_For.m_Model};
+  Made.m_Prompt = m_For.m_Prompt;
+  Made.m_MaxTokens = m_For.m_MaxTokens;
+  Made.m_Priority = m_For.m_Priority;
+  Made.m_Offset = m_Plan.m_Offset;
+  Made.m_StreamId = m_Plan.m_StreamId;
+  Made.m_Deadline = m_For.m_Deadline;
+  return Made;
+}
+
+void Try::startPrefill(TimePoint) {
+  m_InPrefill = true;
+  targets::RunRequest What = runRequest();
+  What.m_PrefillOnly = true;
+  What.m_Offset = 0;
+  targets::RunHandlers Handlers;
+  Handlers.m_OnEnd = [Weak =
+                          weak_from_this()](const targets::RunEnding &Ending) {
+    if (const auto Self = Weak.lock())
+      Self->takePrefilled(Ending);
+  };
+  m_Call = targets::runOnEngine(m_Loop, *m_Plan.m_Prefill, What,
+                                std::move(Handlers));
+}
+
+void Try::takePrefilled(const targets::RunEnding &Ending) {
+  if (Ending.m_Result != targets::RunResult::Whole)
+    return takeRun(Ending);
+  const TimePoint Now = BootClock::now();
+  m_InPrefill = false;
+  m_Sent = true;
+  m_SilentSince = Now;
+  routing::notePrefilled(m_Routing, m_Plan.m_Choice.m_Try, Now);
+  // Without a ticket the second engine prefills the prompt itself.
+  startRun(Ending.m_End.m_KvTicket);
+}
+
+void Try::startRun(std::string KvTicket) {
+  targets::RunRequest What = runRequest();
+  What.m_KvTicket = std::move(KvTicket);
+  targets::RunHandlers Handlers;
+  Handlers.m_OnPiece = [Weak =
+                            weak_from_this()](const targets::StreamPiece &Got) {
+    if (const auto Self = Weak.lock())
+      Self->takePiece(Got);
+  };
+  Handlers.m_OnEnd = [Weak =
+                          weak_from_this()](const targets::RunEnding &Ending) {
+    if (const auto Self = Weak.lock())
+      Self->takeRun(Ending);
+  };
+  m_Call =
+      targets::runOnEngine(m_Loop, m_Plan.m_Run, What, std::move(Handlers));
+}
+
+void Try::startCall() {
+  targets::ServiceCall What;
+  What.m_Request = m_Id;
+  What.m_Service = m_For.m_Model;
+  What.m_Method = m_For.m_Method;
+  What.m_Path = m_For.m_Path;
+  What.m_Body = m_For.m_Body;
+  What.m_NotRepeatable = m_For.m_NotRepeatable;
+  What.m_IdempotencyKey = m_For.m_Key;
+  m_Call = targets::callService(
+      m_Loop, m_Plan.m_Run, What, m_For.m_Deadline,
+      [Weak = weak_from_this()](const targets::CallEnding &Ending) {
+        if (const auto Self = Weak.lock())
+          Self->takeAnswer(Ending);
+      });
+}
+
+void Try::takePiece(const targets::StreamPiece &Piece) {
+  if (m_Released)
+    return;
+  const TimePoint Now = BootClock::now();
+  m_SilentSince = Now;
+  const auto &Id = m_Plan.m_Choice.m_Try;
+  if (m_Tokens == 0)
+    routing::noteFirstToken(m_Routing, Id, Now);
+  m_Tokens += Piece.m_Tokens;
+  routing::noteProgress(m_Routing, Id, static_cast<std::uint32_t>(m_Tokens),
+                        Now);
+  m_Handlers.m_OnPiece(Piece);
+}
+
+void Try::takeRun(const targets::RunEnding &Ending) {
+  m_Metrics.m_DuplicatePieces.add(Ending.m_Duplicates);
+  if (Ending.m_Result != targets::RunResult::Whole) {
+    const Reading Read = readRun(Ending);
+    retries::Failure Why;
+    Why.m_Kind = Read.m_Kind;
+    Why.m_NotRunProven = Read.m_NotRun && !m_Sent;
+    Why.m_BytesSent = m_Sent || m_Call == nullptr || m_Call->hasSent();
+    return fail(Why, Read.m_Evidence, Ending.m_Failure, Read.m_MayBeCrash);
+  }
+  release(TryOutcome::Completed, BootClock::now());
+  TryEnding Told;
+  Told.m_Whole = true;
+  Told.m_End = Ending.m_End;
+  const auto OnEnd = std::exchange(m_Handlers, {}).m_OnEnd;
+  OnEnd(std::move(Told));
+}
+
+void Try::takeAnswer(const targets::CallEnding &Ending) {
+  if (Ending.m_Result != targets::CallResult::Answered) {
+    const Reading Read = readCall(Ending);
+    retries::Failure Why;
+    Why.m_Kind = Read.m_Kind;
+    Why.m_NotRunProven = Read.m_NotRun;
+    Why.m_BytesSent = m_Call == nullptr || m_Call->hasSent();
+    return fail(Why, Read.m_Evidence, Ending.m_Failure, Read.m_MayBeCrash);
+  }
+  release(TryOutcome::Completed, BootClock::now());
+  TryEnding Told;
+  Told.m_Whole = true;
+  Told.m_Answer = Ending.m_Answer;
+  const auto OnEnd = std::exchange(m_Handlers, {}).m_OnEnd;
+  OnEnd(std::move(Told));
+}
+
+void Try::fail(retries::Failure Why, TryOutcome Evidence, Error What,
+               bool MayBeCrash) {
+  const TimePoint Now = BootClock::now();
+  // What ended by the caller's deadline says nothing about its target.
+  const bool Late = Now >= m_For.m_Deadline;
+  release(Late && Evidence == TryOutcome::Failed ? TryOutcome::Cancelled
+                                                 : Evidence,
+          Now);
+  TryEnding Told;
+  Told.m_Failure = Why;
+  Told.m_MayBeCrash = MayBeCrash && !Late;
+  Told.m_Error = std::move(What);
+  const auto OnEnd = std::exchange(m_Handlers, {}).m_OnEnd;
+  if (OnEnd)
+    OnEnd(std::move(Told));
+}
+
+void Try::release(TryOutcome Evidence, TimePoint Now) {
+  if (std::exchange(m_Released, true))
+    return;
+  routing::noteEnded(m_Routing, m_Plan.m_Choice.m_Try, Evidence, Now,
+                     m_InPrefill);
+  m_Metrics.countTry(Evidence);
+}
+
+void Try::tellEngineToCancel() {
+  if (m_For.isService() || m_Call == nullptr || !m_Call->hasSent())
+    return;
+  m_Metrics.m_Cancels.add();
+  targets::cancelRun(m_Loop, address(), m_Id, BootClock::now() + CancelTimeout,
+                     [](const Result<bool> &) {});
+}
+
+void Try::cancel(TryOutcome Evidence, TimePoint Now) {
+  if (m_Released)
+    return;
+  m_Metrics.m_AbandonedTries.add();
+  tellEngineToCancel();
+  if (m_Call != nullptr)
+    m_Call->cancel();
+  m_Handlers = {};
+  release(Evidence, Now);
+}
+
+void Try::check(TimePoint Now) {
+  if (m_Released || m_Paused)
+    return;
+  bool Stalled = false;
+  if (m_For.isService())
+    // A call that must not be repeated gains nothing by giving it up early.
+    Stalled = !m_For.m_NotRepeatable && Now - m_SilentSince > m_Patience.m_Call;
+  else if (m_Tokens == 0)
+    Stalled = Now > m_FirstTokenBy;
+  else
+    Stalled = Now - m_SilentSince > m_Patience.m_Token;
+  if (!Stalled)
+    return;
+  const auto Self = shared_from_this();
+  retries::Failure Why;
+  Why.m_Kind = FailureKind::Stalled;
+  Why.m_BytesSent = m_Sent || m_Call == nullptr || m_Call->hasSent();
+  m_Metrics.m_AbandonedTries.add();
+  tellEngineToCancel();
+  if (m_Call != nullptr)
+    m_Call->cancel();
+  fail(Why, TryOutcome::Stalled,
+       Error{"try.progress", http::printAddress(address()),
+             "the target made no progress"},
+       false);
+}
+
+void Try::pause() {
+  if (m_Paused || m_Released || m_Call == nullptr)
+    return;
+  m_Paused = true;
+  m_Call->pause();
+}
+
+void Try::resume(TimePoint Now) {
+  if (!m_Paused)
+    return;
+  m_Paused = false;
+  m_SilentSince = Now;
+  if (!m_Released && m_Call != nullptr)
+    m_Call->resume();
+}
+
+} // namespace wasabivale::entry
--- /dev/null
+++ b/apps/entry/src/Try.h
@@ -0,0 +1,118 @@
+/// \file
+/// One try of a request: a run on an engine, with a prefill elsewhere before it
+/// when it was split, or a call of a service.
+
+#ifndef WASABIVALE_ENTRY_TRY_H
+#define WASABIVALE_ENTRY_TRY_H
+
+#include "Arrival.h"
+#include "EntryMetrics.h"
+#include "retries/retries.h"
+#include "routing/routing.h"
+#include "targets/targets.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace wasabivale::entry {
+
+struct TryEnding {
+  bool m_Whole = false;
+  retries::Failure m_Failure; ///< Unless whole.
+  /// The connection broke while the target had the request.
+  bool m_MayBeCrash = false;
+  targets::StreamEnd m_End;        ///< Of a whole run.
+  targets::ServiceAnswer m_Answer; ///< Of a whole call.
+  Error m_Error;                   ///< Unless whole.
+};
+
+/// Where a try goes and with which part of the stream.
+struct TryPlan {
+  routing::Choice m_Choice;
+  http::Address m_Run;
+  std::optional<http::Address> m_Prefill;
+  std::string m_StreamId;
+  std::uint64_t m_Offset = 0;
+};
+
+struct TryHandlers {
+  std::function<void(const targets::StreamPiece &)> m_OnPiece;
+  /// Called once, last, and not at all after `cancel`.
+  std::function<void(TryEnding)> m_OnEnd;
+};
+
+/// Reserved work is released exactly once, by the end or by `cancel`.
+class Try : public std::enable_shared_from_this<Try> {
+public:
+  /// Longest silence of a target before a try counts as stalled.
+  struct Patience {
+    std::chrono::milliseconds m_Token{5'000};
+    std::chrono::milliseconds m_Call{10'000};
+  };
+
+  /// Sends the request. \p For, \p Routing and \p Metrics outlive the try.
+  static std::shared_ptr<Try> start(event_base *Loop, const Arrival &For,
+                                    TryPlan Plan, const Patience &Limits,
+                                    routing::State &Routing,
+                                    EntryMetrics &Metrics, TryHandlers Handlers,
+                                    TimePoint Now);
+  ~Try();
+  Try(const Try &) = delete;
+  Try &operator=(const Try &) = delete;
+
+  /// Gives the try up and tells the engine.
+  void cancel(routing::TryOutcome Evidence, TimePoint Now);
+  /// Ends the try when its target has been silent for too long.
+  void check(TimePoint Now);
+  void pause();
+  void resume(TimePoint Now);
+  [[nodiscard]] bool isPaused() const { return m_Paused; }
+  [[nodiscard]] const TargetId &target() const {
+    return m_Plan.m_Choice.m_Run.m_Target;
+  }
+  [[nodiscard]] const std::string &incarnation() const {
+    return m_Plan.m_Choice.m_Run.m_Incarnation;
+  }
+  /// Where the request is now: the prefill leg's address, or the run's.
+  [[nodiscard]] const http::Address &address() const;
+  [[nodiscard]] const routing::Leg &leg() const;
+
+private:
+  Try(event_base *Loop, const Arrival &For, TryPlan Plan,
+      const Patience &Limits, routing::State &Routing, EntryMetrics &Metrics,
+      TryHandlers Handlers, TimePoint Now);
+  void startPrefill(TimePoint Now);
+  void startRun(std::string KvTicket);
+  void startCall();
+  void takePrefilled(const targets::RunEnding &Ending);
+  void takePiece(const targets::StreamPiece &Piece);
+  void takeRun(const targets::RunEnding &Ending);
+  void takeAnswer(const targets::CallEnding &Ending);
+  [[nodiscard]] targets::RunRequest runRequest() const;
+  void fail(retries::Failure Why, routing::TryOutcome Evidence, Error What,
+            bool MayBeCrash);
+  void release(routing::TryOutcome Evidence, TimePoint Now);
+  void tellEngineToCancel();
+
+  event_base *m_Loop;
+  const Arrival &m_For;
+  TryPlan m_Plan;
+  Patience m_Patience;
+  routing::State &m_Routing;
+  EntryMetrics &m_Metrics;
+  TryHandlers m_Handlers;
+  RequestId m_Id; ///< Of this try.
+  std::shared_ptr<http::ClientCall> m_Call;
+  TimePoint m_SilentSince;
+  TimePoint m_FirstTokenBy;
+  std::uint64_t m_Tokens = 0; ///< Of this try.
+  bool m_InPrefill = false;
+  bool m_Sent = false; ///< A leg before this one has reached its engine.
+  bool m_Paused = false;
+  bool m_Released = false;
+};
+
+} // namespace wasabivale::entry
+
+#endif // WASABIVALE_ENTRY_TRY_H
