--- a/libs/capacity/include/capacity/capacity.h
+++ b/libs/capacity/include/capacity/capacity.h
@@ -36,7 +36,8 @@
   std::vector<Sample> m_Samples;
 };
 
-/// Least squares through three samples or more of different sizes.
+/// Least squares of the relative errors through three samples or more of
+/// different sizes.
 Result<Slope> fit(std::string Name, std::string CostUnit, std::string SizeUnit,
                   std::vector<Sample> Samples);
 
--- a/libs/capacity/src/Slopes.cpp
+++ b/libs/capacity/src/Slopes.cpp
@@ -9,21 +9,27 @@
 namespace {
 
 constexpr std::size_t FewestSamples = 3;
+constexpr double SmallestSpread = 1e-9;
 
 struct Sums {
+  double m_Weight = 0;
   double m_Size = 0;
   double m_Cost = 0;
   double m_SizeSquared = 0;
   double m_Product = 0;
 };
 
+/// Each sample weighs by the inverse square of its cost, so that a small size
+/// is fitted as closely, as a share, as a large one.
 Sums sumUp(const std::vector<Sample> &Samples) {
   Sums Total;
   for (const Sample &One : Samples) {
-    Total.m_Size += One.m_Size;
-    Total.m_Cost += One.m_Cost;
-    Total.m_SizeSquared += One.m_Size * One.m_Size;
-    Total.m_Product += One.m_Size * One.m_Cost;
+    const double Weight = One.m_Cost == 0 ? 1 : 1 / (One.m_Cost * One.m_Cost);
+    Total.m_Weight += Weight;
+    Total.m_Size += Weight * One.m_Size;
+    Total.m_Cost += Weight * One.m_Cost;
+    Total.m_SizeSquared += Weight * One.m_Size * One.m_Size;
+    Total.m_Product += Weight * One.m_Size * One.m_Cost;
   }
   return Total;
 }
@@ -48,18 +54,19 @@
                   std::vector<Sample> Samples) {
   if (Samples.size() < FewestSamples)
     return Error{"capacity.fit", Name, "three samples or more are needed"};
-  const auto Count = static_cast<double>(Samples.size());
   const Sums Total = sumUp(Samples);
   const double Spread =
-      Count * Total.m_SizeSquared - Total.m_Size * Total.m_Size;
-  if (Spread <= 0)
+      Total.m_Weight * Total.m_SizeSquared - Total.m_Size * Total.m_Size;
+  // Rounding leaves a trace where the sizes are equal.
+  if (Spread <= SmallestSpread * Total.m_Weight * Total.m_SizeSquared)
     return Error{"capacity.fit", Name, "the samples are all of one size"};
   Slope Line{
       std::move(Name),   std::move(CostUnit), std::move(SizeUnit), 0, 0, 0,
       std::move(Samples)};
   Line.m_PerUnit =
-      (Count * Total.m_Product - Total.m_Size * Total.m_Cost) / Spread;
-  Line.m_Fixed = (Total.m_Cost - Line.m_PerUnit * Total.m_Size) / Count;
+      (Total.m_Weight * Total.m_Product - Total.m_Size * Total.m_Cost) / Spread;
+  Line.m_Fixed =
+      (Total.m_Cost - Line.m_PerUnit * Total.m_Size) / Total.m_Weight;
   Line.m_FitError = largestMiss(Line);
   return Line;
 }
