--- a/tools/demo/demo.sh
+++ b/tools/demo/demo.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "${BASH_SOURCE[0]}")/../.."
 source tools/demo/processes.sh
 
-start_deployment demo 1 1 21000
+start_deployment demo 1 1 21000 --allow-anonymous
 start fake-targets "$bin/wasabivale-fake-targets" --engines 2 --services 1 --first-port 21300 \
   --announce 127.0.0.1:21111 --models gourd-8b
 wait_for "2 engines and 1 service serve" fleet_serves 3
--- a/tools/demo/processes.sh
+++ b/tools/demo/processes.sh
@@ -33,11 +33,12 @@
   pids+=("$last_pid")
 }
 
-# start_deployment NAME CONTROL ENTRIES FIRST_PORT
+# start_deployment NAME CONTROL ENTRIES FIRST_PORT [OPTION...]
 start_deployment() {
   folder=$PWD/out/$1
   rm -rf "$folder"
-  "$bin/wasabivale-deployment" --folder "$folder" --control "$2" --entries "$3" --first-port "$4"
+  "$bin/wasabivale-deployment" --folder "$folder" --control "$2" --entries "$3" \
+    --first-port "$4" "${@:5}"
   first_port=$4
   export WASABIVALE_TOKEN
   WASABIVALE_TOKEN=$(cat "$folder/operator.token")
--- a/tools/deployment/src/Main.cpp
+++ b/tools/deployment/src/Main.cpp
@@ -31,6 +31,7 @@
   int m_Entries = 2;
   int m_FirstPort = 0;
   int m_Zones = 3;
+  bool m_AllowAnonymous = false;
 };
 
 struct Node {
@@ -92,6 +93,8 @@
   Json Made = common(Of, Self);
   Made["callers"] = {{"listen", at(Of, Self.m_Port)}};
   Made["targets"] = {{"listen", at(Of, Self.m_Port + TargetsOffset)}};
+  if (Of.m_AllowAnonymous)
+    Made["callers"]["allow_anonymous"] = true;
   for (const Node &Member : Members)
     Made["control"].push_back({{"id", Member.m_Name},
                                {"address", at(Of, Member.m_Port)},
@@ -148,6 +151,8 @@
       "control-N listens at this + 10 N, entry-N at this + 100 + 10 N");
   Add("zones", options::value(&Wanted.m_Zones)->default_value(3),
       "availability zones, dealt in turn");
+  Add("allow-anonymous", options::bool_switch(&Wanted.m_AllowAnonymous),
+      "entries serve callers without a key until there is a configuration");
   try {
     options::variables_map Given;
     options::store(options::parse_command_line(ArgumentCount, Arguments, Known),
