Run the replicated state in wasabivale-control

The thin control kept its fleet in memory and had one member. Control now runs the replica, applies fleet and ledger commands, grants entry leases only while it holds its own, carries out orders over HTTP (look first, send only inside the lease less a margin, wait out a former leader's order at targets that ignore fences), ends ledger sessions of lost entries and answers operators. A target is lost only while some entry relays reports. Measured: test-fleet, test-ledger, test-fleet-mutations and test-events pass; the process itself has not been run yet.

--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -1,63 +1,214 @@
 #include "Control.h"
 
+#include "OperatorApi.h"
 #include "events/events.h"
 
+#include <algorithm>
+
 namespace wasabivale::control {
 
 using settings::Json;
 
 namespace {
 
+constexpr std::chrono::milliseconds TurnInterval{50};
+/// Lease of an entry: how long it may serve without hearing from the leader.
 constexpr std::chrono::milliseconds EntryLease{2000};
-const http::Headers JsonBody = {{"Content-Type", "application/json"}};
+/// An entry's clock may run slower than this one by a hundredth.
+constexpr std::chrono::milliseconds LongestEntryLease = EntryLease * 102 / 100;
+/// Least rest of the leader's lease with which it may send an order.
+constexpr std::chrono::milliseconds OrderMargin{150};
+constexpr std::size_t RepliesKept = 65'536;
 
-Json describeRefusal(Refusal Reason) {
-  const RefusalInfo &Info = refusalInfo(Reason);
-  return {{"error",
-           {{"number", Info.m_Number},
-            {"reason", Info.m_Name},
-            {"message", Info.m_Text}}}};
+Refusal refusalOf(consensus::Verdict Verdict) {
+  return Verdict == consensus::Verdict::NotLeader ? Refusal::NotLeader
+                                                  : Refusal::NoQuorum;
 }
 
 } // namespace
 
-Control::Control(const ControlSettings &Settings, metrics::Registry &Registry)
-    : m_Settings(Settings), m_Registry(Registry) {}
+Control::Control(event_base *Loop, const ControlSettings &Settings,
+                 metrics::Registry &Registry, std::function<void()> OnFatal)
+    : m_Loop(Loop), m_Settings(Settings), m_Registry(Registry),
+      m_OnFatal(std::move(OnFatal)) {}
 
 Result<std::unique_ptr<Control>> Control::open(event_base *Loop,
                                                const ControlSettings &Settings,
-                                               metrics::Registry &Registry) {
-  std::unique_ptr<Control> Made(new Control(Settings, Registry));
+                                               metrics::Registry &Registry,
+                                               std::function<void()> OnFatal) {
+  std::unique_ptr<Control> Made(
+      new Control(Loop, Settings, Registry, std::move(OnFatal)));
+  Control *Self = Made.get();
+  Authority Over;
+  Over.m_MaySend = [Self] { return Self->maySendOrder(); };
+  Over.m_LeaderSince = [Self] { return Self->m_LeaderSince; };
+  Over.m_Propose = [Self](const std::string &Key, wire::Command What) {
+    Self->proposeOnce(Key, std::move(What));
+  };
+  Made->m_Executor =
+      std::make_unique<Executor>(Loop, Registry, std::move(Over));
+  for (const Status &Opened :
+       {Made->openHub(), Made->openReplica(), Made->openOperators()})
+    if (failed(Opened))
+      return errorOf(Opened);
+  Made->m_Timer = std::make_unique<http::Timer>(Loop, TurnInterval, true,
+                                                [Self] { Self->turn(); });
+  return Made;
+}
+
+Status Control::openHub() {
   wire::HubOptions Options;
-  Options.m_Self = Settings.m_Id;
-  Options.m_Region = Settings.m_Region;
-  Options.m_Zone = Settings.m_Zone;
-  Options.m_Keys = Settings.m_Keys;
-  Options.m_ListenAddress = Settings.m_Listen;
-  Options.m_Peers = Settings.m_Entries;
-  for (const MemberAddress &Member : Settings.m_Members)
-    Options.m_Peers.push_back(
-        {Member.m_Id, Member.m_PublicKey, Member.m_Address});
+  Options.m_Self = m_Settings.m_Id;
+  Options.m_Region = m_Settings.m_Region;
+  Options.m_Zone = m_Settings.m_Zone;
+  Options.m_Keys = m_Settings.m_Keys;
+  Options.m_ListenAddress = m_Settings.m_Listen;
+  Options.m_Peers = m_Settings.m_Entries;
+  for (const MemberAddress &Member : m_Settings.m_Members)
+    if (Member.m_Id != m_Settings.m_Id)
+      Options.m_Peers.push_back(
+          {Member.m_Id, Member.m_PublicKey, Member.m_Address});
   auto Hub = wire::Hub::open(
-      Loop, Options, Registry,
-      [Self = Made.get()](const NodeId &From, const wire::Envelope &Message) {
-        Self->take(From, Message);
+      m_Loop, Options, m_Registry,
+      [this](const NodeId &From, const wire::Envelope &Message) {
+        take(From, Message);
       });
   if (failed(Hub))
     return errorOf(Hub);
-  Made->m_Hub = std::move(valueOf(Hub));
-  auto Operators = http::listen(
-      Loop, Settings.m_OperatorsListen, http::ServerLimits{},
-      [Self = Made.get()](const std::shared_ptr<http::Exchange> &Arrived) {
-        Self->answerOperator(Arrived);
-      });
+  m_Hub = std::move(valueOf(Hub));
+  return std::monostate{};
+}
+
+Status Control::openReplica() {
+  if (!m_Hub)
+    return std::monostate{};
+  replication::ReplicaOptions Options;
+  Options.m_Folder = m_Settings.m_DataFolder;
+  Options.m_Cluster = m_Settings.m_ClusterId;
+  Options.m_Self = m_Settings.m_Id;
+  for (const MemberAddress &Member : m_Settings.m_Members)
+    Options.m_Listed.push_back(Member.m_Id);
+  replication::ReplicaCallbacks Callbacks;
+  Callbacks.m_Apply = [this](consensus::Index Index,
+                             const std::string &Payload) {
+    wire::CallReply Reply = applyPayload(m_State, Payload);
+    if (!m_Replica || !m_Replica->isLeader())
+      return;
+    m_Replies[Index] = std::move(Reply);
+    if (m_Replies.size() > RepliesKept)
+      m_Replies.erase(m_Replies.begin());
+  };
+  Callbacks.m_TakeSnapshot = [this] { return takeSnapshot(m_State); };
+  Callbacks.m_Install = [this](const std::string &Bytes) -> Status {
+    Result<Replicated> Read = fromSnapshot(Bytes);
+    if (failed(Read))
+      return errorOf(Read);
+    m_State = std::move(valueOf(Read));
+    return std::monostate{};
+  };
+  Callbacks.m_Gained = [this] { gainLeadership(); };
+  Callbacks.m_Lost = [this] { loseLeadership(); };
+  Callbacks.m_Failed = [this](const Error &Why) {
+    events::emitError(events::Event::ControlFailed, Why);
+    m_OnFatal();
+  };
+  auto Opened = replication::Replica::open(
+      m_Loop, *m_Hub, m_Registry, std::move(Options), std::move(Callbacks));
+  if (failed(Opened))
+    return errorOf(Opened);
+  m_Replica = std::move(valueOf(Opened));
+  return std::monostate{};
+}
+
+Status Control::openOperators() {
+  if (!m_Replica)
+    return std::monostate{};
+  auto Operators =
+      http::listen(m_Loop, m_Settings.m_OperatorsListen, http::ServerLimits{},
+                   [this](const std::shared_ptr<http::Exchange> &Arrived) {
+                     OperatorApi(*this).answer(Arrived);
+                   });
   if (failed(Operators))
     return errorOf(Operators);
-  Made->m_Operators = std::move(valueOf(Operators));
-  return Made;
+  m_Operators = std::move(valueOf(Operators));
+  return std::monostate{};
+}
+
+std::string Control::notReady() const {
+  return m_Replica->leader().empty() ? "no leader is known" : "";
+}
+
+// --- Leadership -----------------------------------------------------------
+
+bool Control::leads() const {
+  return m_Replica->isLeader() && m_Replica->holdsLease();
+}
+
+bool Control::maySendOrder() const {
+  return leads() && m_Replica->leaseEnd() - BootClock::now() > OrderMargin;
+}
+
+void Control::gainLeadership() {
+  m_LeaderSince = BootClock::now();
+  m_LogBase = newestLogTime(m_State);
+  m_Replies.clear();
+  m_Sent.clear();
+  m_Proposed.clear();
+  fleet::startTerm(m_Heard, m_State.m_Fleet, m_LeaderSince, LongestEntryLease);
+}
+
+void Control::loseLeadership() {
+  m_Executor->stop();
+  m_Sent.clear();
+}
+
+void Control::propose(wire::Command What, OnReply Done) {
+  const auto Since = BootClock::now() - m_LeaderSince;
+  What.set_term(m_Replica->term());
+  What.set_log_time_ns(nanosecondsOf(m_LogBase + Since));
+  m_Replica->propose(What.SerializeAsString(),
+                     [this, Done = std::move(Done), Name = What.request_id()](
+                         const consensus::Decision &Decided) {
+                       wire::CallReply Reply;
+                       const auto Found = m_Replies.find(Decided.m_Index);
+                       if (Decided.m_Verdict == consensus::Verdict::Committed &&
+                           Found != m_Replies.end()) {
+                         Reply = std::move(Found->second);
+                         m_Replies.erase(Found);
+                       } else {
+                         Reply.set_request_id(Name);
+                         Reply.set_refusal(static_cast<std::uint32_t>(
+                             refusalOf(Decided.m_Verdict)));
+                         Reply.set_message(std::string(
+                             consensus::verdictName(Decided.m_Verdict)));
+                       }
+                       Done(Reply);
+                     });
+}
+
+void Control::proposeOnce(const std::string &Key, wire::Command What) {
+  if (!m_Proposed.insert(Key).second)
+    return;
+  What.set_actor(m_Settings.m_Id.m_Value);
+  propose(std::move(What), [this, Key](const wire::CallReply &Reply) {
+    m_Proposed.erase(Key);
+    if (Reply.refusal() != 0)
+      events::emit(events::Event::CommandRejected,
+                   {{"command", Key}, {"message", Reply.message()}});
+  });
 }
 
+// --- Entries --------------------------------------------------------------
+
 void Control::take(const NodeId &From, const wire::Envelope &Message) {
+  if (Message.has_consensus()) {
+    m_Replica->receive(From, Message.consensus());
+    return;
+  }
+  if (!leads()) {
+    redirect(From);
+    return;
+  }
   switch (Message.body_case()) {
   case wire::Envelope::kEntryHello:
     takeHello(From, Message);
@@ -73,109 +224,180 @@
   }
 }
 
+void Control::redirect(const NodeId &To) {
+  wire::Envelope Message;
+  const NodeId Leader = m_Replica->leader();
+  Message.set_term(m_Replica->term());
+  if (Leader != m_Settings.m_Id)
+    Message.mutable_redirect()->set_leader(Leader.m_Value);
+  else
+    Message.mutable_redirect();
+  (void)m_Hub->send(To, std::move(Message)); // The entry asks again.
+}
+
 void Control::takeHello(const NodeId &From, const wire::Envelope &Message) {
-  EntryState &Entry = m_Entries[From];
-  if (Entry.m_Session != Message.session())
+  const bool New = m_Sent.count(From) == 0;
+  if (New)
     events::emit(events::Event::EntryJoined,
                  {{"entry", From}, {"zone", Message.zone()}});
-  Entry.m_Session = Message.session();
-  sendFleet(From);
+  Sent &Known = m_Sent[From];
+  Known.m_FleetRevision = Message.entry_hello().fleet_revision();
+  Known.m_ConfigurationRevision =
+      Message.entry_hello().configuration_revision();
+  sendFleet(From, Known);
 }
 
 void Control::takeReport(const NodeId &From, const wire::Envelope &Message) {
-  EntryState &Entry = m_Entries[From];
+  const TimePoint Now = BootClock::now();
   const wire::EntryReport &Report = Message.entry_report();
-  Entry.m_Session = Message.session();
-  Entry.m_FleetRevision = Report.fleet_revision();
-  Entry.m_ConfigurationRevision = Report.configuration_revision();
-  Entry.m_LeaseEnd = BootClock::now() + EntryLease;
+  fleet::takeReport(m_Heard, From, Message.session(), Report, Now,
+                    Now + LongestEntryLease);
   wire::Envelope Answer;
+  Answer.set_term(m_Replica->term());
   wire::ControlGrant &Grant = *Answer.mutable_control_grant();
   Grant.set_renewal(Report.renewal());
-  Grant.set_lease_ns(
-      static_cast<std::uint64_t>(std::chrono::nanoseconds(EntryLease).count()));
-  Grant.set_fleet_revision(m_FleetRevision);
+  Grant.set_lease_ns(nanosecondsOf(std::chrono::nanoseconds(EntryLease)));
+  Grant.set_fleet_revision(m_State.m_Fleet.m_Targets.m_Revision);
+  Grant.set_configuration_revision(m_State.m_Fleet.m_Configuration.m_Revision);
   // A grant that is lost is made up for by the next report.
   (void)m_Hub->send(From, std::move(Answer));
 }
 
 void Control::takeCall(const NodeId &From, const wire::CallRequest &Call) {
-  wire::Envelope Answer;
-  wire::CallReply &Reply = *Answer.mutable_call_reply();
-  Reply.set_request_id(Call.request_id());
-  if (Call.command().has_announce_target()) {
-    wire::Target Target = Call.command().announce_target().target();
-    Target.set_state("serving");
-    Target.set_generation(m_Targets[Target.id()].generation() + 1);
-    m_Targets[Target.id()] = Target;
-    ++m_FleetRevision;
-    events::emit(events::Event::TargetRegistered,
-                 {{"target", Target.id()}, {"address", Target.address()}});
-    for (const auto &[Entry, State] : m_Entries)
-      sendFleet(Entry);
-  } else {
-    Reply.set_refusal(static_cast<std::uint32_t>(Refusal::MalformedRequest));
+  wire::Command What = Call.command();
+  What.set_request_id(Call.request_id());
+  What.set_actor(From.m_Value);
+  const bool Allowed = ledger::handles(What) || What.has_announce_target() ||
+                       What.has_leave_target();
+  const auto Answer = [this, From,
+                       Name = Call.request_id()](wire::CallReply Reply) {
+    wire::Envelope Message;
+    Message.set_term(m_Replica->term());
+    Reply.set_request_id(Name);
+    *Message.mutable_call_reply() = std::move(Reply);
+    (void)m_Hub->send(From, std::move(Message)); // The entry asks again.
+  };
+  if (!Allowed || What.has_operator_command() || What.has_entry_gone()) {
+    wire::CallReply Refused;
+    Refused.set_refusal(static_cast<std::uint32_t>(Refusal::MalformedRequest));
+    Answer(Refused);
+    return;
   }
-  (void)m_Hub->send(From, std::move(Answer));
+  if (What.has_announce_target()) {
+    const wire::Target &Said = What.announce_target().target();
+    fleet::targetSeen(m_Heard, {Said.id()}, Said.incarnation(),
+                      BootClock::now());
+  }
+  propose(std::move(What), Answer);
 }
 
-void Control::sendFleet(const NodeId &To) {
+void Control::sendFleet(const NodeId &To, Sent &Known) {
+  const fleet::State &Fleet = m_State.m_Fleet;
   wire::Envelope Message;
-  wire::FleetUpdate &Update = *Message.mutable_fleet_update();
-  Update.set_revision(m_FleetRevision);
-  for (const auto &[Name, Target] : m_Targets)
-    *Update.add_targets() = Target;
-  // An entry that missed it asks again when a grant names a newer revision.
-  (void)m_Hub->send(To, std::move(Message));
-}
-
-bool Control::isOperator(const http::Request &From) const {
-  constexpr std::string_view Scheme = "Bearer ";
-  const std::string_view Given = http::header(From.m_Headers, "authorization");
-  if (Given.substr(0, Scheme.size()) != Scheme)
-    return false;
-  const std::string Hash = digestHex(Given.substr(Scheme.size()));
-  for (const Operator &Known : m_Settings.m_Operators)
-    if (Known.m_TokenHash == Hash)
-      return true;
-  return false;
-}
-
-Json Control::describeTargets() const {
-  Json Rows = Json::array();
-  for (const auto &[Name, Target] : m_Targets) {
-    Json Row = {{"id", Target.id()},
-                {"kind", Target.kind()},
-                {"address", Target.address()},
-                {"zone", Target.zone()},
-                {"state", Target.state()},
-                {"role", Target.role()},
-                {"generation", Target.generation()}};
-    Row["models"] = Json::array();
-    for (const std::string &Model : Target.models())
-      Row["models"].push_back(Model);
-    Rows.push_back(std::move(Row));
+  Message.set_term(m_Replica->term());
+  *Message.mutable_fleet_update() = fleet::updateSince(
+      Fleet, Known.m_FleetRevision, Known.m_ConfigurationRevision);
+  if (failed(m_Hub->send(To, std::move(Message))))
+    return; // The next grant names the newer revision, and the entry asks.
+  Known.m_FleetRevision = Fleet.m_Targets.m_Revision;
+  Known.m_ConfigurationRevision = Fleet.m_Configuration.m_Revision;
+}
+
+void Control::sendChanges() {
+  const fleet::State &Fleet = m_State.m_Fleet;
+  for (auto &[Name, Known] : m_Sent)
+    if (Known.m_FleetRevision != Fleet.m_Targets.m_Revision ||
+        Known.m_ConfigurationRevision != Fleet.m_Configuration.m_Revision)
+      sendFleet(Name, Known);
+}
+
+// --- The leader's work ----------------------------------------------------
+
+/// Keys held by a session that no live entry has are of unknown outcome.
+void Control::endSessions(TimePoint Now) {
+  for (const ledger::EntrySession &Each :
+       ledger::openSessions(m_State.m_Ledger)) {
+    const auto Entry = m_Heard.m_Entries.find(Each.m_Entry);
+    const bool Heard = Entry != m_Heard.m_Entries.end();
+    if (Heard && Entry->second.m_Session == Each.m_Session)
+      continue;
+    if (!Heard && Now < m_Heard.m_CompleteAt)
+      continue;
+    wire::Command Next;
+    Next.mutable_entry_gone()->set_entry(Each.m_Entry.m_Value);
+    Next.mutable_entry_gone()->set_session(Each.m_Session);
+    proposeOnce("gone/" + Each.m_Entry.m_Value + '/' +
+                    std::to_string(Each.m_Session),
+                std::move(Next));
   }
-  return Rows;
 }
 
-void Control::answerOperator(const std::shared_ptr<http::Exchange> &Arrived) {
-  const http::Request &Request = Arrived->request();
-  if (!isOperator(Request)) {
-    m_Registry.refusals(Refusal::OperatorNotAllowed).add();
-    Arrived->reply(403, JsonBody,
-                   describeRefusal(Refusal::OperatorNotAllowed).dump());
+void Control::turn() {
+  if (!leads())
+    return;
+  const TimePoint Now = BootClock::now();
+  fleet::expireEntries(m_Heard, Now);
+  for (const wire::EntryGone &Each : m_Heard.m_Gone)
+    events::emit(events::Event::EntryLost, {{"entry", Each.entry()}});
+  m_Heard.m_Gone.clear();
+  endSessions(Now);
+  fleet::DueSettings Due;
+  Due.m_Term = m_Replica->term();
+  for (const fleet::Action &Each :
+       fleet::due(m_State.m_Fleet, m_Heard, Now, Due))
+    carryOut(Each, Now);
+  sendChanges();
+}
+
+void Control::carryOut(const fleet::Action &Due, TimePoint Now) {
+  if (const auto *Command = std::get_if<fleet::Propose>(&Due)) {
+    proposeOnce(Command->m_Key, Command->m_Command);
+    return;
+  }
+  if (const auto *Member = std::get_if<fleet::CarryOutMember>(&Due)) {
+    carryOutMember(*Member);
     return;
   }
-  if (Request.m_Path == "/operator/v1/status") {
-    const Json Answer = {{"leader", m_Settings.m_Id.m_Value},
-                         {"fleet_revision", m_FleetRevision},
-                         {"entries", m_Entries.size()},
-                         {"targets", describeTargets()}};
-    Arrived->reply(200, JsonBody, Answer.dump());
+  const fleet::State &Fleet = m_State.m_Fleet;
+  const fleet::OrderId &Name = std::get<fleet::CarryOutOrder>(Due).m_Order;
+  const fleet::Order &Which = Fleet.m_Orders.m_ById.at(Name);
+  const auto To = Fleet.m_Targets.m_ById.find(Which.m_Target);
+  if (To != Fleet.m_Targets.m_ById.end())
+    m_Executor->carryOut(Which, To->second, Now);
+}
+
+/// A member's new disk takes the place of its old one. The step is done when
+/// the new disk has caught up and votes.
+void Control::carryOutMember(const fleet::CarryOutMember &Due) {
+  const fleet::Plan &Plan = m_State.m_Fleet.m_Plans.m_ById.at(Due.m_Plan);
+  const Json Document =
+      Json::parse(Plan.m_Steps.at(Due.m_Step).m_Document, nullptr, false);
+  const NodeId Name{Document.value("member", "")};
+  const std::string Wanted = Document.value("incarnation", "");
+  const auto Report = [&](const std::string &State, const std::string &Why) {
+    wire::Command Next;
+    Next.mutable_step_progress()->set_plan(Due.m_Plan.m_Value);
+    Next.mutable_step_progress()->set_step(Due.m_Step);
+    Next.mutable_step_progress()->set_state(State);
+    Next.mutable_step_progress()->set_message(Why);
+    proposeOnce("member/" + Due.m_Plan.m_Value, std::move(Next));
+  };
+  for (const replication::MemberStatus &Each : m_Replica->status().m_Members) {
+    if (Each.m_Member.m_Id != Name)
+      continue;
+    if (Each.m_Member.m_Incarnation == Wanted) {
+      if (Each.m_Member.m_Voter)
+        Report("done", "the new disk has caught up and votes");
+      return;
+    }
+    const std::string Key = "change/" + Due.m_Plan.m_Value;
+    if (m_Proposed.insert(Key).second)
+      m_Replica->change(
+          consensus::ReplaceMember{Name, Wanted},
+          [this, Key](const consensus::Decision &) { m_Proposed.erase(Key); });
     return;
   }
-  Arrived->reply(404, JsonBody, describeRefusal(Refusal::UnknownPath).dump());
+  Report("failed", "no such member");
 }
 
 } // namespace wasabivale::control
--- a/apps/control/src/Control.h
+++ b/apps/control/src/Control.h
@@ -1,50 +1,93 @@
 /// \file
-/// A control member: applies commands to the replicated state, tells entries
-/// what is in force, and answers operators.
+/// A control member: applies commands to the replicated state; as leader also
+/// grants leases to entries, tells them what changed, has orders carried out
+/// and answers operators.
 
 #ifndef WASABIVALE_CONTROL_CONTROL_H
 #define WASABIVALE_CONTROL_CONTROL_H
 
 #include "ControlSettings.h"
+#include "Executor.h"
+#include "StateMachine.h"
 #include "metrics/metrics.h"
+#include "replication/replication.h"
 #include "wire/wire.h"
 
 #include <map>
+#include <set>
 
 namespace wasabivale::control {
 
-/// What the leader remembers of an entry; soft state.
-struct EntryState {
-  std::uint64_t m_Session = 0;
-  std::uint64_t m_FleetRevision = 0;
-  std::uint64_t m_ConfigurationRevision = 0;
-  TimePoint m_LeaseEnd;
-};
-
 class Control {
 public:
+  using OnReply = std::function<void(const wire::CallReply &)>;
+
+  /// \param OnFatal called when this process must end.
   static Result<std::unique_ptr<Control>> open(event_base *Loop,
                                                const ControlSettings &Settings,
-                                               metrics::Registry &Registry);
+                                               metrics::Registry &Registry,
+                                               std::function<void()> OnFatal);
+
+  /// Why this member is not ready; empty when it is.
+  [[nodiscard]] std::string notReady() const;
+  /// Hands leadership over before a planned stop.
+  void prepareStop() { m_Replica->transferLeadership(); }
 
 private:
-  Control(const ControlSettings &Settings, metrics::Registry &Registry);
+  friend class OperatorApi;
+
+  /// What has been sent to an entry in this term.
+  struct Sent {
+    std::uint64_t m_FleetRevision = 0;
+    std::uint64_t m_ConfigurationRevision = 0;
+  };
+
+  Control(event_base *Loop, const ControlSettings &Settings,
+          metrics::Registry &Registry, std::function<void()> OnFatal);
+  Status openHub();
+  Status openReplica();
+  Status openOperators();
+
   void take(const NodeId &From, const wire::Envelope &Message);
   void takeHello(const NodeId &From, const wire::Envelope &Message);
   void takeReport(const NodeId &From, const wire::Envelope &Message);
   void takeCall(const NodeId &From, const wire::CallRequest &Call);
-  void sendFleet(const NodeId &To);
-  void answerOperator(const std::shared_ptr<http::Exchange> &Arrived);
-  [[nodiscard]] bool isOperator(const http::Request &From) const;
-  [[nodiscard]] settings::Json describeTargets() const;
+  void redirect(const NodeId &To);
+  void sendFleet(const NodeId &To, Sent &Known);
+  void sendChanges();
+
+  void gainLeadership();
+  void loseLeadership();
+  [[nodiscard]] bool leads() const;
+  [[nodiscard]] bool maySendOrder() const;
 
+  /// Proposes a command; \p Done gets the reply of the state, or a refusal
+  /// when it was not or perhaps not committed.
+  void propose(wire::Command What, OnReply Done);
+  /// The same for the leader's own commands, each key once at a time.
+  void proposeOnce(const std::string &Key, wire::Command What);
+  void endSessions(TimePoint Now);
+  void turn();
+  void carryOut(const fleet::Action &Due, TimePoint Now);
+  void carryOutMember(const fleet::CarryOutMember &Due);
+
+  event_base *m_Loop;
   const ControlSettings &m_Settings;
   metrics::Registry &m_Registry;
+  std::function<void()> m_OnFatal;
   std::unique_ptr<wire::Hub> m_Hub;
+  std::unique_ptr<replication::Replica> m_Replica;
+  std::unique_ptr<Executor> m_Executor;
   std::unique_ptr<http::Server> m_Operators;
-  std::map<NodeId, EntryState> m_Entries;
-  std::map<std::string, wire::Target> m_Targets;
-  std::uint64_t m_FleetRevision = 0;
+  std::unique_ptr<http::Timer> m_Timer;
+
+  Replicated m_State;
+  fleet::Barriers m_Heard;
+  std::map<NodeId, Sent> m_Sent;
+  std::map<consensus::Index, wire::CallReply> m_Replies;
+  std::set<std::string> m_Proposed;
+  TimePoint m_LeaderSince;
+  LogTime m_LogBase; ///< Log time at `m_LeaderSince`.
 };
 
 } // namespace wasabivale::control
--- a/apps/control/src/Main.cpp
+++ b/apps/control/src/Main.cpp
@@ -7,10 +7,17 @@
 
 using namespace wasabivale;
 
+/// Time for another member to take over leadership before this one ends.
+static constexpr std::chrono::milliseconds HandoverTime{500};
+
 static int run(const control::ControlSettings &Settings) {
   daemon::EventLoop Loop;
   metrics::Registry Registry;
-  auto Control = control::Control::open(Loop.base(), Settings, Registry);
+  bool Failed = false;
+  auto Control = control::Control::open(Loop.base(), Settings, Registry, [&] {
+    Failed = true;
+    Loop.end();
+  });
   if (failed(Control)) {
     events::emitError(events::Event::ListenFailed, errorOf(Control));
     return daemon::ExitFailed;
@@ -18,21 +25,24 @@
   bool Stopping = false;
   auto Platform = daemon::listenForPlatform(
       Loop.base(), Settings.m_AdminListen, Registry,
-      [&Stopping] { return std::string(Stopping ? "stopping" : ""); });
+      [&] { return Stopping ? "stopping" : valueOf(Control)->notReady(); });
   if (failed(Platform)) {
     events::emitError(events::Event::ListenFailed, errorOf(Platform));
     return daemon::ExitFailed;
   }
+  std::unique_ptr<http::Timer> Ending;
   Loop.onStop([&] {
     Stopping = true;
     events::emit(events::Event::ProcessStopping, {{"id", Settings.m_Id}});
-    Loop.end();
+    valueOf(Control)->prepareStop();
+    Ending = std::make_unique<http::Timer>(Loop.base(), HandoverTime, false,
+                                           [&] { Loop.end(); });
   });
   events::emit(events::Event::ProcessStarted,
                {{"id", Settings.m_Id}, {"listen", Settings.m_Listen}});
   Loop.run();
   events::emit(events::Event::ProcessStopped, {{"id", Settings.m_Id}});
-  return daemon::ExitOk;
+  return Failed ? daemon::ExitFailed : daemon::ExitOk;
 }
 
 int main(int ArgumentCount, char **Arguments) {
--- /dev/null
+++ b/apps/control/src/StateMachine.h
@@ -0,0 +1,29 @@
+/// \file
+/// The whole replicated state: fleet and at-most-once ledger. Payloads of the
+/// log are serialized `wire::Command`s.
+
+#ifndef WASABIVALE_CONTROL_STATEMACHINE_H
+#define WASABIVALE_CONTROL_STATEMACHINE_H
+
+#include "fleet/fleet.h"
+#include "ledger/ledger.h"
+
+namespace wasabivale::control {
+
+struct Replicated {
+  fleet::State m_Fleet;
+  ledger::State m_Ledger;
+};
+
+/// Applies one committed payload. Deterministic.
+wire::CallReply applyPayload(Replicated &On, const std::string &Payload);
+
+std::string takeSnapshot(const Replicated &From);
+Result<Replicated> fromSnapshot(const std::string &Bytes);
+
+/// Newest log time that the state knows.
+LogTime newestLogTime(const Replicated &In);
+
+} // namespace wasabivale::control
+
+#endif // WASABIVALE_CONTROL_STATEMACHINE_H
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -390,6 +390,7 @@
   TimePoint m_LeaseUntil; ///< At or after the end the entry itself counts to.
   std::uint64_t m_FleetRevision = 0;
   std::uint64_t m_ConfigurationRevision = 0;
+  bool m_ReportsTargets = false; ///< Has relayed a target's load.
   struct Acknowledged {
     std::uint64_t m_Generation = 0;
     std::uint64_t m_InFlight = 0;
@@ -444,7 +445,8 @@
 
 struct DueSettings {
   std::uint64_t m_Term = 0; ///< The leader's.
-  /// A target that nobody has heard of for this long is lost.
+  /// A target that nobody has heard of for this long is lost. Silence of the
+  /// entries themselves says nothing about targets.
   Duration m_LostAfter = std::chrono::seconds(5);
 };
 
--- a/libs/fleet/src/Due.cpp
+++ b/libs/fleet/src/Due.cpp
@@ -82,6 +82,14 @@
   std::vector<Action> m_Actions;
 };
 
+/// Whether any entry that can be heard relays what targets report.
+bool hearsTargets(const Barriers &Heard, TimePoint Now) {
+  return std::any_of(
+      Heard.m_Entries.begin(), Heard.m_Entries.end(), [&](const auto &Each) {
+        return Each.second.m_LeaseUntil > Now && Each.second.m_ReportsTargets;
+      });
+}
+
 bool isLost(const Target &Which, const Barriers &Heard, TimePoint Now,
             Duration After) {
   if (Which.m_State == TargetState::Lost ||
@@ -113,8 +121,9 @@
 
 void targetActions(const State &Known, const Barriers &Heard, TimePoint Now,
                    const DueSettings &Settings, Collector &Out) {
+  const bool Hears = hearsTargets(Heard, Now);
   for (const auto &[Name, Each] : Known.m_Targets.m_ById) {
-    if (isLost(Each, Heard, Now, Settings.m_LostAfter)) {
+    if (Hears && isLost(Each, Heard, Now, Settings.m_LostAfter)) {
       Out.lose(Each);
       continue;
     }
--- a/libs/ledger/include/ledger/ledger.h
+++ b/libs/ledger/include/ledger/ledger.h
@@ -14,7 +14,8 @@
 ///  - When the ledger is full a new key is refused; nothing unexpired makes
 ///  way.
 ///  - When the session of the entry that holds a key ends, the outcome is
-///    unknown. The holder may still report the true outcome late.
+///    unknown. The holder may still report the true outcome late. A session
+///    that only lost its lease for a while may hold keys again.
 
 #ifndef WASABIVALE_LEDGER_LEDGER_H
 #define WASABIVALE_LEDGER_LEDGER_H
@@ -24,7 +25,6 @@
 #include "wire.pb.h"
 
 #include <array>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -39,10 +39,6 @@
 /// could hold: no rule of a key reaches beyond its shard.
 inline constexpr std::size_t ShardCount = 16;
 
-/// Ended sessions remembered for each entry, so that a late command of one of
-/// them is refused.
-inline constexpr std::size_t GoneSessionsKept = 16;
-
 /// Accounted for each key beside its texts, in bytes.
 inline constexpr std::size_t KeyOverheadBytes = 512;
 
@@ -114,7 +110,6 @@
 
 struct State {
   std::array<Shard, ShardCount> m_Shards;
-  std::map<NodeId, std::deque<std::uint64_t>> m_Gone;
   Limits m_Limits;
   LogTime m_Now; ///< Log time of the newest command.
   std::size_t m_Keys = 0;
--- a/libs/ledger/src/Apply.cpp
+++ b/libs/ledger/src/Apply.cpp
@@ -36,14 +36,6 @@
   return Out;
 }
 
-bool isGone(const State &In, const EntrySession &Session) {
-  const auto Found = In.m_Gone.find(Session.m_Entry);
-  if (Found == In.m_Gone.end())
-    return false;
-  return std::find(Found->second.begin(), Found->second.end(),
-                   Session.m_Session) != Found->second.end();
-}
-
 /// Ends the progress of a record; its retention runs from now.
 void settle(State &On, const Key &Name, KeyState Result, Answer With) {
   Record Value = *findRecord(On, Name);
@@ -69,8 +61,6 @@
 
 /// Gives the key, which is free, to the attempt in \p Value.
 Reply grant(State &On, const Key &Name, Record Value) {
-  if (isGone(On, Value.m_Holder))
-    return refuse(Refusal::LedgerUnavailable, "the entry's session has ended");
   erase(On, Name);
   const std::size_t Bytes = sizeOf(Name, Value);
   if (!hasRoom(On, Bytes) && mutated(Mutation::EvictInProgress))
@@ -169,12 +159,6 @@
 
 Reply endSession(State &On, const wire::EntryGone &Report) {
   const EntrySession Ended{{Report.entry()}, Report.session()};
-  if (!isGone(On, Ended)) {
-    std::deque<std::uint64_t> &Gone = On.m_Gone[Ended.m_Entry];
-    Gone.push_back(Ended.m_Session);
-    if (Gone.size() > GoneSessionsKept)
-      Gone.pop_front();
-  }
   for (Shard &In : On.m_Shards) {
     const auto Open = In.m_Open.find(Ended);
     if (Open == In.m_Open.end())
--- a/libs/ledger/src/Snapshot.cpp
+++ b/libs/ledger/src/Snapshot.cpp
@@ -48,12 +48,6 @@
   for (const Shard &In : From.m_Shards)
     for (const auto &[Name, Value] : In.m_Records)
       write(*Out.add_entries(), Name, Value);
-  for (const auto &[Entry, Sessions] : From.m_Gone)
-    for (const std::uint64_t Session : Sessions) {
-      wire::GoneSession &Each = *Out.add_gone();
-      Each.set_entry(Entry.m_Value);
-      Each.set_session(Session);
-    }
   return Out.SerializeAsString();
 }
 
@@ -70,8 +64,6 @@
   Out.m_Now = logTime(In.log_time_ns());
   for (const wire::LedgerEntry &Each : In.entries())
     put(Out, {{Each.caller()}, Each.key()}, read(Each));
-  for (const wire::GoneSession &Each : In.gone())
-    Out.m_Gone[{Each.entry()}].push_back(Each.session());
   return Out;
 }
 
