Give roles their own rates in planner and experiment

Change: a policy holds measured rates for each role, capacity is a shared time problem over the roles, experiment engines announce those rates.

--- a/libs/roles/include/roles/roles.h
+++ b/libs/roles/include/roles/roles.h
@@ -44,9 +44,10 @@
   std::vector<ModelId> m_Models;
   Role m_Role = Role::Mixed;
   EngineState m_State = EngineState::Serving;
-  /// Rate of an engine that only prefills, in tokens per second.
+  /// Rate in role mixed while it only prefills, in tokens per second.
   double m_PrefillTokensPerSecond = 0;
-  /// Rate of an engine that only decodes, over all streams of a full batch.
+  /// Rate in role mixed while it only decodes, over all streams of a full
+  /// batch.
   double m_DecodeTokensPerSecond = 0;
   /// Requests that run there now; an engine with fewer is changed first.
   std::uint32_t m_Running = 0;
@@ -72,6 +73,13 @@
 
 // --- Standing policy ------------------------------------------------------
 
+/// Rates of an engine in a role, as factors on those in role mixed. Zero for
+/// work that engines of the role do not take.
+struct RoleRates {
+  double m_Prefill = 1;
+  double m_Decode = 1;
+};
+
 /// What an operator has confirmed. Everything the planner does stays inside.
 struct Policy {
   std::string m_Name;
@@ -96,9 +104,8 @@
   double m_EvidenceShare = 0.5;
   /// Time constant of the demand's smoothing.
   Duration m_Smoothing{0};
-  /// Work rate that an engine keeps while it both prefills and decodes,
-  /// compared with doing one thing; in (0, 1].
-  double m_MixedEfficiency = 1;
+  /// Measured for the engines at hand; by `Role`.
+  std::array<RoleRates, RoleCount> m_RoleRates{};
   /// Utilisation at which answers begin to be late; in (0, 1].
   double m_UtilisationKnee = 0.95;
 };
@@ -145,17 +152,18 @@
   double m_DecodeTokens = 0;
 };
 
-/// Summed rates of the serving engines of each role, in tokens per second.
-struct SplitCapacity {
+/// Summed rates of engines: tokens per second while they only prefill, or only
+/// decode. They share their time between the two as it suits.
+struct Capacity {
   double m_PrefillTokens = 0;
   double m_DecodeTokens = 0;
-  double m_MixedPrefillTokens = 0;
-  double m_MixedDecodeTokens = 0;
 };
 
+/// Capacity of the serving engines, by `Role`.
+using SplitCapacity = std::array<Capacity, RoleCount>;
+
 /// Largest multiple of \p Work that \p Split can carry; infinite without work.
-double carriedMultiple(const SplitCapacity &Split, const WorkRate &Work,
-                       double MixedEfficiency);
+double carriedMultiple(const SplitCapacity &Split, const WorkRate &Work);
 /// Answers per second that are completed in time, as expected.
 double goodput(const SplitCapacity &Split, const WorkRate &Work,
                const Policy &Rules);
@@ -227,9 +235,8 @@
 /// The last change of a pool, and whether it has paid.
 struct LastChange {
   Change m_Change;
-  TimePoint m_Until;        ///< End of the cooldown of changes that undo it.
-  double m_PrefillRate = 0; ///< Of the engine that was moved.
-  double m_DecodeRate = 0;
+  TimePoint m_Until; ///< End of the cooldown of changes that undo it.
+  Capacity m_Rates;  ///< Of the engine that was moved, in role mixed.
   double m_Cost = 0;
   double m_Realised = 0; ///< Answers won since, by the observed demand.
 };
--- a/libs/roles/src/Goodput.cpp
+++ b/libs/roles/src/Goodput.cpp
@@ -8,58 +8,65 @@
 
 namespace {
 
-constexpr double Infinite = std::numeric_limits<double>::infinity();
 /// How sharply answers begin to be late around the knee of utilisation.
 constexpr double KneeSharpness = 12;
 
-double ratio(double Rate, double Work) {
-  return Work > 0 ? Rate / Work : Infinite;
+double prefillLeaning(const Capacity &Of) {
+  return Of.m_PrefillTokens / std::max(1e-9, Of.m_DecodeTokens);
 }
 
-/// Share of the mixed engines' time that \p Multiple of the work would take.
-double mixedTime(const SplitCapacity &Split, const WorkRate &Work,
-                 double Multiple) {
-  double Prefill = Multiple * Work.m_PrefillTokens - Split.m_PrefillTokens;
-  double Decode = Multiple * Work.m_DecodeTokens - Split.m_DecodeTokens;
-  double Time = 0;
-  if (Prefill > 0)
-    Time += Prefill / Split.m_MixedPrefillTokens;
-  if (Decode > 0)
-    Time += Decode / Split.m_MixedDecodeTokens;
-  return Time;
+Capacity sumOf(const SplitCapacity &Split) {
+  Capacity Sum;
+  for (const Capacity &Each : Split) {
+    Sum.m_PrefillTokens += Each.m_PrefillTokens;
+    Sum.m_DecodeTokens += Each.m_DecodeTokens;
+  }
+  return Sum;
 }
 
 } // namespace
 
-double carriedMultiple(const SplitCapacity &Split, const WorkRate &Work,
-                       double MixedEfficiency) {
-  double ByPrefill = ratio(Split.m_PrefillTokens, Work.m_PrefillTokens);
-  double ByDecode = ratio(Split.m_DecodeTokens, Work.m_DecodeTokens);
-  double Lower = std::min(ByPrefill, ByDecode);
-  double Upper = std::max(ByPrefill, ByDecode);
-  bool HasMixed =
-      Split.m_MixedPrefillTokens > 0 && Split.m_MixedDecodeTokens > 0;
-  if (!HasMixed || Lower == Infinite)
-    return Lower;
-  // Mixed engines first help with one kind of work; above Upper with both.
-  double FirstSlope =
-      ByPrefill < ByDecode
-          ? ratio(Work.m_PrefillTokens, Split.m_MixedPrefillTokens)
-          : ratio(Work.m_DecodeTokens, Split.m_MixedDecodeTokens);
-  double OneKind = Lower + 1 / FirstSlope;
-  if (OneKind <= Upper)
-    return OneKind;
-  double Left = MixedEfficiency - mixedTime(Split, Work, Upper);
-  if (Left <= 0)
-    return Upper;
-  double BothSlope = Work.m_PrefillTokens / Split.m_MixedPrefillTokens +
-                     Work.m_DecodeTokens / Split.m_MixedDecodeTokens;
-  return Upper + Left / BothSlope;
+double carriedMultiple(const SplitCapacity &Split, const WorkRate &Work) {
+  double Prefill = Work.m_PrefillTokens;
+  double Decode = Work.m_DecodeTokens;
+  if (Prefill <= 0 && Decode <= 0)
+    return std::numeric_limits<double>::infinity();
+  Capacity Rest = sumOf(Split);
+  if (Prefill <= 0)
+    return Rest.m_DecodeTokens / Decode;
+  if (Decode <= 0)
+    return Rest.m_PrefillTokens / Prefill;
+
+  // Those that suit prefill best prefill, one role shares its time, and the
+  // rest decodes.
+  SplitCapacity Ordered = Split;
+  std::sort(Ordered.begin(), Ordered.end(),
+            [](const Capacity &Left, const Capacity &Right) {
+              return prefillLeaning(Left) > prefillLeaning(Right);
+            });
+  double Prefilled = 0;
+  for (const Capacity &Sharing : Ordered) {
+    double Others = Rest.m_DecodeTokens - Sharing.m_DecodeTokens;
+    double Weight =
+        Sharing.m_PrefillTokens * Decode + Sharing.m_DecodeTokens * Prefill;
+    double Balance = Rest.m_DecodeTokens * Prefill - Prefilled * Decode;
+    double Share = Weight > 0 ? std::clamp(Balance / Weight, 0.0, 1.0) : 0;
+    if (Share < 1 || &Sharing == &Ordered.back()) {
+      double ByPrefill =
+          (Prefilled + Share * Sharing.m_PrefillTokens) / Prefill;
+      double ByDecode =
+          (Others + (1 - Share) * Sharing.m_DecodeTokens) / Decode;
+      return std::max(0.0, std::min(ByPrefill, ByDecode));
+    }
+    Prefilled += Sharing.m_PrefillTokens;
+    Rest.m_DecodeTokens = Others;
+  }
+  return 0;
 }
 
 double goodput(const SplitCapacity &Split, const WorkRate &Work,
                const Policy &Rules) {
-  double Carried = carriedMultiple(Split, Work, Rules.m_MixedEfficiency);
+  double Carried = carriedMultiple(Split, Work);
   if (Carried <= 0)
     return 0;
   double Excess = 1 / (Carried * Rules.m_UtilisationKnee);
--- a/libs/roles/src/Planner.cpp
+++ b/libs/roles/src/Planner.cpp
@@ -112,8 +112,7 @@
 
 /// Whether the split can still run a whole request.
 bool isComplete(const SplitCapacity &Split) {
-  bool HasMixed = Split.m_MixedPrefillTokens > 0;
-  return HasMixed || (Split.m_PrefillTokens > 0 && Split.m_DecodeTokens > 0);
+  return carriedMultiple(Split, {1, 1, 1}) > 0;
 }
 
 std::vector<Candidate> candidatesOf(const Context &In) {
@@ -129,14 +128,10 @@
       const Engine *Moved = bestEngine(In.m_Pool, From, To);
       if (Moved == nullptr)
         continue;
-      double Prefill = Moved->m_PrefillTokensPerSecond;
-      double Decode = Moved->m_DecodeTokensPerSecond;
       Candidate Made{Moved, To, {}, {}};
-      // The last engine of a role leaves nothing, not a rounding error.
-      Pool Rest = In.m_Pool;
-      std::erase(Rest.m_Engines, Moved);
-      Made.m_During = capacityOf(Rest);
-      Made.m_After = withEngine(Made.m_During, To, Prefill, Decode, 1);
+      Made.m_During = capacityOf(In.m_Pool, In.m_Rules, Moved);
+      Made.m_After = Made.m_During;
+      addEngine(Made.m_After, To, mixedRates(*Moved), In.m_Rules, 1);
       if (isComplete(Made.m_During) && isComplete(Made.m_After))
         Found.push_back(Made);
     }
@@ -214,14 +209,13 @@
   if (!In.m_State.m_Last)
     return;
   LastChange &Last = *In.m_State.m_Last;
-  SplitCapacity Undone = withEngine(In.m_Today, Last.m_Change.m_To,
-                                    Last.m_PrefillRate, Last.m_DecodeRate, -1);
-  Undone = withEngine(Undone, Last.m_Change.m_From, Last.m_PrefillRate,
-                      Last.m_DecodeRate, 1);
-  bool StillThere = Undone.m_PrefillTokens >= 0 && Undone.m_DecodeTokens >= 0 &&
-                    Undone.m_MixedPrefillTokens >= 0;
-  if (!StillThere)
-    return;
+  SplitCapacity Undone = In.m_Today;
+  addEngine(Undone, Last.m_Change.m_To, Last.m_Rates, In.m_Rules, -1);
+  addEngine(Undone, Last.m_Change.m_From, Last.m_Rates, In.m_Rules, 1);
+  for (Capacity &Each : Undone) {
+    Each.m_PrefillTokens = std::max(0.0, Each.m_PrefillTokens);
+    Each.m_DecodeTokens = std::max(0.0, Each.m_DecodeTokens);
+  }
   WorkRate Work = smoothedDemand(In.m_State);
   double Won =
       goodput(In.m_Today, Work, In.m_Rules) - goodput(Undone, Work, In.m_Rules);
@@ -295,8 +289,7 @@
       expectAfter(In.m_State.m_Prefill, Intervals, In.m_Smoothing).m_Deviation;
   Into.m_DecodeDeviation =
       expectAfter(In.m_State.m_Decode, Intervals, In.m_Smoothing).m_Deviation;
-  double Carried =
-      carriedMultiple(In.m_Today, Into.m_Expected, Rules.m_MixedEfficiency);
+  double Carried = carriedMultiple(In.m_Today, Into.m_Expected);
   Into.m_Utilisation = Carried > 0 ? 1 / Carried : 0;
   Into.m_GoodputToday = goodput(In.m_Today, Into.m_Expected, Rules);
 }
@@ -388,8 +381,7 @@
   Last.m_Change = Made;
   Last.m_Until =
       In.m_Now + paybackTime(In.m_Rules, Best.m_Gain, Why.m_CostAnswers);
-  Last.m_PrefillRate = Moved.m_PrefillTokensPerSecond;
-  Last.m_DecodeRate = Moved.m_DecodeTokensPerSecond;
+  Last.m_Rates = mixedRates(Moved);
   Last.m_Cost = Why.m_CostAnswers;
   Pool.m_Last = Last;
   Pool.m_SettledAt = In.m_Now + In.m_Rules.m_Away;
@@ -453,7 +445,7 @@
     PoolState &Known = Of.m_Pools[Name];
     WorkRate Rates = ratesOf(Each.m_Demand, Seen.m_Interval);
     observeDemand(Known, Rates, Smoothing);
-    Contexts.push_back({Rules, Each, Known, capacityOf(Each), Smoothing,
+    Contexts.push_back({Rules, Each, Known, capacityOf(Each, Rules), Smoothing,
                         Seen.m_Interval, Now});
     Made.m_Explanations.push_back(
         explainPool(Contexts.back(), Rates, Of.m_Changes.size()));
--- a/libs/roles/src/Policy.cpp
+++ b/libs/roles/src/Policy.cpp
@@ -47,6 +47,17 @@
   }
 }
 
+void readRates(const Json &From, Policy &Into) {
+  for (const auto &[Name, Rates] : From.items()) {
+    std::optional<Role> Of = parseRole(Name);
+    if (!Of)
+      throw Json::other_error::create(501, "unknown role " + Name, &From);
+    RoleRates &Known = Into.m_RoleRates[static_cast<std::size_t>(*Of)];
+    Rates.at("prefill").get_to(Known.m_Prefill);
+    Rates.at("decode").get_to(Known.m_Decode);
+  }
+}
+
 const std::vector<Key> &keys() {
   static const std::vector<Key> All{
       {"name",
@@ -65,7 +76,7 @@
       secondsKey("smoothing_seconds", &Policy::m_Smoothing),
       numberKey("uncertainty_weight", &Policy::m_UncertaintyWeight),
       numberKey("evidence_share", &Policy::m_EvidenceShare),
-      numberKey("mixed_efficiency", &Policy::m_MixedEfficiency),
+      {"role_rates", readRates},
       numberKey("utilisation_knee", &Policy::m_UtilisationKnee),
   };
   return All;
@@ -91,7 +102,8 @@
   Value.m_UncertaintyWeight = 1.0;
   Value.m_EvidenceShare = 0.5;
   Value.m_Smoothing = 15s;
-  Value.m_MixedEfficiency = 0.85;
+  Value.m_RoleRates = {RoleRates{1, 1}, RoleRates{1.25, 0.5},
+                       RoleRates{0.5, 1.25}};
   return Value;
 }
 
@@ -119,16 +131,22 @@
   Need(Value.m_Smoothing > 0s, "smoothing_seconds: above 0");
   Need(Value.m_UncertaintyWeight >= 0, "uncertainty_weight: at least 0");
   Need(Value.m_EvidenceShare >= 0, "evidence_share: at least 0");
-  Need(IsShare(Value.m_MixedEfficiency), "mixed_efficiency: in (0, 1]");
+  for (const RoleRates &Each : Value.m_RoleRates)
+    Need(Each.m_Prefill >= 0 && Each.m_Decode >= 0, "role_rates: at least 0");
   Need(IsShare(Value.m_UtilisationKnee), "utilisation_knee: in (0, 1]");
   return Problems;
 }
 
 Json toJson(const Policy &Value) {
   Json Least = Json::object();
-  for (Role Each : {Role::Mixed, Role::Prefill, Role::Decode})
-    Least[std::string(roleName(Each))] =
-        Value.m_LeastEngines[static_cast<std::size_t>(Each)];
+  Json Rates = Json::object();
+  for (Role Each : {Role::Mixed, Role::Prefill, Role::Decode}) {
+    auto Index = static_cast<std::size_t>(Each);
+    const RoleRates &Known = Value.m_RoleRates[Index];
+    std::string Name(roleName(Each));
+    Least[Name] = Value.m_LeastEngines[Index];
+    Rates[Name] = {{"prefill", Known.m_Prefill}, {"decode", Known.m_Decode}};
+  }
   return {{"name", Value.m_Name},
           {"enabled", Value.m_Enabled},
           {"cost_answers", Value.m_CostAnswers},
@@ -140,7 +158,7 @@
           {"uncertainty_weight", Value.m_UncertaintyWeight},
           {"evidence_share", Value.m_EvidenceShare},
           {"smoothing_seconds", seconds(Value.m_Smoothing)},
-          {"mixed_efficiency", Value.m_MixedEfficiency},
+          {"role_rates", Rates},
           {"utilisation_knee", Value.m_UtilisationKnee}};
 }
 
--- a/libs/roles/src/Pools.cpp
+++ b/libs/roles/src/Pools.cpp
@@ -86,29 +86,24 @@
   return Rates;
 }
 
-SplitCapacity withEngine(SplitCapacity Split, Role As, double PrefillRate,
-                         double DecodeRate, double Sign) {
-  switch (As) {
-  case Role::Prefill:
-    Split.m_PrefillTokens += Sign * PrefillRate;
-    break;
-  case Role::Decode:
-    Split.m_DecodeTokens += Sign * DecodeRate;
-    break;
-  case Role::Mixed:
-    Split.m_MixedPrefillTokens += Sign * PrefillRate;
-    Split.m_MixedDecodeTokens += Sign * DecodeRate;
-    break;
-  }
-  return Split;
+Capacity mixedRates(const Engine &Of) {
+  return {Of.m_PrefillTokensPerSecond, Of.m_DecodeTokensPerSecond};
+}
+
+void addEngine(SplitCapacity &Into, Role As, const Capacity &Mixed,
+               const Policy &Rules, double Sign) {
+  auto Index = static_cast<std::size_t>(As);
+  const RoleRates &Rates = Rules.m_RoleRates[Index];
+  Into[Index].m_PrefillTokens += Sign * Rates.m_Prefill * Mixed.m_PrefillTokens;
+  Into[Index].m_DecodeTokens += Sign * Rates.m_Decode * Mixed.m_DecodeTokens;
 }
 
-SplitCapacity capacityOf(const Pool &Of) {
-  SplitCapacity Sum;
+SplitCapacity capacityOf(const Pool &Of, const Policy &Rules,
+                         const Engine *Without) {
+  SplitCapacity Sum{};
   for (const Engine *Each : Of.m_Engines)
-    if (Each->m_State == EngineState::Serving)
-      Sum = withEngine(Sum, Each->m_Role, Each->m_PrefillTokensPerSecond,
-                       Each->m_DecodeTokensPerSecond, 1);
+    if (Each->m_State == EngineState::Serving && Each != Without)
+      addEngine(Sum, Each->m_Role, mixedRates(*Each), Rules, 1);
   return Sum;
 }
 
--- a/libs/roles/src/Pools.h
+++ b/libs/roles/src/Pools.h
@@ -25,12 +25,17 @@
 /// Demand of one interval as rates.
 WorkRate ratesOf(const Demand &Counted, Duration Interval);
 
-/// Summed rates of the engines of \p Of that serve.
-SplitCapacity capacityOf(const Pool &Of);
+/// Rates of an engine in role mixed.
+Capacity mixedRates(const Engine &Of);
 
-/// \p Split with (or, for \p Sign -1, without) the rates of an engine.
-SplitCapacity withEngine(SplitCapacity Split, Role As, double PrefillRate,
-                         double DecodeRate, double Sign);
+/// Summed rates, in their roles, of the engines of \p Of that serve, without
+/// \p Without.
+SplitCapacity capacityOf(const Pool &Of, const Policy &Rules,
+                         const Engine *Without = nullptr);
+
+/// Adds \p Sign times an engine of rates \p Mixed in role \p As.
+void addEngine(SplitCapacity &Into, Role As, const Capacity &Mixed,
+               const Policy &Rules, double Sign);
 
 } // namespace wasabivale::roles
 
--- a/tools/experiment/src/Control.cpp
+++ b/tools/experiment/src/Control.cpp
@@ -248,6 +248,7 @@
 void onRoleChanged(World &In, TargetIndex Index) {
   Target &Of = In.m_Targets[Index];
   Of.m_Description.m_Role = static_cast<routing::Role>(*Of.m_WantedRole);
+  setRates(In.m_Setup.m_Workload, Of, *Of.m_WantedRole);
   Of.m_Description.m_Serving = true;
   Of.m_WantedRole.reset();
   Of.m_Changing = false;
--- a/tools/experiment/src/Experiments.cpp
+++ b/tools/experiment/src/Experiments.cpp
@@ -46,6 +46,7 @@
   Made.m_Workload.m_Callers = ordinaryCallers();
   Made.m_Workload.m_Engines = With.m_Deployment.m_Engines;
   Made.m_Workload.m_Services = With.m_Deployment.m_Services;
+  Made.m_Workload.m_RoleRates = With.m_Deployment.m_Planner.m_RoleRates;
   Made.m_Split = {With.m_Deployment.m_Engines, 0, 0};
   return Made;
 }
--- a/tools/experiment/src/State.h
+++ b/tools/experiment/src/State.h
@@ -114,6 +114,8 @@
 // --- Engines --------------------------------------------------------------
 
 void makeTargets(World &In);
+/// Gives an engine and its description the rates of a role.
+void setRates(const WorkloadSpec &Spec, Target &Of, roles::Role As);
 /// Marks a target whose events must be taken.
 void touch(World &In, TargetIndex Index);
 /// Takes the events of every marked target and passes them on.
--- a/tools/experiment/src/Targets.cpp
+++ b/tools/experiment/src/Targets.cpp
@@ -50,6 +50,14 @@
   return Made;
 }
 
+Target makeEngineTarget(const WorkloadSpec &Spec, roles::Role As,
+                        std::uint32_t Number) {
+  Target Made =
+      makeTarget(Spec.m_Engine, As, "engine", Number, routing::Kind::Engine);
+  setRates(Spec, Made, As);
+  return Made;
+}
+
 void addTarget(World &In, Target Made) {
   In.m_ByTarget[Made.m_Description.m_Id] =
       static_cast<TargetIndex>(In.m_Targets.size());
@@ -96,13 +104,25 @@
 
 } // namespace
 
+void setRates(const WorkloadSpec &Spec, Target &Of, roles::Role As) {
+  const roles::RoleRates &Rates =
+      Spec.m_RoleRates[static_cast<std::size_t>(As)];
+  enginemodel::Settings &Settings = Of.m_Engine.m_Settings;
+  Settings.m_PrefillTokensPerSecond =
+      Rates.m_Prefill * Spec.m_Engine.m_PrefillTokensPerSecond;
+  Settings.m_DecodeTokensPerSecond =
+      Rates.m_Decode * Spec.m_Engine.m_DecodeTokensPerSecond;
+  Of.m_Description.m_PrefillTokensPerSecond = Settings.m_PrefillTokensPerSecond;
+  Of.m_Description.m_DecodeTokensPerSecond = Settings.m_DecodeTokensPerSecond;
+}
+
 void makeTargets(World &In) {
   const WorkloadSpec &Spec = In.m_Setup.m_Workload;
   std::uint32_t Number = 0;
   for (std::size_t Index = 0; Index < roles::RoleCount; ++Index)
     for (std::uint32_t Count = 0; Count < In.m_Setup.m_Split[Index]; ++Count)
-      addTarget(In, makeTarget(Spec.m_Engine, static_cast<roles::Role>(Index),
-                               "engine", Number++, routing::Kind::Engine));
+      addTarget(In, makeEngineTarget(Spec, static_cast<roles::Role>(Index),
+                                     Number++));
   for (std::uint32_t Count = 0; Count < Spec.m_Services; ++Count)
     addTarget(In, makeTarget(serviceSettings(), roles::Role::Mixed, "service",
                              Count, routing::Kind::Service));
--- a/tools/experiment/src/Workload.h
+++ b/tools/experiment/src/Workload.h
@@ -7,7 +7,9 @@
 
 #include "base/base.h"
 #include "enginemodel/enginemodel.h"
+#include "roles/roles.h"
 
+#include <array>
 #include <cstdint>
 #include <vector>
 
@@ -50,7 +52,9 @@
   std::vector<CallerSpec> m_Callers;
   std::uint32_t m_Engines = 20;
   std::uint32_t m_Services = 3;
-  enginemodel::Settings m_Engine;
+  enginemodel::Settings m_Engine; ///< In role mixed.
+  /// Rates of an engine in a role, as factors on those in role mixed.
+  std::array<roles::RoleRates, roles::RoleCount> m_RoleRates{};
   double m_ServiceCallsPerSecond = 5;
   std::uint64_t m_Seed = 1;
 };
