--- a/tools/experiment/src/Experiments.cpp
+++ b/tools/experiment/src/Experiments.cpp
@@ -16,7 +16,7 @@
 constexpr double HighPrefill = 0.60;
 constexpr double MeanPrefill = (LowPrefill + HighPrefill) / 2;
 /// Load of the mix shift, of the fleet's nominal engine time.
-constexpr double ShiftLoad = 0.9;
+constexpr double ShiftLoad = 1.0;
 constexpr Duration SearchLength = 90s;
 constexpr std::uint32_t SearchSeeds = 2;
 /// Half a period of the square wave; a change needs longer to pay.
@@ -24,8 +24,8 @@
 
 Schedule shiftSchedule() {
   return {{180s, LowPrefill, ShiftLoad},
-          {240s, HighPrefill, ShiftLoad},
-          {240s, LowPrefill, ShiftLoad}};
+          {360s, HighPrefill, ShiftLoad},
+          {300s, LowPrefill, ShiftLoad}};
 }
 
 Schedule constantSchedule(Duration Length, double PrefillShare, double Load) {
@@ -114,21 +114,6 @@
 
 // --- Policies -------------------------------------------------------------
 
-PolicyRuns runBestFixed(const Setup &Base, const ArrivalSets &Sets,
-                        const std::vector<RankedSplit> &Ranked) {
-  constexpr std::size_t Finalists = 3;
-  std::optional<PolicyRuns> Best;
-  for (std::size_t Index = 0; Index < std::min(Finalists, Ranked.size());
-       ++Index) {
-    Setup Fixed = Base;
-    Fixed.m_Split = Ranked[Index].m_Split;
-    PolicyRuns Made = runPolicy("best_fixed_split", Fixed, Sets);
-    if (!Best || median(goodputs(Made)) > median(goodputs(*Best)))
-      Best = std::move(Made);
-  }
-  return *Best;
-}
-
 /// Splits that suit one mix for good, best first.
 std::vector<RankedSplit> rankForMix(const Options &With, double PrefillShare) {
   Setup Constant =
@@ -148,36 +133,85 @@
              .count();
 }
 
-/// Knows the schedule: the best pair of splits, changed before each shift.
-PolicyRuns runInformed(const Options &With, const Setup &Base,
-                       const ArrivalSets &Sets,
-                       const std::vector<RankedSplit> &Low,
-                       const std::vector<RankedSplit> &High) {
-  constexpr std::size_t SplitsTried = 3;
-  const Schedule &Phases = Base.m_Workload.m_Schedule;
+double inTimeOf(const std::vector<RankedSplit> &Ranked, const Split &Which) {
+  for (const RankedSplit &Each : Ranked)
+    if (Each.m_Split == Which)
+      return Each.m_InTime;
+  return 0;
+}
+
+/// Splits by the mean of what they have in time with both mixes.
+std::vector<RankedSplit> rankCommon(const std::vector<RankedSplit> &Low,
+                                    const std::vector<RankedSplit> &High) {
+  std::vector<RankedSplit> Ranked;
+  for (const RankedSplit &Each : Low)
+    Ranked.push_back(
+        {(Each.m_InTime + inTimeOf(High, Each.m_Split)) / 2, Each.m_Split});
+  std::sort(Ranked.rbegin(), Ranked.rend());
+  return Ranked;
+}
+
+/// Of all splits tried with both mixes, the finalist that does best in the
+/// whole run.
+PolicyRuns runBestFixed(const Setup &Base, const ArrivalSets &Sets,
+                        const std::vector<RankedSplit> &Common) {
+  constexpr std::size_t Finalists = 4;
   std::optional<PolicyRuns> Best;
-  double BestValue = 0;
+  for (std::size_t Index = 0; Index < std::min(Finalists, Common.size());
+       ++Index) {
+    Setup Fixed = Base;
+    Fixed.m_Split = Common[Index].m_Split;
+    PolicyRuns Made = runPolicy("best_fixed_split", Fixed, Sets);
+    if (!Best || median(goodputs(Made)) > median(goodputs(*Best)))
+      Best = std::move(Made);
+  }
+  return *Best;
+}
+
+/// Plans that an informed run may follow: pairs of the best splits, changed
+/// some time before each shift, or one split for the whole run.
+std::vector<Setup> informedPlans(const Setup &Base,
+                                 const std::vector<RankedSplit> &Low,
+                                 const std::vector<RankedSplit> &High,
+                                 const Split &Fixed) {
+  constexpr std::size_t SplitsTried = 2;
+  const Schedule &Phases = Base.m_Workload.m_Schedule;
+  TimePoint Shift = TimePoint{} + Phases[0].m_Length;
+  TimePoint Back = Shift + Phases[1].m_Length;
+  std::vector<Setup> Plans;
   for (std::size_t First = 0; First < SplitsTried; ++First) {
     for (std::size_t Second = 0; Second < SplitsTried; ++Second) {
       for (Duration Lead : {Duration{5s}, Duration{15s}}) {
         Setup Planned = Base;
-        TimePoint Shift = TimePoint{} + Phases[0].m_Length;
-        TimePoint Back = Shift + Phases[1].m_Length;
         Planned.m_Split = Low[First].m_Split;
         Planned.m_Plan = {{Shift - Lead, High[Second].m_Split},
                           {Back - Lead, Low[First].m_Split}};
-        PolicyRuns Made = runPolicy("informed", Planned, Sets);
-        double Goodput = median(goodputs(Made));
-        double Value = Goodput - median(changes(Made)) *
-                                     costPerSecond(With, Base, Goodput);
-        if (Best && Value <= BestValue)
-          continue;
-        BestValue = Value;
-        Best = std::move(Made);
+        Plans.push_back(std::move(Planned));
       }
     }
   }
-  return *Best;
+  Plans.push_back(Base);
+  Plans.back().m_Split = Fixed;
+  return Plans;
+}
+
+/// Knows the schedule, and follows the plan that wins most after the cost of
+/// its changes in the run of the first seed.
+PolicyRuns runInformed(const Options &With, const std::vector<Setup> &Plans,
+                       const ArrivalSets &Sets) {
+  const Setup *Best = nullptr;
+  double BestValue = 0;
+  for (const Setup &Each : Plans) {
+    PolicyRuns Made = runPolicy("informed", Each, {Sets.front()});
+    double Goodput = goodputs(Made).front();
+    double Value =
+        Goodput - changes(Made).front() * costPerSecond(With, Each, Goodput);
+    if (Best != nullptr && Value <= BestValue)
+      continue;
+    BestValue = Value;
+    Best = &Each;
+  }
+  return runPolicy("informed", *Best, Sets);
 }
 
 PolicyRuns runOurs(const Options &With, const Setup &Base,
@@ -203,12 +237,13 @@
   ArrivalSets Sets = makeArrivalSets(With, Base);
   std::vector<RankedSplit> Low = rankForMix(With, LowPrefill);
   std::vector<RankedSplit> High = rankForMix(With, HighPrefill);
-  PolicyRuns Informed = runInformed(With, Base, Sets, Low, High);
+  PolicyRuns Fixed = runBestFixed(Base, Sets, rankCommon(Low, High));
+  PolicyRuns Informed = runInformed(
+      With, informedPlans(Base, Low, High, Fixed.m_Setup.m_Split), Sets);
   PolicyRuns Ours = runOurs(With, Base, Sets, Informed.m_Setup.m_Split);
   std::vector<PolicyRuns> Others{
       runRouting(Base, Sets, routing::Policy::RoundRobin),
-      runRouting(Base, Sets, routing::Policy::LeastReportedLoad),
-      runBestFixed(Base, Sets, rankSplits(Base, 1))};
+      runRouting(Base, Sets, routing::Policy::LeastReportedLoad), Fixed};
   Made.m_Rows.push_back(atLeast(Made.m_Name + ".goodput_of_informed",
                                 percentOf(Ours, Informed), "%", 95));
   for (const PolicyRuns &Each : Others)
@@ -319,13 +354,6 @@
   return Made;
 }
 
-double inTimeOf(const std::vector<RankedSplit> &Ranked, const Split &Which) {
-  for (const RankedSplit &Each : Ranked)
-    if (Each.m_Split == Which)
-      return Each.m_InTime;
-  return 0;
-}
-
 /// What following the mix could win over a fixed split, without any changes'
 /// cost.
 Report splits(const Options &With) {
@@ -341,11 +369,7 @@
     List(".low.", Low[Index]);
   for (std::size_t Index = 0; Index < Listed; ++Index)
     List(".high.", High[Index]);
-  RankedSplit Common;
-  for (const RankedSplit &Each : Low) {
-    double Mean = (Each.m_InTime + inTimeOf(High, Each.m_Split)) / 2;
-    Common = std::max(Common, RankedSplit{Mean, Each.m_Split});
-  }
+  RankedSplit Common = rankCommon(Low, High).front();
   List(".common.", Common);
   double Best = (Low.front().m_InTime + High.front().m_InTime) / 2;
   Made.m_Rows.push_back({Made.m_Name + ".most_gain",
