--- a/libs/targets/src/Client.cpp
+++ b/libs/targets/src/Client.cpp
@@ -1,4 +1,4 @@
-#include "targets/targets.h"
+#include "ClientParts.h"
 
 #include <utility>
 
@@ -6,128 +6,61 @@
 
 namespace {
 
-constexpr int HttpOk = 200;
 constexpr int HttpBadRequest = 400;
 constexpr int HttpNotFound = 404;
 constexpr int HttpConflict = 409;
 constexpr int HttpTooMany = 429;
 constexpr int HttpUnavailable = 503;
+/// The longest text may grow to twice its size by escapes.
+constexpr std::size_t MaxAnswerBytes = 2 * MaxTextBytes + MaxLineBytes;
 
-http::ClientRequest post(const http::Address &To, std::string Path,
-                         std::string Body, TimePoint Deadline) {
-  http::ClientRequest What;
-  What.m_To = To;
-  What.m_Path = std::move(Path);
-  What.m_Headers = {{"Content-Type", "application/json"}};
-  What.m_Body = std::move(Body);
-  What.m_Deadline = Deadline;
-  return What;
-}
-
-bool refusedForGood(int HttpStatus) {
-  return HttpStatus == HttpBadRequest || HttpStatus == HttpNotFound ||
-         HttpStatus == HttpConflict;
-}
+/// Called once with the answer and whether anything was sent.
+using OnAnswer = std::function<void(const Result<http::Response> &, bool Sent)>;
 
-bool refusedForNow(int HttpStatus, std::string_view Body) {
-  return (HttpStatus == HttpTooMany || HttpStatus == HttpUnavailable) &&
-         saysNotRun(Body);
-}
-
-/// Collects the answer to one run. Lives in the handlers of its call.
-struct RunState {
-  RunHandlers m_Handlers;
-  StreamReader m_Reader;
-  std::string m_Peer;
-  std::string m_Refusal; ///< Body of an answer other than 200.
+/// Collects an answer of at most `MaxAnswerBytes`. Lives in its handlers.
+struct Collector {
+  OnAnswer m_OnDone;
+  std::string m_Body;
   std::weak_ptr<http::ClientCall> m_Call;
-  RunEnding m_Ending;
-  bool m_Ended = false;
-};
 
-/// Ends its run with the call, so that no piece that has already arrived
-/// follows a `cancel`.
-class RunCall final : public http::ClientCall {
-public:
-  RunCall(std::shared_ptr<RunState> Run, std::shared_ptr<ClientCall> Call)
-      : m_Run(std::move(Run)), m_Call(std::move(Call)) {}
-
-  [[nodiscard]] bool hasSent() const override { return m_Call->hasSent(); }
-  void cancel() override {
-    m_Run->m_Ended = true;
-    m_Call->cancel();
+  void end(const Result<http::Response> &Answer) {
+    const auto Call = m_Call.lock();
+    const bool Sent = Call == nullptr || Call->hasSent();
+    if (const auto OnDone = std::exchange(m_OnDone, nullptr))
+      OnDone(Answer, Sent);
   }
-  void pause() override { m_Call->pause(); }
-  void resume() override { m_Call->resume(); }
-
-private:
-  std::shared_ptr<RunState> m_Run;
-  std::shared_ptr<http::ClientCall> m_Call;
-};
-
-void endRun(RunState &Run, RunResult How, Error Failure) {
-  if (std::exchange(Run.m_Ended, true))
-    return;
-  Run.m_Ending.m_Result = How;
-  Run.m_Ending.m_Offset = Run.m_Reader.offset();
-  Run.m_Ending.m_Duplicates = Run.m_Reader.duplicates();
-  Run.m_Ending.m_Failure = std::move(Failure);
-  Run.m_Ending.m_Failure.m_Peer = Run.m_Peer;
-  if (const auto OnEnd = std::exchange(Run.m_Handlers, {}).m_OnEnd)
-    OnEnd(std::move(Run.m_Ending));
-}
 
-void takePieces(RunState &Run, std::string_view Bytes) {
-  std::vector<StreamEvent> Events;
-  const Status Fed = Run.m_Reader.feed(Bytes, Events);
-  for (StreamEvent &Event : Events) {
-    if (auto *End = std::get_if<StreamEnd>(&Event))
-      Run.m_Ending.m_End = std::move(*End);
-    const auto *Piece = std::get_if<StreamPiece>(&Event);
-    if (Run.m_Ended)
+  void take(std::string_view Piece) {
+    if (!m_OnDone)
+      return;
+    if (m_Body.size() + Piece.size() <= MaxAnswerBytes) {
+      m_Body += Piece;
       return;
-    if (Piece != nullptr && Run.m_Handlers.m_OnPiece)
-      Run.m_Handlers.m_OnPiece(*Piece);
+    }
+    if (const auto Call = m_Call.lock())
+      Call->cancel();
+    end(Error{"targets.answer", "", "the answer is too long"});
   }
-  if (!failed(Fed))
-    return;
-  if (const auto Call = Run.m_Call.lock())
-    Call->cancel();
-  endRun(Run, RunResult::Broken, errorOf(Fed));
-}
-
-void takeChunk(RunState &Run, std::string_view Bytes) {
-  if (Run.m_Ended)
-    return;
-  if (Run.m_Ending.m_HttpStatus == HttpOk)
-    return takePieces(Run, Bytes);
-  if (Run.m_Refusal.size() + Bytes.size() <= MaxLineBytes)
-    Run.m_Refusal += Bytes;
-}
+};
 
-void endCall(RunState &Run, const Result<http::Response> &Answer) {
-  const auto Call = Run.m_Call.lock();
-  const bool Sent = Call == nullptr || Call->hasSent();
-  if (failed(Answer)) {
-    if (Run.m_Reader.isWhole())
-      return endRun(Run, RunResult::Whole, {});
-    return endRun(Run, Sent ? RunResult::Broken : RunResult::NotRun,
-                  errorOf(Answer));
-  }
-  const int HttpStatus = valueOf(Answer).m_Status;
-  Run.m_Ending.m_HttpStatus = HttpStatus;
-  const Error Refusal{"targets.run", "",
-                      "the engine answered " + std::to_string(HttpStatus)};
-  if (HttpStatus == HttpOk && Run.m_Reader.isWhole())
-    return endRun(Run, RunResult::Whole, {});
-  if (HttpStatus == HttpOk)
-    return endRun(Run, RunResult::Broken,
-                  {"targets.run", "", "the stream ended without its marker"});
-  if (refusedForNow(HttpStatus, Run.m_Refusal))
-    return endRun(Run, RunResult::NotRun, Refusal);
-  endRun(Run,
-         refusedForGood(HttpStatus) ? RunResult::Refused : RunResult::Broken,
-         Refusal);
+std::shared_ptr<http::ClientCall>
+callBounded(event_base *Loop, http::ClientRequest What, OnAnswer OnDone) {
+  auto Made = std::make_shared<Collector>();
+  Made->m_OnDone = std::move(OnDone);
+  http::ClientHandlers Handlers;
+  Handlers.m_OnChunk = [Made](std::string_view Piece) {
+    // A cancel in the middle drops the handlers, and with them `Made`.
+    const auto Held = Made;
+    Held->take(Piece);
+  };
+  Handlers.m_OnDone = [Made](Result<http::Response> Answer) {
+    if (!failed(Answer))
+      valueOf(Answer).m_Body.insert(0, Made->m_Body);
+    Made->end(Answer);
+  };
+  auto Call = http::call(Loop, std::move(What), std::move(Handlers));
+  Made->m_Call = Call;
+  return Call;
 }
 
 CallEnding readCallEnding(const Result<http::Response> &Answer, bool Sent,
@@ -165,71 +98,52 @@
 std::shared_ptr<http::ClientCall>
 callAndParse(event_base *Loop, http::ClientRequest What, Parser Parse,
              std::function<void(Result<T>)> OnEnd) {
-  http::ClientHandlers Handlers;
-  Handlers.m_OnDone =
-      [Parse, OnEnd = std::move(OnEnd),
-       Peer = http::printAddress(What.m_To)](Result<http::Response> Answer) {
-        Result<T> Read = failed(Answer) ? Result<T>(errorOf(Answer))
-                                        : Parse(valueOf(Answer));
-        if (failed(Read))
-          std::get<Error>(Read).m_Peer = Peer;
-        OnEnd(std::move(Read));
-      };
-  return http::call(Loop, std::move(What), std::move(Handlers));
+  const std::string Peer = http::printAddress(What.m_To);
+  return callBounded(Loop, std::move(What),
+                     [Parse, Peer, OnEnd = std::move(OnEnd)](
+                         const Result<http::Response> &Answer, bool) {
+                       Result<T> Read = failed(Answer)
+                                            ? Result<T>(errorOf(Answer))
+                                            : Parse(valueOf(Answer));
+                       if (failed(Read))
+                         std::get<Error>(Read).m_Peer = Peer;
+                       OnEnd(std::move(Read));
+                     });
 }
 
 } // namespace
 
-std::shared_ptr<http::ClientCall> runOnEngine(event_base *Loop,
-                                              const http::Address &Engine,
-                                              const RunRequest &What,
-                                              RunHandlers Handlers) {
-  auto Run = std::make_shared<RunState>(
-      RunState{std::move(Handlers),
-               StreamReader(What.m_StreamId, What.m_Offset, What.m_MaxTokens),
-               http::printAddress(Engine),
-               {},
-               {},
-               {},
-               false});
-  http::ClientHandlers Inner;
-  Inner.m_OnHead = [Run](int HttpStatus, const http::Headers &) {
-    Run->m_Ending.m_HttpStatus = HttpStatus;
-    if (HttpStatus == HttpOk && Run->m_Handlers.m_OnStarted)
-      Run->m_Handlers.m_OnStarted();
-  };
-  Inner.m_OnChunk = [Run](std::string_view Bytes) { takeChunk(*Run, Bytes); };
-  Inner.m_OnDone = [Run](const Result<http::Response> &Answer) {
-    // A body that is not chunked may come whole with the end.
-    if (!failed(Answer))
-      takeChunk(*Run, valueOf(Answer).m_Body);
-    endCall(*Run, Answer);
-  };
-  auto Call = http::call(Loop,
-                         post(Engine, "/engine/v1/run",
-                              print(What, BootClock::now()), What.m_Deadline),
-                         std::move(Inner));
-  Run->m_Call = Call;
-  return std::make_shared<RunCall>(Run, Call);
+http::ClientRequest post(const http::Address &To, std::string Path,
+                         std::string Body, TimePoint Deadline) {
+  http::ClientRequest What;
+  What.m_To = To;
+  What.m_Path = std::move(Path);
+  What.m_Headers = {{"Content-Type", "application/json"}};
+  What.m_Body = std::move(Body);
+  What.m_Deadline = Deadline;
+  return What;
+}
+
+bool refusedForGood(int HttpStatus) {
+  return HttpStatus == HttpBadRequest || HttpStatus == HttpNotFound ||
+         HttpStatus == HttpConflict;
+}
+
+bool refusedForNow(int HttpStatus, std::string_view Body) {
+  return (HttpStatus == HttpTooMany || HttpStatus == HttpUnavailable) &&
+         saysNotRun(Body);
 }
 
 std::shared_ptr<http::ClientCall>
 callService(event_base *Loop, const http::Address &Service,
             const ServiceCall &What, TimePoint Deadline,
             std::function<void(CallEnding)> OnEnd) {
-  auto Made = std::make_shared<std::weak_ptr<http::ClientCall>>();
-  http::ClientHandlers Handlers;
-  Handlers.m_OnDone =
-      [Made, OnEnd = std::move(OnEnd),
-       Peer = http::printAddress(Service)](Result<http::Response> Answer) {
-        const auto Call = Made->lock();
-        OnEnd(readCallEnding(Answer, Call == nullptr || Call->hasSent(), Peer));
-      };
-  auto Call =
-      http::call(Loop, post(Service, "/service/v1/call", print(What), Deadline),
-                 std::move(Handlers));
-  *Made = Call;
-  return Call;
+  return callBounded(
+      Loop, post(Service, "/service/v1/call", print(What), Deadline),
+      [Peer = http::printAddress(Service), OnEnd = std::move(OnEnd)](
+          const Result<http::Response> &Answer, bool Sent) {
+        OnEnd(readCallEnding(Answer, Sent, Peer));
+      });
 }
 
 std::shared_ptr<http::ClientCall>
--- a/libs/targets/tests/ClientTest.cpp
+++ b/libs/targets/tests/ClientTest.cpp
@@ -1,6 +1,7 @@
 #include "targets/targets.h"
 
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <optional>
 
 using namespace wasabivale;
@@ -20,6 +21,7 @@
   std::unique_ptr<http::Server> m_Server;
 
   Stage() {
+    std::signal(SIGPIPE, SIG_IGN);
     auto Opened = http::listen(
         m_Loop, At, {}, [this](const std::shared_ptr<http::Exchange> &From) {
           m_Held.push_back(From);
@@ -211,6 +213,21 @@
   }
 }
 
+SCENARIO("an answer without end is given up") {
+  Stage Stage;
+  Stage.m_Answer = [](http::Exchange &To) {
+    To.startStream(200, {});
+    for (int I = 0; I < 12; ++I)
+      To.write(std::string(1U << 20U, 'a'));
+  };
+  const CallEnding Call = Stage.call(At, 20s);
+  CHECK(Call.m_Result == CallResult::Unknown);
+  CHECK(Call.m_Failure.m_Step == "targets.answer");
+  const RunEnding Run = Stage.run(At, 20s);
+  CHECK(Run.m_Result == RunResult::Broken);
+  CHECK(Run.m_Failure.m_Step == "targets.stream");
+}
+
 SCENARIO("state, orders and cancels go to the target and back") {
   Stage Stage;
   const TimePoint Deadline = BootClock::now() + 20s;
--- a/tools/fake-targets/src/Options.cpp
+++ b/tools/fake-targets/src/Options.cpp
@@ -2,8 +2,8 @@
 
 #include "settings/settings.h"
 
+#include <algorithm>
 #include <boost/program_options.hpp>
-#include <map>
 #include <sstream>
 
 namespace wasabivale::faketargets {
@@ -16,18 +16,16 @@
 constexpr int ExitSettings = 2;
 
 /// Keys that hold a list; the option is repeated for each member.
-const std::map<std::string, std::string> ListOptions = {
-    {"announce", "announce"},
-    {"zones", "zone"},
-    {"models", "model"},
-    {"service_names", "service-name"}};
+constexpr std::string_view ListKeys[] = {"announce", "zones", "models",
+                                         "service_names"};
 
-bool isList(const std::string &Key) { return ListOptions.count(Key) > 0; }
+bool isList(std::string_view Key) {
+  return std::find(std::begin(ListKeys), std::end(ListKeys), Key) !=
+         std::end(ListKeys);
+}
 
 /// `first_port` on file is `--first-port` on the command line.
 std::string optionName(std::string Key) {
-  if (const auto List = ListOptions.find(Key); List != ListOptions.end())
-    return List->second;
   for (char &Byte : Key)
     if (Byte == '_')
       Byte = '-';
