--- a/tools/fake-targets/src/Options.cpp
+++ b/tools/fake-targets/src/Options.cpp
@@ -2,6 +2,7 @@
 
 #include "settings/settings.h"
 
+#include <algorithm>
 #include <boost/program_options.hpp>
 #include <sstream>
 
@@ -14,15 +15,13 @@
 
 constexpr int ExitSettings = 2;
 
-/// Keys that take a list: repeat the option for each member.
+/// Keys that hold a list; the option is repeated for each member.
 constexpr std::string_view ListKeys[] = {"announce", "zones", "models",
                                          "service_names"};
 
 bool isList(std::string_view Key) {
-  for (const std::string_view Known : ListKeys)
-    if (Known == Key)
-      return true;
-  return false;
+  return std::find(std::begin(ListKeys), std::end(ListKeys), Key) !=
+         std::end(ListKeys);
 }
 
 /// `first_port` on file is `--first-port` on the command line.
@@ -36,8 +35,8 @@
 po::options_description describeOptions() {
   po::options_description Known(
       "wasabivale-fake-targets: stand-ins for engines and services.\n"
-      "Every key of the settings file is also an option; repeat the options "
-      "that take a list");
+      "Every key of the settings file is also an option; those of lists are "
+      "repeated for each member");
   auto Add = Known.add_options();
   Add("help", "print this text");
   Add("version", "print the version");
@@ -48,7 +47,8 @@
     const std::string Text = Value.value("type", "one of the known names");
     if (isList(Key))
       Add(optionName(Key).c_str(),
-          po::value<std::vector<std::string>>()->composing(), "list of text");
+          po::value<std::vector<std::string>>()->composing(),
+          "text, repeatable");
     else
       Add(optionName(Key).c_str(), po::value<std::string>(), Text.c_str());
   }
@@ -112,7 +112,9 @@
   const po::options_description Known = describeOptions();
   po::variables_map Given;
   try {
-    po::store(po::parse_command_line(Count, Arguments, Known), Given);
+    constexpr int Style = po::command_line_style::default_style &
+                          ~po::command_line_style::allow_guessing;
+    po::store(po::parse_command_line(Count, Arguments, Known, Style), Given);
   } catch (const po::error &Failure) {
     return end(std::string("wasabivale-fake-targets: ") + Failure.what(),
                ExitSettings);
