Bound what the log keeps in memory and what one proposal may hold

Cause: a proposal above the hub's 16 MiB could never be replicated and would have blocked the log, and trailing records were bounded by number only.

--- a/libs/consensus/include/consensus/consensus.h
+++ b/libs/consensus/include/consensus/consensus.h
@@ -212,7 +212,11 @@
   std::size_t m_MessageRecords = 4096;
   std::size_t m_SnapshotPartBytes = 256U << 10U;
   std::size_t m_UncommittedRecords = 16384; ///< More proposals are refused.
-  Index m_TrailingRecords = 4096; ///< Kept behind a snapshot for laggards.
+  std::size_t m_PayloadBytes = 4U << 20U;   ///< Larger proposals are refused.
+  /// Kept behind a snapshot for members that lag, unless `m_TrailingBytes` is
+  /// reached before.
+  Index m_TrailingRecords = 4096;
+  std::size_t m_TrailingBytes = 16U << 20U;
   Index m_CaughtUpLag = 64; ///< Largest lag in records of a learner promoted.
 };
 
@@ -355,6 +359,7 @@
   NotLeader,        ///< Refused: never in any log.
   Transferring,     ///< Refused: leadership is being handed over.
   Busy,             ///< Refused: too many records wait for a quorum.
+  TooLarge,         ///< Refused: the payload exceeds `Limits`.
   ChangeUnderWay,   ///< Refused: another membership change is not committed.
   ChangeNotAllowed, ///< Refused: no such member, not caught up, last voter.
   Lost,             ///< Leadership went: it may or may not be committed.
--- a/libs/consensus/src/Lead.cpp
+++ b/libs/consensus/src/Lead.cpp
@@ -310,6 +310,10 @@
       Self.m_Options.m_Limits.m_UncommittedRecords)
     return refuseProposals(In, Wanted, Verdict::Busy);
   for (const Proposal &Each : Wanted.m_Proposals) {
+    if (Each.m_Payload.size() > Self.m_Options.m_Limits.m_PayloadBytes) {
+      decide(In, Each.m_Token, Verdict::TooLarge);
+      continue;
+    }
     const Index At = lastIndex(Self) + 1;
     Self.m_Tokens[At] = Each.m_Token;
     appendRecord(
--- a/libs/consensus/src/Log.cpp
+++ b/libs/consensus/src/Log.cpp
@@ -98,6 +98,20 @@
   In.m_Actions.m_Persist.m_CompactTo = To;
 }
 
+/// \returns the last record that need not be kept behind a snapshot at \p End.
+static Index lastToDrop(const State &Self, Index End) {
+  const Limits &Bounds = Self.m_Options.m_Limits;
+  std::size_t Bytes = 0;
+  Index At = End;
+  while (At > Self.m_BaseIndex && End - At < Bounds.m_TrailingRecords) {
+    Bytes += recordAt(Self, At).m_Payload.size();
+    if (Bytes > Bounds.m_TrailingBytes)
+      break;
+    --At;
+  }
+  return At;
+}
+
 void takeSnapshot(Turn &In, const SnapshotTaken &Taken) {
   State &Self = In.m_Self;
   const Index Covered = Self.m_Snapshot ? Self.m_Snapshot->m_Index : 0;
@@ -115,9 +129,7 @@
     Made->m_Membership = Self.m_Snapshot->m_Membership;
   Self.m_Snapshot = std::move(Made);
   In.m_Actions.m_Persist.m_Snapshot = Self.m_Snapshot;
-  const Index Trailing = Self.m_Options.m_Limits.m_TrailingRecords;
-  if (Taken.m_Index > Trailing)
-    compactLog(In, Taken.m_Index - Trailing);
+  compactLog(In, lastToDrop(Self, Taken.m_Index));
 }
 
 void installSnapshot(Turn &In, std::shared_ptr<const Snapshot> Installed) {
--- a/libs/consensus/src/Step.cpp
+++ b/libs/consensus/src/Step.cpp
@@ -130,6 +130,8 @@
     return "transferring";
   case Verdict::Busy:
     return "busy";
+  case Verdict::TooLarge:
+    return "too_large";
   case Verdict::ChangeUnderWay:
     return "change_under_way";
   case Verdict::ChangeNotAllowed:
--- a/libs/consensus/tests/ConsensusStepsTest.cpp
+++ b/libs/consensus/tests/ConsensusStepsTest.cpp
@@ -249,6 +249,21 @@
     Leader.happen(Propose{{{6, "b"}}});
     CHECK(Leader.verdict() == Verdict::Busy);
   }
+  THEN("one that is too large is refused, the rest of its batch is not") {
+    Leader.m_Self.m_Options.m_Limits.m_PayloadBytes = 2;
+    Leader.happen(Propose{{{5, "abc"}, {6, "ab"}}});
+    CHECK(Leader.verdict() == Verdict::TooLarge);
+    CHECK(Leader.m_Last.m_Persist.m_Records.size() == 1);
+  }
+  THEN("a snapshot keeps as many records and bytes as the limits say") {
+    Leader.happen(Propose{{{5, "abc"}, {6, "abc"}, {7, "abc"}}});
+    Leader.acknowledge("c2", lastIndex(Leader.m_Self));
+    const Index End = Leader.m_Self.m_AppliedIndex;
+    Leader.m_Self.m_Options.m_Limits.m_TrailingBytes = 7;
+    Leader.happen(SnapshotTaken{End, "state"});
+    CHECK(Leader.m_Last.m_Persist.m_CompactTo == End - 2);
+    CHECK(Leader.m_Self.m_Records.size() == 2);
+  }
   THEN("none is taken while leadership is handed over") {
     Leader.happen(TransferLeadership{{"c3"}});
     Leader.happen(Propose{{{5, "a"}}});
--- a/libs/replication/include/replication/replication.h
+++ b/libs/replication/include/replication/replication.h
@@ -41,8 +41,10 @@
   std::vector<NodeId> m_Listed;
   consensus::Timing m_Timing;
   consensus::Limits m_Limits;
-  std::uint64_t m_SnapshotEvery = 20'000; ///< Records between snapshots.
-  store::Files *m_Files = nullptr;        ///< Null: the system's.
+  /// Records, and bytes of applied payloads, after which a snapshot is taken.
+  std::uint64_t m_SnapshotEvery = 20'000;
+  std::size_t m_SnapshotBytes = 32U << 20U;
+  store::Files *m_Files = nullptr; ///< Null: the system's.
 };
 
 /// Called from the loop only; all must be set. They may call the replica, but
--- a/libs/replication/src/Replica.cpp
+++ b/libs/replication/src/Replica.cpp
@@ -44,6 +44,7 @@
   bool m_HasFailed = false;
   bool m_HasStalled = false;
   consensus::Index m_SnapshotIndex = 0;
+  std::size_t m_BytesSinceSnapshot = 0;
   std::map<NodeId, std::string> m_ReportedDisks;
   std::map<NodeId, std::string> m_Newcomers;
 
@@ -224,6 +225,7 @@
 
 void Replica::Parts::install(const consensus::Snapshot &From) {
   m_SnapshotIndex = From.m_Index;
+  m_BytesSinceSnapshot = 0;
   m_Formed = true;
   events::emit(events::Event::SnapshotInstalled, {{"index", From.m_Index}});
   if (const Status Done = m_Callbacks.m_Install(From.m_Data); failed(Done))
@@ -232,6 +234,7 @@
 
 void Replica::Parts::apply(const consensus::Record &Next) {
   m_Formed = true;
+  m_BytesSinceSnapshot += Next.m_Payload.size();
   if (Next.m_Kind == consensus::RecordKind::Command)
     m_Callbacks.m_Apply(Next.m_Index, Next.m_Payload);
   if (Next.m_Kind == consensus::RecordKind::Membership)
@@ -252,13 +255,15 @@
 
 void Replica::Parts::takeSnapshot() {
   const consensus::Index At = m_State.m_AppliedIndex;
-  if (At < m_SnapshotIndex + m_Options.m_SnapshotEvery)
+  if (At < m_SnapshotIndex + m_Options.m_SnapshotEvery &&
+      m_BytesSinceSnapshot < m_Options.m_SnapshotBytes)
     return;
   std::vector<Actions> Done;
   const consensus::SnapshotTaken Taken{At, m_Callbacks.m_TakeSnapshot()};
   if (!takeStep(Taken, Done))
     return;
   m_SnapshotIndex = At;
+  m_BytesSinceSnapshot = 0;
   events::emit(events::Event::SnapshotTaken,
                {{"index", At}, {"bytes", Taken.m_Data.size()}});
 }
