--- a/libs/replication/local/include/replication_local/replication_local.h
+++ b/libs/replication/local/include/replication_local/replication_local.h
@@ -54,6 +54,8 @@
   /// \returns the member that holds the lease, or null.
   LocalMember *leader();
   std::vector<LocalMember> &members() { return m_Members; }
+  /// Metrics of all members together.
+  metrics::Registry &registry() { return m_Registry; }
 
 private:
   static ReplicaCallbacks callbacks(LocalMember &Of);
--- a/libs/replication/src/Replica.cpp
+++ b/libs/replication/src/Replica.cpp
@@ -311,6 +311,10 @@
   wire::Envelope Outer;
   Outer.set_term(m_State.m_HardState.m_Term);
   *Outer.mutable_consensus() = std::move(Message);
+  m_Registry
+      ->counter("wasabivale_consensus_sent_bytes_total",
+                "Bytes of messages to other members, before transport")
+      .add(Outer.ByteSizeLong());
   // The hub counts what it drops; the steps send again.
   (void)m_Hub->send(To, std::move(Outer));
 }
--- a/tools/commit-bench/src/Main.cpp
+++ b/tools/commit-bench/src/Main.cpp
@@ -1,7 +1,8 @@
 /// \file
 /// Measures the replicated log with three members in one process, on one loop
 /// and one disk: commits a second, syncs a commit, and the time from the loss
-/// of the leader to the next commit. Prints one row `name value unit` for each.
+/// of the leader to the next commit, and what a member costs at rest. Prints
+/// one row `name value unit` for each.
 
 #include "events/events.h"
 #include "replication_local/replication_local.h"
@@ -11,6 +12,7 @@
 #include <filesystem>
 #include <fmt/format.h>
 #include <iostream>
+#include <sys/resource.h>
 
 namespace po = boost::program_options;
 using namespace wasabivale;
@@ -85,6 +87,33 @@
            Syncs / Commits, "syncs");
 }
 
+/// Processor time of this process so far.
+Duration processorTime() {
+  rusage Used{};
+  getrusage(RUSAGE_SELF, &Used);
+  const auto ToDuration = [](const timeval &Of) {
+    return std::chrono::seconds(Of.tv_sec) +
+           std::chrono::microseconds(Of.tv_usec);
+  };
+  return ToDuration(Used.ru_utime) + ToDuration(Used.ru_stime);
+}
+
+void measureRest(LocalCluster &Members, int Seconds) {
+  metrics::Counter &Sent =
+      Members.registry().counter("wasabivale_consensus_sent_bytes_total", "");
+  const std::uint64_t SentBefore = Sent.m_Value;
+  const Duration UsedBefore = processorTime();
+  const TimePoint Began = BootClock::now();
+  Members.turnUntil([] { return false; }, std::chrono::seconds(Seconds));
+  const double Took = toSeconds(BootClock::now() - Began) *
+                      static_cast<double>(Members.members().size());
+  const double Used = toSeconds(processorTime() - UsedBefore);
+  constexpr double PerCent = 100;
+  printRow("member_bytes_at_rest",
+           static_cast<double>(Sent.m_Value - SentBefore) / Took, "B/s");
+  printRow("member_processor_at_rest", PerCent * Used / Took, "%");
+}
+
 /// \returns the time from the loss of the leader to the next commit.
 Result<Duration> measureFailover(LocalCluster &Members) {
   LocalMember &Lost = *Members.leader();
@@ -145,6 +174,7 @@
   if (!Members.turnUntil([&] { return Members.leader() != nullptr; },
                          LongestWait))
     return Error{"commit_bench.start", "", "no leader"};
+  measureRest(Members, With.m_Seconds);
   for (const std::size_t Waiting : {1U, 16U, 256U})
     measureCommits(Members, Waiting, With.m_Seconds);
   return measureFailovers(Members, With.m_Failovers);
