--- a/libs/capacity/src/Model.cpp
+++ b/libs/capacity/src/Model.cpp
@@ -22,6 +22,8 @@
                                slope::FleetBytesPerTarget,
                                slope::FleetCpuPerTarget,
                                slope::HeartbeatCpu,
+                               slope::LoadCpuPerTarget,
+                               slope::HttpCpu,
                                slope::HeartbeatBytes,
                                slope::ChooseCpu,
                                slope::TargetMemory,
@@ -87,8 +89,8 @@
   const double EntryNanoseconds =
       To.m_ReportsPerEntry * (ReportCost + 2 * MessageCost) +
       To.m_TargetsPerEntry / seconds(Of.m_By.m_HeartbeatInterval) *
-          Of.cost(slope::HeartbeatCpu, 1) +
-      Of.each(slope::FleetCpuPerTarget) * To.m_TargetsPerZone /
+          (Of.each(slope::HeartbeatCpu) + Of.each(slope::HttpCpu)) +
+      Of.each(slope::LoadCpuPerTarget) * To.m_TargetsPerZone /
           seconds(Of.m_By.m_ZoneDigestInterval);
   To.m_EntryControlCoreShare = EntryNanoseconds / NanosecondsInSecond;
   To.m_EntryControlMemory = Of.each(slope::TargetMemory) * To.m_TargetsPerZone +
@@ -121,8 +123,11 @@
   To.m_LedgerBytes = To.m_LedgerKeys * Of.each(slope::LedgerKeyMemory);
   To.m_LedgerCoreShare =
       Keys * Of.each(slope::LedgerKeyCpu) / NanosecondsInSecond;
-  To.m_CommitsPossible = GroupCommitRecords * NanosecondsInSecond /
-                         Of.cost(slope::CommitTime, GroupCommitRecords);
+  // A group is on the disks of a quorum after an fsync and a round trip.
+  To.m_CommitsPossible =
+      GroupCommitRecords /
+      (Of.cost(slope::CommitTime, GroupCommitRecords) / NanosecondsInSecond +
+       seconds(Of.m_By.m_CrossZoneRoundTrip));
   To.m_CacheEvents =
       Of.m_Size.m_KvGigabytesPerSecond * 1000 / Of.m_By.m_KvMegabytesPerBlock;
 }
--- a/tools/bench/entry-cost.sh
+++ b/tools/bench/entry-cost.sh
@@ -8,7 +8,7 @@
 out=$1
 start_deployment bench-entry 1 1 22000 --allow-anonymous
 start fake-targets "$bin/wasabivale-fake-targets" --engines 4 --first-port 22300 \
-  --announce 127.0.0.1:22111 --models gourd-8b --decode-rate 20000 --prefill-rate 10000000
+  --announce 127.0.0.1:22111 --models gourd-8b --decode-rate 2000 --prefill-rate 10000000 --piece-tokens 1
 wait_for "4 engines serve" fleet_serves 4
 
 processor_ns() { # of all threads of the entry
@@ -24,6 +24,7 @@
   echo $(($(processor_ns) - before))
 }
 
+wait_for "the entry answers" answers "127.0.0.1:22110"
 ask 50 4 >/dev/null # warms up
 requests=()
 for count in 100 300 900; do requests+=("[$count, $(ask "$count" 1)]"); done
--- a/tools/demo/demo.sh
+++ b/tools/demo/demo.sh
@@ -10,6 +10,7 @@
 wait_for "2 engines and 1 service serve" fleet_serves 3
 step "targets announced to an entry are registered by control"
 
+wait_for "entry-1 answers" answers 127.0.0.1:21110
 answer=$(curl -sS -N -X POST 127.0.0.1:21110/v1/completions \
   -d '{"model": "gourd-8b", "prompt": "How long does a gourd cure?", "max_tokens": 8, "stream": true}')
 grep -q '^data: \[DONE\]' <<<"$answer" || fail "the stream is not whole: $answer"
--- a/tools/demo/processes.sh
+++ b/tools/demo/processes.sh
@@ -72,3 +72,8 @@
     grep -o '"state":"serving"' | wc -l)
   [[ "$count" -eq "$1" ]]
 }
+
+# answers ENTRY: whether a short completion succeeds there
+answers() {
+  curl -sf "$1/v1/completions" -d '{"model": "gourd-8b", "prompt": "ready?", "max_tokens": 1}'
+}
--- a/tools/slopes/src/Messages.cpp
+++ b/tools/slopes/src/Messages.cpp
@@ -1,5 +1,6 @@
 #include "Measure.h"
 
+#include "http/http.h"
 #include "routing/routing.h"
 #include "targets/targets.h"
 #include "wire/wire.h"
@@ -100,22 +101,50 @@
   return Total / Repeats;
 }
 
+routing::State fleetOf(const wire::FleetUpdate &Update) {
+  routing::State Fleet;
+  for (const wire::Target &Row : Update.targets()) {
+    routing::Target Made;
+    Made.m_Id = {Row.id()};
+    Made.m_Incarnation = Row.incarnation();
+    Made.m_Models = {ModelId{Row.models(0)}};
+    Made.m_Serving = true;
+    Made.m_MaxRunning = Row.max_running();
+    routing::updateTarget(Fleet, Made, BootClock::now());
+  }
+  return Fleet;
+}
+
 double fleetCost(std::size_t Targets) {
   const std::string Bytes = fleetWith(Targets).SerializeAsString();
   return processorCost([&] {
     wire::Envelope Parsed;
     WASABIVALE_INVARIANT(Parsed.ParseFromString(Bytes));
-    routing::State Fleet;
-    for (const wire::Target &Row : Parsed.fleet_update().targets()) {
-      routing::Target Made;
-      Made.m_Id = {Row.id()};
-      Made.m_Incarnation = Row.incarnation();
-      Made.m_Models = {ModelId{Row.models(0)}};
-      Made.m_Serving = true;
-      Made.m_MaxRunning = Row.max_running();
-      routing::updateTarget(Fleet, Made, BootClock::now());
+    WASABIVALE_INVARIANT(fleetOf(Parsed.fleet_update()).m_ByTarget.size() ==
+                         Targets);
+  });
+}
+
+/// Reading a report's row and correcting the own view of its target by it.
+double loadCost(std::size_t Targets) {
+  routing::State Fleet = fleetOf(fleetWith(Targets).fleet_update());
+  const std::string Bytes = reportWith(Targets, 0).SerializeAsString();
+  constexpr std::size_t Rounds = 20;
+  const double Total = processorCost([&] {
+    for (std::size_t I = 0; I < Rounds; ++I) {
+      wire::Envelope Parsed;
+      WASABIVALE_INVARIANT(Parsed.ParseFromString(Bytes));
+      for (const wire::TargetReport &Row : Parsed.entry_report().targets()) {
+        routing::LoadReport Report;
+        Report.m_Running = Row.running();
+        Report.m_PrefillTokensWaiting = Row.prefill_tokens_waiting();
+        Report.m_KvBlocksFree = Row.kv_blocks_free();
+        routing::applyLoad(Fleet, TargetId{Row.target()}, Row.incarnation(),
+                           Report, BootClock::now());
+      }
     }
   });
+  return Total / Rounds;
 }
 
 targets::Heartbeat heartbeatWith(std::size_t CacheEvents) {
@@ -219,6 +248,43 @@
   });
 }
 
+/// Both ends of HTTP calls, each on a fresh connection.
+double httpCost(std::size_t Count) {
+  event_base *Loop = event_base_new();
+  const http::Address At{"127.0.0.1", FirstPort + 2};
+  auto Server =
+      http::listen(Loop, At, http::ServerLimits{},
+                   [](const std::shared_ptr<http::Exchange> &Arrived) {
+                     Arrived->reply(200, {}, R"({"accepted": true})");
+                   });
+  WASABIVALE_INVARIANT(!failed(Server));
+  const std::string Body = targets::print(heartbeatWith(0));
+  std::size_t Done = 0;
+  std::function<void()> CallNext = [&] {
+    http::ClientRequest What;
+    What.m_To = At;
+    What.m_Path = "/targets/v1/heartbeat";
+    What.m_Body = Body;
+    What.m_Deadline = BootClock::now() + std::chrono::seconds(10);
+    http::ClientHandlers Handlers;
+    Handlers.m_OnDone = [&](const Result<http::Response> &Answer) {
+      WASABIVALE_INVARIANT(!failed(Answer));
+      if (++Done < Count)
+        CallNext();
+      else
+        event_base_loopbreak(Loop);
+    };
+    http::call(Loop, std::move(What), std::move(Handlers));
+  };
+  const double Total = processorCost([&] {
+    CallNext();
+    event_base_dispatch(Loop);
+  });
+  valueOf(Server).reset();
+  event_base_free(Loop);
+  return Total;
+}
+
 double pushCost(std::size_t Subscribers) {
   Star Fan;
   Fan.open(Subscribers, FirstPort + 1);
@@ -271,6 +337,13 @@
        {20, 134, 940},
        fleetCost,
        Tries},
+      {"http_exchange_cpu",
+       "ns",
+       "exchange",
+       {250, 500, 1000},
+       httpCost,
+       Tries},
+      {"load_cpu_per_target", "ns", "target", {20, 134, 940}, loadCost, Tries},
       {"heartbeat_cpu",
        "ns",
        "heartbeat",
