Estimate by measured times, and share free capacity among entries

Entries took free places several times over, prefill engines were taken for free to decode, only fast answers counted as evidence, and waits were worked out from slots. Now first tokens, steps and splits have their own measured factors (cancelled tries count too), prompts wait at the entry beyond a second of prefill, each entry takes its part of what is free, and a queue's wait follows how fast it drains.

--- a/libs/capacity/src/Inputs.cpp
+++ b/libs/capacity/src/Inputs.cpp
@@ -86,8 +86,8 @@
 void readTimes(T &To, const Json &From, const Fields &Which) {
   for (const auto &Field : Which) {
     using Unit = std::remove_reference_t<decltype(To.*(Field.m_To))>;
-    To.*(Field.m_To) =
-        Unit(static_cast<std::int64_t>(From.at(Field.m_Key).template get<double>()));
+    To.*(Field.m_To) = Unit(
+        static_cast<std::int64_t>(From.at(Field.m_Key).template get<double>()));
   }
 }
 
--- a/libs/capacity/src/Model.cpp
+++ b/libs/capacity/src/Model.cpp
@@ -14,17 +14,26 @@
 /// waiting, free blocks, as protobuf varints.
 constexpr double DigestBytesPerTarget = 12;
 
-constexpr std::array Needed = {
-    slope::ReportBytesPerTarget, slope::ReportBytesPerCaller,
-    slope::GrantBytesPerCaller,  slope::ReportCpu,
-    slope::WireMessageCpu,       slope::FleetBytesPerTarget,
-    slope::FleetCpuPerTarget,    slope::HeartbeatCpu,
-    slope::HeartbeatBytes,       slope::ChooseCpu,
-    slope::TargetMemory,         slope::CallerMemory,
-    slope::LedgerKeyMemory,      slope::LedgerKeyCpu,
-    slope::CommitTime,           slope::PushCpu,
-    slope::DivideCpu,            slope::PlannerCpu,
-    slope::RequestCpu,           slope::TokenCpu};
+constexpr std::array Needed = {slope::ReportBytesPerTarget,
+                               slope::ReportBytesPerCaller,
+                               slope::GrantBytesPerCaller,
+                               slope::ReportCpu,
+                               slope::WireMessageCpu,
+                               slope::FleetBytesPerTarget,
+                               slope::FleetCpuPerTarget,
+                               slope::HeartbeatCpu,
+                               slope::HeartbeatBytes,
+                               slope::ChooseCpu,
+                               slope::TargetMemory,
+                               slope::CallerMemory,
+                               slope::LedgerKeyMemory,
+                               slope::LedgerKeyCpu,
+                               slope::CommitTime,
+                               slope::PushCpu,
+                               slope::DivideCpu,
+                               slope::PlannerCpu,
+                               slope::RequestCpu,
+                               slope::TokenCpu};
 
 double seconds(std::chrono::milliseconds Value) {
   return std::chrono::duration<double>(Value).count();
@@ -49,17 +58,17 @@
   To.m_EntriesPerZone = Size.m_Nodes / Size.m_Zones;
   To.m_TargetsPerZone = Size.m_Runners / Size.m_Zones;
   To.m_TargetsPerEntry = Size.m_Runners / Size.m_Nodes;
-  To.m_ActiveCallers = std::min(
-      Size.m_Callers, Size.m_RequestsPerSecond / Size.m_Nodes * Interval);
+  To.m_ActiveCallers = std::min(Size.m_Callers, Size.m_RequestsPerSecond /
+                                                    Size.m_Nodes * Interval);
   To.m_ReportsPerEntry = 1 / Interval;
   To.m_ReportBytes =
       Of.cost(slope::ReportBytesPerTarget, To.m_TargetsPerEntry) +
       Of.each(slope::ReportBytesPerCaller) * To.m_ActiveCallers;
   To.m_GrantBytes = Of.cost(slope::GrantBytesPerCaller, To.m_ActiveCallers);
   To.m_DigestBytes = DigestBytesPerTarget * To.m_TargetsPerZone;
-  To.m_HeartbeatBytesPerEntry =
-      To.m_TargetsPerEntry * Of.cost(slope::HeartbeatBytes, 1) /
-      seconds(Of.m_By.m_HeartbeatInterval);
+  To.m_HeartbeatBytesPerEntry = To.m_TargetsPerEntry *
+                                Of.cost(slope::HeartbeatBytes, 1) /
+                                seconds(Of.m_By.m_HeartbeatInterval);
   To.m_ConfigurationBytes = Size.m_ConfigurationChangesPerDay *
                             Of.m_By.m_ConfigurationChangeBytes / SecondsInDay;
   To.m_EntryControlBytes =
@@ -70,8 +79,8 @@
 
 void addProcessor(Figures &To, const Model &Of) {
   const Deployment &Size = Of.m_Size;
-  const double ReportCost = Of.cost(
-      slope::ReportCpu, To.m_ActiveCallers + To.m_TargetsPerEntry);
+  const double ReportCost =
+      Of.cost(slope::ReportCpu, To.m_ActiveCallers + To.m_TargetsPerEntry);
   const double MessageCost = Of.each(slope::WireMessageCpu);
   // An entry makes a report and reads a grant: about the work that control
   // has with reading the one and making the other.
@@ -82,19 +91,17 @@
       Of.each(slope::FleetCpuPerTarget) * To.m_TargetsPerZone /
           seconds(Of.m_By.m_ZoneDigestInterval);
   To.m_EntryControlCoreShare = EntryNanoseconds / NanosecondsInSecond;
-  To.m_EntryControlMemory =
-      Of.each(slope::TargetMemory) * To.m_TargetsPerZone +
-      Of.each(slope::CallerMemory) * Size.m_Callers;
+  To.m_EntryControlMemory = Of.each(slope::TargetMemory) * To.m_TargetsPerZone +
+                            Of.each(slope::CallerMemory) * Size.m_Callers;
   To.m_StarLeaderBytes = Size.m_Nodes * To.m_ReportsPerEntry *
                          (To.m_ReportBytes + To.m_GrantBytes);
   To.m_StarLeaderCoreShare = Size.m_Nodes * To.m_ReportsPerEntry *
                              (ReportCost + 2 * MessageCost) /
                              NanosecondsInSecond;
-  To.m_RelayBytes = To.m_EntriesPerZone *
-                    (To.m_ReportsPerEntry * (To.m_ReportBytes +
-                                             To.m_GrantBytes) +
-                     To.m_DigestBytes /
-                         seconds(Of.m_By.m_ZoneDigestInterval));
+  To.m_RelayBytes =
+      To.m_EntriesPerZone *
+      (To.m_ReportsPerEntry * (To.m_ReportBytes + To.m_GrantBytes) +
+       To.m_DigestBytes / seconds(Of.m_By.m_ZoneDigestInterval));
   To.m_RelayCoreShare = To.m_StarLeaderCoreShare / Size.m_Zones;
   To.m_EntryRequestCoreShare =
       (Size.m_RequestsPerSecond / Size.m_Nodes *
@@ -116,8 +123,8 @@
       Keys * Of.each(slope::LedgerKeyCpu) / NanosecondsInSecond;
   To.m_CommitsPossible = GroupCommitRecords * NanosecondsInSecond /
                          Of.cost(slope::CommitTime, GroupCommitRecords);
-  To.m_CacheEvents = Of.m_Size.m_KvGigabytesPerSecond * 1000 /
-                     Of.m_By.m_KvMegabytesPerBlock;
+  To.m_CacheEvents =
+      Of.m_Size.m_KvGigabytesPerSecond * 1000 / Of.m_By.m_KvMegabytesPerBlock;
 }
 
 } // namespace
--- a/libs/capacity/src/Slopes.cpp
+++ b/libs/capacity/src/Slopes.cpp
@@ -32,8 +32,9 @@
   double Largest = 0;
   for (const Sample &One : Of.m_Samples)
     if (One.m_Cost != 0)
-      Largest = std::max(Largest, std::abs(costAt(Of, One.m_Size) - One.m_Cost) /
-                                      std::abs(One.m_Cost));
+      Largest =
+          std::max(Largest, std::abs(costAt(Of, One.m_Size) - One.m_Cost) /
+                                std::abs(One.m_Cost));
   return Largest;
 }
 
@@ -53,9 +54,9 @@
       Count * Total.m_SizeSquared - Total.m_Size * Total.m_Size;
   if (Spread <= 0)
     return Error{"capacity.fit", Name, "the samples are all of one size"};
-  Slope Line{std::move(Name), std::move(CostUnit), std::move(SizeUnit),
-             0,               0,                   0,
-             std::move(Samples)};
+  Slope Line{
+      std::move(Name),   std::move(CostUnit), std::move(SizeUnit), 0, 0, 0,
+      std::move(Samples)};
   Line.m_PerUnit =
       (Count * Total.m_Product - Total.m_Size * Total.m_Cost) / Spread;
   Line.m_Fixed = (Total.m_Cost - Line.m_PerUnit * Total.m_Size) / Count;
@@ -99,9 +100,10 @@
     std::string Sizes;
     for (const Sample &One : Line.m_Samples)
       Sizes += fmt::format("{}{:g}", Sizes.empty() ? "" : ", ", One.m_Size);
-    Text += fmt::format("| `{}` | {:.4g} | {:.4g} | {} per {} | {} | {:.0f}% |\n",
-                        Name, Line.m_PerUnit, Line.m_Fixed, Line.m_CostUnit,
-                        Line.m_SizeUnit, Sizes, Line.m_FitError * 100);
+    Text +=
+        fmt::format("| `{}` | {:.4g} | {:.4g} | {} per {} | {} | {:.0f}% |\n",
+                    Name, Line.m_PerUnit, Line.m_Fixed, Line.m_CostUnit,
+                    Line.m_SizeUnit, Sizes, Line.m_FitError * 100);
   }
   return Text;
 }
--- a/libs/limits/include/limits/limits.h
+++ b/libs/limits/include/limits/limits.h
@@ -58,8 +58,9 @@
   /// A caller with waiting work that has had no start for this long goes
   /// next, at latest every second start of its model: the starvation bound.
   Duration m_StarvationBound = std::chrono::seconds(20);
-  /// Part of the time to the deadline kept free when a finish is estimated.
-  double m_DeadlineMargin = 0.1;
+  /// Part of the time to the deadline that an estimated finish leaves free when
+  /// the request would have to wait: others can use the place more surely.
+  double m_DeadlineMargin = 0.2;
   /// Retry-After for what the next share grant may cure.
   Duration m_ShareRenewal = std::chrono::seconds(1);
 };
@@ -153,6 +154,14 @@
   TimePoint m_LastStart; ///< Or when it last became backlogged.
 };
 
+/// Work that the queue of a model has started and the time that this took,
+/// both fading: their ratio is how fast it drains.
+struct DrainRate {
+  double m_Work = 0;    ///< Seconds of slot time.
+  double m_Seconds = 0; ///< While something waited.
+  TimePoint m_At;       ///< Last start, or when something began to wait.
+};
+
 /// Fair queue of one model.
 struct ModelQueue {
   double m_Virtual = 0; ///< Virtual time, seconds of slot time per weight.
@@ -161,6 +170,7 @@
   std::set<std::pair<TimePoint, CallerIndex>> m_Starved; ///< By last start.
   double m_Work = 0;    ///< Seconds of slot time that wait.
   double m_Weights = 0; ///< Of the flows that wait.
+  DrainRate m_Drain;
   bool m_LastWasStarved = false;
   TimePoint m_LastStart;
   double m_Bias = 1; ///< Mean of observed over expected service time.
--- a/libs/limits/src/Internal.h
+++ b/libs/limits/src/Internal.h
@@ -10,6 +10,9 @@
 
 namespace wasabivale::limits {
 
+/// Least weight of a caller.
+inline constexpr double LeastWeight = 1e-3;
+
 inline double seconds(Duration Value) {
   return std::chrono::duration<double>(Value).count();
 }
--- a/libs/limits/src/Queue.cpp
+++ b/libs/limits/src/Queue.cpp
@@ -101,6 +101,24 @@
           std::max(Lacking, fromSeconds(Queue.m_Work > 0 ? 1 : 0.1))};
 }
 
+/// A start from the queue shows how fast it drains.
+void noteDrained(DrainRate &Drain, double Work, TimePoint Now) {
+  constexpr double Memory = 5; // Seconds.
+  const double Elapsed = std::max(0.0, seconds(Now - Drain.m_At));
+  const double Kept = std::exp(-Elapsed / Memory);
+  Drain.m_Work = Drain.m_Work * Kept + Work;
+  Drain.m_Seconds = Drain.m_Seconds * Kept + Elapsed;
+  Drain.m_At = Now;
+}
+
+/// Slot time that starts for each second: as seen, and as the slots allow as
+/// long as little has been seen.
+double drainRate(const DrainRate &Drain, double Slots) {
+  constexpr double Prior = 1; // Seconds.
+  return std::max(1e-3,
+                  (Drain.m_Work + Slots * Prior) / (Drain.m_Seconds + Prior));
+}
+
 /// Charges a start to the fair queue. A flow that waits keeps its own tag,
 /// although priority may have let the virtual time run ahead of it.
 void chargeStart(ModelQueue &Queue, Flow &Line, double Cost, bool Waited,
@@ -130,6 +148,8 @@
   ModelQueue &Queue = Entry.m_Models[Request.m_Model];
   Flow &Line = Queue.m_Flows[Index];
   unlist(Queue, Index, Line);
+  if (Queue.m_Weights <= 0)
+    Queue.m_Drain.m_At = Now;
   if (Line.m_Waiting.empty()) {
     Queue.m_Weights += Entry.m_Callers[Index].m_Weight;
     Line.m_Finish = std::max(Queue.m_Virtual, Line.m_Finish);
@@ -164,6 +184,8 @@
     Line.m_Work = 0; // Sheds what rounding left.
     Queue.m_Weights -= Entry.m_Callers[Index].m_Weight;
   }
+  if (Queue.m_Weights < LeastWeight / 2)
+    Queue.m_Weights = 0; // Sheds what rounding left.
   WASABIVALE_INVARIANT(Entry.m_QueuedCount > 0);
   --Entry.m_QueuedCount;
   WASABIVALE_INVARIANT(Entry.m_Callers[Index].m_Queued > 0);
@@ -214,7 +236,7 @@
   const double Fair = Own * Weights / Who.m_Weight + Round;
   const double Ahead = std::min(Queue.m_Work, Fair);
   const double SlotFrees = Wanted.m_Capacity.m_FreeSlots > 0 ? 0 : Service;
-  double Wait = (SlotFrees + Ahead) / Slots;
+  double Wait = (SlotFrees + Ahead) / drainRate(Queue.m_Drain, Slots);
   const std::uint32_t Share = runningShare(Who);
   if (Who.m_Running >= Share)
     Wait = std::max(Wait, Service * (Who.m_Queued + 1) / std::max(1U, Share));
@@ -231,6 +253,8 @@
   const CallerIndex Index = turnOf(Entry, *Queue, Now);
   const Flow &Line = Queue->m_Flows.at(Index);
   const Ticket Id = std::get<Ticket>(*Line.m_Waiting.begin());
+  const double Work = seconds(heldOf(Entry, Id).m_ServiceTime);
+  noteDrained(Queue->m_Drain, Work, Now);
   dequeue(Entry, Id, Now);
   start(Entry, Id, true, Now);
   return Id;
--- a/libs/limits/src/Shares.cpp
+++ b/libs/limits/src/Shares.cpp
@@ -158,7 +158,6 @@
 
 void setShare(State &Entry, const CallerId &Id, double Weight,
               const Limits &Share, TimePoint Until, TimePoint Now) {
-  constexpr double LeastWeight = 1e-3;
   const CallerIndex Index = indexFor(Entry, Id, Share, Now);
   refill(Entry.m_Settings, Entry.m_Callers[Index], Now);
   changeWeight(Entry, Index, std::max(Weight, LeastWeight));
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -159,6 +159,9 @@
   double m_HarmWeight = 0.1;
   Duration m_KvTransferSetup = std::chrono::milliseconds(10);
   Duration m_KvTransferPerBlock = std::chrono::milliseconds(2);
+  /// Prompts wait at an entry, not at engines, beyond this much prefill for
+  /// each engine: there they can still be ordered fairly or shed.
+  Duration m_MaxPrefillWaiting = std::chrono::milliseconds(1000);
   /// Value of placing a prefix where its bucket's next request will look, as
   /// part of the time to prefill it.
   double m_AffinityWeight = 0.5;
@@ -179,6 +182,12 @@
 
 enum class HealthState : std::uint8_t { Healthy, Warming, Ejected, Probing };
 
+/// Mean of ln(observed / expected time), over answers.
+struct Slowness {
+  double m_Log = 0;
+  std::uint32_t m_Samples = 0;
+};
+
 /// Evidence about a target.
 struct Health {
   HealthState m_State = HealthState::Healthy;
@@ -186,8 +195,8 @@
   std::uint32_t m_Ejections = 0;     ///< In a row; sets the next duration.
   TimePoint m_EjectedUntil;
   TimePoint m_WarmFrom;
-  double m_LogSlowness = 0; ///< Mean of ln(observed / expected time).
-  std::uint32_t m_Samples = 0;
+  Slowness m_First; ///< Of first tokens, and of services' calls.
+  Slowness m_Step;  ///< Of the tokens after the first.
 };
 
 /// Own work at a target: what this entry sent and has not seen end.
@@ -224,6 +233,9 @@
 struct Room {
   std::uint64_t m_Free = 0; ///< Free places in running batches.
   std::uint64_t m_Max = 0;  ///< All places in running batches.
+  std::uint64_t m_OwnRequests = 0;
+  std::uint64_t m_OwnPromptTokens = 0;
+  std::uint64_t m_PrefillRate = 0; ///< Tokens per second.
   ForeignWork m_Foreign;
 
   bool operator==(const Room &) const = default;
@@ -240,6 +252,7 @@
   ForeignWork m_Foreign;
   TimePoint m_ReportAt;
   std::uint32_t m_ReportedRequests = 0; ///< Running and waiting.
+  double m_PrefillBusy = 0; ///< Mean share of reports with prefill to do.
   TimePoint m_FullUntil;
   std::vector<WorkSample> m_History; ///< Bounded; oldest first.
   std::map<std::uint64_t, std::uint32_t> m_ByGeneration; ///< Tries in flight.
@@ -269,8 +282,12 @@
   std::vector<Partition> m_Partitions;
   std::size_t m_Next = 0;     ///< Round robin position.
   std::array<Room, 3> m_Sums; ///< Over m_ByRole.
-  double m_LogSlowness = 0;   ///< Mean over the pool's answers.
-  double m_MeanSeconds = 0.5; ///< Mean time from start to end.
+  /// Means over the answers of all targets of a role.
+  std::array<Slowness, 3> m_First;
+  std::array<Slowness, 3> m_Step;
+  Slowness m_Split;                 ///< Of first tokens of splits.
+  double m_MeanPromptTokens = 1000; ///< Not cached, of a request.
+  double m_MeanSeconds = 0.5;       ///< Mean time from start to end.
 };
 
 /// A try from its choice to its end.
@@ -289,6 +306,7 @@
   Duration m_ExpectedFirst{}; ///< From start to first token, or to the end
                               ///< of a service's call, at a normal target.
   Duration m_ExpectedStep{};  ///< For each further token.
+  Duration m_ExpectedSplit{}; ///< From start to first token of a split.
   TimePoint m_FirstTokenAt;
   std::uint32_t m_Tokens = 0; ///< Output tokens seen.
   bool m_Started = false;
--- a/libs/routing/src/Estimates.cpp
+++ b/libs/routing/src/Estimates.cpp
@@ -8,13 +8,6 @@
 
 namespace {
 
-/// Answers before a target's own slowness is believed, and its bounds.
-constexpr std::uint32_t TrustedSamples = 4;
-constexpr double MinSlowness = 0.5;
-constexpr double MaxSlowness = 20;
-/// Slowdown of decode at an engine whose role is prefill.
-constexpr double PrefillRoleSlowdown = 3;
-
 /// A target as it is believed to be now.
 struct View {
   const Settings &m_Options;
@@ -22,17 +15,11 @@
   const Slot &m_Place;
   const Target &m_Target;
   Load m_Load;
-  double m_Slowness = 1;
+  double m_Slowness = 1; ///< Of first tokens.
+  double m_StepSlowness = 1;
   TimePoint m_Now;
 };
 
-double slownessOf(const Slot &Place) {
-  if (Place.m_Health.m_Samples < TrustedSamples)
-    return 1;
-  return std::clamp(std::exp(Place.m_Health.m_LogSlowness), MinSlowness,
-                    MaxSlowness);
-}
-
 View viewOf(const State &Fleet, const Pool &Group, const Slot &Place,
             TimePoint Now) {
   return {Fleet.m_Settings,
@@ -40,7 +27,8 @@
           Place,
           Place.m_Target,
           loadOf(Fleet, Group, Place, Now),
-          slownessOf(Place),
+          firstSlowness(Group, Place),
+          stepSlowness(Group, Place),
           Now};
 }
 
@@ -102,10 +90,15 @@
          Steps * stepSeconds(At, At.m_Load.m_Decoding);
 }
 
+/// Mean time between two tokens of a stream. A step that also prefills a chunk
+/// takes longer.
 double tokenSeconds(const View &At) {
   const double Step = stepSeconds(At, At.m_Load.m_Decoding + 1);
-  return At.m_Target.m_Role == Role::Prefill ? Step * PrefillRoleSlowdown
-                                             : Step;
+  const double Chunk =
+      At.m_Options.m_ChunkTokens[roleIndex(At.m_Target.m_Role)];
+  const double Long = Step + plainPrefill(At, Chunk);
+  const double Busy = At.m_Load.m_PrefillBusy;
+  return 1 / (Busy / Long + (1 - Busy) / Step);
 }
 
 double uncachedTokens(const View &At, const Request &Wanted,
@@ -166,11 +159,21 @@
   return Found;
 }
 
+/// Others' splits that are still prefilled, for each engine that decodes.
+double comingRequests(const Pool &Group) {
+  const std::size_t Engines = Group.m_ByRole[roleIndex(Role::Mixed)].size() +
+                              Group.m_ByRole[roleIndex(Role::Decode)].size();
+  const Room &Prefill = Group.m_Sums[roleIndex(Role::Prefill)];
+  return static_cast<double>(Prefill.m_Foreign.m_Requests) /
+         static_cast<double>(std::max<std::size_t>(1, Engines));
+}
+
 /// Adds the decode part at \p At, from \p First seconds on.
 void addDecode(Leaning &Found, const View &At, const Request &Wanted,
                double First) {
   const double Step = tokenSeconds(At);
-  const double Decode = Wanted.m_ExpectedOutputTokens * Step * At.m_Slowness;
+  const double Decode =
+      Wanted.m_ExpectedOutputTokens * Step * At.m_StepSlowness;
   Found.m_NormalStep = fromSeconds(Step);
   Found.m_Estimate.m_FirstToken = At.m_Now + fromSeconds(First);
   Found.m_Estimate.m_Finish = At.m_Now + fromSeconds(First + Decode);
@@ -210,14 +213,17 @@
 Leaning leanDecode(const State &Fleet, const Pool &Group, const Slot &Place,
                    const Request &Wanted, const Leaning &Prefill,
                    TimePoint Now) {
-  const View At = viewOf(Fleet, Group, Place, Now);
+  View At = viewOf(Fleet, Group, Place, Now);
+  At.m_Load.m_Requests += comingRequests(Group);
   const std::uint64_t Blocks = kvBlocksNeeded(Wanted);
   const double Transfer =
       seconds(At.m_Options.m_KvTransferSetup) +
       static_cast<double>(Blocks) * seconds(At.m_Options.m_KvTransferPerBlock);
   const double Prefilled = seconds(Prefill.m_Estimate.m_FirstToken - Now);
-  const double First = std::max(Prefilled + Transfer, slotWait(At, Blocks));
+  const double Normal = std::max(Prefilled + Transfer, slotWait(At, Blocks));
+  const double First = Normal * splitSlowness(Group);
   Leaning Found = Prefill;
+  Found.m_NormalSplit = fromSeconds(Normal);
   Found.m_Cost += First - Prefilled + distanceSeconds(At) + doubtSeconds(At);
   addDecode(Found, At, Wanted, First);
   return Found;
--- a/libs/routing/src/Health.cpp
+++ b/libs/routing/src/Health.cpp
@@ -9,8 +9,12 @@
 namespace {
 
 /// Weight of the newest answer in a target's and in a pool's mean slowness.
-constexpr double TargetAlpha = 0.2;
-constexpr double PoolAlpha = 0.05;
+constexpr double TargetAlpha = 0.1;
+constexpr double PoolAlpha = 0.02;
+/// Answers before a slowness is believed, and its bounds.
+constexpr std::uint32_t TrustedSamples = 4;
+constexpr double MinSlowness = 0.5;
+constexpr double MaxSlowness = 20;
 /// Bounds of ln(observed / expected), so that one answer cannot decide.
 constexpr double LeastLog = -2;
 constexpr double MostLog = 3;
@@ -63,8 +67,8 @@
   Known.m_EjectedUntil = Now + ejectionTime(Fleet.m_Settings, Known);
   ++Known.m_Ejections;
   Known.m_FailurePoints = 0;
-  Known.m_Samples = 0;
-  Known.m_LogSlowness = 0;
+  Known.m_First = {};
+  Known.m_Step = {};
   ++Fleet.m_Counters.m_Ejections;
   changeState(Fleet, Index, HealthState::Ejected);
 }
@@ -108,6 +112,39 @@
   Place.m_Health.m_Ejections = 0;
 }
 
+void moveMean(Slowness &Mean, double Log, double Alpha) {
+  ++Mean.m_Samples;
+  const double Share = std::max(Alpha, 1 / static_cast<double>(Mean.m_Samples));
+  Mean.m_Log += Share * (Log - Mean.m_Log);
+}
+
+double logRatio(const Timing &Took) {
+  const double Ratio = seconds(std::max(Took.m_Observed, ShortestTime)) /
+                       seconds(std::max(Took.m_Expected, ShortestTime));
+  return std::clamp(std::log(Ratio), LeastLog, MostLog);
+}
+
+/// Notes a time as evidence about a target, beside its peers of the same role.
+void noteTime(State &Fleet, SlotIndex Index, Slowness &Own, Slowness &Peers,
+              const Timing &Took, TimePoint Now) {
+  if (!isEligible(Fleet.m_Slots[Index]))
+    return;
+  const double Log = logRatio(Took);
+  moveMean(Own, Log, TargetAlpha);
+  moveMean(Peers, Log, PoolAlpha);
+  const Settings &Options = Fleet.m_Settings;
+  if (Own.m_Samples >= Options.m_SlownessSamples &&
+      Own.m_Log - Peers.m_Log > std::log(Options.m_SlownessToEject))
+    eject(Fleet, Index, Now);
+}
+
+double believed(const Slowness &Own, const Slowness &Peers) {
+  const Slowness &Used = Own.m_Samples >= TrustedSamples ? Own : Peers;
+  if (Used.m_Samples < TrustedSamples)
+    return 1;
+  return std::clamp(std::exp(Used.m_Log), MinSlowness, MaxSlowness);
+}
+
 } // namespace
 
 double warmFraction(const Settings &Options, const Slot &Place, TimePoint Now) {
@@ -118,25 +155,37 @@
   return std::clamp(Part, ColdFraction, 1.0);
 }
 
-void noteSlowness(State &Fleet, SlotIndex Index, Pool &Group, Duration Observed,
-                  Duration Expected, TimePoint Now) {
+void noteFirstTime(State &Fleet, SlotIndex Index, Pool &Group,
+                   const Timing &Took, TimePoint Now) {
   Slot &Place = Fleet.m_Slots[Index];
-  if (!isEligible(Place))
-    return;
-  const double Ratio = seconds(std::max(Observed, ShortestTime)) /
-                       seconds(std::max(Expected, ShortestTime));
-  const double Log = std::clamp(std::log(Ratio), LeastLog, MostLog);
-  Health &Known = Place.m_Health;
-  const double Alpha =
-      std::max(TargetAlpha, 1.0 / (1.0 + static_cast<double>(Known.m_Samples)));
-  Known.m_LogSlowness += Alpha * (Log - Known.m_LogSlowness);
-  ++Known.m_Samples;
-  Group.m_LogSlowness += PoolAlpha * (Log - Group.m_LogSlowness);
-  if (Known.m_Samples < Fleet.m_Settings.m_SlownessSamples)
-    return;
-  const double Excess = Known.m_LogSlowness - Group.m_LogSlowness;
-  if (Excess > std::log(Fleet.m_Settings.m_SlownessToEject))
-    eject(Fleet, Index, Now);
+  const std::size_t Part = roleIndex(Place.m_Target.m_Role);
+  noteTime(Fleet, Index, Place.m_Health.m_First, Group.m_First[Part], Took,
+           Now);
+}
+
+void noteStepTime(State &Fleet, SlotIndex Index, Pool &Group,
+                  const Timing &Took, TimePoint Now) {
+  Slot &Place = Fleet.m_Slots[Index];
+  const std::size_t Part = roleIndex(Place.m_Target.m_Role);
+  noteTime(Fleet, Index, Place.m_Health.m_Step, Group.m_Step[Part], Took, Now);
+}
+
+void noteSplitTime(Pool &Group, const Timing &Took) {
+  moveMean(Group.m_Split, logRatio(Took), PoolAlpha);
+}
+
+double splitSlowness(const Pool &Group) {
+  return believed(Group.m_Split, Group.m_Split);
+}
+
+double firstSlowness(const Pool &Group, const Slot &Place) {
+  return believed(Place.m_Health.m_First,
+                  Group.m_First[roleIndex(Place.m_Target.m_Role)]);
+}
+
+double stepSlowness(const Pool &Group, const Slot &Place) {
+  return believed(Place.m_Health.m_Step,
+                  Group.m_Step[roleIndex(Place.m_Target.m_Role)]);
 }
 
 void noteGood(State &Fleet, SlotIndex Index, bool Probe, TimePoint Now) {
--- a/libs/routing/src/Internal.h
+++ b/libs/routing/src/Internal.h
@@ -66,6 +66,7 @@
   double m_Requests = 0;
   double m_Decoding = 0;
   double m_ForeignPromptTokens = 0;
+  double m_PrefillBusy = 0; ///< Part of the time, 0 to 1.
   double m_KvBlocks = 0;
 };
 Load loadOf(const State &Fleet, const Pool &Group, const Slot &Place,
@@ -79,8 +80,20 @@
 
 // Health.cpp
 double warmFraction(const Settings &Options, const Slot &Place, TimePoint Now);
-void noteSlowness(State &Fleet, SlotIndex Index, Pool &Group, Duration Observed,
-                  Duration Expected, TimePoint Now);
+/// Time that something took, and would take at a target as fast as announced.
+struct Timing {
+  Duration m_Observed{};
+  Duration m_Expected{};
+};
+void noteFirstTime(State &Fleet, SlotIndex Index, Pool &Group,
+                   const Timing &Took, TimePoint Now);
+void noteStepTime(State &Fleet, SlotIndex Index, Pool &Group,
+                  const Timing &Took, TimePoint Now);
+/// Factors on expected times, as far as answers have shown.
+double firstSlowness(const Pool &Group, const Slot &Place);
+double stepSlowness(const Pool &Group, const Slot &Place);
+void noteSplitTime(Pool &Group, const Timing &Took);
+double splitSlowness(const Pool &Group);
 void noteGood(State &Fleet, SlotIndex Index, bool Probe, TimePoint Now);
 void noteBad(State &Fleet, SlotIndex Index, TryOutcome What, bool Probe,
              TimePoint Now);
@@ -96,6 +109,7 @@
   /// as announced.
   Duration m_NormalFirst{};
   Duration m_NormalStep{};
+  Duration m_NormalSplit{}; ///< To the first token of a split.
 };
 Leaning leanWhole(const State &Fleet, const Pool &Group, const Slot &Place,
                   const Request &Wanted, TimePoint Now);
--- a/libs/routing/src/Tries.cpp
+++ b/libs/routing/src/Tries.cpp
@@ -85,21 +85,39 @@
   refreshSums(Fleet, Task.m_Run);
 }
 
-void noteTimes(State &Fleet, const Try &Task, TimePoint Now) {
+void noteFirst(State &Fleet, const Try &Task, TimePoint Now) {
   Pool &Group = poolOf(Fleet, Task.m_Kind, Task.m_Model);
-  const double Total = seconds(Now - Task.m_StartedAt);
-  Group.m_MeanSeconds += MeanAlpha * (Total - Group.m_MeanSeconds);
+  const Duration Took = Now - Task.m_StartedAt;
+  if (Task.m_Split)
+    noteSplitTime(Group, {Took, Task.m_ExpectedSplit});
+  else
+    noteFirstTime(Fleet, Task.m_Run, Group, {Took, Task.m_ExpectedFirst}, Now);
+}
+
+/// Times are evidence also when a try was cancelled: else only the fast ones
+/// would count.
+void noteTimes(State &Fleet, const Try &Task, bool Completed, TimePoint Now) {
+  Pool &Group = poolOf(Fleet, Task.m_Kind, Task.m_Model);
+  const Duration Total = Now - Task.m_StartedAt;
+  if (Completed)
+    Group.m_MeanSeconds += MeanAlpha * (seconds(Total) - Group.m_MeanSeconds);
   if (Task.m_Kind == Kind::Service) {
-    noteSlowness(Fleet, Task.m_Run, Group, Now - Task.m_StartedAt,
-                 Task.m_ExpectedFirst, Now);
+    if (Completed)
+      noteFirstTime(Fleet, Task.m_Run, Group, {Total, Task.m_ExpectedFirst},
+                    Now);
+    return;
+  }
+  if (!Task.m_Decoding) {
+    // It took at least this long.
+    if (!Completed && Task.m_Started && Total > Task.m_ExpectedFirst)
+      noteFirst(Fleet, Task, Now);
     return;
   }
-  if (Task.m_Tokens < 2 || !Task.m_Decoding)
+  if (Task.m_Tokens < 2)
     return;
-  const double Rate =
-      std::max(0.1, Fleet.m_Slots[Task.m_Run].m_Target.m_DecodeTokensPerSecond);
-  noteSlowness(Fleet, Task.m_Run, Group, Now - Task.m_FirstTokenAt,
-               fromSeconds((Task.m_Tokens - 1) / Rate), Now);
+  const int Steps = static_cast<int>(Task.m_Tokens - 1);
+  noteStepTime(Fleet, Task.m_Run, Group,
+               {Now - Task.m_FirstTokenAt, Task.m_ExpectedStep * Steps}, Now);
 }
 
 void noteEvidence(State &Fleet, const Try &Task, SlotIndex At,
@@ -107,7 +125,7 @@
   switch (Outcome) {
   case TryOutcome::Completed:
     noteGood(Fleet, At, Task.m_Probe, Now);
-    noteTimes(Fleet, Task, Now);
+    noteTimes(Fleet, Task, true, Now);
     return;
   case TryOutcome::Full:
     Fleet.m_Slots[At].m_FullUntil = Now + Fleet.m_Settings.m_FullFor;
@@ -118,6 +136,7 @@
   case TryOutcome::Cancelled:
     if (Task.m_Probe)
       noteProbeUnused(Fleet, At, Now);
+    noteTimes(Fleet, Task, false, Now);
     return;
   case TryOutcome::Failed:
   case TryOutcome::Stalled:
@@ -178,6 +197,7 @@
           : static_cast<std::uint32_t>(Wanted.m_PromptTokens - Cached);
   Task.m_KvBlocks = kvBlocksNeeded(Wanted);
   Task.m_ExpectedFirst = Chosen.m_Leaning.m_NormalFirst;
+  Task.m_ExpectedSplit = Chosen.m_Leaning.m_NormalSplit;
   Task.m_ExpectedStep = Chosen.m_Leaning.m_NormalStep;
   Task.m_StartedAt = Now;
   Task.m_ProgressAt = Now;
@@ -188,6 +208,8 @@
   if (Task.m_Prefill)
     take(Fleet, PrefillAt, Task.m_PrefillGeneration, Now);
   takePrompt(Prefill, Task);
+  Group.m_MeanPromptTokens +=
+      MeanAlpha * (Task.m_PromptTokens - Group.m_MeanPromptTokens);
   rememberPrefix(Fleet, Group, Prefill, Wanted, Task.m_PromptTokens, Now);
   if (Task.m_Probe) {
     Run.m_Health.m_State = HealthState::Probing;
@@ -228,8 +250,8 @@
   if (!Fleet.m_Slots[Index].m_Used)
     return;
   noteGood(Fleet, Index, false, Now);
-  noteSlowness(Fleet, Index, Group, Now - Task.m_StartedAt,
-               Task.m_ExpectedFirst, Now);
+  noteFirstTime(Fleet, Index, Group,
+                {Now - Task.m_StartedAt, Task.m_ExpectedFirst}, Now);
 }
 
 void noteFirstToken(State &Fleet, TryId Id, TimePoint Now) {
@@ -243,9 +265,8 @@
     endPrefillLeg(Fleet, Task, Now);
   giveBackPrompt(Fleet.m_Slots[Task.m_Run], Task);
   startDecoding(Fleet, Task);
-  if (!Task.m_Split && Task.m_Kind == Kind::Engine)
-    noteSlowness(Fleet, Task.m_Run, poolOf(Fleet, Task.m_Kind, Task.m_Model),
-                 Now - Task.m_StartedAt, Task.m_ExpectedFirst, Now);
+  if (Task.m_Kind == Kind::Engine)
+    noteFirst(Fleet, Task, Now);
 }
 
 void noteProgress(State &Fleet, TryId Id, std::uint32_t Tokens, TimePoint Now) {
--- a/libs/routing/src/Work.cpp
+++ b/libs/routing/src/Work.cpp
@@ -3,11 +3,15 @@
 #include "Internal.h"
 
 #include <cmath>
+#include <limits>
 
 namespace wasabivale::routing {
 
 namespace {
 
+/// Weight of the newest report in the share that had prefill to do.
+constexpr double BusyAlpha = 0.1;
+
 /// Own work as the target saw it when it wrote a report that arrives now.
 Work workAt(const Slot &Place, TimePoint Then) {
   Work Found;
@@ -29,12 +33,18 @@
   const std::uint64_t Max = Place.m_Target.m_MaxRunning;
   const std::uint64_t Busy =
       Place.m_Own.m_Requests + Place.m_Foreign.m_Requests;
-  return {above(Max, Busy), Max, Place.m_Foreign};
+  const auto Rate =
+      static_cast<std::uint64_t>(Place.m_Target.m_PrefillTokensPerSecond);
+  return {above(Max, Busy),           Max,  Place.m_Own.m_Requests,
+          Place.m_Own.m_PromptTokens, Rate, Place.m_Foreign};
 }
 
 void add(Room &Sum, const Room &Part) {
   Sum.m_Free += Part.m_Free;
   Sum.m_Max += Part.m_Max;
+  Sum.m_OwnRequests += Part.m_OwnRequests;
+  Sum.m_OwnPromptTokens += Part.m_OwnPromptTokens;
+  Sum.m_PrefillRate += Part.m_PrefillRate;
   Sum.m_Foreign.m_Requests += Part.m_Foreign.m_Requests;
   Sum.m_Foreign.m_PromptTokens += Part.m_Foreign.m_PromptTokens;
   Sum.m_Foreign.m_KvBlocks += Part.m_Foreign.m_KvBlocks;
@@ -60,6 +70,9 @@
   WASABIVALE_INVARIANT(Sum.m_Free >= Part.m_Free && Sum.m_Max >= Part.m_Max);
   Sum.m_Free -= Part.m_Free;
   Sum.m_Max -= Part.m_Max;
+  Sum.m_OwnRequests -= Part.m_OwnRequests;
+  Sum.m_OwnPromptTokens -= Part.m_OwnPromptTokens;
+  Sum.m_PrefillRate -= Part.m_PrefillRate;
   Sum.m_Foreign.m_Requests -= Part.m_Foreign.m_Requests;
   Sum.m_Foreign.m_PromptTokens -= Part.m_Foreign.m_PromptTokens;
   Sum.m_Foreign.m_KvBlocks -= Part.m_Foreign.m_KvBlocks;
@@ -113,6 +126,7 @@
   Found.m_Decoding = Place.m_Own.m_Decoding + Requests * ForeignDecoding;
   Found.m_ForeignPromptTokens = blend(Others.m_PromptTokens, Sum.m_PromptTokens,
                                       Count, leftAfter(Age, Backlog));
+  Found.m_PrefillBusy = Place.m_PrefillBusy;
   Found.m_KvBlocks = static_cast<double>(Place.m_Own.m_KvBlocks) +
                      blend(Others.m_KvBlocks, Sum.m_KvBlocks, Count, Weight);
   return Found;
@@ -129,6 +143,8 @@
   const Work Then = workAt(Place, Now - Fleet.m_Settings.m_ReportLag);
   const std::uint32_t Requests = Report.m_Running + Report.m_Waiting;
   Place.m_ReportedRequests = Requests;
+  const double Busy = Report.m_PrefillTokensWaiting > 0 ? 1 : 0;
+  Place.m_PrefillBusy += BusyAlpha * (Busy - Place.m_PrefillBusy);
   Place.m_ReportAt = Now;
   Place.m_Foreign.m_Requests = above(Requests, Then.m_Requests);
   Place.m_Foreign.m_PromptTokens =
@@ -140,23 +156,68 @@
   refreshSums(Fleet, Found->second);
 }
 
+namespace {
+
+/// What one of several entries may still take of something that they share.
+/// Its even part, and the same part of what the others leave of theirs: if
+/// each took all that lagging reports show as free, they would take it several
+/// times over.
+double allowance(double Total, double Own, double Others, double Entries) {
+  const double Even = Total / Entries;
+  const double Left = std::max(0.0, Total - Even - Others);
+  return std::max(0.0, Even + Left / Entries - Own);
+}
+
+/// Requests that may still start before too much prefill waits at engines.
+double prefillRoom(const Settings &Options, const Pool &Group, double Entries) {
+  double Own = 0;
+  double Others = 0;
+  double Rate = 0;
+  for (Role Part : {Role::Mixed, Role::Prefill}) {
+    const Room &Sum = Group.m_Sums[roleIndex(Part)];
+    Own += static_cast<double>(Sum.m_OwnPromptTokens);
+    Others += static_cast<double>(Sum.m_Foreign.m_PromptTokens);
+    Rate += static_cast<double>(Sum.m_PrefillRate);
+  }
+  const double Total = Rate * seconds(Options.m_MaxPrefillWaiting);
+  const double Tokens = std::min(allowance(Total, Own, Others, Entries),
+                                 std::max(0.0, Total - Own - Others));
+  return std::ceil(Tokens / std::max(1.0, Group.m_MeanPromptTokens));
+}
+
+/// The sums of the engines that decode. Those whose role is prefill do so only
+/// where nobody else does.
+Room decodeRoom(const Pool &Group) {
+  Room Sum = Group.m_Sums[roleIndex(Role::Mixed)];
+  add(Sum, Group.m_Sums[roleIndex(Role::Decode)]);
+  const Room &Prefill = Group.m_Sums[roleIndex(Role::Prefill)];
+  if (Sum.m_Max == 0)
+    return Prefill;
+  // Others' splits that are still prefilled will want a place soon, which no
+  // report of a decoding engine shows yet.
+  Sum.m_Foreign.m_Requests += Prefill.m_Foreign.m_Requests;
+  Sum.m_Free = above(Sum.m_Free, Prefill.m_Foreign.m_Requests);
+  return Sum;
+}
+
+} // namespace
+
 Capacity capacityFor(const State &Fleet, Kind Which, const ModelId &Model) {
   const auto &Pools = Fleet.m_Pools[static_cast<std::size_t>(Which)];
   const auto Found = Pools.find(Model);
   if (Found == Pools.end())
     return {};
-  const Pool &Group = Found->second;
-  // A split needs its decode slot for longest, so decode slots are counted.
-  const bool Split = Group.m_Sums[roleIndex(Role::Decode)].m_Max > 0;
-  const Room &Part =
-      Group.m_Sums[roleIndex(Split ? Role::Decode : Role::Prefill)];
-  const Room &Mixed = Group.m_Sums[roleIndex(Role::Mixed)];
-  const std::uint64_t Free = Mixed.m_Free + Part.m_Free;
-  const std::uint64_t Max = Mixed.m_Max + Part.m_Max;
-  const std::uint64_t Entries =
-      std::max<std::uint64_t>(1, Fleet.m_Settings.m_Entries);
-  return {static_cast<std::uint32_t>((Free + Entries - 1) / Entries),
-          static_cast<double>(Max) / static_cast<double>(Entries)};
+  const Settings &Options = Fleet.m_Settings;
+  const double Entries = std::max(1U, Options.m_Entries);
+  const Room Sum = decodeRoom(Found->second);
+  const double Max = static_cast<double>(Sum.m_Max);
+  const double Slots = std::ceil(
+      allowance(Max, static_cast<double>(Sum.m_OwnRequests),
+                static_cast<double>(Sum.m_Foreign.m_Requests), Entries));
+  double Free = std::min(static_cast<double>(Sum.m_Free), Slots);
+  if (Which == Kind::Engine)
+    Free = std::min(Free, prefillRoom(Options, Found->second, Entries));
+  return {static_cast<std::uint32_t>(Free), Max / Entries};
 }
 
 } // namespace wasabivale::routing
--- a/libs/routing/tests/HealthTest.cpp
+++ b/libs/routing/tests/HealthTest.cpp
@@ -52,7 +52,7 @@
 SCENARIO("a target slower than its peers is ejected") {
   Random Rng(2);
   State Fleet = fleetOf(6);
-  for (int I = 0; I < 40; ++I) {
+  for (int I = 0; I < 60; ++I) {
     Request Wanted = question();
     Wanted.m_Only = TargetId{"engine-" + std::to_string(I % 6)};
     if (healthOf(Fleet, *Wanted.m_Only)->m_State == HealthState::Ejected)
--- a/libs/routing/tests/RoutingTest.cpp
+++ b/libs/routing/tests/RoutingTest.cpp
@@ -63,7 +63,7 @@
       updateTarget(Fleet, Next, at(1s));
       THEN("the old try is still counted, but not as load of the new one") {
         CHECK(inFlight(Fleet, Old.m_Run.m_Target) == 1);
-        CHECK(capacityFor(Fleet, Kind::Engine, Gourd).m_FreeSlots == 32);
+        CHECK(Fleet.m_Pools[0].at(Gourd).m_Sums[0].m_Free == 32);
         noteEnded(Fleet, Old.m_Try, TryOutcome::Crashed, at(2s));
         CHECK(healthOf(Fleet, Next.m_Id)->m_FailurePoints == 0);
         CHECK(Fleet.m_FreeSlotIndexes.size() == 1);
@@ -162,7 +162,7 @@
   GIVEN("own tries that a report does not show yet") {
     std::vector<Choice> Made;
     for (int I = 0; I < 40; ++I)
-      Made.push_back(valueOf(choose(Fleet, question(), at(0s), Rng)));
+      Made.push_back(valueOf(choose(Fleet, question(100), at(0s), Rng)));
     for (int I = 0; I < 2; ++I)
       applyLoad(Fleet, {"engine-" + std::to_string(I)}, "first", LoadReport{},
                 at(500ms));
@@ -181,6 +181,40 @@
   }
 }
 
+SCENARIO("entries share what is free, each by its part") {
+  Random Rng(8);
+  State Fleet = fleetOf(4);
+  Fleet.m_Settings.m_Entries = 4;
+  const auto FreeSlots = [&] {
+    return capacityFor(Fleet, Kind::Engine, Gourd).m_FreeSlots;
+  };
+  CHECK(capacityFor(Fleet, Kind::Engine, Gourd).m_Slots == 32);
+  GIVEN("others that use all of theirs") {
+    LoadReport Busy;
+    Busy.m_Running = 24;
+    for (int I = 0; I < 4; ++I)
+      applyLoad(Fleet, {"engine-" + std::to_string(I)}, "first", Busy, at(0s));
+    THEN("this one has its quarter") { CHECK(FreeSlots() == 32); }
+    THEN("what it takes is not free for it again") {
+      for (int I = 0; I < 32; ++I)
+        choose(Fleet, question(10), at(0s), Rng);
+      CHECK(FreeSlots() == 0);
+    }
+  }
+  GIVEN("others that are idle") {
+    Fleet.m_Settings.m_MaxPrefillWaiting = 10s;
+    THEN("it may also use a quarter of theirs") { CHECK(FreeSlots() == 56); }
+  }
+  GIVEN("long prompts that wait at the engines") {
+    LoadReport Behind;
+    Behind.m_PrefillTokensWaiting = 40000;
+    for (int I = 0; I < 4; ++I)
+      applyLoad(Fleet, {"engine-" + std::to_string(I)}, "first", Behind,
+                at(0s));
+    THEN("more wait at the entry") { CHECK(FreeSlots() == 0); }
+  }
+}
+
 SCENARIO("long prompts are split when that is worth the transfer") {
   Random Rng(6);
   State Fleet;
@@ -192,6 +226,10 @@
     LoadReport Streams;
     Streams.m_Running = 16;
     applyLoad(Fleet, {"engine-1"}, "first", Streams, at(0s));
+    LoadReport Prefilling;
+    Prefilling.m_PrefillTokensWaiting = 100;
+    for (int I = 0; I < 20; ++I)
+      applyLoad(Fleet, {"engine-0"}, "first", Prefilling, at(0s));
     const Choice Made =
         valueOf(choose(Fleet, question(16384, 200), at(0s), Rng));
     THEN("prefill and decode go to their own engines") {
