--- a/libs/roles/src/Policy.cpp
+++ b/libs/roles/src/Policy.cpp
@@ -96,7 +96,7 @@
   Value.m_Name = "cooperative";
   Value.m_CostEngineTime = 60s;
   Value.m_ChangesPerHour = 24;
-  Value.m_LeastEngines = {2, 0, 0};
+  Value.m_LeastEngines = {0, 1, 1};
   Value.m_Horizon = 300s;
   Value.m_Away = 8s;
   Value.m_UncertaintyWeight = 1.0;
--- a/tools/experiment/src/Experiments.cpp
+++ b/tools/experiment/src/Experiments.cpp
@@ -16,7 +16,7 @@
 constexpr double HighPrefill = 0.60;
 constexpr double MeanPrefill = (LowPrefill + HighPrefill) / 2;
 /// Load of the mix shift, of the fleet's nominal engine time.
-constexpr double ShiftLoad = 1.0;
+constexpr double ShiftLoad = 1.1;
 constexpr Duration SearchLength = 90s;
 constexpr std::uint32_t SearchSeeds = 2;
 /// Half a period of the square wave; a change needs longer to pay.
