Let a pool follow a lasting shift without waiting for each engine

Change: evidence of the same direction stays, the penalty for unpaid changes is for undoing only, payback ends when its cost has been lost.

--- a/libs/roles/include/roles/roles.h
+++ b/libs/roles/include/roles/roles.h
@@ -215,7 +215,7 @@
   double m_Utilisation = 0;    ///< Of today's split by the expected demand.
   double m_GoodputToday = 0;   ///< Answers per second, as expected.
   double m_CostAnswers = 0;    ///< Of one change.
-  double m_EvidenceNeeded = 0; ///< Answers.
+  double m_EvidenceNeeded = 0; ///< Answers; more to undo a change.
   std::uint32_t m_UnpaidChanges = 0; ///< Changes undone before they had paid.
   std::uint32_t m_ChangesThisHour = 0;
   Duration m_CooldownLeft{0};
--- a/libs/roles/src/Planner.cpp
+++ b/libs/roles/src/Planner.cpp
@@ -182,7 +182,7 @@
 }
 
 double evidenceNeeded(const Context &In, double Cost) {
-  return In.m_Rules.m_EvidenceShare * Cost * unpaidFactor(In.m_State);
+  return In.m_Rules.m_EvidenceShare * Cost;
 }
 
 /// Adds what the last interval lost for want of each candidate. Sums are cut
@@ -245,8 +245,11 @@
   Made.m_Evidence =
       In.m_State.m_Evidence[indexOf(Made.m_From)][indexOf(Made.m_To)];
   const std::optional<LastChange> &Last = In.m_State.m_Last;
-  bool Cooling = Last && In.m_Now < Last->m_Until &&
-                 undoes(Made.m_From, Made.m_To, Last->m_Change);
+  bool Undoes = Last && undoes(Made.m_From, Made.m_To, Last->m_Change);
+  // A change may be undone before it has paid once that much has been lost.
+  bool Cooling = Undoes && In.m_Now < Last->m_Until && Made.m_Evidence < Cost;
+  if (Undoes)
+    Needed *= unpaidFactor(In.m_State);
   double Margin = In.m_Rules.m_UncertaintyWeight * Made.m_Deviation;
   if (Made.m_Gain <= Cost || Made.m_Gain <= 0)
     Made.m_Reason = Reason::NoGain;
@@ -353,11 +356,14 @@
     --Of.m_Unpaid;
 }
 
-void spendEvidence(PoolState &Of, const Change &Made, double Needed) {
+/// Evidence for changes in the same direction stays: the shift has shown that
+/// it lasts.
+void dropEvidence(PoolState &Of, const Change &Made) {
   for (Role From : AllRoles) {
     for (Role To : AllRoles) {
       double &Sum = Of.m_Evidence[indexOf(From)][indexOf(To)];
-      Sum = undoes(From, To, Made) ? std::min(0.0, Sum) : Sum - Needed;
+      if (undoes(From, To, Made))
+        Sum = std::min(0.0, Sum);
     }
   }
 }
@@ -376,7 +382,7 @@
   Change Made{Why.m_Pool, Best.m_Engine, Best.m_From, Best.m_To};
   PoolState &Pool = In.m_State;
   settleLast(Pool, Made);
-  spendEvidence(Pool, Made, Why.m_EvidenceNeeded);
+  dropEvidence(Pool, Made);
   LastChange Last;
   Last.m_Change = Made;
   Last.m_Until =
--- a/libs/roles/src/Policy.cpp
+++ b/libs/roles/src/Policy.cpp
@@ -99,7 +99,7 @@
   Value.m_LeastEngines = {0, 1, 1};
   Value.m_Horizon = 300s;
   Value.m_Away = 8s;
-  Value.m_UncertaintyWeight = 1.0;
+  Value.m_UncertaintyWeight = 1.5;
   Value.m_EvidenceShare = 0.5;
   Value.m_Smoothing = 15s;
   Value.m_RoleRates = {RoleRates{1, 1}, RoleRates{1.25, 0.5},
