--- a/libs/roles/src/Planner.cpp
+++ b/libs/roles/src/Planner.cpp
@@ -346,11 +346,13 @@
   return **Found;
 }
 
-/// Whether the pool's last change had paid when it was undone.
+/// Whether the pool's last change had paid when it was undone. One that is
+/// followed by another in the same direction was right.
 void settleLast(PoolState &Of, const Change &Made) {
-  if (!Of.m_Last || !undoes(Made.m_From, Made.m_To, Of.m_Last->m_Change))
+  if (!Of.m_Last)
     return;
-  if (Of.m_Last->m_Realised < Of.m_Last->m_Cost)
+  bool Undone = undoes(Made.m_From, Made.m_To, Of.m_Last->m_Change);
+  if (Undone && Of.m_Last->m_Realised < Of.m_Last->m_Cost)
     ++Of.m_Unpaid;
   else if (Of.m_Unpaid > 0)
     --Of.m_Unpaid;
--- a/tools/experiment/src/Control.cpp
+++ b/tools/experiment/src/Control.cpp
@@ -16,6 +16,8 @@
 constexpr Duration DemandLag = 1s;
 constexpr Duration FleetNewsLag = 100ms;
 constexpr Duration ShareLease = 4s;
+/// How long a drain waits before it moves the streams that still run.
+constexpr Duration DrainPatience = 10s;
 
 double seconds(TimePoint At) {
   return std::chrono::duration<double>(At.time_since_epoch()).count();
@@ -44,6 +46,7 @@
                   roles::roleName(To), Why.empty() ? "" : ": ", Why));
   ++In.m_Result.m_RoleChanges;
   Of.m_WantedRole = To;
+  Of.m_DrainingSince = In.m_Now;
   Of.m_Description.m_Serving = false;
   announce(In, Of);
 }
@@ -235,8 +238,11 @@
       Drained = Drained &&
                 routing::inFlightBefore(Each.m_Routing, Of.m_Description.m_Id,
                                         Of.m_Description.m_Generation) == 0;
-    if (!Drained)
+    if (!Drained) {
+      if (In.m_Now - Of.m_DrainingSince >= DrainPatience)
+        moveStreams(In, Index);
       continue;
+    }
     enginemodel::setRole(Of.m_Engine,
                          static_cast<enginemodel::Role>(*Of.m_WantedRole),
                          In.m_Now);
--- a/tools/experiment/src/Entries.cpp
+++ b/tools/experiment/src/Entries.cpp
@@ -85,11 +85,11 @@
       Prefills ? *Of.m_Choice.m_Prefill : Of.m_Choice.m_Run;
   enginemodel::Run Made;
   Made.m_Key = In.m_NextRun++;
-  Made.m_PromptTokens = What.m_PromptTokens;
-  Made.m_OutputTokens = Prefills ? 0 : What.m_OutputTokens;
+  Made.m_PromptTokens = What.m_PromptTokens + Of.m_Made;
+  Made.m_OutputTokens = Prefills ? 0 : What.m_OutputTokens - Of.m_Made;
   Made.m_Priority = What.m_Priority;
   Made.m_Blocks = What.m_Blocks;
-  Made.m_ImportsKv = Of.m_State == JobState::Prefilling;
+  Made.m_ImportsKv = Of.m_State == JobState::Prefilling || Of.m_Made > 0;
   Of.m_At = In.m_ByTarget.at(Leg.m_Target);
   Of.m_Run = Made.m_Key;
   Target &At = In.m_Targets[Of.m_At];
@@ -124,6 +124,7 @@
   Job &Of = In.m_Jobs[Index];
   Entry &At = In.m_Entries[Of.m_Entry];
   routing::Request Wanted = requestOf(At, In.m_Arrivals[Index]);
+  Wanted.m_MaySplit = Of.m_Made == 0;
   for (std::size_t Count = 0; Count < MostTries; ++Count) {
     Result<routing::Choice> Chosen =
         routing::choose(At.m_Routing, Wanted, In.m_Now, At.m_Random);
@@ -190,8 +191,36 @@
   dispatch(In, Index);
 }
 
+void moveStream(World &In, JobIndex Index) {
+  Job &Of = In.m_Jobs[Index];
+  Target &At = In.m_Targets[Of.m_At];
+  auto Made = static_cast<std::uint32_t>(
+      enginemodel::tokensMade(At.m_Engine, Of.m_Run));
+  Entry &Owner = In.m_Entries[Of.m_Entry];
+  enginemodel::cancel(At.m_Engine, Of.m_Run, In.m_Now);
+  touch(In, Of.m_At);
+  In.m_Runs.erase(Of.m_Run);
+  routing::noteEnded(Owner.m_Routing, Of.m_Try, routing::TryOutcome::Cancelled,
+                     In.m_Now);
+  Of.m_Made += Made;
+  Of.m_State = JobState::Waiting;
+  dispatch(In, Index);
+}
+
 } // namespace
 
+void moveStreams(World &In, TargetIndex From) {
+  // Lets the target finish what is due before its streams are counted.
+  touch(In, From);
+  settleTargets(In);
+  for (JobIndex Index = 0; Index < In.m_Jobs.size(); ++Index) {
+    const Job &Each = In.m_Jobs[Index];
+    if (Each.m_State == JobState::Running && Each.m_At == From &&
+        Each.m_SawFirst)
+      moveStream(In, Index);
+  }
+}
+
 void makeEntries(World &In) {
   const Setup &What = In.m_Setup;
   for (std::uint32_t Index = 0; Index < What.m_Entries; ++Index) {
--- a/tools/experiment/src/State.h
+++ b/tools/experiment/src/State.h
@@ -29,6 +29,7 @@
   enginemodel::RunKey m_Run = 0;
   TargetIndex m_At = 0; ///< Where the present leg runs.
   bool m_SawFirst = false;
+  std::uint32_t m_Made = 0; ///< Tokens made before its stream was moved.
 };
 
 /// An engine or service with what its heartbeats carry.
@@ -40,7 +41,8 @@
   std::uint64_t m_CacheSequence = 1;
   std::vector<routing::CacheEvent> m_CacheEvents; ///< Of this interval.
   std::optional<roles::Role> m_WantedRole;        ///< Draining for a change.
-  bool m_Changing = false;                        ///< Away.
+  TimePoint m_DrainingSince;
+  bool m_Changing = false; ///< Away.
   Duration m_Busy{0};
   TimePoint m_BusySince;
   bool m_WasBusy = false;
@@ -130,6 +132,8 @@
 void onFirstToken(World &In, JobIndex Index);
 /// Cancels a request whose deadline has passed.
 void onDeadline(World &In, JobIndex Index);
+/// Moves the streams of a draining target to others, with their KV.
+void moveStreams(World &In, TargetIndex From);
 /// Starts what waits and may start; refuses what is too late.
 void serveQueue(World &In, std::uint32_t Entry);
 void deliverNews(World &In);
