--- a/libs/targets/src/Client.cpp
+++ b/libs/targets/src/Client.cpp
@@ -48,10 +48,10 @@
   auto Made = std::make_shared<Collector>();
   Made->m_OnDone = std::move(OnDone);
   http::ClientHandlers Handlers;
-  Handlers.m_OnChunk = [Made](std::string_view Piece) {
-    // A cancel in the middle drops the handlers, and with them `Made`.
-    const auto Held = Made;
-    Held->take(Piece);
+  // A cancel in the middle of a piece drops the handlers.
+  Handlers.m_OnChunk = [Weak = std::weak_ptr(Made)](std::string_view Piece) {
+    if (const auto Held = Weak.lock())
+      Held->take(Piece);
   };
   Handlers.m_OnDone = [Made](Result<http::Response> Answer) {
     if (!failed(Answer))
--- a/libs/targets/src/RunClient.cpp
+++ b/libs/targets/src/RunClient.cpp
@@ -122,10 +122,10 @@
     if (HttpStatus == HttpOk && Run->m_Handlers.m_OnStarted)
       Run->m_Handlers.m_OnStarted();
   };
-  Inner.m_OnChunk = [Run](std::string_view Bytes) {
-    // A cancel in the middle drops the handlers, and with them `Run`.
-    const auto Held = Run;
-    takeChunk(*Held, Bytes);
+  // A cancel in the middle of a piece drops the handlers.
+  Inner.m_OnChunk = [Weak = std::weak_ptr(Run)](std::string_view Bytes) {
+    if (const auto Held = Weak.lock())
+      takeChunk(*Held, Bytes);
   };
   Inner.m_OnDone = [Run](const Result<http::Response> &Answer) {
     // A body that is not chunked may come whole with the end.
--- a/tools/fake-targets/tests/FakeTargetsTest.cpp
+++ b/tools/fake-targets/tests/FakeTargetsTest.cpp
@@ -109,9 +109,9 @@
 
   OrderAnswer order(const targets::Order &Given) {
     std::optional<Result<OrderAnswer>> Answer;
-    targets::sendOrder(m_Shared.m_Loop, address(0), Given,
-                       BootClock::now() + 15s,
-                       [&](Result<OrderAnswer> Got) { Answer = Got; });
+    targets::sendOrder(
+        m_Shared.m_Loop, address(0), Given, BootClock::now() + 15s,
+        [&](Result<OrderAnswer> Got) { Answer = std::move(Got); });
     REQUIRE(turnUntil([&] { return Answer.has_value(); }));
     return valueOf(*Answer);
   }
--- a/tools/system-tests/tests/Harness.cpp
+++ b/tools/system-tests/tests/Harness.cpp
@@ -159,9 +159,10 @@
   m_Targets = std::make_unique<Process>("wasabivale-fake-targets", Options,
                                         m_Folder + "/fake-targets.log");
   REQUIRE(turnUntil([this] { return allReady(); }));
-  const auto Expected =
-      static_cast<std::size_t>(Wanted.m_Engines + Wanted.m_Services);
-  REQUIRE(serves(Expected));
+  REQUIRE(serves(static_cast<std::size_t>(Wanted.m_Engines) +
+                 static_cast<std::size_t>(Wanted.m_Services)));
+  for (int I = 1; I <= Wanted.m_Entries; ++I)
+    REQUIRE(turnUntil([&] { return answers(I, Wanted); }));
 }
 
 System::~System() {
@@ -305,6 +306,17 @@
   });
 }
 
+bool System::answers(int Entry, const Size &Of) const {
+  if (Of.m_Services > 0 &&
+      service(Entry, "stock/warm-up", {}, "").m_Status != 200)
+    return false;
+  if (Of.m_Engines == 0)
+    return true;
+  const auto Got = complete(Entry, "warm-up", 1);
+  REQUIRE(turnUntil([&] { return Got->m_Ended; }));
+  return Got->m_Done;
+}
+
 bool System::allReady() const {
   for (int Entry = 1; Entry <= static_cast<int>(m_Entries.size()); ++Entry) {
     const int Admin = m_FirstPort + EntryOffset + PortsEach * Entry + 2;
--- a/tools/system-tests/tests/Harness.h
+++ b/tools/system-tests/tests/Harness.h
@@ -103,6 +103,8 @@
 
 private:
   [[nodiscard]] bool allReady() const;
+  /// Whether an entry has heard of targets of each kind.
+  [[nodiscard]] bool answers(int Entry, const Size &Of) const;
 
   event_base *m_Loop;
   std::string m_Folder;
