--- /dev/null
+++ b/tools/system-tests/tests/FleetTest.cpp
@@ -0,0 +1,157 @@
+#include "Streams.h"
+
+#include "targets/targets.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <map>
+
+using namespace wasabivale;
+using namespace wasabivale::systemtests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Asks the leader, whoever it is, until it has answered.
+Answer askLeader(const System &Running, const std::string &Method,
+                 const std::string &Path, const std::string &Body) {
+  constexpr int NotLeader = 421;
+  constexpr int Unavailable = 503;
+  const http::Headers With = {
+      {"Authorization", "Bearer " + Running.operatorToken()}};
+  Answer Last;
+  const int Members = static_cast<int>(Running.m_Control.size());
+  REQUIRE(Running.turnUntil([&] {
+    for (int Member = 1; Member <= Members; ++Member) {
+      Last = Running.ask(Running.operators(Member), Method,
+                         "/operator/v1/" + Path, With, Body, 2s);
+      if (!Last.m_Broken && Last.m_Status != NotLeader &&
+          Last.m_Status != Unavailable)
+        return true;
+    }
+    return false;
+  }));
+  INFO(Path << ": " << Last.m_Body);
+  REQUIRE(Last.m_Status == 200);
+  return Last;
+}
+
+Json callLeader(const System &Running, const Json &Call) {
+  return Json::parse(askLeader(Running, "POST", "call", Call.dump()).m_Body);
+}
+
+/// Confirms the plan of an intent. \returns its identity.
+std::string order(const System &Running, const Json &Intent) {
+  const Json Plan = callLeader(Running, {{"request_id", randomIdentity()},
+                                         {"kind", "intent"},
+                                         {"body", Intent}})["result"];
+  INFO(Plan.dump());
+  callLeader(Running,
+             {{"request_id", randomIdentity()},
+              {"kind", "confirm"},
+              {"expected_revision", Plan["revision"]},
+              {"body", {{"plan", Plan["plan"]}, {"digest", Plan["digest"]}}}});
+  return Plan["plan"];
+}
+
+/// Number of the member that leads; 0 when none says so.
+int leaderOf(const System &Running) {
+  for (int Member = 1; Member <= static_cast<int>(Running.m_Control.size());
+       ++Member)
+    if (Running.status(Member).contains("targets"))
+      return Member;
+  return 0;
+}
+
+/// Orders that a target took although it had taken a newer one, or another
+/// one of the same fence.
+std::size_t conflictingOrders(const System &Running) {
+  std::map<std::string, std::pair<targets::Fence, std::string>> Last;
+  std::size_t Conflicts = 0;
+  for (const Json &Taken : Running.judged("order_accepted")) {
+    const std::string Life = Taken["incarnation"];
+    const targets::Fence Fence{Taken["term"], Taken["sequence"]};
+    const std::string Id = Taken["order"];
+    const auto Before = Last.find(Life);
+    if (Before != Last.end() &&
+        (Fence < Before->second.first ||
+         (Fence == Before->second.first && Id != Before->second.second)))
+      ++Conflicts;
+    Last[Life] = {Fence, Id};
+  }
+  return Conflicts;
+}
+
+void waitForPlan(const System &Running, const std::string &Plan) {
+  std::string State;
+  const bool Ended = Running.turnUntil([&] {
+    const Answer Got = askLeader(Running, "GET", "plans/" + Plan, "");
+    State = Json::parse(Got.m_Body).value("state", "");
+    return State == "done" || State == "failed";
+  });
+  INFO(Plan << " " << State);
+  REQUIRE(Ended);
+  CHECK(State == "done");
+}
+
+Json shiftTo(const std::string &Role, const std::string &Engine) {
+  return {{"intent", "shift_role"}, {"role", Role}, {"targets", {Engine}}};
+}
+
+} // namespace
+
+SCENARIO("a drain by plan cuts no stream and ends new work") {
+  System Running({1, 2, 3, 1, {}}, 29600);
+  Streams Got = startStreams(Running, 12, 300);
+  order(Running, {{"intent", "drain"}, {"targets", {"engine-1"}}});
+  const TimePoint Confirmed = BootClock::now();
+  while (BootClock::now() < Confirmed + 4s) {
+    addStream(Got, Running, 1 + static_cast<int>(Got.m_Answers.size() % 2));
+    Running.turnFor(100ms);
+  }
+  waitForEnd(Running, Got);
+  checkAllWhole(Got);
+  REQUIRE(Running.turnUntil([&] {
+    const auto Done = Running.judged("order_done");
+    return std::any_of(Done.begin(), Done.end(), [](const Json &Each) {
+      return Each["target"] == "engine-1";
+    });
+  }));
+  CHECK(Running.judged("run_cut").empty());
+  for (const Json &Run : Running.judged("run_started")) {
+    const TimePoint At{std::chrono::nanoseconds(Run["at_ns"].get<long>())};
+    if (Run["target"] == "engine-1")
+      CHECK(At < Confirmed + 2s);
+  }
+}
+
+SCENARIO("no target takes conflicting orders while leaders change") {
+  for (const char *Checks : {"true", "false"}) {
+    INFO("checks fences: " << Checks);
+    System Running(
+        {3, 2, 4, 1, {"--checks-fence", Checks, "--role-change-ms", "1500"}},
+        29600);
+    const int Killed = leaderOf(Running);
+    REQUIRE(Killed > 0);
+    const auto First = order(Running, shiftTo("prefill", "engine-1"));
+    const auto Second = order(Running, shiftTo("decode", "engine-2"));
+    Running.control(Killed).signal(SIGKILL);
+    Running.control(Killed).wait();
+    waitForPlan(Running, First);
+    waitForPlan(Running, Second);
+    Running.startControl(Killed);
+    int Paused = 0;
+    REQUIRE(
+        Running.turnUntil([&] { return (Paused = leaderOf(Running)) > 0; }));
+    const auto Third = order(Running, shiftTo("decode", "engine-1"));
+    Running.control(Paused).signal(SIGSTOP);
+    const auto Fourth = order(Running, shiftTo("prefill", "engine-3"));
+    Running.control(Paused).signal(SIGCONT);
+    const auto Fifth = order(Running, shiftTo("decode", "engine-4"));
+    for (const auto &Plan : {Third, Fourth, Fifth})
+      waitForPlan(Running, Plan);
+    Running.turnFor(1s);
+    CHECK(conflictingOrders(Running) == 0);
+  }
+}
--- a/tools/system-tests/tests/Harness.cpp
+++ b/tools/system-tests/tests/Harness.cpp
@@ -44,28 +44,31 @@
   std::ofstream(File) << Settings;
 }
 
-/// Reads what has come of an event stream.
+void readLine(Answer &Into, const std::string &Line) {
+  if (Line.rfind("event: ", 0) == 0)
+    Into.m_Event = Line.substr(7);
+  if (Line.rfind("data: ", 0) != 0)
+    return;
+  if (Line == "data: [DONE]") {
+    Into.m_Done = true;
+    return;
+  }
+  const Json Data = Json::parse(Line.substr(6), nullptr, false);
+  if (!Data.is_object())
+    return;
+  if (Into.m_Event == "outcome")
+    Into.m_Outcome = Data.value("outcome", "");
+  else if (Into.m_Event.empty() && Data.contains("choices"))
+    Into.m_Text += Data["choices"][0].value("text", "");
+  Into.m_Event.clear();
+}
+
+/// Reads the lines of an event stream that have come since the last call.
 void readEvents(Answer &Into) {
-  Into.m_Text.clear();
-  std::istringstream Lines(Into.m_Body);
-  std::string Event;
-  for (std::string Line; std::getline(Lines, Line);) {
-    if (Line.rfind("event: ", 0) == 0)
-      Event = Line.substr(7);
-    if (Line.rfind("data: ", 0) != 0)
-      continue;
-    if (Line == "data: [DONE]") {
-      Into.m_Done = true;
-      continue;
-    }
-    const Json Data = Json::parse(Line.substr(6), nullptr, false);
-    if (!Data.is_object())
-      continue;
-    if (Event == "outcome")
-      Into.m_Outcome = Data.value("outcome", "");
-    else if (Event.empty() && Data.contains("choices"))
-      Into.m_Text += Data["choices"][0].value("text", "");
-    Event.clear();
+  std::size_t End = Into.m_Body.find('\n', Into.m_Read);
+  for (; End != std::string::npos; End = Into.m_Body.find('\n', Into.m_Read)) {
+    readLine(Into, Into.m_Body.substr(Into.m_Read, End - Into.m_Read));
+    Into.m_Read = End + 1;
   }
 }
 
@@ -132,17 +135,10 @@
   REQUIRE(Deployment.wait() == 0);
   for (int I = 1; I <= Wanted.m_Entries; ++I)
     allowAnonymous(fmt::format("{}/entry-{}.json", m_Folder, I));
-  const auto Start = [this](const std::string &Kind, int Number) {
-    const std::string Name = fmt::format("{}-{}", Kind, Number);
-    return std::make_unique<Process>(
-        "wasabivale-" + Kind,
-        std::vector<std::string>{"--config", m_Folder + "/" + Name + ".json"},
-        m_Folder + "/" + Name + ".log");
-  };
   for (int I = 1; I <= Wanted.m_Control; ++I)
-    m_Control.push_back(Start("control", I));
+    m_Control.push_back(start("control", I));
   for (int I = 1; I <= Wanted.m_Entries; ++I)
-    m_Entries.push_back(Start("entry", I));
+    m_Entries.push_back(start("entry", I));
   std::vector<std::string> Options{
       "--engines",    std::to_string(Wanted.m_Engines),
       "--services",   std::to_string(Wanted.m_Services),
@@ -165,6 +161,19 @@
     REQUIRE(turnUntil([&] { return answers(I, Wanted); }));
 }
 
+std::unique_ptr<Process> System::start(const std::string &Kind,
+                                       int Number) const {
+  const std::string Name = fmt::format("{}-{}", Kind, Number);
+  return std::make_unique<Process>(
+      "wasabivale-" + Kind,
+      std::vector<std::string>{"--config", m_Folder + "/" + Name + ".json"},
+      m_Folder + "/" + Name + ".log");
+}
+
+void System::startControl(int Member) {
+  m_Control[static_cast<std::size_t>(Member) - 1] = start("control", Member);
+}
+
 System::~System() {
   m_Targets.reset();
   m_Entries.clear();
--- a/tools/system-tests/tests/Harness.h
+++ b/tools/system-tests/tests/Harness.h
@@ -46,6 +46,9 @@
   std::string m_Outcome;
   bool m_Ended = false;
   bool m_Broken = false; ///< The connection ended early.
+
+  std::size_t m_Read = 0; ///< Bytes of the body whose events were read.
+  std::string m_Event;    ///< Kind of the event that is being read.
 };
 
 /// A deployment with its fake targets in a fresh folder.
@@ -97,12 +100,20 @@
   [[nodiscard]] bool serves(std::size_t Count) const;
   [[nodiscard]] Json status(int Member) const;
 
+  /// Starts a control member (again) with its data.
+  void startControl(int Member);
+  [[nodiscard]] Process &control(int Member) const {
+    return *m_Control[static_cast<std::size_t>(Member) - 1];
+  }
+
   std::vector<std::unique_ptr<Process>> m_Control;
   std::vector<std::unique_ptr<Process>> m_Entries;
   std::unique_ptr<Process> m_Targets;
 
 private:
   [[nodiscard]] bool allReady() const;
+  [[nodiscard]] std::unique_ptr<Process> start(const std::string &Kind,
+                                               int Number) const;
   /// Whether an entry has heard of targets of each kind.
   [[nodiscard]] bool answers(int Entry, const Size &Of) const;
 
