--- a/apps/entry/src/Arrival.h
+++ b/apps/entry/src/Arrival.h
@@ -23,6 +23,9 @@
 inline constexpr std::uint64_t DefaultOutputTokens = 16;
 /// Longest `Idempotency-Key`.
 inline constexpr std::size_t MaxKeyBytes = 128;
+/// A timer of the loop may fire this much before its time: a deadline counts
+/// as passed from then on.
+inline constexpr std::chrono::milliseconds DeadlineSlack{20};
 /// Longest name of a model or service.
 inline constexpr std::size_t MaxModelBytes = 256;
 
@@ -55,6 +58,9 @@
   std::string m_Body;
 
   [[nodiscard]] bool isService() const { return m_Api == Api::Service; }
+  [[nodiscard]] bool isLate(TimePoint Now) const {
+    return Now + DeadlineSlack >= m_Deadline;
+  }
   /// Whether the ledger keeps this request.
   [[nodiscard]] bool isKept() const { return !m_Key.empty(); }
 };
--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -74,6 +74,17 @@
   admit(Arrived, std::move(Asked));
 }
 
+http::Response DataPath::refuseMalformed(int HttpStatus) {
+  const http::Response Page = malformedPage(HttpStatus);
+  Refusal Reason = Refusal::MalformedRequest;
+  for (const Refusal Other : {Refusal::BodyTooLarge, Refusal::HeaderTooLarge,
+                              Refusal::MethodNotAllowed})
+    if (refusalInfo(Other).m_HttpStatus == Page.m_Status)
+      Reason = Other;
+  m_Shared.m_Metrics.m_Registry.refusals(Reason).add();
+  return Page;
+}
+
 void DataPath::answerModels(http::Exchange &Arrived) {
   const auto &Configured = m_Shared.m_Configuration.m_Models;
   const auto Names =
@@ -165,10 +176,12 @@
 }
 
 void DataPath::ensureShare(const CallerId &Caller, TimePoint Now) {
-  if (!m_Shares.insert(Caller.m_Value).second)
+  const auto Held = m_Shares.find(Caller.m_Value);
+  if (Held != m_Shares.end() && Now < Held->second)
     return;
+  m_Shares[Caller.m_Value] = TimePoint::max();
   const auto Known = m_Shared.m_Configuration.m_Callers.find(Caller);
-  // Until control has granted a share, the part that it leaves to everyone.
+  // Without a share from control, the part that it leaves to everyone.
   const limits::Limits Share =
       Known == m_Shared.m_Configuration.m_Callers.end()
           ? limits::Limits{}
@@ -286,7 +299,7 @@
     const auto Known = m_Shared.m_Configuration.m_Callers.find(Id);
     if (Known == m_Shared.m_Configuration.m_Callers.end())
       continue;
-    m_Shares.insert(Share.caller());
+    m_Shares[Share.caller()] = LeaseEnd;
     limits::setShare(m_Shared.m_Limits, Id, Known->second.m_Weight,
                      toLimits(Share), LeaseEnd, Now);
   }
--- a/apps/entry/src/DataPath.h
+++ b/apps/entry/src/DataPath.h
@@ -10,7 +10,6 @@
 
 #include <memory>
 #include <unordered_map>
-#include <unordered_set>
 
 namespace wasabivale::entry {
 
@@ -31,6 +30,9 @@
   /// Takes a caller's request.
   void take(const std::shared_ptr<http::Exchange> &Arrived);
 
+  /// Answers a request that is too malformed to be taken.
+  http::Response refuseMalformed(int HttpStatus);
+
   /// Applies a fleet or configuration. \returns false when the configuration
   /// can't be read; nothing is applied then.
   bool takeFleet(const wire::FleetUpdate &Update);
@@ -69,7 +71,8 @@
   bool m_Stopping = false;
   std::unordered_map<Serving *, std::shared_ptr<Serving>> m_Open;
   std::unordered_map<limits::Ticket, Serving *> m_Waiting;
-  std::unordered_set<std::string> m_Shares; ///< Callers with a share.
+  /// Until when each caller's share lasts.
+  std::unordered_map<std::string, TimePoint> m_Shares;
   TimePoint m_LeaseLostAt;
   bool m_HadLease = false;
   std::unique_ptr<http::Timer> m_Sweep;
--- a/apps/entry/src/Rejection.cpp
+++ b/apps/entry/src/Rejection.cpp
@@ -53,4 +53,23 @@
   To.reply(Info.m_HttpStatus, With, printRejection(Value));
 }
 
+http::Response malformedPage(int HttpStatus) {
+  constexpr int TooLarge = 413;
+  constexpr int HeadersTooLarge = 431;
+  constexpr int NotImplemented = 501;
+  Rejection Why = notRun(Refusal::MalformedRequest, "arrival.http");
+  if (HttpStatus == TooLarge)
+    Why = notRun(Refusal::BodyTooLarge, "arrival.http");
+  if (HttpStatus == HeadersTooLarge)
+    Why = notRun(Refusal::HeaderTooLarge, "arrival.http");
+  if (HttpStatus == NotImplemented)
+    Why = notRun(Refusal::MethodNotAllowed, "arrival.http");
+  http::Response Page;
+  Page.m_Status = refusalInfo(Why.m_Reason).m_HttpStatus;
+  Page.m_Headers = {{"Content-Type", "application/json"},
+                    {OutcomeHeader, std::string(outcomeName(Why.m_Outcome))}};
+  Page.m_Body = printRejection(Why);
+  return Page;
+}
+
 } // namespace wasabivale::entry
--- a/apps/entry/src/Rejection.h
+++ b/apps/entry/src/Rejection.h
@@ -42,6 +42,9 @@
 void replyRejection(http::Exchange &To, const RequestId &Request,
                     const Rejection &Value);
 
+/// The page for a request that evhttp refused with \p HttpStatus.
+http::Response malformedPage(int HttpStatus);
+
 } // namespace wasabivale::entry
 
 #endif // WASABIVALE_ENTRY_REJECTION_H
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -267,7 +267,7 @@
 
 void Serving::place() {
   const TimePoint Now = BootClock::now();
-  if (Now >= m_Asked.m_Deadline) {
+  if (m_Asked.isLate(Now)) {
     const Refusal Reason =
         m_MayHaveRun ? Refusal::TargetTimeout : Refusal::DeadlinePassed;
     return giveUp(Reason, outcomeSoFar(), Error{"place", "", ""});
@@ -483,7 +483,8 @@
   const retries::RetryDecision Next =
       retries::decide(m_Shared.m_Retries, So, Facts, Now, m_Shared.m_Random);
   if (const auto *Stop = std::get_if<retries::GiveUp>(&Next)) {
-    const bool Late = Stop->m_Reason == Refusal::DeadlinePassed;
+    // The target was at work until the deadline passed.
+    const bool Late = m_Asked.isLate(Now);
     return giveUp(Late ? Refusal::TargetTimeout : Stop->m_Reason,
                   Stop->m_Outcome, Ending.m_Error);
   }
--- a/apps/entry/src/Try.cpp
+++ b/apps/entry/src/Try.cpp
@@ -237,7 +237,7 @@
                bool MayBeCrash) {
   const TimePoint Now = BootClock::now();
   // What ended by the caller's deadline says nothing about its target.
-  const bool Late = Now >= m_For.m_Deadline;
+  const bool Late = m_For.isLate(Now);
   release(Late && Evidence == TryOutcome::Failed ? TryOutcome::Cancelled
                                                  : Evidence,
           Now);
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -100,6 +100,12 @@
 
 using Handler = std::function<void(std::shared_ptr<Exchange>)>;
 
+/// Answer to a request that is too malformed to reach the handler. The
+/// status is 400 malformed, 413 body too large, 431 headers too large, or 501
+/// unknown method; the page may choose another. The connection is closed after
+/// it.
+using ErrorPage = std::function<Response(int Status)>;
+
 class Server {
 public:
   virtual ~Server() = default;
@@ -114,10 +120,11 @@
 };
 
 /// Listens on \p At. \p Loop must outlive the server. Exchanges that outlive
-/// the server count as gone.
+/// the server count as gone. \p OnMalformed replaces evhttp's own error pages.
 Result<std::unique_ptr<Server>> listen(event_base *Loop, const Address &At,
                                        const ServerLimits &Limits,
-                                       Handler OnRequest);
+                                       Handler OnRequest,
+                                       ErrorPage OnMalformed = nullptr);
 
 // --- Client ---------------------------------------------------------------
 
--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -1,3 +1,4 @@
+#include "ErrorPages.h"
 #include "Headers.h"
 
 #include <cstring>
@@ -86,6 +87,7 @@
     evhttp_request *Raw = release();
     evhttp_send_reply(Raw, Status, nullptr, Buffer);
     evbuffer_free(Buffer);
+    noteAnswered();
   }
 
   void startStream(int Status, const Headers &With) override {
@@ -109,6 +111,7 @@
       return;
     evhttp_request *Raw = release();
     evhttp_send_reply_end(Raw);
+    noteAnswered();
   }
 
   void abort() override {
@@ -158,15 +161,26 @@
     m_OnReleased = std::move(Callback);
   }
 
+  /// Called when the whole answer has been handed to the connection.
+  void onAnswered(std::function<void()> Callback) {
+    m_OnAnswered = std::move(Callback);
+  }
+
   /// The server ends and takes the request with it.
   void detach() {
     m_OnReleased = nullptr;
+    m_OnAnswered = nullptr;
     noteGone();
     if (m_Raw != nullptr)
       release();
   }
 
 private:
+  void noteAnswered() {
+    if (m_OnAnswered)
+      m_OnAnswered();
+  }
+
   evhttp_request *release() {
     if (m_Hangup != nullptr) {
       event_free(m_Hangup);
@@ -187,6 +201,7 @@
   bool m_Gone = false;
   std::function<void()> m_OnGone;
   std::function<void()> m_OnReleased;
+  std::function<void()> m_OnAnswered;
 };
 
 timeval toTimeval(std::chrono::milliseconds Value) {
@@ -197,16 +212,22 @@
 /// A caller's connection, known from its accept to its close.
 struct Connection {
   ServerExchange *m_Current = nullptr;
+  /// Whether what is being written comes from an exchange.
+  bool m_Answering = false;
+  std::unique_ptr<ErrorPages> m_Pages;
   /// Arrival of the first byte of a request that is not whole yet.
   TimePoint m_FirstByte = TimePoint::max();
+  std::size_t m_Received = 0; ///< Bytes of that request so far.
 };
 
 constexpr std::chrono::milliseconds SweepInterval{250};
 
 class ServerState final : public Server {
 public:
-  ServerState(event_base *Loop, const ServerLimits &Limits, Handler OnRequest)
+  ServerState(event_base *Loop, const ServerLimits &Limits, Handler OnRequest,
+              ErrorPage OnMalformed)
       : m_Loop(Loop), m_Limits(Limits), m_OnRequest(std::move(OnRequest)),
+        m_OnMalformed(std::move(OnMalformed)),
         m_Sweep(Loop, SweepInterval, true, [this] { closeSlowSenders(); }) {}
 
   ~ServerState() override {
@@ -281,15 +302,33 @@
     Known = std::make_unique<Connection>();
     evhttp_connection_set_closecb(Raw, onClosed, this);
     evbuffer_add_cb(bufferevent_get_input(Buffer), onInput, Known.get());
+    if (m_OnMalformed)
+      Known->m_Pages = std::make_unique<ErrorPages>(
+          m_Loop, Buffer,
+          [this, Here = Known.get()](int Status) {
+            return malformed(*Here, Status);
+          },
+          [Here = Known.get()] { return Here->m_Answering; });
     if (m_Open.size() <= m_Limits.m_Connections)
       return;
     ++m_Refused;
     evhttp_connection_free(Raw);
   }
 
+  Response malformed(const Connection &By, int Status) const {
+    constexpr int BadRequest = 400;
+    constexpr int HeadersTooLarge = 431;
+    // evhttp does not tell headers that are too large from malformed ones.
+    const bool Large = By.m_Received > m_Limits.m_HeaderBytes;
+    return m_OnMalformed(Status == BadRequest && Large ? HeadersTooLarge
+                                                       : Status);
+  }
+
   static void onInput(evbuffer *, const evbuffer_cb_info *Info,
                       void *Argument) {
     auto &Known = *static_cast<Connection *>(Argument);
+    if (Known.m_Current == nullptr)
+      Known.m_Received += Info->n_added;
     if (Info->n_added > 0 && Known.m_Current == nullptr &&
         Known.m_FirstByte == TimePoint::max())
       Known.m_FirstByte = BootClock::now();
@@ -313,6 +352,13 @@
     if (const auto Found = Self.m_Open.find(Key); Found != Self.m_Open.end()) {
       Found->second->m_Current = Made.get();
       Found->second->m_FirstByte = TimePoint::max();
+      Found->second->m_Received = 0;
+      Found->second->m_Answering = true;
+      Made->onAnswered([&Self, Key] {
+        if (const auto Still = Self.m_Open.find(Key);
+            Still != Self.m_Open.end())
+          Still->second->m_Answering = false;
+      });
       Made->onReleased([&Self, Key] {
         if (const auto Still = Self.m_Open.find(Key);
             Still != Self.m_Open.end())
@@ -337,6 +383,7 @@
   event_base *m_Loop;
   ServerLimits m_Limits;
   Handler m_OnRequest;
+  ErrorPage m_OnMalformed;
   evhttp *m_Http = nullptr;
   evhttp_bound_socket *m_Socket = nullptr;
   std::unordered_map<evhttp_connection *, std::unique_ptr<Connection>> m_Open;
@@ -349,8 +396,10 @@
 
 Result<std::unique_ptr<Server>> listen(event_base *Loop, const Address &At,
                                        const ServerLimits &Limits,
-                                       Handler OnRequest) {
-  auto Made = std::make_unique<ServerState>(Loop, Limits, std::move(OnRequest));
+                                       Handler OnRequest,
+                                       ErrorPage OnMalformed) {
+  auto Made = std::make_unique<ServerState>(Loop, Limits, std::move(OnRequest),
+                                            std::move(OnMalformed));
   if (Status Opened = Made->open(At); failed(Opened))
     return errorOf(Opened);
   return std::unique_ptr<Server>(std::move(Made));
