Write the operators' command line against the replicated control

The thin client knew status and keygen only. It now states intents, shows, confirms and cancels plans, waits with a progress line, reads and sets the configuration, lists orders and members, resolves ledger keys, tries each server and follows to the leader, and prints the request id so that a lost answer is found again.

--- a/apps/cli/src/Main.cpp
+++ b/apps/cli/src/Main.cpp
@@ -1,13 +1,11 @@
 // wasabivale: the operators' command line.
 
-#include "daemon/daemon.h"
-#include "events/events.h"
-#include "http/http.h"
-#include "wire/wire.h"
+#include "Commands.h"
 
 #include <boost/program_options.hpp>
 #include <cstdlib>
 #include <fmt/format.h>
+#include <fstream>
 #include <sstream>
 
 using namespace wasabivale;
@@ -15,82 +13,95 @@
 
 namespace {
 
-constexpr std::chrono::seconds Patience{10};
-constexpr int ExitUnreachable = 3;
+constexpr std::uint64_t DefaultPatienceSeconds = 60;
+constexpr std::chrono::seconds LeaderPatience{10};
+constexpr const char *TokenVariable = "WASABIVALE_TOKEN";
 
-int generateKeys() {
-  const auto Keys = wire::generateKeys();
-  if (failed(Keys)) {
-    fmt::print(stderr, "{}\n", describe(errorOf(Keys)));
-    return daemon::ExitFailed;
-  }
-  fmt::print("{}\n", settings::Json{{"public", valueOf(Keys).m_Public},
-                                    {"secret", valueOf(Keys).m_Secret}}
-                         .dump());
-  return daemon::ExitOk;
+options::options_description describeOptions() {
+  options::options_description Known("Options");
+  auto Add = Known.add_options();
+  Add("help,h", "print this text");
+  Add("version", "print the version");
+  Add("server", options::value<std::vector<std::string>>(),
+      "a control member, ip:port; may be repeated");
+  Add("token-file", options::value<std::string>(),
+      "file with the bearer token; otherwise WASABIVALE_TOKEN");
+  Add("output", options::value<std::string>()->default_value("table"),
+      "table or json");
+  Add("yes,y", "confirm the plan at once");
+  Add("wait,w", "wait until the plan has ended or the revision is in force");
+  Add("timeout",
+      options::value<std::uint64_t>()->default_value(DefaultPatienceSeconds),
+      "longest wait, in seconds");
+  Add("request-id", options::value<std::string>(),
+      "repeat the call with this id, to find a lost answer");
+  Add("allow-empty", "let the plan leave a model without a target");
+  Add("revision", options::value<std::uint64_t>(),
+      "revision of the plan or the configuration");
+  Add("digest", options::value<std::string>(), "digest of the plan");
+  Add("model", options::value<std::string>(), "base[+adapter][@version]");
+  Add("replace", options::value<std::string>(), "model that it replaces");
+  Add("count", options::value<std::uint64_t>(), "number of engines");
+  Add("role", options::value<std::string>(), "mixed, prefill or decode");
+  Add("command", options::value<std::vector<std::string>>(),
+      "command and arguments");
+  return Known;
 }
 
-Result<http::Response> get(const std::string &Server, const std::string &Token,
-                           const std::string &Path) {
-  const auto Address = http::parseAddress(Server);
-  if (failed(Address))
-    return errorOf(Address);
-  daemon::EventLoop Loop;
-  Result<http::Response> Answer = Error{"cli.get", Server, "no answer"};
-  http::ClientRequest What;
-  What.m_To = valueOf(Address);
-  What.m_Method = "GET";
-  What.m_Path = Path;
-  What.m_Headers = {{"Authorization", "Bearer " + Token}};
-  What.m_Deadline = BootClock::now() + Patience;
-  http::ClientHandlers Handlers;
-  Handlers.m_OnDone = [&](Result<http::Response> Ending) {
-    Answer = std::move(Ending);
-    Loop.end();
-  };
-  http::call(Loop.base(), std::move(What), Handlers);
-  Loop.run();
-  return Answer;
+std::string textOf(const options::variables_map &Given, const char *Name) {
+  return Given.count(Name) != 0 ? Given[Name].as<std::string>() : "";
 }
 
-int showStatus(const std::string &Server, const std::string &Token,
-               bool AsJson) {
-  const auto Answer = get(Server, Token, "/operator/v1/status");
-  if (failed(Answer)) {
-    fmt::print(stderr, "{}\n", describe(errorOf(Answer)));
-    return ExitUnreachable;
-  }
-  const auto &Body = valueOf(Answer).m_Body;
-  if (valueOf(Answer).m_Status != 200 || AsJson) {
-    fmt::print("{}\n", Body);
-    return valueOf(Answer).m_Status == 200 ? daemon::ExitOk
-                                           : daemon::ExitFailed;
+std::optional<std::uint64_t> numberOf(const options::variables_map &Given,
+                                      const char *Name) {
+  if (Given.count(Name) == 0)
+    return std::nullopt;
+  return Given[Name].as<std::uint64_t>();
+}
+
+std::string readToken(const options::variables_map &Given) {
+  if (Given.count("token-file") != 0) {
+    std::ifstream Input(Given["token-file"].as<std::string>());
+    std::string Token;
+    Input >> Token;
+    return Token;
   }
-  const auto Status = settings::Json::parse(Body);
-  fmt::print("leader {}  fleet revision {}  entries {}\n",
-             Status["leader"].get<std::string>(),
-             Status["fleet_revision"].get<int>(), Status["entries"].get<int>());
-  for (const auto &Row : Status["targets"])
-    fmt::print("{:<20} {:<8} {:<10} {:<8} {:<22} {}\n",
-               Row["id"].get<std::string>(), Row["kind"].get<std::string>(),
-               Row["state"].get<std::string>(), Row["role"].get<std::string>(),
-               Row["address"].get<std::string>(), Row["models"].dump());
-  return daemon::ExitOk;
+  const char *Token = std::getenv(TokenVariable);
+  return Token == nullptr ? "" : Token;
 }
 
+cli::Invocation toInvocation(const options::variables_map &Given) {
+  cli::Invocation Made;
+  Made.m_Words = Given["command"].as<std::vector<std::string>>();
+  if (Given.count("server") != 0)
+    Made.m_Client.m_Servers = Given["server"].as<std::vector<std::string>>();
+  Made.m_Client.m_Token = readToken(Given);
+  Made.m_Client.m_Deadline = BootClock::now() + LeaderPatience;
+  Made.m_AsJson = textOf(Given, "output") == "json";
+  Made.m_Yes = Given.count("yes") != 0;
+  Made.m_Wait = Given.count("wait") != 0;
+  Made.m_AllowEmpty = Given.count("allow-empty") != 0;
+  Made.m_Revision = numberOf(Given, "revision");
+  Made.m_Digest = textOf(Given, "digest");
+  Made.m_RequestId = textOf(Given, "request-id");
+  Made.m_Model = textOf(Given, "model");
+  Made.m_Replace = textOf(Given, "replace");
+  Made.m_Role = textOf(Given, "role");
+  Made.m_Count = numberOf(Given, "count");
+  Made.m_Patience = std::chrono::seconds(Given["timeout"].as<std::uint64_t>());
+  if (Made.m_Wait)
+    Made.m_Client.m_Deadline = BootClock::now() + Made.m_Patience;
+  return Made;
+}
+
+int toCode(cli::Exit Value) { return static_cast<int>(Value); }
+
 } // namespace
 
 int main(int ArgumentCount, char **Arguments) {
-  options::options_description Known("Options");
-  auto Add = Known.add_options();
-  Add("help,h", "print this text");
-  Add("version", "print the version");
-  Add("server", options::value<std::string>(), "a control member, ip:port");
-  Add("output", options::value<std::string>()->default_value("table"),
-      "table or json");
-  Add("command", options::value<std::string>(), "status | keygen");
+  const options::options_description Known = describeOptions();
   options::positional_options_description Positions;
-  Positions.add("command", 1);
+  Positions.add("command", -1);
   options::variables_map Given;
   try {
     options::store(options::command_line_parser(ArgumentCount, Arguments)
@@ -100,23 +111,23 @@
                    Given);
   } catch (const options::error &Failure) {
     fmt::print(stderr, "wasabivale: {}\n", Failure.what());
-    return daemon::ExitUsage;
+    return toCode(cli::Exit::Usage);
+  }
+  if (Given.count("version") != 0) {
+    fmt::print("wasabivale {}\n", WASABIVALE_VERSION);
+    return toCode(cli::Exit::Ok);
   }
   if (Given.count("help") != 0 || Given.count("command") == 0) {
     std::ostringstream Text;
     Text << Known;
-    fmt::print("wasabivale COMMAND: operates a wasabivale system\n\n{}",
-               Text.str());
-    return Given.count("help") != 0 ? daemon::ExitOk : daemon::ExitUsage;
+    fmt::print("wasabivale COMMAND: operates a wasabivale system\n\n{}\n{}",
+               cli::commandsHelp(), Text.str());
+    return toCode(Given.count("help") != 0 ? cli::Exit::Ok : cli::Exit::Usage);
+  }
+  const std::string Output = textOf(Given, "output");
+  if (Output != "table" && Output != "json") {
+    fmt::print(stderr, "wasabivale: --output table or json\n");
+    return toCode(cli::Exit::Usage);
   }
-  const auto Command = Given["command"].as<std::string>();
-  if (Command == "keygen")
-    return generateKeys();
-  const char *Token = std::getenv("WASABIVALE_TOKEN");
-  if (Command == "status" && Given.count("server") != 0)
-    return showStatus(Given["server"].as<std::string>(),
-                      Token == nullptr ? "" : Token,
-                      Given["output"].as<std::string>() == "json");
-  fmt::print(stderr, "wasabivale: unknown command, or --server is missing\n");
-  return daemon::ExitUsage;
+  return toCode(cli::run(toInvocation(Given)));
 }
--- /dev/null
+++ b/apps/cli/src/Print.h
@@ -0,0 +1,36 @@
+/// \file
+/// Tables for people.
+
+#ifndef WASABIVALE_CLI_PRINT_H
+#define WASABIVALE_CLI_PRINT_H
+
+#include "settings/settings.h"
+
+#include <string>
+#include <vector>
+
+namespace wasabivale::cli {
+
+using settings::Json;
+
+/// A column: its title and the JSON pointer of its value in each row.
+struct Column {
+  std::string m_Title;
+  std::string m_Pointer;
+};
+
+/// Rows in aligned columns, under their titles.
+std::string table(const Json &Rows, const std::vector<Column> &Columns);
+
+std::string printStatus(const Json &Status);
+std::string printTargets(const Json &Rows);
+std::string printOrders(const Json &Rows);
+std::string printPlans(const Json &Rows);
+/// What the plan will do, in order, and what remains at each step.
+std::string printPlan(const Json &Plan);
+std::string printMembers(const Json &Members);
+std::string printHistory(const Json &Configuration);
+
+} // namespace wasabivale::cli
+
+#endif // WASABIVALE_CLI_PRINT_H
