--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -155,6 +155,7 @@
   m_Sent.clear();
   m_Proposed.clear();
   fleet::startTerm(m_Heard, m_State.m_Fleet, m_LeaderSince, LongestEntryLease);
+  startTerm(m_Roles, m_State.m_Fleet, m_LeaderSince);
 }
 
 void Control::loseLeadership() {
@@ -252,6 +253,7 @@
   const wire::EntryReport &Report = Message.entry_report();
   fleet::takeReport(m_Heard, From, Message.session(), Report, Now,
                     Now + LongestEntryLease);
+  control::takeReport(m_Roles, Report);
   wire::Envelope Answer;
   Answer.set_term(m_Replica->term());
   wire::ControlGrant &Grant = *Answer.mutable_control_grant();
@@ -346,6 +348,12 @@
   for (const fleet::Action &Each :
        fleet::due(m_State.m_Fleet, m_Heard, Now, Due))
     carryOut(Each, Now);
+  if (auto Shift = stepWhenDue(m_Roles, m_State.m_Fleet, Now))
+    propose(std::move(*Shift), [](const wire::CallReply &Reply) {
+      if (Reply.refusal() != 0)
+        events::emit(events::Event::CommandRejected,
+                     {{"command", "role shift"}, {"message", Reply.message()}});
+    });
   sendChanges();
 }
 
--- a/apps/control/src/Control.h
+++ b/apps/control/src/Control.h
@@ -8,6 +8,7 @@
 
 #include "ControlSettings.h"
 #include "Executor.h"
+#include "RolePlanner.h"
 #include "StateMachine.h"
 #include "metrics/metrics.h"
 #include "replication/replication.h"
@@ -83,6 +84,7 @@
 
   Replicated m_State;
   fleet::Barriers m_Heard;
+  RolePlanner m_Roles;
   std::map<NodeId, Sent> m_Sent;
   std::map<consensus::Index, wire::CallReply> m_Replies;
   std::set<std::string> m_Proposed;
--- a/apps/control/src/OperatorApi.cpp
+++ b/apps/control/src/OperatorApi.cpp
@@ -99,7 +99,7 @@
   if (Path == "members")
     return Send(members());
   if (Path == "roles")
-    return Send({{"policy", view(m_Control.m_State.m_Fleet.m_Policy)}});
+    return Send(explain(m_Control.m_Roles, m_Control.m_State.m_Fleet));
   if (Path == "ledger")
     return Send({{"unknown", ledgerKeys()}});
   if (Path.starts_with(OnePlan)) {
