--- a/libs/limits/include/limits/limits.h
+++ b/libs/limits/include/limits/limits.h
@@ -60,7 +60,7 @@
   Duration m_StarvationBound = std::chrono::seconds(20);
   /// Part of the time to the deadline that an estimated finish leaves free when
   /// the request would have to wait: others can use the place more surely.
-  double m_DeadlineMargin = 0.2;
+  double m_DeadlineMargin = 0.3;
   /// Retry-After for what the next share grant may cure.
   Duration m_ShareRenewal = std::chrono::seconds(1);
 };
@@ -149,6 +149,7 @@
   double m_Key = 0;      ///< Where it stands in the model's order.
   bool m_Listed = false; ///< In that order: it has work and may start.
   bool m_Barred = false; ///< It has work, but its caller's share is in use.
+  std::uint32_t m_Running = 0;
   std::set<Place> m_Waiting;
   double m_Work = 0;     ///< Seconds of slot time that wait.
   TimePoint m_LastStart; ///< Or when it last became backlogged.
@@ -171,6 +172,7 @@
   double m_Work = 0;    ///< Seconds of slot time that wait.
   double m_Weights = 0; ///< Of the flows that wait.
   DrainRate m_Drain;
+  std::uint32_t m_Running = 0; ///< Of all flows.
   bool m_LastWasStarved = false;
   TimePoint m_LastStart;
   double m_Bias = 1; ///< Mean of observed over expected service time.
--- a/libs/limits/src/Admission.cpp
+++ b/libs/limits/src/Admission.cpp
@@ -131,19 +131,26 @@
     return Found;
   static const ModelQueue NoQueue;
   const auto Queue = Entry.m_Models.find(Wanted.m_Model);
-  Found.m_Wait =
-      expectedWait(Queue == Entry.m_Models.end() ? NoQueue : Queue->second,
-                   Entry.m_Callers[Index], Index, Wanted);
+  Found.m_Wait = expectedWait(
+      Entry, Queue == Entry.m_Models.end() ? NoQueue : Queue->second, Index,
+      Wanted);
   return Found;
 }
 
 /// Seconds by which the request would miss its deadline; negative if not.
-/// Only a wait is uncertain enough for a margin.
-double lateBy(const Settings &Options, const Forecast &Times,
-              const Arrival &Wanted, TimePoint Now) {
+double lateBy(const Forecast &Times, const Arrival &Wanted, double Margin,
+              TimePoint Now) {
   const double Left = seconds(Wanted.m_Deadline - Now);
-  const double Margin = Times.m_Wait > 0 ? Left * Options.m_DeadlineMargin : 0;
-  return Times.m_Wait + Times.m_Service + Margin - Left;
+  return Times.m_Wait + Times.m_Service - Left * (1 - Margin);
+}
+
+/// A caller over its share must leave a margin before it waits. One under its
+/// share is not refused for that: the others' waiting is no reason.
+double marginFor(const State &Entry, CallerIndex Index, const Arrival &Wanted,
+                 bool AtOnce) {
+  if (AtOnce || isUnderShare(Entry, Index, Wanted))
+    return 0;
+  return Entry.m_Settings.m_DeadlineMargin;
 }
 
 void noteBias(ModelQueue &Queue, const Held &Request, TimePoint Now) {
@@ -174,7 +181,8 @@
                       mayStart(Entry.m_Callers[Index], Now) &&
                       hasNoLine(Entry, Wanted.m_Model);
   const Forecast Times = forecastOf(Entry, Index, Wanted, AtOnce);
-  const double Late = lateBy(Entry.m_Settings, Times, Wanted, Now);
+  const double Margin = marginFor(Entry, Index, Wanted, AtOnce);
+  const double Late = lateBy(Times, Wanted, Margin, Now);
   if (Late > 0)
     return refuse(Refusal::CannotMeetDeadline,
                   fromSeconds(std::min(Late, Times.m_Wait + 1)));
@@ -209,6 +217,11 @@
   WASABIVALE_INVARIANT(Who.m_Running > 0 && Entry.m_RunningCount > 0);
   --Who.m_Running;
   --Entry.m_RunningCount;
+  ModelQueue &Queue = Entry.m_Models.at(Request.m_Model);
+  Flow &Line = Queue.m_Flows.at(Index);
+  WASABIVALE_INVARIANT(Queue.m_Running > 0 && Line.m_Running > 0);
+  --Queue.m_Running;
+  --Line.m_Running;
   refill(Entry.m_Settings, Who, Now);
   const double Prompt = Used.m_Ran ? Used.m_PromptTokens : 0;
   const double Output = Used.m_Ran ? Used.m_OutputTokens : 0;
@@ -219,7 +232,7 @@
     ++Total.m_Requests;
     Total.m_PromptTokens += Used.m_PromptTokens;
     Total.m_OutputTokens += Used.m_OutputTokens;
-    noteBias(Entry.m_Models.at(Request.m_Model), Request, Now);
+    noteBias(Queue, Request, Now);
   }
   relist(Entry, Index, Now);
   freeIfUnused(Entry, Index);
--- a/libs/limits/src/Internal.h
+++ b/libs/limits/src/Internal.h
@@ -50,8 +50,11 @@
 /// tells whether it comes from there.
 void start(State &Entry, Ticket Id, bool Waited, TimePoint Now);
 /// Expected wait of a request that would join the queue now.
-double expectedWait(const ModelQueue &Queue, const Caller &Who,
+double expectedWait(const State &Entry, const ModelQueue &Queue,
                     CallerIndex Index, const Arrival &Wanted);
+/// Whether the caller has less than its part of what runs, divided among those
+/// that wait.
+bool isUnderShare(const State &Entry, CallerIndex Index, const Arrival &Wanted);
 
 } // namespace wasabivale::limits
 
--- a/libs/limits/src/Queue.cpp
+++ b/libs/limits/src/Queue.cpp
@@ -119,6 +119,25 @@
                   (Drain.m_Work + Slots * Prior) / (Drain.m_Seconds + Prior));
 }
 
+/// Callers whose turn comes before that of the arrival.
+double flowsAhead(const State &Entry, const ModelQueue &Queue,
+                  CallerIndex Index, const Arrival &Wanted) {
+  constexpr int MostCounted = 64;
+  const auto Found = Queue.m_Flows.find(Index);
+  const double Finish =
+      Found == Queue.m_Flows.end() ? 0 : Found->second.m_Finish;
+  const unsigned Priority = std::min(Wanted.m_Priority, MaxPriority);
+  const double Key = std::max(Queue.m_Virtual, Finish) -
+                     seconds(Entry.m_Settings.m_PriorityCredit) * Priority;
+  int Count = 0;
+  for (const auto &[Other, Caller] : Queue.m_Order) {
+    if (Other > Key || Count == MostCounted)
+      break;
+    ++Count;
+  }
+  return Count;
+}
+
 /// Charges a start to the fair queue. A flow that waits keeps its own tag,
 /// although priority may have let the virtual time run ahead of it.
 void chargeStart(ModelQueue &Queue, Flow &Line, double Cost, bool Waited,
@@ -216,24 +235,27 @@
   Request.m_StartedAt = Now;
   ++Who.m_Running;
   ++Entry.m_RunningCount;
+  ++Queue.m_Running;
+  ++Line.m_Running;
   WASABIVALE_INVARIANT(Who.m_Running <= runningShare(Who));
   relistFlow(Entry, Queue, Index, Line, Now);
   relist(Entry, Index, Now);
   notePeak(Entry, Index);
 }
 
-double expectedWait(const ModelQueue &Queue, const Caller &Who,
+double expectedWait(const State &Entry, const ModelQueue &Queue,
                     CallerIndex Index, const Arrival &Wanted) {
+  const Caller &Who = Entry.m_Callers[Index];
   const double Slots = std::max(1.0, Wanted.m_Capacity.m_Slots);
   const double Service = seconds(Wanted.m_ServiceTime);
   const auto Found = Queue.m_Flows.find(Index);
   const double Own = Found == Queue.m_Flows.end() ? 0 : Found->second.m_Work;
-  const bool Waits = Own > 0;
-  const double Weights = Queue.m_Weights + (Waits ? 0 : Who.m_Weight);
-  // Served at its fair part, behind one request of each other caller.
-  const double Round = std::min(
-      Queue.m_Work, static_cast<double>(Queue.m_Order.size()) * Service);
-  const double Fair = Own * Weights / Who.m_Weight + Round;
+  const double Weights = Queue.m_Weights + (Own > 0 ? 0 : Who.m_Weight);
+  // Its own requests at its fair part, and one of each caller before it.
+  const double Before = isUnderShare(Entry, Index, Wanted)
+                            ? flowsAhead(Entry, Queue, Index, Wanted)
+                            : static_cast<double>(Queue.m_Order.size());
+  const double Fair = Own * Weights / Who.m_Weight + Before * Service;
   const double Ahead = std::min(Queue.m_Work, Fair);
   const double SlotFrees = Wanted.m_Capacity.m_FreeSlots > 0 ? 0 : Service;
   double Wait = (SlotFrees + Ahead) / drainRate(Queue.m_Drain, Slots);
@@ -243,6 +265,29 @@
   return Wait;
 }
 
+bool isUnderShare(const State &Entry, CallerIndex Index,
+                  const Arrival &Wanted) {
+  /// Callers that all want more than they get vary about their share.
+  constexpr double ClearlyUnder = 0.6;
+  const Caller &Who = Entry.m_Callers[Index];
+  const auto Found = Entry.m_Models.find(Wanted.m_Model);
+  if (Found == Entry.m_Models.end())
+    return true;
+  const ModelQueue &Queue = Found->second;
+  const auto Own = Queue.m_Flows.find(Index);
+  if (Own == Queue.m_Flows.end())
+    return true;
+  double Weights = 0;
+  for (const auto &[Other, Line] : Queue.m_Flows) {
+    if (Line.m_Running > 0 || !Line.m_Waiting.empty())
+      Weights += Entry.m_Callers[Other].m_Weight;
+  }
+  const Flow &Line = Own->second;
+  const double Has =
+      static_cast<double>(Line.m_Running + Line.m_Waiting.size());
+  return Has * Weights < ClearlyUnder * Queue.m_Running * Who.m_Weight;
+}
+
 std::optional<Ticket> nextToStart(State &Entry, TimePoint Now,
                                   const CapacityView &Room) {
   if (Entry.m_QueuedCount == 0)
--- a/libs/limits/src/Verify.cpp
+++ b/libs/limits/src/Verify.cpp
@@ -15,9 +15,11 @@
   double Weights = 0;
   double Work = 0;
   std::size_t Listed = 0;
+  std::uint32_t Running = 0;
   for (const auto &[Index, Line] : Queue.m_Flows) {
     Listed += Line.m_Listed ? 1 : 0;
     Work += Line.m_Work;
+    Running += Line.m_Running;
     if (!Line.m_Waiting.empty())
       Weights += Entry.m_Callers[Index].m_Weight;
     WASABIVALE_INVARIANT(!Line.m_Listed || !Line.m_Waiting.empty());
@@ -25,6 +27,7 @@
                          Queue.m_Order.contains({Line.m_Key, Index}));
   }
   constexpr double Rounding = 1e-6;
+  WASABIVALE_INVARIANT(Running == Queue.m_Running);
   WASABIVALE_INVARIANT(Listed == Queue.m_Order.size());
   WASABIVALE_INVARIANT(Listed == Queue.m_Starved.size());
   WASABIVALE_INVARIANT(std::abs(Work - Queue.m_Work) < Rounding);
--- a/libs/limits/tests/AdmissionTest.cpp
+++ b/libs/limits/tests/AdmissionTest.cpp
@@ -94,6 +94,7 @@
 SCENARIO("Retry-After tells when a rate allows the request") {
   State Entry = entryOf(1, {2, NoLimit, NoLimit, NoLimit});
   std::vector<Ticket> Started;
+  Started.reserve(4);
   for (int I = 0; I < 4; ++I)
     Started.push_back(ticketOf(admit(Entry, arrival(0, Roomy), at(0s))));
   const Decision Made = admit(Entry, arrival(0, Roomy), at(0s));
--- a/libs/routing/tests/Fixture.h
+++ b/libs/routing/tests/Fixture.h
@@ -52,7 +52,7 @@
 /// Chooses, starts and ends a try at once.
 inline Choice run(State &Fleet, const Request &Wanted, TryOutcome Outcome,
                   TimePoint Now, Random &Rng) {
-  const Choice Made = valueOf(choose(Fleet, Wanted, Now, Rng));
+  Choice Made = valueOf(choose(Fleet, Wanted, Now, Rng));
   noteStarted(Fleet, Made.m_Try, Now);
   noteEnded(Fleet, Made.m_Try, Outcome, Now);
   return Made;
--- a/libs/routing/tests/RoutingTest.cpp
+++ b/libs/routing/tests/RoutingTest.cpp
@@ -161,6 +161,7 @@
   State Fleet = fleetOf(2);
   GIVEN("own tries that a report does not show yet") {
     std::vector<Choice> Made;
+    Made.reserve(40);
     for (int I = 0; I < 40; ++I)
       Made.push_back(valueOf(choose(Fleet, question(100), at(0s), Rng)));
     for (int I = 0; I < 2; ++I)
