--- a/tools/experiment/src/Control.cpp
+++ b/tools/experiment/src/Control.cpp
@@ -17,7 +17,7 @@
 constexpr Duration FleetNewsLag = 100ms;
 constexpr Duration ShareLease = 4s;
 /// How long a drain waits before it moves the streams that still run.
-constexpr Duration DrainPatience = 10s;
+constexpr Duration DrainPatience = 5s;
 
 double seconds(TimePoint At) {
   return std::chrono::duration<double>(At.time_since_epoch()).count();
@@ -202,18 +202,12 @@
   Sample Made;
   Made.m_Second = static_cast<double>(Second);
   Made.m_Split = splitOf(In);
-  std::uint64_t Offered = 0;
-  std::uint64_t InTime = 0;
-  for (const Sample &Each : In.m_Result.m_Samples) {
-    Offered += static_cast<std::uint64_t>(
-        Each.m_OfferedPerSecond * SampleSeconds + 0.5);
-    InTime += static_cast<std::uint64_t>(
-        Each.m_InTimePerSecond * SampleSeconds + 0.5);
-  }
-  Made.m_OfferedPerSecond =
-      static_cast<double>(In.m_Result.m_Offered - Offered) / SampleSeconds;
-  Made.m_InTimePerSecond =
-      static_cast<double>(In.m_Result.m_InTime - InTime) / SampleSeconds;
+  std::uint64_t Offered = In.m_Result.m_Offered - In.m_Control.m_OfferedBefore;
+  std::uint64_t InTime = In.m_Result.m_InTime - In.m_Control.m_InTimeBefore;
+  In.m_Control.m_OfferedBefore = In.m_Result.m_Offered;
+  In.m_Control.m_InTimeBefore = In.m_Result.m_InTime;
+  Made.m_OfferedPerSecond = static_cast<double>(Offered) / SampleSeconds;
+  Made.m_InTimePerSecond = static_cast<double>(InTime) / SampleSeconds;
   In.m_Result.m_Samples.push_back(Made);
 }
 
--- a/tools/experiment/src/Entries.cpp
+++ b/tools/experiment/src/Entries.cpp
@@ -134,8 +134,8 @@
     Of.m_Try = Of.m_Choice.m_Try;
     routing::noteStarted(At.m_Routing, Of.m_Try, In.m_Now);
     if (submitLeg(In, Index)) {
-      At.m_Demand.m_CachedPromptTokens +=
-          Of.m_Choice.m_Estimate.m_CachedBlocks * routing::BlockTokens;
+      std::uint64_t Cached = Of.m_Choice.m_Estimate.m_CachedBlocks;
+      At.m_Demand.m_CachedPromptTokens += Cached * routing::BlockTokens;
       return;
     }
     routing::noteEnded(At.m_Routing, Of.m_Try, routing::TryOutcome::Full,
--- a/tools/experiment/src/Experiments.cpp
+++ b/tools/experiment/src/Experiments.cpp
@@ -144,6 +144,7 @@
 std::vector<RankedSplit> rankCommon(const std::vector<RankedSplit> &Low,
                                     const std::vector<RankedSplit> &High) {
   std::vector<RankedSplit> Ranked;
+  Ranked.reserve(Low.size());
   for (const RankedSplit &Each : Low)
     Ranked.push_back(
         {(Each.m_InTime + inTimeOf(High, Each.m_Split)) / 2, Each.m_Split});
--- a/tools/experiment/src/Search.h
+++ b/tools/experiment/src/Search.h
@@ -7,6 +7,7 @@
 
 #include "World.h"
 
+#include <tuple>
 #include <vector>
 
 namespace wasabivale::experiment {
@@ -19,7 +20,10 @@
   double m_InTime = 0; ///< Answers in time, mean over the seeds.
   Split m_Split{};
 
-  auto operator<=>(const RankedSplit &) const = default;
+  bool operator<(const RankedSplit &Other) const {
+    return std::tie(m_InTime, m_Split) <
+           std::tie(Other.m_InTime, Other.m_Split);
+  }
 };
 
 /// Splits by the answers that \p Of has in time with them, best first. All
--- a/tools/experiment/src/State.h
+++ b/tools/experiment/src/State.h
@@ -87,7 +87,9 @@
   roles::State m_Planner;
   std::deque<DemandNews> m_Demand;
   std::size_t m_NextPlan = 0;
-  std::optional<Split> m_Wanted; ///< Of an informed run.
+  std::optional<Split> m_Wanted;     ///< Of an informed run.
+  std::uint64_t m_OfferedBefore = 0; ///< At the last sample.
+  std::uint64_t m_InTimeBefore = 0;
 };
 
 struct World {
--- a/tools/experiment/src/Workload.cpp
+++ b/tools/experiment/src/Workload.cpp
@@ -100,6 +100,7 @@
 std::uint32_t drawCaller(Random &From, const std::vector<CallerSpec> &Callers,
                          SizeKind Kind) {
   std::vector<double> Weights;
+  Weights.reserve(Callers.size());
   for (const CallerSpec &Each : Callers)
     Weights.push_back(Each.m_Kind == Kind ? Each.m_Part : 0);
   return std::discrete_distribution<std::uint32_t>(Weights.begin(),
--- a/tools/load/src/Runner.cpp
+++ b/tools/load/src/Runner.cpp
@@ -146,14 +146,14 @@
     else
       Sent->m_Body += Piece;
   };
-  Handlers.m_OnDone = [this, Sent](Result<http::Response> How) {
-    finish(Sent, std::move(How));
+  Handlers.m_OnDone = [this, Sent](const Result<http::Response> &How) {
+    finish(Sent, How);
   };
   http::call(m_Loop.base(), std::move(Request), std::move(Handlers));
 }
 
 void Runner::finish(const std::shared_ptr<Open> &Of,
-                    Result<http::Response> How) {
+                    const Result<http::Response> &How) {
   const Call &What = Of->m_Call;
   const Stream &From = m_Plan.m_Streams[What.m_Stream];
   Answer &Read = Of->m_Answer;
--- a/tools/load/src/Runner.h
+++ b/tools/load/src/Runner.h
@@ -32,7 +32,8 @@
   void sendDue();
   void send(const Call &What, bool IsResend);
   void scheduleResend(const Call &What);
-  void finish(const std::shared_ptr<Open> &Of, Result<http::Response> How);
+  void finish(const std::shared_ptr<Open> &Of,
+              const Result<http::Response> &How);
   void compareResend(const Open &Of);
   void reportProgress();
   [[nodiscard]] std::chrono::nanoseconds elapsed() const;
