--- a/libs/roles/src/Policy.cpp
+++ b/libs/roles/src/Policy.cpp
@@ -113,6 +113,7 @@
   Value.m_CostEngineTime = 20s;
   Value.m_ChangesPerHour = 60;
   Value.m_UncertaintyWeight = 0.5;
+  Value.m_EvidenceShare = 0.5;
   return Value;
 }
 
