Test crashes halfway through a change, poisonous requests and leaving

Adds an engine that crashes in the middle of a role change, a request that crashes every engine, and a target that leaves by its own wish.

--- a/tools/fake-targets/src/Target.cpp
+++ b/tools/fake-targets/src/Target.cpp
@@ -86,7 +86,9 @@
   if (!m_Faults.m_CrashOn.empty() &&
       Body.find(m_Faults.m_CrashOn) != std::string::npos) {
     m_Life->note("crashed_on_request");
-    return crashSoon(std::chrono::milliseconds(0));
+    // The exchange is kept, so that its connection ends with the listener.
+    return callLater(m_Shared.m_Loop, std::chrono::milliseconds(0), m_Alive,
+                     [this, From] { crash(); });
   }
   if (m_Service && Path == "/service/v1/call")
     return m_Service->call(From, accepts());
--- a/tools/system-tests/tests/FleetTest.cpp
+++ b/tools/system-tests/tests/FleetTest.cpp
@@ -83,11 +83,15 @@
   return Conflicts;
 }
 
+std::string stateOfPlan(const System &Running, const std::string &Plan) {
+  const Answer Got = askLeader(Running, "GET", "plans/" + Plan, "");
+  return Json::parse(Got.m_Body).value("state", "");
+}
+
 void waitForPlan(const System &Running, const std::string &Plan) {
   std::string State;
   const bool Ended = Running.turnUntil([&] {
-    const Answer Got = askLeader(Running, "GET", "plans/" + Plan, "");
-    State = Json::parse(Got.m_Body).value("state", "");
+    State = stateOfPlan(Running, Plan);
     return State == "done" || State == "failed";
   });
   INFO(Plan << " " << State);
@@ -101,29 +105,32 @@
 
 } // namespace
 
-SCENARIO("a drain by plan cuts no stream and ends new work") {
+SCENARIO("a target that leaves gets no new work and cuts no stream") {
   System Running({1, 2, 3, 1, {}}, 29600);
   Streams Got = startStreams(Running, 12, 300);
-  order(Running, {{"intent", "drain"}, {"targets", {"engine-1"}}});
-  const TimePoint Confirmed = BootClock::now();
-  while (BootClock::now() < Confirmed + 4s) {
+  GIVEN("a plan that drains it") {
+    order(Running, {{"intent", "drain"}, {"targets", {"engine-1"}}});
+  }
+  GIVEN("its own wish to leave") { Running.leave("engine-1"); }
+  const TimePoint Asked = BootClock::now();
+  while (BootClock::now() < Asked + 4s) {
     addStream(Got, Running, 1 + static_cast<int>(Got.m_Answers.size() % 2));
     Running.turnFor(100ms);
   }
   waitForEnd(Running, Got);
   checkAllWhole(Got);
-  REQUIRE(Running.turnUntil([&] {
-    const auto Done = Running.judged("order_done");
-    return std::any_of(Done.begin(), Done.end(), [](const Json &Each) {
-      return Each["target"] == "engine-1";
-    });
-  }));
   CHECK(Running.judged("run_cut").empty());
   for (const Json &Run : Running.judged("run_started")) {
     const TimePoint At{std::chrono::nanoseconds(Run["at_ns"].get<long>())};
     if (Run["target"] == "engine-1")
-      CHECK(At < Confirmed + 2s);
+      CHECK(At < Asked + 2s);
   }
+  CHECK(Running.turnUntil([&] {
+    const auto Done = Running.judged("order_done");
+    return std::any_of(Done.begin(), Done.end(), [](const Json &Each) {
+      return Each["target"] == "engine-1";
+    });
+  }));
 }
 
 SCENARIO("no target takes conflicting orders while leaders change") {
@@ -155,3 +162,21 @@
     CHECK(conflictingOrders(Running) == 0);
   }
 }
+
+SCENARIO("an engine that crashes halfway through a change comes back") {
+  System Running({3, 2, 3, 1, {"--role-change-ms", "1000"}}, 29600);
+  Running.fault({{"target", "engine-1"},
+                 {"fault", "crash_in_order"},
+                 {"restart_ms", 500}});
+  const auto Plan = order(Running, shiftTo("decode", "engine-1"));
+  REQUIRE(Running.turnUntil([&] {
+    return Running.judged("target_crashed").size() == 1 && Running.serves(4);
+  }));
+  const std::string State = stateOfPlan(Running, Plan);
+  INFO(Plan << " " << State);
+  CHECK((State == "done" || State == "failed"));
+  CHECK(conflictingOrders(Running) == 0);
+  Streams Got = startStreams(Running, 6, 60);
+  waitForEnd(Running, Got);
+  checkAllWhole(Got);
+}
--- a/tools/system-tests/tests/Harness.cpp
+++ b/tools/system-tests/tests/Harness.cpp
@@ -180,8 +180,9 @@
   m_Control.clear();
   event_base_loop(m_Loop, EVLOOP_NONBLOCK);
   event_base_free(m_Loop);
-  // The logs of a failed run are kept.
-  if (std::uncaught_exceptions() == 0)
+  // The logs of a run that was given up are kept, and all when asked for.
+  if (std::uncaught_exceptions() == 0 &&
+      std::getenv("WASABIVALE_KEEP_LOGS") == nullptr)
     std::filesystem::remove_all(m_Folder);
 }
 
@@ -265,6 +266,12 @@
               .m_Status == 200);
 }
 
+void System::leave(const std::string &Target) const {
+  REQUIRE(ask(at(m_FirstPort + FakeAdminOffset), "POST", "/fake/v1/leave", {},
+              Json{{"target", Target}}.dump())
+              .m_Status == 200);
+}
+
 std::vector<Json> System::judged(const std::string &Event) const {
   std::vector<Json> Found;
   std::ifstream Lines(m_Folder + "/judge.jsonl");
--- a/tools/system-tests/tests/Harness.h
+++ b/tools/system-tests/tests/Harness.h
@@ -90,6 +90,8 @@
                  const std::string &Body) const;
   /// Switches a fault of a fake target on.
   void fault(const Json &What) const;
+  /// Lets a fake target ask to leave.
+  void leave(const std::string &Target) const;
   /// Lines of the judge log of one event.
   [[nodiscard]] std::vector<Json> judged(const std::string &Event) const;
 
--- a/tools/system-tests/tests/StreamTest.cpp
+++ b/tools/system-tests/tests/StreamTest.cpp
@@ -5,6 +5,7 @@
 
 using namespace wasabivale;
 using namespace wasabivale::systemtests;
+using namespace std::chrono_literals;
 
 SCENARIO("callers get their whole answers though targets and entries fail") {
   System Running({1, 2, 3, 1, {}}, 29000);
@@ -63,3 +64,37 @@
     THEN("every answer is whole") { checkAllWhole(Got); }
   }
 }
+
+SCENARIO("a request that crashes engines is quarantined") {
+  System Running({1, 2, 4, 0, {}}, 29000);
+  for (const char *Engine : {"engine-1", "engine-2", "engine-3", "engine-4"})
+    Running.fault({{"target", Engine},
+                   {"fault", "crash_on_fingerprint"},
+                   {"text", "poison"},
+                   {"restart_ms", 300}});
+  const auto Send = [&Running](int Entry) {
+    const auto Got = Running.complete(Entry, "some poison", 5);
+    REQUIRE(Running.turnUntil([&] { return Got->m_Ended; }));
+    CHECK(!Got->m_Done);
+    return *Got;
+  };
+  // Each entry may learn of it by its own two crashes.
+  for (const int Entry : {1, 2}) {
+    std::string Body;
+    for (int Sent = 0; Sent < 5 && Body.find("\"quarantined\"") == Body.npos;
+         ++Sent)
+      Body = Send(Entry).m_Body;
+    INFO(Body);
+    CHECK(Body.find("\"quarantined\"") != Body.npos);
+  }
+  const std::size_t Crashes = Running.judged("target_crashed").size();
+  CHECK(Crashes <= 4);
+  for (int Sent = 0; Sent < 4; ++Sent) {
+    Running.turnFor(500ms);
+    CHECK(Send(1 + Sent % 2).m_Outcome == "not_run");
+  }
+  CHECK(Running.judged("target_crashed").size() == Crashes);
+  Streams Others = startStreams(Running, 8, 30);
+  waitForEnd(Running, Others);
+  checkAllWhole(Others);
+}
