--- a/apps/entry/tests/World.cpp
+++ b/apps/entry/tests/World.cpp
@@ -3,6 +3,7 @@
 #include "events/events.h"
 
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <fmt/format.h>
 
 namespace wasabivale::entry::test {
@@ -86,6 +87,7 @@
 
 World::World(int Engines, int Services) {
   events::setMinimumLevel(events::Level::Error);
+  std::signal(SIGPIPE, SIG_IGN); // as every program of this project does
   m_Settings.m_Id = {"entry-1"};
   m_Settings.m_Patience.m_Token = 300ms;
   m_Settings.m_Patience.m_Call = 300ms;
