--- a/libs/limits/include/limits/limits.h
+++ b/libs/limits/include/limits/limits.h
@@ -169,8 +169,9 @@
   std::unordered_map<CallerIndex, Flow> m_Flows;
   std::set<std::pair<double, CallerIndex>> m_Order;      ///< By key.
   std::set<std::pair<TimePoint, CallerIndex>> m_Starved; ///< By last start.
-  double m_Work = 0;    ///< Seconds of slot time that wait.
-  double m_Weights = 0; ///< Of the flows that wait.
+  double m_Work = 0;          ///< Seconds of slot time that wait.
+  double m_Weights = 0;       ///< Of the flows that wait.
+  double m_ActiveWeights = 0; ///< Of the flows that wait or run.
   DrainRate m_Drain;
   std::uint32_t m_Running = 0; ///< Of all flows.
   bool m_LastWasStarved = false;
--- a/libs/limits/src/Admission.cpp
+++ b/libs/limits/src/Admission.cpp
@@ -222,6 +222,8 @@
   WASABIVALE_INVARIANT(Queue.m_Running > 0 && Line.m_Running > 0);
   --Queue.m_Running;
   --Line.m_Running;
+  if (!isActive(Line))
+    Queue.m_ActiveWeights -= Who.m_Weight;
   refill(Entry.m_Settings, Who, Now);
   const double Prompt = Used.m_Ran ? Used.m_PromptTokens : 0;
   const double Output = Used.m_Ran ? Used.m_OutputTokens : 0;
--- a/libs/limits/src/Internal.h
+++ b/libs/limits/src/Internal.h
@@ -38,6 +38,10 @@
 void notePeak(State &Entry, CallerIndex Index);
 void freeIfUnused(State &Entry, CallerIndex Index);
 
+inline bool isActive(const Flow &Line) {
+  return Line.m_Running > 0 || !Line.m_Waiting.empty();
+}
+
 // Queue.cpp
 /// Weight and size of the backlog changed: files the caller anew.
 void fileBacklog(State &Entry, CallerIndex Index, std::uint32_t Queued);
--- a/libs/limits/src/Queue.cpp
+++ b/libs/limits/src/Queue.cpp
@@ -169,6 +169,8 @@
   unlist(Queue, Index, Line);
   if (Queue.m_Weights <= 0)
     Queue.m_Drain.m_At = Now;
+  if (!isActive(Line))
+    Queue.m_ActiveWeights += Entry.m_Callers[Index].m_Weight;
   if (Line.m_Waiting.empty()) {
     Queue.m_Weights += Entry.m_Callers[Index].m_Weight;
     Line.m_Finish = std::max(Queue.m_Virtual, Line.m_Finish);
@@ -203,6 +205,8 @@
     Line.m_Work = 0; // Sheds what rounding left.
     Queue.m_Weights -= Entry.m_Callers[Index].m_Weight;
   }
+  if (!isActive(Line))
+    Queue.m_ActiveWeights -= Entry.m_Callers[Index].m_Weight;
   if (Queue.m_Weights < LeastWeight / 2)
     Queue.m_Weights = 0; // Sheds what rounding left.
   WASABIVALE_INVARIANT(Entry.m_QueuedCount > 0);
@@ -235,6 +239,8 @@
   Request.m_StartedAt = Now;
   ++Who.m_Running;
   ++Entry.m_RunningCount;
+  if (!isActive(Line))
+    Queue.m_ActiveWeights += Who.m_Weight;
   ++Queue.m_Running;
   ++Line.m_Running;
   WASABIVALE_INVARIANT(Who.m_Running <= runningShare(Who));
@@ -277,15 +283,11 @@
   const auto Own = Queue.m_Flows.find(Index);
   if (Own == Queue.m_Flows.end())
     return true;
-  double Weights = 0;
-  for (const auto &[Other, Line] : Queue.m_Flows) {
-    if (Line.m_Running > 0 || !Line.m_Waiting.empty())
-      Weights += Entry.m_Callers[Other].m_Weight;
-  }
   const Flow &Line = Own->second;
   const double Has =
       static_cast<double>(Line.m_Running + Line.m_Waiting.size());
-  return Has * Weights < ClearlyUnder * Queue.m_Running * Who.m_Weight;
+  return Has * Queue.m_ActiveWeights <
+         ClearlyUnder * Queue.m_Running * Who.m_Weight;
 }
 
 std::optional<Ticket> nextToStart(State &Entry, TimePoint Now,
--- a/libs/limits/src/Shares.cpp
+++ b/libs/limits/src/Shares.cpp
@@ -70,8 +70,12 @@
     return;
   for (auto &[Model, Queue] : Entry.m_Models) {
     const auto Found = Queue.m_Flows.find(Index);
-    if (Found != Queue.m_Flows.end() && !Found->second.m_Waiting.empty())
+    if (Found == Queue.m_Flows.end())
+      continue;
+    if (!Found->second.m_Waiting.empty())
       Queue.m_Weights += Weight - Who.m_Weight;
+    if (isActive(Found->second))
+      Queue.m_ActiveWeights += Weight - Who.m_Weight;
   }
   const std::uint32_t Queued = Who.m_Queued;
   fileBacklog(Entry, Index, 0);
