--- a/libs/roles/src/Planner.cpp
+++ b/libs/roles/src/Planner.cpp
@@ -14,6 +14,8 @@
 constexpr Duration BudgetWindow = 1h;
 /// Points of the horizon at which the forecast is evaluated.
 constexpr int HorizonPoints = 6;
+/// Smoothing times that are watched before the first change.
+constexpr int LearningTimes = 5;
 /// Growth of the evidence needed with each unpaid change, and its limit.
 constexpr double UnpaidFactor = 4;
 constexpr std::uint32_t MostUnpaid = 4;
@@ -275,7 +277,7 @@
     return Reason::ChangeInProgress;
   Duration Watched =
       In.m_Interval * static_cast<std::int64_t>(In.m_State.m_Requests.m_Count);
-  if (Watched < In.m_Rules.m_Smoothing)
+  if (Watched < In.m_Rules.m_Smoothing * LearningTimes)
     return Reason::Learning;
   if (ChangesThisHour >= In.m_Rules.m_ChangesPerHour)
     return Reason::BudgetSpent;
--- a/libs/roles/src/Policy.cpp
+++ b/libs/roles/src/Policy.cpp
@@ -100,7 +100,7 @@
   Value.m_Horizon = 300s;
   Value.m_Away = 8s;
   Value.m_UncertaintyWeight = 1.5;
-  Value.m_EvidenceShare = 0.35;
+  Value.m_EvidenceShare = 0.5;
   Value.m_Smoothing = 12s;
   Value.m_RoleRates = {RoleRates{1, 1}, RoleRates{1.25, 0.5},
                        RoleRates{0.5, 1.25}};
