Let runs of the system tests on one machine take turns

Two runs in two worktrees met on the ports at 04:42 and one failed with Address already in use. A system now holds a file lock for its port range; two runs of the bookings side by side both pass.

--- a/tools/system-tests/tests/Harness.cpp
+++ b/tools/system-tests/tests/Harness.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 #include <fstream>
 #include <spawn.h>
+#include <sys/file.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -122,6 +123,11 @@
 System::System(const Size &Wanted, int FirstPort)
     : m_Loop(event_base_new()), m_FirstPort(FirstPort) {
   std::signal(SIGPIPE, SIG_IGN);
+  // Another run of these tests on this machine would use the same ports.
+  const std::string LockFile = std::filesystem::temp_directory_path() /
+                               fmt::format("wasabivale-ports-{}", FirstPort);
+  m_Lock = ::open(LockFile.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0600);
+  REQUIRE(::flock(m_Lock, LOCK_EX) == 0);
   m_Folder = std::filesystem::temp_directory_path() /
              fmt::format("wasabivale-test-{}-{}", ::getpid(), FirstPort);
   std::filesystem::remove_all(m_Folder);
@@ -180,6 +186,7 @@
   m_Control.clear();
   event_base_loop(m_Loop, EVLOOP_NONBLOCK);
   event_base_free(m_Loop);
+  ::close(m_Lock);
   // The logs of a run that was given up are kept, and all when asked for.
   if (std::uncaught_exceptions() == 0 &&
       std::getenv("WASABIVALE_KEEP_LOGS") == nullptr)
--- a/tools/system-tests/tests/Harness.h
+++ b/tools/system-tests/tests/Harness.h
@@ -122,6 +122,7 @@
   event_base *m_Loop;
   std::string m_Folder;
   int m_FirstPort;
+  int m_Lock = -1; ///< Held while the ports are in use.
 };
 
 } // namespace wasabivale::systemtests
