Wire the refusal page for malformed HTTP into the entry; run the tool

Cause: the callers' listener of the entry had not been given the page, only that of the tests; the tool died of SIGPIPE in its first run.

--- a/apps/entry/src/Entry.cpp
+++ b/apps/entry/src/Entry.cpp
@@ -92,6 +92,9 @@
       m_Loop, m_Settings.m_CallersListen, m_Settings.m_CallerLimits,
       [this](const std::shared_ptr<http::Exchange> &Arrived) {
         m_Requests->take(Arrived);
+      },
+      [this](int HttpStatus) {
+        return m_Requests->refuseMalformed(HttpStatus);
       });
   if (failed(Callers))
     return errorOf(Callers);
--- a/tools/malformed/src/Main.cpp
+++ b/tools/malformed/src/Main.cpp
@@ -5,6 +5,7 @@
 #include "daemon/daemon.h"
 
 #include <boost/program_options.hpp>
+#include <csignal>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <fmt/format.h>
@@ -174,6 +175,7 @@
                describe(errorOf(Address)));
     return daemon::ExitUsage;
   }
+  std::signal(SIGPIPE, SIG_IGN);
   Wanted.m_To = valueOf(Address);
   Wanted.m_Rng.seed(Seed);
   Wanted.m_Left = Requests;
