--- a/apps/entry/src/Configuration.cpp
+++ b/apps/entry/src/Configuration.cpp
@@ -44,7 +44,7 @@
   readNumber(From, "output_tokens_per_second",
              Made.m_Limits.m_OutputTokensPerSecond);
   readNumber(From, "concurrent", Made.m_Limits.m_Running);
-  readMilliseconds(From, "max_deadline_ms", Made.m_MaxDeadline);
+  readMilliseconds(From, "maximum_deadline_ms", Made.m_MaxDeadline);
   Made.m_DefaultDeadline = std::min(Made.m_DefaultDeadline, Made.m_MaxDeadline);
   readMilliseconds(From, "default_deadline_ms", Made.m_DefaultDeadline);
   return Made;
@@ -87,7 +87,7 @@
     Made.m_Models.insert(textOf(Model, "id"));
   for (const Json &Service : list(Read, "services"))
     Made.m_NotRepeatable[textOf(Service, "name")] =
-        Service.value("not_repeatable", false);
+        Service.value("not_repeatable_by_default", false);
   readLedger(Read, Made);
   return Made;
 }
--- a/apps/entry/tests/World.cpp
+++ b/apps/entry/tests/World.cpp
@@ -15,11 +15,11 @@
            {{{"id", "shop-1"},
              {"key_hashes", {digestHex(Key)}},
              {"default_deadline_ms", 20000},
-             {"max_deadline_ms", 60000}}}},
+             {"maximum_deadline_ms", 60000}}}},
           {"models", {{{"id", Model}}}},
           {"services",
-           {{{"name", "book"}, {"not_repeatable", true}},
-            {{"name", "stock"}, {"not_repeatable", false}}}},
+           {{{"name", "book"}, {"not_repeatable_by_default", true}},
+            {{"name", "stock"}, {"not_repeatable_by_default", false}}}},
           {"ledger", {{"retention_s", 3600}, {"max_answer_bytes", 2000}}}};
 }
 
