Divide callers' limits among entries in the leader's grants

Cause: grants carried no shares, so every caller lived on the entry's floor, a tenth of its limit. Change: the leader measures demand from the reported use, leases the limits by limits::renewShare for the lease of the entry, and tells the number of live entries. Nothing is granted in the first longest lease of a term, nor to an entry that joins others before their larger floors ran out. Conclusion: one entry with all the demand gets the whole limit.

--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -156,6 +156,7 @@
   m_Proposed.clear();
   fleet::startTerm(m_Heard, m_State.m_Fleet, m_LeaderSince, LongestEntryLease);
   startTerm(m_Roles, m_State.m_Fleet, m_LeaderSince);
+  startTerm(m_Shares, m_LeaderSince, LongestEntryLease);
 }
 
 void Control::loseLeadership() {
@@ -261,6 +262,10 @@
   Grant.set_lease_ns(nanosecondsOf(std::chrono::nanoseconds(EntryLease)));
   Grant.set_fleet_revision(m_State.m_Fleet.m_Targets.m_Revision);
   Grant.set_configuration_revision(m_State.m_Fleet.m_Configuration.m_Revision);
+  adoptLimits(m_Shares, m_State.m_Fleet.m_Configuration);
+  keepEntries(m_Shares, m_Heard);
+  grantShares(m_Shares, From, Report, Now, Now + LongestEntryLease,
+              LongestEntryLease, Grant);
   // A grant that is lost is made up for by the next report.
   (void)m_Hub->send(From, std::move(Answer));
 }
--- a/apps/control/src/Control.h
+++ b/apps/control/src/Control.h
@@ -9,6 +9,7 @@
 #include "ControlSettings.h"
 #include "Executor.h"
 #include "RolePlanner.h"
+#include "Shares.h"
 #include "StateMachine.h"
 #include "metrics/metrics.h"
 #include "replication/replication.h"
@@ -85,6 +86,7 @@
   Replicated m_State;
   fleet::Barriers m_Heard;
   RolePlanner m_Roles;
+  Shares m_Shares;
   std::map<NodeId, Sent> m_Sent;
   std::map<consensus::Index, wire::CallReply> m_Replies;
   std::set<std::string> m_Proposed;
