Keep suspicion in the replicated state and tell entries of suspects

Cause: a request that crashes targets was learnt by each entry alone, since grants held no suspects and crash reports were not committed.

--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -157,6 +157,7 @@
   fleet::startTerm(m_Heard, m_State.m_Fleet, m_LeaderSince, LongestEntryLease);
   startTerm(m_Roles, m_State.m_Fleet, m_LeaderSince);
   startTerm(m_Shares, m_LeaderSince, LongestEntryLease);
+  startTerm(m_Notices, m_LeaderSince, LongestEntryLease);
 }
 
 void Control::loseLeadership() {
@@ -165,9 +166,8 @@
 }
 
 void Control::propose(wire::Command What, OnReply Done) {
-  const auto Since = BootClock::now() - m_LeaderSince;
   What.set_term(m_Replica->term());
-  What.set_log_time_ns(nanosecondsOf(m_LogBase + Since));
+  What.set_log_time_ns(nanosecondsOf(logNow(BootClock::now())));
   m_Replica->propose(What.SerializeAsString(),
                      [this, Done = std::move(Done), Name = What.request_id()](
                          const consensus::Decision &Decided) {
@@ -251,10 +251,15 @@
 
 void Control::takeReport(const NodeId &From, const wire::Envelope &Message) {
   const TimePoint Now = BootClock::now();
+  const TimePoint LeaseUntil = Now + LongestEntryLease;
+  const TimePoint LogNow = fleet::suspicionTime(logNow(Now));
+  const retries::Suspicion &Suspicion = m_State.m_Fleet.m_Suspicion;
   const wire::EntryReport &Report = Message.entry_report();
-  fleet::takeReport(m_Heard, From, Message.session(), Report, Now,
-                    Now + LongestEntryLease);
+  fleet::takeReport(m_Heard, From, Message.session(), Report, Now, LeaseUntil);
   control::takeReport(m_Roles, Report);
+  for (fleet::Propose &Each : control::takeReport(m_Notices, Suspicion, From,
+                                                  Report, LeaseUntil, LogNow))
+    proposeOnce(Each.m_Key, std::move(Each.m_Command));
   wire::Envelope Answer;
   Answer.set_term(m_Replica->term());
   wire::ControlGrant &Grant = *Answer.mutable_control_grant();
@@ -264,8 +269,9 @@
   Grant.set_configuration_revision(m_State.m_Fleet.m_Configuration.m_Revision);
   adoptLimits(m_Shares, m_State.m_Fleet.m_Configuration);
   keepEntries(m_Shares, m_Heard);
-  grantShares(m_Shares, From, Report, Now, Now + LongestEntryLease,
-              LongestEntryLease, Grant);
+  grantShares(m_Shares, From, Report, Now, LeaseUntil, LongestEntryLease,
+              Grant);
+  fillGrant(m_Notices, Suspicion, From, Report, Now, LogNow, Grant);
   // A grant that is lost is made up for by the next report.
   (void)m_Hub->send(From, std::move(Answer));
 }
--- a/apps/control/src/Control.h
+++ b/apps/control/src/Control.h
@@ -11,6 +11,7 @@
 #include "RolePlanner.h"
 #include "Shares.h"
 #include "StateMachine.h"
+#include "SuspectNotices.h"
 #include "metrics/metrics.h"
 #include "replication/replication.h"
 #include "wire/wire.h"
@@ -68,6 +69,10 @@
   void propose(wire::Command What, OnReply Done);
   /// The same for the leader's own commands, each key once at a time.
   void proposeOnce(const std::string &Key, wire::Command What);
+  /// The log clock of this leader; commands proposed now carry it.
+  [[nodiscard]] LogTime logNow(TimePoint Now) const {
+    return m_LogBase + (Now - m_LeaderSince);
+  }
   void endSessions(TimePoint Now);
   void turn();
   void carryOut(const fleet::Action &Due, TimePoint Now);
@@ -87,6 +92,7 @@
   fleet::Barriers m_Heard;
   RolePlanner m_Roles;
   Shares m_Shares;
+  SuspectNotices m_Notices;
   std::map<NodeId, Sent> m_Sent;
   std::map<consensus::Index, wire::CallReply> m_Replies;
   std::set<std::string> m_Proposed;
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -21,6 +21,7 @@
 
 #include "base/base.h"
 #include "logtime/logtime.h"
+#include "retries/retries.h"
 #include "wire.pb.h"
 
 #include <deque>
@@ -334,8 +335,14 @@
   RolePolicy m_Policy;
   Configuration m_Configuration;
   RequestTable m_Requests;
+  retries::Suspicion m_Suspicion; ///< Its times are log times.
 };
 
+/// A log time as `retries::Suspicion` takes it.
+inline TimePoint suspicionTime(LogTime Time) {
+  return TimePoint(Time.time_since_epoch());
+}
+
 /// Checks that the leader makes before it proposes \p Command and that are no
 /// part of the replicated step, so that members of two versions cannot come to
 /// different verdicts: the configuration schema. \returns the refusal, or
--- a/libs/fleet/src/Apply.cpp
+++ b/libs/fleet/src/Apply.cpp
@@ -3,6 +3,7 @@
 #include "Orders.h"
 #include "Plans.h"
 #include "Replies.h"
+#include "Suspicion.h"
 #include "Targets.h"
 
 #include <algorithm>
@@ -70,6 +71,7 @@
 
 Reply apply(State &On, const wire::Command &Command) {
   On.m_Now = std::max(On.m_Now, logTime(Command.log_time_ns()));
+  retries::expireSuspicion(On.m_Suspicion, suspicionTime(On.m_Now));
   switch (Command.body_case()) {
   case wire::Command::kAnnounceTarget:
     return announce(On, Command.announce_target().target());
@@ -87,6 +89,10 @@
     return startStep(On, Command.start_step());
   case wire::Command::kStepProgress:
     return progressStep(On, Command.step_progress());
+  case wire::Command::kCrash:
+    return takeCrash(On, Command.crash());
+  case wire::Command::kRerun:
+    return takeRerun(On, Command.rerun());
   case wire::Command::kOperatorCommand:
     return operatorCall(On, Command);
   default:
--- a/libs/fleet/src/Snapshot.cpp
+++ b/libs/fleet/src/Snapshot.cpp
@@ -1,4 +1,5 @@
 #include "Configuration.h"
+#include "Suspicion.h"
 #include "fleet/fleet.h"
 
 #include "state.pb.h"
@@ -332,6 +333,7 @@
   write(*Out.mutable_policy(), From.m_Policy);
   write(Out, From.m_Configuration);
   write(Out, From.m_Requests);
+  write(*Out.mutable_suspicion(), From.m_Suspicion);
   return Out.SerializeAsString();
 }
 
@@ -347,6 +349,7 @@
   Out.m_Policy = read(In.policy());
   read(Out.m_Configuration, In);
   read(Out.m_Requests, In);
+  read(Out.m_Suspicion, In.suspicion());
   return Out;
 }
 
