Bound a client's answer; let a callback cancel its own call

A peer could make a process hold an answer of any size: ClientRequest now has m_AnswerBytes (16 MiB), which bounds a collected body, a stated length and each chunk of a stream, but not the length of a stream whose chunks are passed on. cancel() from within m_OnHead or m_OnChunk destroyed the callback that was running; its destruction now waits for its return. listen and call ignore SIGPIPE themselves, and say so. test-http passes (2 cases, 90 assertions).

--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -4,6 +4,9 @@
 /// gone, the bytes that a slow reader has not taken yet, and a client that
 /// never sends a request twice and knows whether its first byte has left.
 ///
+/// `listen` and `call` make the process ignore SIGPIPE: a peer that has closed
+/// its connection is an error of that connection only.
+///
 /// Everything runs on the thread of the loop that is passed in. Callbacks are
 /// called from the loop only, never from within a call of this library, except
 /// where said.
@@ -136,6 +139,10 @@
   std::string m_Body;
   /// When the call ends with an error if the answer is not complete.
   TimePoint m_Deadline;
+  /// Most bytes of the answer's body that are held here: all of it when it is
+  /// collected, otherwise one chunk, or the length that the peer has stated.
+  /// The call ends with an error above it.
+  std::size_t m_AnswerBytes = 16U << 20U;
 };
 
 struct ClientHandlers {
@@ -155,7 +162,8 @@
   /// Whether any byte of the request has been handed to the kernel. While it
   /// is false the peer can't have seen the request.
   [[nodiscard]] virtual bool hasSent() const = 0;
-  /// Ends the call and closes its connection; no callback follows.
+  /// Ends the call and closes its connection; no callback follows. May be
+  /// called from within a callback, which then runs to its end.
   virtual void cancel() = 0;
   /// Stops and resumes reading from the connection; the kernel's buffers then
   /// slow the peer down.
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -60,6 +60,8 @@
         m_Loop, nullptr, Buffer, m_What.m_To.m_Host.c_str(),
         m_What.m_To.m_Port);
     evhttp_connection_set_retries(m_Connection, 0);
+    evhttp_connection_set_max_body_size(
+        m_Connection, static_cast<ev_ssize_t>(m_What.m_AnswerBytes));
     evhttp_request *Raw = evhttp_request_new(onComplete, this);
     evhttp_request_set_header_cb(Raw, onHead);
     evhttp_request_set_chunked_cb(Raw, onChunk);
@@ -84,7 +86,8 @@
   [[nodiscard]] bool hasSent() const override { return m_HasSent; }
 
   void cancel() override {
-    m_Handlers = {};
+    if (!m_InCallback)
+      m_Handlers = {};
     close();
   }
 
@@ -114,9 +117,8 @@
     Self.m_Response.m_Status = evhttp_request_get_response_code(Raw);
     Self.m_Response.m_Headers =
         toHeaders(evhttp_request_get_input_headers(Raw));
-    if (Self.m_Handlers.m_OnHead)
-      Self.m_Handlers.m_OnHead(Self.m_Response.m_Status,
-                               Self.m_Response.m_Headers);
+    Self.tell(Self.m_Handlers.m_OnHead, Self.m_Response.m_Status,
+              Self.m_Response.m_Headers);
     return 0;
   }
 
@@ -126,11 +128,32 @@
     if (Self.m_Ended)
       return;
     if (Self.m_Handlers.m_OnChunk)
-      Self.m_Handlers.m_OnChunk(Piece);
+      Self.passOn(Piece);
     else
       Self.m_Response.m_Body += Piece;
   }
 
+  void passOn(std::string_view Piece) {
+    // evhttp counts the whole body; what was passed on is no longer held.
+    m_PassedOn += Piece.size();
+    evhttp_connection_set_max_body_size(
+        m_Connection,
+        static_cast<ev_ssize_t>(m_PassedOn + m_What.m_AnswerBytes));
+    tell(m_Handlers.m_OnChunk, Piece);
+  }
+
+  /// Runs a callback, which may cancel the call: it must outlive its own run.
+  template <typename Callback, typename... Values>
+  void tell(const Callback &Told, const Values &...With) {
+    if (!Told)
+      return;
+    m_InCallback = true;
+    Told(With...);
+    m_InCallback = false;
+    if (m_Ended)
+      m_Handlers = {};
+  }
+
   static void onError(evhttp_request_error Kind, void *Argument) {
     static_cast<ClientCallState *>(Argument)->m_ErrorText = textOf(Kind);
   }
@@ -187,6 +210,8 @@
   std::optional<Timer> m_Deadline;
   std::optional<Timer> m_FailedAtStart;
   std::shared_ptr<ClientCallState> m_Self;
+  std::size_t m_PassedOn = 0; ///< Bytes of the body given to `m_OnChunk`.
+  bool m_InCallback = false;
   bool m_HasSent = false;
   bool m_Ended = false;
 };
@@ -195,6 +220,7 @@
 
 std::shared_ptr<ClientCall> call(event_base *Loop, ClientRequest What,
                                  ClientHandlers Handlers) {
+  ignoreBrokenPipes();
   auto Made = std::make_shared<ClientCallState>(Loop, std::move(What),
                                                 std::move(Handlers));
   Made->start(Made);
--- a/libs/http/src/Headers.cpp
+++ b/libs/http/src/Headers.cpp
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <cctype>
 #include <charconv>
+#include <csignal>
 #include <fmt/format.h>
 
 namespace wasabivale::http {
@@ -32,6 +33,11 @@
   return Body;
 }
 
+void ignoreBrokenPipes() {
+  static const auto Former = std::signal(SIGPIPE, SIG_IGN);
+  static_cast<void>(Former);
+}
+
 std::string_view header(const Headers &In, const std::string &Name) {
   const auto Found = In.find(Name);
   return Found == In.end() ? std::string_view() : Found->second;
--- a/libs/http/src/Headers.h
+++ b/libs/http/src/Headers.h
@@ -15,6 +15,8 @@
 Headers toHeaders(const evkeyvalq *From);
 void addHeaders(evkeyvalq *To, const Headers &From);
 std::string takeBody(evbuffer *From);
+/// Writing to a connection that the peer has closed must not end the process.
+void ignoreBrokenPipes();
 
 } // namespace wasabivale::http
 
--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -398,6 +398,7 @@
                                        const ServerLimits &Limits,
                                        Handler OnRequest,
                                        ErrorPage OnMalformed) {
+  ignoreBrokenPipes();
   auto Made = std::make_unique<ServerState>(Loop, Limits, std::move(OnRequest),
                                             std::move(OnMalformed));
   if (Status Opened = Made->open(At); failed(Opened))
--- a/libs/http/tests/HttpTest.cpp
+++ b/libs/http/tests/HttpTest.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <optional>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -123,6 +124,26 @@
         Open[0]->finish();
       }
     }
+    WHEN("the client cancels from within the callback of a piece") {
+      std::string Seen;
+      std::string Kept = "owned by the callback, and too long to be inline";
+      Handlers.m_OnChunk = [&, Kept](std::string_view Piece) {
+        Call->cancel();
+        Seen = std::string(Piece) + Kept;
+      };
+      Call = http::call(Loop.m_Base, get("/stream"), Handlers);
+      Handlers.m_OnChunk = nullptr;
+      REQUIRE(Loop.turnUntil([&] { return Open.size() == 2; }));
+      bool Gone = false;
+      Open[1]->onGone([&] { Gone = true; });
+      Open[1]->startStream(200, {});
+      Open[1]->write("one ");
+      THEN("the callback runs to its end, and none follows") {
+        REQUIRE(Loop.turnUntil([&] { return Gone; }));
+        CHECK(Seen == "one " + Kept);
+        CHECK(!Ending);
+      }
+    }
     WHEN("the client does not read") {
       Call->pause();
       const std::string Piece(1U << 20U, 'x');
@@ -166,6 +187,56 @@
       CHECK((failed(*Ending) || valueOf(*Ending).m_Status == 413));
     }
   }
+  GIVEN("an answer over the client's limit") {
+    auto What = get("/stream");
+    What.m_AnswerBytes = 1000;
+    const std::string Piece(400, 'x');
+    const std::string Large(1200, 'x');
+    WHEN("it is collected and comes in chunks") {
+      http::call(Loop.m_Base, What, Handlers);
+      REQUIRE(Loop.turnUntil([&] { return !Open.empty(); }));
+      Open[0]->startStream(200, {});
+      for (int I = 0; I < 3; ++I)
+        Open[0]->write(Piece);
+      Open[0]->finish();
+      REQUIRE(Loop.turnUntil([&] { return Ending.has_value(); }));
+      THEN("the call fails") { CHECK(failed(*Ending)); }
+    }
+    WHEN("it states its length") {
+      http::call(Loop.m_Base, What, Handlers);
+      REQUIRE(Loop.turnUntil([&] { return !Open.empty(); }));
+      Open[0]->reply(200, {}, Large);
+      REQUIRE(Loop.turnUntil([&] { return Ending.has_value(); }));
+      THEN("the call fails") { CHECK(failed(*Ending)); }
+    }
+    WHEN("it is passed on in chunks") {
+      Handlers.m_OnChunk = [&](std::string_view Part) { Pieces += Part; };
+      http::call(Loop.m_Base, What, Handlers);
+      REQUIRE(Loop.turnUntil([&] { return !Open.empty(); }));
+      Open[0]->startStream(200, {});
+      for (int I = 0; I < 5; ++I)
+        Open[0]->write(Piece);
+      THEN("it is whole, however long, while each chunk is small") {
+        Open[0]->finish();
+        REQUIRE(Loop.turnUntil([&] { return Ending.has_value(); }));
+        CHECK(!failed(*Ending));
+        CHECK(Pieces.size() == 2000);
+      }
+      THEN("a chunk over the limit ends it") {
+        Open[0]->write(Large);
+        REQUIRE(Loop.turnUntil([&] { return Ending.has_value(); }));
+        CHECK(failed(*Ending));
+        CHECK(Pieces.size() == 2000);
+      }
+    }
+  }
+  GIVEN("a process that listens") {
+    THEN("it ignores SIGPIPE") {
+      struct sigaction Now {};
+      ::sigaction(SIGPIPE, nullptr, &Now);
+      CHECK(Now.sa_handler == SIG_IGN);
+    }
+  }
   GIVEN("a sender that never ends its request") {
     const int Descriptor = connectRaw();
     REQUIRE(::send(Descriptor, "GET /now HTTP/1.1\r\n", 19, 0) == 19);
