Ask a target again whose connection broke under the crash probe

A process that dies resets its connections before its listener is gone, so that a probe could connect, be reset, and be taken for 'not crashed'; the request that killed it then went to the next target as innocent. A question that was sent and broke is now asked again every 100 ms until the probe's 500 ms are over.

--- a/apps/entry/src/Suspects.cpp
+++ b/apps/entry/src/Suspects.cpp
@@ -1,7 +1,6 @@
 #include "Suspects.h"
 
 #include "events/events.h"
-#include "targets/targets.h"
 
 #include <algorithm>
 #include <limits>
@@ -16,6 +15,9 @@
 /// A target that does not answer by then is taken for slow or cut off, not for
 /// crashed.
 constexpr std::chrono::milliseconds ProbeTimeout{500};
+/// Pause before a target whose connection broke under the question is asked
+/// again: a process that dies closes its connections before its listener.
+constexpr std::chrono::milliseconds ProbeRepeated{100};
 /// How long each crash is repeated in the reports.
 constexpr std::chrono::seconds CrashRepeated{5};
 /// Crashes under a suspect from which on it is not run here.
@@ -86,21 +88,40 @@
   Open.m_Waiting.push_back(std::move(Done));
   if (Open.m_Waiting.size() > 1)
     return;
-  const TimePoint Deadline = BootClock::now() + ProbeTimeout;
+  Open.m_At = At;
+  Open.m_Deadline = BootClock::now() + ProbeTimeout;
+  askState(Of);
+}
+
+void Suspects::askState(const Incarnation &Of) {
+  const Probe &Open = m_Probes[Of];
   auto Call = std::make_shared<std::weak_ptr<http::ClientCall>>();
   *Call = targets::getState(
-      m_Loop, At, Deadline,
-      [this, Of, Deadline, Call](const Result<targets::TargetState> &State) {
+      m_Loop, Open.m_At, Open.m_Deadline,
+      [this, Of, Call](const Result<targets::TargetState> &State) {
         const auto Asked = Call->lock();
-        // Nothing could be sent, and not for want of time: nobody listens.
-        const bool Refused = failed(State) && Asked != nullptr &&
-                             !Asked->hasSent() && BootClock::now() < Deadline;
-        const bool Replaced =
-            !failed(State) && valueOf(State).m_Incarnation != Of.second;
-        finishProbe(Of, Refused || Replaced);
+        takeState(Of, State, Asked != nullptr && Asked->hasSent());
       });
 }
 
+void Suspects::takeState(const Incarnation &Of,
+                         const Result<targets::TargetState> &State,
+                         bool HasSent) {
+  if (!failed(State))
+    return finishProbe(Of, valueOf(State).m_Incarnation != Of.second);
+  Probe &Open = m_Probes[Of];
+  const TimePoint Now = BootClock::now();
+  if (Now >= Open.m_Deadline)
+    return finishProbe(Of, false);
+  // Nothing could be sent, and not for want of time: nobody listens.
+  if (!HasSent)
+    return finishProbe(Of, true);
+  if (Now + ProbeRepeated >= Open.m_Deadline)
+    return finishProbe(Of, false);
+  Open.m_Again = std::make_unique<http::Timer>(m_Loop, ProbeRepeated, false,
+                                               [this, Of] { askState(Of); });
+}
+
 void Suspects::finishProbe(const Incarnation &Of, bool Crashed) {
   const auto Found = m_Probes.find(Of);
   const auto Waiting = std::move(Found->second.m_Waiting);
--- a/apps/entry/src/Suspects.h
+++ b/apps/entry/src/Suspects.h
@@ -7,6 +7,7 @@
 
 #include "http/http.h"
 #include "retries/retries.h"
+#include "targets/targets.h"
 #include "wire.pb.h"
 
 #include <functional>
@@ -50,12 +51,18 @@
   using Incarnation = std::pair<TargetId, std::string>;
   struct Probe {
     std::vector<std::function<void(bool)>> m_Waiting;
+    http::Address m_At;
+    TimePoint m_Deadline;
+    std::unique_ptr<http::Timer> m_Again;
   };
   struct Reported {
     retries::Crash m_Crash;
     TimePoint m_Until;
   };
 
+  void askState(const Incarnation &Of);
+  void takeState(const Incarnation &Of,
+                 const Result<targets::TargetState> &State, bool HasSent);
   void finishProbe(const Incarnation &Of, bool Crashed);
   void noteCrash(const Incarnation &Of, TimePoint Now);
 
--- a/apps/entry/tests/FakeTarget.cpp
+++ b/apps/entry/tests/FakeTarget.cpp
@@ -46,7 +46,13 @@
   m_Server.reset();
 }
 
-void FakeTarget::answerState(http::Exchange &To) const {
+void FakeTarget::answerState(http::Exchange &To) {
+  if (m_DiesWhenAsked) {
+    To.abort();
+    m_Timers.push_back(std::make_unique<http::Timer>(m_Loop, 20ms, false,
+                                                     [this] { crash(); }));
+    return;
+  }
   To.reply(200, {},
            Json{{"id", "x"},
                 {"incarnation", "1"},
--- a/apps/entry/tests/ServingTest.cpp
+++ b/apps/entry/tests/ServingTest.cpp
@@ -219,6 +219,20 @@
   World.checkAtRest();
 }
 
+SCENARIO("an engine that is dying breaks the first question for its state") {
+  World World(2, 0);
+  for (auto &Engine : World.m_Targets)
+    Engine->m_DiesWhenAsked = true;
+  World.m_Script = {Act::CutMiddle};
+  const auto Call = World.send(streamed());
+  THEN("it is asked again, and its crash is seen") {
+    REQUIRE(World.m_Loop.until([&] { return World.report().crashes_size(); }));
+    CHECK(World.m_Targets[0]->isUp() != World.m_Targets[1]->isUp());
+  }
+  REQUIRE(World.m_Loop.until([&] { return Call->m_Ended; }));
+  World.checkAtRest();
+}
+
 SCENARIO("a request that crashes whatever runs it") {
   World World(4, 0);
   Ask Poison = streamed();
--- a/apps/entry/tests/World.h
+++ b/apps/entry/tests/World.h
@@ -60,13 +60,16 @@
   std::vector<Json> m_Runs; ///< Bodies of all run requests.
   std::vector<std::string> m_Cancelled;
   std::size_t m_Gone = 0; ///< Runs whose connection the entry closed.
+  /// Breaks the connection of the next question for its state and is gone soon
+  /// after it, as a process that is dying is.
+  bool m_DiesWhenAsked = false;
   /// Stops listening and breaks what is open, as a crash does.
   void crash();
   [[nodiscard]] bool isUp() const { return m_Server != nullptr; }
 
 private:
   void take(const std::shared_ptr<http::Exchange> &Arrived);
-  void answerState(http::Exchange &To) const;
+  void answerState(http::Exchange &To);
   void run(const std::shared_ptr<http::Exchange> &To, const Json &Body);
   bool refuse(http::Exchange &To, Act Doing) const;
   void stream(const std::shared_ptr<http::Exchange> &To, const Json &Body,
