Tell routing the tokens of every try in the experiments; count refusals by caller

Cause: tries ended without their tokens, so routing learned no step times in experiments, unlike the entry. Change: noteProgress before each end, also of cancelled and moved tries; the first token after a move is told too.

--- a/tools/bench/experiments.sh
+++ b/tools/bench/experiments.sh
@@ -7,19 +7,21 @@
 
 jobs=${JOBS:-3}
 seeds=${SEEDS:-5}
-folder=$PWD/out/experiments
+first_seed=${FIRST_SEED:-1}
+folder=${FOLDER:-$PWD/out/experiments}
 program=$PWD/out/build/bin/wasabivale-experiment
 mkdir -p "$folder"
 rm -f "$folder"/*
 
 run_one() { # EXPERIMENT DEPLOYMENT
   local code=0
-  "$program" --experiment "$1" --deployment "$2" --seeds "$seeds" --output "$folder" \
+  "$program" --experiment "$1" --deployment "$2" --seeds "$seeds" \
+    --first-seed "$first_seed" --output "$folder" \
     >"$folder/$1.$2.txt" 2>"$folder/$1.$2.log" || code=$?
   echo "$code" >"$folder/$1.$2.code"
 }
 export -f run_one
-export program folder seeds
+export program folder seeds first_seed
 
 # The longest first, so that the processors stay busy to the end.
 printf '%s\n' "mix_shift cooperative" "mix_shift malabar" "square_wave cooperative" \
--- a/tools/experiment/src/Entries.cpp
+++ b/tools/experiment/src/Entries.cpp
@@ -200,6 +200,7 @@
   enginemodel::cancel(At.m_Engine, Of.m_Run, In.m_Now);
   touch(In, Of.m_At);
   In.m_Runs.erase(Of.m_Run);
+  routing::noteProgress(Owner.m_Routing, Of.m_Try, Made, In.m_Now);
   routing::noteEnded(Owner.m_Routing, Of.m_Try, routing::TryOutcome::Cancelled,
                      In.m_Now);
   Of.m_Made += Made;
@@ -277,11 +278,13 @@
 
 void onFirstToken(World &In, JobIndex Index) {
   Job &Of = In.m_Jobs[Index];
-  if (Of.m_State != JobState::Running || Of.m_SawFirst)
+  if (Of.m_State != JobState::Running)
     return;
-  Of.m_SawFirst = true;
   Entry &At = In.m_Entries[Of.m_Entry];
   routing::noteFirstToken(At.m_Routing, Of.m_Try, In.m_Now);
+  if (Of.m_SawFirst) // It is the first token since the stream was moved.
+    return;
+  Of.m_SawFirst = true;
   if (!In.m_Arrivals[Index].m_IsService)
     In.m_FirstTokens.push_back(In.m_Now - In.m_Arrivals[Index].m_At);
 }
@@ -291,6 +294,9 @@
   if (Of.m_State == JobState::Prefilling)
     return continueElsewhere(In, Index);
   Entry &At = In.m_Entries[Of.m_Entry];
+  routing::noteProgress(At.m_Routing, Of.m_Try,
+                        In.m_Arrivals[Index].m_OutputTokens - Of.m_Made,
+                        In.m_Now);
   routing::noteEnded(At.m_Routing, Of.m_Try, routing::TryOutcome::Completed,
                      In.m_Now);
   endJob(In, Index, true);
@@ -302,10 +308,14 @@
   Job &Of = In.m_Jobs[Index];
   if (Of.m_State == JobState::Waiting || Of.m_State == JobState::Ended)
     return;
-  enginemodel::cancel(In.m_Targets[Of.m_At].m_Engine, Of.m_Run, In.m_Now);
+  enginemodel::Engine &Engine = In.m_Targets[Of.m_At].m_Engine;
+  auto Made =
+      static_cast<std::uint32_t>(enginemodel::tokensMade(Engine, Of.m_Run));
+  enginemodel::cancel(Engine, Of.m_Run, In.m_Now);
   touch(In, Of.m_At);
   In.m_Runs.erase(Of.m_Run);
   Entry &At = In.m_Entries[Of.m_Entry];
+  routing::noteProgress(At.m_Routing, Of.m_Try, Made, In.m_Now);
   routing::noteEnded(At.m_Routing, Of.m_Try, routing::TryOutcome::Cancelled,
                      In.m_Now);
   endJob(In, Index, true);
--- a/tools/experiment/src/Experiments.cpp
+++ b/tools/experiment/src/Experiments.cpp
@@ -46,6 +46,7 @@
   Made.m_Workload.m_Callers = ordinaryCallers();
   Made.m_Workload.m_Engines = With.m_Deployment.m_Engines;
   Made.m_Workload.m_Services = With.m_Deployment.m_Services;
+  Made.m_Workload.m_Seed = With.m_FirstSeed;
   Made.m_Workload.m_RoleRates = With.m_Deployment.m_Planner.m_RoleRates;
   Made.m_Split = {With.m_Deployment.m_Engines, 0, 0};
   return Made;
@@ -57,19 +58,20 @@
 
 ArrivalSets makeArrivalSets(const Options &With, Setup Of) {
   ArrivalSets Sets;
-  for (std::uint32_t Seed = 1; Seed <= With.m_Seeds; ++Seed) {
-    Of.m_Workload.m_Seed = Seed;
+  for (std::uint32_t Index = 0; Index < With.m_Seeds; ++Index) {
+    Of.m_Workload.m_Seed = With.m_FirstSeed + Index;
     Sets.push_back(makeArrivals(Of.m_Workload));
   }
   return Sets;
 }
 
+/// Runs \p Of, with its seed as the first, on each set of arrivals.
 PolicyRuns runPolicy(const std::string &Name, Setup Of,
                      const ArrivalSets &Sets) {
   PolicyRuns Made{Name, Of, {}};
-  for (std::size_t Index = 0; Index < Sets.size(); ++Index) {
-    Of.m_Workload.m_Seed = Index + 1;
-    Made.m_Runs.push_back(run(Of, Sets[Index]));
+  for (const std::vector<Arrival> &Each : Sets) {
+    Made.m_Runs.push_back(run(Of, Each));
+    ++Of.m_Workload.m_Seed;
   }
   return Made;
 }
@@ -309,10 +311,17 @@
   return Made;
 }
 
-std::uint64_t refusedOfOthers(const RunResult &Of, std::uint32_t Caller) {
+/// Refusals that each caller but one has more of in \p With than in
+/// \p Without. A caller with fewer does not make up for another.
+std::uint64_t extraRefusals(const RunResult &With, const RunResult &Without,
+                            std::uint32_t Except) {
   std::uint64_t Sum = 0;
-  for (std::uint32_t Index = 0; Index < Of.m_Callers.size(); ++Index)
-    Sum += Index == Caller ? 0 : Of.m_Callers[Index].m_Refused;
+  for (std::uint32_t Index = 0; Index < With.m_Callers.size(); ++Index) {
+    std::uint64_t More = With.m_Callers[Index].m_Refused;
+    std::uint64_t Alone = Without.m_Callers[Index].m_Refused;
+    if (Index != Except && More > Alone)
+      Sum += More - Alone;
+  }
   return Sum;
 }
 
@@ -345,9 +354,8 @@
   Control.m_Policy = "without_greedy";
   std::vector<double> Extra;
   for (std::size_t Index = 0; Index < Sets.size(); ++Index)
-    Extra.push_back(
-        static_cast<double>(refusedOfOthers(Full.m_Runs[Index], Greedy)) -
-        static_cast<double>(refusedOfOthers(Control.m_Runs[Index], Greedy)));
+    Extra.push_back(static_cast<double>(
+        extraRefusals(Full.m_Runs[Index], Control.m_Runs[Index], Greedy)));
   Made.m_Rows.push_back(atMost(Made.m_Name + ".refused_under_share",
                                *std::max_element(Extra.begin(), Extra.end()),
                                "requests", 0));
--- a/tools/experiment/src/Experiments.h
+++ b/tools/experiment/src/Experiments.h
@@ -49,6 +49,7 @@
 struct Options {
   Deployment m_Deployment;
   std::uint32_t m_Seeds = 5;
+  std::uint32_t m_FirstSeed = 1;
 };
 
 /// Name of an experiment and the function that runs it.
--- a/tools/experiment/src/Main.cpp
+++ b/tools/experiment/src/Main.cpp
@@ -59,6 +59,8 @@
   Add("deployment", po::value<std::string>()->default_value("cooperative"),
       "cooperative (20+3 targets) or malabar (10+4 targets)");
   Add("seeds", po::value<std::uint32_t>()->default_value(5), "runs per policy");
+  Add("first-seed", po::value<std::uint32_t>()->default_value(1),
+      "seed of the first run; the others follow");
   Add("output", po::value<std::string>()->default_value(""),
       "folder for the report (JSON) and the timeline (TSV)");
   po::variables_map Given;
@@ -78,7 +80,8 @@
     std::cerr << Known;
     return ExitUsage;
   }
-  Options With{*Fleet, std::max(1U, Given["seeds"].as<std::uint32_t>())};
+  Options With{*Fleet, std::max(1U, Given["seeds"].as<std::uint32_t>()),
+               Given["first-seed"].as<std::uint32_t>()};
   for (const Experiment &Each : experiments())
     if (Each.m_Name == Given["experiment"].as<std::string>())
       return runExperiment(Each, With, Given["output"].as<std::string>());
