Write each caller's answers and refusals into the experiments' reports

Cause: totals hid which callers lose in overload. Change: a tally for each caller in the JSON report.

--- a/tools/experiment/src/Report.cpp
+++ b/tools/experiment/src/Report.cpp
@@ -42,8 +42,19 @@
   return Sum;
 }
 
-Json toJson(const RunResult &Of) {
-  return {{"offered", Of.m_Offered},
+Json callersOf(const RunResult &Of, const std::vector<CallerSpec> &Specs) {
+  Json Made = Json::object();
+  for (std::size_t Index = 0; Index < Specs.size(); ++Index)
+    Made[Specs[Index].m_Id.m_Value] = {
+        {"offered", Of.m_Callers[Index].m_Offered},
+        {"in_time", Of.m_Callers[Index].m_InTime},
+        {"refused", Of.m_Callers[Index].m_Refused}};
+  return Made;
+}
+
+Json toJson(const RunResult &Of, const std::vector<CallerSpec> &Specs) {
+  return {{"callers", callersOf(Of, Specs)},
+          {"offered", Of.m_Offered},
           {"in_time", Of.m_InTime},
           {"late", Of.m_Late},
           {"service_offered", Of.m_ServiceOffered},
@@ -116,7 +127,7 @@
   for (const PolicyRuns &Each : Of.m_Policies) {
     Json Runs = Json::array();
     for (const RunResult &One : Each.m_Runs)
-      Runs.push_back(toJson(One));
+      Runs.push_back(toJson(One, Each.m_Setup.m_Workload.m_Callers));
     Json Plan = Json::array();
     for (const PlannedSplit &One : Each.m_Setup.m_Plan)
       Plan.push_back(printSplit(One.m_Split));
