Show the whole system in the demo: keys, bookings, drains, a killed leader

The demo ran one control member and streamed one answer. It now runs 3 control members, 2 entries, 6 engines and 2 services and goes through ten steps: announcements, a configuration in force, refusals without a key, equal texts from both entries, one run of a booking sent twice, a drain by plan beside 18 streams, the leader killed during a second drain, a resent operator call, the engines' return, and entries that stop with 0.

--- a/tools/demo/processes.sh
+++ b/tools/demo/processes.sh
@@ -3,7 +3,9 @@
 
 bin=$PWD/out/build/bin
 pids=()
+servers=()
 steps=0
+auth=()
 
 step() {
   steps=$((steps + 1))
@@ -33,6 +35,12 @@
   pids+=("$last_pid")
 }
 
+# start_control NUMBER: also again after its end, with its data folder
+start_control() {
+  start "control-$1" "$bin/wasabivale-control" --config "$folder/control-$1.json"
+  declare -g "control_${1}_pid=$last_pid"
+}
+
 # start_deployment NAME CONTROL ENTRIES FIRST_PORT [OPTION...]
 start_deployment() {
   folder=$PWD/out/$1
@@ -44,8 +52,8 @@
   WASABIVALE_TOKEN=$(cat "$folder/operator.token")
   local i
   for i in $(seq "$2"); do
-    start "control-$i" "$bin/wasabivale-control" --config "$folder/control-$i.json"
-    declare -g "control_${i}_pid=$last_pid"
+    servers+=(--server "127.0.0.1:$(($4 + 10 * i + 1))")
+    start_control "$i"
   done
   for i in $(seq "$3"); do
     start "entry-$i" "$bin/wasabivale-entry" --config "$folder/entry-$i.json"
@@ -66,14 +74,36 @@
   done
 }
 
+# operate ARGUMENT...: the operators' command line, with JSON output
+operate() {
+  "$bin/wasabivale" "${servers[@]}" --output json "$@" 2>>"$folder/operator.log"
+}
+
+# field NAME: the first member of this name in the JSON on standard input
+field() {
+  grep -o "\"$1\":\(\"[^\"]*\"\|[^],}]*\)" | head -n 1 | sed 's/^"[^"]*"://; s/^"//; s/"$//'
+}
+
 fleet_serves() {
   local count
-  count=$("$bin/wasabivale" status --server "127.0.0.1:$((first_port + 11))" --output json |
-    grep -o '"state":"serving"' | wc -l)
+  count=$(operate status | grep -o '"state":"serving"' | wc -l)
   [[ "$count" -eq "$1" ]]
 }
 
+# target_state TARGET
+target_state() {
+  operate targets | sed 's/{"address"/\n&/g' | grep "\"id\":\"$1\"" | field state
+}
+
+leader() { operate status | field leader; }
+
 # answers ENTRY: whether a short completion succeeds there
 answers() {
-  curl -sf "$1/v1/completions" -d '{"model": "gourd-8b", "prompt": "ready?", "max_tokens": 1}'
+  curl -sf "$1/v1/completions" "${auth[@]}" \
+    -d '{"model": "gourd-8b", "prompt": "ready?", "max_tokens": 1}'
+}
+
+# judged EVENT [TARGET]: how often the targets' judge log has it
+judged() {
+  grep "\"event\":\"$1\"" "$folder/judge.jsonl" | grep -c "\"target\":\"${2:-.*}\"" || true
 }
