End a stopping leader once another member leads

Cause: a stopping member ended after a fixed 500 ms, whether or not leadership had been handed over, and a follower waited for nothing.

--- a/apps/control/src/Control.h
+++ b/apps/control/src/Control.h
@@ -35,6 +35,7 @@
   [[nodiscard]] std::string notReady() const;
   /// Hands leadership over before a planned stop.
   void prepareStop() { m_Replica->transferLeadership(); }
+  [[nodiscard]] bool isLeader() const { return m_Replica->isLeader(); }
 
 private:
   friend class OperatorApi;
--- a/apps/control/src/Main.cpp
+++ b/apps/control/src/Main.cpp
@@ -2,13 +2,13 @@
 
 #include "Control.h"
 #include "ControlSettings.h"
+#include "Handover.h"
 #include "daemon/daemon.h"
 #include "events/events.h"
 
 using namespace wasabivale;
 
-/// Time for another member to take over leadership before this one ends.
-static constexpr std::chrono::milliseconds HandoverTime{500};
+static constexpr std::chrono::milliseconds HandoverLook{20};
 
 static int run(const control::ControlSettings &Settings) {
   daemon::EventLoop Loop;
@@ -35,8 +35,14 @@
     Stopping = true;
     events::emit(events::Event::ProcessStopping, {{"id", Settings.m_Id}});
     valueOf(Control)->prepareStop();
-    Ending = std::make_unique<http::Timer>(Loop.base(), HandoverTime, false,
-                                           [&] { Loop.end(); });
+    const TimePoint Until = BootClock::now() + control::LongestHandover;
+    Ending = std::make_unique<http::Timer>(
+        Loop.base(), HandoverLook, true, [&, Until] {
+          if (control::mayEnd(valueOf(Control)->isLeader(),
+                              Settings.m_Members.size(), BootClock::now(),
+                              Until))
+            Loop.end();
+        });
   });
   events::emit(events::Event::ProcessStarted,
                {{"id", Settings.m_Id}, {"listen", Settings.m_Listen}});
