--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -166,10 +166,14 @@
     m_OnAnswered = std::move(Callback);
   }
 
-  /// The server ends and takes the request with it.
-  void detach() {
+  void forgetServer() {
     m_OnReleased = nullptr;
     m_OnAnswered = nullptr;
+  }
+
+  /// The server ends and takes the request with it.
+  void detach() {
+    forgetServer();
     noteGone();
     if (m_Raw != nullptr)
       release();
@@ -341,8 +345,11 @@
       return;
     ServerExchange *Current = Found->second->m_Current;
     Self.m_Open.erase(Found);
-    if (Current != nullptr)
-      Current->noteGone();
+    if (Current == nullptr)
+      return;
+    // It may outlive the server, which no longer knows of it.
+    Current->forgetServer();
+    Current->noteGone();
   }
 
   static void onRequest(evhttp_request *Raw, void *Argument) {
--- a/libs/http/tests/HttpTest.cpp
+++ b/libs/http/tests/HttpTest.cpp
@@ -124,7 +124,19 @@
         Open[0]->finish();
       }
     }
+    WHEN("the client has gone and the server ends before the exchange") {
+      bool Gone = false;
+      Open[0]->onGone([&] { Gone = true; });
+      Call->cancel();
+      REQUIRE(Loop.turnUntil([&] { return Gone; }));
+      valueOf(Server).reset();
+      THEN("the exchange can still be dropped") {
+        CHECK(Open[0]->isGone());
+        Open.clear();
+      }
+    }
     WHEN("the client cancels from within the callback of a piece") {
+      Call->cancel();
       std::string Seen;
       std::string Kept = "owned by the callback, and too long to be inline";
       Handlers.m_OnChunk = [&, Kept](std::string_view Piece) {
--- a/tools/demo/processes.sh
+++ b/tools/demo/processes.sh
@@ -1,10 +1,16 @@
 # Functions for scripts that run the system's processes on loopback.
 # Processes are started here and ended by pid when the script ends.
 
-bin=$PWD/out/build/bin
+# WASABIVALE_BUILD selects another build folder than out/build.
+bin=${WASABIVALE_BUILD:-$PWD/out/build}/bin
 pids=()
 steps=0
 
+# program NAME: its path in the selected build, or in out/build when that lacks it
+program() {
+  if [[ -x "$bin/$1" ]]; then echo "$bin/$1"; else echo "$PWD/out/build/bin/$1"; fi
+}
+
 step() {
   steps=$((steps + 1))
   echo "step $steps: $1"
@@ -37,18 +43,18 @@
 start_deployment() {
   folder=$PWD/out/$1
   rm -rf "$folder"
-  "$bin/wasabivale-deployment" --folder "$folder" --control "$2" --entries "$3" \
+  "$(program wasabivale-deployment)" --folder "$folder" --control "$2" --entries "$3" \
     --first-port "$4" "${@:5}"
   first_port=$4
   export WASABIVALE_TOKEN
   WASABIVALE_TOKEN=$(cat "$folder/operator.token")
   local i
   for i in $(seq "$2"); do
-    start "control-$i" "$bin/wasabivale-control" --config "$folder/control-$i.json"
+    start "control-$i" "$(program wasabivale-control)" --config "$folder/control-$i.json"
     declare -g "control_${i}_pid=$last_pid"
   done
   for i in $(seq "$3"); do
-    start "entry-$i" "$bin/wasabivale-entry" --config "$folder/entry-$i.json"
+    start "entry-$i" "$(program wasabivale-entry)" --config "$folder/entry-$i.json"
     declare -g "entry_${i}_pid=$last_pid"
   done
   for i in $(seq "$3"); do
@@ -68,7 +74,7 @@
 
 fleet_serves() {
   local count
-  count=$("$bin/wasabivale" status --server "127.0.0.1:$((first_port + 11))" --output json |
+  count=$("$(program wasabivale)" status --server "127.0.0.1:$((first_port + 11))" --output json |
     grep -o '"state":"serving"' | wc -l)
   [[ "$count" -eq "$1" ]]
 }
