--- a/tools/demo/processes.sh
+++ b/tools/demo/processes.sh
@@ -1,12 +1,18 @@
 # Functions for scripts that run the system's processes on loopback.
 # Processes are started here and ended by pid when the script ends.
 
-bin=$PWD/out/build/bin
+# WASABIVALE_BUILD selects another build folder than out/build.
+bin=${WASABIVALE_BUILD:-$PWD/out/build}/bin
 pids=()
 servers=()
 steps=0
 auth=()
 
+# program NAME: its path in the selected build, or in out/build when that lacks it
+program() {
+  if [[ -x "$bin/$1" ]]; then echo "$bin/$1"; else echo "$PWD/out/build/bin/$1"; fi
+}
+
 step() {
   steps=$((steps + 1))
   echo "step $steps: $1"
@@ -37,7 +43,7 @@
 
 # start_control NUMBER: also again after its end, with its data folder
 start_control() {
-  start "control-$1" "$bin/wasabivale-control" --config "$folder/control-$1.json"
+  start "control-$1" "$(program wasabivale-control)" --config "$folder/control-$1.json"
   declare -g "control_${1}_pid=$last_pid"
 }
 
@@ -45,7 +51,7 @@
 start_deployment() {
   folder=$PWD/out/$1
   rm -rf "$folder"
-  "$bin/wasabivale-deployment" --folder "$folder" --control "$2" --entries "$3" \
+  "$(program wasabivale-deployment)" --folder "$folder" --control "$2" --entries "$3" \
     --first-port "$4" "${@:5}"
   first_port=$4
   export WASABIVALE_TOKEN
@@ -56,7 +62,7 @@
     start_control "$i"
   done
   for i in $(seq "$3"); do
-    start "entry-$i" "$bin/wasabivale-entry" --config "$folder/entry-$i.json"
+    start "entry-$i" "$(program wasabivale-entry)" --config "$folder/entry-$i.json"
     declare -g "entry_${i}_pid=$last_pid"
   done
   for i in $(seq "$3"); do
@@ -76,7 +82,7 @@
 
 # operate ARGUMENT...: the operators' command line, with JSON output
 operate() {
-  "$bin/wasabivale" "${servers[@]}" --output json "$@" 2>>"$folder/operator.log"
+  "$(program wasabivale)" "${servers[@]}" --output json "$@" 2>>"$folder/operator.log"
 }
 
 # field NAME: the first member of this name in the JSON on standard input
