Order a caller's requests by latest start, and keep a reserve from callers over their part

Cause: in overload long and patient requests outlived short ones, and callers whose requests were refused dropped out of the fair parts. Change: within a caller requests go by latest start; a caller's part counts all who asked in the last 5 s, also when refused; who has more than its part of what runs leaves 5 % of the slots free; a margin of 0.4 is asked of who has 1.5 times its part. Property test of the reserve.

--- a/libs/limits/include/limits/limits.h
+++ b/libs/limits/include/limits/limits.h
@@ -52,15 +52,21 @@
   /// Lead in the fair queue that each step of priority gives, as the work of
   /// one slot for this long. Bounds what priority can take from others.
   Duration m_PriorityCredit = std::chrono::milliseconds(500);
-  /// Within a caller's own queue, waiting this long outweighs one step of
-  /// priority.
+  /// Within a caller's own queue, a latest start that is this much earlier
+  /// outweighs one step of priority.
   Duration m_AgeStep = std::chrono::seconds(2);
   /// A caller with waiting work that has had no start for this long goes
   /// next, at latest every second start of its model: the starvation bound.
   Duration m_StarvationBound = std::chrono::seconds(20);
   /// Part of the time to the deadline that an estimated finish leaves free when
   /// the request would have to wait: others can use the place more surely.
-  double m_DeadlineMargin = 0.3;
+  double m_DeadlineMargin = 0.4;
+  /// How long a caller counts as wanting its part of a model after an arrival,
+  /// also one that was refused.
+  Duration m_DemandMemory = std::chrono::seconds(5);
+  /// Part of a model's slots that a caller over its part must leave free, so
+  /// that the next request of a caller under it starts at once.
+  double m_Reserve = 0.05;
   /// Retry-After for what the next share grant may cure.
   Duration m_ShareRenewal = std::chrono::seconds(1);
 };
@@ -69,7 +75,8 @@
 using Ticket = std::uint64_t;
 
 /// Place of a waiting request in its caller's queue: rank, then order of
-/// arrival. The rank is arrival time less priority times the age step.
+/// arrival. The rank is its latest start, no further ahead than the starvation
+/// bound, less priority times the age step.
 using Place = std::tuple<TimePoint, Ticket>;
 
 /// Room at a model's targets; `routing::capacityFor` tells it.
@@ -151,8 +158,10 @@
   bool m_Barred = false; ///< It has work, but its caller's share is in use.
   std::uint32_t m_Running = 0;
   std::set<Place> m_Waiting;
-  double m_Work = 0;     ///< Seconds of slot time that wait.
-  TimePoint m_LastStart; ///< Or when it last became backlogged.
+  double m_Work = 0;      ///< Seconds of slot time that wait.
+  TimePoint m_LastStart;  ///< Or when it last became backlogged.
+  TimePoint m_WantedAt;   ///< Last arrival, also one that was refused.
+  bool m_Wanting = false; ///< Listed in the model's `m_Wanting`.
 };
 
 /// Work that the queue of a model has started and the time that this took,
@@ -169,9 +178,11 @@
   std::unordered_map<CallerIndex, Flow> m_Flows;
   std::set<std::pair<double, CallerIndex>> m_Order;      ///< By key.
   std::set<std::pair<TimePoint, CallerIndex>> m_Starved; ///< By last start.
-  double m_Work = 0;          ///< Seconds of slot time that wait.
-  double m_Weights = 0;       ///< Of the flows that wait.
-  double m_ActiveWeights = 0; ///< Of the flows that wait or run.
+  double m_Work = 0;    ///< Seconds of slot time that wait.
+  double m_Weights = 0; ///< Of the flows that wait.
+  /// Flows by last arrival, as far back as the demand memory reaches.
+  std::set<std::pair<TimePoint, CallerIndex>> m_Wanting;
+  double m_WantingWeights = 0; ///< Of those flows.
   DrainRate m_Drain;
   std::uint32_t m_Running = 0; ///< Of all flows.
   bool m_LastWasStarved = false;
--- a/libs/limits/src/Admission.cpp
+++ b/libs/limits/src/Admission.cpp
@@ -111,29 +111,18 @@
   return Id;
 }
 
-/// Whether nothing that may start waits for the model.
-bool hasNoLine(const State &Entry, const ModelId &Model) {
-  const auto Found = Entry.m_Models.find(Model);
-  return Found == Entry.m_Models.end() || Found->second.m_Order.empty();
-}
-
 struct Forecast {
   double m_Wait = 0;    ///< Seconds until the start.
   double m_Service = 0; ///< Seconds from start to end.
 };
 
-Forecast forecastOf(const State &Entry, CallerIndex Index,
-                    const Arrival &Wanted, bool AtOnce) {
+Forecast forecastOf(const State &Entry, const ModelQueue &Queue,
+                    CallerIndex Index, const Arrival &Wanted, bool AtOnce,
+                    TimePoint Now) {
   Forecast Found;
-  Found.m_Service =
-      seconds(Wanted.m_ServiceTime) * biasOf(Entry, Wanted.m_Model);
-  if (AtOnce)
-    return Found;
-  static const ModelQueue NoQueue;
-  const auto Queue = Entry.m_Models.find(Wanted.m_Model);
-  Found.m_Wait = expectedWait(
-      Entry, Queue == Entry.m_Models.end() ? NoQueue : Queue->second, Index,
-      Wanted);
+  Found.m_Service = seconds(Wanted.m_ServiceTime) * Queue.m_Bias;
+  if (!AtOnce)
+    Found.m_Wait = expectedWait(Entry, Queue, Index, Wanted, Now);
   return Found;
 }
 
@@ -144,11 +133,16 @@
   return Times.m_Wait + Times.m_Service - Left * (1 - Margin);
 }
 
-/// A caller over its share must leave a margin before it waits. One under its
-/// share is not refused for that: the others' waiting is no reason.
-double marginFor(const State &Entry, CallerIndex Index, const Arrival &Wanted,
+/// A caller clearly over its part must leave a margin before it waits. Another
+/// is not refused for that: the others' waiting is no reason.
+double marginFor(const State &Entry, const ModelQueue &Queue, CallerIndex Index,
                  bool AtOnce) {
-  if (AtOnce || isUnderShare(Entry, Index, Wanted))
+  /// Counts of small callers vary about their part.
+  constexpr double ClearlyOver = 1.5;
+  const Flow &Line = Queue.m_Flows.at(Index);
+  const double InPlace =
+      static_cast<double>(Line.m_Running + Line.m_Waiting.size());
+  if (AtOnce || !isOverPart(Entry, Queue, Index, InPlace / ClearlyOver))
     return 0;
   return Entry.m_Settings.m_DeadlineMargin;
 }
@@ -177,11 +171,13 @@
   if (Wanted.m_Capacity.m_Slots <= 0)
     return refuse(Refusal::NoTarget, Entry.m_Settings.m_ShareRenewal);
 
-  const bool AtOnce = Wanted.m_Capacity.m_FreeSlots > 0 &&
-                      mayStart(Entry.m_Callers[Index], Now) &&
-                      hasNoLine(Entry, Wanted.m_Model);
-  const Forecast Times = forecastOf(Entry, Index, Wanted, AtOnce);
-  const double Margin = marginFor(Entry, Index, Wanted, AtOnce);
+  ModelQueue &Queue = Entry.m_Models[Wanted.m_Model];
+  noteDemand(Entry, Queue, Index, Now);
+  const bool AtOnce = mayStart(Entry.m_Callers[Index], Now) &&
+                      Queue.m_Order.empty() &&
+                      hasRoomFor(Entry, Queue, Index, Wanted.m_Capacity);
+  const Forecast Times = forecastOf(Entry, Queue, Index, Wanted, AtOnce, Now);
+  const double Margin = marginFor(Entry, Queue, Index, AtOnce);
   const double Late = lateBy(Times, Wanted, Margin, Now);
   if (Late > 0)
     return refuse(Refusal::CannotMeetDeadline,
@@ -222,8 +218,6 @@
   WASABIVALE_INVARIANT(Queue.m_Running > 0 && Line.m_Running > 0);
   --Queue.m_Running;
   --Line.m_Running;
-  if (!isActive(Line))
-    Queue.m_ActiveWeights -= Who.m_Weight;
   refill(Entry.m_Settings, Who, Now);
   const double Prompt = Used.m_Ran ? Used.m_PromptTokens : 0;
   const double Output = Used.m_Ran ? Used.m_OutputTokens : 0;
--- a/libs/limits/src/Internal.h
+++ b/libs/limits/src/Internal.h
@@ -38,10 +38,6 @@
 void notePeak(State &Entry, CallerIndex Index);
 void freeIfUnused(State &Entry, CallerIndex Index);
 
-inline bool isActive(const Flow &Line) {
-  return Line.m_Running > 0 || !Line.m_Waiting.empty();
-}
-
 // Queue.cpp
 /// Weight and size of the backlog changed: files the caller anew.
 void fileBacklog(State &Entry, CallerIndex Index, std::uint32_t Queued);
@@ -55,10 +51,23 @@
 void start(State &Entry, Ticket Id, bool Waited, TimePoint Now);
 /// Expected wait of a request that would join the queue now.
 double expectedWait(const State &Entry, const ModelQueue &Queue,
-                    CallerIndex Index, const Arrival &Wanted);
-/// Whether the caller has less than its part of what runs, divided among those
-/// that wait.
-bool isUnderShare(const State &Entry, CallerIndex Index, const Arrival &Wanted);
+                    CallerIndex Index, const Arrival &Wanted, TimePoint Now);
+
+// Demand.cpp
+/// Counts a caller among those that want their part of a model.
+void noteDemand(State &Entry, ModelQueue &Queue, CallerIndex Index,
+                TimePoint Now);
+/// Counts a caller's flow no more among those that want their part.
+void dropDemand(const State &Entry, ModelQueue &Queue, CallerIndex Index,
+                Flow &Line);
+/// Whether one more request in place would give a caller more than its part of
+/// what runs, divided by weight among those that want their part.
+bool isOverPart(const State &Entry, const ModelQueue &Queue, CallerIndex Index,
+                double InPlace);
+/// Whether there is room to start a request of a caller now. One that is over
+/// its part must leave the reserve free.
+bool hasRoomFor(const State &Entry, const ModelQueue &Queue, CallerIndex Index,
+                const Capacity &Room);
 
 } // namespace wasabivale::limits
 
--- a/libs/limits/src/Queue.cpp
+++ b/libs/limits/src/Queue.cpp
@@ -50,12 +50,31 @@
     Line.m_Barred = true;
 }
 
-/// A caller whose turn has come: by starvation, else by the fair order.
-CallerIndex turnOf(const State &Entry, ModelQueue &Queue, TimePoint Now) {
-  const auto &[LastStart, Waiting] = *Queue.m_Starved.begin();
-  const bool Starved = Now - LastStart >= Entry.m_Settings.m_StarvationBound;
-  Queue.m_LastWasStarved = Starved && !Queue.m_LastWasStarved;
-  return Queue.m_LastWasStarved ? Waiting : Queue.m_Order.begin()->second;
+/// Whether a starved caller goes next: at most at every second start.
+bool starvedTurn(const State &Entry, const ModelQueue &Queue, TimePoint Now) {
+  const TimePoint LastStart = Queue.m_Starved.begin()->first;
+  return !Queue.m_LastWasStarved &&
+         Now - LastStart >= Entry.m_Settings.m_StarvationBound;
+}
+
+/// The first caller of the fair order that finds room.
+std::optional<CallerIndex> fairTurn(const State &Entry, const ModelQueue &Queue,
+                                    const Capacity &Room) {
+  for (const auto &[Key, Index] : Queue.m_Order)
+    if (hasRoomFor(Entry, Queue, Index, Room))
+      return Index;
+  return std::nullopt;
+}
+
+/// A caller whose turn has come: by starvation, else by the fair order. The
+/// starved need no reserve.
+std::optional<CallerIndex> turnOf(const State &Entry, const ModelQueue &Queue,
+                                  const Capacity &Room, TimePoint Now) {
+  if (Room.m_FreeSlots == 0)
+    return std::nullopt;
+  if (starvedTurn(Entry, Queue, Now))
+    return Queue.m_Starved.begin()->second;
+  return fairTurn(Entry, Queue, Room);
 }
 
 /// Unlists flows at the front whose caller's lease has run out.
@@ -78,15 +97,22 @@
   return !Queue.m_Order.empty();
 }
 
+struct Turn {
+  ModelQueue *m_Queue = nullptr; ///< Null: nothing may start.
+  CallerIndex m_Caller = 0;
+};
+
 /// Of the models with work and room, the one that has waited longest.
-ModelQueue *nextModel(State &Entry, TimePoint Now, const CapacityView &Room) {
-  ModelQueue *Best = nullptr;
+Turn nextTurn(State &Entry, TimePoint Now, const CapacityView &Room) {
+  Turn Best;
   for (auto &[Model, Queue] : Entry.m_Models) {
-    if (Best != nullptr && Queue.m_LastStart >= Best->m_LastStart)
+    if (Best.m_Queue != nullptr &&
+        Queue.m_LastStart >= Best.m_Queue->m_LastStart)
       continue;
-    if (!hasTurn(Entry, Queue, Now) || Room(Model).m_FreeSlots == 0)
+    if (!hasTurn(Entry, Queue, Now))
       continue;
-    Best = &Queue;
+    if (const auto Found = turnOf(Entry, Queue, Room(Model), Now))
+      Best = {&Queue, *Found};
   }
   return Best;
 }
@@ -150,6 +176,31 @@
   Queue.m_LastStart = Now;
 }
 
+/// A caller's own requests go by the latest start that keeps their deadline:
+/// by arrival, short ones would miss theirs behind long ones. No further ahead
+/// than the starvation bound, so that all age.
+TimePoint rankOf(const State &Entry, TimePoint LatestStart, unsigned Priority,
+                 TimePoint Now) {
+  const TimePoint Furthest = Now + Entry.m_Settings.m_StarvationBound;
+  return std::min(LatestStart, Furthest) -
+         Entry.m_Settings.m_AgeStep * static_cast<int>(Priority);
+}
+
+/// Seconds of slot time of a caller's own requests that go before an arrival.
+double ownAhead(const State &Entry, const Flow &Line, TimePoint Rank) {
+  constexpr int MostCounted = 64;
+  double Work = 0;
+  int Count = 0;
+  for (const auto &[Other, Id] : Line.m_Waiting) {
+    if (Other > Rank)
+      return Work;
+    if (++Count > MostCounted)
+      return Line.m_Work;
+    Work += seconds(Entry.m_Held.at(Id).m_ServiceTime);
+  }
+  return Work;
+}
+
 } // namespace
 
 void fileBacklog(State &Entry, CallerIndex Index, std::uint32_t Queued) {
@@ -169,16 +220,13 @@
   unlist(Queue, Index, Line);
   if (Queue.m_Weights <= 0)
     Queue.m_Drain.m_At = Now;
-  if (!isActive(Line))
-    Queue.m_ActiveWeights += Entry.m_Callers[Index].m_Weight;
   if (Line.m_Waiting.empty()) {
     Queue.m_Weights += Entry.m_Callers[Index].m_Weight;
     Line.m_Finish = std::max(Queue.m_Virtual, Line.m_Finish);
     Line.m_LastStart = Now;
   }
-  const TimePoint Rank =
-      Now - Entry.m_Settings.m_AgeStep * static_cast<int>(Request.m_Priority);
-  Request.m_Place = {Rank, Id};
+  Request.m_Place = {
+      rankOf(Entry, Request.m_LatestStart, Request.m_Priority, Now), Id};
   Line.m_Waiting.insert(Request.m_Place);
   Line.m_Work += seconds(Request.m_ServiceTime);
   Queue.m_Work += seconds(Request.m_ServiceTime);
@@ -205,8 +253,6 @@
     Line.m_Work = 0; // Sheds what rounding left.
     Queue.m_Weights -= Entry.m_Callers[Index].m_Weight;
   }
-  if (!isActive(Line))
-    Queue.m_ActiveWeights -= Entry.m_Callers[Index].m_Weight;
   if (Queue.m_Weights < LeastWeight / 2)
     Queue.m_Weights = 0; // Sheds what rounding left.
   WASABIVALE_INVARIANT(Entry.m_QueuedCount > 0);
@@ -239,8 +285,6 @@
   Request.m_StartedAt = Now;
   ++Who.m_Running;
   ++Entry.m_RunningCount;
-  if (!isActive(Line))
-    Queue.m_ActiveWeights += Who.m_Weight;
   ++Queue.m_Running;
   ++Line.m_Running;
   WASABIVALE_INVARIANT(Who.m_Running <= runningShare(Who));
@@ -250,17 +294,25 @@
 }
 
 double expectedWait(const State &Entry, const ModelQueue &Queue,
-                    CallerIndex Index, const Arrival &Wanted) {
+                    CallerIndex Index, const Arrival &Wanted, TimePoint Now) {
   const Caller &Who = Entry.m_Callers[Index];
   const double Slots = std::max(1.0, Wanted.m_Capacity.m_Slots);
   const double Service = seconds(Wanted.m_ServiceTime);
-  const auto Found = Queue.m_Flows.find(Index);
-  const double Own = Found == Queue.m_Flows.end() ? 0 : Found->second.m_Work;
-  const double Weights = Queue.m_Weights + (Own > 0 ? 0 : Who.m_Weight);
+  const Flow &Line = Queue.m_Flows.at(Index);
+  const TimePoint LatestStart =
+      Wanted.m_Deadline - fromSeconds(Service * Queue.m_Bias);
+  const double Own =
+      ownAhead(Entry, Line,
+               rankOf(Entry, LatestStart,
+                      std::min(Wanted.m_Priority, MaxPriority), Now));
+  const double Weights =
+      Queue.m_Weights + (Line.m_Waiting.empty() ? Who.m_Weight : 0);
   // Its own requests at its fair part, and one of each caller before it.
-  const double Before = isUnderShare(Entry, Index, Wanted)
-                            ? flowsAhead(Entry, Queue, Index, Wanted)
-                            : static_cast<double>(Queue.m_Order.size());
+  const double InPlace =
+      static_cast<double>(Line.m_Running + Line.m_Waiting.size());
+  const double Before = isOverPart(Entry, Queue, Index, InPlace)
+                            ? static_cast<double>(Queue.m_Order.size())
+                            : flowsAhead(Entry, Queue, Index, Wanted);
   const double Fair = Own * Weights / Who.m_Weight + Before * Service;
   const double Ahead = std::min(Queue.m_Work, Fair);
   const double SlotFrees = Wanted.m_Capacity.m_FreeSlots > 0 ? 0 : Service;
@@ -271,33 +323,14 @@
   return Wait;
 }
 
-bool isUnderShare(const State &Entry, CallerIndex Index,
-                  const Arrival &Wanted) {
-  /// Callers that all want more than they get vary about their share.
-  constexpr double ClearlyUnder = 0.6;
-  const Caller &Who = Entry.m_Callers[Index];
-  const auto Found = Entry.m_Models.find(Wanted.m_Model);
-  if (Found == Entry.m_Models.end())
-    return true;
-  const ModelQueue &Queue = Found->second;
-  const auto Own = Queue.m_Flows.find(Index);
-  if (Own == Queue.m_Flows.end())
-    return true;
-  const Flow &Line = Own->second;
-  const double Has =
-      static_cast<double>(Line.m_Running + Line.m_Waiting.size());
-  return Has * Queue.m_ActiveWeights <
-         ClearlyUnder * Queue.m_Running * Who.m_Weight;
-}
-
 std::optional<Ticket> nextToStart(State &Entry, TimePoint Now,
                                   const CapacityView &Room) {
   if (Entry.m_QueuedCount == 0)
     return std::nullopt;
-  ModelQueue *Queue = nextModel(Entry, Now, Room);
+  const auto [Queue, Index] = nextTurn(Entry, Now, Room);
   if (Queue == nullptr)
     return std::nullopt;
-  const CallerIndex Index = turnOf(Entry, *Queue, Now);
+  Queue->m_LastWasStarved = starvedTurn(Entry, *Queue, Now);
   const Flow &Line = Queue->m_Flows.at(Index);
   const Ticket Id = std::get<Ticket>(*Line.m_Waiting.begin());
   const double Work = seconds(heldOf(Entry, Id).m_ServiceTime);
--- a/libs/limits/src/Shares.cpp
+++ b/libs/limits/src/Shares.cpp
@@ -74,8 +74,8 @@
       continue;
     if (!Found->second.m_Waiting.empty())
       Queue.m_Weights += Weight - Who.m_Weight;
-    if (isActive(Found->second))
-      Queue.m_ActiveWeights += Weight - Who.m_Weight;
+    if (Found->second.m_Wanting)
+      Queue.m_WantingWeights += Weight - Who.m_Weight;
   }
   const std::uint32_t Queued = Who.m_Queued;
   fileBacklog(Entry, Index, 0);
@@ -153,8 +153,13 @@
   const Caller &Who = Entry.m_Callers[Index];
   if (Who.m_Configured || Who.m_Running + Who.m_Queued > 0)
     return;
-  for (auto &[Model, Queue] : Entry.m_Models)
-    Queue.m_Flows.erase(Index);
+  for (auto &[Model, Queue] : Entry.m_Models) {
+    const auto Found = Queue.m_Flows.find(Index);
+    if (Found == Queue.m_Flows.end())
+      continue;
+    dropDemand(Entry, Queue, Index, Found->second);
+    Queue.m_Flows.erase(Found);
+  }
   Entry.m_Use.erase(Index);
   Entry.m_Callers[Index] = Caller();
   Entry.m_FreeCallers.push_back(Index);
--- a/libs/limits/src/Verify.cpp
+++ b/libs/limits/src/Verify.cpp
@@ -13,7 +13,7 @@
 
 void verifyQueue(const State &Entry, const ModelQueue &Queue) {
   double Weights = 0;
-  double Active = 0;
+  double Wanting = 0;
   double Work = 0;
   std::size_t Listed = 0;
   std::uint32_t Running = 0;
@@ -21,7 +21,9 @@
     Listed += Line.m_Listed ? 1 : 0;
     Work += Line.m_Work;
     Running += Line.m_Running;
-    Active += isActive(Line) ? Entry.m_Callers[Index].m_Weight : 0;
+    Wanting += Line.m_Wanting ? Entry.m_Callers[Index].m_Weight : 0;
+    WASABIVALE_INVARIANT(Line.m_Wanting ==
+                         Queue.m_Wanting.contains({Line.m_WantedAt, Index}));
     if (!Line.m_Waiting.empty())
       Weights += Entry.m_Callers[Index].m_Weight;
     WASABIVALE_INVARIANT(!Line.m_Listed || !Line.m_Waiting.empty());
@@ -30,7 +32,7 @@
   }
   constexpr double Rounding = 1e-6;
   WASABIVALE_INVARIANT(Running == Queue.m_Running);
-  WASABIVALE_INVARIANT(std::abs(Active - Queue.m_ActiveWeights) < Rounding);
+  WASABIVALE_INVARIANT(std::abs(Wanting - Queue.m_WantingWeights) < Rounding);
   WASABIVALE_INVARIANT(Listed == Queue.m_Order.size());
   WASABIVALE_INVARIANT(Listed == Queue.m_Starved.size());
   WASABIVALE_INVARIANT(std::abs(Work - Queue.m_Work) < Rounding);
--- a/libs/limits/tests/FairnessTest.cpp
+++ b/libs/limits/tests/FairnessTest.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <map>
+#include <rapidcheck.h>
 
 using namespace wasabivale;
 using namespace wasabivale::limits;
@@ -142,3 +143,50 @@
     }
   }
 }
+
+TEST_CASE("no caller over its part takes the reserve") {
+  CHECK(rc::check([] {
+    constexpr std::uint32_t Slots = 40;
+    State Entry = entryOf(2);
+    Entry.m_Settings.m_Reserve = 0.1;
+    const auto Reserve =
+        static_cast<std::uint32_t>(Entry.m_Settings.m_Reserve * Slots);
+    const auto Room = [&] {
+      return Capacity{Slots - static_cast<std::uint32_t>(Entry.m_RunningCount),
+                      Slots};
+    };
+    // The modest caller wants its part, so the greedy one is over its own.
+    const Decision First = admit(Entry, arrival(1, Room()), at(0s));
+    const int Greedy = *rc::gen::inRange(40, 200);
+    for (int Count = 0; Count < Greedy; ++Count)
+      admit(Entry, arrival(0, Room()), at(0s));
+    while (nextToStart(Entry, at(0s), always(Room()))) {
+    }
+    RC_ASSERT(std::holds_alternative<Admitted>(First.m_Verdict));
+    RC_ASSERT(Room().m_FreeSlots == Reserve);
+    // It still finds the reserve, past all that waits.
+    for (std::uint32_t Count = 0; Count < Reserve; ++Count) {
+      const Decision Made = admit(Entry, arrival(1, Room()), at(1s));
+      const auto Next = nextToStart(Entry, at(1s), always(Room()));
+      RC_ASSERT(Next == ticketOf(Made));
+    }
+    verify(Entry);
+  }));
+}
+
+TEST_CASE("a caller's requests start by the latest start they can afford") {
+  State Entry = entryOf(1);
+  Arrival Long = arrival(0, FullHouse);
+  Long.m_Deadline = at(60s);
+  Arrival Short = Long;
+  Short.m_Deadline = at(6s);
+  Arrival Idle = Long;
+  Idle.m_Deadline = at(24h);
+  const Ticket First = ticketOf(admit(Entry, Idle, at(0s)));
+  const Ticket Second = ticketOf(admit(Entry, Long, at(1s)));
+  const Ticket Third = ticketOf(admit(Entry, Short, at(2s)));
+  CHECK(nextToStart(Entry, at(3s), always(Roomy)) == Third);
+  // None is sent back further than the starvation bound.
+  CHECK(nextToStart(Entry, at(3s), always(Roomy)) == First);
+  CHECK(nextToStart(Entry, at(3s), always(Roomy)) == Second);
+}
