Ask more certainty of a role change in both settings

Cause: with short queues the planner left good splits before any shift, on gains of two or three deviations above their cost. Change: uncertainty_weight 2.5 in place of 1.5 and 0.5.

--- a/libs/roles/src/Policy.cpp
+++ b/libs/roles/src/Policy.cpp
@@ -99,7 +99,7 @@
   Value.m_LeastEngines = {0, 1, 1};
   Value.m_Horizon = 300s;
   Value.m_Away = 8s;
-  Value.m_UncertaintyWeight = 1.5;
+  Value.m_UncertaintyWeight = 2.5;
   Value.m_EvidenceShare = 0.5;
   Value.m_Smoothing = 12s;
   Value.m_RoleRates = {RoleRates{1, 1}, RoleRates{1.25, 0.5},
@@ -112,7 +112,7 @@
   Value.m_Name = "malabar";
   Value.m_CostEngineTime = 20s;
   Value.m_ChangesPerHour = 60;
-  Value.m_UncertaintyWeight = 0.5;
+  Value.m_UncertaintyWeight = 2.5;
   Value.m_EvidenceShare = 0.5;
   return Value;
 }
