--- a/tools/demo/demo.sh
+++ b/tools/demo/demo.sh
@@ -12,6 +12,7 @@
 #           engine-1 returned before the count     a run started on the drained engine
 #   step 7  kill left out                          the old leader still leads
 #   step 8  another request id in the resend       the resend was refused
+#   step 9  confirm left out                       timed out waiting: all serve again
 #   step 10 SIGKILL instead of SIGTERM             a stream of last broke
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/../.."
