Let the command line leave a paused control member after 2 s

With the leader paused a call waited 5 s for its answer although a new leader had been there for 4 s; it then could ask the same member again. The limit for one answer is now 2 s, and the member that has just failed is skipped. Resends carry the same request id, so nothing is done twice.

--- a/apps/cli/src/Client.cpp
+++ b/apps/cli/src/Client.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-constexpr std::chrono::seconds AnswerTimeout{5};
+/// A member that is paused or cut off costs no more; resends are idempotent.
+constexpr std::chrono::seconds AnswerTimeout{2};
 constexpr std::chrono::milliseconds RetryInterval{200};
 constexpr int Misdirected = 421;
 constexpr int Unavailable = 503;
@@ -60,7 +61,10 @@
       Server = Leader;
       continue;
     }
+    const std::string Asked = Server;
     Server = Through.m_Servers[++Next % Through.m_Servers.size()];
+    if (Server == Asked)
+      Server = Through.m_Servers[++Next % Through.m_Servers.size()];
     sleepFor(RetryInterval);
   }
   return Last;
