--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -42,7 +42,7 @@
 DataPath::~DataPath() { endAll(); }
 
 void DataPath::refuse(http::Exchange &Arrived, const RequestId &Id,
-                      Rejection Why) {
+                      const Rejection &Why) {
   m_Shared.m_Metrics.m_Registry.refusals(Why.m_Reason).add();
   events::emit(events::Event::RequestRefused,
                {{"request", Id},
@@ -75,7 +75,7 @@
 }
 
 http::Response DataPath::refuseMalformed(int HttpStatus) {
-  const http::Response Page = malformedPage(HttpStatus);
+  http::Response Page = malformedPage(HttpStatus);
   Refusal Reason = Refusal::MalformedRequest;
   for (const Refusal Other : {Refusal::BodyTooLarge, Refusal::HeaderTooLarge,
                               Refusal::MethodNotAllowed})
--- a/apps/entry/src/DataPath.h
+++ b/apps/entry/src/DataPath.h
@@ -52,7 +52,8 @@
   void updateGauges();
 
 private:
-  void refuse(http::Exchange &Arrived, const RequestId &Id, Rejection Why);
+  void refuse(http::Exchange &Arrived, const RequestId &Id,
+              const Rejection &Why);
   void answerModels(http::Exchange &Arrived);
   void admit(const std::shared_ptr<http::Exchange> &Arrived, Arrival Asked);
   [[nodiscard]] std::optional<Rejection> refuseAtOnce(TimePoint Now) const;
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -6,7 +6,6 @@
 
 namespace wasabivale::entry {
 
-using retries::FailureKind;
 using retries::Gate;
 using routing::TryOutcome;
 
@@ -575,10 +574,10 @@
       Last.m_Message.empty()
           ? ""
           : std::string(refusalInfo(Reason).m_Text) + ": " + Last.m_Message;
-  refuse(std::move(Why));
+  refuse(Why);
 }
 
-void Serving::refuse(Rejection Why) {
+void Serving::refuse(const Rejection &Why) {
   // The invariant behind the promise: not run is said only of what can't have
   // run.
   WASABIVALE_INVARIANT(Why.m_Outcome != Outcome::NotRun || !m_MayHaveRun);
--- a/apps/entry/src/Serving.h
+++ b/apps/entry/src/Serving.h
@@ -74,7 +74,7 @@
   void decideNext(const TryEnding &Ending, TimePoint Now);
   void complete(const TryEnding &Ending);
   void giveUp(Refusal Reason, Outcome Told, const Error &Last);
-  void refuse(Rejection Why);
+  void refuse(const Rejection &Why);
   void endTry(routing::TryOutcome Evidence, TimePoint Now);
   void noteTryOver(bool Completed);
   void end();
--- a/apps/entry/tests/EdgeTest.cpp
+++ b/apps/entry/tests/EdgeTest.cpp
@@ -51,7 +51,7 @@
     if (Read > 0)
       Got.append(Buffer, static_cast<std::size_t>(Read));
     return Read == 0 || (Read < 0 && errno == ECONNRESET) ||
-           (Answers() >= Wanted && (Got.find("}") != std::string::npos ||
+           (Answers() >= Wanted && (Got.find('}') != std::string::npos ||
                                     Got.find(" 100 ") != std::string::npos));
   });
   ::close(Socket);
--- a/apps/entry/tests/ServingTest.cpp
+++ b/apps/entry/tests/ServingTest.cpp
@@ -134,7 +134,7 @@
       REQUIRE(World.m_Loop.until([&] { return Call->m_Ended; }));
       CHECK(!Call->m_Broken);
       CHECK(Call->has("[DONE]"));
-      CHECK(Call->m_Body.size() > 500U * std::size_t{16U << 10U});
+      CHECK(Call->m_Body.size() > std::size_t{500} * (std::size_t{16} << 10U));
     }
   }
   WHEN("it never does") {
--- a/apps/entry/tests/World.cpp
+++ b/apps/entry/tests/World.cpp
@@ -225,7 +225,7 @@
 }
 
 std::shared_ptr<Call> World::ask(const Ask &What) {
-  const auto Made = send(What);
+  auto Made = send(What);
   REQUIRE(m_Loop.until([&] { return Made->m_Ended; }));
   return Made;
 }
--- a/tools/slopes/src/Measure.cpp
+++ b/tools/slopes/src/Measure.cpp
@@ -31,8 +31,10 @@
 
 Result<capacity::Slope> measure(const Probe &What) {
   std::vector<capacity::Sample> Samples;
+  Samples.reserve(What.m_Sizes.size());
   for (const double Size : What.m_Sizes) {
     std::vector<double> Costs;
+    Costs.reserve(static_cast<std::size_t>(What.m_Tries));
     for (int Try = 0; Try < What.m_Tries; ++Try)
       Costs.push_back(What.m_Cost(static_cast<std::size_t>(Size)));
     std::sort(Costs.begin(), Costs.end());
