--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -59,7 +59,7 @@
   auto Read = readArrival(Arrived->request(), m_Shared.m_Configuration,
                           {m_Shared.m_Settings.m_AllowAnonymous}, Now);
   if (auto *Why = std::get_if<Rejection>(&Read))
-    return refuse(*Arrived, Id, std::move(*Why));
+    return refuse(*Arrived, Id, *Why);
   Arrival &Asked = std::get<Arrival>(Read);
   Asked.m_Id = Id;
   m_Shared.m_Metrics.m_Requests.add();
@@ -69,7 +69,7 @@
     // See Serving::outcomeSoFar.
     if (Asked.isKept())
       Why->m_Outcome = Outcome::Unknown;
-    return refuse(*Arrived, Id, std::move(*Why));
+    return refuse(*Arrived, Id, *Why);
   }
   admit(Arrived, std::move(Asked));
 }
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -152,7 +152,7 @@
   Told.m_Outcome = outcomeSoFar();
   Told.m_Step = "admission";
   Told.m_RetryAfter = Why.m_RetryAfter;
-  refuse(std::move(Told));
+  refuse(Told);
 }
 
 void Serving::takeGone() {
@@ -219,21 +219,21 @@
   case KeyVerdict::Dropped:
     Why.m_Reason = Refusal::AnswerTooLarge;
     Why.m_Outcome = Outcome::Completed;
-    return refuse(std::move(Why));
+    return refuse(Why);
   case KeyVerdict::InProgress:
     Why.m_Reason = Refusal::KeyInProgress;
-    return refuse(std::move(Why));
+    return refuse(Why);
   case KeyVerdict::Unknown:
     Why.m_Reason = Refusal::KeyOutcomeUnknown;
-    return refuse(std::move(Why));
+    return refuse(Why);
   case KeyVerdict::Conflict:
     // This body was run neither now nor under this key before.
     Why.m_Reason = Refusal::KeyConflict;
     Why.m_Outcome = Outcome::NotRun;
-    return refuse(std::move(Why));
+    return refuse(Why);
   case KeyVerdict::Refused:
     Why.m_Reason = Answer.m_Reason;
-    return refuse(std::move(Why));
+    return refuse(Why);
   }
 }
 
