--- a/tools/bench/entry-cost.sh
+++ b/tools/bench/entry-cost.sh
@@ -20,7 +20,7 @@
   local before
   before=$(processor_ns)
   # Twenty streams at once; at this rate the engines send each token alone.
-  curl -sS -Z --parallel-max 20 -o /dev/null "http://127.0.0.1:22110/v1/completions?[1-$1]" \
+  curl -sS -Z --no-progress-meter --parallel-max 20 -o /dev/null "http://127.0.0.1:22110/v1/completions?[1-$1]" \
     -d "{\"model\": \"gourd-8b\", \"prompt\": \"How long does a gourd cure?\", \"max_tokens\": $2, \"stream\": true}"
   echo $(($(processor_ns) - before))
 }
