--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -1,6 +1,7 @@
 #include "Control.h"
 
 #include "OperatorApi.h"
+#include "RegistryApi.h"
 #include "events/events.h"
 
 #include <algorithm>
@@ -19,6 +20,8 @@
 /// Least rest of the leader's lease with which it may send an order.
 constexpr std::chrono::milliseconds OrderMargin{150};
 constexpr std::size_t RepliesKept = 65'536;
+/// Pause between two membership changes, for the first to show.
+constexpr std::chrono::milliseconds RepairInterval{200};
 
 Refusal refusalOf(consensus::Verdict Verdict) {
   return Verdict == consensus::Verdict::NotLeader ? Refusal::NotLeader
@@ -47,15 +50,17 @@
   };
   Made->m_Executor =
       std::make_unique<Executor>(Loop, Registry, std::move(Over));
-  for (const Status &Opened :
-       {Made->openHub(), Made->openReplica(), Made->openOperators()})
-    if (failed(Opened))
+  for (const auto Open : {&Control::openHub, &Control::openReplica,
+                          &Control::openOperators, &Control::openRegistry})
+    if (Status Opened = (Self->*Open)(); failed(Opened))
       return errorOf(Opened);
   Made->m_Timer = std::make_unique<http::Timer>(Loop, TurnInterval, true,
                                                 [Self] { Self->turn(); });
   return Made;
 }
 
+Control::~Control() = default;
+
 Status Control::openHub() {
   wire::HubOptions Options;
   Options.m_Self = m_Settings.m_Id;
@@ -88,6 +93,11 @@
   Options.m_Self = m_Settings.m_Id;
   for (const MemberAddress &Member : m_Settings.m_Members)
     Options.m_Listed.push_back(Member.m_Id);
+  if (m_Settings.m_Discovery) {
+    Options.m_MayForm = m_Settings.m_Discovery->m_MayForm;
+    // Disks move between machines there, and their files get new numbers.
+    Options.m_CopyGuard = store::CopyGuard::None;
+  }
   replication::ReplicaCallbacks Callbacks;
   Callbacks.m_Apply = [this](consensus::Index Index,
                              const std::string &Payload) {
@@ -106,6 +116,15 @@
     m_State = std::move(valueOf(Read));
     return std::monostate{};
   };
+  Callbacks.m_Found = [this](const consensus::Membership &Told) {
+    std::vector<NodeId> Members;
+    for (const consensus::Member &Each : Told.m_Members)
+      Members.push_back(Each.m_Id);
+    if (Members == m_Found)
+      return;
+    m_Found = std::move(Members);
+    events::emit(events::Event::MembersFound, {{"members", m_Found.size()}});
+  };
   Callbacks.m_Gained = [this] { gainLeadership(); };
   Callbacks.m_Lost = [this] { loseLeadership(); };
   Callbacks.m_Failed = [this](const Error &Why) {
@@ -120,8 +139,23 @@
   return std::monostate{};
 }
 
+Status Control::openRegistry() {
+  if (!m_Settings.m_RegistryListen)
+    return std::monostate{};
+  m_Registrar = std::make_unique<RegistryApi>(*this);
+  auto Listening =
+      http::listen(m_Loop, *m_Settings.m_RegistryListen, http::ServerLimits{},
+                   [this](const std::shared_ptr<http::Exchange> &Arrived) {
+                     m_Registrar->answer(Arrived);
+                   });
+  if (failed(Listening))
+    return errorOf(Listening);
+  m_RegistryServer = std::move(valueOf(Listening));
+  return std::monostate{};
+}
+
 Status Control::openOperators() {
-  if (!m_Replica)
+  if (m_Settings.m_OperatorsListen.m_Port == 0)
     return std::monostate{};
   auto Operators =
       http::listen(m_Loop, m_Settings.m_OperatorsListen, http::ServerLimits{},
@@ -138,6 +172,75 @@
   return m_Replica->leader().empty() ? "no leader is known" : "";
 }
 
+// --- The group ------------------------------------------------------------
+
+std::vector<NodeId> Control::memberIds() const {
+  std::vector<NodeId> Members;
+  for (const replication::MemberStatus &Each : m_Replica->status().m_Members)
+    Members.push_back(Each.m_Member.m_Id);
+  return Members;
+}
+
+void Control::connectTo(const std::vector<NodeId> &Members) {
+  for (const NodeId &Former : m_Reached)
+    if (std::find(Members.begin(), Members.end(), Former) == Members.end())
+      m_Hub->disconnect(Former);
+  for (const NodeId &Each : Members) {
+    const wire::Peer Peer{Each, "",
+                          daemon::hubAddress(*m_Settings.m_Discovery, Each)};
+    if (Status Done = m_Hub->connect(Peer); failed(Done))
+      events::emitError(events::Event::ListenFailed, errorOf(Done));
+  }
+  m_Reached = Members;
+}
+
+void Control::reachMembers() {
+  if (!m_Settings.m_Discovery)
+    return;
+  std::vector<NodeId> Wanted = memberIds();
+  // One that is no member yet, or no longer, asks whom it knows of.
+  const bool IsMember =
+      std::find(Wanted.begin(), Wanted.end(), m_Settings.m_Id) != Wanted.end();
+  if (!IsMember) {
+    Wanted.insert(Wanted.end(), m_Found.begin(), m_Found.end());
+    for (const NodeId &Seed : m_Settings.m_Discovery->m_Seeds)
+      Wanted.push_back(Seed);
+  }
+  std::sort(Wanted.begin(), Wanted.end());
+  Wanted.erase(std::unique(Wanted.begin(), Wanted.end()), Wanted.end());
+  if (Wanted != m_Reached)
+    connectTo(Wanted);
+}
+
+void Control::repairGroup(TimePoint Now) {
+  if (!m_Settings.m_Discovery || m_Repairing || Now < m_NextRepair)
+    return;
+  replication::ReplicaStatus Known = m_Replica->status();
+  const replication::GroupFacts Facts{
+      m_Settings.m_Id, std::move(Known.m_Members), std::move(Known.m_Newcomers),
+      m_LeaderSince};
+  replication::RepairRules Rules;
+  Rules.m_Voters = 2U * m_Settings.m_Discovery->m_Losses + 1U;
+  const auto Next = replication::nextRepair(Facts, Rules, Now);
+  if (!Next)
+    return;
+  m_Repairing = true;
+  m_NextRepair = Now + RepairInterval;
+  const std::string What = replication::describe(*Next);
+  events::emit(events::Event::RepairStarted,
+               {{"change", What},
+                {"members", Facts.m_Members.size()},
+                {"newcomers", Facts.m_Newcomers.size()},
+                {"term", m_Replica->term()}});
+  m_Replica->change(*Next, [this, What](const consensus::Decision &Decided) {
+    m_Repairing = false;
+    if (Decided.m_Verdict != consensus::Verdict::Committed)
+      events::emit(events::Event::CommandRejected,
+                   {{"command", What},
+                    {"message", consensus::verdictName(Decided.m_Verdict)}});
+  });
+}
+
 // --- Leadership -----------------------------------------------------------
 
 bool Control::leads() const {
@@ -158,11 +261,16 @@
   startTerm(m_Roles, m_State.m_Fleet, m_LeaderSince);
   startTerm(m_Shares, m_LeaderSince, LongestEntryLease);
   startTerm(m_Notices, m_LeaderSince, LongestEntryLease);
+  m_Repairing = false;
+  if (m_Registrar)
+    m_Registrar->startTerm();
 }
 
 void Control::loseLeadership() {
   m_Executor->stop();
   m_Sent.clear();
+  if (m_Registrar)
+    m_Registrar->endTerm();
 }
 
 void Control::propose(wire::Command What, OnReply Done) {
@@ -234,6 +342,8 @@
     Message.mutable_redirect()->set_leader(Leader.m_Value);
   else
     Message.mutable_redirect();
+  for (const NodeId &Member : memberIds())
+    Message.mutable_redirect()->add_members()->set_id(Member.m_Value);
   (void)m_Hub->send(To, std::move(Message)); // The entry asks again.
 }
 
@@ -246,6 +356,7 @@
   Known.m_FleetRevision = Message.entry_hello().fleet_revision();
   Known.m_ConfigurationRevision =
       Message.entry_hello().configuration_revision();
+  Known.m_RoutesVersion = Message.entry_hello().routes_version();
   sendFleet(From, Known);
 }
 
@@ -267,6 +378,7 @@
   Grant.set_lease_ns(nanosecondsOf(std::chrono::nanoseconds(EntryLease)));
   Grant.set_fleet_revision(m_State.m_Fleet.m_Targets.m_Revision);
   Grant.set_configuration_revision(m_State.m_Fleet.m_Configuration.m_Revision);
+  Grant.set_routes_version(m_State.m_Fleet.m_Routes.m_Table.version());
   adoptLimits(m_Shares, m_State.m_Fleet.m_Configuration);
   keepEntries(m_Shares, m_Heard);
   grantShares(m_Shares, From, Report, Now, LeaseUntil, LongestEntryLease,
@@ -274,6 +386,8 @@
   fillGrant(m_Notices, Suspicion, From, Report, Now, LogNow, Grant);
   // A grant that is lost is made up for by the next report.
   (void)m_Hub->send(From, std::move(Answer));
+  if (m_Registrar)
+    m_Registrar->settleLeaving(Now);
 }
 
 void Control::takeCall(const NodeId &From, const wire::CallRequest &Call) {
@@ -308,20 +422,41 @@
   const fleet::State &Fleet = m_State.m_Fleet;
   wire::Envelope Message;
   Message.set_term(m_Replica->term());
-  *Message.mutable_fleet_update() = fleet::updateSince(
-      Fleet, Known.m_FleetRevision, Known.m_ConfigurationRevision);
+  *Message.mutable_fleet_update() =
+      fleet::updateSince(Fleet, Known.m_FleetRevision,
+                         Known.m_ConfigurationRevision, Known.m_RoutesVersion);
   if (failed(m_Hub->send(To, std::move(Message))))
     return; // The next grant names the newer revision, and the entry asks.
   Known.m_FleetRevision = Fleet.m_Targets.m_Revision;
   Known.m_ConfigurationRevision = Fleet.m_Configuration.m_Revision;
+  Known.m_RoutesVersion = Fleet.m_Routes.m_Table.version();
+}
+
+/// Tells an entry whom it may ask when this leader is gone.
+void Control::sendMembers(const NodeId &To, Sent &Known,
+                          const std::vector<NodeId> &Members) {
+  wire::Envelope Message;
+  Message.set_term(m_Replica->term());
+  Message.mutable_redirect()->set_leader(m_Settings.m_Id.m_Value);
+  for (const NodeId &Each : Members)
+    Message.mutable_redirect()->add_members()->set_id(Each.m_Value);
+  if (!failed(m_Hub->send(To, std::move(Message))))
+    Known.m_Members = Members;
 }
 
 void Control::sendChanges() {
   const fleet::State &Fleet = m_State.m_Fleet;
   for (auto &[Name, Known] : m_Sent)
     if (Known.m_FleetRevision != Fleet.m_Targets.m_Revision ||
-        Known.m_ConfigurationRevision != Fleet.m_Configuration.m_Revision)
+        Known.m_ConfigurationRevision != Fleet.m_Configuration.m_Revision ||
+        Known.m_RoutesVersion != Fleet.m_Routes.m_Table.version())
       sendFleet(Name, Known);
+  if (!m_Settings.m_Discovery)
+    return;
+  const std::vector<NodeId> Members = memberIds();
+  for (auto &[Name, Known] : m_Sent)
+    if (Known.m_Members != Members)
+      sendMembers(Name, Known, Members);
 }
 
 // --- The leader's work ----------------------------------------------------
@@ -346,12 +481,18 @@
 }
 
 void Control::turn() {
+  reachMembers();
   if (!leads())
     return;
   const TimePoint Now = BootClock::now();
+  repairGroup(Now);
+  if (m_Registrar)
+    m_Registrar->settleLeaving(Now);
   fleet::expireEntries(m_Heard, Now);
-  for (const wire::EntryGone &Each : m_Heard.m_Gone)
+  for (const wire::EntryGone &Each : m_Heard.m_Gone) {
     events::emit(events::Event::EntryLost, {{"entry", Each.entry()}});
+    m_Sent.erase({Each.entry()});
+  }
   m_Heard.m_Gone.clear();
   endSessions(Now);
   fleet::DueSettings Due;
--- a/apps/control/src/Control.h
+++ b/apps/control/src/Control.h
@@ -21,6 +21,8 @@
 
 namespace wasabivale::control {
 
+class RegistryApi;
+
 class Control {
 public:
   using OnReply = std::function<void(const wire::CallReply &)>;
@@ -31,19 +33,30 @@
                                                metrics::Registry &Registry,
                                                std::function<void()> OnFatal);
 
+  ~Control();
+  Control(const Control &) = delete;
+  Control &operator=(const Control &) = delete;
+
   /// Why this member is not ready; empty when it is.
   [[nodiscard]] std::string notReady() const;
   /// Hands leadership over before a planned stop.
   void prepareStop() { m_Replica->transferLeadership(); }
+  /// Members of the group, as this one knows it.
+  [[nodiscard]] std::size_t members() const {
+    return m_Replica->status().m_Members.size();
+  }
   [[nodiscard]] bool isLeader() const { return m_Replica->isLeader(); }
 
 private:
   friend class OperatorApi;
+  friend class RegistryApi;
 
   /// What has been sent to an entry in this term.
   struct Sent {
     std::uint64_t m_FleetRevision = 0;
     std::uint64_t m_ConfigurationRevision = 0;
+    std::uint64_t m_RoutesVersion = 0;
+    std::vector<NodeId> m_Members;
   };
 
   Control(event_base *Loop, const ControlSettings &Settings,
@@ -51,6 +64,13 @@
   Status openHub();
   Status openReplica();
   Status openOperators();
+  Status openRegistry();
+  /// Keeps connections to the members of the group, and to the seeds until it
+  /// is known.
+  void reachMembers();
+  void connectTo(const std::vector<NodeId> &Members);
+  void repairGroup(TimePoint Now);
+  [[nodiscard]] std::vector<NodeId> memberIds() const;
 
   void take(const NodeId &From, const wire::Envelope &Message);
   void takeHello(const NodeId &From, const wire::Envelope &Message);
@@ -58,6 +78,8 @@
   void takeCall(const NodeId &From, const wire::CallRequest &Call);
   void redirect(const NodeId &To);
   void sendFleet(const NodeId &To, Sent &Known);
+  void sendMembers(const NodeId &To, Sent &Known,
+                   const std::vector<NodeId> &Members);
   void sendChanges();
 
   void gainLeadership();
@@ -87,6 +109,12 @@
   std::unique_ptr<replication::Replica> m_Replica;
   std::unique_ptr<Executor> m_Executor;
   std::unique_ptr<http::Server> m_Operators;
+  std::unique_ptr<RegistryApi> m_Registrar;
+  std::unique_ptr<http::Server> m_RegistryServer;
+  std::vector<NodeId> m_Reached; ///< Members that the hub connects to.
+  std::vector<NodeId> m_Found;   ///< Told to this member while it is new.
+  bool m_Repairing = false;
+  TimePoint m_NextRepair;
   std::unique_ptr<http::Timer> m_Timer;
 
   Replicated m_State;
--- a/apps/control/src/ControlSettings.h
+++ b/apps/control/src/ControlSettings.h
@@ -4,10 +4,14 @@
 #ifndef WASABIVALE_CONTROL_CONTROLSETTINGS_H
 #define WASABIVALE_CONTROL_CONTROLSETTINGS_H
 
+#include "daemon/daemon.h"
 #include "http/http.h"
 #include "settings/settings.h"
 #include "wire/wire.h"
 
+#include <map>
+#include <optional>
+
 namespace wasabivale::control {
 
 /// An operator's name and the digest of its bearer token.
@@ -37,6 +41,12 @@
   std::vector<MemberAddress> m_Members; ///< With this member itself.
   std::vector<wire::Peer> m_Entries;
   std::vector<Operator> m_Operators;
+  /// Set where members find each other: their ids are IP addresses then, and
+  /// the group repairs itself.
+  std::optional<daemon::Discovery> m_Discovery;
+  /// Where targets report and routes are put; none where neither is done here.
+  std::optional<http::Address> m_RegistryListen;
+  std::map<ZoneId, RegionId> m_Regions; ///< Of zones that targets name.
 };
 
 /// JSON schema of the settings file.
--- a/apps/control/src/Main.cpp
+++ b/apps/control/src/Main.cpp
@@ -39,7 +39,7 @@
     Ending = std::make_unique<http::Timer>(
         Loop.base(), HandoverLook, true, [&, Until] {
           if (control::mayEnd(valueOf(Control)->isLeader(),
-                              Settings.m_Members.size(), BootClock::now(),
+                              valueOf(Control)->members(), BootClock::now(),
                               Until))
             Loop.end();
         });
--- a/apps/entry/src/AnswerWriter.cpp
+++ b/apps/entry/src/AnswerWriter.cpp
@@ -1,5 +1,6 @@
 #include "AnswerWriter.h"
 
+#include "PassedAnswer.h"
 #include "Text.h"
 
 #include <ctime>
@@ -14,6 +15,13 @@
 
 } // namespace
 
+std::unique_ptr<Answer> makeAnswer(std::shared_ptr<http::Exchange> Caller,
+                                   const Arrival &For, std::size_t KeepBytes) {
+  if (For.m_Passed)
+    return std::make_unique<PassedAnswer>(std::move(Caller), For.m_Id);
+  return std::make_unique<AnswerWriter>(std::move(Caller), For, KeepBytes);
+}
+
 AnswerWriter::AnswerWriter(std::shared_ptr<http::Exchange> Caller,
                            const Arrival &For, std::size_t KeepBytes)
     : m_Caller(std::move(Caller)), m_Request(For.m_Id),
@@ -39,6 +47,10 @@
   To += "}]}\n\n";
 }
 
+void AnswerWriter::head(int, const http::Fields &) {
+  // The head of our own streams does not depend on the target's.
+}
+
 void AnswerWriter::startStream() {
   if (m_Started)
     return;
--- a/apps/entry/src/AnswerWriter.h
+++ b/apps/entry/src/AnswerWriter.h
@@ -19,12 +19,43 @@
   int m_Status = 200;
   std::string m_ContentType;
   std::string m_Body;
+  http::Fields m_Fields = {}; ///< As the target sent them; never kept.
 };
 
 /// Exactly one of `finish`, `pass` and `refuse` ends an answer. All calls are
 /// harmless after the caller has gone; what is kept for the ledger is still
 /// collected then.
-class AnswerWriter {
+class Answer {
+public:
+  virtual ~Answer() = default;
+  /// Takes the head of a target's stream, to be passed on with the first piece.
+  virtual void head(int Status, const http::Fields &Fields) = 0;
+  /// Takes the next piece of a stream.
+  virtual void piece(std::string_view Text) = 0;
+  /// Forgets the pieces so far, for a restart. \pre !hasPassed()
+  virtual void restart() = 0;
+  /// Whether the caller has a part of the answer.
+  [[nodiscard]] virtual bool hasPassed() const = 0;
+  /// Ends a stream that is whole.
+  virtual void finish(std::string_view FinishReason, std::uint64_t PromptTokens,
+                      std::uint64_t OutputTokens) = 0;
+  /// Passes on a whole answer, from a target or from the ledger.
+  virtual void pass(const KeptAnswer &Whole) = 0;
+  /// Ends with a refusal.
+  virtual void refuse(const Rejection &Why) = 0;
+  /// Drops the caller's connection.
+  virtual void drop() = 0;
+  /// The answer for the ledger. \pre `finish` or `pass` has been called
+  [[nodiscard]] virtual const KeptAnswer &kept() const = 0;
+};
+
+/// The answer in the form that the request asks for.
+/// \param KeepBytes how much of it is kept for the ledger; zero: nothing.
+std::unique_ptr<Answer> makeAnswer(std::shared_ptr<http::Exchange> Caller,
+                                   const Arrival &For, std::size_t KeepBytes);
+
+/// Answers with generated text in the form of one of our own APIs.
+class AnswerWriter final : public Answer {
 public:
   /// \param Caller null when nobody waits for the answer.
   /// \param KeepBytes how much of a stream is kept for the ledger; zero when
@@ -32,26 +63,17 @@
   AnswerWriter(std::shared_ptr<http::Exchange> Caller, const Arrival &For,
                std::size_t KeepBytes);
 
-  /// Takes the next piece of generated text.
-  void piece(std::string_view Text);
-  /// Forgets the pieces so far, for a restart. \pre !hasPassed()
-  void restart();
-  /// Whether the caller has a part of the answer.
-  [[nodiscard]] bool hasPassed() const { return m_Started; }
-
-  /// Ends a generated answer that is whole.
+  void head(int Status, const http::Fields &Fields) override;
+  void piece(std::string_view Text) override;
+  void restart() override;
+  [[nodiscard]] bool hasPassed() const override { return m_Started; }
   void finish(std::string_view FinishReason, std::uint64_t PromptTokens,
-              std::uint64_t OutputTokens);
-  /// Passes on a whole answer, from a service or from the ledger.
-  void pass(const KeptAnswer &Whole);
-  /// Ends with a refusal: as a status, or as an event of a stream that has
-  /// begun.
-  void refuse(const Rejection &Why);
-  /// Drops the caller's connection.
-  void drop();
-
-  /// The answer for the ledger. \pre `finish` or `pass` has been called
-  [[nodiscard]] const KeptAnswer &kept() const { return m_Kept; }
+              std::uint64_t OutputTokens) override;
+  void pass(const KeptAnswer &Whole) override;
+  /// As a status, or as an event of a stream that has begun.
+  void refuse(const Rejection &Why) override;
+  void drop() override;
+  [[nodiscard]] const KeptAnswer &kept() const override { return m_Kept; }
 
 private:
   void startStream();
--- a/apps/entry/src/Arrival.h
+++ b/apps/entry/src/Arrival.h
@@ -7,7 +7,11 @@
 #include "Configuration.h"
 #include "Rejection.h"
 #include "http/http.h"
+#include "relay/relay.h"
+#include "retries/retries.h"
+#include "routing/routing.h"
 
+#include <memory>
 #include <string>
 #include <variant>
 
@@ -34,6 +38,14 @@
   Chat,
   Models,
   Service,
+  Passed, ///< A plain request, passed on unread by its route.
+};
+
+/// A plain request with the route that it came by.
+struct Passed {
+  relay::Ask m_Ask;
+  routes::Route m_Route;
+  bool m_ForEngine = false;
 };
 
 /// A request that is well formed and whose caller is known.
@@ -57,7 +69,16 @@
   std::string m_Path;
   std::string m_Body;
 
-  [[nodiscard]] bool isService() const { return m_Api == Api::Service; }
+  /// Set when the request is passed on unread.
+  std::shared_ptr<const Passed> m_Passed;
+
+  [[nodiscard]] bool isService() const {
+    return m_Passed ? !m_Passed->m_ForEngine : m_Api == Api::Service;
+  }
+  /// Whether a target can go on where another has stopped.
+  [[nodiscard]] bool isResumable() const {
+    return m_Passed ? m_Passed->m_Route.m_Resumable : !isService();
+  }
   [[nodiscard]] bool isLate(TimePoint Now) const {
     return Now + DeadlineSlack >= m_Deadline;
   }
@@ -76,8 +97,23 @@
                                              const ArrivalRules &Rules,
                                              TimePoint Now);
 
+/// A plain request, read by \p In and led by \p By. \returns the refusal when
+/// it is not well formed or no route leads it anywhere.
+std::variant<Arrival, Rejection> readPassed(const http::Request &From,
+                                            const routes::Index &By,
+                                            const relay::Dialect &In,
+                                            TimePoint Now);
+
 /// Tokens of \p Text by this system's arithmetic.
 std::uint32_t tokensOf(std::string_view Text);
+/// Tokens of a request's prompt.
+std::uint32_t promptTokensOf(const Arrival &Of);
+/// Chained hashes of the prompt's blocks; see `routing::Request`.
+std::vector<std::uint64_t> blocksOf(const Arrival &Of);
+/// What two copies of a request have in common.
+retries::Fingerprint fingerprintOf(const Arrival &Of);
+/// What capacity is counted for: a model, or a service.
+ModelId capacityName(const Arrival &Of);
 
 } // namespace wasabivale::entry
 
--- a/apps/entry/src/Context.h
+++ b/apps/entry/src/Context.h
@@ -11,6 +11,7 @@
 #include "LedgerClient.h"
 #include "Suspects.h"
 #include "limits/limits.h"
+#include "relay/relay.h"
 #include "retries/retries.h"
 #include "routing/routing.h"
 
@@ -33,7 +34,7 @@
   Context(event_base *Loop, const EntrySettings &Settings,
           EntryMetrics &Metrics, LedgerClient &Ledger)
       : m_Loop(Loop), m_Settings(Settings), m_Metrics(Metrics),
-        m_Ledger(Ledger) {}
+        m_Ledger(Ledger), m_Connections(Loop, http::PoolSettings{}) {}
 
   event_base *m_Loop;
   const EntrySettings &m_Settings;
@@ -44,6 +45,11 @@
   /// Asks for a report to control before the next is due.
   std::function<void()> m_ReportSoon;
 
+  /// How plain requests are passed on; null where none are taken.
+  const relay::Dialect *m_Dialect = nullptr;
+  http::Pool m_Connections;
+  routes::Index m_Routes;
+
   Random m_Random = randomFromSystem();
   Configuration m_Configuration;
   FleetView m_Fleet;
--- a/apps/entry/src/ControlLink.cpp
+++ b/apps/entry/src/ControlLink.cpp
@@ -2,6 +2,9 @@
 
 #include "events/events.h"
 
+#include <algorithm>
+#include <fmt/format.h>
+
 namespace wasabivale::entry {
 
 namespace {
@@ -21,7 +24,7 @@
 ControlLink::ControlLink(event_base *Loop, const EntrySettings &Settings,
                          metrics::Registry &Registry, Handlers Callbacks)
     : m_Loop(Loop), m_Settings(Settings), m_Registry(Registry),
-      m_Handlers(std::move(Callbacks)) {}
+      m_Handlers(std::move(Callbacks)), m_Members(Settings.m_Control) {}
 
 Result<std::unique_ptr<ControlLink>>
 ControlLink::open(event_base *Loop, const EntrySettings &Settings,
@@ -41,7 +44,7 @@
   Options.m_Region = m_Settings.m_Region;
   Options.m_Zone = m_Settings.m_Zone;
   Options.m_Keys = m_Settings.m_Keys;
-  Options.m_Peers = m_Settings.m_Control;
+  Options.m_Peers = m_Members;
   auto Hub = wire::Hub::open(
       m_Loop, Options, m_Registry,
       [this](const NodeId &From, const wire::Envelope &Message) {
@@ -95,7 +98,10 @@
     takeReply(Message.call_reply());
     break;
   case wire::Envelope::kRedirect:
-    if (!Message.redirect().leader().empty()) {
+    learnMembers(Message.redirect());
+    if (m_Leader && m_Leader->m_Value == Message.redirect().leader()) {
+      break;
+    } else if (!Message.redirect().leader().empty()) {
       m_Leader = NodeId{Message.redirect().leader()};
       m_LastHeard = BootClock::now();
       sendHello(*m_Leader);
@@ -108,6 +114,32 @@
   }
 }
 
+/// Adds members that the settings do not name. Those that they name are still
+/// asked: they are all that is known after a longer time alone.
+void ControlLink::learnMembers(const wire::Redirect &Told) {
+  if (m_Settings.m_HubPort == 0 || Told.members_size() == 0)
+    return;
+  std::vector<wire::Peer> Known = m_Settings.m_Control;
+  for (const wire::Member &Each : Told.members()) {
+    const wire::Peer Member{
+        {Each.id()}, "", fmt::format("{}:{}", Each.id(), m_Settings.m_HubPort)};
+    const auto IsSame = [&](const wire::Peer &One) {
+      return One.m_Id == Member.m_Id;
+    };
+    if (std::none_of(Known.begin(), Known.end(), IsSame))
+      Known.push_back(Member);
+  }
+  for (const wire::Peer &Former : m_Members)
+    if (std::none_of(Known.begin(), Known.end(), [&](const wire::Peer &One) {
+          return One.m_Id == Former.m_Id;
+        }))
+      m_Hub->disconnect(Former.m_Id);
+  for (const wire::Peer &Each : Known)
+    if (Status Connected = m_Hub->connect(Each); failed(Connected))
+      events::emitError(events::Event::ListenFailed, errorOf(Connected));
+  m_Members = std::move(Known);
+}
+
 void ControlLink::follow(const NodeId &Leader) {
   m_LastHeard = BootClock::now();
   if (m_Leader == Leader)
@@ -126,8 +158,10 @@
 
 void ControlLink::takeFleet(const wire::FleetUpdate &Update) {
   const bool Whole = Update.from_revision() == 0;
-  const bool Newer = Update.revision() > m_FleetRevision ||
-                     Update.configuration_revision() > m_ConfigurationRevision;
+  const bool Newer =
+      Update.revision() > m_FleetRevision ||
+      Update.configuration_revision() > m_ConfigurationRevision ||
+      Update.routes_version() > m_RoutesVersion;
   if (!Newer)
     return;
   if (!Whole && Update.from_revision() != m_FleetRevision) {
@@ -135,12 +169,14 @@
     return;
   }
   if (Update.revision() < m_FleetRevision ||
-      Update.configuration_revision() < m_ConfigurationRevision)
+      Update.configuration_revision() < m_ConfigurationRevision ||
+      Update.routes_version() < m_RoutesVersion)
     return;
   if (!m_Handlers.m_OnFleet(Update))
     return;
   m_FleetRevision = Update.revision();
   m_ConfigurationRevision = Update.configuration_revision();
+  m_RoutesVersion = Update.routes_version();
   reportNow();
 }
 
@@ -153,7 +189,8 @@
   m_LeaseEnd = std::max(m_LeaseEnd, End);
   m_RenewalSent.erase(m_RenewalSent.begin(), std::next(Sent));
   if (Grant.fleet_revision() > m_FleetRevision ||
-      Grant.configuration_revision() > m_ConfigurationRevision)
+      Grant.configuration_revision() > m_ConfigurationRevision ||
+      Grant.routes_version() > m_RoutesVersion)
     sendHello(*m_Leader);
   m_Handlers.m_OnGrant(Grant, m_LeaseEnd);
 }
@@ -198,6 +235,7 @@
   Message.mutable_entry_hello()->set_fleet_revision(m_FleetRevision);
   Message.mutable_entry_hello()->set_configuration_revision(
       m_ConfigurationRevision);
+  Message.mutable_entry_hello()->set_routes_version(m_RoutesVersion);
   // Lost hellos are repeated by the timer.
   (void)m_Hub->send(To, std::move(Message));
 }
@@ -207,6 +245,7 @@
   wire::EntryReport &Report = *Message.mutable_entry_report();
   Report.set_fleet_revision(m_FleetRevision);
   Report.set_configuration_revision(m_ConfigurationRevision);
+  Report.set_routes_version(m_RoutesVersion);
   Report.set_renewal(++m_Renewal);
   m_Handlers.m_FillReport(Report);
   if (failed(m_Hub->send(*m_Leader, std::move(Message))))
@@ -241,8 +280,7 @@
     if (Now < m_NextHello)
       return;
     m_NextHello = Now + HelloInterval;
-    sendHello(m_Settings.m_Control[m_NextMember++ % m_Settings.m_Control.size()]
-                  .m_Id);
+    sendHello(m_Members[m_NextMember++ % m_Members.size()].m_Id);
     return;
   }
   sendCalls(Now);
--- a/apps/entry/src/ControlLink.h
+++ b/apps/entry/src/ControlLink.h
@@ -46,6 +46,7 @@
   }
   [[nodiscard]] std::uint64_t session() const { return m_Hub->session(); }
   [[nodiscard]] std::uint64_t fleetRevision() const { return m_FleetRevision; }
+  [[nodiscard]] std::uint64_t routesVersion() const { return m_RoutesVersion; }
   [[nodiscard]] std::uint64_t configurationRevision() const {
     return m_ConfigurationRevision;
   }
@@ -73,6 +74,7 @@
   Status openHub();
   void follow(const NodeId &Leader);
   void loseLeader();
+  void learnMembers(const wire::Redirect &Told);
   void turn();
   void sendCalls(TimePoint Now);
   void sendHello(const NodeId &To);
@@ -90,6 +92,9 @@
   std::uint64_t m_HighestTerm = 0;
   std::uint64_t m_FleetRevision = 0;
   std::uint64_t m_ConfigurationRevision = 0;
+  std::uint64_t m_RoutesVersion = 0;
+  /// Control members as the settings name them, or as members told since.
+  std::vector<wire::Peer> m_Members;
   std::uint64_t m_Renewal = 0;
   /// When each renewal that is still unanswered was sent: a lease counts from
   /// there.
--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -11,6 +11,9 @@
 /// A lapse of the lease shorter than this is waited out by new requests.
 constexpr std::chrono::milliseconds LapseGrace{1000};
 constexpr std::string_view ServiceCapacity = "service:";
+/// Part of the fleet's reserve of retries that is handed out: the rest is for
+/// entries that have joined since the count.
+constexpr double RetryReserveUsed = 0.7;
 
 limits::Limits toLimits(const wire::Share &From) {
   return {From.requests_per_second(), From.prompt_tokens_per_second(),
@@ -30,6 +33,15 @@
     : m_Shared(Loop, Settings, Metrics, To.m_Ledger) {
   m_Shared.m_HoldsLease = std::move(To.m_HoldsLease);
   m_Shared.m_ReportSoon = std::move(To.m_ReportSoon);
+  m_Shared.m_Dialect = To.m_Dialect;
+  if (Settings.m_Routes) {
+    // Loads come with answers, and other engines refuse what is not theirs.
+    m_Shared.m_Routing.m_Settings.m_ReportLag = Settings.m_Routes->m_ReportLag;
+    m_Shared.m_Routing.m_Settings.m_WholeAtPrefill = false;
+    m_Shared.m_Retries.m_Settings.m_CallerShare =
+        Settings.m_Routes->m_RetryShare;
+    m_Shared.m_Retries.m_Settings.m_TargetShare = 1;
+  }
   m_Shared.m_Routing.m_Settings.m_Zone = Settings.m_Zone;
   m_Shared.m_Routing.m_Settings.m_Region = Settings.m_Region;
   m_Shared.m_Routing.m_Settings.m_Policy = Settings.m_Policy;
@@ -74,6 +86,38 @@
   admit(Arrived, std::move(Asked));
 }
 
+void DataPath::refusePassed(http::Exchange &Arrived, const RequestId &Id,
+                            const Rejection &Why) {
+  m_Shared.m_Metrics.m_Registry.refusals(Why.m_Reason).add();
+  events::emit(events::Event::RequestRefused,
+               {{"request", Id},
+                {"reason", refusalInfo(Why.m_Reason).m_Name},
+                {"step", Why.m_Step},
+                {"detail", Why.m_Detail},
+                {"routes", m_Shared.m_Routes.table().m_Version},
+                {"outcome", outcomeName(Why.m_Outcome)}});
+  replyPassedRejection(Arrived, Id, Why);
+}
+
+void DataPath::takePassed(const std::shared_ptr<http::Exchange> &Arrived) {
+  const TimePoint Now = BootClock::now();
+  if (m_Closing)
+    Arrived->closeAfter();
+  auto Read = readPassed(Arrived->request(), m_Shared.m_Routes,
+                         *m_Shared.m_Dialect, Now);
+  if (const auto *Why = std::get_if<Rejection>(&Read))
+    return refusePassed(*Arrived, {}, *Why);
+  Arrival &Asked = std::get<Arrival>(Read);
+  m_Shared.m_Metrics.m_Requests.add();
+  if (m_Stopping)
+    return refusePassed(*Arrived, Asked.m_Id,
+                        notRun(Refusal::Stopping, "stop"));
+  if (m_Open.size() >= m_Shared.m_Settings.m_Streams)
+    return refusePassed(*Arrived, Asked.m_Id,
+                        notRun(Refusal::TooManyStreams, "admission"));
+  admit(Arrived, std::move(Asked));
+}
+
 http::Response DataPath::refuseMalformed(int HttpStatus) {
   http::Response Page = malformedPage(HttpStatus);
   Refusal Reason = Refusal::MalformedRequest;
@@ -126,10 +170,10 @@
     Use = &m_Shared.m_Models[For.m_Model];
     Use->m_Demand.set_requests(Use->m_Demand.requests() + 1);
     Use->m_Demand.set_prompt_tokens(Use->m_Demand.prompt_tokens() +
-                                    tokensOf(For.m_Prompt));
+                                    promptTokensOf(For));
   }
-  const routing::Request Wanted = describeForRouting(
-      For, blocksOf(For.m_Model, For.m_Prompt), Use ? Use->m_OutputShare : 1);
+  const routing::Request Wanted =
+      describeForRouting(For, blocksOf(For), Use ? Use->m_OutputShare : 1);
   const auto Expected =
       routing::estimate(m_Shared.m_Routing, Wanted, Now, m_Shared.m_Random);
   if (failed(Expected))
@@ -265,7 +309,10 @@
     events::emit(events::Event::ConfigurationApplied,
                  {{"revision", Update.configuration_revision()}});
   }
-  m_Shared.m_Fleet.apply(Update, m_Shared.m_Routing, Now);
+  if (Update.has_routes())
+    applyRoutes(Update.routes(), Now);
+  m_Shared.m_Fleet.apply(Update, m_Shared.m_Routes.table(), m_Shared.m_Routing,
+                         Now);
   events::emit(
       events::Event::FleetApplied,
       {{"revision", Update.revision()}, {"targets", m_Shared.m_Fleet.size()}});
@@ -273,6 +320,16 @@
   return true;
 }
 
+void DataPath::applyRoutes(const wire::RouteTable &Given, TimePoint Now) {
+  m_Shared.m_Routes = routes::Index(routes::fromWire(Given));
+  const routes::Table &Table = m_Shared.m_Routes.table();
+  m_Shared.m_Fleet.applyRoutes(Table, m_Shared.m_Routing, Now);
+  events::emit(events::Event::RoutesApplied,
+               {{"version", Table.m_Version},
+                {"routes", Table.m_Routes.size()},
+                {"services", Table.m_Services.size()}});
+}
+
 void DataPath::applyCallers(const Configuration &Next, TimePoint Now) {
   for (const auto &[Id, Former] : m_Shared.m_Configuration.m_Callers) {
     if (Next.m_Callers.count(Id) != 0)
@@ -303,8 +360,12 @@
     limits::setShare(m_Shared.m_Limits, Id, Known->second.m_Weight,
                      toLimits(Share), LeaseEnd, Now);
   }
-  if (Grant.entries() > 0)
+  if (Grant.entries() > 0) {
     m_Shared.m_Routing.m_Settings.m_Entries = Grant.entries();
+    if (const auto &Routes = m_Shared.m_Settings.m_Routes)
+      m_Shared.m_Retries.m_Settings.m_MaxTokens = std::max(
+          1.0, Routes->m_RetryReserve * RetryReserveUsed / Grant.entries());
+  }
   m_Shared.m_Suspects.takeGrant(Grant, Now);
   pumpSoon();
 }
--- a/apps/entry/src/DataPath.h
+++ b/apps/entry/src/DataPath.h
@@ -19,6 +19,7 @@
     LedgerClient &m_Ledger;
     std::function<bool(TimePoint)> m_HoldsLease;
     std::function<void()> m_ReportSoon;
+    const relay::Dialect *m_Dialect = nullptr; ///< Of plain requests.
   };
 
   DataPath(event_base *Loop, const EntrySettings &Settings,
@@ -30,6 +31,9 @@
   /// Takes a caller's request.
   void take(const std::shared_ptr<http::Exchange> &Arrived);
 
+  /// Takes a plain request, to be passed on by its route.
+  void takePassed(const std::shared_ptr<http::Exchange> &Arrived);
+
   /// Answers a request that is too malformed to be taken.
   http::Response refuseMalformed(int HttpStatus);
 
@@ -41,6 +45,8 @@
 
   /// From now on every new request is refused.
   void stopTaking() { m_Stopping = true; }
+  /// From now on callers are asked to open new connections, elsewhere.
+  void startClosing() { m_Closing = true; }
   /// Requests that are not answered yet.
   [[nodiscard]] std::size_t open() const { return m_Open.size(); }
   /// Ends every request, for a process whose patience is over.
@@ -54,6 +60,9 @@
 private:
   void refuse(http::Exchange &Arrived, const RequestId &Id,
               const Rejection &Why);
+  void refusePassed(http::Exchange &Arrived, const RequestId &Id,
+                    const Rejection &Why);
+  void applyRoutes(const wire::RouteTable &Given, TimePoint Now);
   void answerModels(http::Exchange &Arrived);
   void admit(const std::shared_ptr<http::Exchange> &Arrived, Arrival Asked);
   [[nodiscard]] std::optional<Rejection> refuseAtOnce(TimePoint Now) const;
@@ -70,6 +79,7 @@
 
   Context m_Shared;
   bool m_Stopping = false;
+  bool m_Closing = false;
   std::unordered_map<Serving *, std::shared_ptr<Serving>> m_Open;
   std::unordered_map<limits::Ticket, Serving *> m_Waiting;
   /// Until when each caller's share lasts.
--- /dev/null
+++ b/apps/entry/src/Describe.cpp
@@ -0,0 +1,54 @@
+// What deciding code is told of a request, whichever way it came.
+
+#include "Arrival.h"
+
+namespace wasabivale::entry {
+
+namespace {
+
+constexpr std::size_t BlockBytes = routing::BlockTokens * BytesPerToken;
+constexpr const char *ServiceCapacity = "service:";
+
+std::vector<std::uint64_t> blocksOfText(const std::string &Model,
+                                        std::string_view Prompt) {
+  std::vector<std::uint64_t> Blocks;
+  std::uint64_t Before = hashBytes(Model);
+  for (std::size_t At = 0; At + BlockBytes <= Prompt.size(); At += BlockBytes) {
+    Before = hashBytes(Prompt.substr(At, BlockBytes), Before);
+    Blocks.push_back(Before);
+  }
+  return Blocks;
+}
+
+} // namespace
+
+std::uint32_t promptTokensOf(const Arrival &Of) {
+  return Of.m_Passed ? Of.m_Passed->m_Ask.m_PromptTokens
+                     : tokensOf(Of.m_Prompt);
+}
+
+std::vector<std::uint64_t> blocksOf(const Arrival &Of) {
+  if (Of.isService())
+    return {};
+  if (Of.m_Passed)
+    return relay::blocksOf(Of.m_Passed->m_Ask.m_Model,
+                           Of.m_Passed->m_Ask.m_Parts, routing::BlockTokens);
+  return blocksOfText(Of.m_Model, Of.m_Prompt);
+}
+
+retries::Fingerprint fingerprintOf(const Arrival &Of) {
+  if (Of.m_Passed)
+    return retries::fingerprintOf({Of.m_Model},
+                                  Of.m_Passed->m_Ask.m_Method +
+                                      Of.m_Passed->m_Ask.m_Target +
+                                      Of.m_Passed->m_Ask.m_Body);
+  return retries::fingerprintOf(
+      capacityName(Of),
+      Of.isService() ? Of.m_Method + Of.m_Path + Of.m_Body : Of.m_Prompt);
+}
+
+ModelId capacityName(const Arrival &Of) {
+  return {Of.isService() ? ServiceCapacity + Of.m_Model : Of.m_Model};
+}
+
+} // namespace wasabivale::entry
--- a/apps/entry/src/Entry.cpp
+++ b/apps/entry/src/Entry.cpp
@@ -15,7 +15,7 @@
 } // namespace
 
 Entry::Entry(event_base *Loop, const EntrySettings &Settings,
-             metrics::Registry &Registry)
+             metrics::Registry &Registry, const relay::Dialect *PlainRequests)
     : m_Loop(Loop), m_Settings(Settings), m_Registry(Registry),
       m_Metrics(Registry),
       m_Ledger(
@@ -26,14 +26,16 @@
           DataPath::Ties{m_Ledger,
                          [this](TimePoint Now) {
                            return m_Control != nullptr &&
-                                  m_Control->holdsLease(Now);
+                                  (m_Settings.m_Routes.has_value() ||
+                                   m_Control->holdsLease(Now));
                          },
-                         [this] { reportSoon(); }})),
+                         [this] { reportSoon(); }, PlainRequests})),
       m_TargetsApi(controlCall(), m_Requests->fleet(), m_Requests->routing(),
                    Registry) {}
 
 Entry::~Entry() {
   // Nothing may call back into what is already gone.
+  m_PlainCallers.reset();
   m_Callers.reset();
   m_Targets.reset();
   m_Requests.reset();
@@ -48,10 +50,11 @@
   };
 }
 
-Result<std::unique_ptr<Entry>> Entry::open(event_base *Loop,
-                                           const EntrySettings &Settings,
-                                           metrics::Registry &Registry) {
-  std::unique_ptr<Entry> Made(new Entry(Loop, Settings, Registry));
+Result<std::unique_ptr<Entry>>
+Entry::open(event_base *Loop, const EntrySettings &Settings,
+            metrics::Registry &Registry, const relay::Dialect *PlainRequests) {
+  std::unique_ptr<Entry> Made(
+      new Entry(Loop, Settings, Registry, PlainRequests));
   if (Status Opened = Made->openControl(); failed(Opened))
     return errorOf(Opened);
   if (Status Listening = Made->listenToAll(); failed(Listening))
@@ -79,7 +82,28 @@
   return std::monostate{};
 }
 
+Status Entry::listenToPlainRequests() {
+  // What the routes allow a caller may be more than the settings say.
+  auto Callers = http::listen(
+      m_Loop, m_Settings.m_Routes->m_Listen, m_Settings.m_CallerLimits,
+      [this](const std::shared_ptr<http::Exchange> &Arrived) {
+        m_Requests->takePassed(Arrived);
+      },
+      [this](int HttpStatus) {
+        return m_Requests->refuseMalformed(HttpStatus);
+      });
+  if (failed(Callers))
+    return errorOf(Callers);
+  m_PlainCallers = std::move(valueOf(Callers));
+  return std::monostate{};
+}
+
 Status Entry::listenToAll() {
+  if (m_Settings.m_Routes)
+    if (Status Opened = listenToPlainRequests(); failed(Opened))
+      return Opened;
+  if (m_Settings.m_CallersListen.m_Port == 0)
+    return std::monostate{};
   auto Targets =
       http::listen(m_Loop, m_Settings.m_TargetsListen, http::ServerLimits{},
                    [this](const std::shared_ptr<http::Exchange> &Arrived) {
@@ -105,6 +129,8 @@
 std::string Entry::notReady() const {
   if (m_Stopping)
     return "stopping";
+  if (m_Settings.m_Routes)
+    return m_Control->routesVersion() == 0 ? "no routes yet" : "";
   if (!m_Control->holdsLease(BootClock::now()))
     return "no lease from control";
   return "";
@@ -127,6 +153,8 @@
 
 void Entry::updateGauges() {
   m_Requests->updateGauges();
+  if (m_Callers == nullptr)
+    return;
   m_Registry
       .gauge("wasabivale_entry_connections", "Open connections of callers")
       .m_Value = static_cast<double>(m_Callers->connections());
@@ -145,12 +173,15 @@
     return;
   m_Stopping = true;
   m_OnStopped = std::move(Done);
+  m_Requests->startClosing();
   m_StopTimer = std::make_unique<http::Timer>(m_Loop, m_Settings.m_StopLag,
                                               false, [this] { stopTaking(); });
 }
 
 void Entry::stopTaking() {
-  m_Callers->stopAccepting();
+  for (const auto &Listener : {&m_Callers, &m_PlainCallers})
+    if (*Listener != nullptr)
+      (*Listener)->stopAccepting();
   m_Requests->stopTaking();
   m_StopBy = BootClock::now() + m_Settings.m_StopPatience;
   m_StopTimer = std::make_unique<http::Timer>(m_Loop, StopLook, true, [this] {
--- a/apps/entry/src/Entry.h
+++ b/apps/entry/src/Entry.h
@@ -19,9 +19,10 @@
 class Entry {
 public:
   /// \p Settings and \p Registry outlive the entry.
-  static Result<std::unique_ptr<Entry>> open(event_base *Loop,
-                                             const EntrySettings &Settings,
-                                             metrics::Registry &Registry);
+  static Result<std::unique_ptr<Entry>>
+  open(event_base *Loop, const EntrySettings &Settings,
+       metrics::Registry &Registry,
+       const relay::Dialect *PlainRequests = nullptr);
   ~Entry();
   Entry(const Entry &) = delete;
   Entry &operator=(const Entry &) = delete;
@@ -36,7 +37,8 @@
 
 private:
   Entry(event_base *Loop, const EntrySettings &Settings,
-        metrics::Registry &Registry);
+        metrics::Registry &Registry, const relay::Dialect *PlainRequests);
+  Status listenToPlainRequests();
   Status openControl();
   Status listenToAll();
   void stopTaking();
@@ -55,6 +57,7 @@
   std::unique_ptr<ControlLink> m_Control;
   std::unique_ptr<http::Server> m_Targets;
   std::unique_ptr<http::Server> m_Callers;
+  std::unique_ptr<http::Server> m_PlainCallers;
   std::unique_ptr<http::Timer> m_ReportTimer;
   std::unique_ptr<http::Timer> m_StopTimer;
   std::function<void()> m_OnStopped;
--- a/apps/entry/src/EntrySettings.cpp
+++ b/apps/entry/src/EntrySettings.cpp
@@ -9,8 +9,9 @@
 Json entrySchema() {
   Json Schema = Json::parse(R"({
     "type": "object", "additionalProperties": false,
-    "required": ["id", "region", "zone", "keys", "control", "callers",
-                 "targets", "admin"],
+    "required": ["id", "region", "zone", "admin"],
+    "anyOf": [{"required": ["keys", "control", "callers", "targets"]},
+              {"required": ["discovery", "routes"]}],
     "properties": {
       "id": {"$ref": "#/definitions/name"},
       "region": {"$ref": "#/definitions/name"},
@@ -53,6 +54,16 @@
                                 "maximum": 3600000},
           "call_patience_ms": {"type": "integer", "minimum": 100,
                                "maximum": 3600000}}},
+      "discovery": {"$ref": "#/definitions/discovery"},
+      "routes": {"type": "object", "additionalProperties": false,
+        "required": ["listen", "readiness"],
+        "properties": {
+          "listen": {"$ref": "#/definitions/address"},
+          "readiness": {"$ref": "#/definitions/address"},
+          "retry_share": {"type": "number", "minimum": 0, "maximum": 1},
+          "retry_reserve": {"type": "number", "minimum": 0,
+                            "maximum": 1000000}}},
+      "stop_within_s": {"type": "number", "minimum": 1, "maximum": 3600},
       "stop_lag_ms": {"type": "integer", "minimum": 0, "maximum": 60000},
       "targets": {"type": "object", "additionalProperties": false,
         "required": ["listen"],
@@ -102,13 +113,44 @@
       From.value("call_patience_ms", To.m_Patience.m_Call.count()));
 }
 
+static Status readRoutes(const Json &From, EntrySettings &To) {
+  RouteSettings Made;
+  const std::pair<const char *, http::Address *> Addresses[] = {
+      {"listen", &Made.m_Listen}, {"readiness", &Made.m_ReadinessListen}};
+  for (const auto &[Name, Into] : Addresses) {
+    const auto Parsed = http::parseAddress(From[Name].get<std::string>());
+    if (failed(Parsed))
+      return errorOf(Parsed);
+    *Into = valueOf(Parsed);
+  }
+  Made.m_RetryShare = From.value("retry_share", Made.m_RetryShare);
+  Made.m_RetryReserve = From.value("retry_reserve", Made.m_RetryReserve);
+  To.m_Routes = Made;
+  return std::monostate{};
+}
+
+/// Divides the time between the order to stop and the kill: first the balancer
+/// notices, then running requests finish, and the rest is for the last words.
+static void shareStopTime(double Seconds, EntrySettings &To) {
+  constexpr double LagPart = 0.4;
+  constexpr double PatiencePart = 0.5;
+  constexpr double MillisecondsPerSecond = 1000;
+  const auto Part = [&](double Of) {
+    return std::chrono::milliseconds(
+        static_cast<std::int64_t>(Seconds * Of * MillisecondsPerSecond));
+  };
+  To.m_StopLag = Part(LagPart);
+  To.m_StopPatience = Part(PatiencePart);
+}
+
 Result<EntrySettings> toEntrySettings(const Json &Document) {
   EntrySettings Made;
   Made.m_Id = {Document["id"]};
   Made.m_Region = {Document["region"]};
   Made.m_Zone = {Document["zone"]};
-  Made.m_Keys = {Document["keys"]["public"], Document["keys"]["secret"]};
-  for (const Json &Entry : Document["control"])
+  if (Document.contains("keys"))
+    Made.m_Keys = {Document["keys"]["public"], Document["keys"]["secret"]};
+  for (const Json &Entry : Document.value("control", Json::array()))
     Made.m_Control.push_back(
         {{Entry["id"]}, Entry["public_key"], Entry["address"]});
   const std::pair<const char *, http::Address *> Addresses[] = {
@@ -116,14 +158,27 @@
       {"targets", &Made.m_TargetsListen},
       {"admin", &Made.m_AdminListen}};
   for (const auto &[Name, To] : Addresses)
-    if (Status Read = readAddress(Document[Name], *To); failed(Read))
+    if (Document.contains(Name))
+      if (Status Read = readAddress(Document[Name], *To); failed(Read))
+        return errorOf(Read);
+  readLimits(Document.value("callers", Json::object()), Made);
+  if (Document.contains("discovery")) {
+    const daemon::Discovery Found =
+        daemon::readDiscovery(Document["discovery"]);
+    Made.m_HubPort = Found.m_HubPort;
+    for (const NodeId &Seed : Found.m_Seeds)
+      Made.m_Control.push_back({Seed, "", daemon::hubAddress(Found, Seed)});
+  }
+  if (Document.contains("routes"))
+    if (Status Read = readRoutes(Document["routes"], Made); failed(Read))
       return errorOf(Read);
-  readLimits(Document["callers"], Made);
   readRouting(Document.value("routing", Json::object()), Made);
   Made.m_StopLag = std::chrono::milliseconds(
       Document.value("stop_lag_ms", Made.m_StopLag.count()));
   Made.m_StopPatience = std::chrono::milliseconds(
       Document.value("stop_patience_ms", Made.m_StopPatience.count()));
+  if (Document.contains("stop_within_s"))
+    shareStopTime(Document["stop_within_s"].get<double>(), Made);
   return Made;
 }
 
--- a/apps/entry/src/EntrySettings.h
+++ b/apps/entry/src/EntrySettings.h
@@ -10,14 +10,32 @@
 #include "settings/settings.h"
 #include "wire/wire.h"
 
+#include <optional>
+
 namespace wasabivale::entry {
 
+/// How plain requests are taken and passed on.
+struct RouteSettings {
+  http::Address m_Listen;
+  http::Address m_ReadinessListen;
+  /// Retries for each request of a service, over all entries.
+  double m_RetryShare = 0.2;
+  /// Retries that the whole fleet may make beside that share, at once.
+  double m_RetryReserve = 10;
+  /// Age of a load that comes with an answer.
+  std::chrono::milliseconds m_ReportLag{10};
+};
+
 struct EntrySettings {
   NodeId m_Id;
   RegionId m_Region;
   ZoneId m_Zone;
   wire::KeyPair m_Keys;
   std::vector<wire::Peer> m_Control;
+  /// Port of every control member's hub, where they are found by themselves and
+  /// a member's id is its IP address; zero: `m_Control` has all.
+  std::uint16_t m_HubPort = 0;
+  std::optional<RouteSettings> m_Routes;
   http::Address m_CallersListen;
   http::Address m_TargetsListen;
   http::Address m_AdminListen;
--- a/apps/entry/src/FleetView.cpp
+++ b/apps/entry/src/FleetView.cpp
@@ -12,7 +12,8 @@
   return routing::Role::Mixed;
 }
 
-routing::Target toRouting(const FleetView::Known &From) {
+routing::Target toRouting(const FleetView::Known &From,
+                          const routes::Table &Routes) {
   const wire::Target &Given = From.m_Description;
   routing::Target Made;
   Made.m_Id = {Given.id()};
@@ -31,13 +32,25 @@
     Made.m_DecodeTokensPerSecond = Given.decode_tokens_per_second();
   Made.m_KvBlocks = static_cast<std::uint32_t>(Given.kv_blocks());
   Made.m_MaxRunning = std::max(1U, Given.max_running());
+  if (Made.m_KvBlocks == 0 && Given.models_size() > 0)
+    if (const auto Service = Routes.m_Services.find(Given.models(0));
+        Service != Routes.m_Services.end())
+      Made.m_KvBlocks = static_cast<std::uint32_t>(
+          Service->second.m_KvCapacityTokens / routing::BlockTokens);
   Made.m_Serving = Given.state() == "serving" && From.m_Address.has_value();
   return Made;
 }
 
 } // namespace
 
-void FleetView::apply(const wire::FleetUpdate &Update, routing::State &Routing,
+void FleetView::applyRoutes(const routes::Table &Routes,
+                            routing::State &Routing, TimePoint Now) const {
+  for (const auto &[Id, Target] : m_Targets)
+    routing::updateTarget(Routing, toRouting(Target, Routes), Now);
+}
+
+void FleetView::apply(const wire::FleetUpdate &Update,
+                      const routes::Table &Routes, routing::State &Routing,
                       TimePoint Now) {
   std::set<TargetId> Left;
   if (Update.from_revision() == 0)
@@ -53,7 +66,7 @@
     Here.m_Address.reset();
     if (auto Address = http::parseAddress(Target.address()); !failed(Address))
       Here.m_Address = valueOf(Address);
-    routing::updateTarget(Routing, toRouting(Here), Now);
+    routing::updateTarget(Routing, toRouting(Here, Routes), Now);
   }
   for (const TargetId &Id : Left)
     remove(Id, Routing, Now);
--- a/apps/entry/src/FleetView.h
+++ b/apps/entry/src/FleetView.h
@@ -7,6 +7,7 @@
 
 #include "base/base.h"
 #include "http/http.h"
+#include "routes/routes.h"
 #include "routing/routing.h"
 #include "wire.pb.h"
 
@@ -25,8 +26,11 @@
 
   /// Applies an update here and to \p Routing. From its return on a target that
   /// is not serving gets no new work.
-  void apply(const wire::FleetUpdate &Update, routing::State &Routing,
-             TimePoint Now);
+  void apply(const wire::FleetUpdate &Update, const routes::Table &Routes,
+             routing::State &Routing, TimePoint Now);
+  /// Routes tell what some targets do not say of themselves.
+  void applyRoutes(const routes::Table &Routes, routing::State &Routing,
+                   TimePoint Now) const;
 
   /// The target, or null.
   [[nodiscard]] const Known *find(const TargetId &Id) const;
--- a/apps/entry/src/Main.cpp
+++ b/apps/entry/src/Main.cpp
@@ -4,13 +4,15 @@
 #include "EntrySettings.h"
 #include "daemon/daemon.h"
 #include "events/events.h"
+#include "platform/platform.h"
 
 using namespace wasabivale;
 
 static int run(const entry::EntrySettings &Settings) {
   daemon::EventLoop Loop;
   metrics::Registry Registry;
-  auto Entry = entry::Entry::open(Loop.base(), Settings, Registry);
+  auto Entry =
+      entry::Entry::open(Loop.base(), Settings, Registry, &platform::dialect());
   if (failed(Entry)) {
     events::emitError(events::Event::ListenFailed, errorOf(Entry));
     return daemon::ExitFailed;
@@ -23,6 +25,16 @@
     events::emitError(events::Event::ListenFailed, errorOf(Platform));
     return daemon::ExitFailed;
   }
+  Result<std::unique_ptr<http::Server>> Readiness{nullptr};
+  if (Settings.m_Routes)
+    Readiness = daemon::listenForPlatform(
+        Loop.base(), Settings.m_Routes->m_ReadinessListen, Registry,
+        [&] { return valueOf(Entry)->notReady(); }, nullptr,
+        platform::ReadinessPath);
+  if (failed(Readiness)) {
+    events::emitError(events::Event::ListenFailed, errorOf(Readiness));
+    return daemon::ExitFailed;
+  }
   Loop.onStop([&] {
     events::emit(events::Event::ProcessStopping, {{"id", Settings.m_Id}});
     valueOf(Entry)->stop([&] { Loop.end(); });
--- /dev/null
+++ b/apps/entry/src/Passed.cpp
@@ -0,0 +1,64 @@
+// Plain requests that are passed on by their route.
+
+#include "Arrival.h"
+
+#include <algorithm>
+
+namespace wasabivale::entry {
+
+namespace {
+
+/// Urgency in this system's terms, where the highest number goes first.
+unsigned priorityOf(std::uint32_t Rank) {
+  return routing::MaxPriority - std::min(Rank, routing::MaxPriority);
+}
+
+/// What is likely to be generated: half of the most, without a guess. A guess
+/// is right at the median only, so it is no bound.
+std::uint64_t likelyTokens(const relay::Ask &Of) {
+  if (Of.m_LikelyTokens == 0)
+    return std::max(1U, Of.m_MaxTokens / 2);
+  return Of.m_MaxTokens == 0 ? Of.m_LikelyTokens
+                             : std::min(Of.m_LikelyTokens, Of.m_MaxTokens);
+}
+
+} // namespace
+
+std::variant<Arrival, Rejection> readPassed(const http::Request &From,
+                                            const routes::Index &By,
+                                            const relay::Dialect &In,
+                                            TimePoint Now) {
+  if (By.table().m_Version == 0)
+    return notRun(Refusal::NoConfiguration, "routes");
+  auto Read = In.m_ReadAsk(From);
+  if (const auto *Why = std::get_if<Error>(&Read))
+    return notRun(Refusal::MalformedRequest, Why->m_Step, Why->m_Message);
+  auto Made = std::make_shared<Passed>();
+  Made->m_Ask = std::get<relay::Ask>(std::move(Read));
+  const relay::Ask &Ask = Made->m_Ask;
+  const routes::Route *Route = By.find(Ask.m_Host, Ask.m_Path);
+  if (Route == nullptr)
+    return notRun(Refusal::UnknownPath, "routes.find");
+  Made->m_Route = *Route;
+  Arrival Asked;
+  Asked.m_Id = {Ask.m_Id};
+  Asked.m_Api = Api::Passed;
+  Asked.m_Caller = {Route->m_Name};
+  Asked.m_Priority = priorityOf(Route->m_Rank);
+  Asked.m_At = Now;
+  Asked.m_Deadline = Now + Route->m_Timeout;
+  if (Ask.m_Patience)
+    Asked.m_Deadline =
+        std::min<TimePoint>(Asked.m_Deadline, Now + *Ask.m_Patience);
+  Asked.m_NotRepeatable = !Route->isRepeatable();
+  Asked.m_Model = routes::pickService(*Route, hashBytes(Ask.m_Id));
+  const auto Service = By.table().m_Services.find(Asked.m_Model);
+  Made->m_ForEngine = Service != By.table().m_Services.end() &&
+                      Service->second.m_KvCapacityTokens > 0;
+  Asked.m_MaxTokens = likelyTokens(Ask);
+  Asked.m_Stream = Route->m_Kind == routes::Kind::Streaming;
+  Asked.m_Passed = std::move(Made);
+  return Asked;
+}
+
+} // namespace wasabivale::entry
--- /dev/null
+++ b/apps/entry/src/PassedAnswer.cpp
@@ -0,0 +1,63 @@
+#include "PassedAnswer.h"
+
+namespace wasabivale::entry {
+
+namespace {
+
+http::Fields endToEnd(const http::Fields &Of) {
+  http::Fields Made;
+  for (const auto &[Name, Value] : Of)
+    if (!http::isHopByHop(Name))
+      Made.emplace_back(Name, Value);
+  return Made;
+}
+
+} // namespace
+
+void PassedAnswer::head(int Status, const http::Fields &Fields) {
+  // A stream that goes on at another target keeps its first head.
+  if (m_Started)
+    return;
+  m_Status = Status;
+  m_Fields = endToEnd(Fields);
+}
+
+void PassedAnswer::start() {
+  if (std::exchange(m_Started, true) || m_Caller == nullptr)
+    return;
+  m_Caller->startRelay(m_Status, m_Fields);
+}
+
+void PassedAnswer::piece(std::string_view Text) {
+  start();
+  if (m_Caller != nullptr)
+    m_Caller->write(Text);
+}
+
+void PassedAnswer::restart() { WASABIVALE_INVARIANT(!m_Started); }
+
+void PassedAnswer::finish(std::string_view, std::uint64_t, std::uint64_t) {
+  start();
+  if (m_Caller != nullptr)
+    m_Caller->finish();
+}
+
+void PassedAnswer::pass(const KeptAnswer &Whole) {
+  if (m_Caller != nullptr)
+    m_Caller->relay(Whole.m_Status, endToEnd(Whole.m_Fields), Whole.m_Body);
+}
+
+void PassedAnswer::refuse(const Rejection &Why) {
+  if (m_Caller == nullptr)
+    return;
+  if (m_Started)
+    return m_Caller->abort();
+  replyPassedRejection(*m_Caller, m_Request, Why);
+}
+
+void PassedAnswer::drop() {
+  if (m_Caller != nullptr)
+    m_Caller->abort();
+}
+
+} // namespace wasabivale::entry
--- /dev/null
+++ b/apps/entry/src/PassedAnswer.h
@@ -0,0 +1,41 @@
+/// \file
+/// Passes a target's answer on, unchanged.
+
+#ifndef WASABIVALE_ENTRY_PASSEDANSWER_H
+#define WASABIVALE_ENTRY_PASSEDANSWER_H
+
+#include "AnswerWriter.h"
+
+namespace wasabivale::entry {
+
+class PassedAnswer final : public Answer {
+public:
+  PassedAnswer(std::shared_ptr<http::Exchange> Caller, RequestId Request)
+      : m_Caller(std::move(Caller)), m_Request(std::move(Request)) {}
+
+  void head(int Status, const http::Fields &Fields) override;
+  void piece(std::string_view Text) override;
+  void restart() override;
+  [[nodiscard]] bool hasPassed() const override { return m_Started; }
+  void finish(std::string_view FinishReason, std::uint64_t PromptTokens,
+              std::uint64_t OutputTokens) override;
+  void pass(const KeptAnswer &Whole) override;
+  /// A stream that has begun is broken off: its end would look complete.
+  void refuse(const Rejection &Why) override;
+  void drop() override;
+  [[nodiscard]] const KeptAnswer &kept() const override { return m_Kept; }
+
+private:
+  void start();
+
+  std::shared_ptr<http::Exchange> m_Caller;
+  RequestId m_Request;
+  KeptAnswer m_Kept; ///< Never filled: plain requests are not kept.
+  int m_Status = 0;
+  http::Fields m_Fields;
+  bool m_Started = false;
+};
+
+} // namespace wasabivale::entry
+
+#endif // WASABIVALE_ENTRY_PASSEDANSWER_H
--- a/apps/entry/src/Rejection.cpp
+++ b/apps/entry/src/Rejection.cpp
@@ -53,6 +53,40 @@
   To.reply(Info.m_HttpStatus, With, printRejection(Value));
 }
 
+int promisedStatus(const Rejection &Value) {
+  constexpr int BadGateway = 502;
+  constexpr int Unavailable = 503;
+  constexpr int FirstServerError = 500;
+  constexpr int Promises[] = {408, 421, 429, Unavailable};
+  const int Usual = refusalInfo(Value.m_Reason).m_HttpStatus;
+  const bool Promised = std::find(std::begin(Promises), std::end(Promises),
+                                  Usual) != std::end(Promises);
+  if (Value.m_Outcome != Outcome::NotRun)
+    return Promised ? BadGateway : Usual;
+  return Usual >= FirstServerError ? Unavailable : Usual;
+}
+
+void replyPassedRejection(http::Exchange &To, const RequestId &Request,
+                          const Rejection &Value) {
+  constexpr double MillisecondsPerSecond = 1000;
+  constexpr int FirstServerError = 500;
+  const int Status = promisedStatus(Value);
+  http::Headers With = {
+      {"Content-Type", "application/json"},
+      {OutcomeHeader, std::string(outcomeName(Value.m_Outcome))}};
+  if (!Request.empty())
+    With[RequestHeader] = Request.m_Value;
+  if (Value.m_Outcome == Outcome::NotRun && Status >= FirstServerError) {
+    const Duration After = Value.m_RetryAfter > Duration(0)
+                               ? Value.m_RetryAfter
+                               : Duration(DefaultPassedRetryAfter);
+    const auto Rounded = std::chrono::ceil<std::chrono::milliseconds>(After);
+    With["Retry-After"] = fmt::format(
+        "{:.3f}", static_cast<double>(Rounded.count()) / MillisecondsPerSecond);
+  }
+  To.reply(Status, With, printRejection(Value));
+}
+
 http::Response malformedPage(int HttpStatus) {
   constexpr int TooLarge = 413;
   constexpr int HeadersTooLarge = 431;
--- a/apps/entry/src/Rejection.h
+++ b/apps/entry/src/Rejection.h
@@ -30,6 +30,9 @@
 
 /// Told when nothing better is known.
 inline constexpr std::chrono::seconds DefaultRetryAfter{1};
+/// The same where fractions are understood: a target that was full or went away
+/// is made up for by another within a few round trips.
+inline constexpr std::chrono::milliseconds DefaultPassedRetryAfter{100};
 
 /// The reason of this number, or \p Otherwise when the catalogue has none.
 Refusal refusalFromNumber(std::uint32_t Number, Refusal Otherwise);
@@ -42,6 +45,15 @@
 void replyRejection(http::Exchange &To, const RequestId &Request,
                     const Rejection &Value);
 
+/// The status of a refusal to a caller who takes 408, 421, 429 and 503 for a
+/// promise that the request has not run and never will.
+int promisedStatus(const Rejection &Value);
+
+/// The same for a plain request: its status keeps that promise, and
+/// `Retry-After` may have a fraction.
+void replyPassedRejection(http::Exchange &To, const RequestId &Request,
+                          const Rejection &Value);
+
 /// The page for a request that evhttp refused with \p HttpStatus.
 http::Response malformedPage(int HttpStatus);
 
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-constexpr std::size_t BlockBytes = routing::BlockTokens * BytesPerToken;
-constexpr const char *ServiceCapacity = "service:";
-
 /// Waits before another look for a target: for a lease, for a suspect's turn.
 constexpr std::chrono::milliseconds LeaseLook{50};
 constexpr std::chrono::milliseconds SuspectLook{100};
@@ -46,17 +43,6 @@
 
 } // namespace
 
-std::vector<std::uint64_t> blocksOf(const std::string &Model,
-                                    std::string_view Prompt) {
-  std::vector<std::uint64_t> Blocks;
-  std::uint64_t Before = hashBytes(Model);
-  for (std::size_t At = 0; At + BlockBytes <= Prompt.size(); At += BlockBytes) {
-    Before = hashBytes(Prompt.substr(At, BlockBytes), Before);
-    Blocks.push_back(Before);
-  }
-  return Blocks;
-}
-
 routing::Request describeForRouting(const Arrival &Asked,
                                     const std::vector<std::uint64_t> &Blocks,
                                     double OutputShare) {
@@ -66,7 +52,7 @@
   Made.m_Model = {Asked.m_Model};
   Made.m_Priority = Asked.m_Priority;
   if (!Asked.isService()) {
-    Made.m_PromptTokens = tokensOf(Asked.m_Prompt);
+    Made.m_PromptTokens = promptTokensOf(Asked);
     Made.m_ExpectedOutputTokens =
         std::max(1U, static_cast<std::uint32_t>(
                          static_cast<double>(Asked.m_MaxTokens) * OutputShare));
@@ -74,26 +60,23 @@
   }
   // The one request that tests a doubtful target had better be repeatable.
   Made.m_MayProbe = !Asked.m_NotRepeatable;
-  Made.m_MaySplit = !Asked.m_NotRepeatable;
+  // Of a plain request a prefill elsewhere is no run.
+  Made.m_MaySplit = !Asked.m_NotRepeatable || Asked.m_Passed != nullptr;
   return Made;
 }
 
-ModelId capacityName(const Arrival &Asked) {
-  return {Asked.isService() ? ServiceCapacity + Asked.m_Model : Asked.m_Model};
-}
-
 Serving::Serving(Context &Shared, std::shared_ptr<http::Exchange> Caller,
                  Arrival Asked, OnEnded Done)
     : m_Shared(Shared), m_Asked(std::move(Asked)), m_Caller(std::move(Caller)),
-      m_Writer(m_Caller, m_Asked,
-               m_Asked.isKept() ? Shared.m_Configuration.m_MaxAnswerBytes : 0),
+      m_Writer(makeAnswer(
+          m_Caller, m_Asked,
+          m_Asked.isKept() ? Shared.m_Configuration.m_MaxAnswerBytes : 0)),
       m_Done(std::move(Done)), m_StreamId(randomIdentity()) {
-  m_Print = retries::fingerprintOf(
-      capacityName(m_Asked),
-      m_Asked.isService() ? m_Asked.m_Method + m_Asked.m_Path + m_Asked.m_Body
-                          : m_Asked.m_Prompt);
-  if (!m_Asked.isService())
-    m_Blocks = blocksOf(m_Asked.m_Model, m_Asked.m_Prompt);
+  m_Print = fingerprintOf(m_Asked);
+  m_Blocks = blocksOf(m_Asked);
+  if (m_Asked.m_Passed)
+    m_Offset = m_Asked.m_Passed->m_Ask.m_SeenEvents;
+  m_FirstOffset = m_Offset;
 }
 
 void Serving::watchCaller() {
@@ -214,7 +197,7 @@
     m_Shared.m_Ledger.release(m_Asked);
     return end();
   case KeyVerdict::Stored:
-    m_Writer.pass(Answer.m_Stored);
+    m_Writer->pass(Answer.m_Stored);
     return end();
   case KeyVerdict::Dropped:
     Why.m_Reason = Refusal::AnswerTooLarge;
@@ -245,7 +228,7 @@
       Use == m_Shared.m_Models.end() ? 1.0 : Use->second.m_OutputShare;
   routing::Request Wanted = describeForRouting(m_Asked, m_Blocks, Share);
   Wanted.m_Avoid = m_Avoid;
-  if (m_Offset > 0)
+  if (m_Offset > m_FirstOffset)
     Wanted.m_MaySplit = false;
   return Wanted;
 }
@@ -283,6 +266,9 @@
 }
 
 bool Serving::passGate(routing::Request &Wanted, TimePoint Now) {
+  // Equal plain requests are common, and their targets are not probed.
+  if (m_Asked.m_Passed)
+    return true;
   const retries::GateDecision Decided = m_Shared.m_Suspects.gate(m_Print, Now);
   switch (Decided.m_Gate) {
   case Gate::Open:
@@ -367,6 +353,9 @@
   Plan.m_StreamId = m_StreamId;
   Plan.m_Offset = m_Offset;
   TryHandlers Handlers;
+  Handlers.m_OnHead = [this](int Status, const http::Fields &Fields) {
+    m_Writer->head(Status, Fields);
+  };
   Handlers.m_OnPiece = [this](const targets::StreamPiece &Piece) {
     takePiece(Piece);
   };
@@ -374,9 +363,11 @@
     if (const auto Self = Weak.lock())
       Self->takeEnding(Ending);
   };
-  m_Try = Try::start(m_Shared.m_Loop, m_Asked, std::move(Plan),
-                     m_Shared.m_Settings.m_Patience, m_Shared.m_Routing,
-                     m_Shared.m_Metrics, std::move(Handlers), Now);
+  m_Try =
+      Try::start({m_Shared.m_Loop, m_Shared.m_Connections, m_Shared.m_Dialect,
+                  m_Shared.m_Routing, m_Shared.m_Metrics},
+                 m_Asked, std::move(Plan), m_Shared.m_Settings.m_Patience,
+                 std::move(Handlers), Now);
 }
 
 // --- Running ----------------------------------------------------------------
@@ -384,7 +375,7 @@
 void Serving::takePiece(const targets::StreamPiece &Piece) {
   const TimePoint Now = BootClock::now();
   EntryMetrics &Metrics = m_Shared.m_Metrics;
-  if (m_Offset == 0)
+  if (m_Offset == m_FirstOffset)
     Metrics.m_FirstToken.record(Now - m_Asked.m_At);
   else
     Metrics.m_BetweenTokens.record(Now - m_LastPieceAt);
@@ -392,7 +383,7 @@
   m_Offset = Piece.m_Offset + Piece.m_Tokens;
   Metrics.m_Tokens.add(Piece.m_Tokens);
   Metrics.m_Bytes.add(Piece.m_Text.size());
-  m_Writer.piece(Piece.m_Text);
+  m_Writer->piece(Piece.m_Text);
   pauseIfSlow(Now);
 }
 
@@ -416,7 +407,7 @@
                {{"request", m_Asked.m_Id}, {"caller", m_Asked.m_Caller}});
   // The caller's buffer is full: there is no room to tell it why. A run that
   // the ledger keeps goes on as if the caller had gone.
-  m_Writer.drop();
+  m_Writer->drop();
   takeGone();
 }
 
@@ -466,11 +457,15 @@
 
 void Serving::decideNext(const TryEnding &Ending, TimePoint Now) {
   retries::Failure Facts = Ending.m_Failure;
-  Facts.m_FirstBytePassed = m_Writer.hasPassed();
-  Facts.m_Resumable = !m_Asked.isService();
+  Facts.m_FirstBytePassed = m_Writer->hasPassed();
+  Facts.m_Resumable = m_Asked.isResumable();
   Facts.m_Offset = m_Offset;
   retries::Attempt So;
-  So.m_Caller = m_Asked.m_Caller;
+  // Callers of one service share its budget.
+  So.m_Caller = m_Asked.m_Passed ? CallerId{m_Asked.m_Model} : m_Asked.m_Caller;
+  if (m_Asked.m_Passed)
+    So.m_MaxRuns = m_Asked.m_Passed->m_Route.m_MaxAttempts;
+  So.m_Runs = m_Runs;
   So.m_Target = m_LastTarget;
   So.m_Tries = m_Tries;
   So.m_Deadline = m_Asked.m_Deadline;
@@ -479,6 +474,9 @@
   So.m_MayHaveRun = m_MayHaveRun;
   So.m_Avoid = m_Avoid;
   m_MayHaveRun = retries::mayHaveRun(So, Facts);
+  So.m_Runs = m_Runs += retries::tryMayHaveRun(Facts) ? 1 : 0;
+  if (Ending.m_Failing)
+    m_Failing = Ending.m_Failing;
   const retries::RetryDecision Next =
       retries::decide(m_Shared.m_Retries, So, Facts, Now, m_Shared.m_Random);
   if (const auto *Stop = std::get_if<retries::GiveUp>(&Next)) {
@@ -504,8 +502,8 @@
   m_Avoid = Again.m_Avoid;
   // Nothing was passed on: begin a new stream, so that no line of the former
   // can be taken for one of it.
-  m_Writer.restart();
-  m_Offset = 0;
+  m_Writer->restart();
+  m_Offset = m_FirstOffset;
   m_StreamId = randomIdentity();
   waitUntil(Again.m_When);
 }
@@ -514,12 +512,12 @@
 
 void Serving::complete(const TryEnding &Ending) {
   const TimePoint Now = BootClock::now();
-  if (m_Asked.isService()) {
-    m_Writer.pass({Ending.m_Answer.m_Status, Ending.m_Answer.m_ContentType,
-                   Ending.m_Answer.m_Body});
+  if (!Ending.m_Streamed) {
+    m_Writer->pass({Ending.m_Answer.m_Status, Ending.m_Answer.m_ContentType,
+                    Ending.m_Answer.m_Body, Ending.m_Answer.m_Fields});
   } else {
-    m_Writer.finish(Ending.m_End.m_Finish, tokensOf(m_Asked.m_Prompt),
-                    Ending.m_End.m_Length);
+    m_Writer->finish(Ending.m_End.m_Finish, promptTokensOf(m_Asked),
+                     Ending.m_End.m_Length);
   }
   const bool InTime = Now <= m_Asked.m_Deadline;
   EntryMetrics &Metrics = m_Shared.m_Metrics;
@@ -537,10 +535,13 @@
                                         routing::BlockTokens);
     Demand.set_completed_in_time(Demand.completed_in_time() + (InTime ? 1 : 0));
   }
-  retries::noteSuccess(m_Shared.m_Retries, m_Asked.m_Caller, m_LastTarget);
+  retries::noteSuccess(m_Shared.m_Retries,
+                       m_Asked.m_Passed ? CallerId{m_Asked.m_Model}
+                                        : m_Asked.m_Caller,
+                       m_LastTarget);
   m_MayHaveRun = true;
   if (m_KeyGranted) {
-    KeptAnswer Kept = m_Writer.kept();
+    KeptAnswer Kept = m_Writer->kept();
     // Status zero says that the answer was too large to be kept.
     if (Kept.m_Body.size() > m_Shared.m_Configuration.m_MaxAnswerBytes)
       Kept = KeptAnswer{0, "", ""};
@@ -556,6 +557,9 @@
     else
       m_Shared.m_Ledger.finishUnknown(m_Asked);
   }
+  // What a target has answered goes before a failure of our own.
+  if (m_Failing && !m_Writer->hasPassed())
+    return passFailing();
   if (m_Tries > 0)
     events::emit(events::Event::RequestFailed,
                  {{"request", m_Asked.m_Id},
@@ -577,6 +581,17 @@
   refuse(Why);
 }
 
+void Serving::passFailing() {
+  events::emit(events::Event::RequestFailed, {{"request", m_Asked.m_Id},
+                                              {"reason", "passed_on"},
+                                              {"status", m_Failing->m_Status},
+                                              {"target", m_LastTarget},
+                                              {"tries", m_Tries}});
+  m_Writer->pass({m_Failing->m_Status, m_Failing->m_ContentType,
+                  m_Failing->m_Body, m_Failing->m_Fields});
+  end();
+}
+
 void Serving::refuse(const Rejection &Why) {
   // The invariant behind the promise: not run is said only of what can't have
   // run.
@@ -589,7 +604,7 @@
                 {"outcome", outcomeName(Why.m_Outcome)}});
   if (ModelUse *Use = modelUse())
     Use->m_Demand.set_refused(Use->m_Demand.refused() + 1);
-  m_Writer.refuse(Why);
+  m_Writer->refuse(Why);
   end();
 }
 
@@ -612,7 +627,7 @@
   m_Shared.m_Suspects.dropWish(m_Print);
   if (m_Started)
     limits::finished(m_Shared.m_Limits, m_Ticket,
-                     {m_Asked.isService() ? 0 : tokensOf(m_Asked.m_Prompt),
+                     {m_Asked.isService() ? 0 : promptTokensOf(m_Asked),
                       static_cast<std::uint32_t>(m_Offset), m_MayHaveRun},
                      Now);
   if (const auto Done = std::exchange(m_Done, nullptr))
--- a/apps/entry/src/Serving.h
+++ b/apps/entry/src/Serving.h
@@ -75,6 +75,7 @@
   void complete(const TryEnding &Ending);
   void giveUp(Refusal Reason, Outcome Told, const Error &Last);
   void refuse(const Rejection &Why);
+  void passFailing();
   void endTry(routing::TryOutcome Evidence, TimePoint Now);
   void noteTryOver(bool Completed);
   void end();
@@ -86,7 +87,7 @@
   Context &m_Shared;
   Arrival m_Asked;
   std::shared_ptr<http::Exchange> m_Caller;
-  AnswerWriter m_Writer;
+  std::unique_ptr<Answer> m_Writer;
   OnEnded m_Done;
   Phase m_Phase = Phase::Arrived;
   limits::Ticket m_Ticket = 0;
@@ -102,7 +103,11 @@
   bool m_RunNoted = false; ///< A run is registered with the suspects.
   TargetId m_LastTarget;
   std::string m_StreamId;
-  std::uint64_t m_Offset = 0; ///< Tokens taken in order.
+  std::uint64_t m_Offset = 0;      ///< Tokens, or events, taken in order.
+  std::uint64_t m_FirstOffset = 0; ///< What the caller had at the start.
+  std::uint32_t m_Runs = 0;        ///< Tries that may have run.
+  /// A target's own failure, passed on if no other try does better.
+  std::optional<targets::ServiceAnswer> m_Failing;
   std::uint32_t m_Tries = 0;
   Duration m_ServiceTime{0};
   std::unique_ptr<http::Timer> m_Wake;
@@ -110,18 +115,11 @@
   TimePoint m_PausedSince;
 };
 
-/// Chained hashes of the whole blocks of a prompt, as engines report them.
-std::vector<std::uint64_t> blocksOf(const std::string &Model,
-                                    std::string_view Prompt);
-
 /// Where routing looks for a request's targets.
 routing::Request describeForRouting(const Arrival &Asked,
                                     const std::vector<std::uint64_t> &Blocks,
                                     double OutputShare);
 
-/// Name under which the limits count a request's capacity.
-ModelId capacityName(const Arrival &Asked);
-
 } // namespace wasabivale::entry
 
 #endif // WASABIVALE_ENTRY_SERVING_H
--- a/apps/entry/src/Try.cpp
+++ b/apps/entry/src/Try.cpp
@@ -1,6 +1,9 @@
 #include "Try.h"
 
+#include "events/events.h"
+
 #include <algorithm>
+#include <limits>
 
 namespace wasabivale::entry {
 
@@ -65,18 +68,38 @@
   return readBroken(Ending.m_HttpStatus, Ending.m_Failure);
 }
 
+/// Whether callers take the status for the promise that nothing has run.
+bool isPromise(int Status) {
+  constexpr int Promises[] = {408, 421, 429, 503};
+  return std::find(std::begin(Promises), std::end(Promises), Status) !=
+         std::end(Promises);
+}
+
+/// Patience with a target that runs a plain request: by what its caller was
+/// promised.
+Try::Patience patienceOf(const routes::Route &By) {
+  constexpr int Objectives = 2;
+  constexpr int Gaps = 5;
+  static constexpr std::chrono::milliseconds Least{500};
+  const auto AtLeast = [](std::chrono::nanoseconds Value) {
+    return std::max(
+        std::chrono::duration_cast<std::chrono::milliseconds>(Value), Least);
+  };
+  return {AtLeast(By.m_Gap * Gaps), AtLeast(By.m_Objective * Objectives)};
+}
+
 } // namespace
 
-Try::Try(event_base *Loop, const Arrival &For, TryPlan Plan,
-         const Patience &Limits, routing::State &Routing, EntryMetrics &Metrics,
-         TryHandlers Handlers, TimePoint Now)
-    : m_Loop(Loop), m_For(For), m_Plan(std::move(Plan)), m_Patience(Limits),
-      m_Routing(Routing), m_Metrics(Metrics),
+Try::Try(TryTools With, const Arrival &For, TryPlan Plan,
+         const Patience &Limits, TryHandlers Handlers, TimePoint Now)
+    : m_Tools(With), m_For(For), m_Plan(std::move(Plan)),
+      m_Patience(For.m_Passed ? patienceOf(For.m_Passed->m_Route) : Limits),
       m_Handlers(std::move(Handlers)), m_Id{randomIdentity()},
       m_SilentSince(Now) {
   const Duration Expected = std::max<Duration>(
       m_Plan.m_Choice.m_Estimate.m_FirstToken - Now, Duration(0));
-  m_FirstTokenBy = Now + Expected * FirstTokenFactor + m_Patience.m_Token;
+  m_FirstTokenBy = Now + Expected * FirstTokenFactor +
+                   (For.m_Passed ? m_Patience.m_Call : m_Patience.m_Token);
 }
 
 Try::~Try() {
@@ -85,14 +108,16 @@
   release(TryOutcome::Cancelled, BootClock::now());
 }
 
-std::shared_ptr<Try> Try::start(event_base *Loop, const Arrival &For,
-                                TryPlan Plan, const Patience &Limits,
-                                routing::State &Routing, EntryMetrics &Metrics,
-                                TryHandlers Handlers, TimePoint Now) {
-  std::shared_ptr<Try> Made(new Try(Loop, For, std::move(Plan), Limits, Routing,
-                                    Metrics, std::move(Handlers), Now));
-  routing::noteStarted(Routing, Made->m_Plan.m_Choice.m_Try, Now);
-  if (For.isService())
+std::shared_ptr<Try> Try::start(TryTools With, const Arrival &For, TryPlan Plan,
+                                const Patience &Limits, TryHandlers Handlers,
+                                TimePoint Now) {
+  std::shared_ptr<Try> Made(
+      new Try(With, For, std::move(Plan), Limits, std::move(Handlers), Now));
+  routing::noteStarted(With.m_Routing, Made->m_Plan.m_Choice.m_Try, Now);
+  if (For.m_Passed) {
+    Made->m_InPrefill = Made->m_Plan.m_Prefill.has_value();
+    Made->sendPassed({}, Made->m_InPrefill);
+  } else if (For.isService())
     Made->startCall();
   else if (Made->m_Plan.m_Prefill)
     Made->startPrefill(Now);
@@ -133,7 +158,7 @@
     if (const auto Self = Weak.lock())
       Self->takePrefilled(Ending);
   };
-  m_Call = targets::runOnEngine(m_Loop, *m_Plan.m_Prefill, What,
+  m_Call = targets::runOnEngine(m_Tools.m_Loop, *m_Plan.m_Prefill, What,
                                 std::move(Handlers));
 }
 
@@ -144,7 +169,7 @@
   m_InPrefill = false;
   m_Sent = true;
   m_SilentSince = Now;
-  routing::notePrefilled(m_Routing, m_Plan.m_Choice.m_Try, Now);
+  routing::notePrefilled(m_Tools.m_Routing, m_Plan.m_Choice.m_Try, Now);
   // Without a ticket the second engine prefills the prompt itself.
   startRun(Ending.m_End.m_KvTicket);
 }
@@ -163,8 +188,8 @@
     if (const auto Self = Weak.lock())
       Self->takeRun(Ending);
   };
-  m_Call =
-      targets::runOnEngine(m_Loop, m_Plan.m_Run, What, std::move(Handlers));
+  m_Call = targets::runOnEngine(m_Tools.m_Loop, m_Plan.m_Run, What,
+                                std::move(Handlers));
 }
 
 void Try::startCall() {
@@ -177,13 +202,144 @@
   What.m_NotRepeatable = m_For.m_NotRepeatable;
   What.m_IdempotencyKey = m_For.m_Key;
   m_Call = targets::callService(
-      m_Loop, m_Plan.m_Run, What, m_For.m_Deadline,
+      m_Tools.m_Loop, m_Plan.m_Run, What, m_For.m_Deadline,
       [Weak = weak_from_this()](const targets::CallEnding &Ending) {
         if (const auto Self = Weak.lock())
           Self->takeAnswer(Ending);
       });
 }
 
+// --- Plain requests ---------------------------------------------------------
+
+void Try::sendPassed(std::string KvSource, bool PrefillOnly) {
+  const std::shared_ptr<const Passed> What = m_For.m_Passed;
+  relay::TryFacts With;
+  With.m_Target = leg().m_Target;
+  With.m_Deadline = m_For.m_Deadline;
+  With.m_Rank = What->m_Route.m_Rank;
+  With.m_SeenEvents = m_Plan.m_Offset;
+  With.m_PrefillOnly = PrefillOnly;
+  With.m_KvSource = std::move(KvSource);
+  const auto Weak = weak_from_this();
+  relay::TryHandlers Handlers;
+  Handlers.m_OnLoad = [Weak](const relay::AnswerFacts::Load &Told) {
+    if (const auto Self = Weak.lock())
+      Self->takeLoad(Told);
+  };
+  if (!PrefillOnly && m_For.m_Stream) {
+    Handlers.m_OnHead = [Weak](int Status, const http::Fields &Fields) {
+      const auto Self = Weak.lock();
+      if (Self == nullptr || Self->m_Released)
+        return;
+      Self->m_KvHandle.clear(); // It was fetched.
+      Self->m_Streaming = true;
+      Self->m_Handlers.m_OnHead(Status, Fields);
+    };
+    Handlers.m_OnEvent = [Weak](const relay::Event &Got) {
+      if (const auto Self = Weak.lock())
+        Self->takePiece({Got.m_Id == 0 ? 0 : Got.m_Id - 1, 1, Got.m_Text});
+    };
+  }
+  Handlers.m_OnEnd = [Weak, What, PrefillOnly](const relay::TryEnd &Ending) {
+    const auto Self = Weak.lock();
+    if (Self == nullptr)
+      return;
+    if (PrefillOnly)
+      Self->takePassedPrefill(Ending);
+    else
+      Self->takePassed(Ending);
+  };
+  m_Call = relay::send(m_Tools.m_Connections, *m_Tools.m_Dialect, address(),
+                       What->m_Ask, With, !m_For.m_NotRepeatable,
+                       std::move(Handlers));
+}
+
+void Try::takeLoad(const relay::AnswerFacts::Load &Told) {
+  // Such a report tells nothing of KV memory.
+  const routing::LoadReport Report{Told.m_Running, Told.m_Waiting, 0,
+                                   std::numeric_limits<std::uint64_t>::max()};
+  routing::applyLoad(m_Tools.m_Routing, leg().m_Target, leg().m_Incarnation,
+                     Report, BootClock::now());
+}
+
+void Try::takePassedPrefill(const relay::TryEnd &Ending) {
+  if (Ending.m_Ending != relay::Ending::Whole)
+    return takePassed(Ending);
+  const auto Read = m_Tools.m_Dialect->m_ReadPrefilled(Ending.m_Answer.m_Body);
+  const TimePoint Now = BootClock::now();
+  const std::string From = http::printAddress(address());
+  m_InPrefill = false;
+  m_SilentSince = Now;
+  routing::notePrefilled(m_Tools.m_Routing, m_Plan.m_Choice.m_Try, Now);
+  // Without a handle the second engine reads the prompt itself.
+  if (failed(Read)) {
+    events::emitError(events::Event::TargetAnswerUnreadable, errorOf(Read));
+    return sendPassed({}, false);
+  }
+  m_KvHandle = valueOf(Read).m_Handle;
+  sendPassed(From + '/' + m_KvHandle, false);
+}
+
+void Try::takePassed(const relay::TryEnd &Ending) {
+  m_Tools.m_Metrics.m_DuplicatePieces.add(Ending.m_Duplicates);
+  targets::ServiceAnswer Answer;
+  Answer.m_Status = Ending.m_Answer.m_Status;
+  Answer.m_Body = Ending.m_Answer.m_Body;
+  Answer.m_Fields = Ending.m_Answer.m_Fields;
+  if (Ending.m_Ending == relay::Ending::Whole) {
+    release(TryOutcome::Completed, BootClock::now());
+    TryEnding Told;
+    Told.m_Whole = true;
+    Told.m_Streamed = m_Streaming;
+    Told.m_End.m_Length = Ending.m_SeenEvents;
+    Told.m_Answer = std::move(Answer);
+    const auto OnEnd = std::exchange(m_Handlers, {}).m_OnEnd;
+    OnEnd(std::move(Told));
+    return;
+  }
+  // A prefill that goes no further is no run.
+  const bool NotRun = Ending.m_Ending == relay::Ending::NotRun || m_InPrefill;
+  const bool Sent = m_Call == nullptr || m_Call->hasSent();
+  retries::Failure Why;
+  Why.m_NotRunProven = NotRun;
+  Why.m_BytesSent = Sent;
+  TryOutcome Evidence = TryOutcome::Failed;
+  if (Ending.m_Ending == relay::Ending::NotRun && Sent) {
+    Why.m_Kind = FailureKind::TargetFull;
+    Evidence = Ending.m_WrongTarget ? TryOutcome::Failed : TryOutcome::Full;
+  } else if (Ending.m_Ending == relay::Ending::NotRun) {
+    Why.m_Kind = FailureKind::ConnectFailed;
+  } else if (Ending.m_Ending == relay::Ending::Failing) {
+    Why.m_Kind = FailureKind::TargetError;
+    // What the request asks for may be at fault; the next target will tell.
+    Evidence = TryOutcome::Cancelled;
+  } else {
+    Why.m_Kind =
+        Ending.m_Garbled ? FailureKind::Malformed : FailureKind::Broken;
+  }
+  if (Ending.m_Ending == relay::Ending::Failing && !m_InPrefill &&
+      !isPromise(Answer.m_Status))
+    m_Failing = std::move(Answer);
+  fail(Why, Evidence, Ending.m_Failure, false);
+}
+
+void Try::freeKv() {
+  if (m_KvHandle.empty())
+    return;
+  const auto [Method, Path] = m_Tools.m_Dialect->m_FreeKv(m_KvHandle);
+  m_KvHandle.clear();
+  http::ClientRequest Out;
+  Out.m_To = *m_Plan.m_Prefill;
+  Out.m_Method = Method;
+  Out.m_Path = Path;
+  Out.m_Fields = {{"Host", http::printAddress(Out.m_To)}};
+  Out.m_Deadline = BootClock::now() + CancelTimeout;
+  // What can't be freed lapses by itself.
+  (void)m_Tools.m_Connections.call(std::move(Out), {}, true);
+}
+
+// --- Progress and end -------------------------------------------------------
+
 void Try::takePiece(const targets::StreamPiece &Piece) {
   if (m_Released)
     return;
@@ -191,15 +347,15 @@
   m_SilentSince = Now;
   const auto &Id = m_Plan.m_Choice.m_Try;
   if (m_Tokens == 0)
-    routing::noteFirstToken(m_Routing, Id, Now);
+    routing::noteFirstToken(m_Tools.m_Routing, Id, Now);
   m_Tokens += Piece.m_Tokens;
-  routing::noteProgress(m_Routing, Id, static_cast<std::uint32_t>(m_Tokens),
-                        Now);
+  routing::noteProgress(m_Tools.m_Routing, Id,
+                        static_cast<std::uint32_t>(m_Tokens), Now);
   m_Handlers.m_OnPiece(Piece);
 }
 
 void Try::takeRun(const targets::RunEnding &Ending) {
-  m_Metrics.m_DuplicatePieces.add(Ending.m_Duplicates);
+  m_Tools.m_Metrics.m_DuplicatePieces.add(Ending.m_Duplicates);
   if (Ending.m_Result != targets::RunResult::Whole) {
     const Reading Read = readRun(Ending);
     retries::Failure Why;
@@ -211,6 +367,7 @@
   release(TryOutcome::Completed, BootClock::now());
   TryEnding Told;
   Told.m_Whole = true;
+  Told.m_Streamed = true;
   Told.m_End = Ending.m_End;
   const auto OnEnd = std::exchange(m_Handlers, {}).m_OnEnd;
   OnEnd(std::move(Told));
@@ -245,6 +402,7 @@
   Told.m_Failure = Why;
   Told.m_MayBeCrash = MayBeCrash && !Late;
   Told.m_Error = std::move(What);
+  Told.m_Failing = std::exchange(m_Failing, std::nullopt);
   const auto OnEnd = std::exchange(m_Handlers, {}).m_OnEnd;
   if (OnEnd)
     OnEnd(std::move(Told));
@@ -253,23 +411,27 @@
 void Try::release(TryOutcome Evidence, TimePoint Now) {
   if (std::exchange(m_Released, true))
     return;
-  routing::noteEnded(m_Routing, m_Plan.m_Choice.m_Try, Evidence, Now,
+  freeKv();
+  routing::noteEnded(m_Tools.m_Routing, m_Plan.m_Choice.m_Try, Evidence, Now,
                      m_InPrefill);
-  m_Metrics.countTry(Evidence);
+  m_Tools.m_Metrics.countTry(Evidence);
 }
 
 void Try::tellEngineToCancel() {
-  if (m_For.isService() || m_Call == nullptr || !m_Call->hasSent())
+  // A target drops a plain request when its connection ends.
+  if (m_For.m_Passed || m_For.isService() || m_Call == nullptr ||
+      !m_Call->hasSent())
     return;
-  m_Metrics.m_Cancels.add();
-  targets::cancelRun(m_Loop, address(), m_Id, BootClock::now() + CancelTimeout,
+  m_Tools.m_Metrics.m_Cancels.add();
+  targets::cancelRun(m_Tools.m_Loop, address(), m_Id,
+                     BootClock::now() + CancelTimeout,
                      [](const Result<bool> &) {});
 }
 
 void Try::cancel(TryOutcome Evidence, TimePoint Now) {
   if (m_Released)
     return;
-  m_Metrics.m_AbandonedTries.add();
+  m_Tools.m_Metrics.m_AbandonedTries.add();
   tellEngineToCancel();
   if (m_Call != nullptr)
     m_Call->cancel();
@@ -281,6 +443,9 @@
   if (m_Released || m_Paused)
     return;
   bool Stalled = false;
+  // Given up, a plain request that must not be repeated has no other way.
+  if (m_For.m_Passed && m_For.m_NotRepeatable && !m_InPrefill)
+    return;
   if (m_For.isService())
     // A call that must not be repeated gains nothing by giving it up early.
     Stalled = !m_For.m_NotRepeatable && Now - m_SilentSince > m_Patience.m_Call;
@@ -293,8 +458,9 @@
   const auto Self = shared_from_this();
   retries::Failure Why;
   Why.m_Kind = FailureKind::Stalled;
+  Why.m_NotRunProven = m_For.m_Passed && m_InPrefill;
   Why.m_BytesSent = m_Sent || m_Call == nullptr || m_Call->hasSent();
-  m_Metrics.m_AbandonedTries.add();
+  m_Tools.m_Metrics.m_AbandonedTries.add();
   tellEngineToCancel();
   if (m_Call != nullptr)
     m_Call->cancel();
--- a/apps/entry/src/Try.h
+++ b/apps/entry/src/Try.h
@@ -19,12 +19,15 @@
 
 struct TryEnding {
   bool m_Whole = false;
+  bool m_Streamed = false;    ///< Whole, and passed on piece by piece.
   retries::Failure m_Failure; ///< Unless whole.
   /// The connection broke while the target had the request.
   bool m_MayBeCrash = false;
   targets::StreamEnd m_End;        ///< Of a whole run.
   targets::ServiceAnswer m_Answer; ///< Of a whole call.
-  Error m_Error;                   ///< Unless whole.
+  /// The target ran a plain request and answered with this failure.
+  std::optional<targets::ServiceAnswer> m_Failing;
+  Error m_Error; ///< Unless whole.
 };
 
 /// Where a try goes and with which part of the stream.
@@ -36,7 +39,18 @@
   std::uint64_t m_Offset = 0;
 };
 
+/// What all tries of an entry use; outlives them.
+struct TryTools {
+  event_base *m_Loop;
+  http::Pool &m_Connections;
+  const relay::Dialect *m_Dialect;
+  routing::State &m_Routing;
+  EntryMetrics &m_Metrics;
+};
+
 struct TryHandlers {
+  /// The head of a plain request's stream.
+  std::function<void(int Status, const http::Fields &)> m_OnHead;
   std::function<void(const targets::StreamPiece &)> m_OnPiece;
   /// Called once, last, and not at all after `cancel`.
   std::function<void(TryEnding)> m_OnEnd;
@@ -51,12 +65,10 @@
     std::chrono::milliseconds m_Call{10'000};
   };
 
-  /// Sends the request. \p For, \p Routing and \p Metrics outlive the try.
-  static std::shared_ptr<Try> start(event_base *Loop, const Arrival &For,
+  /// Sends the request. \p For outlives the try.
+  static std::shared_ptr<Try> start(TryTools With, const Arrival &For,
                                     TryPlan Plan, const Patience &Limits,
-                                    routing::State &Routing,
-                                    EntryMetrics &Metrics, TryHandlers Handlers,
-                                    TimePoint Now);
+                                    TryHandlers Handlers, TimePoint Now);
   ~Try();
   Try(const Try &) = delete;
   Try &operator=(const Try &) = delete;
@@ -79,12 +91,17 @@
   [[nodiscard]] const routing::Leg &leg() const;
 
 private:
-  Try(event_base *Loop, const Arrival &For, TryPlan Plan,
-      const Patience &Limits, routing::State &Routing, EntryMetrics &Metrics,
+  Try(TryTools With, const Arrival &For, TryPlan Plan, const Patience &Limits,
       TryHandlers Handlers, TimePoint Now);
   void startPrefill(TimePoint Now);
   void startRun(std::string KvTicket);
   void startCall();
+  /// Sends a plain request; \p KvSource may be empty.
+  void sendPassed(std::string KvSource, bool PrefillOnly);
+  void takeLoad(const relay::AnswerFacts::Load &Told);
+  void takePassedPrefill(const relay::TryEnd &Ending);
+  void takePassed(const relay::TryEnd &Ending);
+  void freeKv();
   void takePrefilled(const targets::RunEnding &Ending);
   void takePiece(const targets::StreamPiece &Piece);
   void takeRun(const targets::RunEnding &Ending);
@@ -95,20 +112,22 @@
   void release(routing::TryOutcome Evidence, TimePoint Now);
   void tellEngineToCancel();
 
-  event_base *m_Loop;
+  TryTools m_Tools;
   const Arrival &m_For;
   TryPlan m_Plan;
   Patience m_Patience;
-  routing::State &m_Routing;
-  EntryMetrics &m_Metrics;
   TryHandlers m_Handlers;
+  /// KV memory that an engine keeps for the run and that was not fetched yet.
+  std::string m_KvHandle;
+  std::optional<targets::ServiceAnswer> m_Failing;
   RequestId m_Id; ///< Of this try.
   std::shared_ptr<http::ClientCall> m_Call;
   TimePoint m_SilentSince;
   TimePoint m_FirstTokenBy;
   std::uint64_t m_Tokens = 0; ///< Of this try.
   bool m_InPrefill = false;
-  bool m_Sent = false; ///< A leg before this one has reached its engine.
+  bool m_Streaming = false; ///< The head of a plain request's stream has come.
+  bool m_Sent = false;      ///< A leg before this one has reached its engine.
   bool m_Paused = false;
   bool m_Released = false;
 };
--- a/libs/daemon/include/daemon/daemon.h
+++ b/libs/daemon/include/daemon/daemon.h
@@ -31,9 +31,24 @@
              const std::string &Summary, const settings::Json &Schema);
 
 /// JSON schema pieces that several programs share, under their names:
-/// `address` (ip:port), `name`, `z85_key`.
+/// `address` (ip:port), `name`, `z85_key`, `discovery`.
 settings::Json sharedDefinitions();
 
+/// Where control members are found that no settings name: each is known by its
+/// IP address, and all their hubs listen on one port.
+struct Discovery {
+  std::uint16_t m_HubPort = 0;
+  std::vector<NodeId> m_Seeds; ///< Members to ask first; they may be gone.
+  bool m_MayForm = false;      ///< Whether the cluster may be formed anew.
+  std::uint32_t m_Losses = 1;  ///< Members whose loss at once is borne.
+};
+
+/// \pre \p From is valid under the definition `discovery`.
+Discovery readDiscovery(const settings::Json &From);
+
+/// `ip:port` of a member's hub.
+std::string hubAddress(const Discovery &In, const NodeId &Member);
+
 /// The process's event loop. SIGTERM and SIGINT call the stop handler once;
 /// further ones are ignored. SIGPIPE is ignored.
 class EventLoop {
@@ -74,12 +89,14 @@
 
 /// Answers `/healthz`, `/readyz` and `/metrics`.
 /// \param NotReady yields the reason why the process is not ready, or an empty
-/// string; \param BeforePrint brings gauges up to date.
+/// string; \param BeforePrint brings gauges up to date; \param ReadyPath is
+/// answered like `/readyz`.
 Result<std::unique_ptr<http::Server>>
 listenForPlatform(event_base *Loop, const http::Address &At,
                   const metrics::Registry &Registry,
                   std::function<std::string()> NotReady,
-                  std::function<void()> BeforePrint = nullptr);
+                  std::function<void()> BeforePrint = nullptr,
+                  const std::string &ReadyPath = "/readyz");
 
 } // namespace wasabivale::daemon
 
--- a/libs/daemon/src/Platform.cpp
+++ b/libs/daemon/src/Platform.cpp
@@ -8,18 +8,17 @@
 
 } // namespace
 
-Result<std::unique_ptr<http::Server>>
-listenForPlatform(event_base *Loop, const http::Address &At,
-                  const metrics::Registry &Registry,
-                  std::function<std::string()> NotReady,
-                  std::function<void()> BeforePrint) {
-  const auto Answer = [&Registry, NotReady = std::move(NotReady),
+Result<std::unique_ptr<http::Server>> listenForPlatform(
+    event_base *Loop, const http::Address &At,
+    const metrics::Registry &Registry, std::function<std::string()> NotReady,
+    std::function<void()> BeforePrint, const std::string &ReadyPath) {
+  const auto Answer = [&Registry, ReadyPath, NotReady = std::move(NotReady),
                        BeforePrint = std::move(BeforePrint)](
                           const std::shared_ptr<http::Exchange> &Arrived) {
     const std::string &Path = Arrived->request().m_Path;
     if (Path == "/healthz") {
       Arrived->reply(200, PlainText, "ok\n");
-    } else if (Path == "/readyz") {
+    } else if (Path == "/readyz" || Path == ReadyPath) {
       const std::string Reason = NotReady();
       Arrived->reply(Reason.empty() ? 200 : 503, PlainText,
                      Reason.empty() ? "ready\n" : Reason + "\n");
--- a/libs/daemon/src/ReadSettings.cpp
+++ b/libs/daemon/src/ReadSettings.cpp
@@ -15,10 +15,34 @@
     "address": {"type": "string", "description": "ip:port",
       "pattern": "^[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}$"},
     "name": {"type": "string", "pattern": "^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$"},
-    "z85_key": {"type": "string", "minLength": 40, "maxLength": 40}
+    "z85_key": {"type": "string", "minLength": 40, "maxLength": 40},
+    "discovery": {"type": "object", "additionalProperties": false,
+      "required": ["hub_port", "seeds"],
+      "properties": {
+        "hub_port": {"type": "integer", "minimum": 1, "maximum": 65535},
+        "seeds": {"type": "array", "minItems": 1, "maxItems": 7,
+                  "items": {"$ref": "#/definitions/address"}},
+        "may_form": {"type": "boolean"},
+        "losses": {"type": "integer", "minimum": 0, "maximum": 3}}}
   })");
 }
 
+Discovery readDiscovery(const settings::Json &From) {
+  Discovery Made;
+  Made.m_HubPort = From["hub_port"];
+  Made.m_MayForm = From.value("may_form", Made.m_MayForm);
+  Made.m_Losses = From.value("losses", Made.m_Losses);
+  for (const settings::Json &Seed : From["seeds"]) {
+    const auto &Address = Seed.get_ref<const std::string &>();
+    Made.m_Seeds.push_back({Address.substr(0, Address.rfind(':'))});
+  }
+  return Made;
+}
+
+std::string hubAddress(const Discovery &In, const NodeId &Member) {
+  return fmt::format("{}:{}", Member.m_Value, In.m_HubPort);
+}
+
 static void printProblems(const std::vector<settings::Problem> &Problems) {
   for (const settings::Problem &Finding : Problems) {
     events::emit(events::Event::SettingsInvalid,
@@ -47,7 +71,9 @@
   auto Add = Known.add_options();
   Add("help,h", "print this text");
   Add("version", "print the version");
-  Add("config", options::value<std::string>(), "settings file (JSON)");
+  Add("config", options::value<std::string>(),
+      "settings file (JSON); otherwise the variable WASABIVALE_CONFIG names "
+      "it");
   Add("check-config", "check the settings and end: 0 valid, 2 not");
   options::variables_map Given;
   try {
@@ -67,11 +93,15 @@
     fmt::print("{} {}\n", Program, WASABIVALE_VERSION);
     return ExitOk;
   }
-  if (Given.count("config") == 0) {
+  // A platform that starts processes may hand the place of the file this way.
+  const char *FromEnvironment = std::getenv("WASABIVALE_CONFIG");
+  if (Given.count("config") == 0 && FromEnvironment == nullptr) {
     fmt::print(stderr, "{}: --config FILE is required\n", Program);
     return ExitUsage;
   }
-  const auto File = Given["config"].as<std::string>();
+  const auto File = Given.count("config") != 0
+                        ? Given["config"].as<std::string>()
+                        : std::string(FromEnvironment);
   auto Loaded = loadAndReport(File, Schema);
   if (std::holds_alternative<settings::Json>(Loaded) &&
       Given.count("check-config") != 0) {
--- a/libs/events/src/Events.cpp
+++ b/libs/events/src/Events.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <chrono>
+#include <cstdio>
 #include <ctime>
 
 namespace wasabivale::events {
@@ -111,7 +112,8 @@
 void emit(Event Kind, std::initializer_list<Field> Fields) {
   if (infoOf(Kind).m_Level < MinimumLevel)
     return;
-  fmt::print(stderr, "{} {}\n", timeNow(), formatLine(Kind, Fields));
+  fmt::print(stdout, "{} {}\n", timeNow(), formatLine(Kind, Fields));
+  std::fflush(stdout);
 }
 
 void emitError(Event Kind, const Error &Failure) {
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -62,6 +62,8 @@
 inline constexpr std::chrono::hours AnswersKeptFor{24};
 /// A target that has been lost or withdrawn for so long may be forgotten.
 inline constexpr std::chrono::hours TargetsKeptFor{24 * 7};
+/// The same for one that manages itself: long enough for its late messages.
+inline constexpr std::chrono::seconds SelfManagedKeptFor{60};
 /// Names of removed targets kept for updates from an older revision.
 inline constexpr std::size_t RemovedTargetsKept = 256;
 
@@ -108,6 +110,11 @@
   std::uint32_t m_MaxRunning = 0;
   double m_PrefillTokensPerSecond = 0;
   double m_DecodeTokensPerSecond = 0;
+  /// Start of its process by its own clock; zero: not told. At one address the
+  /// later start takes the place of the earlier one.
+  std::uint64_t m_StartedMs = 0;
+  /// It starts, leaves and changes its role by itself and takes no orders.
+  bool m_SelfManaged = false;
 
   TargetState m_State = TargetState::Announced;
   LogTime m_StateSince;
@@ -296,6 +303,14 @@
 /// The newest accepted document; empty before the first.
 std::string_view currentDocument(const Configuration &In);
 
+// --- Routes -----------------------------------------------------------------
+
+/// The accepted routes; the highest version wins.
+struct Routes {
+  wire::RouteTable m_Table; ///< Version zero: none yet.
+  std::string m_Source;     ///< As the operator sent them.
+};
+
 // --- Answered operator calls ----------------------------------------------
 
 /// Answer to a command.
@@ -334,6 +349,7 @@
   Plans m_Plans;
   RolePolicy m_Policy;
   Configuration m_Configuration;
+  Routes m_Routes;
   RequestTable m_Requests;
   retries::Suspicion m_Suspicion; ///< Its times are log times.
 };
@@ -371,7 +387,8 @@
 /// What entries must know that changed since the given revisions; the whole
 /// state when \p FleetFrom is zero or too old.
 wire::FleetUpdate updateSince(const State &From, std::uint64_t FleetFrom,
-                              std::uint64_t ConfigurationFrom);
+                              std::uint64_t ConfigurationFrom,
+                              std::uint64_t RoutesFrom);
 
 wire::Target describe(const Target &From);
 
@@ -416,6 +433,8 @@
     TimePoint m_At;
   };
   std::map<TargetId, Seen> m_Seen;
+  /// Targets report to the leader itself, not by way of entries.
+  bool m_HearsTargets = false;
   std::vector<wire::EntryGone> m_Gone; ///< Ended sessions, to be committed.
 };
 
@@ -441,6 +460,10 @@
 /// in flight there, as far as live leases tell.
 bool barrierReached(const Barriers &In, const Target &About, TimePoint Now);
 
+/// Whether no entry with a live lease sends new work to \p About's generation.
+/// What is in flight there may go on.
+bool isClosedEverywhere(const Barriers &In, const Target &About, TimePoint Now);
+
 struct InForce {
   std::uint64_t m_Revision = 0;  ///< Applied by every entry that may serve.
   std::vector<NodeId> m_Lagging; ///< Live entries below the accepted one.
--- a/libs/fleet/src/Apply.cpp
+++ b/libs/fleet/src/Apply.cpp
@@ -51,6 +51,14 @@
                           : refuse(Refusal::InvalidConfiguration, Problems);
 }
 
+/// A version that is not higher changes nothing and is no error: an operator
+/// sends a change again until it is acknowledged.
+Reply putRoutes(State &On, const wire::PutRoutes &Given) {
+  if (Given.table().version() > On.m_Routes.m_Table.version())
+    On.m_Routes = {Given.table(), Given.source()};
+  return accept();
+}
+
 } // namespace
 
 std::optional<Reply> precheck(const wire::Command &Command) {
@@ -93,6 +101,8 @@
     return takeCrash(On, Command.crash());
   case wire::Command::kRerun:
     return takeRerun(On, Command.rerun());
+  case wire::Command::kPutRoutes:
+    return putRoutes(On, Command.put_routes());
   case wire::Command::kOperatorCommand:
     return operatorCall(On, Command);
   default:
--- a/libs/fleet/src/Barriers.cpp
+++ b/libs/fleet/src/Barriers.cpp
@@ -77,6 +77,20 @@
                      });
 }
 
+bool isClosedEverywhere(const Barriers &In, const Target &About,
+                        TimePoint Now) {
+  if (Now < In.m_CompleteAt)
+    return false;
+  return std::all_of(
+      In.m_Entries.begin(), In.m_Entries.end(), [&](const auto &Each) {
+        if (Each.second.m_LeaseUntil <= Now)
+          return true;
+        const auto Found = Each.second.m_Barriers.find(About.m_Id);
+        return Found != Each.second.m_Barriers.end() &&
+               Found->second.m_Generation == About.m_Generation;
+      });
+}
+
 InForce inForce(const Barriers &In, const State &Known, TimePoint Now) {
   InForce Out;
   Out.m_Revision = Known.m_Configuration.m_Revision;
--- a/libs/fleet/src/Due.cpp
+++ b/libs/fleet/src/Due.cpp
@@ -82,12 +82,15 @@
   std::vector<Action> m_Actions;
 };
 
-/// Whether any entry that can be heard relays what targets report.
+/// Whether any entry that can be heard relays what targets report, or the
+/// leader hears them itself.
 bool hearsTargets(const Barriers &Heard, TimePoint Now) {
-  return std::any_of(
-      Heard.m_Entries.begin(), Heard.m_Entries.end(), [&](const auto &Each) {
-        return Each.second.m_LeaseUntil > Now && Each.second.m_ReportsTargets;
-      });
+  return Heard.m_HearsTargets ||
+         std::any_of(Heard.m_Entries.begin(), Heard.m_Entries.end(),
+                     [&](const auto &Each) {
+                       return Each.second.m_LeaseUntil > Now &&
+                              Each.second.m_ReportsTargets;
+                     });
 }
 
 bool isLost(const Target &Which, const Barriers &Heard, TimePoint Now,
@@ -99,6 +102,21 @@
   return Seen != Heard.m_Seen.end() && Now - Seen->second.m_At > After;
 }
 
+/// Silence of most targets at once is taken for a fault on the way here. What
+/// has ended is then still noticed by the entries, which get no answer.
+bool hearsMost(const State &Known, const Barriers &Heard, TimePoint Now,
+               const DueSettings &Settings) {
+  std::size_t Present = 0;
+  std::size_t Silent = 0;
+  for (const auto &[Name, Each] : Known.m_Targets.m_ById) {
+    if (!Each.m_SelfManaged || Each.m_State != TargetState::Serving)
+      continue;
+    ++Present;
+    Silent += isLost(Each, Heard, Now, Settings.m_LostAfter) ? 1 : 0;
+  }
+  return Silent * 2 <= Present;
+}
+
 /// The order that brings a target back, unless a step sees to it.
 std::optional<Wanted> ownOrder(const State &Known, const Target &Which) {
   const bool Waits = Which.m_State == TargetState::Announced ||
@@ -121,7 +139,8 @@
 
 void targetActions(const State &Known, const Barriers &Heard, TimePoint Now,
                    const DueSettings &Settings, Collector &Out) {
-  const bool Hears = hearsTargets(Heard, Now);
+  const bool Hears =
+      hearsTargets(Heard, Now) && hearsMost(Known, Heard, Now, Settings);
   for (const auto &[Name, Each] : Known.m_Targets.m_ById) {
     if (Hears && isLost(Each, Heard, Now, Settings.m_LostAfter)) {
       Out.lose(Each);
--- a/libs/fleet/src/Snapshot.cpp
+++ b/libs/fleet/src/Snapshot.cpp
@@ -68,6 +68,8 @@
   Out.m_ChecksFence = Said.checks_fence();
   Out.m_KvBlocks = Said.kv_blocks();
   Out.m_MaxRunning = Said.max_running();
+  Out.m_StartedMs = Said.started_ms();
+  Out.m_SelfManaged = Said.self_managed();
   Out.m_PrefillTokensPerSecond = Said.prefill_tokens_per_second();
   Out.m_DecodeTokensPerSecond = Said.decode_tokens_per_second();
   Out.m_State = stateNamed(Said.state());
@@ -334,6 +336,8 @@
   write(Out, From.m_Configuration);
   write(Out, From.m_Requests);
   write(*Out.mutable_suspicion(), From.m_Suspicion);
+  *Out.mutable_routes()->mutable_table() = From.m_Routes.m_Table;
+  Out.mutable_routes()->set_source(From.m_Routes.m_Source);
   return Out.SerializeAsString();
 }
 
@@ -350,6 +354,7 @@
   read(Out.m_Configuration, In);
   read(Out.m_Requests, In);
   read(Out.m_Suspicion, In.suspicion());
+  Out.m_Routes = {In.routes().table(), In.routes().source()};
   return Out;
 }
 
--- a/libs/fleet/src/Targets.cpp
+++ b/libs/fleet/src/Targets.cpp
@@ -56,14 +56,35 @@
   To.m_MaxRunning = Said.max_running();
   To.m_PrefillTokensPerSecond = Said.prefill_tokens_per_second();
   To.m_DecodeTokensPerSecond = Said.decode_tokens_per_second();
+  To.m_StartedMs = Said.started_ms();
+  To.m_SelfManaged = Said.self_managed();
+}
+
+/// Whether the process that announces itself was started at the address of
+/// \p Holder after it: that one has ended.
+bool tookPlaceOf(const Target &Holder, const wire::Target &Said) {
+  return Holder.m_SelfManaged && Said.self_managed() &&
+         Holder.m_StartedMs < Said.started_ms();
+}
+
+/// Whether a target that changes by itself has done so.
+bool factsDiffer(const Target &Known, const wire::Target &Said) {
+  Target Next = Known;
+  takeFacts(Next, Said);
+  return Next.m_Role != Known.m_Role || Next.m_Models != Known.m_Models ||
+         Next.m_MaxRunning != Known.m_MaxRunning ||
+         Next.m_KvBlocks != Known.m_KvBlocks;
 }
 
 void forgetOldTargets(State &On) {
   Targets &In = On.m_Targets;
   for (auto Each = In.m_ById.begin(); Each != In.m_ById.end();) {
     const Target &Old = Each->second;
+    const std::chrono::nanoseconds Kept =
+        Old.m_SelfManaged ? std::chrono::nanoseconds(SelfManagedKeptFor)
+                          : std::chrono::nanoseconds(TargetsKeptFor);
     const bool Forgotten = isOut(Old) && Old.m_ClaimedBy.empty() &&
-                           On.m_Now - Old.m_StateSince > TargetsKeptFor;
+                           On.m_Now - Old.m_StateSince > Kept;
     if (!Forgotten) {
       ++Each;
       continue;
@@ -168,6 +189,8 @@
 }
 
 std::optional<Wanted> restoration(const Target &Of) {
+  if (Of.m_SelfManaged)
+    return std::nullopt;
   if (Of.m_LeavingByItself && Of.m_State != TargetState::Withdrawn) {
     Wanted Gone = actual(Of);
     Gone.m_Draining = true;
@@ -184,9 +207,15 @@
     return refuse(Refusal::InvalidField);
   forgetOldTargets(On);
   const TargetId Name{Said.id()};
-  if (const Target *Holder = holderOf(On.m_Targets, Said.address(), Name))
-    return refuse(Refusal::AddressInUse,
-                  "the address belongs to " + Holder->m_Id.m_Value);
+  if (const Target *Holder = holderOf(On.m_Targets, Said.address(), Name)) {
+    if (!tookPlaceOf(*Holder, Said))
+      return refuse(Refusal::AddressInUse,
+                    "the address belongs to " + Holder->m_Id.m_Value);
+    wire::LoseTarget Ended;
+    Ended.set_target(Holder->m_Id.m_Value);
+    Ended.set_incarnation(Holder->m_Incarnation);
+    lose(On, Ended);
+  }
   Target *Known = findTarget(On.m_Targets, Name);
   if (Known == nullptr) {
     comeBack(On, On.m_Targets.m_ById[Name], Said);
@@ -198,8 +227,16 @@
   if (Same && Known->m_Address != Said.address())
     return refuse(Refusal::AddressInUse,
                   "this incarnation announced itself at " + Known->m_Address);
-  if (Same && Known->m_State != TargetState::Lost)
+  // A beat of an earlier process that was held up on its way.
+  if (!Same && Known->m_SelfManaged && Said.started_ms() < Known->m_StartedMs)
+    return refuse(Refusal::StaleIncarnation);
+  if (Same && Known->m_State != TargetState::Lost) {
+    if (Known->m_SelfManaged && factsDiffer(*Known, Said)) {
+      takeFacts(*Known, Said);
+      touch(On.m_Targets, *Known);
+    }
     return accept();
+  }
   comeBack(On, *Known, Said);
   return accept();
 }
--- a/libs/fleet/src/View.cpp
+++ b/libs/fleet/src/View.cpp
@@ -77,11 +77,14 @@
   Out.set_prefill_tokens_per_second(From.m_PrefillTokensPerSecond);
   Out.set_decode_tokens_per_second(From.m_DecodeTokensPerSecond);
   Out.set_max_running(From.m_MaxRunning);
+  Out.set_started_ms(From.m_StartedMs);
+  Out.set_self_managed(From.m_SelfManaged);
   return Out;
 }
 
 wire::FleetUpdate updateSince(const State &From, std::uint64_t FleetFrom,
-                              std::uint64_t ConfigurationFrom) {
+                              std::uint64_t ConfigurationFrom,
+                              std::uint64_t RoutesFrom) {
   const Targets &In = From.m_Targets;
   const bool Whole = FleetFrom == 0 || FleetFrom < In.m_OldestDelta ||
                      FleetFrom > In.m_Revision;
@@ -98,6 +101,9 @@
   Out.set_configuration_revision(From.m_Configuration.m_Revision);
   if (ConfigurationFrom < From.m_Configuration.m_Revision)
     Out.set_configuration(std::string(currentDocument(From.m_Configuration)));
+  Out.set_routes_version(From.m_Routes.m_Table.version());
+  if (RoutesFrom < From.m_Routes.m_Table.version())
+    *Out.mutable_routes() = From.m_Routes.m_Table;
   return Out;
 }
 
--- a/libs/fleet/tests/TargetsTest.cpp
+++ b/libs/fleet/tests/TargetsTest.cpp
@@ -85,15 +85,15 @@
   On.announce("e1");
   const std::uint64_t Known = On.m_State.m_Targets.m_Revision;
   On.announce("e2");
-  CHECK(updateSince(On.m_State, Known, 0).targets_size() == 1);
-  CHECK(updateSince(On.m_State, 0, 0).targets_size() == 2);
+  CHECK(updateSince(On.m_State, Known, 0, 0).targets_size() == 1);
+  CHECK(updateSince(On.m_State, 0, 0, 0).targets_size() == 2);
   GIVEN("a target that was lost long ago") {
     On.lose("e1");
     const std::uint64_t Before = On.m_State.m_Targets.m_Revision;
     On.m_Now += TargetsKeptFor + std::chrono::hours(1);
     On.announce("e3");
     THEN("it is removed") {
-      const wire::FleetUpdate Update = updateSince(On.m_State, Before, 0);
+      const wire::FleetUpdate Update = updateSince(On.m_State, Before, 0, 0);
       REQUIRE(Update.removed_targets_size() == 1);
       CHECK(Update.removed_targets(0) == "e1");
     }
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -3,6 +3,8 @@
 /// needs beside it: bounded bodies and headers, notice of a caller that has
 /// gone, the bytes that a slow reader has not taken yet, and a client that
 /// never sends a request twice and knows whether its first byte has left.
+/// Requests whose length two readers could take differently are refused before
+/// the handler sees them.
 ///
 /// `listen` and `call` make the process ignore SIGPIPE: a peer that has closed
 /// its connection is an error of that connection only.
@@ -32,6 +34,17 @@
 /// first value.
 using Headers = std::map<std::string, std::string>;
 
+/// Header fields as they were sent: in their order, each repeated one too.
+using Fields = std::vector<std::pair<std::string, std::string>>;
+
+/// \returns the first value of \p Name in any case, or an empty view.
+std::string_view field(const Fields &In, std::string_view Name);
+/// Whether two names of fields are equal but for the case of letters.
+bool isSameName(std::string_view One, std::string_view Other);
+/// Whether a field concerns one connection only (RFC 9110, 7.6.1), or states
+/// the length of a message that is written anew.
+bool isHopByHop(std::string_view Name);
+
 /// IPv4 address and port.
 struct Address {
   std::string m_Host;
@@ -48,7 +61,9 @@
   std::string m_Method; ///< GET, POST, PUT, DELETE, HEAD, OPTIONS or PATCH.
   std::string m_Path;   ///< Without the query.
   std::string m_Query;
+  std::string m_Target; ///< Path and query, byte for byte.
   Headers m_Headers;
+  Fields m_Fields;
   std::string m_Body;
   std::string m_PeerAddress;
 };
@@ -56,6 +71,7 @@
 struct Response {
   int m_Status = 0;
   Headers m_Headers;
+  Fields m_Fields;
   std::string m_Body; ///< Empty when the body was taken by `OnChunk`.
 };
 
@@ -76,8 +92,13 @@
   /// Sends a whole answer.
   virtual void reply(int Status, const Headers &With,
                      std::string_view Body) = 0;
+  /// Sends a whole answer with the fields of another server.
+  virtual void relay(int Status, const Fields &With, std::string_view Body) = 0;
   /// Starts an answer of unknown length (chunked).
   virtual void startStream(int Status, const Headers &With) = 0;
+  virtual void startRelay(int Status, const Fields &With) = 0;
+  /// The connection ends after the answer. Call before the answer begins.
+  virtual void closeAfter() = 0;
   virtual void write(std::string_view Piece) = 0;
   /// Ends a stream in order.
   virtual void finish() = 0;
@@ -134,8 +155,11 @@
 struct ClientRequest {
   Address m_To;
   std::string m_Method = "POST";
-  std::string m_Path;
+  std::string m_Path; ///< With the query.
   Headers m_Headers;
+  /// Sent as they are, with no others but the length. Used in place of
+  /// `m_Headers` when they are not empty.
+  Fields m_Fields;
   std::string m_Body;
   /// When the call ends with an error if the answer is not complete.
   TimePoint m_Deadline;
@@ -148,6 +172,8 @@
 struct ClientHandlers {
   /// Status and headers have arrived. Optional.
   std::function<void(int Status, const Headers &)> m_OnHead;
+  /// The same with the fields as they were sent. Optional.
+  std::function<void(int Status, const Fields &)> m_OnFields;
   /// A piece of the body has arrived. When unset, the body is collected.
   std::function<void(std::string_view Piece)> m_OnChunk;
   /// The call has ended: the answer is complete, or it failed. Called once,
@@ -155,7 +181,8 @@
   std::function<void(Result<Response>)> m_OnDone;
 };
 
-/// One request on its own fresh connection. It is sent at most once.
+/// One request on a connection that serves no other meanwhile. It is sent at
+/// most once.
 class ClientCall {
 public:
   virtual ~ClientCall() = default;
@@ -176,6 +203,45 @@
 std::shared_ptr<ClientCall> call(event_base *Loop, ClientRequest What,
                                  ClientHandlers Handlers);
 
+struct PoolSettings {
+  /// Idle time after which a connection is closed when its peer states none.
+  std::chrono::milliseconds m_Idle{8'000};
+  /// A connection is given up this long before its peer would close it.
+  std::chrono::milliseconds m_IdleMargin{700};
+  /// Longest idle time of a connection that a request takes which must not be
+  /// repeated: a peer that closes as we write leaves its fate unknown.
+  std::chrono::milliseconds m_FreshIdle{1'500};
+  /// Longest wait for a new connection. Nothing has been sent by then.
+  std::chrono::milliseconds m_Connect{500};
+  /// Longest time that sent bytes stay unacknowledged by the peer's kernel.
+  std::chrono::milliseconds m_Unacknowledged{1'000};
+};
+
+/// Kept connections to servers: at most one request at a time on each. A
+/// connection is kept only after a whole answer with nothing behind it, and
+/// once the whole request has been written.
+class Pool {
+public:
+  Pool(event_base *Loop, PoolSettings Settings);
+  ~Pool();
+  Pool(const Pool &) = delete;
+  Pool &operator=(const Pool &) = delete;
+
+  /// Starts a call on a kept connection, or on a new one.
+  /// \param Repeatable false: only a connection that was used just now.
+  std::shared_ptr<ClientCall> call(ClientRequest What, ClientHandlers Handlers,
+                                   bool Repeatable);
+  /// Closes the idle connections to a server that is not used any longer.
+  void forget(const Address &Server);
+  [[nodiscard]] std::size_t idle() const;
+  [[nodiscard]] std::uint64_t opened() const;
+
+  struct State; ///< Shared with the calls under way.
+
+private:
+  std::shared_ptr<State> m_State;
+};
+
 // --- Timers ---------------------------------------------------------------
 
 /// A timer on a loop; stops when it is destroyed.
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -1,4 +1,5 @@
 #include "Headers.h"
+#include "Pool.h"
 
 #include <algorithm>
 #include <event2/bufferevent.h>
@@ -9,14 +10,17 @@
 
 namespace {
 
-evhttp_cmd_type methodOf(const std::string &Name) {
-  if (Name == "GET")
-    return EVHTTP_REQ_GET;
-  if (Name == "PUT")
-    return EVHTTP_REQ_PUT;
-  if (Name == "DELETE")
-    return EVHTTP_REQ_DELETE;
-  return EVHTTP_REQ_POST;
+std::optional<evhttp_cmd_type> methodOf(const std::string &Name) {
+  const std::pair<const char *, evhttp_cmd_type> Methods[] = {
+      {"GET", EVHTTP_REQ_GET},         {"POST", EVHTTP_REQ_POST},
+      {"PUT", EVHTTP_REQ_PUT},         {"DELETE", EVHTTP_REQ_DELETE},
+      {"HEAD", EVHTTP_REQ_HEAD},       {"PATCH", EVHTTP_REQ_PATCH},
+      {"OPTIONS", EVHTTP_REQ_OPTIONS},
+  };
+  for (const auto &[Known, Value] : Methods)
+    if (Name == Known)
+      return Value;
+  return std::nullopt;
 }
 
 const char *textOf(evhttp_request_error Kind) {
@@ -42,24 +46,27 @@
 /// fresh turn of the loop.
 class ClientCallState final : public ClientCall {
 public:
-  ClientCallState(event_base *Loop, ClientRequest What, ClientHandlers Handlers)
-      : m_Loop(Loop), m_What(std::move(What)), m_Handlers(std::move(Handlers)) {
-  }
+  /// \param Keep null: the connection is fresh and closed afterwards.
+  ClientCallState(event_base *Loop, ClientRequest What, ClientHandlers Handlers,
+                  std::shared_ptr<Pool::State> Keep, bool Repeatable)
+      : m_Loop(Loop), m_What(std::move(What)), m_Handlers(std::move(Handlers)),
+        m_Pool(std::move(Keep)), m_Repeatable(Repeatable) {}
 
   ~ClientCallState() override {
+    unwatch();
     if (m_Connection != nullptr)
       evhttp_connection_free(m_Connection);
   }
 
   void start(std::shared_ptr<ClientCallState> Self) {
     m_Self = std::move(Self);
-    bufferevent *Buffer =
-        bufferevent_socket_new(m_Loop, -1, BEV_OPT_CLOSE_ON_FREE);
-    evbuffer_add_cb(bufferevent_get_output(Buffer), onOutput, this);
-    m_Connection = evhttp_connection_base_bufferevent_new(
-        m_Loop, nullptr, Buffer, m_What.m_To.m_Host.c_str(),
-        m_What.m_To.m_Port);
-    evhttp_connection_set_retries(m_Connection, 0);
+    const std::optional<evhttp_cmd_type> Method = methodOf(m_What.m_Method);
+    if (!Method)
+      return failSoon();
+    m_Connection = m_Pool == nullptr ? openConnection(m_Loop, m_What.m_To)
+                                     : m_Pool->take(m_What.m_To, m_Repeatable);
+    bufferevent *Buffer = evhttp_connection_get_bufferevent(m_Connection);
+    m_Output = evbuffer_add_cb(bufferevent_get_output(Buffer), onOutput, this);
     evhttp_connection_set_max_body_size(
         m_Connection, static_cast<ev_ssize_t>(m_What.m_AnswerBytes));
     evhttp_request *Raw = evhttp_request_new(onComplete, this);
@@ -67,9 +74,18 @@
     evhttp_request_set_chunked_cb(Raw, onChunk);
     evhttp_request_set_error_cb(Raw, onError);
     evkeyvalq *Out = evhttp_request_get_output_headers(Raw);
-    addHeaders(Out, m_What.m_Headers);
-    evhttp_add_header(Out, "Host", printAddress(m_What.m_To).c_str());
-    evhttp_add_header(Out, "Connection", "close");
+    if (m_What.m_Fields.empty()) {
+      addHeaders(Out, m_What.m_Headers);
+      evhttp_add_header(Out, "Host", printAddress(m_What.m_To).c_str());
+    } else {
+      addFields(Out, m_What.m_Fields);
+    }
+    if (m_Pool == nullptr)
+      evhttp_add_header(Out, "Connection", "close");
+    // evhttp states the length of some methods only.
+    if (!m_What.m_Body.empty())
+      evhttp_add_header(Out, "Content-Length",
+                        std::to_string(m_What.m_Body.size()).c_str());
     evbuffer_add(evhttp_request_get_output_buffer(Raw), m_What.m_Body.data(),
                  m_What.m_Body.size());
     const auto Left = std::chrono::ceil<std::chrono::milliseconds>(
@@ -77,10 +93,14 @@
     m_Deadline.emplace(m_Loop, std::max(Left, std::chrono::milliseconds(0)),
                        false, [this] { end("timed out"); });
     // On failure evhttp frees the request, or has already reported the error.
-    if (evhttp_make_request(m_Connection, Raw, methodOf(m_What.m_Method),
+    if (evhttp_make_request(m_Connection, Raw, *Method,
                             m_What.m_Path.c_str()) != 0)
-      m_FailedAtStart.emplace(m_Loop, std::chrono::milliseconds(0), false,
-                              [this] { end("the connection failed"); });
+      return failSoon();
+    if (m_Pool != nullptr)
+      m_Connecting.emplace(m_Loop, m_Pool->m_Settings.m_Connect, false, [this] {
+        if (!m_HasSent)
+          end("no connection in time");
+      });
   }
 
   [[nodiscard]] bool hasSent() const override { return m_HasSent; }
@@ -104,10 +124,27 @@
   }
 
 private:
+  void failSoon() {
+    m_FailedAtStart.emplace(m_Loop, std::chrono::milliseconds(0), false,
+                            [this] { end("the connection failed"); });
+  }
+
+  void unwatch() {
+    if (m_Output == nullptr)
+      return;
+    bufferevent *Buffer = evhttp_connection_get_bufferevent(m_Connection);
+    evbuffer_remove_cb_entry(bufferevent_get_output(Buffer),
+                             std::exchange(m_Output, nullptr));
+  }
+
   static void onOutput(evbuffer *, const evbuffer_cb_info *Info,
                        void *Argument) {
-    if (Info->n_deleted > 0)
-      static_cast<ClientCallState *>(Argument)->m_HasSent = true;
+    auto &Self = *static_cast<ClientCallState *>(Argument);
+    if (Info->n_deleted == 0 || Self.m_HasSent)
+      return;
+    Self.m_HasSent = true;
+    if (Self.m_Pool != nullptr)
+      Self.m_Pool->watchSilence(Self.m_Connection);
   }
 
   static int onHead(evhttp_request *Raw, void *Argument) {
@@ -117,8 +154,12 @@
     Self.m_Response.m_Status = evhttp_request_get_response_code(Raw);
     Self.m_Response.m_Headers =
         toHeaders(evhttp_request_get_input_headers(Raw));
+    Self.m_Response.m_Fields = toFields(evhttp_request_get_input_headers(Raw));
     Self.tell(Self.m_Handlers.m_OnHead, Self.m_Response.m_Status,
               Self.m_Response.m_Headers);
+    if (!Self.m_Ended)
+      Self.tell(Self.m_Handlers.m_OnFields, Self.m_Response.m_Status,
+                Self.m_Response.m_Fields);
     return 0;
   }
 
@@ -166,6 +207,7 @@
     }
     Self.m_Response.m_Body += takeBody(evhttp_request_get_input_buffer(Raw));
     Self.m_Response.m_Status = evhttp_request_get_response_code(Raw);
+    Self.m_IsWhole = true;
     Self.endWith(std::move(Self.m_Response));
   }
 
@@ -178,6 +220,8 @@
       return;
     const auto OnDone = std::move(m_Handlers.m_OnDone);
     m_Handlers = {};
+    if (m_IsWhole)
+      m_Response.m_Fields = valueOf(Ending).m_Fields;
     close();
     if (OnDone)
       OnDone(std::move(Ending));
@@ -187,6 +231,10 @@
     if (m_Ended)
       return;
     m_Ended = true;
+    unwatch();
+    if (m_Pool != nullptr && m_IsWhole && m_Connection != nullptr)
+      m_Pool->giveBack(std::exchange(m_Connection, nullptr), m_What.m_To,
+                       m_Response.m_Fields);
     const timeval AtOnce{0, 0};
     auto *Last = new std::shared_ptr<ClientCallState>(std::move(m_Self));
     event_base_once(
@@ -197,6 +245,7 @@
           if (auto *Raw = std::exchange((*Held)->m_Connection, nullptr))
             evhttp_connection_free(Raw);
           (*Held)->m_Deadline.reset();
+          (*Held)->m_Connecting.reset();
         },
         Last, &AtOnce);
   }
@@ -209,10 +258,15 @@
   evhttp_connection *m_Connection = nullptr;
   std::optional<Timer> m_Deadline;
   std::optional<Timer> m_FailedAtStart;
+  std::optional<Timer> m_Connecting;
+  std::shared_ptr<Pool::State> m_Pool;
+  bool m_Repeatable;
+  evbuffer_cb_entry *m_Output = nullptr;
   std::shared_ptr<ClientCallState> m_Self;
   std::size_t m_PassedOn = 0; ///< Bytes of the body given to `m_OnChunk`.
   bool m_InCallback = false;
   bool m_HasSent = false;
+  bool m_IsWhole = false;
   bool m_Ended = false;
 };
 
@@ -221,8 +275,17 @@
 std::shared_ptr<ClientCall> call(event_base *Loop, ClientRequest What,
                                  ClientHandlers Handlers) {
   ignoreBrokenPipes();
-  auto Made = std::make_shared<ClientCallState>(Loop, std::move(What),
-                                                std::move(Handlers));
+  auto Made = std::make_shared<ClientCallState>(
+      Loop, std::move(What), std::move(Handlers), nullptr, true);
+  Made->start(Made);
+  return Made;
+}
+
+std::shared_ptr<ClientCall>
+Pool::call(ClientRequest What, ClientHandlers Handlers, bool Repeatable) {
+  auto Made = std::make_shared<ClientCallState>(
+      m_State->m_Loop, std::move(What), std::move(Handlers), m_State,
+      Repeatable);
   Made->start(Made);
   return Made;
 }
--- a/libs/http/src/Headers.h
+++ b/libs/http/src/Headers.h
@@ -14,6 +14,11 @@
 
 Headers toHeaders(const evkeyvalq *From);
 void addHeaders(evkeyvalq *To, const Headers &From);
+Fields toFields(const evkeyvalq *From);
+void addFields(evkeyvalq *To, const Fields &From);
+/// Whether the length of a request is stated in a way that another reader could
+/// take differently, or it has a body where evhttp reads none.
+bool isAmbiguous(const std::string &Method, const Fields &Of);
 std::string takeBody(evbuffer *From);
 /// Writing to a connection that the peer has closed must not end the process.
 void ignoreBrokenPipes();
--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -43,7 +43,10 @@
   const char *Query = Uri == nullptr ? nullptr : evhttp_uri_get_query(Uri);
   Made.m_Path = Path == nullptr ? "" : Path;
   Made.m_Query = Query == nullptr ? "" : Query;
+  const char *Target = evhttp_request_get_uri(From);
+  Made.m_Target = Target == nullptr ? "" : Target;
   Made.m_Headers = toHeaders(evhttp_request_get_input_headers(From));
+  Made.m_Fields = toFields(evhttp_request_get_input_headers(From));
   Made.m_Body = takeBody(evhttp_request_get_input_buffer(From));
   if (evhttp_connection *Connection = evhttp_request_get_connection(From)) {
     char *Host = nullptr;
@@ -82,6 +85,30 @@
     if (m_Raw == nullptr)
       return;
     addHeaders(evhttp_request_get_output_headers(m_Raw), With);
+    send(Status, Body);
+  }
+
+  void relay(int Status, const Fields &With, std::string_view Body) override {
+    if (m_Raw == nullptr)
+      return;
+    addFields(evhttp_request_get_output_headers(m_Raw), With);
+    send(Status, Body);
+  }
+
+  void startRelay(int Status, const Fields &With) override {
+    if (m_Raw == nullptr)
+      return;
+    addFields(evhttp_request_get_output_headers(m_Raw), With);
+    evhttp_send_reply_start(m_Raw, Status, nullptr);
+  }
+
+  void closeAfter() override {
+    if (m_Raw != nullptr)
+      evhttp_add_header(evhttp_request_get_output_headers(m_Raw), "Connection",
+                        "close");
+  }
+
+  void send(int Status, std::string_view Body) {
     evbuffer *Buffer = evbuffer_new();
     evbuffer_add(Buffer, Body.data(), Body.size());
     evhttp_request *Raw = release();
@@ -372,9 +399,21 @@
           Still->second->m_Current = nullptr;
       });
     }
+    if (isAmbiguous(Made->request().m_Method, Made->request().m_Fields))
+      return Self.refuseAmbiguous(*Made);
     Self.m_OnRequest(std::move(Made));
   }
 
+  /// What follows on the connection may be a body that was taken for a
+  /// request, so it ends here.
+  void refuseAmbiguous(Exchange &Arrived) const {
+    constexpr int BadRequest = 400;
+    const Response Page = m_OnMalformed ? m_OnMalformed(BadRequest)
+                                        : Response{BadRequest, {}, {}, {}};
+    Arrived.closeAfter();
+    Arrived.reply(Page.m_Status, Page.m_Headers, Page.m_Body);
+  }
+
   void closeSlowSenders() {
     const TimePoint Oldest = BootClock::now() - m_Limits.m_FirstRequest;
     std::vector<evhttp_connection *> Slow;
--- a/libs/replication/include/replication/replication.h
+++ b/libs/replication/include/replication/replication.h
@@ -27,6 +27,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,10 @@
   /// Members to form the cluster of, the same on all of them. A member that
   /// is to join later names those that it can ask.
   std::vector<NodeId> m_Listed;
+  /// Whether an empty disk may take part in a first membership. False where
+  /// the cluster is known to exist: the disk then waits for admission.
+  bool m_MayForm = true;
+  store::CopyGuard m_CopyGuard = store::CopyGuard::FileNumber;
   consensus::Timing m_Timing;
   consensus::Limits m_Limits;
   /// Records, and bytes of applied payloads, after which a snapshot is taken.
@@ -63,6 +68,9 @@
   /// The data folder or the state failed: the process must end. This member
   /// takes part no longer.
   std::function<void(const Error &)> m_Failed;
+  /// Members that a formed cluster has, as told to this newcomer; it asks all
+  /// of them to be admitted once the hub reaches them. Optional.
+  std::function<void(const consensus::Membership &)> m_Found;
 };
 
 /// How far a member is, as the leader knows it.
@@ -71,6 +79,7 @@
   consensus::Index m_Match = 0;
   bool m_LostData = false;
   std::string m_OtherIncarnation; ///< Shown by it, not in the membership.
+  TimePoint m_HeardAt;            ///< Last reply to this leader.
 };
 
 struct ReplicaStatus {
@@ -87,6 +96,32 @@
   std::map<NodeId, std::string> m_Newcomers;
 };
 
+// --- Repair of the group ----------------------------------------------------
+
+/// What a leader knows when it looks after the group.
+struct GroupFacts {
+  NodeId m_Self;
+  std::vector<MemberStatus> m_Members;
+  std::map<NodeId, std::string> m_Newcomers; ///< Heard of in the last seconds.
+  TimePoint m_LeaderSince;
+};
+
+struct RepairRules {
+  std::size_t m_Voters = 5; ///< Twice the losses to be borne at once, and one.
+  /// Silence after which a member gives its place to a newcomer that waits. A
+  /// process that is only restarted answers sooner; one that loses its place
+  /// all the same is a newcomer when it is back.
+  Duration m_GoneAfter = std::chrono::milliseconds(1500);
+};
+
+/// For logs: `add_learner MEMBER`, `replace_disk MEMBER`, ...
+std::string describe(const consensus::MembershipChange &Change);
+
+/// The next membership change that brings the group back to its size: one at a
+/// time, and none that the members that answer could not commit.
+std::optional<consensus::MembershipChange>
+nextRepair(const GroupFacts &Facts, const RepairRules &Rules, TimePoint Now);
+
 class Replica {
 public:
   using OnDecided = std::function<void(const consensus::Decision &)>;
--- a/libs/replication/src/Formation.cpp
+++ b/libs/replication/src/Formation.cpp
@@ -28,7 +28,7 @@
 FormationStep nextStep(const Formation &Of) {
   const bool IsListed = std::find(Of.m_Listed.begin(), Of.m_Listed.end(),
                                   Of.m_Self) != Of.m_Listed.end();
-  if (!IsListed)
+  if (!IsListed || (!Of.m_MayForm && Of.m_Own.m_Promise.empty()))
     return FormationStep::Passive;
   if (!Of.m_Own.m_Promise.empty())
     return stepAfterPromise(Of);
--- a/libs/replication/src/Formation.h
+++ b/libs/replication/src/Formation.h
@@ -20,6 +20,7 @@
 };
 
 struct Formation {
+  bool m_MayForm = true; ///< False: this disk joins an existing cluster.
   std::string m_Cluster;
   NodeId m_Self;
   std::vector<NodeId> m_Listed; ///< Sorted.
--- a/libs/replication/src/Replica.cpp
+++ b/libs/replication/src/Replica.cpp
@@ -14,6 +14,9 @@
 
 /// Ticks in one heartbeat interval.
 constexpr int TicksPerHeartbeat = 4;
+/// A newcomer asks with each heartbeat interval; one that has not asked for
+/// this long is gone.
+constexpr std::chrono::milliseconds NewcomerSilence{1500};
 
 timeval toTimeval(Duration Value) {
   const auto Micros =
@@ -46,7 +49,12 @@
   consensus::Index m_SnapshotIndex = 0;
   std::size_t m_BytesSinceSnapshot = 0;
   std::map<NodeId, std::string> m_ReportedDisks;
-  std::map<NodeId, std::string> m_Newcomers;
+  struct Newcomer {
+    std::string m_Incarnation;
+    TimePoint m_HeardAt;
+  };
+  std::map<NodeId, Newcomer> m_Newcomers;
+  std::vector<NodeId> m_Found; ///< Members that a formed cluster told us.
 
   EventPointer m_Tick;
   EventPointer m_Turn;
@@ -85,6 +93,7 @@
                      const wire::Formation &Said);
   void tellFormation(const NodeId &To) const;
   void tellAll() const;
+  void takeMembers(const wire::Membership &Told);
   void advanceFormation();
   void promise();
   void form();
@@ -97,6 +106,8 @@
   const Result<bool> Empty = store::Store::isEmpty(Through, m_Options.m_Folder);
   if (failed(Empty))
     return errorOf(Empty);
+  // A disk that was made when the cluster might be formed may still form it.
+  m_Formation.m_MayForm = m_Options.m_MayForm || !valueOf(Empty);
   if (valueOf(Empty)) {
     if (Status Done = store::Store::format(
             Through, m_Options.m_Folder, m_Options.m_Cluster, m_Options.m_Self);
@@ -106,7 +117,8 @@
                  {{"folder", m_Options.m_Folder}});
   }
   auto Opened = store::Store::open(Through, m_Options.m_Folder,
-                                   m_Options.m_Cluster, m_Options.m_Self);
+                                   m_Options.m_Cluster, m_Options.m_Self,
+                                   m_Options.m_CopyGuard);
   if (failed(Opened))
     return errorOf(Opened);
   m_Store = std::move(valueOf(Opened));
@@ -347,13 +359,30 @@
   wire::ConsensusMessage Message;
   Message.set_disk_incarnation(m_Formation.m_Own.m_Incarnation);
   *Message.mutable_formation() = toWire(m_Formation);
+  if (m_Formed)
+    Message.mutable_formation()->mutable_members()->ParseFromString(
+        consensus::encodeMembership(m_State.m_Membership));
   send(To, std::move(Message));
 }
 
 void Replica::Parts::tellAll() const {
-  for (const NodeId &Each : m_Formation.m_Listed)
-    if (Each != m_Options.m_Self)
-      tellFormation(Each);
+  for (const auto &Names : {m_Formation.m_Listed, m_Found})
+    for (const NodeId &Each : Names)
+      if (Each != m_Options.m_Self)
+        tellFormation(Each);
+}
+
+/// Notes the members of the cluster that this newcomer wants to join.
+void Replica::Parts::takeMembers(const wire::Membership &Told) {
+  const auto Members = consensus::decodeMembership(Told.SerializeAsString());
+  if (failed(Members) || !m_Callbacks.m_Found)
+    return;
+  m_Found.clear();
+  for (const consensus::Member &Each : valueOf(Members).m_Members)
+    if (std::find(m_Formation.m_Listed.begin(), m_Formation.m_Listed.end(),
+                  Each.m_Id) == m_Formation.m_Listed.end())
+      m_Found.push_back(Each.m_Id);
+  m_Callbacks.m_Found(valueOf(Members));
 }
 
 void Replica::Parts::takeFormation(const NodeId &From,
@@ -363,9 +392,11 @@
   if (m_Formed && (Said.formed() || Said.cluster() != m_Formation.m_Cluster))
     return;
   if (m_Formed) {
-    m_Newcomers[From] = Incarnation;
+    m_Newcomers[From] = {Incarnation, BootClock::now()};
     return tellFormation(From);
   }
+  if (Said.formed() && Said.cluster() == m_Formation.m_Cluster)
+    takeMembers(Said.members());
   if (note(m_Formation, From, Incarnation, Said))
     schedule();
 }
@@ -456,6 +487,9 @@
   if (Message.has_formation())
     return Self.takeFormation(From, Message.disk_incarnation(),
                               Message.formation());
+  // A member that lost its place while it was away asks for a new one.
+  if (consensus::findMember(Self.m_State.m_Membership, From) == nullptr)
+    Self.m_Newcomers[From] = {Message.disk_incarnation(), BootClock::now()};
   // A disk that has promised a first membership takes part in no other.
   if (!Self.m_Formed && !Self.m_Formation.m_Own.m_Promise.empty())
     return;
@@ -528,12 +562,13 @@
   Made.m_CommitIndex = From.m_CommitIndex;
   Made.m_Incarnation = From.m_Options.m_Incarnation;
   for (const consensus::Member &Each : From.m_Membership.m_Members) {
-    MemberStatus Facts{Each, 0, false, ""};
+    MemberStatus Facts{Each, 0, false, "", {}};
     if (Each.m_Id == From.m_Options.m_Self)
       Facts.m_Match = Made.m_LastIndex;
     if (const auto Peer = From.m_Progress.find(Each.m_Id);
         Peer != From.m_Progress.end()) {
       Facts.m_Match = Peer->second.m_Match;
+      Facts.m_HeardAt = Peer->second.m_HeardAt;
       Facts.m_LostData = Peer->second.m_LostData;
     }
     if (const auto Other = From.m_Strangers.find(Each.m_Id);
@@ -541,11 +576,12 @@
       Facts.m_OtherIncarnation = Other->second;
     Made.m_Members.push_back(std::move(Facts));
   }
-  for (const auto &[Id, Incarnation] : m_Parts->m_Newcomers) {
+  for (const auto &[Id, Asked] : m_Parts->m_Newcomers) {
     const consensus::Member *Known =
         consensus::findMember(From.m_Membership, Id);
-    if (Known == nullptr || Known->m_Incarnation != Incarnation)
-      Made.m_Newcomers[Id] = Incarnation;
+    if (BootClock::now() - Asked.m_HeardAt <= NewcomerSilence &&
+        (Known == nullptr || Known->m_Incarnation != Asked.m_Incarnation))
+      Made.m_Newcomers[Id] = Asked.m_Incarnation;
   }
   return Made;
 }
--- a/libs/retries/include/retries/retries.h
+++ b/libs/retries/include/retries/retries.h
@@ -60,6 +60,10 @@
   /// Whether an earlier try, before the failed one, may have run.
   bool m_MayHaveRun = false;
   std::vector<TargetId> m_Avoid; ///< Targets that failed it before.
+  /// Tries that may have run, the failed one included, and how many may; zero:
+  /// not limited. A try that was turned away has not run.
+  std::uint32_t m_Runs = 0;
+  std::uint32_t m_MaxRuns = 0;
 };
 
 /// Facts about the failure.
@@ -108,6 +112,9 @@
 void forgetCaller(State &Entry, const CallerId &Caller);
 void forgetTarget(State &Entry, const TargetId &Target);
 
+/// Whether this try may have run.
+bool tryMayHaveRun(const Failure &Facts);
+
 /// Whether any try of the request may have run, the failed one included.
 bool mayHaveRun(const Attempt &Request, const Failure &Facts);
 
--- a/libs/retries/src/Decide.cpp
+++ b/libs/retries/src/Decide.cpp
@@ -134,12 +134,15 @@
   Entry.m_Targets.erase(Target);
 }
 
-bool mayHaveRun(const Attempt &Request, const Failure &Facts) {
-  if (Request.m_MayHaveRun || Facts.m_FirstBytePassed)
-    return true;
+bool tryMayHaveRun(const Failure &Facts) {
   return Facts.m_BytesSent && !Facts.m_NotRunProven;
 }
 
+bool mayHaveRun(const Attempt &Request, const Failure &Facts) {
+  return Request.m_MayHaveRun || Facts.m_FirstBytePassed ||
+         tryMayHaveRun(Facts);
+}
+
 RetryDecision decide(State &Entry, const Attempt &Request, const Failure &Facts,
                      TimePoint Now, Random &Rng) {
   const bool Ran = mayHaveRun(Request, Facts);
@@ -147,7 +150,8 @@
     return giveUp(deadEnd(Facts), Ran);
   if (Now >= Request.m_Deadline)
     return giveUp(Refusal::DeadlinePassed, Ran);
-  if (Request.m_Tries >= Entry.m_Settings.m_MaxTries)
+  if (Request.m_Tries >= Entry.m_Settings.m_MaxTries ||
+      (Request.m_MaxRuns != 0 && Request.m_Runs >= Request.m_MaxRuns))
     return giveUp(deadEnd(Facts), Ran);
   const TimePoint When = Now + backoff(Entry.m_Settings, Request.m_Tries, Rng);
   if (When + Request.m_ServiceTime > Request.m_Deadline)
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -153,6 +153,8 @@
   /// Prompt tokens that one step of an engine prefills, by role. A step also
   /// makes one token for each decoding stream, so each slows the other.
   std::array<double, 3> m_ChunkTokens{512, 4096, 64};
+  /// Whether engines in role prefill run whole requests too.
+  bool m_WholeAtPrefill = true;
   /// Part by which each further stream of a batch lengthens a step.
   double m_BatchSlowdown = 0.02;
   /// Weight of the delay that a prefill brings to each running stream.
--- a/libs/routing/src/Choose.cpp
+++ b/libs/routing/src/Choose.cpp
@@ -45,6 +45,11 @@
   return Place.m_Own.m_Requests < Room && drawUnit(Task.m_Rng) < Part;
 }
 
+bool runsWhole(const State &Fleet, const Slot &Place) {
+  return Fleet.m_Settings.m_WholeAtPrefill ||
+         Place.m_Target.m_Role != Role::Prefill;
+}
+
 void keepBetter(std::optional<Pick> &Kept, const Pick &Offer) {
   if (!Kept || Offer.m_Leaning.m_Cost < Kept->m_Leaning.m_Cost)
     Kept = Offer;
@@ -52,7 +57,8 @@
 
 void offerWhole(Search &Task, SlotIndex Index, double Value) {
   const Slot &Place = Task.slot(Index);
-  if (!isEligible(Place) || isAvoided(Task.m_Wanted, Place))
+  if (!isEligible(Place) || isAvoided(Task.m_Wanted, Place) ||
+      !runsWhole(Task.m_Fleet, Place))
     return;
   Pick Offer;
   Offer.m_Run = Index;
@@ -297,7 +303,7 @@
     const Slot &Place = Task.slot(Index);
     if (Place.m_Health.m_State != HealthState::Ejected ||
         Place.m_Health.m_EjectedUntil > Task.m_Now ||
-        isAvoided(Task.m_Wanted, Place))
+        isAvoided(Task.m_Wanted, Place) || !runsWhole(Task.m_Fleet, Place))
       continue;
     Pick Found = wholePick(Task, Index);
     Found.m_Probe = true;
@@ -328,6 +334,8 @@
   Search Task{Fleet, Group, Wanted, Now, Rng, {}, {}, {}, {}};
   if (Wanted.m_Only)
     return pickOnly(Task);
+  if (!Fleet.m_Settings.m_WholeAtPrefill)
+    readmitPrefill(Fleet, Group, Now);
   if (MayProbe && Wanted.m_MayProbe) {
     std::optional<Pick> Probe = pickProbe(Task);
     if (Probe)
--- a/libs/routing/src/Health.cpp
+++ b/libs/routing/src/Health.cpp
@@ -224,6 +224,17 @@
   Place.m_Health.m_State = HealthState::Ejected;
 }
 
+void readmitPrefill(State &Fleet, Pool &Group, TimePoint Now) {
+  const std::vector<SlotIndex> Ejected = Group.m_Ejected;
+  for (const SlotIndex Index : Ejected) {
+    const Slot &Place = Fleet.m_Slots[Index];
+    if (Place.m_Target.m_Role == Role::Prefill &&
+        Place.m_Health.m_State == HealthState::Ejected &&
+        Place.m_Health.m_EjectedUntil <= Now)
+      returnToService(Fleet, Index, Now);
+  }
+}
+
 void releaseExcess(State &Fleet, Pool &Group, TimePoint Now) {
   while (Group.m_Ejected.size() >
          ejectionLimit(Fleet.m_Settings, servingCount(Group))) {
--- a/libs/routing/src/Internal.h
+++ b/libs/routing/src/Internal.h
@@ -98,6 +98,9 @@
 void noteBad(State &Fleet, SlotIndex Index, TryOutcome What, bool Probe,
              TimePoint Now);
 void noteProbeUnused(State &Fleet, SlotIndex Index, TimePoint Now);
+/// Returns ejected engines in role prefill whose time is over: where they run no
+/// whole request, none can probe them.
+void readmitPrefill(State &Fleet, Pool &Group, TimePoint Now);
 /// Returns ejected targets while more are ejected than the limit allows.
 void releaseExcess(State &Fleet, Pool &Group, TimePoint Now);
 
--- a/libs/routing/src/Work.cpp
+++ b/libs/routing/src/Work.cpp
@@ -179,6 +179,12 @@
     Others += static_cast<double>(Sum.m_Foreign.m_PromptTokens);
     Rate += static_cast<double>(Sum.m_PrefillRate);
   }
+  if (Rate <= 0) { // Every engine decodes, and reads prompts beside that.
+    const Room &Sum = Group.m_Sums[roleIndex(Role::Decode)];
+    Own = static_cast<double>(Sum.m_OwnPromptTokens);
+    Others = static_cast<double>(Sum.m_Foreign.m_PromptTokens);
+    Rate = static_cast<double>(Sum.m_PrefillRate);
+  }
   const double Total = Rate * seconds(Options.m_MaxPrefillWaiting);
   const double Tokens = std::min(allowance(Total, Own, Others, Entries),
                                  std::max(0.0, Total - Own - Others));
--- a/libs/settings/src/Settings.cpp
+++ b/libs/settings/src/Settings.cpp
@@ -90,6 +90,9 @@
   } catch (const Json::parse_error &Failure) {
     return oneProblem(File, fmt::format("byte {}", Failure.byte),
                       "(not valid JSON)", Failure.what());
+  } catch (const Json::exception &Failure) {
+    // A number that fits no type, for example 1e999.
+    return oneProblem(File, "", "(not valid JSON)", Failure.what());
   }
   auto Problems = check(Document, Schema, File);
   if (!Problems.empty())
--- a/libs/store/include/store/store.h
+++ b/libs/store/include/store/store.h
@@ -74,6 +74,13 @@
   std::string m_Incarnation; ///< Random, made at format.
 };
 
+/// How a folder that was copied or restored is told from the one that it was
+/// made as.
+enum class CopyGuard : std::uint8_t {
+  FileNumber, ///< The identity file keeps its number in the file system.
+  None,       ///< For file systems whose numbers change with each mount.
+};
+
 class Store {
 public:
   /// Whether \p Folder is missing, or holds nothing but what an unfinished
@@ -87,10 +94,9 @@
   /// Opens a formatted folder and reads all of it. \p Through must outlive the
   /// store. Errors: not formatted, in use, of another cluster or member,
   /// copied, damaged.
-  static Result<std::unique_ptr<Store>> open(Files &Through,
-                                             const std::string &Folder,
-                                             const std::string &Cluster,
-                                             const NodeId &Member);
+  static Result<std::unique_ptr<Store>>
+  open(Files &Through, const std::string &Folder, const std::string &Cluster,
+       const NodeId &Member, CopyGuard Guard = CopyGuard::FileNumber);
   ~Store();
   Store(const Store &) = delete;
   Store &operator=(const Store &) = delete;
--- a/libs/store/src/Store.cpp
+++ b/libs/store/src/Store.cpp
@@ -79,7 +79,8 @@
   }
 
   // Reading.
-  Status readIdentity(const std::string &Cluster, const NodeId &Member);
+  Status readIdentity(const std::string &Cluster, const NodeId &Member,
+                      CopyGuard Guard);
   Status readVote();
   Status readPromise(const std::vector<std::string> &Names);
   Status readSnapshot(const std::vector<std::string> &Names);
@@ -352,7 +353,7 @@
 }
 
 Status Store::Parts::readIdentity(const std::string &Cluster,
-                                  const NodeId &Member) {
+                                  const NodeId &Member, CopyGuard Guard) {
   const std::string Path = path("identity");
   const auto Body = readSealed(*m_Files, "identity", Path);
   if (failed(Body))
@@ -367,6 +368,8 @@
   if (m_Identity.m_Member != Member)
     return Error{"store.open", Path,
                  "the folder belongs to member " + m_Identity.m_Member.m_Value};
+  if (Guard == CopyGuard::None)
+    return std::monostate{};
   const auto Number = m_Files->number(Path);
   if (failed(Number))
     return errorOf(Number);
@@ -543,10 +546,9 @@
 
 Store::~Store() = default;
 
-Result<std::unique_ptr<Store>> Store::open(Files &Through,
-                                           const std::string &Folder,
-                                           const std::string &Cluster,
-                                           const NodeId &Member) {
+Result<std::unique_ptr<Store>>
+Store::open(Files &Through, const std::string &Folder,
+            const std::string &Cluster, const NodeId &Member, CopyGuard Guard) {
   auto Made = std::make_unique<Parts>();
   Made->m_Files = &Through;
   Made->m_Folder = Folder;
@@ -557,7 +559,7 @@
   if (failed(Lock))
     return errorOf(Lock);
   Made->m_Lock = valueOf(Lock);
-  Status Done = Made->readIdentity(Cluster, Member);
+  Status Done = Made->readIdentity(Cluster, Member, Guard);
   if (!failed(Done))
     Done = Made->readVote();
   if (!failed(Done))
--- a/libs/wire/include/wire/wire.h
+++ b/libs/wire/include/wire/wire.h
@@ -4,7 +4,9 @@
 /// A `Hub` listens on one address and connects to known peers. Every peer
 /// proves its identity with a CURVE key; a key that is not in the settings gets
 /// no further than the handshake, and a message whose sender differs from the
-/// identity of its key is dropped. Nothing waits in a socket for a peer that is
+/// identity of its key is dropped. Without keys of its own a hub speaks in the
+/// clear and takes each peer's word for its identity: for private networks
+/// where nobody hands out keys. Nothing waits in a socket for a peer that is
 /// not connected, and queues are bounded: a message that cannot go out at once
 /// is dropped, counted, and the sender is told.
 ///
@@ -53,7 +55,7 @@
   NodeId m_Self;
   RegionId m_Region;
   ZoneId m_Zone;
-  KeyPair m_Keys;
+  KeyPair m_Keys; ///< Both empty: no authentication.
   std::string m_ListenAddress; ///< `ip:port`; empty to connect only.
   std::vector<Peer> m_Peers;
   int m_QueueMessages = 256; ///< Bound of each peer's queue, both ways.
@@ -76,6 +78,12 @@
   /// or unconnected peer, full queue, or too large.
   Status send(const NodeId &To, Envelope Message);
 
+  /// Connects to a peer that was found after the start, or to its new address.
+  /// Does nothing when it is connected to there already.
+  Status connect(const Peer &To);
+  /// Drops the connection that was made to a peer.
+  void disconnect(const NodeId &To);
+
   /// Random number of this start of the process.
   [[nodiscard]] std::uint64_t session() const;
 
--- a/libs/wire/src/Hub.cpp
+++ b/libs/wire/src/Hub.cpp
@@ -10,8 +10,12 @@
 namespace {
 
 constexpr std::string_view ZapAddress = "inproc://zeromq.zap.01";
-constexpr std::chrono::milliseconds HeartbeatInterval{1000};
-constexpr std::chrono::milliseconds HeartbeatTimeout{3000};
+/// A connection that has gone silent is replaced before a lease of two seconds
+/// that depends on it runs out.
+constexpr std::chrono::milliseconds HeartbeatInterval{500};
+constexpr std::chrono::milliseconds HeartbeatTimeout{1500};
+/// The kernel's own retries of a connect back off for minutes.
+constexpr std::chrono::milliseconds ConnectTimeout{1000};
 constexpr std::chrono::milliseconds FirstReconnect{50};
 constexpr std::chrono::milliseconds LongestReconnect{1000};
 /// How many messages one turn of the loop takes before other events run.
@@ -57,6 +61,20 @@
   std::unique_ptr<Watched> m_Zap;
   std::unique_ptr<Watched> m_Listener;
   std::map<NodeId, std::unique_ptr<Watched>> m_Dealers;
+  std::map<NodeId, std::string> m_DealerAddresses;
+  /// Dropped within a callback of theirs; closed from a turn of their own.
+  std::vector<std::unique_ptr<Watched>> m_Dropped;
+  event *m_CloseDropped = nullptr;
+
+  ~State() {
+    if (m_CloseDropped != nullptr)
+      event_free(m_CloseDropped);
+  }
+
+  [[nodiscard]] bool hasKeys() const {
+    return !m_Options.m_Keys.m_Secret.empty();
+  }
+  void drop(const NodeId &Peer);
 
   std::unique_ptr<Watched> watch(int Type);
   void applyCommonOptions(Socket &On) const;
@@ -118,6 +136,8 @@
   On.set(ZMQ_HEARTBEAT_TIMEOUT, static_cast<int>(HeartbeatTimeout.count()));
   On.set(ZMQ_RECONNECT_IVL, static_cast<int>(FirstReconnect.count()));
   On.set(ZMQ_RECONNECT_IVL_MAX, static_cast<int>(LongestReconnect.count()));
+  On.set(ZMQ_CONNECT_TIMEOUT, static_cast<int>(ConnectTimeout.count()));
+  On.set(ZMQ_TCP_MAXRT, static_cast<int>(HeartbeatTimeout.count()));
   const auto Largest = static_cast<std::int64_t>(LargestMessageBytes);
   zmq_setsockopt(On.handle(), ZMQ_MAXMSGSIZE, &Largest, sizeof(Largest));
 }
@@ -138,9 +158,11 @@
   applyCommonOptions(On);
   On.set(ZMQ_ROUTER_MANDATORY, 1);
   On.set(ZMQ_ROUTER_HANDOVER, 1);
-  On.set(ZMQ_CURVE_SERVER, 1);
-  On.set(ZMQ_CURVE_SECRETKEY, m_Options.m_Keys.m_Secret);
-  On.set(ZMQ_ZAP_DOMAIN, "wasabivale");
+  if (hasKeys()) {
+    On.set(ZMQ_CURVE_SERVER, 1);
+    On.set(ZMQ_CURVE_SECRETKEY, m_Options.m_Keys.m_Secret);
+    On.set(ZMQ_ZAP_DOMAIN, "wasabivale");
+  }
   const std::string Address = "tcp://" + m_Options.m_ListenAddress;
   if (zmq_bind(On.handle(), Address.c_str()) != 0)
     return Error{"wire.listen", m_Options.m_ListenAddress,
@@ -155,16 +177,30 @@
   applyCommonOptions(On);
   On.set(ZMQ_IMMEDIATE, 1);
   On.set(ZMQ_ROUTING_ID, m_Options.m_Self.m_Value);
-  On.set(ZMQ_CURVE_SERVERKEY, To.m_PublicKey);
-  On.set(ZMQ_CURVE_PUBLICKEY, m_Options.m_Keys.m_Public);
-  On.set(ZMQ_CURVE_SECRETKEY, m_Options.m_Keys.m_Secret);
+  if (hasKeys()) {
+    On.set(ZMQ_CURVE_SERVERKEY, To.m_PublicKey);
+    On.set(ZMQ_CURVE_PUBLICKEY, m_Options.m_Keys.m_Public);
+    On.set(ZMQ_CURVE_SECRETKEY, m_Options.m_Keys.m_Secret);
+  }
   const std::string Address = "tcp://" + To.m_Address;
   if (zmq_connect(On.handle(), Address.c_str()) != 0)
     return Error{"wire.connect", To.m_Id.m_Value, zmq_strerror(zmq_errno())};
   m_Dealers[To.m_Id] = std::move(Made);
+  m_DealerAddresses[To.m_Id] = To.m_Address;
   return std::monostate{};
 }
 
+void Hub::State::drop(const NodeId &Peer) {
+  const auto Found = m_Dealers.find(Peer);
+  if (Found == m_Dealers.end())
+    return;
+  event_del(Found->second->m_Event);
+  m_Dropped.push_back(std::move(Found->second));
+  m_Dealers.erase(Found);
+  m_DealerAddresses.erase(Peer);
+  event_active(m_CloseDropped, EV_TIMEOUT, 0);
+}
+
 /// Answers one request of the ZeroMQ authentication protocol (RFC 27).
 void Hub::State::answerZap(const std::vector<Part> &Parts) {
   constexpr std::size_t RequestParts = 7;
@@ -203,7 +239,9 @@
   }
   // The listener knows its peers by their keys; a dealer socket knows the one
   // server whose key it demanded.
-  const NodeId From = At.m_From.empty() ? NodeId{Body.m_UserId} : At.m_From;
+  const std::string &Claimed =
+      hasKeys() ? Body.m_UserId : Parts.front().m_Bytes;
+  const NodeId From = At.m_From.empty() ? NodeId{Claimed} : At.m_From;
   const bool IsSender = Message.sender() == From.m_Value;
   const bool RoutesBack =
       !At.m_From.empty() || Parts.front().m_Bytes == From.m_Value;
@@ -234,8 +272,15 @@
   Made->m_Session = randomFromSystem()() | 1U;
   for (const Peer &Known : Made->m_Options.m_Peers)
     Made->m_IdByKey[Known.m_PublicKey] = Known.m_Id;
-  if (Status Opened = Made->openZap(); failed(Opened))
-    return errorOf(Opened);
+  Made->m_CloseDropped = event_new(
+      Loop, -1, 0,
+      [](evutil_socket_t, short, void *Argument) {
+        static_cast<State *>(Argument)->m_Dropped.clear();
+      },
+      Made.get());
+  if (Made->hasKeys())
+    if (Status Opened = Made->openZap(); failed(Opened))
+      return errorOf(Opened);
   if (!Made->m_Options.m_ListenAddress.empty())
     if (Status Opened = Made->openListener(); failed(Opened))
       return errorOf(Opened);
@@ -266,7 +311,9 @@
   if (Dealer != Self.m_Dealers.end()) {
     Sent = Dealer->second->m_Socket->send({Bytes});
     event_active(Dealer->second->m_Event, EV_READ, 0);
-  } else if (Self.m_Listener) {
+  }
+  // The peer may have connected to this side although it can't be connected to.
+  if (!Sent && Self.m_Listener) {
     Sent = Self.m_Listener->m_Socket->send({To.m_Value, Bytes});
     event_active(Self.m_Listener->m_Event, EV_READ, 0);
   }
@@ -276,6 +323,19 @@
   return Error{"wire.send", To.m_Value, "not connected, or its queue is full"};
 }
 
+Status Hub::connect(const Peer &To) {
+  State &Self = *m_State;
+  if (To.m_Id == Self.m_Options.m_Self)
+    return std::monostate{};
+  const auto Known = Self.m_DealerAddresses.find(To.m_Id);
+  if (Known != Self.m_DealerAddresses.end() && Known->second == To.m_Address)
+    return std::monostate{};
+  Self.drop(To.m_Id);
+  return Self.connectTo(To);
+}
+
+void Hub::disconnect(const NodeId &To) { m_State->drop(To); }
+
 std::uint64_t Hub::session() const { return m_State->m_Session; }
 
 Result<KeyPair> generateKeys() {
