Let engines that take ranks queue by themselves; one home for each shared prefix

Ruled out: engines turning requests away (3 of 2,977). Change: decision lines for each request on standard output, bounded and never waiting; rates for engines that state none; 4 s of prefill may wait at engines that order by rank; the whole shared prefix has one home, fetched from there.

--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -11,6 +11,12 @@
 /// A lapse of the lease shorter than this is waited out by new requests.
 constexpr std::chrono::milliseconds LapseGrace{1000};
 constexpr std::string_view ServiceCapacity = "service:";
+/// Prompt tokens of one step where engines prefill in pieces of 1,024, and of a
+/// quarter of that between the tokens of others; by role.
+constexpr std::array<double, 3> PlainChunks{512, 1024, 256};
+/// Engines that take ranks order what waits there by themselves: only what would
+/// wait for longer than its caller does is kept here.
+constexpr std::chrono::milliseconds PlainPrefillWaiting{4'000};
 /// Part of the fleet's reserve of retries that is handed out: the rest is for
 /// entries that have joined since the count.
 constexpr double RetryReserveUsed = 0.7;
@@ -38,6 +44,8 @@
     // Loads come with answers, and other engines refuse what is not theirs.
     m_Shared.m_Routing.m_Settings.m_ReportLag = Settings.m_Routes->m_ReportLag;
     m_Shared.m_Routing.m_Settings.m_WholeAtPrefill = false;
+    m_Shared.m_Routing.m_Settings.m_ChunkTokens = PlainChunks;
+    m_Shared.m_Routing.m_Settings.m_MaxPrefillWaiting = PlainPrefillWaiting;
     m_Shared.m_Retries.m_Settings.m_CallerShare =
         Settings.m_Routes->m_RetryShare;
     m_Shared.m_Retries.m_Settings.m_TargetShare = 1;
@@ -197,7 +205,7 @@
     return Made->refuseUnstarted(*Why);
   if (const auto *Wait = std::get_if<limits::Queued>(&Decided.m_Verdict)) {
     m_Waiting[Wait->m_Ticket] = Made.get();
-    return Made->enqueue(Wait->m_Ticket);
+    return Made->enqueue(Wait->m_Ticket, Ask.m_Capacity, Wait->m_ExpectedStart);
   }
   Made->begin(std::get<limits::Admitted>(Decided.m_Verdict).m_Ticket);
 }
--- a/apps/entry/src/FleetView.cpp
+++ b/apps/entry/src/FleetView.cpp
@@ -4,6 +4,11 @@
 
 namespace {
 
+/// Rates of an engine that states none: an eight-way node of a current model.
+/// Routing corrects them by what it sees.
+constexpr double UnstatedPrefillRate = 30'000; // Tokens a second.
+constexpr double UnstatedDecodeRate = 180;     // Tokens a second of one stream.
+
 routing::Role roleOf(const std::string &Name) {
   if (Name == "prefill")
     return routing::Role::Prefill;
@@ -26,6 +31,13 @@
   for (const std::string &Model : Given.models())
     Made.m_Models.push_back({Model});
   Made.m_Role = roleOf(Given.role());
+  if (Given.self_managed()) {
+    Made.m_PrefillTokensPerSecond = UnstatedPrefillRate;
+    Made.m_DecodeTokensPerSecond = UnstatedDecodeRate;
+    // Between the tokens of others a prompt is read at half the speed.
+    if (Made.m_Role == routing::Role::Decode)
+      Made.m_PrefillTokensPerSecond /= 2;
+  }
   if (Given.prefill_tokens_per_second() > 0)
     Made.m_PrefillTokensPerSecond = Given.prefill_tokens_per_second();
   if (Given.decode_tokens_per_second() > 0)
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -33,6 +33,16 @@
     {Phase::Running, Phase::Probing}, {Phase::Probing, Phase::Placing},
 };
 
+std::int64_t milliseconds(Duration Of) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Of).count();
+}
+
+std::string nextName(const retries::RetryDecision &Of) {
+  if (const auto *Stop = std::get_if<retries::GiveUp>(&Of))
+    return std::string(refusalInfo(Stop->m_Reason).m_Name);
+  return std::holds_alternative<retries::RetryAt>(Of) ? "retry" : "resume";
+}
+
 bool isLegal(Phase From, Phase To) {
   if (To == Phase::Ended)
     return From != Phase::Ended;
@@ -59,6 +69,7 @@
     Made.m_Blocks = Blocks;
   }
   // The one request that tests a doubtful target had better be repeatable.
+  Made.m_Fetches = Asked.m_Passed != nullptr;
   Made.m_MayProbe = !Asked.m_NotRepeatable;
   // Of a plain request a prefill elsewhere is no run.
   Made.m_MaySplit = !Asked.m_NotRepeatable || Asked.m_Passed != nullptr;
@@ -113,8 +124,17 @@
 
 // --- Before the start -------------------------------------------------------
 
-void Serving::enqueue(limits::Ticket Id) {
+void Serving::enqueue(limits::Ticket Id, const limits::Capacity &Room,
+                      TimePoint ExpectedStart) {
   m_Ticket = Id;
+  events::emit(
+      events::Event::RequestQueued,
+      {{"request", m_Asked.m_Id},
+       {"route", m_Asked.m_Caller},
+       {"for", capacityName(m_Asked)},
+       {"free", Room.m_FreeSlots},
+       {"slots", Room.m_Slots},
+       {"start_in_ms", milliseconds(ExpectedStart - BootClock::now())}});
   enter(Phase::Queued);
 }
 
@@ -142,6 +162,11 @@
   if (m_Phase == Phase::Ended || m_CallerGone)
     return;
   m_CallerGone = true;
+  events::emit(events::Event::CallerGone,
+               {{"request", m_Asked.m_Id},
+                {"after_ms", milliseconds(BootClock::now() - m_Asked.m_At)},
+                {"tries", m_Tries},
+                {"target", m_LastTarget}});
   m_Shared.m_Metrics.m_CallersGone.add();
   const TimePoint Now = BootClock::now();
   // The ledger's word must be waited for, and what runs under a key goes on:
@@ -341,6 +366,22 @@
   m_LastTarget = Where.m_Run.m_Target;
   m_ServiceTime = std::max<Duration>(
       Where.m_Estimate.m_Finish - Where.m_Estimate.m_Start, Duration(0));
+  events::emit(
+      events::Event::RequestSent,
+      {{"request", m_Asked.m_Id},
+       {"route", m_Asked.m_Caller},
+       {"routes", m_Shared.m_Routes.table().m_Version},
+       {"target", Where.m_Run.m_Target},
+       {"prefill_at", Where.m_Prefill ? Where.m_Prefill->m_Target : TargetId{}},
+       {"fetch_from",
+        Where.m_FetchFrom ? Where.m_FetchFrom->m_Target : TargetId{}},
+       {"try", m_Tries},
+       {"offset", m_Offset},
+       {"prompt", promptTokensOf(m_Asked)},
+       {"cached_blocks", Where.m_Estimate.m_CachedBlocks},
+       {"first_in_ms", milliseconds(Where.m_Estimate.m_FirstToken - Now)},
+       {"finish_in_ms", milliseconds(Where.m_Estimate.m_Finish - Now)},
+       {"left_ms", milliseconds(m_Asked.m_Deadline - Now)}});
   const routing::Leg First = Where.m_Prefill.value_or(Where.m_Run);
   m_Shared.m_Suspects.noteRun(m_Print, First.m_Target, First.m_Incarnation,
                               Now);
@@ -349,6 +390,11 @@
   Plan.m_Run = *Run->m_Address;
   if (Prefill != nullptr)
     Plan.m_Prefill = *Prefill->m_Address;
+  if (Where.m_FetchFrom)
+    if (const FleetView::Known *Home =
+            m_Shared.m_Fleet.find(Where.m_FetchFrom->m_Target);
+        Home != nullptr)
+      Plan.m_FetchFrom = Home->m_Address;
   Plan.m_Choice = std::move(Where);
   Plan.m_StreamId = m_StreamId;
   Plan.m_Offset = m_Offset;
@@ -375,6 +421,8 @@
 void Serving::takePiece(const targets::StreamPiece &Piece) {
   const TimePoint Now = BootClock::now();
   EntryMetrics &Metrics = m_Shared.m_Metrics;
+  if (m_FirstPieceAt == TimePoint())
+    m_FirstPieceAt = Now;
   if (m_Offset == m_FirstOffset)
     Metrics.m_FirstToken.record(Now - m_Asked.m_At);
   else
@@ -479,6 +527,18 @@
     m_Failing = Ending.m_Failing;
   const retries::RetryDecision Next =
       retries::decide(m_Shared.m_Retries, So, Facts, Now, m_Shared.m_Random);
+  events::emit(events::Event::TryFailed,
+               {{"request", m_Asked.m_Id},
+                {"target", m_LastTarget},
+                {"kind", retries::failureKindName(Facts.m_Kind)},
+                {"not_run", Facts.m_NotRunProven},
+                {"sent", Facts.m_BytesSent},
+                {"try", m_Tries},
+                {"after_ms", milliseconds(Now - m_Asked.m_At)},
+                {"offset", m_Offset},
+                {"next", nextName(Next)},
+                {"step", Ending.m_Error.m_Step},
+                {"message", Ending.m_Error.m_Message}});
   if (const auto *Stop = std::get_if<retries::GiveUp>(&Next)) {
     // The target was at work until the deadline passed.
     const bool Late = m_Asked.isLate(Now);
@@ -520,6 +580,15 @@
                      Ending.m_End.m_Length);
   }
   const bool InTime = Now <= m_Asked.m_Deadline;
+  events::emit(events::Event::RequestCompleted,
+               {{"request", m_Asked.m_Id},
+                {"target", m_LastTarget},
+                {"tries", m_Tries},
+                {"first_ms", milliseconds(m_FirstPieceAt == TimePoint()
+                                              ? Duration(0)
+                                              : m_FirstPieceAt - m_Asked.m_At)},
+                {"total_ms", milliseconds(Now - m_Asked.m_At)},
+                {"events", m_Offset}});
   EntryMetrics &Metrics = m_Shared.m_Metrics;
   Metrics.m_Total.record(Now - m_Asked.m_At);
   if (!m_CallerGone)
@@ -601,7 +670,10 @@
                {{"request", m_Asked.m_Id},
                 {"caller", m_Asked.m_Caller},
                 {"reason", refusalInfo(Why.m_Reason).m_Name},
-                {"outcome", outcomeName(Why.m_Outcome)}});
+                {"outcome", outcomeName(Why.m_Outcome)},
+                {"step", Why.m_Step},
+                {"after_ms", milliseconds(BootClock::now() - m_Asked.m_At)},
+                {"retry_after_ms", milliseconds(Why.m_RetryAfter)}});
   if (ModelUse *Use = modelUse())
     Use->m_Demand.set_refused(Use->m_Demand.refused() + 1);
   m_Writer->refuse(Why);
--- a/apps/entry/src/Serving.h
+++ b/apps/entry/src/Serving.h
@@ -38,7 +38,8 @@
   void watchCaller();
 
   /// Waits for its start under \p Id.
-  void enqueue(limits::Ticket Id);
+  void enqueue(limits::Ticket Id, const limits::Capacity &Room,
+               TimePoint ExpectedStart);
   /// Starts; \p Id is counted as running in the limits.
   void begin(limits::Ticket Id);
   /// Refuses a request that waits, or has just arrived.
@@ -112,6 +113,7 @@
   Duration m_ServiceTime{0};
   std::unique_ptr<http::Timer> m_Wake;
   TimePoint m_LastPieceAt;
+  TimePoint m_FirstPieceAt; ///< The epoch: none yet.
   TimePoint m_PausedSince;
 };
 
--- a/apps/entry/src/Try.cpp
+++ b/apps/entry/src/Try.cpp
@@ -3,7 +3,6 @@
 #include "events/events.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace wasabivale::entry {
 
@@ -95,7 +94,7 @@
     : m_Tools(With), m_For(For), m_Plan(std::move(Plan)),
       m_Patience(For.m_Passed ? patienceOf(For.m_Passed->m_Route) : Limits),
       m_Handlers(std::move(Handlers)), m_Id{randomIdentity()},
-      m_SilentSince(Now) {
+      m_SilentSince(Now), m_StartedAt(Now) {
   const Duration Expected = std::max<Duration>(
       m_Plan.m_Choice.m_Estimate.m_FirstToken - Now, Duration(0));
   m_FirstTokenBy = Now + Expected * FirstTokenFactor +
@@ -219,6 +218,9 @@
   With.m_Rank = What->m_Route.m_Rank;
   With.m_SeenEvents = m_Plan.m_Offset;
   With.m_PrefillOnly = PrefillOnly;
+  // KV memory that is handed over holds all of the prompt.
+  if (m_Plan.m_FetchFrom && KvSource.empty())
+    With.m_FetchFrom = http::printAddress(*m_Plan.m_FetchFrom);
   With.m_KvSource = std::move(KvSource);
   const auto Weak = weak_from_this();
   relay::TryHandlers Handlers;
@@ -255,9 +257,8 @@
 }
 
 void Try::takeLoad(const relay::AnswerFacts::Load &Told) {
-  // Such a report tells nothing of KV memory.
-  const routing::LoadReport Report{Told.m_Running, Told.m_Waiting, 0,
-                                   std::numeric_limits<std::uint64_t>::max()};
+  const routing::LoadReport Report{Told.m_Running, Told.m_Waiting, std::nullopt,
+                                   std::nullopt};
   routing::applyLoad(m_Tools.m_Routing, leg().m_Target, leg().m_Incarnation,
                      Report, BootClock::now());
 }
@@ -277,6 +278,14 @@
     return sendPassed({}, false);
   }
   m_KvHandle = valueOf(Read).m_Handle;
+  events::emit(
+      events::Event::PromptPrefilled,
+      {{"request", m_For.m_Id},
+       {"target", m_Plan.m_Choice.m_Prefill->m_Target},
+       {"tokens", valueOf(Read).m_Tokens},
+       {"took_ms",
+        std::chrono::duration_cast<std::chrono::milliseconds>(Now - m_StartedAt)
+            .count()}});
   sendPassed(From + '/' + m_KvHandle, false);
 }
 
--- a/apps/entry/src/Try.h
+++ b/apps/entry/src/Try.h
@@ -35,6 +35,8 @@
   routing::Choice m_Choice;
   http::Address m_Run;
   std::optional<http::Address> m_Prefill;
+  /// An engine that keeps the shared part of the prompt.
+  std::optional<http::Address> m_FetchFrom;
   std::string m_StreamId;
   std::uint64_t m_Offset = 0;
 };
@@ -123,6 +125,7 @@
   RequestId m_Id; ///< Of this try.
   std::shared_ptr<http::ClientCall> m_Call;
   TimePoint m_SilentSince;
+  TimePoint m_StartedAt;
   TimePoint m_FirstTokenBy;
   std::uint64_t m_Tokens = 0; ///< Of this try.
   bool m_InPrefill = false;
--- a/libs/events/include/events/events.h
+++ b/libs/events/include/events/events.h
@@ -1,5 +1,7 @@
 /// \file
-/// Numbered, structured log events on standard error.
+/// Numbered, structured log events on standard output. Each kind has a bound a
+/// second; what is left out beyond it is counted and told in the next line of
+/// that kind. A reader that falls behind loses lines and holds nobody up.
 ///
 /// A line reads `time level number name key=value ...`; the time is UTC with
 /// milliseconds. The catalogue is Catalogue.def and, for people,
@@ -53,12 +55,16 @@
 /// Formats a line without its time; separate from `emit` for tests.
 std::string formatLine(Event Kind, std::initializer_list<Field> Fields);
 
-/// Writes one line to standard error, unless its level is below the minimum.
+/// Writes one line to standard output, unless its level is below the minimum or
+/// the bound of its kind is reached.
 void emit(Event Kind, std::initializer_list<Field> Fields);
 
 /// Writes \p Failure as the fields `step`, `peer` and `message`.
 void emitError(Event Kind, const Error &Failure);
 
+/// Lines that standard output did not take.
+std::uint64_t unwrittenLines();
+
 /// Sets the lowest level that is written; `Info` at start.
 void setMinimumLevel(Level Lowest);
 
--- a/libs/events/src/Events.cpp
+++ b/libs/events/src/Events.cpp
@@ -1,9 +1,12 @@
 #include "events/events.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
-#include <cstdio>
 #include <ctime>
+#include <poll.h>
+#include <unistd.h>
+#include <utility>
 
 namespace wasabivale::events {
 
@@ -41,6 +44,52 @@
   invariantBroken("the event is in the catalogue", __FILE__, __LINE__);
 }
 
+/// Most lines of one kind in a second, and at once after a quiet time. A day of
+/// the size to design for brings an entry some thirty requests a second, each
+/// with a handful of lines.
+constexpr double LinesPerSecond = 200;
+constexpr double LinesAtOnce = 400;
+
+/// How much of one kind is written.
+struct Volume {
+  double m_Tokens = LinesAtOnce;
+  TimePoint m_At;
+  std::uint64_t m_LeftOut = 0;
+  bool m_Refused = false;
+
+  /// Admits a line or counts it. \returns how many were left out before it.
+  std::uint64_t admit(TimePoint Now) {
+    const double Passed = std::chrono::duration<double>(Now - m_At).count();
+    m_Tokens = std::min(LinesAtOnce, m_Tokens + Passed * LinesPerSecond);
+    m_At = Now;
+    m_Refused = m_Tokens < 1;
+    if (m_Refused)
+      return ++m_LeftOut;
+    m_Tokens -= 1;
+    return std::exchange(m_LeftOut, 0);
+  }
+};
+
+Volume &volumeOf(Event Kind) {
+  static std::array<Volume, Rows.size()> Volumes;
+  for (std::size_t I = 0; I < Rows.size(); ++I)
+    if (Rows[I].m_Number == static_cast<std::uint16_t>(Kind))
+      return Volumes[I];
+  invariantBroken("the event is in the catalogue", __FILE__, __LINE__);
+}
+
+std::uint64_t Unwritten = 0;
+
+/// Writes a line unless the reader of standard output has fallen behind: the
+/// process must not wait for it.
+void writeLine(const std::string &Line) {
+  pollfd Output{STDOUT_FILENO, POLLOUT, 0};
+  const bool Ready =
+      poll(&Output, 1, 0) == 1 && (Output.revents & POLLOUT) != 0;
+  if (!Ready || write(STDOUT_FILENO, Line.data(), Line.size()) < 0)
+    ++Unwritten;
+}
+
 std::string_view levelName(Level Value) {
   switch (Value) {
   case Level::Debug:
@@ -112,8 +161,16 @@
 void emit(Event Kind, std::initializer_list<Field> Fields) {
   if (infoOf(Kind).m_Level < MinimumLevel)
     return;
-  fmt::print(stdout, "{} {}\n", timeNow(), formatLine(Kind, Fields));
-  std::fflush(stdout);
+  Volume &Kept = volumeOf(Kind);
+  const std::uint64_t LeftOut = Kept.admit(BootClock::now());
+  if (Kept.m_Refused)
+    return;
+  if (LeftOut > 0)
+    writeLine(fmt::format(
+        "{} {}\n", timeNow(),
+        formatLine(Event::LinesLeftOut,
+                   {{"kind", infoOf(Kind).m_Name}, {"count", LeftOut}})));
+  writeLine(fmt::format("{} {}\n", timeNow(), formatLine(Kind, Fields)));
 }
 
 void emitError(Event Kind, const Error &Failure) {
@@ -122,6 +179,8 @@
               {"message", Failure.m_Message}});
 }
 
+std::uint64_t unwrittenLines() { return Unwritten; }
+
 void setMinimumLevel(Level Lowest) { MinimumLevel = Lowest; }
 
 } // namespace wasabivale::events
--- a/libs/relay/include/relay/relay.h
+++ b/libs/relay/include/relay/relay.h
@@ -63,6 +63,8 @@
   std::uint64_t m_SeenEvents = 0; ///< Go on after this event.
   bool m_PrefillOnly = false;
   std::string m_KvSource; ///< `ip:port/handle` of KV memory; or empty.
+  /// `ip:port` of an engine that keeps part of the prompt; or empty.
+  std::string m_FetchFrom;
 };
 
 /// What the head of a target's answer says beside its status.
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -72,8 +72,9 @@
 struct LoadReport {
   std::uint32_t m_Running = 0;
   std::uint32_t m_Waiting = 0;
-  std::uint64_t m_PrefillTokensWaiting = 0;
-  std::uint64_t m_KvBlocksFree = 0;
+  /// None: not told. Others' requests then count with a mean prompt each.
+  std::optional<std::uint64_t> m_PrefillTokensWaiting = 0;
+  std::optional<std::uint64_t> m_KvBlocksFree = 0; ///< None: not told.
 };
 
 /// One change of a target's prefix cache.
@@ -100,6 +101,10 @@
   std::optional<TargetId> m_Only; ///< Run nowhere else (isolated re-run).
   bool m_MayProbe = true; ///< False for what must not meet a doubtful target.
   bool m_MaySplit = true; ///< False when prefill must stay with decode.
+  /// The blocks end where the prompt stops being shared, and engines fetch KV
+  /// memory from each other: the whole shared prefix has one home, from which
+  /// any other engine can have it.
+  bool m_Fetches = false;
 };
 
 /// When a request is expected to start, answer and end.
@@ -124,6 +129,8 @@
   /// When set: run the prompt here first (`prefill_only`) and hand the KV
   /// ticket that it answers with to `m_Run`.
   std::optional<Leg> m_Prefill;
+  /// When set: whoever reads the prompt fetches first what is kept here.
+  std::optional<Leg> m_FetchFrom;
   Estimate m_Estimate;
   bool m_Probe = false; ///< The one request that tests an ejected target.
 };
--- a/libs/routing/src/Choose.cpp
+++ b/libs/routing/src/Choose.cpp
@@ -32,6 +32,9 @@
   std::optional<Pick> m_Reluctant; ///< Best among those still warming up.
   std::optional<SlotIndex> m_PrefillAt;
   Leaning m_Prefill;
+  std::optional<SlotIndex> m_Home; ///< Of the prefix that others share.
+
+  const Slot *home() const { return m_Home ? &slot(*m_Home) : nullptr; }
 
   const Slot &slot(SlotIndex Index) const { return m_Fleet.m_Slots[Index]; }
 };
@@ -62,8 +65,8 @@
     return;
   Pick Offer;
   Offer.m_Run = Index;
-  Offer.m_Leaning =
-      leanWhole(Task.m_Fleet, Task.m_Group, Place, Task.m_Wanted, Task.m_Now);
+  Offer.m_Leaning = leanWhole(Task.m_Fleet, Task.m_Group, Place, Task.m_Wanted,
+                              Task.home(), Task.m_Now);
   Offer.m_Leaning.m_Cost -= Value;
   keepBetter(isWarmEnough(Task, Place) ? Task.m_Best : Task.m_Reluctant, Offer);
 }
@@ -74,8 +77,8 @@
     return;
   if (!isWarmEnough(Task, Place))
     return;
-  Leaning Found =
-      leanPrefill(Task.m_Fleet, Task.m_Group, Place, Task.m_Wanted, Task.m_Now);
+  Leaning Found = leanPrefill(Task.m_Fleet, Task.m_Group, Place, Task.m_Wanted,
+                              Task.home(), Task.m_Now);
   Found.m_Cost -= Value;
   if (Task.m_PrefillAt && Found.m_Cost >= Task.m_Prefill.m_Cost)
     return;
@@ -166,8 +169,34 @@
     offerPrefill(Task, Index, Value);
 }
 
+/// The first target in the order of the whole shared prefix that is well.
+void findHome(Search &Task) {
+  if (!Task.m_Wanted.m_Fetches || Task.m_Wanted.m_Blocks.empty() ||
+      Task.m_Group.m_Partitions.empty())
+    return;
+  const Partition &Bucket =
+      partitionOf(Task.m_Group, Task.m_Wanted.m_Blocks.back());
+  for (std::size_t I = 0; I < Bucket.m_Count && !Task.m_Home; ++I)
+    if (isEligible(Task.slot(Bucket.m_Slots[I])))
+      Task.m_Home = Bucket.m_Slots[I];
+}
+
+/// The home, and what it is worth that the prefix is kept there already.
+void offerHome(Search &Task, bool Splits) {
+  if (!Task.m_Home)
+    return;
+  const double Value =
+      homeValue(Task.m_Fleet, Task.slot(*Task.m_Home), Task.m_Wanted);
+  if (Task.slot(*Task.m_Home).m_Target.m_Role == Role::Mixed)
+    offerWhole(Task, *Task.m_Home, Value);
+  if (Splits)
+    offerPrefill(Task, *Task.m_Home, Value);
+}
+
 /// Two of the targets that share the bucket, and the next one in order.
 void offerAffine(Search &Task, bool Splits) {
+  if (Task.m_Wanted.m_Fetches)
+    return offerHome(Task, Splits);
   const Partition *Bucket = affineBucket(Task);
   if (Bucket == nullptr || Bucket->m_Count == 0)
     return;
@@ -219,20 +248,25 @@
 
 std::optional<Pick> pickByWork(Search &Task) {
   const bool Splits = maySplit(Task);
+  findHome(Task);
   offerAffine(Task, Splits);
   offerWholes(Task);
   if (Splits)
     offerSplits(Task);
   if (!Task.m_Best && !Task.m_Reluctant)
     offerEverything(Task);
-  return Task.m_Best ? Task.m_Best : Task.m_Reluctant;
+  std::optional<Pick> Found = Task.m_Best ? Task.m_Best : Task.m_Reluctant;
+  if (Found && Task.m_Home &&
+      Found->m_Prefill.value_or(Found->m_Run) != *Task.m_Home)
+    Found->m_FetchFrom = Task.m_Home;
+  return Found;
 }
 
 Pick wholePick(const Search &Task, SlotIndex Index) {
   Pick Found;
   Found.m_Run = Index;
   Found.m_Leaning = leanWhole(Task.m_Fleet, Task.m_Group, Task.slot(Index),
-                              Task.m_Wanted, Task.m_Now);
+                              Task.m_Wanted, Task.home(), Task.m_Now);
   return Found;
 }
 
@@ -331,7 +365,7 @@
 
 std::optional<Pick> pick(State &Fleet, Pool &Group, const Request &Wanted,
                          TimePoint Now, Random &Rng, bool MayProbe) {
-  Search Task{Fleet, Group, Wanted, Now, Rng, {}, {}, {}, {}};
+  Search Task{Fleet, Group, Wanted, Now, Rng, {}, {}, {}, {}, {}};
   if (Wanted.m_Only)
     return pickOnly(Task);
   if (!Fleet.m_Settings.m_WholeAtPrefill)
--- a/libs/routing/src/Estimates.cpp
+++ b/libs/routing/src/Estimates.cpp
@@ -18,6 +18,7 @@
   double m_Slowness = 1; ///< Of first tokens.
   double m_StepSlowness = 1;
   TimePoint m_Now;
+  const Slot *m_Home = nullptr; ///< Keeps the shared prefix.
 };
 
 View viewOf(const State &Fleet, const Pool &Group, const Slot &Place,
@@ -29,7 +30,8 @@
           loadOf(Fleet, Group, Place, Now),
           firstSlowness(Group, Place),
           stepSlowness(Group, Place),
-          Now};
+          Now,
+          nullptr};
 }
 
 double distanceSeconds(const View &At) {
@@ -101,9 +103,20 @@
   return 1 / (Busy / Long + (1 - Busy) / Step);
 }
 
+/// Seconds to fetch what \p Home has beyond the \p Kept blocks.
+double fetchSeconds(const View &At, const Request &Wanted, std::size_t Kept) {
+  const auto Missing = static_cast<double>(Wanted.m_Blocks.size() - Kept);
+  if (Missing <= 0)
+    return 0;
+  return seconds(At.m_Options.m_KvTransferSetup) +
+         Missing * seconds(At.m_Options.m_KvTransferPerBlock);
+}
+
 double uncachedTokens(const View &At, const Request &Wanted,
                       std::uint32_t &Cached) {
   Cached = cachedBlocks(At.m_Place, Wanted.m_Blocks);
+  if (At.m_Home != nullptr)
+    Cached = static_cast<std::uint32_t>(Wanted.m_Blocks.size());
   const std::uint64_t Known = std::uint64_t(Cached) * BlockTokens;
   return Known >= Wanted.m_PromptTokens
              ? 0
@@ -146,7 +159,9 @@
       uncachedTokens(At, Wanted, Found.m_Estimate.m_CachedBlocks);
   const double Distance = distanceSeconds(At);
   const double Ahead = tokensAhead(At, Wanted.m_Priority);
-  const double Own = prefillSeconds(At, Tokens);
+  double Own = prefillSeconds(At, Tokens);
+  if (At.m_Home != nullptr && At.m_Home != &At.m_Place)
+    Own += fetchSeconds(At, Wanted, cachedBlocks(At.m_Place, Wanted.m_Blocks));
   const double Wait =
       slotWait(At, kvBlocksNeeded(Wanted)) + prefillSeconds(At, Ahead);
   const double First = Distance + (Wait + Own) * At.m_Slowness;
@@ -196,13 +211,16 @@
 }
 
 Leaning leanPrefill(const State &Fleet, const Pool &Group, const Slot &Place,
-                    const Request &Wanted, TimePoint Now) {
-  return leanPrefill(viewOf(Fleet, Group, Place, Now), Wanted);
+                    const Request &Wanted, const Slot *Home, TimePoint Now) {
+  View At = viewOf(Fleet, Group, Place, Now);
+  At.m_Home = Home;
+  return leanPrefill(At, Wanted);
 }
 
 Leaning leanWhole(const State &Fleet, const Pool &Group, const Slot &Place,
-                  const Request &Wanted, TimePoint Now) {
-  const View At = viewOf(Fleet, Group, Place, Now);
+                  const Request &Wanted, const Slot *Home, TimePoint Now) {
+  View At = viewOf(Fleet, Group, Place, Now);
+  At.m_Home = Home;
   if (Wanted.m_Kind == Kind::Service)
     return leanService(At, Wanted);
   Leaning Found = leanPrefill(At, Wanted);
--- a/libs/routing/src/Health.cpp
+++ b/libs/routing/src/Health.cpp
@@ -183,6 +183,11 @@
                   Group.m_First[roleIndex(Place.m_Target.m_Role)]);
 }
 
+double roleSlowness(const Pool &Group, Role Which) {
+  const Slowness &Known = Group.m_First[roleIndex(Which)];
+  return believed(Known, Known);
+}
+
 double stepSlowness(const Pool &Group, const Slot &Place) {
   return believed(Place.m_Health.m_Step,
                   Group.m_Step[roleIndex(Place.m_Target.m_Role)]);
--- a/libs/routing/src/Internal.h
+++ b/libs/routing/src/Internal.h
@@ -92,14 +92,16 @@
 /// Factors on expected times, as far as answers have shown.
 double firstSlowness(const Pool &Group, const Slot &Place);
 double stepSlowness(const Pool &Group, const Slot &Place);
+/// The same for first tokens of all engines of a role.
+double roleSlowness(const Pool &Group, Role Which);
 void noteSplitTime(Pool &Group, const Timing &Took);
 double splitSlowness(const Pool &Group);
 void noteGood(State &Fleet, SlotIndex Index, bool Probe, TimePoint Now);
 void noteBad(State &Fleet, SlotIndex Index, TryOutcome What, bool Probe,
              TimePoint Now);
 void noteProbeUnused(State &Fleet, SlotIndex Index, TimePoint Now);
-/// Returns ejected engines in role prefill whose time is over: where they run no
-/// whole request, none can probe them.
+/// Returns ejected engines in role prefill whose time is over: where they run
+/// no whole request, none can probe them.
 void readmitPrefill(State &Fleet, Pool &Group, TimePoint Now);
 /// Returns ejected targets while more are ejected than the limit allows.
 void releaseExcess(State &Fleet, Pool &Group, TimePoint Now);
@@ -114,11 +116,13 @@
   Duration m_NormalStep{};
   Duration m_NormalSplit{}; ///< To the first token of a split.
 };
+/// \p Home keeps the shared prefix and others fetch it there; null: each has
+/// what it is believed to have.
 Leaning leanWhole(const State &Fleet, const Pool &Group, const Slot &Place,
-                  const Request &Wanted, TimePoint Now);
+                  const Request &Wanted, const Slot *Home, TimePoint Now);
 /// Prefill part of a split: first token is when its KV is ready.
 Leaning leanPrefill(const State &Fleet, const Pool &Group, const Slot &Place,
-                    const Request &Wanted, TimePoint Now);
+                    const Request &Wanted, const Slot *Home, TimePoint Now);
 /// Decode part of a split whose prefill ends as \p Prefill says.
 Leaning leanDecode(const State &Fleet, const Pool &Group, const Slot &Place,
                    const Request &Wanted, const Leaning &Prefill,
@@ -131,6 +135,8 @@
 struct Pick {
   SlotIndex m_Run = 0;
   std::optional<SlotIndex> m_Prefill;
+  /// Home of the shared prefix, if another engine reads the prompt.
+  std::optional<SlotIndex> m_FetchFrom;
   Leaning m_Leaning;
   bool m_Probe = false;
 };
--- a/libs/routing/src/Tries.cpp
+++ b/libs/routing/src/Tries.cpp
@@ -225,6 +225,8 @@
     Made.m_Prefill = legOf(Prefill);
     ++Fleet.m_Counters.m_Splits;
   }
+  if (Chosen.m_FetchFrom)
+    Made.m_FetchFrom = legOf(Fleet.m_Slots[*Chosen.m_FetchFrom]);
   Made.m_Estimate = Expected;
   Made.m_Probe = Chosen.m_Probe;
   Fleet.m_Counters.m_CachedBlocks += Expected.m_CachedBlocks;
--- a/libs/routing/src/Work.cpp
+++ b/libs/routing/src/Work.cpp
@@ -132,6 +132,22 @@
   return Found;
 }
 
+/// Prompt tokens of others' requests at an engine that only prefills: half of
+/// each is read by the time it is seen.
+static std::uint64_t guessedPromptTokens(const State &Fleet,
+                                         const Slot &Place) {
+  constexpr double Unread = 0.5;
+  if (Place.m_Target.m_Role != Role::Prefill || Place.m_Target.m_Models.empty())
+    return 0;
+  const auto &Pools =
+      Fleet.m_Pools[static_cast<std::size_t>(Place.m_Target.m_Kind)];
+  const auto Group = Pools.find(Place.m_Target.m_Models.front());
+  const double Mean =
+      Group == Pools.end() ? 0 : Group->second.m_MeanPromptTokens;
+  return static_cast<std::uint64_t>(
+      static_cast<double>(Place.m_Foreign.m_Requests) * Mean * Unread);
+}
+
 void applyLoad(State &Fleet, const TargetId &Id, std::string_view Incarnation,
                const LoadReport &Report, TimePoint Now) {
   const auto Found = Fleet.m_ByTarget.find(Id);
@@ -143,15 +159,19 @@
   const Work Then = workAt(Place, Now - Fleet.m_Settings.m_ReportLag);
   const std::uint32_t Requests = Report.m_Running + Report.m_Waiting;
   Place.m_ReportedRequests = Requests;
-  const double Busy = Report.m_PrefillTokensWaiting > 0 ? 1 : 0;
+  const double Busy = Report.m_PrefillTokensWaiting.value_or(0) > 0 ? 1 : 0;
   Place.m_PrefillBusy += BusyAlpha * (Busy - Place.m_PrefillBusy);
   Place.m_ReportAt = Now;
   Place.m_Foreign.m_Requests = above(Requests, Then.m_Requests);
   Place.m_Foreign.m_PromptTokens =
-      above(Report.m_PrefillTokensWaiting, Then.m_PromptTokens);
-  const std::uint64_t KvUsed =
-      above(Place.m_Target.m_KvBlocks, Report.m_KvBlocksFree);
-  Place.m_Foreign.m_KvBlocks = above(KvUsed, Then.m_KvBlocks);
+      Report.m_PrefillTokensWaiting
+          ? above(*Report.m_PrefillTokensWaiting, Then.m_PromptTokens)
+          : guessedPromptTokens(Fleet, Place);
+  Place.m_Foreign.m_KvBlocks = 0;
+  if (Report.m_KvBlocksFree)
+    Place.m_Foreign.m_KvBlocks =
+        above(above(Place.m_Target.m_KvBlocks, *Report.m_KvBlocksFree),
+              Then.m_KvBlocks);
   rememberWork(Place, Now);
   refreshSums(Fleet, Found->second);
 }
@@ -177,13 +197,14 @@
     const Room &Sum = Group.m_Sums[roleIndex(Part)];
     Own += static_cast<double>(Sum.m_OwnPromptTokens);
     Others += static_cast<double>(Sum.m_Foreign.m_PromptTokens);
-    Rate += static_cast<double>(Sum.m_PrefillRate);
+    Rate += static_cast<double>(Sum.m_PrefillRate) / roleSlowness(Group, Part);
   }
   if (Rate <= 0) { // Every engine decodes, and reads prompts beside that.
     const Room &Sum = Group.m_Sums[roleIndex(Role::Decode)];
     Own = static_cast<double>(Sum.m_OwnPromptTokens);
     Others = static_cast<double>(Sum.m_Foreign.m_PromptTokens);
-    Rate = static_cast<double>(Sum.m_PrefillRate);
+    Rate = static_cast<double>(Sum.m_PrefillRate) /
+           roleSlowness(Group, Role::Decode);
   }
   const double Total = Rate * seconds(Options.m_MaxPrefillWaiting);
   const double Tokens = std::min(allowance(Total, Own, Others, Entries),
--- a/libs/targets/include/targets/targets.h
+++ b/libs/targets/include/targets/targets.h
@@ -229,7 +229,7 @@
   int m_Status = 200;
   std::string m_Body;
   std::string m_ContentType;
-  http::Fields m_Fields; ///< Of a plain answer, which is passed on as it is.
+  http::Fields m_Fields = {}; ///< Of a plain answer, passed on as it is.
 
   bool operator==(const ServiceAnswer &) const = default;
 };
