Change roles of engines that manage themselves; read settings again on a signal

Change: a settings file is watched and read again on SIGHUP; what may change is taken, the rest stays. The leader takes an engine out of service, waits until no entry sends it new work, orders its new role and puts it back.

--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -33,7 +33,9 @@
 Control::Control(event_base *Loop, const ControlSettings &Settings,
                  metrics::Registry &Registry, std::function<void()> OnFatal)
     : m_Loop(Loop), m_Settings(Settings), m_Registry(Registry),
-      m_OnFatal(std::move(OnFatal)) {}
+      m_OnFatal(std::move(OnFatal)) {
+  reload(Settings);
+}
 
 Result<std::unique_ptr<Control>> Control::open(event_base *Loop,
                                                const ControlSettings &Settings,
@@ -143,6 +145,14 @@
   if (!m_Settings.m_RegistryListen)
     return std::monostate{};
   m_Registrar = std::make_unique<RegistryApi>(*this);
+  RoleOrders::Ties To;
+  To.m_MaySend = [this] { return maySendOrder(); };
+  To.m_Propose = [this](const std::string &Key, wire::Command What) {
+    proposeOnce(Key, std::move(What));
+  };
+  To.m_Self = m_Settings.m_Id;
+  m_RoleOrders =
+      std::make_unique<RoleOrders>(m_Loop, m_Registry, std::move(To));
   auto Listening =
       http::listen(m_Loop, *m_Settings.m_RegistryListen, http::ServerLimits{},
                    [this](const std::shared_ptr<http::Exchange> &Arrived) {
@@ -203,8 +213,7 @@
       std::find(Wanted.begin(), Wanted.end(), m_Settings.m_Id) != Wanted.end();
   if (!IsMember) {
     Wanted.insert(Wanted.end(), m_Found.begin(), m_Found.end());
-    for (const NodeId &Seed : m_Settings.m_Discovery->m_Seeds)
-      Wanted.push_back(Seed);
+    Wanted.insert(Wanted.end(), m_Seeds.begin(), m_Seeds.end());
   }
   std::sort(Wanted.begin(), Wanted.end());
   Wanted.erase(std::unique(Wanted.begin(), Wanted.end()), Wanted.end());
@@ -262,6 +271,8 @@
   startTerm(m_Shares, m_LeaderSince, LongestEntryLease);
   startTerm(m_Notices, m_LeaderSince, LongestEntryLease);
   m_Repairing = false;
+  if (m_RoleOrders)
+    m_RoleOrders->startTerm(m_Replica->term(), m_LeaderSince);
   if (m_Registrar)
     m_Registrar->startTerm();
 }
@@ -269,6 +280,8 @@
 void Control::loseLeadership() {
   m_Executor->stop();
   m_Sent.clear();
+  if (m_RoleOrders)
+    m_RoleOrders->endTerm();
   if (m_Registrar)
     m_Registrar->endTerm();
 }
@@ -368,6 +381,8 @@
   const wire::EntryReport &Report = Message.entry_report();
   fleet::takeReport(m_Heard, From, Message.session(), Report, Now, LeaseUntil);
   control::takeReport(m_Roles, Report);
+  if (m_RoleOrders)
+    m_RoleOrders->takeReport(Report);
   for (fleet::Propose &Each : control::takeReport(m_Notices, Suspicion, From,
                                                   Report, LeaseUntil, LogNow))
     proposeOnce(Each.m_Key, std::move(Each.m_Command));
@@ -486,6 +501,8 @@
     return;
   const TimePoint Now = BootClock::now();
   repairGroup(Now);
+  if (m_RoleOrders)
+    m_RoleOrders->turn(m_State.m_Fleet, m_Heard, Now);
   if (m_Registrar)
     m_Registrar->settleLeaving(Now);
   fleet::expireEntries(m_Heard, Now);
--- a/apps/control/src/Control.h
+++ b/apps/control/src/Control.h
@@ -8,6 +8,7 @@
 
 #include "ControlSettings.h"
 #include "Executor.h"
+#include "RoleOrders.h"
 #include "RolePlanner.h"
 #include "Shares.h"
 #include "StateMachine.h"
@@ -37,6 +38,12 @@
   Control(const Control &) = delete;
   Control &operator=(const Control &) = delete;
 
+  /// Takes what may change without a restart: whom a newcomer asks.
+  void reload(const ControlSettings &Next) {
+    if (Next.m_Discovery)
+      m_Seeds = Next.m_Discovery->m_Seeds;
+  }
+
   /// Why this member is not ready; empty when it is.
   [[nodiscard]] std::string notReady() const;
   /// Hands leadership over before a planned stop.
@@ -109,9 +116,11 @@
   std::unique_ptr<replication::Replica> m_Replica;
   std::unique_ptr<Executor> m_Executor;
   std::unique_ptr<http::Server> m_Operators;
+  std::unique_ptr<RoleOrders> m_RoleOrders;
   std::unique_ptr<RegistryApi> m_Registrar;
   std::unique_ptr<http::Server> m_RegistryServer;
   std::vector<NodeId> m_Reached; ///< Members that the hub connects to.
+  std::vector<NodeId> m_Seeds;   ///< By the newest settings.
   std::vector<NodeId> m_Found;   ///< Told to this member while it is new.
   bool m_Repairing = false;
   TimePoint m_NextRepair;
--- a/apps/control/src/Main.cpp
+++ b/apps/control/src/Main.cpp
@@ -10,7 +10,8 @@
 
 static constexpr std::chrono::milliseconds HandoverLook{20};
 
-static int run(const control::ControlSettings &Settings) {
+static int run(const control::ControlSettings &Settings,
+               const std::string &File, const settings::Json &Document) {
   daemon::EventLoop Loop;
   metrics::Registry Registry;
   bool Failed = false;
@@ -44,6 +45,14 @@
             Loop.end();
         });
   });
+  const daemon::SettingsWatch Watch(
+      Loop, File, control::controlSchema(), Document,
+      [&](const settings::Json &Next) {
+        const auto Read = control::toControlSettings(Next);
+        if (failed(Read))
+          return events::emitError(events::Event::ReloadRefused, errorOf(Read));
+        valueOf(Control)->reload(valueOf(Read));
+      });
   events::emit(events::Event::ProcessStarted,
                {{"id", Settings.m_Id}, {"listen", Settings.m_Listen}});
   Loop.run();
@@ -63,5 +72,6 @@
     events::emitError(events::Event::SettingsInvalid, errorOf(Settings));
     return daemon::ExitUsage;
   }
-  return run(valueOf(Settings));
+  return run(valueOf(Settings), daemon::settingsFile(ArgumentCount, Arguments),
+             std::get<settings::Json>(Read));
 }
--- a/apps/control/src/RegistryApi.cpp
+++ b/apps/control/src/RegistryApi.cpp
@@ -41,9 +41,10 @@
   return Made;
 }
 
+/// Whether it may get new work, now or when its role has changed.
 bool isOpen(const fleet::Target &Of) {
-  return Of.m_State == fleet::TargetState::Serving ||
-         Of.m_State == fleet::TargetState::Announced;
+  return !Of.m_LeavingByItself && Of.m_State != fleet::TargetState::Lost &&
+         Of.m_State != fleet::TargetState::Withdrawn;
 }
 
 /// Whether a message tells nothing that is not committed already.
--- a/apps/entry/src/ControlLink.cpp
+++ b/apps/entry/src/ControlLink.cpp
@@ -24,7 +24,8 @@
 ControlLink::ControlLink(event_base *Loop, const EntrySettings &Settings,
                          metrics::Registry &Registry, Handlers Callbacks)
     : m_Loop(Loop), m_Settings(Settings), m_Registry(Registry),
-      m_Handlers(std::move(Callbacks)), m_Members(Settings.m_Control) {}
+      m_Handlers(std::move(Callbacks)), m_Members(Settings.m_Control),
+      m_Named(Settings.m_Control) {}
 
 Result<std::unique_ptr<ControlLink>>
 ControlLink::open(event_base *Loop, const EntrySettings &Settings,
@@ -119,7 +120,7 @@
 void ControlLink::learnMembers(const wire::Redirect &Told) {
   if (m_Settings.m_HubPort == 0 || Told.members_size() == 0)
     return;
-  std::vector<wire::Peer> Known = m_Settings.m_Control;
+  std::vector<wire::Peer> Known = m_Named;
   for (const wire::Member &Each : Told.members()) {
     const wire::Peer Member{
         {Each.id()}, "", fmt::format("{}:{}", Each.id(), m_Settings.m_HubPort)};
@@ -140,6 +141,19 @@
   m_Members = std::move(Known);
 }
 
+void ControlLink::reload(const EntrySettings &Next) {
+  m_Named = Next.m_Control;
+  for (const wire::Peer &Each : m_Named) {
+    const bool Known = std::any_of(
+        m_Members.begin(), m_Members.end(),
+        [&](const wire::Peer &One) { return One.m_Id == Each.m_Id; });
+    if (!Known)
+      m_Members.push_back(Each);
+    if (Status Connected = m_Hub->connect(Each); failed(Connected))
+      events::emitError(events::Event::ListenFailed, errorOf(Connected));
+  }
+}
+
 void ControlLink::follow(const NodeId &Leader) {
   m_LastHeard = BootClock::now();
   if (m_Leader == Leader)
--- a/apps/entry/src/ControlLink.h
+++ b/apps/entry/src/ControlLink.h
@@ -50,6 +50,8 @@
   [[nodiscard]] std::uint64_t configurationRevision() const {
     return m_ConfigurationRevision;
   }
+  /// Looks for control where newer settings say.
+  void reload(const EntrySettings &Next);
   /// Sends a report at once, outside the usual interval.
   void reportNow();
   /// Starts a new session: control has taken the present one for ended and
@@ -95,6 +97,7 @@
   std::uint64_t m_RoutesVersion = 0;
   /// Control members as the settings name them, or as members told since.
   std::vector<wire::Peer> m_Members;
+  std::vector<wire::Peer> m_Named; ///< By the newest settings.
   std::uint64_t m_Renewal = 0;
   /// When each renewal that is still unanswered was sent: a lease counts from
   /// there.
--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -14,8 +14,8 @@
 /// Prompt tokens of one step where engines prefill in pieces of 1,024, and of a
 /// quarter of that between the tokens of others; by role.
 constexpr std::array<double, 3> PlainChunks{512, 1024, 256};
-/// Engines that take ranks order what waits there by themselves: only what would
-/// wait for longer than its caller does is kept here.
+/// Engines that take ranks order what waits there by themselves: only what
+/// would wait for longer than its caller does is kept here.
 constexpr std::chrono::milliseconds PlainPrefillWaiting{4'000};
 /// Part of the fleet's reserve of retries that is handed out: the rest is for
 /// entries that have joined since the count.
--- a/apps/entry/src/Entry.h
+++ b/apps/entry/src/Entry.h
@@ -32,6 +32,8 @@
   /// Turns unready, goes on taking requests for `m_StopLag`, finishes what runs
   /// within `m_StopPatience`, reports to control, and calls \p Done.
   void stop(std::function<void()> Done);
+  /// Takes what may change without a restart: where control is looked for.
+  void reload(const EntrySettings &Next) { m_Control->reload(Next); }
   /// Brings gauges up to date.
   void updateGauges();
 
--- a/apps/entry/src/Main.cpp
+++ b/apps/entry/src/Main.cpp
@@ -8,7 +8,8 @@
 
 using namespace wasabivale;
 
-static int run(const entry::EntrySettings &Settings) {
+static int run(const entry::EntrySettings &Settings, const std::string &File,
+               const settings::Json &Document) {
   daemon::EventLoop Loop;
   metrics::Registry Registry;
   auto Entry =
@@ -39,6 +40,14 @@
     events::emit(events::Event::ProcessStopping, {{"id", Settings.m_Id}});
     valueOf(Entry)->stop([&] { Loop.end(); });
   });
+  const daemon::SettingsWatch Watch(
+      Loop, File, entry::entrySchema(), Document,
+      [&](const settings::Json &Next) {
+        const auto Read = entry::toEntrySettings(Next);
+        if (failed(Read))
+          return events::emitError(events::Event::ReloadRefused, errorOf(Read));
+        valueOf(Entry)->reload(valueOf(Read));
+      });
   events::emit(events::Event::ProcessStarted,
                {{"id", Settings.m_Id},
                 {"callers", http::printAddress(Settings.m_CallersListen)}});
@@ -58,5 +67,6 @@
     events::emitError(events::Event::SettingsInvalid, errorOf(Settings));
     return daemon::ExitUsage;
   }
-  return run(valueOf(Settings));
+  return run(valueOf(Settings), daemon::settingsFile(ArgumentCount, Arguments),
+             std::get<settings::Json>(Read));
 }
--- a/libs/daemon/include/daemon/daemon.h
+++ b/libs/daemon/include/daemon/daemon.h
@@ -30,6 +30,10 @@
 readSettings(int ArgumentCount, char **Arguments, const std::string &Program,
              const std::string &Summary, const settings::Json &Schema);
 
+/// The settings file that `readSettings` took: of `--config`, else of the
+/// variable WASABIVALE_CONFIG; empty when neither is given.
+std::string settingsFile(int ArgumentCount, char **Arguments);
+
 /// JSON schema pieces that several programs share, under their names:
 /// `address` (ip:port), `name`, `z85_key`, `discovery`.
 settings::Json sharedDefinitions();
@@ -50,7 +54,8 @@
 std::string hubAddress(const Discovery &In, const NodeId &Member);
 
 /// The process's event loop. SIGTERM and SIGINT call the stop handler once;
-/// further ones are ignored. SIGPIPE is ignored.
+/// further ones are ignored. SIGHUP calls the reload handler. SIGPIPE is
+/// ignored.
 class EventLoop {
 public:
   EventLoop();
@@ -60,6 +65,9 @@
 
   [[nodiscard]] event_base *base() const { return m_Base; }
   void onStop(std::function<void()> Handler) { m_OnStop = std::move(Handler); }
+  void onReload(std::function<void()> Handler) {
+    m_OnReload = std::move(Handler);
+  }
   /// Called with the length of the gap when the loop did not turn for longer
   /// than `PauseThreshold`: the process was paused, and leases are doubtful.
   void onPause(std::function<void(Duration)> Handler) {
@@ -76,13 +84,35 @@
   event_base *m_Base;
   event *m_Terminate;
   event *m_Interrupt;
+  event *m_Reload;
   std::unique_ptr<http::Timer> m_Watch;
   TimePoint m_LastTurn;
   bool m_Stopping = false;
   std::function<void()> m_OnStop;
+  std::function<void()> m_OnReload;
   std::function<void(Duration)> m_OnPause;
 };
 
+/// Reads a settings file again on SIGHUP, and when its text has changed without
+/// one. Settings that are not valid change nothing.
+class SettingsWatch {
+public:
+  /// \param Apply gets each valid document that differs from the former.
+  SettingsWatch(EventLoop &Loop, std::string File, settings::Json Schema,
+                settings::Json Former,
+                std::function<void(const settings::Json &)> Apply);
+
+private:
+  void look(bool Asked);
+
+  std::string m_File;
+  settings::Json m_Schema;
+  settings::Json m_Former;
+  std::string m_FormerText;
+  std::function<void(const settings::Json &)> m_Apply;
+  std::unique_ptr<http::Timer> m_Timer;
+};
+
 /// A gap between two turns of the loop from which on the process takes itself
 /// for paused.
 inline constexpr std::chrono::milliseconds PauseThreshold{1000};
--- a/libs/daemon/src/EventLoop.cpp
+++ b/libs/daemon/src/EventLoop.cpp
@@ -16,16 +16,26 @@
     : m_Base(event_base_new()),
       m_Terminate(evsignal_new(m_Base, SIGTERM, onSignal, this)),
       m_Interrupt(evsignal_new(m_Base, SIGINT, onSignal, this)),
+      m_Reload(evsignal_new(
+          m_Base, SIGHUP,
+          [](evutil_socket_t, short, void *Argument) {
+            const auto &Self = *static_cast<EventLoop *>(Argument);
+            if (Self.m_OnReload)
+              Self.m_OnReload();
+          },
+          this)),
       m_LastTurn(BootClock::now()) {
   std::signal(SIGPIPE, SIG_IGN);
   event_add(m_Terminate, nullptr);
   event_add(m_Interrupt, nullptr);
+  event_add(m_Reload, nullptr);
   m_Watch = std::make_unique<http::Timer>(m_Base, WatchInterval, true,
                                           [this] { noteTurn(); });
 }
 
 EventLoop::~EventLoop() {
   m_Watch.reset();
+  event_free(m_Reload);
   event_free(m_Interrupt);
   event_free(m_Terminate);
   event_base_free(m_Base);
--- a/libs/daemon/src/ReadSettings.cpp
+++ b/libs/daemon/src/ReadSettings.cpp
@@ -64,6 +64,21 @@
   return std::get<settings::Json>(std::move(Loaded));
 }
 
+std::string settingsFile(int ArgumentCount, char **Arguments) {
+  options::options_description Known("Options");
+  Known.add_options()("config", options::value<std::string>(), "");
+  options::variables_map Given;
+  options::store(options::command_line_parser(ArgumentCount, Arguments)
+                     .options(Known)
+                     .allow_unregistered()
+                     .run(),
+                 Given);
+  const char *FromEnvironment = std::getenv("WASABIVALE_CONFIG");
+  if (Given.count("config") != 0)
+    return Given["config"].as<std::string>();
+  return FromEnvironment == nullptr ? "" : FromEnvironment;
+}
+
 std::variant<settings::Json, int>
 readSettings(int ArgumentCount, char **Arguments, const std::string &Program,
              const std::string &Summary, const settings::Json &Schema) {
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -113,8 +113,9 @@
   /// Start of its process by its own clock; zero: not told. At one address the
   /// later start takes the place of the earlier one.
   std::uint64_t m_StartedMs = 0;
-  /// It starts, leaves and changes its role by itself and takes no orders.
+  /// It starts and leaves by itself; the only order it takes is for its role.
   bool m_SelfManaged = false;
+  bool m_Held = false; ///< Out of service while its role changes.
 
   TargetState m_State = TargetState::Announced;
   LogTime m_StateSince;
--- a/libs/fleet/src/Apply.cpp
+++ b/libs/fleet/src/Apply.cpp
@@ -87,6 +87,8 @@
     return leave(On, Command.leave_target());
   case wire::Command::kLoseTarget:
     return lose(On, Command.lose_target());
+  case wire::Command::kHoldTarget:
+    return hold(On, Command.hold_target());
   case wire::Command::kBarrierReached:
     return reachBarrier(On, Command.barrier_reached());
   case wire::Command::kIssueOrder:
--- a/libs/fleet/src/Snapshot.cpp
+++ b/libs/fleet/src/Snapshot.cpp
@@ -70,6 +70,7 @@
   Out.m_MaxRunning = Said.max_running();
   Out.m_StartedMs = Said.started_ms();
   Out.m_SelfManaged = Said.self_managed();
+  Out.m_Held = Said.held();
   Out.m_PrefillTokensPerSecond = Said.prefill_tokens_per_second();
   Out.m_DecodeTokensPerSecond = Said.decode_tokens_per_second();
   Out.m_State = stateNamed(Said.state());
--- a/libs/fleet/src/Targets.cpp
+++ b/libs/fleet/src/Targets.cpp
@@ -115,6 +115,7 @@
   }
   takeFacts(Which, Said);
   Which.m_LeavingByItself = false;
+  Which.m_Held = false;
   Which.m_Generation += 1;
   supersedeUnderWay(On, Which.m_Id, "the target started anew");
   if (!restartStep(On, Which))
@@ -162,7 +163,7 @@
     return TargetState::Withdrawn;
   if (Of.m_LeavingByItself)
     return TargetState::Leaving;
-  if (Of.m_Wanted && Of.m_Wanted->m_Draining)
+  if (Of.m_Held || (Of.m_Wanted && Of.m_Wanted->m_Draining))
     return TargetState::Draining;
   return TargetState::Serving;
 }
@@ -257,6 +258,26 @@
   return accept();
 }
 
+Reply hold(State &On, const wire::HoldTarget &Said) {
+  Target *Known = findTarget(On.m_Targets, {Said.target()});
+  if (Known == nullptr)
+    return refuse(Refusal::UnknownTarget);
+  if (Known->m_Incarnation != Said.incarnation() || !Known->m_SelfManaged)
+    return refuse(Refusal::StaleIncarnation);
+  if (isOut(*Known) || Known->m_Held == Said.held())
+    return accept();
+  Known->m_Held = Said.held();
+  if (!Said.held() && !Said.role().empty())
+    Known->m_Role = Said.role();
+  const TargetState Next = restingState(*Known);
+  if (Said.held())
+    startDrain(On, *Known, Next);
+  else
+    enter(On, *Known, Next);
+  touch(On.m_Targets, *Known);
+  return accept();
+}
+
 Reply lose(State &On, const wire::LoseTarget &Said) {
   Target *Known = findTarget(On.m_Targets, {Said.target()});
   if (Known == nullptr)
--- a/libs/fleet/src/Targets.h
+++ b/libs/fleet/src/Targets.h
@@ -43,6 +43,7 @@
 
 Reply announce(State &On, const wire::Target &Said);
 Reply leave(State &On, const wire::LeaveTarget &Said);
+Reply hold(State &On, const wire::HoldTarget &Said);
 Reply lose(State &On, const wire::LoseTarget &Said);
 Reply reachBarrier(State &On, const wire::BarrierReached &Said);
 
--- a/libs/fleet/src/View.cpp
+++ b/libs/fleet/src/View.cpp
@@ -79,6 +79,7 @@
   Out.set_max_running(From.m_MaxRunning);
   Out.set_started_ms(From.m_StartedMs);
   Out.set_self_managed(From.m_SelfManaged);
+  Out.set_held(From.m_Held);
   return Out;
 }
 
--- a/libs/roles/include/roles/roles.h
+++ b/libs/roles/include/roles/roles.h
@@ -20,6 +20,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace wasabivale::roles {
@@ -168,6 +169,45 @@
 double goodput(const SplitCapacity &Split, const WorkRate &Work,
                const Policy &Rules);
 
+// --- Decoding as a need, prefill as the rest ---------------------------------
+
+/// What the engines of one service are asked for, smoothed.
+struct ServiceLoad {
+  double m_RequestsPerSecond = 0;
+  double m_PromptTokensPerSecond = 0; ///< Also those that are found cached.
+};
+
+struct SplitRules {
+  /// Time that a stream holds its place, and how many times over the places
+  /// must be there: arrivals come in bursts, and an engine may be lost.
+  Duration m_StreamTime = std::chrono::milliseconds(1500);
+  double m_PlacesOver = 2;
+  std::uint32_t m_LeastDecoders = 2; ///< One may be lost.
+  /// Prompt tokens that an engine in role prefill reads in a second, and the
+  /// share of a prompt that has to be read.
+  double m_PrefillRate = 25'000;
+  double m_ReadShare = 0.6;
+  double m_PrefillUse = 0.5; ///< Use of prefill at which answers turn late.
+  /// Engines that may change at once, of all.
+  double m_ChangingShare = 0.25;
+};
+
+struct SplitEngine {
+  TargetId m_Id;
+  Role m_Role = Role::Decode;
+  bool m_Changing = false;
+  std::uint32_t m_Places = 1; ///< Requests at once.
+};
+
+/// Engines to change now, with their new role. For fleets where prompts are
+/// read elsewhere than they are answered and a change takes seconds: as many
+/// decode as the streams need, and more prefill as long as prompts wait. An
+/// engine that prefills goes back only when streams lack places.
+/// \param Engines of one service, in a stable order.
+std::vector<std::pair<TargetId, Role>>
+changesOf(const std::vector<SplitEngine> &Engines, const ServiceLoad &Load,
+          const SplitRules &Rules);
+
 // --- Planner --------------------------------------------------------------
 
 struct Change {
--- a/libs/routing/src/Estimates.cpp
+++ b/libs/routing/src/Estimates.cpp
@@ -105,7 +105,8 @@
 
 /// Seconds to fetch what \p Home has beyond the \p Kept blocks.
 double fetchSeconds(const View &At, const Request &Wanted, std::size_t Kept) {
-  const auto Missing = static_cast<double>(Wanted.m_Blocks.size() - Kept);
+  const std::size_t There = cachedBlocks(*At.m_Home, Wanted.m_Blocks);
+  const auto Missing = static_cast<double>(There > Kept ? There - Kept : 0);
   if (Missing <= 0)
     return 0;
   return seconds(At.m_Options.m_KvTransferSetup) +
@@ -115,8 +116,13 @@
 double uncachedTokens(const View &At, const Request &Wanted,
                       std::uint32_t &Cached) {
   Cached = cachedBlocks(At.m_Place, Wanted.m_Blocks);
-  if (At.m_Home != nullptr)
+  // What other entries had read at the home is not known; its own requests are
+  // taken to find the prefix there, and so it fills. Others count on what this
+  // entry knows to be there.
+  if (At.m_Home == &At.m_Place)
     Cached = static_cast<std::uint32_t>(Wanted.m_Blocks.size());
+  else if (At.m_Home != nullptr)
+    Cached = std::max(Cached, cachedBlocks(*At.m_Home, Wanted.m_Blocks));
   const std::uint64_t Known = std::uint64_t(Cached) * BlockTokens;
   return Known >= Wanted.m_PromptTokens
              ? 0
