--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -145,6 +145,8 @@
   if (!m_Settings.m_RegistryListen)
     return std::monostate{};
   m_Registrar = std::make_unique<RegistryApi>(*this);
+  if (!m_Settings.m_ChangesRoles)
+    return listenToRegistry();
   RoleOrders::Ties To;
   To.m_MaySend = [this] { return maySendOrder(); };
   To.m_Propose = [this](const std::string &Key, wire::Command What) {
@@ -153,6 +155,10 @@
   To.m_Self = m_Settings.m_Id;
   m_RoleOrders =
       std::make_unique<RoleOrders>(m_Loop, m_Registry, std::move(To));
+  return listenToRegistry();
+}
+
+Status Control::listenToRegistry() {
   auto Listening =
       http::listen(m_Loop, *m_Settings.m_RegistryListen, http::ServerLimits{},
                    [this](const std::shared_ptr<http::Exchange> &Arrived) {
--- a/apps/control/src/Control.h
+++ b/apps/control/src/Control.h
@@ -72,6 +72,7 @@
   Status openReplica();
   Status openOperators();
   Status openRegistry();
+  Status listenToRegistry();
   /// Keeps connections to the members of the group, and to the seeds until it
   /// is known.
   void reachMembers();
--- a/apps/control/src/ControlSettings.cpp
+++ b/apps/control/src/ControlSettings.cpp
@@ -40,6 +40,7 @@
       "registry": {"type": "object", "additionalProperties": false,
         "required": ["listen"],
         "properties": {"listen": {"$ref": "#/definitions/address"},
+          "change_roles": {"type": "boolean"},
           "zones": {"type": "object",
                     "additionalProperties": {"type": "string"}}}},
       "members": {"type": "array", "minItems": 1, "maxItems": 7,
@@ -106,6 +107,7 @@
     if (failed(Listen))
       return errorOf(Listen);
     Made.m_RegistryListen = valueOf(Listen);
+    Made.m_ChangesRoles = Given.value("change_roles", Made.m_ChangesRoles);
     const Json Zones = Given.value("zones", Json::object());
     for (const auto &[Zone, Region] : Zones.items())
       Made.m_Regions[{Zone}] = {Region.get<std::string>()};
--- a/apps/control/src/ControlSettings.h
+++ b/apps/control/src/ControlSettings.h
@@ -46,6 +46,8 @@
   std::optional<daemon::Discovery> m_Discovery;
   /// Where targets report and routes are put; none where neither is done here.
   std::optional<http::Address> m_RegistryListen;
+  /// Whether the leader changes roles of engines as prompts and streams ask.
+  bool m_ChangesRoles = false;
   std::map<ZoneId, RegionId> m_Regions; ///< Of zones that targets name.
 };
 
--- a/apps/control/src/RoleOrders.cpp
+++ b/apps/control/src/RoleOrders.cpp
@@ -96,8 +96,8 @@
         continue;
       const auto Pause = m_NotBefore.find(Id);
       Engines.push_back({Id, Open == m_Open.end() ? *Role : Open->second.m_To,
-                         Open != m_Open.end() || (Pause != m_NotBefore.end() &&
-                                                  Now < Pause->second),
+                         Open != m_Open.end(),
+                         Pause != m_NotBefore.end() && Now < Pause->second,
                          Each.m_MaxRunning});
     }
     if (Engines.empty())
--- a/apps/entry/src/Try.cpp
+++ b/apps/entry/src/Try.cpp
@@ -272,6 +272,19 @@
   m_InPrefill = false;
   m_SilentSince = Now;
   routing::notePrefilled(m_Tools.m_Routing, m_Plan.m_Choice.m_Try, Now);
+  // The second engine may have begun to leave while the first one read.
+  if (!routing::isOpen(m_Tools.m_Routing, m_Plan.m_Choice.m_Run)) {
+    if (!failed(Read))
+      m_KvHandle = valueOf(Read).m_Handle;
+    retries::Failure Why;
+    Why.m_Kind = FailureKind::TargetFull;
+    Why.m_NotRunProven = true;
+    Why.m_BytesSent = true;
+    return fail(Why, TryOutcome::NotSent,
+                Error{"try.second_leg", http::printAddress(address()),
+                      "the engine left while the prompt was read"},
+                false);
+  }
   // Without a handle the second engine reads the prompt itself.
   if (failed(Read)) {
     events::emitError(events::Event::TargetAnswerUnreadable, errorOf(Read));
--- /dev/null
+++ b/apps/entry/tests/PassedTest.cpp
@@ -0,0 +1,328 @@
+// Plain requests through the whole data path, to targets of raw answers.
+
+#include "DataPath.h"
+#include "World.h"
+#include "events/events.h"
+#include "platform/platform.h"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+namespace wasabivale::entry::test {
+
+namespace {
+
+constexpr std::uint16_t EntryPort = 21880;
+constexpr std::uint16_t FirstPort = 21881;
+
+using Exchange = std::shared_ptr<http::Exchange>;
+using Play = std::function<void(const Exchange &)>;
+
+http::Fields stamped(const Exchange &Of) {
+  return {{"Server-Stamp", "s-1"},
+          {"Request-Id",
+           std::string(http::field(Of->request().m_Fields, "request-id"))}};
+}
+
+Play answers(int Status, const std::string &Body) {
+  return [=](const Exchange &Arrived) {
+    Arrived->relay(Status, stamped(Arrived), Body);
+  };
+}
+
+Play refuses() {
+  return [](const Exchange &Arrived) {
+    Arrived->relay(503, {{"Not-Executed", "1"}}, "");
+  };
+}
+
+Play breaks() {
+  return [](const Exchange &Arrived) { Arrived->abort(); };
+}
+
+std::string eventText(int Id) { return fmt::format("id: {}\ndata: x\n\n", Id); }
+
+/// Streams events from behind the last that the caller has up to \p Last; then
+/// ends, or breaks off.
+Play streams(int Last, bool Whole) {
+  return [=](const Exchange &Arrived) {
+    http::Fields Head = stamped(Arrived);
+    Head.emplace_back("Content-Type", "text/event-stream");
+    const std::string Seen(
+        http::field(Arrived->request().m_Fields, "last-event-id"));
+    Arrived->startRelay(200, Head);
+    for (int Id = Seen.empty() ? 1 : std::stoi(Seen) + 1; Id <= Last; ++Id)
+      Arrived->write(eventText(Id));
+    if (Whole)
+      Arrived->finish();
+  };
+}
+
+wire::Route route(const std::string &Name, const std::string &Kind,
+                  const std::string &Service, bool Resumable = false) {
+  wire::Route Made;
+  Made.set_name(Name);
+  Made.set_host("shop.example");
+  Made.set_path_prefix("/" + Name + "/");
+  Made.set_kind(Kind);
+  Made.set_timeout_ns(2'000'000'000);
+  Made.set_objective_ns(100'000'000);
+  Made.set_gap_ns(50'000'000);
+  Made.set_max_attempts(2);
+  Made.set_resumable(Resumable);
+  Made.add_services()->set_service(Service);
+  Made.mutable_services(0)->set_weight(1);
+  return Made;
+}
+
+struct Answered {
+  int m_Status = 0; ///< Zero: the connection ended without a whole answer.
+  http::Fields m_Fields;
+  std::string m_Body;
+};
+
+/// An entry before targets of one service each.
+struct Shop {
+  Loop m_Loop;
+  EntrySettings m_Settings;
+  metrics::Registry m_Registry;
+  EntryMetrics m_Metrics{m_Registry};
+  LedgerClient m_Ledger{{"entry-1"},
+                        [](wire::Command, TimePoint, LedgerClient::OnReply) {},
+                        [] { return std::uint64_t(1); },
+                        [] {}};
+  std::unique_ptr<DataPath> m_Path;
+  std::unique_ptr<http::Server> m_Server;
+  std::vector<std::unique_ptr<http::Server>> m_Targets;
+  std::vector<Exchange> m_Held;
+  std::vector<http::Request> m_Seen;
+  wire::FleetUpdate m_Fleet;
+
+  Shop() {
+    events::setMinimumLevel(events::Level::Error);
+    m_Settings.m_Id = {"entry-1"};
+    m_Settings.m_Routes = RouteSettings{};
+    m_Path = std::make_unique<DataPath>(
+        m_Loop.m_Base, m_Settings, m_Metrics,
+        DataPath::Ties{m_Ledger, [](TimePoint) { return true; }, [] {},
+                       &platform::dialect()});
+    auto Listening = http::listen(
+        m_Loop.m_Base, {"127.0.0.1", EntryPort}, http::ServerLimits{},
+        [this](const Exchange &Arrived) { m_Path->takePassed(Arrived); });
+    REQUIRE_FALSE(failed(Listening));
+    m_Server = std::move(valueOf(Listening));
+    m_Fleet.set_revision(1);
+    wire::RouteTable &Table = *m_Fleet.mutable_routes();
+    Table.set_version(1);
+    *Table.add_routes() = route("stock", "safe", "desk");
+    *Table.add_routes() = route("book", "unsafe", "desk");
+    *Table.add_routes() = route("note", "streaming", "desk", true);
+    *Table.add_routes() = route("advice", "streaming", "desk", false);
+    Table.add_services()->set_name("desk");
+    m_Fleet.set_routes_version(1);
+  }
+
+  ~Shop() {
+    m_Held.clear();
+    m_Path->endAll();
+    m_Loop.turnFor(std::chrono::milliseconds(5));
+    m_Server.reset();
+    m_Targets.clear();
+    m_Path.reset();
+  }
+  Shop(const Shop &) = delete;
+  Shop &operator=(const Shop &) = delete;
+
+  /// Each target plays its script for every request.
+  void open(const std::vector<Play> &Scripts) {
+    std::uint16_t Port = FirstPort;
+    for (const Play &Each : Scripts) {
+      auto Listening =
+          http::listen(m_Loop.m_Base, {"127.0.0.1", Port}, http::ServerLimits{},
+                       [this, Each](const Exchange &Arrived) {
+                         m_Seen.push_back(Arrived->request());
+                         m_Held.push_back(Arrived);
+                         Each(Arrived);
+                       });
+      REQUIRE_FALSE(failed(Listening));
+      m_Targets.push_back(std::move(valueOf(Listening)));
+      wire::Target &Told = *m_Fleet.add_targets();
+      Told.set_id(fmt::format("i-{}", Port));
+      Told.set_incarnation("1");
+      Told.set_address(fmt::format("127.0.0.1:{}", Port++));
+      Told.set_kind("service");
+      Told.add_models("desk");
+      Told.set_state("serving");
+      Told.set_generation(1);
+      Told.set_max_running(8);
+      Told.set_self_managed(true);
+    }
+    REQUIRE(m_Path->takeFleet(m_Fleet));
+  }
+
+  Answered ask(const std::string &Method, const std::string &Path,
+               http::Fields More = {}) {
+    http::ClientRequest Out;
+    Out.m_To = {"127.0.0.1", EntryPort};
+    Out.m_Method = Method;
+    Out.m_Path = Path;
+    Out.m_Fields = {{"Host", "shop.example"},
+                    {"Request-Id", "r-1"},
+                    {"Deadline-Ms", "1500"}};
+    Out.m_Fields.insert(Out.m_Fields.end(), More.begin(), More.end());
+    if (Method == "POST")
+      Out.m_Body = "body";
+    Out.m_Deadline = BootClock::now() + std::chrono::seconds(5);
+    Answered Got;
+    bool Ended = false;
+    http::ClientHandlers Handlers;
+    Handlers.m_OnFields = [&](int, const http::Fields &Fields) {
+      Got.m_Fields = Fields;
+    };
+    Handlers.m_OnChunk = [&](std::string_view Piece) { Got.m_Body += Piece; };
+    Handlers.m_OnDone = [&](const Result<http::Response> &Told) {
+      if (!failed(Told))
+        Got.m_Status = valueOf(Told).m_Status;
+      Ended = true;
+    };
+    (void)http::call(m_Loop.m_Base, std::move(Out), std::move(Handlers));
+    REQUIRE(m_Loop.until([&] { return Ended; }));
+    return Got;
+  }
+};
+
+} // namespace
+
+SCENARIO("a plain request is passed on by its route") {
+  Shop On;
+  GIVEN("an entry that has heard of no routes") {
+    THEN("it says that nothing has run") {
+      const Answered Got = On.ask("GET", "/stock/7");
+      CHECK(Got.m_Status == 503);
+      CHECK_FALSE(http::field(Got.m_Fields, "retry-after").empty());
+    }
+  }
+  GIVEN("a target that answers") {
+    On.open({answers(200, "three left")});
+    THEN("its answer comes back with its signature") {
+      const Answered Got = On.ask("POST", "/book/7?a=1");
+      CHECK(Got.m_Status == 200);
+      CHECK(Got.m_Body == "three left");
+      CHECK(http::field(Got.m_Fields, "server-stamp") == "s-1");
+      REQUIRE(On.m_Seen.size() == 1);
+      CHECK(On.m_Seen[0].m_Target == "/book/7?a=1");
+      CHECK(On.m_Seen[0].m_Body == "body");
+      CHECK(http::field(On.m_Seen[0].m_Fields, "expect-instance") == "i-21881");
+    }
+    THEN("a path that no route has is not found") {
+      CHECK(On.ask("GET", "/nowhere/7").m_Status == 404);
+      CHECK(On.m_Seen.empty());
+    }
+    THEN("connections to it are kept") {
+      for (int I = 0; I < 5; ++I)
+        CHECK(On.ask("GET", "/stock/7").m_Status == 200);
+      CHECK(On.m_Targets[0]->connections() == 1);
+    }
+  }
+  GIVEN("no target at all") {
+    On.open({});
+    THEN("it says at once that nothing has run") {
+      CHECK(On.ask("POST", "/book/7").m_Status == 503);
+    }
+  }
+}
+
+SCENARIO("what may run twice is tried elsewhere, what may not is not") {
+  Shop On;
+  GIVEN("targets that fail each request") {
+    On.open({answers(500, "no"), answers(500, "no")});
+    THEN("a safe one reaches both, and the failure is passed on as it is") {
+      const Answered Got = On.ask("GET", "/stock/7");
+      CHECK(Got.m_Status == 500);
+      CHECK(Got.m_Body == "no");
+      CHECK(On.m_Seen.size() == 2);
+    }
+    THEN("an unsafe one reaches one") {
+      CHECK(On.ask("POST", "/book/7").m_Status == 500);
+      CHECK(On.m_Seen.size() == 1);
+    }
+  }
+  GIVEN("targets that break off") {
+    On.open({breaks(), breaks()});
+    THEN("an unsafe one may have run: nothing is promised") {
+      CHECK(On.ask("POST", "/book/7").m_Status == 502);
+      CHECK(On.m_Seen.size() == 1);
+    }
+  }
+  GIVEN("targets that did not run it") {
+    On.open({refuses(), refuses()});
+    THEN("an unsafe one is tried again, and then refused truly") {
+      CHECK(On.ask("POST", "/book/7").m_Status == 503);
+      CHECK(On.m_Seen.size() > 1);
+    }
+  }
+  GIVEN("a target that says 503 without that word") {
+    On.open({answers(503, "busy")});
+    THEN("it is not passed on as a promise") {
+      CHECK(On.ask("POST", "/book/7").m_Status == 502);
+    }
+  }
+}
+
+SCENARIO("a stream is whole or visibly broken") {
+  Shop On;
+  const auto Order = [](const std::string &Body) {
+    std::string Ids;
+    for (std::size_t At = Body.find("id: "); At != std::string::npos;
+         At = Body.find("id: ", At + 1))
+      Ids += Body[At + 4];
+    return Ids;
+  };
+  GIVEN("a target that streams it whole") {
+    On.open({streams(3, true)});
+    THEN("each event comes once") {
+      const Answered Got = On.ask("POST", "/note/7");
+      CHECK(Got.m_Status == 200);
+      CHECK(Order(Got.m_Body) == "123");
+    }
+    THEN("a caller that has some goes on behind them") {
+      CHECK(Order(On.ask("POST", "/note/7", {{"Last-Event-Id", "2"}}).m_Body) ==
+            "3");
+    }
+  }
+  GIVEN("one that stalls in the middle, and one that goes on") {
+    On.open({streams(2, false), streams(4, true)});
+    THEN("a stream that may be resumed is") {
+      const Answered Got = On.ask("POST", "/note/7");
+      CHECK(Got.m_Status == 200);
+      CHECK(Order(Got.m_Body) == "1234");
+    }
+  }
+  GIVEN("one that stalls for good") {
+    On.open({streams(2, false)});
+    THEN("a stream that may not be resumed ends without its end") {
+      const Answered Got = On.ask("POST", "/advice/7");
+      CHECK(Got.m_Status == 0);
+      CHECK(On.m_Seen.size() == 1);
+    }
+  }
+}
+
+TEST_CASE("a status that promises is given only to what has not run") {
+  for (std::size_t I = 0; I < refusalCount(); ++I) {
+    const auto Reason = static_cast<Refusal>(refusalAt(I).m_Number);
+    Rejection Why;
+    Why.m_Reason = Reason;
+    for (const Outcome Told : {Outcome::Unknown, Outcome::Completed}) {
+      Why.m_Outcome = Told;
+      const int Status = promisedStatus(Why);
+      INFO(refusalAt(I).m_Name << " " << Status);
+      CHECK((Status != 408 && Status != 421 && Status != 429 && Status != 503));
+    }
+    Why.m_Outcome = Outcome::NotRun;
+    CHECK(promisedStatus(Why) != 502);
+    CHECK(promisedStatus(Why) != 504);
+  }
+}
+
+} // namespace wasabivale::entry::test
--- a/apps/entry/tests/World.cpp
+++ b/apps/entry/tests/World.cpp
@@ -199,7 +199,8 @@
   Request.m_Method = What.m_Method;
   Request.m_Headers = What.m_Headers;
   Request.m_Headers.emplace("Authorization", std::string("Bearer ") + Key);
-  Request.m_Body = What.m_Body.dump();
+  if (What.m_Method != "GET")
+    Request.m_Body = What.m_Body.dump();
   Request.m_Deadline = BootClock::now() + 30s;
   http::ClientHandlers Handlers;
   Handlers.m_OnHead = [Made, Paused](int Status, const http::Headers &With) {
--- a/libs/roles/include/roles/roles.h
+++ b/libs/roles/include/roles/roles.h
@@ -190,12 +190,16 @@
   double m_PrefillUse = 0.5; ///< Use of prefill at which answers turn late.
   /// Engines that may change at once, of all.
   double m_ChangingShare = 0.25;
+  /// Share of the decoders needed below which an engine goes back to decoding:
+  /// what lies between is left alone, so that a burst turns nothing round.
+  double m_BackBelow = 0.7;
 };
 
 struct SplitEngine {
   TargetId m_Id;
   Role m_Role = Role::Decode;
   bool m_Changing = false;
+  bool m_Resting = false; ///< Changed lately; keeps its role for now.
   std::uint32_t m_Places = 1; ///< Requests at once.
 };
 
--- a/libs/roles/src/Split.cpp
+++ b/libs/roles/src/Split.cpp
@@ -51,7 +51,8 @@
   const auto AtOnce =
       std::max(1U, static_cast<std::uint32_t>(Rules.m_ChangingShare * Count));
   const bool More = Prefilling < Prefillers;
-  const bool Fewer = Count - Prefilling < Decoders;
+  const bool Fewer =
+      static_cast<double>(Count - Prefilling) < Rules.m_BackBelow * Decoders;
   if (!More && !Fewer)
     return Changes;
   std::uint32_t Left =
@@ -59,8 +60,8 @@
   for (const SplitEngine &Each : Engines) {
     if (Left == 0 || Changing >= AtOnce)
       break;
-    const bool Fits =
-        !Each.m_Changing && (Each.m_Role == Role::Prefill) == Fewer;
+    const bool Fits = !Each.m_Changing && !Each.m_Resting &&
+                      (Each.m_Role == Role::Prefill) == Fewer;
     if (!Fits)
       continue;
     Changes.emplace_back(Each.m_Id, More ? Role::Prefill : Role::Decode);
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -174,6 +174,8 @@
   /// Value of placing a prefix where its bucket's next request will look, as
   /// part of the time to prefill it.
   double m_AffinityWeight = 0.5;
+  /// What it is worth that streams of one prefix run at one engine.
+  Duration m_DecodeHomeValue = std::chrono::milliseconds(40);
   std::uint32_t m_Samples = 2; ///< Random candidates beside affine ones.
   double m_MaxEjectedShare = 1.0 / 3.0;
   std::uint32_t m_FailuresToEject = 3; ///< Consecutive; a stall counts twice.
@@ -393,6 +395,10 @@
 void noteEnded(State &Fleet, TryId Id, TryOutcome Outcome, TimePoint Now,
                bool FailedAtPrefill = false);
 
+/// Whether the process that a leg was chosen for still gets new work. A split's
+/// second leg begins long after its choice.
+bool isOpen(const State &Fleet, const Leg &Where);
+
 /// Room for new work at a model's targets, as this entry may use it.
 struct Capacity {
   std::uint32_t m_FreeSlots = 0; ///< May be started now by this entry.
--- a/libs/routing/src/Choose.cpp
+++ b/libs/routing/src/Choose.cpp
@@ -32,7 +32,8 @@
   std::optional<Pick> m_Reluctant; ///< Best among those still warming up.
   std::optional<SlotIndex> m_PrefillAt;
   Leaning m_Prefill;
-  std::optional<SlotIndex> m_Home; ///< Of the prefix that others share.
+  std::optional<SlotIndex> m_Home;       ///< Of the prefix that others share.
+  std::optional<SlotIndex> m_DecodeHome; ///< The same, of its streams.
 
   const Slot *home() const { return m_Home ? &slot(*m_Home) : nullptr; }
 
@@ -169,20 +170,33 @@
     offerPrefill(Task, Index, Value);
 }
 
-/// The first target in the order of the whole shared prefix that is well.
-void findHome(Search &Task) {
-  if (!Task.m_Wanted.m_Fetches || Task.m_Wanted.m_Blocks.empty() ||
-      Task.m_Group.m_Partitions.empty())
+/// Finds where the whole shared prefix is kept: every entry comes to the same
+/// targets, as far as it knows the same ones to be well.
+void findHomes(Search &Task) {
+  if (!Task.m_Wanted.m_Fetches || Task.m_Wanted.m_Blocks.empty())
     return;
-  const Partition &Bucket =
-      partitionOf(Task.m_Group, Task.m_Wanted.m_Blocks.back());
-  for (std::size_t I = 0; I < Bucket.m_Count && !Task.m_Home; ++I)
-    if (isEligible(Task.slot(Bucket.m_Slots[I])))
-      Task.m_Home = Bucket.m_Slots[I];
+  const std::uint64_t Last = Task.m_Wanted.m_Blocks.back();
+  if (!Task.m_Group.m_Partitions.empty()) {
+    const Partition &Bucket = partitionOf(Task.m_Group, Last);
+    for (std::size_t I = 0; I < Bucket.m_Count && !Task.m_Home; ++I)
+      if (isEligible(Task.slot(Bucket.m_Slots[I])))
+        Task.m_Home = Bucket.m_Slots[I];
+  }
+  // Streams of one prefix also end up at one engine, which then keeps it too.
+  std::uint64_t Best = 0;
+  for (const SlotIndex Index : listOf(Task, Role::Decode)) {
+    const std::uint64_t Score = placementScore(Task.slot(Index).m_Hash, Last);
+    if (Task.m_DecodeHome && Score <= Best)
+      continue;
+    Task.m_DecodeHome = Index;
+    Best = Score;
+  }
 }
 
-/// The home, and what it is worth that the prefix is kept there already.
-void offerHome(Search &Task, bool Splits) {
+/// The homes, and what it is worth that the prefix is kept there already.
+void offerHomes(Search &Task, bool Splits) {
+  if (Task.m_DecodeHome)
+    offerWhole(Task, *Task.m_DecodeHome, 0);
   if (!Task.m_Home)
     return;
   const double Value =
@@ -196,7 +210,7 @@
 /// Two of the targets that share the bucket, and the next one in order.
 void offerAffine(Search &Task, bool Splits) {
   if (Task.m_Wanted.m_Fetches)
-    return offerHome(Task, Splits);
+    return offerHomes(Task, Splits);
   const Partition *Bucket = affineBucket(Task);
   if (Bucket == nullptr || Bucket->m_Count == 0)
     return;
@@ -228,8 +242,12 @@
   const Role PrefillAt = HasPrefill ? Role::Prefill : Role::Mixed;
   const Role DecodeAt = HasDecode ? Role::Decode : Role::Mixed;
   offerSamples(Task, listOf(Task, PrefillAt), Samples, offerPrefill);
-  if (Task.m_PrefillAt)
-    offerSamples(Task, listOf(Task, DecodeAt), Samples, offerDecode);
+  if (!Task.m_PrefillAt)
+    return;
+  if (Task.m_DecodeHome)
+    offerDecode(Task, *Task.m_DecodeHome,
+                seconds(Task.m_Fleet.m_Settings.m_DecodeHomeValue));
+  offerSamples(Task, listOf(Task, DecodeAt), Samples, offerDecode);
 }
 
 bool maySplit(const Search &Task) {
@@ -248,7 +266,7 @@
 
 std::optional<Pick> pickByWork(Search &Task) {
   const bool Splits = maySplit(Task);
-  findHome(Task);
+  findHomes(Task);
   offerAffine(Task, Splits);
   offerWholes(Task);
   if (Splits)
@@ -365,7 +383,7 @@
 
 std::optional<Pick> pick(State &Fleet, Pool &Group, const Request &Wanted,
                          TimePoint Now, Random &Rng, bool MayProbe) {
-  Search Task{Fleet, Group, Wanted, Now, Rng, {}, {}, {}, {}, {}};
+  Search Task{Fleet, Group, Wanted, Now, Rng, {}, {}, {}, {}, {}, {}};
   if (Wanted.m_Only)
     return pickOnly(Task);
   if (!Fleet.m_Settings.m_WholeAtPrefill)
--- a/libs/routing/src/Internal.h
+++ b/libs/routing/src/Internal.h
@@ -48,6 +48,8 @@
 // Placement.cpp
 void addPlacement(State &Fleet, Pool &Group, SlotIndex Index);
 void removePlacement(State &Fleet, Pool &Group, SlotIndex Index);
+/// Rendezvous score of a target for a block.
+std::uint64_t placementScore(std::uint64_t TargetHash, std::uint64_t Block);
 Partition &partitionOf(Pool &Group, std::uint64_t Block);
 /// Adds \p Work, in seconds of one engine, to a bucket's demand.
 void addDemand(Partition &Bucket, double Work, TimePoint Now);
@@ -116,8 +118,8 @@
   Duration m_NormalStep{};
   Duration m_NormalSplit{}; ///< To the first token of a split.
 };
-/// \p Home keeps the shared prefix and others fetch it there; null: each has
-/// what it is believed to have.
+/// \p Home keeps the shared prefix by convention and others fetch it there;
+/// null: each has what it is believed to have.
 Leaning leanWhole(const State &Fleet, const Pool &Group, const Slot &Place,
                   const Request &Wanted, const Slot *Home, TimePoint Now);
 /// Prefill part of a split: first token is when its KV is ready.
--- a/libs/routing/src/Placement.cpp
+++ b/libs/routing/src/Placement.cpp
@@ -91,6 +91,10 @@
   }
 }
 
+std::uint64_t placementScore(std::uint64_t TargetHash, std::uint64_t Block) {
+  return mix(TargetHash ^ mix(Block));
+}
+
 Partition &partitionOf(Pool &Group, std::uint64_t Block) {
   return Group.m_Partitions[mix(Block) % PartitionCount];
 }
--- a/libs/routing/src/Tries.cpp
+++ b/libs/routing/src/Tries.cpp
@@ -211,6 +211,10 @@
   Group.m_MeanPromptTokens +=
       MeanAlpha * (Task.m_PromptTokens - Group.m_MeanPromptTokens);
   rememberPrefix(Fleet, Group, Prefill, Wanted, Task.m_PromptTokens, Now);
+  // What is handed over stays there as well.
+  if (Task.m_Prefill && Wanted.m_Fetches)
+    for (const std::uint64_t Block : Wanted.m_Blocks)
+      addBlock(Fleet.m_Settings, Run, Block);
   if (Task.m_Probe) {
     Run.m_Health.m_State = HealthState::Probing;
     ++Fleet.m_Counters.m_Probes;
@@ -316,6 +320,14 @@
   return Count;
 }
 
+bool isOpen(const State &Fleet, const Leg &Where) {
+  const auto Found = Fleet.m_ByTarget.find(Where.m_Target);
+  if (Found == Fleet.m_ByTarget.end())
+    return false;
+  const Target &Known = Fleet.m_Slots[Found->second].m_Target;
+  return Known.m_Serving && Known.m_Incarnation == Where.m_Incarnation;
+}
+
 std::optional<Health> healthOf(const State &Fleet, const TargetId &Id) {
   const auto Found = Fleet.m_ByTarget.find(Id);
   if (Found == Fleet.m_ByTarget.end())
