Refuse only what surely misses its deadline; large prompts first within their rank

Cause: largest prompts and longest answers were refused by estimates that are a third too long, and by the caller's guess of length, right at the median only.

--- a/apps/entry/src/Arrival.h
+++ b/apps/entry/src/Arrival.h
@@ -11,6 +11,7 @@
 #include "retries/retries.h"
 #include "routing/routing.h"
 
+#include <map>
 #include <memory>
 #include <string>
 #include <variant>
@@ -46,8 +47,18 @@
   relay::Ask m_Ask;
   routes::Route m_Route;
   bool m_ForEngine = false;
+  /// Urgency at the target, zero first: the route's rank, and within it what
+  /// takes long by itself before the rest.
+  std::uint32_t m_Urgency = 0;
 };
 
+/// Mean prompt of each route, by its name.
+using MeanPrompts = std::map<std::string, double>;
+
+/// See `Passed::m_Urgency`. Adds the prompt to the route's mean.
+std::uint32_t urgencyOf(const routes::Route &By, std::uint32_t PromptTokens,
+                        MeanPrompts &Means);
+
 /// A request that is well formed and whose caller is known.
 struct Arrival {
   RequestId m_Id;
@@ -102,7 +113,7 @@
 std::variant<Arrival, Rejection> readPassed(const http::Request &From,
                                             const routes::Index &By,
                                             const relay::Dialect &In,
-                                            TimePoint Now);
+                                            MeanPrompts &Means, TimePoint Now);
 
 /// Tokens of \p Text by this system's arithmetic.
 std::uint32_t tokensOf(std::string_view Text);
--- a/apps/entry/src/Context.h
+++ b/apps/entry/src/Context.h
@@ -4,6 +4,7 @@
 #ifndef WASABIVALE_ENTRY_CONTEXT_H
 #define WASABIVALE_ENTRY_CONTEXT_H
 
+#include "Arrival.h"
 #include "Configuration.h"
 #include "EntryMetrics.h"
 #include "EntrySettings.h"
@@ -49,6 +50,7 @@
   const relay::Dialect *m_Dialect = nullptr;
   http::Pool m_Connections;
   routes::Index m_Routes;
+  MeanPrompts m_MeanPrompts;
 
   Random m_Random = randomFromSystem();
   Configuration m_Configuration;
--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -17,6 +17,11 @@
 /// Engines that take ranks order what waits there by themselves: only what
 /// would wait for longer than its caller does is kept here.
 constexpr std::chrono::milliseconds PlainPrefillWaiting{4'000};
+/// Parts of an estimate, in percent, that must still miss the deadline before a
+/// plain request is refused for it: times to a first token are within about a
+/// third, and the length of an answer is known at the median only.
+constexpr int FirstTokenCertainty = 70;
+constexpr int AnswerCertainty = 35;
 /// Part of the fleet's reserve of retries that is handed out: the rest is for
 /// entries that have joined since the count.
 constexpr double RetryReserveUsed = 0.7;
@@ -34,6 +39,19 @@
 
 } // namespace
 
+namespace {
+
+/// Time that a plain request takes at least, as far as its estimate is sure.
+Duration leastTime(const routing::Estimate &Of, TimePoint From) {
+  const Duration First =
+      std::max<Duration>(Of.m_FirstToken - From, Duration(0));
+  const Duration Rest =
+      std::max<Duration>(Of.m_Finish - Of.m_FirstToken, Duration(0));
+  return First * FirstTokenCertainty / 100 + Rest * AnswerCertainty / 100;
+}
+
+} // namespace
+
 DataPath::DataPath(event_base *Loop, const EntrySettings &Settings,
                    EntryMetrics &Metrics, Ties To)
     : m_Shared(Loop, Settings, Metrics, To.m_Ledger) {
@@ -112,7 +130,7 @@
   if (m_Closing)
     Arrived->closeAfter();
   auto Read = readPassed(Arrived->request(), m_Shared.m_Routes,
-                         *m_Shared.m_Dialect, Now);
+                         *m_Shared.m_Dialect, m_Shared.m_MeanPrompts, Now);
   if (const auto *Why = std::get_if<Rejection>(&Read))
     return refusePassed(*Arrived, {}, *Why);
   Arrival &Asked = std::get<Arrival>(Read);
@@ -199,6 +217,8 @@
       Ask.m_Capacity.m_FreeSlots > 0 ? Now : valueOf(Expected).m_Start;
   Ask.m_ServiceTime =
       std::max<Duration>(valueOf(Expected).m_Finish - From, Duration(0));
+  if (For.m_Passed)
+    Ask.m_ServiceTime = leastTime(valueOf(Expected), From);
   const limits::Decision Decided = limits::admit(m_Shared.m_Limits, Ask, Now);
   takeRefused(Decided.m_Evicted);
   if (const auto *Why = std::get_if<limits::Refused>(&Decided.m_Verdict))
--- a/apps/entry/src/Passed.cpp
+++ b/apps/entry/src/Passed.cpp
@@ -24,10 +24,22 @@
 
 } // namespace
 
+std::uint32_t urgencyOf(const routes::Route &By, std::uint32_t PromptTokens,
+                        MeanPrompts &Means) {
+  /// A prompt of this many times the mean has no time left to wait.
+  constexpr double Large = 1.5;
+  constexpr double Alpha = 0.05;
+  constexpr std::uint32_t StepsOfRank = 3;
+  const auto [Mean, New] = Means.try_emplace(By.m_Name, PromptTokens);
+  const bool IsLarge = PromptTokens > Large * Mean->second;
+  Mean->second += Alpha * (PromptTokens - Mean->second);
+  return By.m_Rank * StepsOfRank + (IsLarge ? 0 : 1);
+}
+
 std::variant<Arrival, Rejection> readPassed(const http::Request &From,
                                             const routes::Index &By,
                                             const relay::Dialect &In,
-                                            TimePoint Now) {
+                                            MeanPrompts &Means, TimePoint Now) {
   if (By.table().m_Version == 0)
     return notRun(Refusal::NoConfiguration, "routes");
   auto Read = In.m_ReadAsk(From);
@@ -40,6 +52,7 @@
   if (Route == nullptr)
     return notRun(Refusal::UnknownPath, "routes.find");
   Made->m_Route = *Route;
+  Made->m_Urgency = urgencyOf(*Route, Ask.m_PromptTokens, Means);
   Arrival Asked;
   Asked.m_Id = {Ask.m_Id};
   Asked.m_Api = Api::Passed;
--- a/apps/entry/src/Try.cpp
+++ b/apps/entry/src/Try.cpp
@@ -215,7 +215,7 @@
   relay::TryFacts With;
   With.m_Target = leg().m_Target;
   With.m_Deadline = m_For.m_Deadline;
-  With.m_Rank = What->m_Route.m_Rank;
+  With.m_Urgency = What->m_Urgency;
   With.m_SeenEvents = m_Plan.m_Offset;
   With.m_PrefillOnly = PrefillOnly;
   // KV memory that is handed over holds all of the prompt.
--- a/apps/entry/tests/PassedTest.cpp
+++ b/apps/entry/tests/PassedTest.cpp
@@ -308,6 +308,21 @@
   }
 }
 
+TEST_CASE("what takes long goes first within its rank only") {
+  MeanPrompts Means;
+  routes::Route Urgent;
+  Urgent.m_Name = "care";
+  routes::Route Patient;
+  Patient.m_Name = "query";
+  Patient.m_Rank = 1;
+  for (int I = 0; I < 50; ++I) {
+    CHECK(urgencyOf(Urgent, 1000, Means) == 1);
+    CHECK(urgencyOf(Patient, 9000, Means) == 4);
+  }
+  CHECK(urgencyOf(Patient, 40'000, Means) < urgencyOf(Patient, 9000, Means));
+  CHECK(urgencyOf(Patient, 40'000, Means) > urgencyOf(Urgent, 500, Means));
+}
+
 TEST_CASE("a status that promises is given only to what has not run") {
   for (std::size_t I = 0; I < refusalCount(); ++I) {
     const auto Reason = static_cast<Refusal>(refusalAt(I).m_Number);
--- a/libs/relay/include/relay/relay.h
+++ b/libs/relay/include/relay/relay.h
@@ -59,7 +59,7 @@
 struct TryFacts {
   TargetId m_Target; ///< No other process at the address may run it.
   TimePoint m_Deadline;
-  std::uint32_t m_Rank = 0;       ///< Zero is the most urgent.
+  std::uint32_t m_Urgency = 0;    ///< Zero goes first.
   std::uint64_t m_SeenEvents = 0; ///< Go on after this event.
   bool m_PrefillOnly = false;
   std::string m_KvSource; ///< `ip:port/handle` of KV memory; or empty.
