Refuse at once a stream that cannot begin before its caller leaves

Cause: callers leave a stream without an event after a time that follows from their route; prompts were read for answers that nobody waited for.

--- a/apps/entry/src/Arrival.h
+++ b/apps/entry/src/Arrival.h
@@ -42,6 +42,9 @@
   Passed, ///< A plain request, passed on unread by its route.
 };
 
+/// Urgencies that one rank has, the last of them left free.
+inline constexpr std::uint32_t UrgenciesOfRank = 3;
+
 /// A plain request with the route that it came by.
 struct Passed {
   relay::Ask m_Ask;
@@ -50,8 +53,17 @@
   /// Urgency at the target, zero first: the route's rank, and within it what
   /// takes long by itself before the rest.
   std::uint32_t m_Urgency = 0;
+
+  /// Whether it goes before others of its rank.
+  [[nodiscard]] bool isLarge() const {
+    return m_Urgency % UrgenciesOfRank == 0;
+  }
 };
 
+/// How long a caller waits for an event of a stream, the first one too, before
+/// it leaves: what callers of this route are promised, several times over.
+std::chrono::nanoseconds streamPatience(const routes::Route &By);
+
 /// Mean prompt of each route, by its name.
 using MeanPrompts = std::map<std::string, double>;
 
--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -20,8 +20,9 @@
 /// Parts of an estimate, in percent, that must still miss the deadline before a
 /// plain request is refused for it: times to a first token are within about a
 /// third, and the length of an answer is known at the median only.
-constexpr int FirstTokenCertainty = 70;
-constexpr int AnswerCertainty = 35;
+constexpr int FirstEventCertainty = 70;
+constexpr int FirstTokenCertainty = 50;
+constexpr int AnswerCertainty = 20;
 /// Part of the fleet's reserve of retries that is handed out: the rest is for
 /// entries that have joined since the count.
 constexpr double RetryReserveUsed = 0.7;
@@ -37,10 +38,6 @@
           std::max(1.0, By.m_Running * Share)};
 }
 
-} // namespace
-
-namespace {
-
 /// Time that a plain request takes at least, as far as its estimate is sure.
 Duration leastTime(const routing::Estimate &Of, TimePoint From) {
   const Duration First =
@@ -204,6 +201,16 @@
       routing::estimate(m_Shared.m_Routing, Wanted, Now, m_Shared.m_Random);
   if (failed(Expected))
     return Made->refuseUnstarted({Refusal::NoTarget, Duration(0)});
+  // Of a large prompt the estimate counts others that it goes before.
+  if (For.m_Passed && For.m_Stream && !For.m_Passed->isLarge()) {
+    const Duration First =
+        std::max<Duration>(valueOf(Expected).m_FirstToken - Now, Duration(0)) *
+        FirstEventCertainty / 100;
+    const Duration Patience = streamPatience(For.m_Passed->m_Route);
+    if (First > Patience)
+      return Made->refuseUnstarted(
+          {Refusal::CannotMeetDeadline, First - Patience});
+  }
   limits::Arrival Ask;
   Ask.m_Caller = For.m_Caller;
   Ask.m_Model = capacityName(For);
--- a/apps/entry/src/Passed.cpp
+++ b/apps/entry/src/Passed.cpp
@@ -24,16 +24,24 @@
 
 } // namespace
 
+std::chrono::nanoseconds streamPatience(const routes::Route &By) {
+  // As callers of streams are told to behave (docs/INTERFACES.md).
+  constexpr std::chrono::seconds Least{2};
+  constexpr int Objectives = 4;
+  constexpr int Gaps = 8;
+  return std::max({std::chrono::nanoseconds(Least), By.m_Objective * Objectives,
+                   By.m_Gap * Gaps});
+}
+
 std::uint32_t urgencyOf(const routes::Route &By, std::uint32_t PromptTokens,
                         MeanPrompts &Means) {
   /// A prompt of this many times the mean has no time left to wait.
   constexpr double Large = 1.5;
   constexpr double Alpha = 0.05;
-  constexpr std::uint32_t StepsOfRank = 3;
   const auto [Mean, New] = Means.try_emplace(By.m_Name, PromptTokens);
   const bool IsLarge = PromptTokens > Large * Mean->second;
   Mean->second += Alpha * (PromptTokens - Mean->second);
-  return By.m_Rank * StepsOfRank + (IsLarge ? 0 : 1);
+  return By.m_Rank * UrgenciesOfRank + (IsLarge ? 0 : 1);
 }
 
 std::variant<Arrival, Rejection> readPassed(const http::Request &From,
