--- a/build.sh
+++ b/build.sh
@@ -36,7 +36,7 @@
 
 sources() {
   git ls-files --cached --others --exclude-standard 'libs/*.cpp' 'libs/*.h' 'apps/*.cpp' 'apps/*.h' \
-    'tools/*.cpp' 'tools/*.h' | grep -v '/generated/'
+    'tools/*.cpp' 'tools/*.h' 'platform/*.cpp' 'platform/*.h' | grep -v '/generated/'
 }
 
 configure() { # FOLDER CMAKE_OPTIONS...
@@ -72,7 +72,7 @@
       file = $1
       sub(/^\.\.\/\.\.\//, "", file)
       if (index(file, root) == 1) file = substr(file, length(root) + 1)
-      if (file !~ /^(libs|apps|tools)\//) next
+      if (file !~ /^(libs|apps|platform|tools)\//) next
       if (source == "" && file ~ /\.cpp$/) source = file
       else deps = deps " " file
     }
--- a/libs/http/src/Pool.cpp
+++ b/libs/http/src/Pool.cpp
@@ -118,8 +118,8 @@
   // An answer without a stated length ended with its connection.
   const bool Framed = !field(Answer, "content-length").empty() ||
                       !field(Answer, "transfer-encoding").empty();
-  if (!Framed || !isQuiet(Used) || hasWord(field(Answer, "connection"), "close") ||
-      Usable <= Duration(0))
+  if (!Framed || !isQuiet(Used) ||
+      hasWord(field(Answer, "connection"), "close") || Usable <= Duration(0))
     return close(Used);
   evhttp_connection_set_closecb(Used, onClosed, this);
   m_Idle[printAddress(To)].push_back({Used, Now, Now + Usable});
--- a/libs/replication/src/Replica.cpp
+++ b/libs/replication/src/Replica.cpp
@@ -116,9 +116,9 @@
     events::emit(events::Event::MemberFormatted,
                  {{"folder", m_Options.m_Folder}});
   }
-  auto Opened = store::Store::open(Through, m_Options.m_Folder,
-                                   m_Options.m_Cluster, m_Options.m_Self,
-                                   m_Options.m_CopyGuard);
+  auto Opened =
+      store::Store::open(Through, m_Options.m_Folder, m_Options.m_Cluster,
+                         m_Options.m_Self, m_Options.m_CopyGuard);
   if (failed(Opened))
     return errorOf(Opened);
   m_Store = std::move(valueOf(Opened));
--- a/libs/roles/include/roles/roles.h
+++ b/libs/roles/include/roles/roles.h
@@ -199,7 +199,7 @@
   TargetId m_Id;
   Role m_Role = Role::Decode;
   bool m_Changing = false;
-  bool m_Resting = false; ///< Changed lately; keeps its role for now.
+  bool m_Resting = false;     ///< Changed lately; keeps its role for now.
   std::uint32_t m_Places = 1; ///< Requests at once.
 };
 
--- a/libs/wire/include/wire/wire.h
+++ b/libs/wire/include/wire/wire.h
@@ -55,7 +55,7 @@
   NodeId m_Self;
   RegionId m_Region;
   ZoneId m_Zone;
-  KeyPair m_Keys; ///< Both empty: no authentication.
+  KeyPair m_Keys;              ///< Both empty: no authentication.
   std::string m_ListenAddress; ///< `ip:port`; empty to connect only.
   std::vector<Peer> m_Peers;
   int m_QueueMessages = 256; ///< Bound of each peer's queue, both ways.
