--- a/libs/roles/tests/SplitTest.cpp
+++ b/libs/roles/tests/SplitTest.cpp
@@ -9,7 +9,8 @@
 
 std::vector<SplitEngine> engines(int Prefill, int Decode) {
   std::vector<SplitEngine> Made;
-  Made.reserve(static_cast<std::size_t>(Prefill + Decode));
+  Made.reserve(static_cast<std::size_t>(Prefill) +
+               static_cast<std::size_t>(Decode));
   for (int I = 0; I < Prefill + Decode; ++I)
     Made.push_back({{"i-" + std::to_string(100 + I)},
                     I < Prefill ? Role::Prefill : Role::Decode,
