--- a/apps/cli/src/Commands.cpp
+++ b/apps/cli/src/Commands.cpp
@@ -353,6 +353,16 @@
   });
 }
 
+Exit showEntries(const Invocation &Asked) {
+  return showPath(Asked, "entries", [](const Json &Body) {
+    return printEntries(Body["entries"]);
+  });
+}
+
+Exit showRoutes(const Invocation &Asked) {
+  return showPath(Asked, "routes", printRoutes);
+}
+
 Exit showOrders(const Invocation &Asked) {
   return showPath(Asked, "orders",
                   [](const Json &Body) { return printOrders(Body["orders"]); });
@@ -365,12 +375,13 @@
 
 const std::map<std::string, Exit (*)(const Invocation &)> &commands() {
   static const std::map<std::string, Exit (*)(const Invocation &)> Known = {
-      {"status", showStatus}, {"targets", showTargets},
-      {"orders", showOrders}, {"intent", intentOrPolicy},
-      {"plan", plan},         {"confirm", confirm},
-      {"cancel", cancel},     {"drain", drain},
-      {"config", config},     {"control", control},
-      {"ledger", ledger},     {"roles", roles},
+      {"status", showStatus},   {"targets", showTargets},
+      {"orders", showOrders},   {"intent", intentOrPolicy},
+      {"plan", plan},           {"confirm", confirm},
+      {"cancel", cancel},       {"drain", drain},
+      {"config", config},       {"control", control},
+      {"ledger", ledger},       {"roles", roles},
+      {"entries", showEntries}, {"routes", showRoutes},
       {"keygen", keygen}};
   return Known;
 }
@@ -380,6 +391,8 @@
 std::string_view commandsHelp() {
   return R"(Commands:
   status | targets | orders        what is now
+  entries                          leases, and which state each has applied
+  routes                           those in force, and who lags behind
   intent serve|unload [TARGET...] --model M [--replace M] [--count N]
   intent drain|withdraw|return TARGET...
   intent role TARGET... --role mixed|prefill|decode
--- a/apps/cli/src/Print.cpp
+++ b/apps/cli/src/Print.cpp
@@ -75,6 +75,7 @@
   return table(Rows, {{"TARGET", "/id"},
                       {"KIND", "/kind"},
                       {"STATE", "/state"},
+                      {"INCARNATION", "/incarnation"},
                       {"ROLE", "/role"},
                       {"MODELS", "/models"},
                       {"ZONE", "/zone"},
@@ -151,6 +152,30 @@
                                  {"OTHER DISK", "/other_incarnation"}}));
 }
 
+std::string printEntries(const Json &Rows) {
+  return table(Rows, {{"ENTRY", "/id"},
+                      {"SESSION", "/session"},
+                      {"LEASE LEFT MS", "/lease_left_ms"},
+                      {"FLEET", "/fleet_revision"},
+                      {"CONFIGURATION", "/configuration_revision"},
+                      {"ROUTES", "/routes_version"},
+                      {"CLOSED:IN FLIGHT", "/closed"}});
+}
+
+std::string printRoutes(const Json &Routes) {
+  return fmt::format("version {}  not yet in force at {}\n{}",
+                     cell(Routes, "/version"),
+                     Routes["lagging"].empty() ? "-" : cell(Routes, "/lagging"),
+                     table(Routes["routes"], {{"ROUTE", "/name"},
+                                              {"HOST", "/host"},
+                                              {"PREFIX", "/path_prefix"},
+                                              {"KIND", "/kind"},
+                                              {"SERVICES", "/services"},
+                                              {"RANK", "/rank"},
+                                              {"ATTEMPTS", "/max_attempts"},
+                                              {"TIMEOUT MS", "/timeout_ms"}}));
+}
+
 std::string printHistory(const Json &Configuration) {
   return table(Configuration["history"], {{"REVISION", "/revision"},
                                           {"BY", "/actor"},
--- a/apps/cli/src/Print.h
+++ b/apps/cli/src/Print.h
@@ -29,6 +29,8 @@
 /// What the plan will do, in order, and what remains at each step.
 std::string printPlan(const Json &Plan);
 std::string printMembers(const Json &Members);
+std::string printEntries(const Json &Rows);
+std::string printRoutes(const Json &Routes);
 std::string printHistory(const Json &Configuration);
 
 } // namespace wasabivale::cli
--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -271,6 +271,7 @@
   m_LogBase = newestLogTime(m_State);
   m_Replies.clear();
   m_Sent.clear();
+  m_Work = {};
   m_Proposed.clear();
   fleet::startTerm(m_Heard, m_State.m_Fleet, m_LeaderSince, LongestEntryLease);
   startTerm(m_Roles, m_State.m_Fleet, m_LeaderSince);
@@ -345,6 +346,9 @@
   case wire::Envelope::kEntryReport:
     takeReport(From, Message);
     break;
+  case wire::Envelope::kWorkNotice:
+    takeWork(From, Message.work_notice());
+    break;
   case wire::Envelope::kCallRequest:
     takeCall(From, Message.call_request());
     break;
@@ -411,6 +415,14 @@
     m_Registrar->settleLeaving(Now);
 }
 
+void Control::takeWork(const NodeId &From, const wire::WorkNotice &Notice) {
+  fleet::takeWork(m_Work, From, Notice, BootClock::now());
+  wire::Envelope Answer;
+  Answer.set_term(m_Replica->term());
+  *Answer.mutable_others_work() = fleet::takeWorkBeside(m_Work, From);
+  (void)m_Hub->send(From, std::move(Answer)); // The next one tells as much.
+}
+
 void Control::takeCall(const NodeId &From, const wire::CallRequest &Call) {
   wire::Command What = Call.command();
   What.set_request_id(Call.request_id());
--- a/apps/control/src/Control.h
+++ b/apps/control/src/Control.h
@@ -83,6 +83,7 @@
   void take(const NodeId &From, const wire::Envelope &Message);
   void takeHello(const NodeId &From, const wire::Envelope &Message);
   void takeReport(const NodeId &From, const wire::Envelope &Message);
+  void takeWork(const NodeId &From, const wire::WorkNotice &Notice);
   void takeCall(const NodeId &From, const wire::CallRequest &Call);
   void redirect(const NodeId &To);
   void sendFleet(const NodeId &To, Sent &Known);
@@ -129,6 +130,7 @@
 
   Replicated m_State;
   fleet::Barriers m_Heard;
+  fleet::SharedWork m_Work; ///< Of entries at engines; memory only.
   RolePlanner m_Roles;
   Shares m_Shares;
   SuspectNotices m_Notices;
--- a/apps/control/src/OperatorApi.cpp
+++ b/apps/control/src/OperatorApi.cpp
@@ -1,5 +1,7 @@
 #include "OperatorApi.h"
 
+#include <fmt/format.h>
+
 namespace wasabivale::control {
 
 using settings::Json;
@@ -98,6 +100,10 @@
     return Send(configuration());
   if (Path == "members")
     return Send(members());
+  if (Path == "entries")
+    return Send({{"entries", entries()}});
+  if (Path == "routes")
+    return Send(routes());
   if (Path == "roles")
     return Send(explain(m_Control.m_Roles, m_Control.m_State.m_Fleet));
   if (Path == "ledger")
@@ -266,6 +272,36 @@
           {"newcomers", Newcomers}};
 }
 
+Json OperatorApi::entries() const {
+  const TimePoint Now = BootClock::now();
+  Json Rows = Json::array();
+  for (const auto &[Name, Each] : m_Control.m_Heard.m_Entries) {
+    const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        Each.m_LeaseUntil - Now);
+    Json Closed = Json::array();
+    for (const auto &[Target, Told] : Each.m_Barriers)
+      Closed.push_back(fmt::format("{}:{}", Target.m_Value, Told.m_InFlight));
+    Rows.push_back({{"id", Name.m_Value},
+                    {"session", Each.m_Session},
+                    {"lease_left_ms", Left.count()},
+                    {"fleet_revision", Each.m_FleetRevision},
+                    {"configuration_revision", Each.m_ConfigurationRevision},
+                    {"routes_version", Each.m_RoutesVersion},
+                    {"closed", Closed}});
+  }
+  return Rows;
+}
+
+Json OperatorApi::routes() const {
+  Json Out = view(m_Control.m_State.m_Fleet.m_Routes);
+  Out["lagging"] = Json::array();
+  for (const auto &[Name, Each] : m_Control.m_Heard.m_Entries)
+    if (Each.m_RoutesVersion <
+        m_Control.m_State.m_Fleet.m_Routes.m_Table.version())
+      Out["lagging"].push_back(Name.m_Value);
+  return Out;
+}
+
 Json OperatorApi::ledgerKeys() const {
   Json Rows = Json::array();
   for (const ledger::Key &Each :
--- a/apps/control/src/OperatorApi.h
+++ b/apps/control/src/OperatorApi.h
@@ -30,6 +30,8 @@
   [[nodiscard]] settings::Json plans() const;
   [[nodiscard]] settings::Json configuration() const;
   [[nodiscard]] settings::Json members() const;
+  [[nodiscard]] settings::Json entries() const;
+  [[nodiscard]] settings::Json routes() const;
   [[nodiscard]] settings::Json ledgerKeys() const;
 
   Control &m_Control;
--- a/apps/entry/src/ControlLink.cpp
+++ b/apps/entry/src/ControlLink.cpp
@@ -12,6 +12,12 @@
 constexpr std::chrono::milliseconds TurnInterval{50};
 constexpr std::chrono::milliseconds ReportInterval{500};
 constexpr std::chrono::milliseconds HelloInterval{250};
+/// Shortest time between two notices of work: prompts wait at engines for some
+/// hundred ms.
+constexpr std::chrono::milliseconds WorkInterval{150};
+/// Most bytes a second for notices and their answers: nearly all of what
+/// control may cost a node (docs/CAPACITY.md).
+constexpr double WorkBytesPerSecond = 5'500;
 constexpr std::chrono::milliseconds ResendInterval{300};
 /// Silence of the leader after which another member is asked.
 constexpr std::chrono::milliseconds LeaderSilence{1500};
@@ -95,6 +101,16 @@
     follow(From);
     takeGrant(Message.control_grant());
     break;
+  case wire::Envelope::kOthersWork:
+    m_HighestTerm = Message.term();
+    follow(From);
+    // Told in rows as large as those of a notice.
+    m_NextWork +=
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+            static_cast<double>(Message.others_work().ByteSizeLong()) /
+            WorkBytesPerSecond));
+    m_Handlers.m_OnOthersWork(Message.others_work());
+    break;
   case wire::Envelope::kCallReply:
     takeReply(Message.call_reply());
     break;
@@ -269,6 +285,19 @@
     m_RenewalSent.erase(m_RenewalSent.begin());
 }
 
+void ControlLink::sendWork(TimePoint Now) {
+  m_NextWork = Now + WorkInterval;
+  wire::Envelope Message;
+  if (!m_Handlers.m_FillWork(*Message.mutable_work_notice()))
+    return;
+  m_NextWork = std::max<TimePoint>(
+      m_NextWork,
+      Now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+                static_cast<double>(Message.work_notice().ByteSizeLong()) /
+                WorkBytesPerSecond)));
+  (void)m_Hub->send(*m_Leader, std::move(Message)); // The next one replaces it.
+}
+
 void ControlLink::reportNow() {
   if (m_Leader)
     sendReport(BootClock::now());
@@ -298,6 +327,8 @@
     return;
   }
   sendCalls(Now);
+  if (Now >= m_NextWork)
+    sendWork(Now);
   if (Now < m_NextReport)
     return;
   m_NextReport = Now + ReportInterval;
--- a/apps/entry/src/ControlLink.h
+++ b/apps/entry/src/ControlLink.h
@@ -28,6 +28,10 @@
         m_OnGrant;
     /// Fills in a report before it is sent.
     std::function<void(wire::EntryReport &)> m_FillReport;
+    /// Fills in this entry's work at engines. False: there is none to tell of,
+    /// and none of others is wanted.
+    std::function<bool(wire::WorkNotice &)> m_FillWork;
+    std::function<void(const wire::OthersWork &)> m_OnOthersWork;
   };
 
   static Result<std::unique_ptr<ControlLink>>
@@ -81,6 +85,7 @@
   void sendCalls(TimePoint Now);
   void sendHello(const NodeId &To);
   void sendReport(TimePoint Now);
+  void sendWork(TimePoint Now);
 
   event_base *m_Loop;
   const EntrySettings &m_Settings;
@@ -105,6 +110,7 @@
   TimePoint m_LeaseEnd;
   TimePoint m_LastHeard;
   TimePoint m_NextReport;
+  TimePoint m_NextWork;
   TimePoint m_NextHello;
   TimePoint m_NextRenewal;
   std::map<std::string, Call> m_Calls;
--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -17,6 +17,12 @@
 /// Engines that take ranks order what waits there by themselves: only what
 /// would wait for longer than its caller does is kept here.
 constexpr std::chrono::milliseconds PlainPrefillWaiting{4'000};
+/// Targets that manage themselves come into service warm; what is new gets no
+/// rush of work before the first answers tell how it does.
+constexpr std::chrono::milliseconds PlainWarmUp{1'000};
+/// A prompt is read in some hundred ms and streams for as long, one of dozens
+/// at its engine: memory for the streams of four that read is a third of one.
+constexpr double StreamersForPrefill = 0.25;
 /// Parts of an estimate, in percent, that must still miss the deadline before a
 /// plain request is refused for it: times to a first token are within about a
 /// third, and the length of an answer is known at the median only.
@@ -59,6 +65,8 @@
     // Loads come with answers, and other engines refuse what is not theirs.
     m_Shared.m_Routing.m_Settings.m_ReportLag = Settings.m_Routes->m_ReportLag;
     m_Shared.m_Routing.m_Settings.m_WholeAtPrefill = false;
+    m_Shared.m_Routing.m_Settings.m_StreamersForPrefill = StreamersForPrefill;
+    m_Shared.m_Routing.m_Settings.m_WarmUp = PlainWarmUp;
     m_Shared.m_Routing.m_Settings.m_ChunkTokens = PlainChunks;
     m_Shared.m_Routing.m_Settings.m_MaxPrefillWaiting = PlainPrefillWaiting;
     m_Shared.m_Retries.m_Settings.m_CallerShare =
@@ -431,6 +439,45 @@
   }
 }
 
+bool DataPath::fillWork(wire::WorkNotice &Notice) {
+  // Targets of our own API tell what waits there by themselves.
+  if (!m_Shared.m_Settings.m_Routes)
+    return false;
+  for (const routing::EngineWork &Each : routing::ownWork(m_Shared.m_Routing)) {
+    wire::TargetWork &Row = *Notice.add_work();
+    Row.set_target(Each.m_Target.m_Value);
+    Row.set_requests(Each.m_Requests);
+    for (const std::uint64_t Tokens : Each.m_PromptTokens)
+      Row.add_prompt_tokens(Tokens);
+  }
+  for (const routing::KeptPrefix &Each :
+       routing::takeKeptNews(m_Shared.m_Routing)) {
+    wire::KeptPrefix &Kept = *Notice.add_kept();
+    Kept.set_target(Each.m_Target.m_Value);
+    Kept.set_prefix(Each.m_Prefix);
+    Kept.set_blocks(Each.m_Blocks);
+  }
+  return true;
+}
+
+void DataPath::takeOthersWork(const wire::OthersWork &Told) {
+  std::vector<routing::EngineWork> Rows;
+  for (const wire::TargetWork &Each : Told.work()) {
+    routing::EngineWork Row;
+    Row.m_Target = {Each.target()};
+    Row.m_Requests = Each.requests();
+    Row.m_PromptTokens.assign(Each.prompt_tokens().begin(),
+                              Each.prompt_tokens().end());
+    Rows.push_back(std::move(Row));
+  }
+  routing::applyOthersWork(m_Shared.m_Routing, Rows, BootClock::now());
+  std::vector<routing::KeptPrefix> Kept;
+  for (const wire::KeptPrefix &Each : Told.kept())
+    Kept.push_back({{Each.target()}, Each.prefix(), Each.blocks()});
+  routing::applyKept(m_Shared.m_Routing, Kept);
+  pumpSoon();
+}
+
 void DataPath::endAll() {
   std::vector<std::shared_ptr<Serving>> All;
   for (const auto &[Key, One] : m_Open)
--- a/apps/entry/src/DataPath.h
+++ b/apps/entry/src/DataPath.h
@@ -42,6 +42,9 @@
   bool takeFleet(const wire::FleetUpdate &Update);
   void takeGrant(const wire::ControlGrant &Grant, TimePoint LeaseEnd);
   void fillReport(wire::EntryReport &Report);
+  /// Own work at engines. False where routes do not lead to any.
+  bool fillWork(wire::WorkNotice &Notice);
+  void takeOthersWork(const wire::OthersWork &Told);
 
   /// From now on every new request is refused.
   void stopTaking() { m_Stopping = true; }
--- a/apps/entry/src/Entry.cpp
+++ b/apps/entry/src/Entry.cpp
@@ -74,6 +74,12 @@
   Handlers.m_FillReport = [this](wire::EntryReport &Report) {
     fillReport(Report);
   };
+  Handlers.m_FillWork = [this](wire::WorkNotice &Notice) {
+    return m_Requests->fillWork(Notice);
+  };
+  Handlers.m_OnOthersWork = [this](const wire::OthersWork &Told) {
+    m_Requests->takeOthersWork(Told);
+  };
   auto Control =
       ControlLink::open(m_Loop, m_Settings, m_Registry, std::move(Handlers));
   if (failed(Control))
--- a/apps/entry/tests/PassedTest.cpp
+++ b/apps/entry/tests/PassedTest.cpp
@@ -26,6 +26,12 @@
   Made.m_Patience = std::chrono::milliseconds(1500);
   const std::string Seen(http::field(From.m_Fields, "Seen"));
   Made.m_SeenEvents = Seen.empty() ? 0 : std::stoull(Seen);
+  const std::string Prompt(http::field(From.m_Fields, "Prompt"));
+  if (!Prompt.empty()) {
+    Made.m_Model = "m";
+    Made.m_PromptTokens = static_cast<std::uint32_t>(std::stoul(Prompt));
+    Made.m_MaxTokens = 10;
+  }
   Made.m_Fields = {{"Attempt", Made.m_Id}};
   return Made;
 }
@@ -36,9 +42,21 @@
   Made.emplace_back("Only", With.m_Target.m_Value);
   if (With.m_SeenEvents > 0)
     Made.emplace_back("Seen", std::to_string(With.m_SeenEvents));
+  if (With.m_PrefillOnly)
+    Made.emplace_back("Prefill-Only", "1");
+  if (!With.m_KvSource.empty())
+    Made.emplace_back("Kv", With.m_KvSource);
   return Made;
 }
 
+Result<relay::Prefilled> readPrefilled(std::string_view Body) {
+  return relay::Prefilled{std::string(Body), 1};
+}
+
+std::pair<std::string, std::string> freeKv(const std::string &Handle) {
+  return {"DELETE", "/kept/" + Handle};
+}
+
 relay::AnswerFacts readAnswer(int Status, const http::Fields &Of) {
   relay::AnswerFacts Made;
   Made.m_NotRun = !http::field(Of, "Not-Run").empty();
@@ -48,7 +66,7 @@
   return Made;
 }
 
-const relay::Dialect Plain{requestFields, readAnswer, nullptr, nullptr,
+const relay::Dialect Plain{requestFields, readAnswer, readPrefilled, freeKv,
                            readAsk};
 
 using Exchange = std::shared_ptr<http::Exchange>;
@@ -171,31 +189,59 @@
 
   /// Each target plays its script for every request.
   void open(const std::vector<Play> &Scripts) {
-    std::uint16_t Port = FirstPort;
-    for (const Play &Each : Scripts) {
-      auto Listening =
-          http::listen(m_Loop.m_Base, {"127.0.0.1", Port}, http::ServerLimits{},
-                       [this, Each](const Exchange &Arrived) {
-                         m_Seen.push_back(Arrived->request());
-                         m_Held.push_back(Arrived);
-                         Each(Arrived);
-                       });
-      REQUIRE_FALSE(failed(Listening));
-      m_Targets.push_back(std::move(valueOf(Listening)));
-      wire::Target &Told = *m_Fleet.add_targets();
-      Told.set_id(fmt::format("i-{}", Port));
-      Told.set_incarnation("1");
-      Told.set_address(fmt::format("127.0.0.1:{}", Port++));
-      Told.set_kind("service");
-      Told.add_models("desk");
-      Told.set_state("serving");
-      Told.set_generation(1);
-      Told.set_max_running(8);
-      Told.set_self_managed(true);
-    }
+    for (const Play &Each : Scripts)
+      add(Each);
     REQUIRE(m_Path->takeFleet(m_Fleet));
   }
 
+  /// Adds a target to what the entry will hear next.
+  wire::Target &add(const Play &Each) {
+    const auto Port = static_cast<std::uint16_t>(FirstPort + m_Targets.size());
+    auto Listening =
+        http::listen(m_Loop.m_Base, {"127.0.0.1", Port}, http::ServerLimits{},
+                     [this, Each](const Exchange &Arrived) {
+                       m_Seen.push_back(Arrived->request());
+                       m_Held.push_back(Arrived);
+                       Each(Arrived);
+                     });
+    REQUIRE_FALSE(failed(Listening));
+    m_Targets.push_back(std::move(valueOf(Listening)));
+    wire::Target &Told = *m_Fleet.add_targets();
+    Told.set_id(fmt::format("i-{}", Port));
+    Told.set_incarnation("1");
+    Told.set_address(fmt::format("127.0.0.1:{}", Port));
+    Told.set_kind("service");
+    Told.add_models("desk");
+    Told.set_state("serving");
+    Told.set_generation(1);
+    Told.set_max_running(8);
+    Told.set_self_managed(true);
+    return Told;
+  }
+
+  /// Adds an engine, and the route to engines before the first one.
+  wire::Target &addEngine(const std::string &Role, const Play &Each) {
+    wire::RouteTable &Table = *m_Fleet.mutable_routes();
+    if (Table.services_size() == 1) {
+      *Table.add_routes() = route("oracle", "streaming", "llm", true);
+      wire::RoutedService &Engines = *Table.add_services();
+      Engines.set_name("llm");
+      Engines.set_kv_capacity_tokens(500'000);
+    }
+    wire::Target &Told = add(Each);
+    Told.set_kind("engine");
+    Told.set_models(0, "llm");
+    Told.set_role(Role);
+    return Told;
+  }
+
+  [[nodiscard]] int seen(const std::string &Field) const {
+    int Count = 0;
+    for (const http::Request &Each : m_Seen)
+      Count += http::field(Each.m_Fields, Field).empty() ? 0 : 1;
+    return Count;
+  }
+
   Answered ask(const std::string &Method, const std::string &Path,
                http::Fields More = {}) {
     http::ClientRequest Out;
@@ -268,12 +314,7 @@
 
 SCENARIO("an entry that stops") {
   Shop On;
-  On.m_Fleet.mutable_routes()->mutable_services(0)->set_kv_capacity_tokens(0);
-  wire::RouteTable &Table = *On.m_Fleet.mutable_routes();
-  *Table.add_routes() = route("oracle", "streaming", "llm", true);
-  wire::RoutedService &Engine = *Table.add_services();
-  Engine.set_name("llm");
-  Engine.set_kv_capacity_tokens(500'000);
+  On.addEngine("decode", streams(1, true));
   On.open({answers(200, "three left")});
   On.m_Path->startClosing();
   THEN("it asks callers to come by another connection") {
@@ -366,6 +407,48 @@
   }
 }
 
+SCENARIO("a prompt is read by one engine and streamed by another") {
+  Shop On;
+  const http::Fields LongPrompt = {{"prompt", "30000"}};
+  GIVEN("an engine of each role") {
+    On.addEngine("prefill", answers(200, "h1"));
+    On.addEngine("decode", streams(2, true));
+    REQUIRE(On.m_Path->takeFleet(On.m_Fleet));
+    THEN("the second takes over the memory of the first") {
+      CHECK(On.ask("POST", "/oracle/7", LongPrompt).m_Status == 200);
+      REQUIRE(On.m_Seen.size() == 2);
+      CHECK_FALSE(http::field(On.m_Seen[0].m_Fields, "prefill-only").empty());
+      CHECK(http::field(On.m_Seen[1].m_Fields, "kv") == "127.0.0.1:21881/h1");
+    }
+  }
+  GIVEN("a second engine that leaves while the first one reads") {
+    wire::Target *Leaving = nullptr;
+    On.addEngine("prefill", [&](const Exchange &Arrived) {
+      if (Arrived->request().m_Method == "POST") {
+        Leaving->set_state("draining");
+        Leaving->set_generation(2);
+        On.m_Fleet.set_revision(2);
+        REQUIRE(On.m_Path->takeFleet(On.m_Fleet));
+      }
+      answers(200, "h1")(Arrived);
+    });
+    Leaving = &On.addEngine("decode", streams(2, true));
+    REQUIRE(On.m_Path->takeFleet(On.m_Fleet));
+    const Answered Got = On.ask("POST", "/oracle/7", LongPrompt);
+    THEN("nothing new reaches it, and the caller may come again") {
+      CHECK(Got.m_Status == 503);
+      CHECK(On.seen("prefill-only") == 1);
+      CHECK(On.seen("kv") == 0);
+    }
+    THEN("the memory that nobody fetches is freed") {
+      CHECK(On.m_Loop.until([&] {
+        return On.m_Seen.back().m_Method == "DELETE" &&
+               On.m_Seen.back().m_Path == "/kept/h1";
+      }));
+    }
+  }
+}
+
 TEST_CASE("what takes long goes first within its rank only") {
   MeanPrompts Means;
   routes::Route Urgent;
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -402,6 +402,8 @@
 Json view(const RolePolicy &From);
 /// Without the documents.
 Json view(const Configuration &From);
+/// Each route with where it leads; times in ms.
+Json view(const Routes &From);
 
 /// Whole state as bytes; equal states give equal bytes.
 std::string snapshot(const State &From);
@@ -415,6 +417,7 @@
   TimePoint m_LeaseUntil; ///< At or after the end the entry itself counts to.
   std::uint64_t m_FleetRevision = 0;
   std::uint64_t m_ConfigurationRevision = 0;
+  std::uint64_t m_RoutesVersion = 0;
   bool m_ReportsTargets = false; ///< Has relayed a target's load.
   struct Acknowledged {
     std::uint64_t m_Generation = 0;
@@ -454,6 +457,34 @@
 void targetSeen(Barriers &On, const TargetId &Name,
                 const std::string &Incarnation, TimePoint Now);
 
+/// Work of entries at engines, as they last told: summed here, so that each
+/// entry hears one row an engine however many entries there are.
+struct SharedWork {
+  struct Row {
+    std::uint32_t m_Requests = 0;
+    /// Prompt tokens that are not yet read, the most urgent first.
+    std::vector<std::uint64_t> m_PromptTokens;
+  };
+  using Rows = std::map<TargetId, Row>;
+  struct Told {
+    TimePoint m_At;
+    Rows m_Rows;
+    /// What others have told since and this entry has not heard yet; bounded.
+    std::deque<wire::KeptPrefix> m_News;
+  };
+  std::map<NodeId, Told> m_ByEntry;
+  Rows m_Sums;
+};
+
+/// Replaces what \p Entry had told before, and forgets what other entries told
+/// too long ago to be still true.
+void takeWork(SharedWork &On, const NodeId &Entry,
+              const wire::WorkNotice &Notice, TimePoint Now);
+
+/// What all entries but \p Entry have at engines, and what they have told since
+/// it was asked for last.
+wire::OthersWork takeWorkBeside(SharedWork &On, const NodeId &Entry);
+
 /// Drops entries whose lease has run out; their sessions join `m_Gone`.
 void expireEntries(Barriers &On, TimePoint Now);
 
--- a/libs/fleet/src/Barriers.cpp
+++ b/libs/fleet/src/Barriers.cpp
@@ -43,6 +43,7 @@
   View.m_LeaseUntil = std::max(View.m_LeaseUntil, LeaseUntil);
   View.m_FleetRevision = Report.fleet_revision();
   View.m_ConfigurationRevision = Report.configuration_revision();
+  View.m_RoutesVersion = Report.routes_version();
   View.m_ReportsTargets |= Report.targets_size() > 0;
   View.m_Barriers.clear();
   for (const wire::BarrierState &Each : Report.barriers())
--- a/libs/fleet/src/View.cpp
+++ b/libs/fleet/src/View.cpp
@@ -1,5 +1,7 @@
 #include "fleet/fleet.h"
 
+#include <fmt/format.h>
+
 namespace wasabivale::fleet {
 
 namespace {
@@ -121,6 +123,9 @@
               {"state", targetStateName(From.m_State)},
               {"state_since_ms", milliseconds(From.m_StateSince)},
               {"generation", From.m_Generation},
+              {"self_managed", From.m_SelfManaged},
+              {"held", From.m_Held},
+              {"leaving", From.m_LeavingByItself},
               {"barrier_reached", From.m_BarrierReached == From.m_Generation},
               {"plan", From.m_ClaimedBy.m_Value}};
   if (From.m_Wanted)
@@ -128,6 +133,32 @@
   return Out;
 }
 
+Json view(const Routes &From) {
+  const auto InMs = [](std::uint64_t Ns) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::nanoseconds(Ns))
+        .count();
+  };
+  Json Rows = Json::array();
+  for (const wire::Route &Each : From.m_Table.routes()) {
+    Json Services = Json::array();
+    for (const wire::ServiceShare &Share : Each.services())
+      Services.push_back(
+          fmt::format("{}:{:g}", Share.service(), Share.weight()));
+    Rows.push_back({{"name", Each.name()},
+                    {"host", Each.host()},
+                    {"path_prefix", Each.path_prefix()},
+                    {"kind", Each.kind()},
+                    {"services", Services},
+                    {"rank", Each.rank()},
+                    {"max_attempts", Each.max_attempts()},
+                    {"timeout_ms", InMs(Each.timeout_ns())},
+                    {"objective_ms", InMs(Each.objective_ns())},
+                    {"resumable", Each.resumable()}});
+  }
+  return {{"version", From.m_Table.version()}, {"routes", Rows}};
+}
+
 Json view(const Order &From) {
   return {{"id", From.m_Id.m_Value},
           {"target", From.m_Target.m_Value},
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -77,6 +77,22 @@
   std::optional<std::uint64_t> m_KvBlocksFree = 0; ///< None: not told.
 };
 
+/// Work at an engine: of this entry, or of all others together.
+struct EngineWork {
+  TargetId m_Target;
+  std::uint32_t m_Requests = 0; ///< Not ended.
+  /// Prompt tokens that are not yet read, by priority from the highest on;
+  /// zeros at the end are left out.
+  std::vector<std::uint64_t> m_PromptTokens;
+};
+
+/// The beginning of a prompt that requests share, as an engine keeps it.
+struct KeptPrefix {
+  TargetId m_Target;
+  std::uint32_t m_Prefix = 0; ///< Hash of its last block; see `prefixOf`.
+  std::uint32_t m_Blocks = 0;
+};
+
 /// One change of a target's prefix cache.
 struct CacheEvent {
   std::uint64_t m_Number = 0; ///< Consecutive within an incarnation.
@@ -102,8 +118,8 @@
   bool m_MayProbe = true; ///< False for what must not meet a doubtful target.
   bool m_MaySplit = true; ///< False when prefill must stay with decode.
   /// The blocks end where the prompt stops being shared, and engines fetch KV
-  /// memory from each other: the whole shared prefix has one home, from which
-  /// any other engine can have it.
+  /// memory from each other: whoever reads the prompt can have the shared
+  /// prefix from an engine that keeps it.
   bool m_Fetches = false;
 };
 
@@ -174,6 +190,10 @@
   /// Value of placing a prefix where its bucket's next request will look, as
   /// part of the time to prefill it.
   double m_AffinityWeight = 0.5;
+  /// Engines that only stream what others have read, for each engine in role
+  /// prefill: what has been read waits behind what is still to be read wherever
+  /// both meet. Zero: every engine that decodes reads as well.
+  double m_StreamersForPrefill = 0;
   /// What it is worth that streams of one prefix run at one engine.
   Duration m_DecodeHomeValue = std::chrono::milliseconds(40);
   std::uint32_t m_Samples = 2; ///< Random candidates beside affine ones.
@@ -189,6 +209,11 @@
   Duration m_FullFor = std::chrono::milliseconds(250);
   /// Most cells of a target's table of cached blocks; a power of two.
   std::uint32_t m_MaxHintCells = 8192;
+  /// Part of an engine's KV memory that is taken to keep shared prefixes; the
+  /// rest is that of running requests.
+  double m_KeptShare = 0.6;
+  /// Others are told again after this long that a prefix is in use somewhere.
+  Duration m_TellKeptAgain = std::chrono::seconds(2);
 };
 
 enum class HealthState : std::uint8_t { Healthy, Warming, Ejected, Probing };
@@ -240,6 +265,13 @@
   std::uint64_t m_NextEvent = 0;      ///< Zero: none seen.
 };
 
+/// A shared prefix that an engine is believed to keep.
+struct KeptHere {
+  std::uint32_t m_Prefix = 0;
+  std::uint32_t m_Blocks = 0;
+  TimePoint m_ToldAt; ///< To other entries; the epoch: not yet.
+};
+
 /// What the sums of a pool hold: of one slot, or of all.
 struct Room {
   std::uint64_t m_Free = 0; ///< Free places in running batches.
@@ -268,7 +300,11 @@
   std::vector<WorkSample> m_History; ///< Bounded; oldest first.
   std::map<std::uint64_t, std::uint32_t> m_ByGeneration; ///< Tries in flight.
   std::array<std::uint64_t, MaxPriority + 1> m_PromptByPriority{};
+  /// The same of other entries, as they told at `m_OthersToldAt`.
+  std::array<std::uint64_t, MaxPriority + 1> m_OthersByPriority{};
+  TimePoint m_OthersToldAt;
   CacheHints m_Hints;
+  std::vector<KeptHere> m_Kept; ///< The least recently used first.
   Room m_Counted; ///< What the sums of its pools hold of this slot.
 };
 
@@ -291,6 +327,10 @@
   std::vector<SlotIndex> m_Ejected;  ///< Ejected or probing.
   std::vector<SlotIndex> m_Placed;   ///< In the partitions.
   std::vector<Partition> m_Partitions;
+  /// Of those in role decode, which only stream; in the order of indexes.
+  std::vector<SlotIndex> m_Streamers;
+  /// Slots that keep a shared prefix, the newest last.
+  std::unordered_map<std::uint32_t, std::vector<SlotIndex>> m_Holders;
   std::size_t m_Next = 0;     ///< Round robin position.
   std::array<Room, 3> m_Sums; ///< Over m_ByRole.
   /// Means over the answers of all targets of a role.
@@ -312,6 +352,8 @@
   unsigned m_Priority = 0;
   std::uint32_t m_PromptTokens = 0; ///< Counted as waiting; zero afterwards.
   std::uint64_t m_KvBlocks = 0;
+  std::uint32_t m_Prefix = 0;       ///< Shared with others; see `prefixOf`.
+  std::uint32_t m_PrefixBlocks = 0; ///< Zero: none is shared or fetched.
   TimePoint m_StartedAt;
   TimePoint m_ProgressAt;
   Duration m_ExpectedFirst{}; ///< From start to first token, or to the end
@@ -349,6 +391,7 @@
   std::array<std::unordered_map<ModelId, Pool>, 2> m_Pools; ///< By kind.
   std::unordered_map<TryId, Try> m_Tries;
   TryId m_NextTry = 1;
+  std::vector<KeptPrefix> m_KeptNews; ///< Not yet told to others; bounded.
   Counters m_Counters;
 };
 
@@ -366,6 +409,27 @@
 void applyLoad(State &Fleet, const TargetId &Id, std::string_view Incarnation,
                const LoadReport &Report, TimePoint Now);
 
+/// What this entry has at engines, for the others to know.
+std::vector<EngineWork> ownWork(const State &Fleet);
+
+/// Applies what all other entries together have at engines, as they told a
+/// moment ago; engines without a row have none of it. Goes before what load
+/// reports let guess, until it is too old.
+void applyOthersWork(State &Fleet, const std::vector<EngineWork> &Told,
+                     TimePoint Now);
+
+/// Name of a shared prefix: few enough bytes to be told to every entry. Two
+/// that are taken for one cost time only.
+inline std::uint32_t prefixOf(const std::vector<std::uint64_t> &Blocks) {
+  return Blocks.empty() ? 0 : static_cast<std::uint32_t>(Blocks.back() >> 32U);
+}
+
+/// Prefixes that own requests have left at engines since the last call.
+std::vector<KeptPrefix> takeKeptNews(State &Fleet);
+
+/// Applies what other entries have told.
+void applyKept(State &Fleet, const std::vector<KeptPrefix> &Told);
+
 /// Applies cache events in their order. A gap in their numbers drops all
 /// hints of the target: they cost hit rate, never correctness.
 void applyCacheEvents(State &Fleet, const TargetId &Id,
--- a/libs/routing/src/Choose.cpp
+++ b/libs/routing/src/Choose.cpp
@@ -32,10 +32,12 @@
   std::optional<Pick> m_Reluctant; ///< Best among those still warming up.
   std::optional<SlotIndex> m_PrefillAt;
   Leaning m_Prefill;
-  std::optional<SlotIndex> m_Home;       ///< Of the prefix that others share.
+  std::optional<SlotIndex> m_Holder;     ///< Keeps the shared prefix.
+  std::optional<SlotIndex> m_Home;       ///< Is to read it if nobody keeps it.
   std::optional<SlotIndex> m_DecodeHome; ///< The same, of its streams.
+  bool m_TakesAll = false;               ///< Also engines that are set aside.
 
-  const Slot *home() const { return m_Home ? &slot(*m_Home) : nullptr; }
+  const Slot *holder() const { return m_Holder ? &slot(*m_Holder) : nullptr; }
 
   const Slot &slot(SlotIndex Index) const { return m_Fleet.m_Slots[Index]; }
 };
@@ -54,6 +56,11 @@
          Place.m_Target.m_Role != Role::Prefill;
 }
 
+bool onlyStreams(const Search &Task, SlotIndex Index) {
+  const auto &Known = Task.m_Group.m_Streamers;
+  return std::binary_search(Known.begin(), Known.end(), Index);
+}
+
 void keepBetter(std::optional<Pick> &Kept, const Pick &Offer) {
   if (!Kept || Offer.m_Leaning.m_Cost < Kept->m_Leaning.m_Cost)
     Kept = Offer;
@@ -62,12 +69,13 @@
 void offerWhole(Search &Task, SlotIndex Index, double Value) {
   const Slot &Place = Task.slot(Index);
   if (!isEligible(Place) || isAvoided(Task.m_Wanted, Place) ||
-      !runsWhole(Task.m_Fleet, Place))
+      !runsWhole(Task.m_Fleet, Place) ||
+      (onlyStreams(Task, Index) && !Task.m_TakesAll))
     return;
   Pick Offer;
   Offer.m_Run = Index;
   Offer.m_Leaning = leanWhole(Task.m_Fleet, Task.m_Group, Place, Task.m_Wanted,
-                              Task.home(), Task.m_Now);
+                              Task.holder(), Task.m_Now);
   Offer.m_Leaning.m_Cost -= Value;
   keepBetter(isWarmEnough(Task, Place) ? Task.m_Best : Task.m_Reluctant, Offer);
 }
@@ -79,7 +87,7 @@
   if (!isWarmEnough(Task, Place))
     return;
   Leaning Found = leanPrefill(Task.m_Fleet, Task.m_Group, Place, Task.m_Wanted,
-                              Task.home(), Task.m_Now);
+                              Task.holder(), Task.m_Now);
   Found.m_Cost -= Value;
   if (Task.m_PrefillAt && Found.m_Cost >= Task.m_Prefill.m_Cost)
     return;
@@ -170,12 +178,14 @@
     offerPrefill(Task, Index, Value);
 }
 
-/// Finds where the whole shared prefix is kept: every entry comes to the same
-/// targets, as far as it knows the same ones to be well.
+/// Finds where the shared prefix is kept, and where every entry would read one
+/// that is kept nowhere, as far as it knows the same targets to be well.
 void findHomes(Search &Task) {
   if (!Task.m_Wanted.m_Fetches || Task.m_Wanted.m_Blocks.empty())
     return;
   const std::uint64_t Last = Task.m_Wanted.m_Blocks.back();
+  Task.m_Holder =
+      holderOf(Task.m_Fleet, Task.m_Group, prefixOf(Task.m_Wanted.m_Blocks));
   if (!Task.m_Group.m_Partitions.empty()) {
     const Partition &Bucket = partitionOf(Task.m_Group, Last);
     for (std::size_t I = 0; I < Bucket.m_Count && !Task.m_Home; ++I)
@@ -184,7 +194,9 @@
   }
   // Streams of one prefix also end up at one engine, which then keeps it too.
   std::uint64_t Best = 0;
-  for (const SlotIndex Index : listOf(Task, Role::Decode)) {
+  const auto &Streamers = Task.m_Group.m_Streamers;
+  for (const SlotIndex Index :
+       Streamers.empty() ? listOf(Task, Role::Decode) : Streamers) {
     const std::uint64_t Score = placementScore(Task.slot(Index).m_Hash, Last);
     if (Task.m_DecodeHome && Score <= Best)
       continue;
@@ -193,18 +205,23 @@
   }
 }
 
-/// The homes, and what it is worth that the prefix is kept there already.
+void offerOne(Search &Task, SlotIndex Index, double Value, bool Splits) {
+  if (Task.slot(Index).m_Target.m_Role != Role::Prefill)
+    offerWhole(Task, Index, Value);
+  if (Splits && Task.slot(Index).m_Target.m_Role != Role::Decode)
+    offerPrefill(Task, Index, Value);
+}
+
+/// Who keeps the prefix; else who is to read it, and what that is worth.
 void offerHomes(Search &Task, bool Splits) {
-  if (Task.m_DecodeHome)
+  if (Task.m_DecodeHome && !onlyStreams(Task, *Task.m_DecodeHome))
     offerWhole(Task, *Task.m_DecodeHome, 0);
-  if (!Task.m_Home)
-    return;
-  const double Value =
-      homeValue(Task.m_Fleet, Task.slot(*Task.m_Home), Task.m_Wanted);
-  if (Task.slot(*Task.m_Home).m_Target.m_Role == Role::Mixed)
-    offerWhole(Task, *Task.m_Home, Value);
-  if (Splits)
-    offerPrefill(Task, *Task.m_Home, Value);
+  if (Task.m_Holder)
+    return offerOne(Task, *Task.m_Holder, 0, Splits);
+  if (Task.m_Home)
+    offerOne(Task, *Task.m_Home,
+             homeValue(Task.m_Fleet, Task.slot(*Task.m_Home), Task.m_Wanted),
+             Splits);
 }
 
 /// Two of the targets that share the bucket, and the next one in order.
@@ -247,7 +264,9 @@
   if (Task.m_DecodeHome)
     offerDecode(Task, *Task.m_DecodeHome,
                 seconds(Task.m_Fleet.m_Settings.m_DecodeHomeValue));
-  offerSamples(Task, listOf(Task, DecodeAt), Samples, offerDecode);
+  const auto &Streamers = Task.m_Group.m_Streamers;
+  offerSamples(Task, Streamers.empty() ? listOf(Task, DecodeAt) : Streamers,
+               Samples, offerDecode);
 }
 
 bool maySplit(const Search &Task) {
@@ -258,6 +277,7 @@
 
 /// Every target that may be used at all; only when the samples had none.
 void offerEverything(Search &Task) {
+  Task.m_TakesAll = true;
   for (const std::vector<SlotIndex> &List : Task.m_Group.m_ByRole) {
     for (SlotIndex Index : List)
       offerWhole(Task, Index, 0);
@@ -274,9 +294,14 @@
   if (!Task.m_Best && !Task.m_Reluctant)
     offerEverything(Task);
   std::optional<Pick> Found = Task.m_Best ? Task.m_Best : Task.m_Reluctant;
-  if (Found && Task.m_Home &&
-      Found->m_Prefill.value_or(Found->m_Run) != *Task.m_Home)
-    Found->m_FetchFrom = Task.m_Home;
+  // What the home has may have come from an entry that could not tell of it.
+  const auto From = Task.m_Holder ? Task.m_Holder : Task.m_Home;
+  if (Found && From) {
+    const SlotIndex Reader = Found->m_Prefill.value_or(Found->m_Run);
+    if (Reader != *From &&
+        !keeps(Task.slot(Reader), prefixOf(Task.m_Wanted.m_Blocks)))
+      Found->m_FetchFrom = From;
+  }
   return Found;
 }
 
@@ -284,7 +309,7 @@
   Pick Found;
   Found.m_Run = Index;
   Found.m_Leaning = leanWhole(Task.m_Fleet, Task.m_Group, Task.slot(Index),
-                              Task.m_Wanted, Task.home(), Task.m_Now);
+                              Task.m_Wanted, Task.holder(), Task.m_Now);
   return Found;
 }
 
@@ -383,7 +408,8 @@
 
 std::optional<Pick> pick(State &Fleet, Pool &Group, const Request &Wanted,
                          TimePoint Now, Random &Rng, bool MayProbe) {
-  Search Task{Fleet, Group, Wanted, Now, Rng, {}, {}, {}, {}, {}, {}};
+  Search Task{Fleet, Group, Wanted, Now, Rng, {},   {},
+              {},    {},    {},     {},  {},  false};
   if (Wanted.m_Only)
     return pickOnly(Task);
   if (!Fleet.m_Settings.m_WholeAtPrefill)
--- a/libs/routing/src/Estimates.cpp
+++ b/libs/routing/src/Estimates.cpp
@@ -18,7 +18,7 @@
   double m_Slowness = 1; ///< Of first tokens.
   double m_StepSlowness = 1;
   TimePoint m_Now;
-  const Slot *m_Home = nullptr; ///< Keeps the shared prefix.
+  const Slot *m_Holder = nullptr; ///< Keeps the shared prefix.
 };
 
 View viewOf(const State &Fleet, const Pool &Group, const Slot &Place,
@@ -65,9 +65,19 @@
 /// Prompt tokens that the engine prefills before those of this priority.
 double tokensAhead(const View &At, unsigned Priority) {
   std::uint64_t Own = 0;
-  for (unsigned I = std::min(Priority, MaxPriority); I <= MaxPriority; ++I)
+  std::uint64_t Others = 0;
+  for (unsigned I = std::min(Priority, MaxPriority); I <= MaxPriority; ++I) {
     Own += At.m_Place.m_PromptByPriority[I];
-  return static_cast<double>(Own) + At.m_Load.m_ForeignPromptTokens;
+    Others += At.m_Place.m_OthersByPriority[I];
+  }
+  double Foreign = At.m_Load.m_ForeignPromptTokens;
+  // As others told it by priority, it is counted by priority.
+  std::uint64_t All = 0;
+  for (const std::uint64_t Each : At.m_Place.m_OthersByPriority)
+    All += Each;
+  if (All > 0)
+    Foreign *= static_cast<double>(Others) / static_cast<double>(All);
+  return static_cast<double>(Own) + Foreign;
 }
 
 /// Time of one step of the engine that prefills nothing.
@@ -103,26 +113,22 @@
   return 1 / (Busy / Long + (1 - Busy) / Step);
 }
 
-/// Seconds to fetch what \p Home has beyond the \p Kept blocks.
-double fetchSeconds(const View &At, const Request &Wanted, std::size_t Kept) {
-  const std::size_t There = cachedBlocks(*At.m_Home, Wanted.m_Blocks);
-  const auto Missing = static_cast<double>(There > Kept ? There - Kept : 0);
-  if (Missing <= 0)
+/// Seconds to fetch the shared prefix from where it is kept.
+double fetchSeconds(const View &At, const Request &Wanted) {
+  if (At.m_Holder == nullptr || At.m_Holder == &At.m_Place ||
+      keeps(At.m_Place, prefixOf(Wanted.m_Blocks)))
     return 0;
   return seconds(At.m_Options.m_KvTransferSetup) +
-         Missing * seconds(At.m_Options.m_KvTransferPerBlock);
+         static_cast<double>(Wanted.m_Blocks.size()) *
+             seconds(At.m_Options.m_KvTransferPerBlock);
 }
 
 double uncachedTokens(const View &At, const Request &Wanted,
                       std::uint32_t &Cached) {
-  Cached = cachedBlocks(At.m_Place, Wanted.m_Blocks);
-  // What other entries had read at the home is not known; its own requests are
-  // taken to find the prefix there, and so it fills. Others count on what this
-  // entry knows to be there.
-  if (At.m_Home == &At.m_Place)
+  if (!Wanted.m_Fetches)
+    Cached = cachedBlocks(At.m_Place, Wanted.m_Blocks);
+  else if (At.m_Holder != nullptr)
     Cached = static_cast<std::uint32_t>(Wanted.m_Blocks.size());
-  else if (At.m_Home != nullptr)
-    Cached = std::max(Cached, cachedBlocks(*At.m_Home, Wanted.m_Blocks));
   const std::uint64_t Known = std::uint64_t(Cached) * BlockTokens;
   return Known >= Wanted.m_PromptTokens
              ? 0
@@ -165,9 +171,7 @@
       uncachedTokens(At, Wanted, Found.m_Estimate.m_CachedBlocks);
   const double Distance = distanceSeconds(At);
   const double Ahead = tokensAhead(At, Wanted.m_Priority);
-  double Own = prefillSeconds(At, Tokens);
-  if (At.m_Home != nullptr && At.m_Home != &At.m_Place)
-    Own += fetchSeconds(At, Wanted, cachedBlocks(At.m_Place, Wanted.m_Blocks));
+  const double Own = prefillSeconds(At, Tokens) + fetchSeconds(At, Wanted);
   const double Wait =
       slotWait(At, kvBlocksNeeded(Wanted)) + prefillSeconds(At, Ahead);
   const double First = Distance + (Wait + Own) * At.m_Slowness;
@@ -217,16 +221,16 @@
 }
 
 Leaning leanPrefill(const State &Fleet, const Pool &Group, const Slot &Place,
-                    const Request &Wanted, const Slot *Home, TimePoint Now) {
+                    const Request &Wanted, const Slot *Holder, TimePoint Now) {
   View At = viewOf(Fleet, Group, Place, Now);
-  At.m_Home = Home;
+  At.m_Holder = Holder;
   return leanPrefill(At, Wanted);
 }
 
 Leaning leanWhole(const State &Fleet, const Pool &Group, const Slot &Place,
-                  const Request &Wanted, const Slot *Home, TimePoint Now) {
+                  const Request &Wanted, const Slot *Holder, TimePoint Now) {
   View At = viewOf(Fleet, Group, Place, Now);
-  At.m_Home = Home;
+  At.m_Holder = Holder;
   if (Wanted.m_Kind == Kind::Service)
     return leanService(At, Wanted);
   Leaning Found = leanPrefill(At, Wanted);
@@ -244,7 +248,10 @@
       seconds(At.m_Options.m_KvTransferSetup) +
       static_cast<double>(Blocks) * seconds(At.m_Options.m_KvTransferPerBlock);
   const double Prefilled = seconds(Prefill.m_Estimate.m_FirstToken - Now);
-  const double Normal = std::max(Prefilled + Transfer, slotWait(At, Blocks));
+  // What was read elsewhere waits behind what is to be read here.
+  const double Reading = prefillSeconds(At, tokensAhead(At, Wanted.m_Priority));
+  const double Normal =
+      std::max({Prefilled + Transfer, slotWait(At, Blocks), Reading});
   const double First = Normal * splitSlowness(Group);
   Leaning Found = Prefill;
   Found.m_NormalSplit = fromSeconds(Normal);
--- a/libs/routing/src/Fleet.cpp
+++ b/libs/routing/src/Fleet.cpp
@@ -2,6 +2,8 @@
 
 #include "Internal.h"
 
+#include <cmath>
+
 namespace wasabivale::routing {
 
 namespace {
@@ -41,6 +43,7 @@
 void retireSlot(State &Fleet, SlotIndex Index, TimePoint Now) {
   Slot &Place = Fleet.m_Slots[Index];
   unlistSlot(Fleet, Index);
+  forgetKept(Fleet, Index);
   Place.m_Current = false;
   refreshSums(Fleet, Index);
   releaseExcessEverywhere(Fleet, Place, Now);
@@ -75,6 +78,10 @@
   const bool Returns = Description.m_Serving && !Place.m_Target.m_Serving;
   const Target Former = Place.m_Target;
   unlistSlot(Fleet, Index);
+  // Whether memory outlives a change of role is not known.
+  if (Former.m_Models != Description.m_Models ||
+      Former.m_Role != Description.m_Role)
+    forgetKept(Fleet, Index);
   Place.m_Target = Description;
   if (Returns && !isEjected(Place)) {
     Place.m_Health.m_State = HealthState::Warming;
@@ -103,6 +110,26 @@
   return Place.m_Current && Place.m_Target.m_Serving && !isEjected(Place);
 }
 
+/// Every entry sets the same engines aside, as far as it knows the same ones.
+static void setStreamers(const State &Fleet, Pool &Group) {
+  const auto &Decoding = Group.m_ByRole[roleIndex(Role::Decode)];
+  const auto Wanted = static_cast<std::size_t>(std::ceil(
+      Fleet.m_Settings.m_StreamersForPrefill *
+      static_cast<double>(Group.m_ByRole[roleIndex(Role::Prefill)].size())));
+  // Prompts that no engine in role prefill has time for are read elsewhere.
+  const std::size_t Most = Decoding.empty() ? 0 : Decoding.size() - 1;
+  Group.m_Streamers = Decoding;
+  const auto End = Group.m_Streamers.begin() +
+                   static_cast<std::ptrdiff_t>(std::min(Wanted, Most));
+  std::partial_sort(Group.m_Streamers.begin(), End, Group.m_Streamers.end(),
+                    [&](SlotIndex Left, SlotIndex Right) {
+                      return Fleet.m_Slots[Left].m_Hash <
+                             Fleet.m_Slots[Right].m_Hash;
+                    });
+  Group.m_Streamers.erase(End, Group.m_Streamers.end());
+  std::sort(Group.m_Streamers.begin(), Group.m_Streamers.end());
+}
+
 void listSlot(State &Fleet, SlotIndex Index) {
   const Slot &Place = Fleet.m_Slots[Index];
   const Target &Described = Place.m_Target;
@@ -116,6 +143,7 @@
       continue;
     }
     Group.m_ByRole[roleIndex(Described.m_Role)].push_back(Index);
+    setStreamers(Fleet, Group);
     if (Described.m_Role != Role::Mixed)
       continue;
     if (Described.m_Zone == Fleet.m_Settings.m_Zone)
@@ -135,6 +163,7 @@
     eraseValue(Group.m_InZone, Index);
     eraseValue(Group.m_InRegion, Index);
     eraseValue(Group.m_Ejected, Index);
+    setStreamers(Fleet, Group);
     subtract(Group.m_Sums[roleIndex(Described.m_Role)], Place.m_Counted);
   }
   Fleet.m_Slots[Index].m_Counted = {};
--- a/libs/routing/src/Internal.h
+++ b/libs/routing/src/Internal.h
@@ -80,6 +80,16 @@
 std::uint32_t cachedBlocks(const Slot &Place,
                            const std::vector<std::uint64_t> &Blocks);
 
+// Kept.cpp
+bool keeps(const Slot &Place, std::uint32_t Prefix);
+/// An engine that may be used and keeps the prefix, the newest to do so.
+std::optional<SlotIndex> holderOf(const State &Fleet, const Pool &Group,
+                                  std::uint32_t Prefix);
+/// The engine of this slot has read or fetched the prompt of a try.
+void noteKept(State &Fleet, SlotIndex Index, const Try &By, TimePoint Now);
+/// Its process is gone.
+void forgetKept(State &Fleet, SlotIndex Index);
+
 // Health.cpp
 double warmFraction(const Settings &Options, const Slot &Place, TimePoint Now);
 /// Time that something took, and would take at a target as fast as announced.
@@ -118,13 +128,13 @@
   Duration m_NormalStep{};
   Duration m_NormalSplit{}; ///< To the first token of a split.
 };
-/// \p Home keeps the shared prefix by convention and others fetch it there;
-/// null: each has what it is believed to have.
+/// \p Holder keeps the shared prefix, and others fetch it there; null: each
+/// has what it is believed to have.
 Leaning leanWhole(const State &Fleet, const Pool &Group, const Slot &Place,
-                  const Request &Wanted, const Slot *Home, TimePoint Now);
+                  const Request &Wanted, const Slot *Holder, TimePoint Now);
 /// Prefill part of a split: first token is when its KV is ready.
 Leaning leanPrefill(const State &Fleet, const Pool &Group, const Slot &Place,
-                    const Request &Wanted, const Slot *Home, TimePoint Now);
+                    const Request &Wanted, const Slot *Holder, TimePoint Now);
 /// Decode part of a split whose prefill ends as \p Prefill says.
 Leaning leanDecode(const State &Fleet, const Pool &Group, const Slot &Place,
                    const Request &Wanted, const Leaning &Prefill,
@@ -137,7 +147,7 @@
 struct Pick {
   SlotIndex m_Run = 0;
   std::optional<SlotIndex> m_Prefill;
-  /// Home of the shared prefix, if another engine reads the prompt.
+  /// Keeps the shared prefix, if another engine reads the prompt.
   std::optional<SlotIndex> m_FetchFrom;
   Leaning m_Leaning;
   bool m_Probe = false;
--- a/libs/routing/src/Tries.cpp
+++ b/libs/routing/src/Tries.cpp
@@ -162,7 +162,8 @@
                     TimePoint Now) {
   const double Work = engineSeconds(Place, Wanted, Uncached);
   for (std::uint64_t Block : Wanted.m_Blocks) {
-    addBlock(Fleet.m_Settings, Place, Block);
+    if (!Wanted.m_Fetches)
+      addBlock(Fleet.m_Settings, Place, Block);
     if (!Group.m_Partitions.empty())
       addDemand(partitionOf(Group, Block), Work, Now);
   }
@@ -196,6 +197,10 @@
           ? 0
           : static_cast<std::uint32_t>(Wanted.m_PromptTokens - Cached);
   Task.m_KvBlocks = kvBlocksNeeded(Wanted);
+  if (Wanted.m_Fetches) {
+    Task.m_Prefix = prefixOf(Wanted.m_Blocks);
+    Task.m_PrefixBlocks = static_cast<std::uint32_t>(Wanted.m_Blocks.size());
+  }
   Task.m_ExpectedFirst = Chosen.m_Leaning.m_NormalFirst;
   Task.m_ExpectedSplit = Chosen.m_Leaning.m_NormalSplit;
   Task.m_ExpectedStep = Chosen.m_Leaning.m_NormalStep;
@@ -211,10 +216,6 @@
   Group.m_MeanPromptTokens +=
       MeanAlpha * (Task.m_PromptTokens - Group.m_MeanPromptTokens);
   rememberPrefix(Fleet, Group, Prefill, Wanted, Task.m_PromptTokens, Now);
-  // What is handed over stays there as well.
-  if (Task.m_Prefill && Wanted.m_Fetches)
-    for (const std::uint64_t Block : Wanted.m_Blocks)
-      addBlock(Fleet.m_Settings, Run, Block);
   if (Task.m_Probe) {
     Run.m_Health.m_State = HealthState::Probing;
     ++Fleet.m_Counters.m_Probes;
@@ -255,6 +256,7 @@
   endPrefillLeg(Fleet, Task, Now);
   if (!Fleet.m_Slots[Index].m_Used)
     return;
+  noteKept(Fleet, Index, Task, Now);
   noteGood(Fleet, Index, false, Now);
   noteFirstTime(Fleet, Index, Group,
                 {Now - Task.m_StartedAt, Task.m_ExpectedFirst}, Now);
@@ -270,6 +272,8 @@
   if (Task.m_Prefill)
     endPrefillLeg(Fleet, Task, Now);
   giveBackPrompt(Fleet.m_Slots[Task.m_Run], Task);
+  // What is handed over stays there as well.
+  noteKept(Fleet, Task.m_Run, Task, Now);
   startDecoding(Fleet, Task);
   if (Task.m_Kind == Kind::Engine)
     noteFirst(Fleet, Task, Now);
--- a/libs/routing/src/Work.cpp
+++ b/libs/routing/src/Work.cpp
@@ -11,6 +11,8 @@
 
 /// Weight of the newest report in the share that had prefill to do.
 constexpr double BusyAlpha = 0.1;
+/// What other entries told is used for this long: a few notices may be lost.
+constexpr std::chrono::milliseconds OthersKept{1'000};
 
 /// Own work as the target saw it when it wrote a report that arrives now.
 Work workAt(const Slot &Place, TimePoint Then) {
@@ -64,6 +66,11 @@
   return std::exp(-Age / std::max(ShortestTurnover, Turnover));
 }
 
+bool isTold(const Slot &Place, TimePoint Now) {
+  return Place.m_OthersToldAt != TimePoint() &&
+         Now - Place.m_OthersToldAt <= OthersKept;
+}
+
 } // namespace
 
 void subtract(Room &Sum, const Room &Part) {
@@ -159,6 +166,9 @@
   const Work Then = workAt(Place, Now - Fleet.m_Settings.m_ReportLag);
   const std::uint32_t Requests = Report.m_Running + Report.m_Waiting;
   Place.m_ReportedRequests = Requests;
+  if (!Report.m_PrefillTokensWaiting && isTold(Place, Now))
+    return; // The others' own word is newer and says more.
+  Place.m_OthersByPriority = {};
   const double Busy = Report.m_PrefillTokensWaiting.value_or(0) > 0 ? 1 : 0;
   Place.m_PrefillBusy += BusyAlpha * (Busy - Place.m_PrefillBusy);
   Place.m_ReportAt = Now;
@@ -176,6 +186,54 @@
   refreshSums(Fleet, Found->second);
 }
 
+std::vector<EngineWork> ownWork(const State &Fleet) {
+  std::vector<EngineWork> Rows;
+  for (const Slot &Place : Fleet.m_Slots) {
+    if (!Place.m_Used || !Place.m_Current ||
+        Place.m_Target.m_Kind != Kind::Engine || Place.m_Own.m_Requests == 0)
+      continue;
+    EngineWork Row{Place.m_Target.m_Id, Place.m_Own.m_Requests, {}};
+    Row.m_PromptTokens.assign(Place.m_PromptByPriority.rbegin(),
+                              Place.m_PromptByPriority.rend());
+    while (!Row.m_PromptTokens.empty() && Row.m_PromptTokens.back() == 0)
+      Row.m_PromptTokens.pop_back();
+    Rows.push_back(std::move(Row));
+  }
+  return Rows;
+}
+
+void applyOthersWork(State &Fleet, const std::vector<EngineWork> &Told,
+                     TimePoint Now) {
+  std::unordered_map<TargetId, const EngineWork *> ByTarget;
+  for (const EngineWork &Each : Told)
+    ByTarget[Each.m_Target] = &Each;
+  for (SlotIndex Index = 0; Index < Fleet.m_Slots.size(); ++Index) {
+    Slot &Place = Fleet.m_Slots[Index];
+    if (!Place.m_Used || !Place.m_Current ||
+        Place.m_Target.m_Kind != Kind::Engine)
+      continue;
+    Place.m_OthersByPriority = {};
+    Place.m_Foreign = {};
+    if (const auto Found = ByTarget.find(Place.m_Target.m_Id);
+        Found != ByTarget.end()) {
+      const EngineWork &Row = *Found->second;
+      Place.m_Foreign.m_Requests = Row.m_Requests;
+      const std::size_t Known =
+          std::min(Row.m_PromptTokens.size(), Place.m_OthersByPriority.size());
+      for (std::size_t I = 0; I < Known; ++I) {
+        Place.m_OthersByPriority[MaxPriority - I] = Row.m_PromptTokens[I];
+        Place.m_Foreign.m_PromptTokens += Row.m_PromptTokens[I];
+      }
+    }
+    const bool Reads =
+        Place.m_Foreign.m_PromptTokens + Place.m_Own.m_PromptTokens > 0;
+    Place.m_PrefillBusy += BusyAlpha * ((Reads ? 1 : 0) - Place.m_PrefillBusy);
+    Place.m_OthersToldAt = Now;
+    Place.m_ReportAt = Now;
+    refreshSums(Fleet, Index);
+  }
+}
+
 namespace {
 
 /// What one of several entries may still take of something that they share.
@@ -193,7 +251,10 @@
   double Own = 0;
   double Others = 0;
   double Rate = 0;
-  for (Role Part : {Role::Mixed, Role::Prefill}) {
+  for (Role Part : {Role::Mixed, Role::Prefill, Role::Decode}) {
+    // Where those in role prefill run nothing whole, the others read as well.
+    if (Part == Role::Decode && Options.m_WholeAtPrefill)
+      continue;
     const Room &Sum = Group.m_Sums[roleIndex(Part)];
     Own += static_cast<double>(Sum.m_OwnPromptTokens);
     Others += static_cast<double>(Sum.m_Foreign.m_PromptTokens);
--- a/libs/routing/tests/RoutingTest.cpp
+++ b/libs/routing/tests/RoutingTest.cpp
@@ -82,6 +82,36 @@
   }
 }
 
+SCENARIO("the second leg of a split is looked at again before it is used") {
+  Random Rng(5);
+  State Fleet = fleetOf(1);
+  const Choice Made = valueOf(choose(Fleet, question(), at(0s), Rng));
+  CHECK(isOpen(Fleet, Made.m_Run));
+  GIVEN("a target that has begun to leave") {
+    Target Next = engine(0);
+    Next.m_Serving = false;
+    Next.m_Generation = 1;
+    updateTarget(Fleet, Next, at(1s));
+    CHECK_FALSE(isOpen(Fleet, Made.m_Run));
+  }
+  GIVEN("another process in its place") {
+    Target Next = engine(0);
+    Next.m_Incarnation = "second";
+    updateTarget(Fleet, Next, at(1s));
+    CHECK_FALSE(isOpen(Fleet, Made.m_Run));
+  }
+  GIVEN("nobody in its place") {
+    removeTarget(Fleet, Made.m_Run.m_Target, at(1s));
+    CHECK_FALSE(isOpen(Fleet, Made.m_Run));
+  }
+  GIVEN("a generation that is raised without closing it") {
+    Target Next = engine(0);
+    Next.m_Generation = 1;
+    updateTarget(Fleet, Next, at(1s));
+    CHECK(isOpen(Fleet, Made.m_Run));
+  }
+}
+
 SCENARIO("prompts with the same prefix meet in the same cache") {
   Random Rng(3);
   State Fleet = fleetOf(20);
--- a/tools/system-tests/tests/FleetTest.cpp
+++ b/tools/system-tests/tests/FleetTest.cpp
@@ -180,3 +180,24 @@
   waitForEnd(Running, Got);
   checkAllWhole(Got);
 }
+
+SCENARIO("operators see which state each entry has applied") {
+  const System Running({1, 2, 2, 1, {}}, 29600);
+  Json Entries;
+  CHECK(Running.turnUntil([&] {
+    const Json Status =
+        Json::parse(askLeader(Running, "GET", "status", "").m_Body);
+    Entries = Json::parse(askLeader(Running, "GET", "entries", "").m_Body)
+                  .at("entries");
+    return Entries.size() == 2 &&
+           std::all_of(Entries.begin(), Entries.end(), [&](const Json &Each) {
+             return Each["lease_left_ms"] > 0 && Each["session"] != 0 &&
+                    Each["fleet_revision"] == Status["fleet_revision"];
+           });
+  }));
+  INFO(Entries.dump());
+  const Json Routes =
+      Json::parse(askLeader(Running, "GET", "routes", "").m_Body);
+  CHECK(Routes["version"] == 0);
+  CHECK(Routes["lagging"].empty());
+}
