--- a/apps/entry/tests/PassedTest.cpp
+++ b/apps/entry/tests/PassedTest.cpp
@@ -235,6 +235,12 @@
     return Told;
   }
 
+  /// Tells the entry of the targets, and waits until they count as warm.
+  void warmUp() {
+    REQUIRE(m_Path->takeFleet(m_Fleet));
+    m_Loop.turnFor(std::chrono::milliseconds(1100));
+  }
+
   [[nodiscard]] int seen(const std::string &Field) const {
     int Count = 0;
     for (const http::Request &Each : m_Seen)
@@ -413,7 +419,7 @@
   GIVEN("an engine of each role") {
     On.addEngine("prefill", answers(200, "h1"));
     On.addEngine("decode", streams(2, true));
-    REQUIRE(On.m_Path->takeFleet(On.m_Fleet));
+    On.warmUp();
     THEN("the second takes over the memory of the first") {
       CHECK(On.ask("POST", "/oracle/7", LongPrompt).m_Status == 200);
       REQUIRE(On.m_Seen.size() == 2);
@@ -433,7 +439,7 @@
       answers(200, "h1")(Arrived);
     });
     Leaving = &On.addEngine("decode", streams(2, true));
-    REQUIRE(On.m_Path->takeFleet(On.m_Fleet));
+    On.warmUp();
     const Answered Got = On.ask("POST", "/oracle/7", LongPrompt);
     THEN("nothing new reaches it, and the caller may come again") {
       CHECK(Got.m_Status == 503);
