--- a/apps/entry/src/Arrival.h
+++ b/apps/entry/src/Arrival.h
@@ -137,6 +137,9 @@
 retries::Fingerprint fingerprintOf(const Arrival &Of);
 /// What capacity is counted for: a model, or a service.
 ModelId capacityName(const Arrival &Of);
+/// Whose turn it takes in the queue. Plain requests of one service stand in one
+/// line by their rank: routes are no customers that share it evenly.
+CallerId lineOf(const Arrival &Of);
 
 } // namespace wasabivale::entry
 
--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -44,6 +44,15 @@
           std::max(1.0, By.m_Running * Share)};
 }
 
+/// When a stream ends whose first event comes just before its caller leaves.
+TimePoint lastEnd(const Arrival &Of, const routing::Estimate &Expected,
+                  Duration Least) {
+  const Duration Rest = std::max<Duration>(
+      Expected.m_Finish - Expected.m_FirstToken, Duration(0));
+  const Duration First = Least - Rest * AnswerCertainty / 100;
+  return Of.m_At + streamPatience(Of.m_Passed->m_Route) + (Least - First);
+}
+
 /// Time that a plain request takes at least, as far as its estimate is sure.
 Duration leastTime(const routing::Estimate &Of, TimePoint From) {
   const Duration First =
@@ -190,7 +199,7 @@
 void DataPath::admit(const std::shared_ptr<http::Exchange> &Arrived,
                      Arrival Asked) {
   const TimePoint Now = BootClock::now();
-  ensureShare(Asked.m_Caller, Now);
+  ensureShare(lineOf(Asked), Now);
   auto Made =
       std::make_shared<Serving>(m_Shared, Arrived, std::move(Asked),
                                 [this](Serving &Which) { takeEnded(Which); });
@@ -221,7 +230,7 @@
           {Refusal::CannotMeetDeadline, First - Patience});
   }
   limits::Arrival Ask;
-  Ask.m_Caller = For.m_Caller;
+  Ask.m_Caller = lineOf(For);
   Ask.m_Model = capacityName(For);
   Ask.m_Priority = For.m_Priority;
   Ask.m_PromptTokens = Wanted.m_PromptTokens;
@@ -235,6 +244,9 @@
       std::max<Duration>(valueOf(Expected).m_Finish - From, Duration(0));
   if (For.m_Passed)
     Ask.m_ServiceTime = leastTime(valueOf(Expected), From);
+  if (For.m_Passed && For.m_Stream)
+    Ask.m_Deadline = std::min(
+        Ask.m_Deadline, lastEnd(For, valueOf(Expected), Ask.m_ServiceTime));
   const limits::Decision Decided = limits::admit(m_Shared.m_Limits, Ask, Now);
   takeRefused(Decided.m_Evicted);
   if (const auto *Why = std::get_if<limits::Refused>(&Decided.m_Verdict))
--- a/apps/entry/src/Describe.cpp
+++ b/apps/entry/src/Describe.cpp
@@ -47,6 +47,10 @@
       Of.isService() ? Of.m_Method + Of.m_Path + Of.m_Body : Of.m_Prompt);
 }
 
+CallerId lineOf(const Arrival &Of) {
+  return Of.m_Passed ? CallerId{Of.m_Model} : Of.m_Caller;
+}
+
 ModelId capacityName(const Arrival &Of) {
   return {Of.isService() ? ServiceCapacity + Of.m_Model : Of.m_Model};
 }
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -510,7 +510,7 @@
   Facts.m_Offset = m_Offset;
   retries::Attempt So;
   // Callers of one service share its budget.
-  So.m_Caller = m_Asked.m_Passed ? CallerId{m_Asked.m_Model} : m_Asked.m_Caller;
+  So.m_Caller = lineOf(m_Asked);
   if (m_Asked.m_Passed)
     So.m_MaxRuns = m_Asked.m_Passed->m_Route.m_MaxAttempts;
   So.m_Runs = m_Runs;
@@ -604,10 +604,7 @@
                                         routing::BlockTokens);
     Demand.set_completed_in_time(Demand.completed_in_time() + (InTime ? 1 : 0));
   }
-  retries::noteSuccess(m_Shared.m_Retries,
-                       m_Asked.m_Passed ? CallerId{m_Asked.m_Model}
-                                        : m_Asked.m_Caller,
-                       m_LastTarget);
+  retries::noteSuccess(m_Shared.m_Retries, lineOf(m_Asked), m_LastTarget);
   m_MayHaveRun = true;
   if (m_KeyGranted) {
     KeptAnswer Kept = m_Writer->kept();
--- a/apps/entry/tests/PassedTest.cpp
+++ b/apps/entry/tests/PassedTest.cpp
@@ -132,6 +132,7 @@
   int m_Status = 0; ///< Zero: the connection ended without a whole answer.
   http::Fields m_Fields;
   std::string m_Body;
+  bool m_Ended = false;
 };
 
 /// An entry before targets of one service each.
@@ -248,8 +249,10 @@
     return Count;
   }
 
-  Answered ask(const std::string &Method, const std::string &Path,
-               http::Fields More = {}) {
+  /// Sends a request; its answer comes while the loop turns.
+  std::shared_ptr<Answered> start(const std::string &Method,
+                                  const std::string &Path,
+                                  http::Fields More = {}) {
     http::ClientRequest Out;
     Out.m_To = {"127.0.0.1", EntryPort};
     Out.m_Method = Method;
@@ -259,22 +262,29 @@
     if (Method == "POST")
       Out.m_Body = "body";
     Out.m_Deadline = BootClock::now() + std::chrono::seconds(5);
-    Answered Got;
-    bool Ended = false;
+    auto Got = std::make_shared<Answered>();
     http::ClientHandlers Handlers;
-    Handlers.m_OnFields = [&](int, const http::Fields &Fields) {
-      Got.m_Fields = Fields;
+    Handlers.m_OnFields = [Got](int, const http::Fields &Fields) {
+      Got->m_Fields = Fields;
     };
-    Handlers.m_OnChunk = [&](std::string_view Piece) { Got.m_Body += Piece; };
-    Handlers.m_OnDone = [&](const Result<http::Response> &Told) {
+    Handlers.m_OnChunk = [Got](std::string_view Piece) {
+      Got->m_Body += Piece;
+    };
+    Handlers.m_OnDone = [Got](const Result<http::Response> &Told) {
       if (!failed(Told))
-        Got.m_Status = valueOf(Told).m_Status;
-      Ended = true;
+        Got->m_Status = valueOf(Told).m_Status;
+      Got->m_Ended = true;
     };
     (void)http::call(m_Loop.m_Base, std::move(Out), std::move(Handlers));
-    REQUIRE(m_Loop.until([&] { return Ended; }));
     return Got;
   }
+
+  Answered ask(const std::string &Method, const std::string &Path,
+               http::Fields More = {}) {
+    const auto Got = start(Method, Path, std::move(More));
+    REQUIRE(m_Loop.until([&] { return Got->m_Ended; }));
+    return *Got;
+  }
 };
 
 } // namespace
@@ -455,6 +465,42 @@
   }
 }
 
+SCENARIO("what waits for a target goes by the rank of its route") {
+  Shop On;
+  wire::RouteTable &Table = *On.m_Fleet.mutable_routes();
+  wire::Route Patient = route("report", "safe", "desk");
+  Patient.set_rank(2);
+  *Table.add_routes() = Patient;
+  On.add([](const Exchange &) {}).set_max_running(1);
+  REQUIRE(On.m_Path->takeFleet(On.m_Fleet));
+  const auto Seen = [&](std::size_t Count) {
+    return On.m_Loop.until([&] { return On.m_Seen.size() == Count; });
+  };
+  const auto answerLast = [&] { answers(200, "done")(On.m_Held.back()); };
+  GIVEN("a target at work, and patient requests before urgent ones") {
+    std::vector<std::shared_ptr<Answered>> All;
+    All.push_back(On.start("GET", "/stock/0"));
+    REQUIRE(Seen(1));
+    for (const char *Path :
+         {"/report/1", "/report/2", "/report/3", "/stock/4", "/stock/5"}) {
+      All.push_back(On.start("GET", Path));
+      On.m_Loop.turnFor(std::chrono::milliseconds(5));
+    }
+    THEN("the urgent ones go first, all routes in one line") {
+      for (std::size_t Count = 1; Count < All.size(); ++Count) {
+        answerLast();
+        REQUIRE(Seen(Count + 1));
+      }
+      answerLast();
+      std::string Order;
+      for (const http::Request &Each : On.m_Seen)
+        Order += Each.m_Path.back();
+      CHECK(Order == "045123");
+      CHECK(On.m_Loop.until([&] { return All.back()->m_Ended; }));
+    }
+  }
+}
+
 TEST_CASE("what takes long goes first within its rank only") {
   MeanPrompts Means;
   routes::Route Urgent;
--- a/libs/routing/tests/KeptTest.cpp
+++ b/libs/routing/tests/KeptTest.cpp
@@ -218,14 +218,14 @@
     for (const Slot &Place : Fleet.m_Slots)
       Listed += Place.m_Kept.size();
     std::size_t Held = 0;
-    for (const auto &[Prefix, Slots] : Fleet.m_Pools[0].at(Gourd).m_Holders) {
-      RC_ASSERT_FALSE(Slots.empty());
-      Held += Slots.size();
-      for (const SlotIndex Index : Slots) {
+    for (const auto &Named : Fleet.m_Pools[0].at(Gourd).m_Holders) {
+      RC_ASSERT_FALSE(Named.second.empty());
+      Held += Named.second.size();
+      for (const SlotIndex Index : Named.second) {
         const auto &Kept = Fleet.m_Slots[Index].m_Kept;
         RC_ASSERT(
             std::count_if(Kept.begin(), Kept.end(), [&](const KeptHere &Each) {
-              return Each.m_Prefix == Prefix;
+              return Each.m_Prefix == Named.first;
             }) == 1);
       }
     }
