Test the line by rank where it matters: at engines

Change: the test plays an engine, whose prompts are charged. Before, after: with a line for each route 01a2b345678, with one 012345678ab.

--- a/apps/entry/tests/PassedTest.cpp
+++ b/apps/entry/tests/PassedTest.cpp
@@ -23,7 +23,9 @@
   Made.m_Path = From.m_Path;
   Made.m_Host = http::field(From.m_Fields, "Host");
   Made.m_Body = From.m_Body;
-  Made.m_Patience = std::chrono::milliseconds(1500);
+  const std::string Waits(http::field(From.m_Fields, "Waits-S"));
+  Made.m_Patience = Waits.empty() ? std::chrono::milliseconds(1500)
+                                  : std::chrono::seconds(std::stoi(Waits));
   const std::string Seen(http::field(From.m_Fields, "Seen"));
   Made.m_SeenEvents = Seen.empty() ? 0 : std::stoull(Seen);
   const std::string Prompt(http::field(From.m_Fields, "Prompt"));
@@ -465,38 +467,44 @@
   }
 }
 
-SCENARIO("what waits for a target goes by the rank of its route") {
+SCENARIO("what waits for an engine goes by the rank of its route") {
   Shop On;
+  // One stream at a time, that ends when the test says so.
+  On.addEngine("decode", [](const Exchange &) {}).set_max_running(1);
   wire::RouteTable &Table = *On.m_Fleet.mutable_routes();
-  wire::Route Patient = route("report", "safe", "desk");
-  Patient.set_rank(2);
-  *Table.add_routes() = Patient;
-  On.add([](const Exchange &) {}).set_max_running(1);
+  for (const char *Name : {"oracle", "report"}) {
+    wire::Route Slow = route(Name, "streaming", "llm", true);
+    Slow.set_rank(std::string(Name) == "report" ? 2 : 0);
+    Slow.set_timeout_ns(60'000'000'000);
+    Slow.set_objective_ns(10'000'000'000);
+    *Table.add_routes() = Slow;
+  }
   REQUIRE(On.m_Path->takeFleet(On.m_Fleet));
+  const http::Fields Long = {{"prompt", "15000"}, {"waits-s", "50"}};
   const auto Seen = [&](std::size_t Count) {
     return On.m_Loop.until([&] { return On.m_Seen.size() == Count; });
   };
-  const auto answerLast = [&] { answers(200, "done")(On.m_Held.back()); };
-  GIVEN("a target at work, and patient requests before urgent ones") {
+  GIVEN("an engine at work, and patient requests before urgent ones") {
     std::vector<std::shared_ptr<Answered>> All;
-    All.push_back(On.start("GET", "/stock/0"));
+    All.push_back(On.start("POST", "/oracle/0", Long));
     REQUIRE(Seen(1));
     for (const char *Path :
-         {"/report/1", "/report/2", "/report/3", "/stock/4", "/stock/5"}) {
-      All.push_back(On.start("GET", Path));
+         {"/report/a", "/report/b", "/oracle/1", "/oracle/2", "/oracle/3",
+          "/oracle/4", "/oracle/5", "/oracle/6", "/oracle/7", "/oracle/8"}) {
+      All.push_back(On.start("POST", Path, Long));
       On.m_Loop.turnFor(std::chrono::milliseconds(5));
     }
     THEN("the urgent ones go first, all routes in one line") {
-      for (std::size_t Count = 1; Count < All.size(); ++Count) {
-        answerLast();
-        REQUIRE(Seen(Count + 1));
+      for (std::size_t Count = 1; Count <= All.size(); ++Count) {
+        streams(1, true)(On.m_Held.back());
+        if (Count < All.size())
+          REQUIRE(Seen(Count + 1));
       }
-      answerLast();
       std::string Order;
       for (const http::Request &Each : On.m_Seen)
         Order += Each.m_Path.back();
-      CHECK(Order == "045123");
-      CHECK(On.m_Loop.until([&] { return All.back()->m_Ended; }));
+      CHECK(Order == "012345678ab");
+      CHECK(On.m_Loop.until([&] { return All[1]->m_Ended; }));
     }
   }
 }
