Keep control running while its disk is full

Ruled out: ignoring failed writes; what is acknowledged must be on disk. Change: daemon::Reopening closes the member alone and opens it again each second until that works; readiness says why; the process, its metrics and its settings go on. A failure at the first start still ends it: the settings may be wrong. The member still tries once a second with the disk full and fails at its first write; it could ask the disk first.

--- a/apps/control/src/Main.cpp
+++ b/apps/control/src/Main.cpp
@@ -14,19 +14,25 @@
                const std::string &File, const settings::Json &Document) {
   daemon::EventLoop Loop;
   metrics::Registry Registry;
-  bool Failed = false;
-  auto Control = control::Control::open(Loop.base(), Settings, Registry, [&] {
-    Failed = true;
-    Loop.end();
-  });
-  if (failed(Control)) {
-    events::emitError(events::Event::ListenFailed, errorOf(Control));
+  // A full disk must not end the process: what needs no disk goes on.
+  daemon::Reopening<control::Control> Member(
+      Loop.base(), [&](std::function<void()> OnFailed) {
+        return control::Control::open(Loop.base(), Settings, Registry,
+                                      std::move(OnFailed));
+      });
+  if (const Status Opened = Member.open(); failed(Opened)) {
+    events::emitError(events::Event::ListenFailed, errorOf(Opened));
     return daemon::ExitFailed;
   }
   bool Stopping = false;
-  auto Platform = daemon::listenForPlatform(
-      Loop.base(), Settings.m_AdminListen, Registry,
-      [&] { return Stopping ? "stopping" : valueOf(Control)->notReady(); });
+  const auto NotReady = [&]() -> std::string {
+    if (Stopping)
+      return "stopping";
+    return Member.now() == nullptr ? "the data folder failed"
+                                   : Member.now()->notReady();
+  };
+  auto Platform = daemon::listenForPlatform(Loop.base(), Settings.m_AdminListen,
+                                            Registry, NotReady);
   if (failed(Platform)) {
     events::emitError(events::Event::ListenFailed, errorOf(Platform));
     return daemon::ExitFailed;
@@ -35,13 +41,14 @@
   Loop.onStop([&] {
     Stopping = true;
     events::emit(events::Event::ProcessStopping, {{"id", Settings.m_Id}});
-    valueOf(Control)->prepareStop();
+    if (Member.now() != nullptr)
+      Member.now()->prepareStop();
     const TimePoint Until = BootClock::now() + control::LongestHandover;
     Ending = std::make_unique<http::Timer>(
         Loop.base(), HandoverLook, true, [&, Until] {
-          if (control::mayEnd(valueOf(Control)->isLeader(),
-                              valueOf(Control)->members(), BootClock::now(),
-                              Until))
+          const control::Control *Now = Member.now();
+          if (Now == nullptr || control::mayEnd(Now->isLeader(), Now->members(),
+                                                BootClock::now(), Until))
             Loop.end();
         });
   });
@@ -51,13 +58,14 @@
         const auto Read = control::toControlSettings(Next);
         if (failed(Read))
           return events::emitError(events::Event::ReloadRefused, errorOf(Read));
-        valueOf(Control)->reload(valueOf(Read));
+        if (Member.now() != nullptr)
+          Member.now()->reload(valueOf(Read));
       });
   events::emit(events::Event::ProcessStarted,
                {{"id", Settings.m_Id}, {"listen", Settings.m_Listen}});
   Loop.run();
   events::emit(events::Event::ProcessStopped, {{"id", Settings.m_Id}});
-  return Failed ? daemon::ExitFailed : daemon::ExitOk;
+  return daemon::ExitOk;
 }
 
 int main(int ArgumentCount, char **Arguments) {
--- a/libs/daemon/include/daemon/daemon.h
+++ b/libs/daemon/include/daemon/daemon.h
@@ -6,6 +6,7 @@
 #define WASABIVALE_DAEMON_DAEMON_H
 
 #include "base/base.h"
+#include "events/events.h"
 #include "http/http.h"
 #include "metrics/metrics.h"
 #include "settings/settings.h"
@@ -117,6 +118,66 @@
 /// for paused.
 inline constexpr std::chrono::milliseconds PauseThreshold{1000};
 
+/// Pause before a part of the process that has failed is opened again: about
+/// as long as a restart of the process would take.
+inline constexpr std::chrono::milliseconds ReopenPause{1000};
+
+/// Keeps a part of the process open that may fail while it runs, because a disk
+/// is full, say: closes it, and opens it again until that works. The rest of
+/// the process goes on meanwhile.
+template <typename Part> class Reopening {
+public:
+  /// Opens the part; it calls \p OnFailed, also more than once, when it can't
+  /// go on.
+  using Open =
+      std::function<Result<std::unique_ptr<Part>>(std::function<void()>)>;
+
+  Reopening(event_base *Loop, Open How, Duration Pause = ReopenPause)
+      : m_Loop(Loop), m_Open(std::move(How)),
+        m_Pause(std::chrono::ceil<std::chrono::milliseconds>(Pause)) {}
+
+  /// Opens it for the first time. A failure here is the caller's.
+  Status open() {
+    auto Made = m_Open([this] { fail(); });
+    if (failed(Made))
+      return errorOf(Made);
+    m_Now = std::move(valueOf(Made));
+    return std::monostate{};
+  }
+
+  /// Null while it is closed.
+  [[nodiscard]] Part *now() const { return m_Now.get(); }
+
+private:
+  void fail() {
+    // Not from here: this is a call of the part that is to be closed.
+    m_Next = std::make_unique<http::Timer>(m_Loop, std::chrono::milliseconds(0),
+                                           false, [this] {
+                                             m_Now.reset();
+                                             reopenLater();
+                                           });
+  }
+
+  void reopenLater() {
+    m_Next = std::make_unique<http::Timer>(m_Loop, m_Pause, false, [this] {
+      m_Next.reset(); // Set again by a failure while it opens.
+      const Status Opened = open();
+      if (failed(Opened)) {
+        events::emitError(events::Event::ReopenFailed, errorOf(Opened));
+        reopenLater();
+      } else if (m_Next == nullptr) {
+        events::emit(events::Event::Reopened, {});
+      }
+    });
+  }
+
+  event_base *m_Loop;
+  Open m_Open;
+  std::chrono::milliseconds m_Pause;
+  std::unique_ptr<Part> m_Now;
+  std::unique_ptr<http::Timer> m_Next;
+};
+
 /// Answers `/healthz`, `/readyz` and `/metrics`.
 /// \param NotReady yields the reason why the process is not ready, or an empty
 /// string; \param BeforePrint brings gauges up to date; \param ReadyPath is
