--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -279,7 +279,9 @@
   startTerm(m_Notices, m_LeaderSince, LongestEntryLease);
   m_Repairing = false;
   if (m_RoleOrders)
-    m_RoleOrders->startTerm(m_Replica->term(), m_LeaderSince);
+    m_RoleOrders->startTerm(m_Replica->term(),
+                            m_State.m_Fleet.m_Targets.m_Holds > 0,
+                            m_LeaderSince);
   if (m_Registrar)
     m_Registrar->startTerm();
 }
--- a/apps/control/src/RoleOrders.cpp
+++ b/apps/control/src/RoleOrders.cpp
@@ -40,11 +40,12 @@
 
 RoleOrders::~RoleOrders() { endTerm(); }
 
-void RoleOrders::startTerm(std::uint64_t Term, TimePoint Now) {
+void RoleOrders::startTerm(std::uint64_t Term, bool MayHaveOrders,
+                           TimePoint Now) {
   endTerm();
   m_Term = Term;
   m_Sequence = 0;
-  m_SettledAt = Now + SettleTime;
+  m_SettledAt = MayHaveOrders ? Now + SettleTime : Now;
   m_LookedAt = Now;
   m_Services.clear();
   m_NotBefore.clear();
@@ -77,12 +78,18 @@
 void RoleOrders::look(const fleet::State &Known, TimePoint Now) {
   const double Passed = seconds(Now - m_LookedAt);
   m_LookedAt = Now;
+  for (const auto &[Id, Each] : Known.m_Targets.m_ById)
+    if (Each.m_IsEngine && Each.m_SelfManaged)
+      for (const std::string &Name : Each.m_Models)
+        m_Services.try_emplace(Name);
   for (auto &[Name, Of] : m_Services) {
     const auto Smooth = [&](double &Mean, double &Count) {
       Mean += LoadAlpha * (std::exchange(Count, 0) / Passed - Mean);
     };
     Smooth(Of.m_Load.m_RequestsPerSecond, Of.m_Requests);
     Smooth(Of.m_Load.m_PromptTokensPerSecond, Of.m_PromptTokens);
+    Of.m_Load.m_Unseen =
+        Known.m_Targets.m_Holds == 0 && Of.m_Load.m_RequestsPerSecond <= 0;
     std::vector<roles::SplitEngine> Engines;
     for (const auto &[Id, Each] : Known.m_Targets.m_ById) {
       const bool Present =
--- a/apps/control/src/RoleOrders.h
+++ b/apps/control/src/RoleOrders.h
@@ -30,7 +30,9 @@
   RoleOrders(const RoleOrders &) = delete;
   RoleOrders &operator=(const RoleOrders &) = delete;
 
-  void startTerm(std::uint64_t Term, TimePoint Now);
+  /// \param MayHaveOrders whether a former leader may have given orders that
+  /// are still under way.
+  void startTerm(std::uint64_t Term, bool MayHaveOrders, TimePoint Now);
   void endTerm();
   /// Counts what an entry reports of its demand.
   void takeReport(const wire::EntryReport &Report);
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -134,6 +134,9 @@
   std::map<TargetId, Target> m_ById;
   std::map<TargetId, std::uint64_t> m_Removed; ///< With revision of removal.
   std::uint64_t m_OldestDelta = 0; ///< Updates from before this are whole.
+  /// How often a target was held for a change of its role. No order for a role
+  /// was ever given while this is zero.
+  std::uint64_t m_Holds = 0;
 };
 
 // --- Orders ---------------------------------------------------------------
--- a/libs/fleet/src/Snapshot.cpp
+++ b/libs/fleet/src/Snapshot.cpp
@@ -90,6 +90,7 @@
 void write(wire::FleetState &To, const Targets &From) {
   To.set_fleet_revision(From.m_Revision);
   To.set_oldest_delta(From.m_OldestDelta);
+  To.set_holds(From.m_Holds);
   for (const auto &[Name, Each] : From.m_ById)
     write(*To.add_targets(), Each);
   for (const auto &[Name, Revision] : From.m_Removed) {
@@ -102,6 +103,7 @@
 void read(Targets &To, const wire::FleetState &From) {
   To.m_Revision = From.fleet_revision();
   To.m_OldestDelta = From.oldest_delta();
+  To.m_Holds = From.holds();
   for (const wire::TargetState &Each : From.targets())
     To.m_ById[{Each.target().id()}] = read(Each);
   for (const wire::RemovedTarget &Each : From.removed())
--- a/libs/fleet/src/Targets.cpp
+++ b/libs/fleet/src/Targets.cpp
@@ -267,6 +267,7 @@
   if (isOut(*Known) || Known->m_Held == Said.held())
     return accept();
   Known->m_Held = Said.held();
+  On.m_Targets.m_Holds += Said.held() ? 1 : 0;
   if (!Said.held() && !Said.role().empty())
     Known->m_Role = Said.role();
   const TargetState Next = restingState(*Known);
--- a/libs/roles/include/roles/roles.h
+++ b/libs/roles/include/roles/roles.h
@@ -175,9 +175,15 @@
 struct ServiceLoad {
   double m_RequestsPerSecond = 0;
   double m_PromptTokensPerSecond = 0; ///< Also those that are found cached.
+  /// Nobody has asked yet, and no role has been changed: there is nothing to
+  /// disturb.
+  bool m_Unseen = false;
 };
 
 struct SplitRules {
+  /// Share of engines that prefill while nothing is known of the load: prompts
+  /// are read one after the other, streams share their engine by dozens.
+  double m_UnseenPrefillShare = 0.65;
   /// Time that a stream holds its place, and how many times over the places
   /// must be there: arrivals come in bursts, and an engine may be lost.
   Duration m_StreamTime = std::chrono::milliseconds(1500);
--- a/libs/roles/src/Split.cpp
+++ b/libs/roles/src/Split.cpp
@@ -29,6 +29,27 @@
       std::ceil(Read / (Rules.m_PrefillRate * Rules.m_PrefillUse)));
 }
 
+std::vector<std::pair<TargetId, Role>>
+firstChanges(const std::vector<SplitEngine> &Engines, const SplitRules &Rules) {
+  const auto Count = static_cast<std::uint32_t>(Engines.size());
+  const auto Wanted =
+      std::min(Count - Rules.m_LeastDecoders,
+               static_cast<std::uint32_t>(Rules.m_UnseenPrefillShare * Count));
+  std::uint32_t Prefilling = 0;
+  for (const SplitEngine &Each : Engines)
+    Prefilling += Each.m_Role == Role::Prefill ? 1 : 0;
+  std::vector<std::pair<TargetId, Role>> Changes;
+  for (const SplitEngine &Each : Engines) {
+    if (Prefilling >= Wanted)
+      break;
+    if (Each.m_Role == Role::Prefill || Each.m_Changing || Each.m_Resting)
+      continue;
+    Changes.emplace_back(Each.m_Id, Role::Prefill);
+    ++Prefilling;
+  }
+  return Changes;
+}
+
 } // namespace
 
 std::vector<std::pair<TargetId, Role>>
@@ -36,6 +57,8 @@
           const SplitRules &Rules) {
   std::vector<std::pair<TargetId, Role>> Changes;
   const auto Count = static_cast<std::uint32_t>(Engines.size());
+  if (Count > Rules.m_LeastDecoders && Load.m_Unseen)
+    return firstChanges(Engines, Rules);
   if (Count <= Rules.m_LeastDecoders || Load.m_RequestsPerSecond <= 0)
     return Changes;
   const std::uint32_t Decoders =
--- a/libs/roles/tests/SplitTest.cpp
+++ b/libs/roles/tests/SplitTest.cpp
@@ -63,6 +63,25 @@
     CHECK(changesOf(engines(6, 12), {5, 20'000}, Rules).empty());
     CHECK(changesOf(engines(6, 12), {}, Rules).empty());
   }
+  SECTION("before anybody asks, two thirds prefill at once") {
+    ServiceLoad Unseen;
+    Unseen.m_Unseen = true;
+    const auto Changes = changesOf(engines(6, 12), Unseen, Rules);
+    REQUIRE(Changes.size() == 5);
+    for (const auto &[Id, To] : Changes)
+      CHECK(To == Role::Prefill);
+    CHECK(changesOf(engines(12, 6), Unseen, Rules).empty());
+    CHECK(changesOf(engines(0, 2), Unseen, Rules).empty());
+    CHECK(changesOf(engines(0, 3), Unseen, Rules).size() == 1);
+    SECTION("those under way count") {
+      auto Some = engines(6, 12);
+      for (std::size_t I = 6; I < 11; ++I) {
+        Some[I].m_Role = Role::Prefill;
+        Some[I].m_Changing = true;
+      }
+      CHECK(changesOf(Some, Unseen, Rules).empty());
+    }
+  }
   SECTION("a fleet of two keeps its decoders") {
     CHECK(changesOf(engines(0, 2), Heavy, Rules).empty());
   }
