--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -26,7 +26,7 @@
 /// Parts of an estimate, in percent, that must still miss the deadline before a
 /// plain request is refused for it: times to a first token are within about a
 /// third, and the length of an answer is known at the median only.
-constexpr int FirstEventCertainty = 70;
+constexpr int FirstEventCertainty = 90;
 constexpr int FirstTokenCertainty = 50;
 constexpr int AnswerCertainty = 20;
 /// Part of the fleet's reserve of retries that is handed out: the rest is for
