--- a/libs/settings/tests/SettingsTest.cpp
+++ b/libs/settings/tests/SettingsTest.cpp
@@ -36,6 +36,11 @@
         {R"({"id": "a", "port": 1, "peers": [{"id": 3}]})",
          "f.json: /peers/0/id: 3: "},
         {R"({"id": )", "f.json: byte "},
+        // Numbers that no type holds must not end the process.
+        {R"({"id": "a", "port": 1e999})", "f.json"},
+        {R"({"id": "a", "port": -1e999})", "f.json"},
+        {R"({"id": "a", "port": 99999999999999999999999})", "f.json: /port: "},
+        {R"({"id": 1e999, "port": 1})", "f.json"},
     };
     for (const Case &Broken : Cases) {
       THEN("its place is named: " + Broken.m_Text) {
