--- a/libs/routing/tests/KeptTest.cpp
+++ b/libs/routing/tests/KeptTest.cpp
@@ -122,6 +122,7 @@
   };
   GIVEN("much patient work at every engine") {
     std::vector<EngineWork> Told;
+    Told.reserve(2);
     for (int I = 0; I < 2; ++I)
       Told.push_back({engine(I).m_Id, 10, {0, 0, 100'000}});
     applyOthersWork(Fleet, Told, at(0s));
