Forget what a service told of its load a while ago

Its log shows request_queued free=0 for the service with one target left, start_in_ms=0, then deadline_passed: the target's last answer had told of a full house, and nothing was sent there any more that could have told otherwise. Ruled out: the listener (requests of other services on kept connections were served all the while); the target (it was idle). Change: loads told with answers of plain services are dropped after 250 ms. Engines are told of by entries each few hundred ms and stay as they are. Test: a service that said it was full is sent to a moment later; with the load kept it answers 503 and is never asked (three checks fail).

--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -29,6 +29,9 @@
 constexpr int FirstEventCertainty = 90;
 constexpr int FirstTokenCertainty = 50;
 constexpr int AnswerCertainty = 20;
+/// A plain service's load is told with its answers: what it said this long ago
+/// has ended since, and nothing more would be heard if nothing were sent.
+constexpr std::chrono::milliseconds LoadKept{250};
 /// Part of the fleet's reserve of retries that is handed out: the rest is for
 /// entries that have joined since the count.
 constexpr double RetryReserveUsed = 0.7;
@@ -53,6 +56,16 @@
   return Of.m_At + streamPatience(Of.m_Passed->m_Route) + (Least - First);
 }
 
+/// Forgets what services have told of others' requests too long ago.
+void forgetOldLoads(routing::State &Of, TimePoint Now) {
+  for (const routing::Slot &Each : Of.m_Slots)
+    if (Each.m_Used && Each.m_Current &&
+        Each.m_Target.m_Kind == routing::Kind::Service &&
+        Each.m_Foreign.m_Requests > 0 && Now - Each.m_ReportAt > LoadKept)
+      routing::applyLoad(Of, Each.m_Target.m_Id, Each.m_Target.m_Incarnation,
+                         {0, 0, std::nullopt, std::nullopt}, Now);
+}
+
 /// Time that a plain request takes at least, as far as its estimate is sure.
 Duration leastTime(const routing::Estimate &Of, TimePoint From) {
   const Duration First =
@@ -347,6 +360,8 @@
       Running.push_back(One);
   for (const auto &One : Running)
     One->check(Now);
+  if (m_Shared.m_Settings.m_Routes)
+    forgetOldLoads(m_Shared.m_Routing, Now);
   if (!m_Waiting.empty())
     pump();
 }
--- a/apps/entry/tests/PassedTest.cpp
+++ b/apps/entry/tests/PassedTest.cpp
@@ -65,6 +65,9 @@
   Made.m_WrongTarget = Status == 421;
   Made.m_Signed = !http::field(Of, "Signed").empty();
   Made.m_Id = http::field(Of, "Attempt");
+  const std::string Load(http::field(Of, "Load"));
+  if (!Load.empty())
+    Made.m_Load = {static_cast<std::uint32_t>(std::stoul(Load)), 0, 6};
   return Made;
 }
 
@@ -387,6 +390,23 @@
   }
 }
 
+SCENARIO("what a service told of its load is not believed for ever") {
+  Shop On;
+  GIVEN("a service that was full when it answered last") {
+    On.open({[](const Exchange &Arrived) {
+      http::Fields Told = stamped(Arrived);
+      Told.emplace_back("Load", "40");
+      Arrived->relay(200, Told, "three left");
+    }});
+    CHECK(On.ask("GET", "/stock/1").m_Status == 200);
+    THEN("a request is sent there a moment later, and not held to its end") {
+      CHECK(On.ask("GET", "/stock/2").m_Status == 200);
+      CHECK(On.ask("POST", "/book/3").m_Status == 200);
+      CHECK(On.m_Seen.size() == 3);
+    }
+  }
+}
+
 SCENARIO("a stream is whole or visibly broken") {
   Shop On;
   const auto Order = [](const std::string &Body) {
