Log parts of the prompt and progress of a failed try

The lines of a failed try did not tell which hypothesis of the incident holds: they named neither what requests have in common nor whether the target had begun to answer. try_failed now has prefill=, begun= and parts= (hashes, as routing uses them).

--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -3,6 +3,7 @@
 #include "events/events.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace wasabivale::entry {
 
@@ -43,6 +44,15 @@
   return std::holds_alternative<retries::RetryAt>(Of) ? "retry" : "resume";
 }
 
+/// Hashes of the prompt's parts in their order, as fields of log lines.
+std::string printParts(const Arrival &Request) {
+  std::string Text;
+  if (Request.m_Passed)
+    for (const relay::PromptPart &Part : Request.m_Passed->m_Ask.m_PromptParts)
+      Text += fmt::format("{}{:016x}", Text.empty() ? "" : "+", Part.m_Hash);
+  return Text;
+}
+
 bool isLegal(Phase From, Phase To) {
   if (To == Phase::Ended)
     return From != Phase::Ended;
@@ -536,6 +546,9 @@
                 {"try", m_Tries},
                 {"after_ms", milliseconds(Now - m_Asked.m_At)},
                 {"offset", m_Offset},
+                {"prefill", Ending.m_InPrefill},
+                {"begun", Ending.m_Begun},
+                {"parts", printParts(m_Asked)},
                 {"next", nextName(Next)},
                 {"step", Ending.m_Error.m_Step},
                 {"message", Ending.m_Error.m_Message}});
--- a/apps/entry/src/Try.cpp
+++ b/apps/entry/src/Try.cpp
@@ -425,6 +425,8 @@
   TryEnding Told;
   Told.m_Failure = Why;
   Told.m_MayBeCrash = MayBeCrash && !Late;
+  Told.m_InPrefill = m_InPrefill;
+  Told.m_Begun = m_Tokens > 0;
   Told.m_Error = std::move(What);
   Told.m_Failing = std::exchange(m_Failing, std::nullopt);
   const auto OnEnd = std::exchange(m_Handlers, {}).m_OnEnd;
--- a/apps/entry/src/Try.h
+++ b/apps/entry/src/Try.h
@@ -23,6 +23,8 @@
   retries::Failure m_Failure; ///< Unless whole.
   /// The connection broke while the target had the request.
   bool m_MayBeCrash = false;
+  bool m_InPrefill = false; ///< The prompt was being prefilled elsewhere.
+  bool m_Begun = false;     ///< Part of the answer arrived in this try.
   targets::StreamEnd m_End;        ///< Of a whole run.
   targets::ServiceAnswer m_Answer; ///< Of a whole call.
   /// The target ran a plain request and answered with this failure.
