Add a failing test for prompt parts that crash targets

Callers saw targets end one after the other under requests that share one prompt part. The test plays it with six engines behind one entry: requests with the part, each with a last part of its own, end all six, and requests that share only the first part get 503 afterwards.

--- a/apps/entry/tests/PassedTest.cpp
+++ b/apps/entry/tests/PassedTest.cpp
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
+#include <sstream>
 
 namespace wasabivale::entry::test {
 
@@ -34,7 +35,11 @@
     Made.m_PromptTokens = static_cast<std::uint32_t>(std::stoul(Prompt));
     Made.m_MaxTokens = 10;
   }
-  Made.m_Fields = {{"Attempt", Made.m_Id}};
+  std::stringstream Parts(std::string(http::field(From.m_Fields, "Parts")));
+  for (std::string Part; std::getline(Parts, Part, '+');)
+    Made.m_PromptParts.push_back({hashBytes(Part), 100});
+  Made.m_Fields = {{"Attempt", Made.m_Id},
+                   {"Parts", std::string(http::field(From.m_Fields, "Parts"))}};
   return Made;
 }
 
@@ -156,6 +161,8 @@
   std::vector<std::unique_ptr<http::Server>> m_Targets;
   std::vector<Exchange> m_Held;
   std::vector<http::Request> m_Seen;
+  std::vector<std::unique_ptr<http::Timer>> m_Restarts;
+  int m_Crashes = 0;
   wire::FleetUpdate m_Fleet;
 
   Shop() {
@@ -247,6 +254,21 @@
     m_Loop.turnFor(std::chrono::milliseconds(1100));
   }
 
+  /// Answers prompts, but ends the target's process when \p Part is in one.
+  Play crashesOn(std::size_t Index, const std::string &Part) {
+    return [this, Index, Part](const Exchange &Arrived) {
+      const std::string_view Parts =
+          http::field(Arrived->request().m_Fields, "parts");
+      if (Parts.find(Part) == std::string_view::npos)
+        return streams(3, true)(Arrived);
+      ++m_Crashes;
+      Arrived->abort();
+      m_Restarts.push_back(std::make_unique<http::Timer>(
+          m_Loop.m_Base, std::chrono::milliseconds(0), false,
+          [this, Index] { m_Targets[Index].reset(); }));
+    };
+  }
+
   [[nodiscard]] int seen(const std::string &Field) const {
     int Count = 0;
     for (const http::Request &Each : m_Seen)
@@ -529,6 +551,37 @@
   }
 }
 
+SCENARIO("a prompt part that crashes targets does not reach them for ever",
+         "[!shouldfail]") {
+  Shop On;
+  constexpr std::size_t Engines = 6;
+  for (std::size_t I = 0; I < Engines; ++I)
+    On.addEngine("decode", On.crashesOn(I, "bad"));
+  On.warmUp();
+  const auto Ask = [&](const std::string &Parts) {
+    const Answered Got =
+        On.ask("POST", "/oracle/7", {{"Prompt", "300"}, {"Parts", Parts}});
+    On.m_Loop.turnFor(std::chrono::milliseconds(600));
+    return Got;
+  };
+  GIVEN("requests that share it, each with a last part of its own") {
+    for (int I = 0; I < 6; ++I)
+      Ask(fmt::format("shop+bad+own-{}", I));
+    THEN("three targets are lost at most") { CHECK(On.m_Crashes <= 3); }
+    THEN("the next is told at once that it has not run") {
+      const std::size_t Before = On.m_Seen.size();
+      const Answered Got = Ask("shop+bad+own-9");
+      CHECK(Got.m_Status == 503);
+      CHECK_FALSE(http::field(Got.m_Fields, "retry-after").empty());
+      CHECK(On.m_Seen.size() == Before);
+    }
+    THEN("requests that share only their first part are served") {
+      CHECK(Ask("shop+good+own-10").m_Status == 200);
+      CHECK(Ask("shop+own-11").m_Status == 200);
+    }
+  }
+}
+
 TEST_CASE("what takes long goes first within its rank only") {
   MeanPrompts Means;
   routes::Route Urgent;
