Decode and log request limits that targets name

The lines did not tell whether a limit was read, nor when it changed or ended. The platform's reader now decodes it once, and the entry logs each change (2018 target_limit_named); nothing obeys it yet.

--- a/apps/entry/src/Context.h
+++ b/apps/entry/src/Context.h
@@ -11,6 +11,7 @@
 #include "EntrySettings.h"
 #include "FleetView.h"
 #include "LedgerClient.h"
+#include "RateLimits.h"
 #include "Suspects.h"
 #include "limits/limits.h"
 #include "relay/relay.h"
@@ -61,6 +62,7 @@
   retries::State m_Retries;
   Suspects m_Suspects{m_Loop};
   CrashTraits m_Traits{m_Loop};
+  RateLimits m_RateLimits;
   std::map<std::string, ModelUse> m_Models; ///< By model; not services.
 };
 
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -425,6 +425,11 @@
     m_Writer->head(Status, Fields);
   };
   Handlers.m_MayRun = [this] { return !quarantinedUntil(BootClock::now()); };
+  Handlers.m_OnRateLimit = [this](const http::Address &Target,
+                                  std::optional<double> RequestsPerSecond) {
+    m_Shared.m_RateLimits.observe(http::printAddress(Target), RequestsPerSecond,
+                                  BootClock::now());
+  };
   Handlers.m_OnPiece = [this](const targets::StreamPiece &Piece) {
     takePiece(Piece);
   };
--- a/apps/entry/src/Try.cpp
+++ b/apps/entry/src/Try.cpp
@@ -228,6 +228,10 @@
     if (const auto Self = Weak.lock())
       Self->takeLoad(Told);
   };
+  Handlers.m_OnRateLimit = [Weak](std::optional<double> RequestsPerSecond) {
+    if (const auto Self = Weak.lock())
+      Self->takeRateLimit(RequestsPerSecond);
+  };
   if (!PrefillOnly && m_For.m_Stream) {
     Handlers.m_OnHead = [Weak](int Status, const http::Fields &Fields) {
       const auto Self = Weak.lock();
@@ -256,6 +260,11 @@
                        std::move(Handlers));
 }
 
+void Try::takeRateLimit(std::optional<double> RequestsPerSecond) {
+  if (m_Handlers.m_OnRateLimit)
+    m_Handlers.m_OnRateLimit(address(), RequestsPerSecond);
+}
+
 void Try::takeLoad(const relay::ResponseInfo::Load &Told) {
   const routing::LoadReport Report{Told.m_Running, Told.m_Waiting, std::nullopt,
                                    std::nullopt};
--- a/apps/entry/src/Try.h
+++ b/apps/entry/src/Try.h
@@ -58,6 +58,10 @@
   std::function<void(const targets::StreamPiece &)> m_OnPiece;
   /// Whether the second leg of a split request may still start.
   std::function<bool()> m_MayRun;
+  /// A target's answer names a request limit, or none.
+  std::function<void(const http::Address &Target,
+                     std::optional<double> RequestsPerSecond)>
+      m_OnRateLimit;
   /// Called once, last, and not at all after `cancel`.
   std::function<void(TryEnding)> m_OnEnd;
 };
@@ -104,6 +108,7 @@
   void startCall();
   /// Sends a plain request; \p KvSource may be empty.
   void sendPassed(std::string KvSource, bool PrefillOnly);
+  void takeRateLimit(std::optional<double> RequestsPerSecond);
   void takeLoad(const relay::ResponseInfo::Load &Told);
   void takePassedPrefill(const relay::TryResult &Ending);
   void takePassed(const relay::TryResult &Ending);
--- a/libs/relay/include/relay/relay.h
+++ b/libs/relay/include/relay/relay.h
@@ -82,6 +82,9 @@
     std::uint32_t m_Slots = 0;
   };
   std::optional<Load> m_Load;
+  /// Requests a second that the target accepts from all entries together; unset
+  /// if it names no limit.
+  std::optional<double> m_RequestsPerSecond;
 };
 
 /// Result of a prefill whose KV memory the engine keeps until it is fetched.
@@ -167,6 +170,8 @@
   std::function<void(int Status, const http::Fields &)> m_OnHead;
   std::function<void(const Event &)> m_OnEvent;
   std::function<void(const ResponseInfo::Load &)> m_OnLoad; ///< Optional.
+  /// Called with the head of each response of the target itself. Optional.
+  std::function<void(std::optional<double> RequestsPerSecond)> m_OnRateLimit;
   /// Called once, as the last handler; not called after `cancel`.
   std::function<void(TryResult)> m_OnEnd;
 };
