--- a/apps/entry/tests/PassedTest.cpp
+++ b/apps/entry/tests/PassedTest.cpp
@@ -70,6 +70,9 @@
   Made.m_WrongTarget = Status == 421;
   Made.m_Signed = !http::field(Of, "Signed").empty();
   Made.m_Id = http::field(Of, "Attempt");
+  const std::string Limit(http::field(Of, "Limit"));
+  if (!Limit.empty())
+    Made.m_RequestsPerSecond = std::stod(Limit);
   const std::string Load(http::field(Of, "Load"));
   if (!Load.empty())
     Made.m_Load = {static_cast<std::uint32_t>(std::stoul(Load)), 0, 6};
@@ -581,6 +584,48 @@
   }
 }
 
+SCENARIO("a target that names a request limit gets no more than it allows",
+         "[!shouldfail]") {
+  Shop On;
+  constexpr double Limit = 2;
+  bool Names = true;
+  On.open({[&](const Exchange &Arrived) {
+    http::Fields With = stamped(Arrived);
+    if (Names)
+      With.emplace_back("Limit", std::to_string(Limit));
+    Arrived->relay(200, With, "three left");
+  }});
+  REQUIRE(On.ask("GET", "/stock/7").m_Status == 200);
+  GIVEN("three times as many requests for four seconds") {
+    int Refused = 0;
+    for (int I = 0; I < 24; ++I) {
+      const Answered Got = On.ask("GET", "/stock/7");
+      On.m_Loop.turnFor(std::chrono::milliseconds(160));
+      if (Got.m_Status == 200)
+        continue;
+      ++Refused;
+      CHECK(Got.m_Status == 503);
+      const std::string After(http::field(Got.m_Fields, "retry-after"));
+      REQUIRE_FALSE(After.empty());
+      CHECK(std::stod(After) <= 1 / Limit);
+    }
+    THEN("it gets those that the limit allows") {
+      CHECK(On.m_Seen.size() <= Limit * 4 + 2);
+      CHECK(On.m_Seen.size() >= Limit * 4 / 2);
+      CHECK(Refused > 0);
+    }
+    AND_WHEN("it names no limit any longer") {
+      Names = false;
+      On.m_Loop.turnFor(std::chrono::milliseconds(600));
+      THEN("it gets all of them from its next answer on") {
+        CHECK(On.ask("GET", "/stock/7").m_Status == 200);
+        for (int I = 0; I < 5; ++I)
+          CHECK(On.ask("GET", "/stock/7").m_Status == 200);
+      }
+    }
+  }
+}
+
 TEST_CASE("what takes long goes first within its rank only") {
   MeanPrompts Means;
   routes::Route Urgent;
