Share the request limit that a target names among all entries

A limit kept by each entry for itself would not have been enough: the grown sites have 74 and 85 entries, and one request each is more than a target allows. Class: a bound of the whole fleet that no part of the fleet owns, as the retry budget was.

Change: entries report what answers name; control commits it by the target's address, so that it outlives a restart and a leader, expires after 15 s, and is bounded. The leader divides each limit among floor(limit) + 2 entries by rendezvous hashing, and the grant tells each entry its rates when they change. Routing keeps a token bucket of one request for each limited target; both legs of a split request count. An entry that control has not told yet divides by the number of entries. What no target may take is refused at once, not run, with the time to the next token as Retry-After. An answer without the field ends the limit.

--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -410,6 +410,9 @@
   const retries::TraitTable &Traits = m_State.m_Fleet.m_Traits;
   if (auto Proposal = proposeTraits(Traits, Sender, Report))
     proposeOnce(Proposal->m_Key, std::move(Proposal->m_Command));
+  const limits::TargetLimitTable &Limits = m_State.m_Fleet.m_TargetLimits;
+  if (auto Proposal = proposeTargetLimits(Limits, Sender, Report, LogNow))
+    proposeOnce(Proposal->m_Key, std::move(Proposal->m_Command));
   wire::Envelope Answer;
   Answer.set_term(m_Replica->term());
   wire::ControlGrant &Grant = *Answer.mutable_control_grant();
@@ -423,6 +426,7 @@
   grantShares(m_Shares, Sender, Report, Now, LeaseUntil, MaxEntryLease, Grant);
   fillGrant(m_Notices, Suspicion, Sender, Report, Now, LogNow, Grant);
   fillTraits(Traits, Report, LogNow, Grant);
+  fillTargetRates(m_TargetRates, Limits, m_Observed, Sender, Report, Grant);
   // The answer to the next report replaces a lost grant.
   (void)m_Hub->send(Sender, std::move(Answer));
   if (m_RegistryApi)
--- a/apps/control/src/Control.h
+++ b/apps/control/src/Control.h
@@ -13,6 +13,7 @@
 #include "Shares.h"
 #include "StateMachine.h"
 #include "SuspectNotices.h"
+#include "TargetRates.h"
 #include "metrics/metrics.h"
 #include "replication/replication.h"
 #include "wire/wire.h"
@@ -134,6 +135,7 @@
   RolePlanner m_Roles;
   Shares m_Shares;
   SuspectNotices m_Notices;
+  TargetRates m_TargetRates;
   std::map<NodeId, SentRevisions> m_Sent;
   std::map<consensus::Index, wire::CallReply> m_Replies;
   std::set<std::string> m_PendingProposals;
--- /dev/null
+++ b/apps/control/src/TargetRates.cpp
@@ -0,0 +1,63 @@
+#include "TargetRates.h"
+
+#include <fmt/format.h>
+
+namespace wasabivale::control {
+
+namespace {
+
+/// Identifies the rates of one entry; never zero.
+std::uint64_t hashRates(const limits::TargetRates &Rates) {
+  std::uint64_t Hash = 1;
+  for (const auto &[Address, Rate] : Rates)
+    Hash = hashBytes(
+        fmt::format("{} {} {}", Address, Rate.m_Limit, Rate.m_Share), Hash);
+  return Hash == 0 ? 1 : Hash;
+}
+
+void divide(TargetRates &Rates, const limits::TargetLimitTable &Known,
+            const fleet::ObservedState &Observed) {
+  std::vector<NodeId> Entries;
+  for (const auto &[Entry, View] : Observed.m_Entries)
+    Entries.push_back(Entry);
+  if (Rates.m_Revision == Known.m_Revision && Rates.m_Entries == Entries)
+    return;
+  Rates.m_ByEntry = limits::divideTargetLimits(Known, Entries);
+  Rates.m_Revision = Known.m_Revision;
+  Rates.m_Entries = std::move(Entries);
+}
+
+} // namespace
+
+std::optional<fleet::Propose>
+proposeTargetLimits(const limits::TargetLimitTable &Known, const NodeId &Entry,
+                    const wire::EntryReport &Report, TimePoint LogNow) {
+  fleet::Propose Proposal;
+  wire::TargetLimits &Due = *Proposal.m_Command.mutable_target_limits();
+  for (const wire::TargetLimit &Each : Report.target_limits())
+    if (limits::isLimitNews(Known, Each.address(), Each.per_second(), LogNow))
+      *Due.add_limits() = Each;
+  if (Due.limits().empty())
+    return std::nullopt;
+  Proposal.m_Key = fmt::format("limits/{}/{}", Entry.m_Value, Report.renewal());
+  return Proposal;
+}
+
+void fillTargetRates(TargetRates &Rates, const limits::TargetLimitTable &Known,
+                     const fleet::ObservedState &Observed, const NodeId &Entry,
+                     const wire::EntryReport &Report,
+                     wire::ControlGrant &Grant) {
+  divide(Rates, Known, Observed);
+  const limits::TargetRates &Own = Rates.m_ByEntry[Entry];
+  Grant.set_target_rates_revision(hashRates(Own));
+  if (Grant.target_rates_revision() == Report.target_rates_revision())
+    return;
+  for (const auto &[Address, Rate] : Own) {
+    wire::TargetRate &Row = *Grant.add_target_rates();
+    Row.set_address(Address);
+    Row.set_limit(Rate.m_Limit);
+    Row.set_share(Rate.m_Share);
+  }
+}
+
+} // namespace wasabivale::control
--- a/apps/entry/src/Context.h
+++ b/apps/entry/src/Context.h
@@ -62,7 +62,7 @@
   retries::State m_Retries;
   Suspects m_Suspects{m_Loop};
   CrashTraits m_Traits{m_Loop};
-  RateLimits m_RateLimits;
+  RateLimits m_RateLimits{m_Fleet, m_Routing};
   std::map<std::string, ModelUse> m_Models; ///< By model; not services.
 };
 
--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -233,7 +233,8 @@
   const auto Expected =
       routing::estimate(m_Shared.m_Routing, Wanted, Now, m_Shared.m_Random);
   if (failed(Expected))
-    return Made->refuseUnstarted({Refusal::NoTarget, Duration(0)});
+    return Made->refuseUnstarted(
+        {Refusal::NoTarget, untilRateAdmits(m_Shared, Wanted, Now)});
   // Of a large prompt the estimate counts others that it goes before.
   if (For.m_Passed && For.m_Stream && !For.m_Passed->isLarge()) {
     const Duration First =
@@ -386,6 +387,7 @@
     applyRoutes(Update.routes(), Now);
   m_Shared.m_Fleet.apply(Update, m_Shared.m_Routes.table(), m_Shared.m_Routing,
                          Now);
+  m_Shared.m_RateLimits.applyAll(Now);
   events::emit(
       events::Event::FleetApplied,
       {{"revision", Update.revision()}, {"targets", m_Shared.m_Fleet.size()}});
@@ -441,6 +443,7 @@
   }
   m_Shared.m_Suspects.takeGrant(Grant, Now);
   m_Shared.m_Traits.takeGrant(Grant, Now);
+  m_Shared.m_RateLimits.takeGrant(Grant, Now);
   pumpSoon();
 }
 
@@ -449,6 +452,7 @@
   m_Shared.m_Fleet.fillBarriers(m_Shared.m_Routing, Report);
   m_Shared.m_Suspects.fillReport(Report, Now);
   m_Shared.m_Traits.fillReport(Report, Now);
+  m_Shared.m_RateLimits.fillReport(Report);
   for (auto &[Name, Use] : m_Shared.m_Models) {
     if (Use.m_Demand.requests() == 0 && Use.m_Demand.output_tokens() == 0 &&
         Use.m_Demand.refused() == 0)
--- a/apps/entry/src/FleetView.cpp
+++ b/apps/entry/src/FleetView.cpp
@@ -95,6 +95,14 @@
   return Found == m_Targets.end() ? nullptr : &Found->second;
 }
 
+std::vector<TargetId> FleetView::targetsAt(std::string_view Address) const {
+  std::vector<TargetId> Found;
+  for (const auto &[Id, Target] : m_Targets)
+    if (Target.m_Description.address() == Address)
+      Found.push_back(Id);
+  return Found;
+}
+
 bool FleetView::isCurrent(const TargetId &Id,
                           std::string_view Incarnation) const {
   const Known *Here = find(Id);
--- a/apps/entry/src/FleetView.h
+++ b/apps/entry/src/FleetView.h
@@ -34,6 +34,7 @@
 
   /// The target, or null.
   [[nodiscard]] const Known *find(const TargetId &Id) const;
+  [[nodiscard]] std::vector<TargetId> targetsAt(std::string_view Address) const;
   /// Whether this incarnation is registered and still reporting.
   [[nodiscard]] bool isCurrent(const TargetId &Id,
                                std::string_view Incarnation) const;
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -86,6 +86,15 @@
   return Made;
 }
 
+Duration untilRateAdmits(const Context &Shared, const routing::Request &Wanted,
+                         TimePoint Now) {
+  // None of the limited targets is this entry's to use; others have them.
+  constexpr std::chrono::milliseconds OtherEntry{500};
+  const auto Next = routing::nextAdmittedAt(Shared.m_Routing, Wanted.m_Kind,
+                                            Wanted.m_Model, Now);
+  return Next ? *Next - Now : Duration(OtherEntry);
+}
+
 Serving::Serving(Context &Shared, std::shared_ptr<http::Exchange> Caller,
                  Arrival Asked, OnEnded Done)
     : m_Shared(Shared), m_Asked(std::move(Asked)), m_Caller(std::move(Caller)),
@@ -361,7 +370,8 @@
     Where = routing::choose(m_Shared.m_Routing, Wanted, Now, m_Shared.m_Random);
   }
   if (failed(Where))
-    return giveUp(Refusal::NoTarget, outcomeSoFar(), errorOf(Where));
+    return giveUp(Refusal::NoTarget, outcomeSoFar(), errorOf(Where),
+                  untilRateAdmits(m_Shared, Wanted, Now));
   const bool Alone =
       m_Shared.m_Suspects.gate(m_Print, Now).m_Gate == Gate::Isolated;
   const TargetId &Target = valueOf(Where).m_Run.m_Target;
@@ -427,8 +437,9 @@
   Handlers.m_MayRun = [this] { return !quarantinedUntil(BootClock::now()); };
   Handlers.m_OnRateLimit = [this](const http::Address &Target,
                                   std::optional<double> RequestsPerSecond) {
-    m_Shared.m_RateLimits.observe(http::printAddress(Target), RequestsPerSecond,
-                                  BootClock::now());
+    if (m_Shared.m_RateLimits.observe(http::printAddress(Target),
+                                      RequestsPerSecond, BootClock::now()))
+      m_Shared.m_ReportSoon();
   };
   Handlers.m_OnPiece = [this](const targets::StreamPiece &Piece) {
     takePiece(Piece);
--- a/apps/entry/src/Serving.h
+++ b/apps/entry/src/Serving.h
@@ -131,6 +131,10 @@
                                     const std::vector<std::uint64_t> &Blocks,
                                     double OutputShare);
 
+/// Time until rate limits admit a request that no target may get now.
+Duration untilRateAdmits(const Context &Shared, const routing::Request &Wanted,
+                         TimePoint Now);
+
 } // namespace wasabivale::entry
 
 #endif // WASABIVALE_ENTRY_SERVING_H
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -19,6 +19,7 @@
 #define WASABIVALE_FLEET_FLEET_H
 
 #include "base/base.h"
+#include "limits/limits.h"
 #include "logtime/logtime.h"
 #include "retries/retries.h"
 #include "wire.pb.h"
@@ -363,8 +364,9 @@
   Configuration m_Configuration;
   Routes m_Routes;
   RequestTable m_Requests;
-  retries::SuspectTable m_Suspicion; ///< Its times are log times.
-  retries::TraitTable m_Traits;      ///< Its times are log times.
+  retries::SuspectTable m_Suspicion;       ///< Its times are log times.
+  retries::TraitTable m_Traits;            ///< Its times are log times.
+  limits::TargetLimitTable m_TargetLimits; ///< Its times are log times.
 };
 
 /// Converts a log time to the time type of `retries::SuspectTable`.
--- a/libs/fleet/src/Apply.cpp
+++ b/libs/fleet/src/Apply.cpp
@@ -81,6 +81,7 @@
 Reply apply(State &Fleet, const wire::Command &Command) {
   Fleet.m_Now = std::max(Fleet.m_Now, logTime(Command.log_time_ns()));
   retries::expireSuspects(Fleet.m_Suspicion, suspicionTime(Fleet.m_Now));
+  limits::expireTargetLimits(Fleet.m_TargetLimits, suspicionTime(Fleet.m_Now));
   retries::expireTraits(Fleet.m_Traits, suspicionTime(Fleet.m_Now));
   switch (Command.body_case()) {
   case wire::Command::kAnnounceTarget:
@@ -105,6 +106,11 @@
     return handleCrashReport(Fleet, Command.crash());
   case wire::Command::kRerun:
     return handleRerunReport(Fleet, Command.rerun());
+  case wire::Command::kTargetLimits:
+    for (const wire::TargetLimit &Each : Command.target_limits().limits())
+      limits::applyTargetLimit(Fleet.m_TargetLimits, Each.address(),
+                               Each.per_second(), suspicionTime(Fleet.m_Now));
+    return accept();
   case wire::Command::kTraitReport:
     return handleTraitReport(Fleet, Command.trait_report());
   case wire::Command::kPutRoutes:
--- a/libs/fleet/src/Snapshot.cpp
+++ b/libs/fleet/src/Snapshot.cpp
@@ -342,6 +342,15 @@
   write(Message, Fleet.m_Requests);
   write(*Message.mutable_suspicion(), Fleet.m_Suspicion);
   write(*Message.mutable_suspicion()->mutable_traits(), Fleet.m_Traits);
+  wire::TargetLimitsState &Limits = *Message.mutable_target_limits();
+  Limits.set_revision(Fleet.m_TargetLimits.m_Revision);
+  for (const auto &[Address, Limit] : Fleet.m_TargetLimits.m_Limits) {
+    wire::TargetLimitState &Row = *Limits.add_limits();
+    Row.set_address(Address);
+    Row.set_per_second(Limit.m_PerSecond);
+    Row.set_until_ns(static_cast<std::uint64_t>(
+        Limit.m_ExpiresAt.time_since_epoch().count()));
+  }
   *Message.mutable_routes()->mutable_table() = Fleet.m_Routes.m_Table;
   Message.mutable_routes()->set_source(Fleet.m_Routes.m_Source);
   return Message.SerializeAsString();
@@ -361,6 +370,10 @@
   read(Fleet.m_Requests, Message);
   read(Fleet.m_Suspicion, Message.suspicion());
   read(Fleet.m_Traits, Message.suspicion().traits());
+  Fleet.m_TargetLimits.m_Revision = Message.target_limits().revision();
+  for (const wire::TargetLimitState &Row : Message.target_limits().limits())
+    Fleet.m_TargetLimits.m_Limits[Row.address()] = {
+        Row.per_second(), suspicionTime(logTime(Row.until_ns()))};
   Fleet.m_Routes = {Message.routes().table(), Message.routes().source()};
   return Fleet;
 }
--- a/libs/limits/include/limits/limits.h
+++ b/libs/limits/include/limits/limits.h
@@ -344,6 +344,69 @@
 Limits outstanding(const ShareTable &Table, const CallerId &Caller,
                    const Limits &Limit, TimePoint Now);
 
+// --- Limits named by targets (control) --------------------------------------
+
+/// Requests a second that a target accepts from all entries together.
+struct TargetLimit {
+  double m_PerSecond = 0;
+  TimePoint m_ExpiresAt;
+
+  bool operator==(const TargetLimit &) const = default;
+};
+
+/// Limits by the targets' addresses, which outlive their processes.
+/// Deterministic: the same reports with the same log times give the same state.
+struct TargetLimitTable {
+  Duration m_Duration = std::chrono::seconds(15);
+  std::size_t m_MaxLimits = 2048;
+  /// Relative change below which a limit is not updated.
+  double m_Tolerance = 0.05;
+  std::uint64_t m_Revision = 0; ///< Incremented by each change of a value.
+  std::map<std::string, TargetLimit> m_Limits;
+};
+
+/// Whether a report on the target, zero for no limit, would change the table or
+/// is due to renew it.
+bool isLimitNews(const TargetLimitTable &Table, const std::string &Address,
+                 double PerSecond, TimePoint Now);
+void applyTargetLimit(TargetLimitTable &Table, const std::string &Address,
+                      double PerSecond, TimePoint Now);
+void expireTargetLimits(TargetLimitTable &Table, TimePoint Now);
+
+/// Requests a second that one entry may send to a target.
+struct TargetRate {
+  double m_Limit = 0; ///< Of all entries together.
+  double m_Share = 0; ///< Of this entry; zero if others use up the limit.
+};
+using TargetRates = std::map<std::string, TargetRate>;
+
+/// Divides each limit among as many entries as it allows a burst of one request
+/// each, chosen by rendezvous hashing.
+std::map<NodeId, TargetRates>
+divideTargetLimits(const TargetLimitTable &Table,
+                   const std::vector<NodeId> &Entries);
+
+// --- Limits named by targets (entry) ----------------------------------------
+
+/// What an entry knows of targets' limits.
+struct TargetRateTracker {
+  std::map<std::string, double> m_Observed; ///< In answers to this entry.
+  TargetRates m_Told;                       ///< By control.
+};
+
+/// Records what an answer of the target names, zero for no limit. \returns
+/// whether the entry's rate changes.
+bool observeTargetLimit(TargetRateTracker &Tracker, const std::string &Address,
+                        double PerSecond);
+void applyTargetRates(TargetRateTracker &Tracker, TargetRates Told);
+
+/// Requests a second that this entry may send to the target; nothing for no
+/// limit. A limit that control has not divided yet is divided evenly among
+/// \p Entries.
+std::optional<double> ownRate(const TargetRateTracker &Tracker,
+                              const std::string &Address,
+                              std::uint32_t Entries);
+
 } // namespace wasabivale::limits
 
 #endif // WASABIVALE_LIMITS_LIMITS_H
--- a/libs/relay/src/Send.cpp
+++ b/libs/relay/src/Send.cpp
@@ -55,9 +55,9 @@
   m_ResponseInfo = m_Format.m_ReadResponse(Status, Fields);
   if (m_ResponseInfo.m_Load && m_Handlers.m_OnLoad)
     m_Handlers.m_OnLoad(*m_ResponseInfo.m_Load);
-  const bool FromTarget = (m_ResponseInfo.m_Signed || m_ResponseInfo.m_NotRun ||
-                           m_ResponseInfo.m_RequestsPerSecond) &&
-                          !m_ResponseInfo.m_WrongTarget;
+  const bool FromTarget =
+      (m_ResponseInfo.m_Signed || m_ResponseInfo.m_RequestsPerSecond) &&
+      !m_ResponseInfo.m_WrongTarget;
   if (FromTarget && m_Handlers.m_OnRateLimit)
     m_Handlers.m_OnRateLimit(m_ResponseInfo.m_RequestsPerSecond);
   m_IsStream =
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -309,6 +309,14 @@
   bool operator==(const PoolTotals &) const = default;
 };
 
+/// Token bucket of this entry for a target that limits its requests. Holds at
+/// most one token.
+struct RateLimit {
+  double m_PerSecond = 0;
+  double m_Tokens = 0;
+  TimePoint m_FilledAt;
+};
+
 /// State of one incarnation of a target.
 struct Slot {
   Target m_Target;
@@ -323,6 +331,7 @@
   std::uint32_t m_ReportedRequests = 0; ///< Running and waiting.
   double m_PrefillBusy = 0; ///< Mean fraction of reports with pending prefill.
   TimePoint m_FullUntil;
+  std::optional<RateLimit> m_RateLimit;
   std::vector<WorkSample> m_History; ///< Bounded; oldest first.
   std::map<std::uint64_t, std::uint32_t> m_ByGeneration; ///< Tries in flight.
   std::array<std::uint64_t, MaxPriority + 1> m_PromptByPriority{};
@@ -529,6 +538,18 @@
 /// runs). A difference breaks an invariant.
 void verify(const State &Fleet);
 
+/// Limits the requests that this entry sends to a target, each leg of a split
+/// request counting as one; no limit if \p PerSecond is unset. An unchanged
+/// limit keeps its bucket. Does nothing for an unknown target.
+void limitRate(State &Fleet, const TargetId &Id,
+               std::optional<double> PerSecond, TimePoint Now);
+
+/// When the rate limits of a model's targets admit the next request of this
+/// entry; \p Now if some target has no limit or a token, nothing if none of
+/// them ever will.
+std::optional<TimePoint> nextAdmittedAt(const State &Fleet, Kind TargetKind,
+                                        const ModelId &Model, TimePoint Now);
+
 } // namespace wasabivale::routing
 
 #endif // WASABIVALE_ROUTING_ROUTING_H
--- a/libs/routing/src/Choose.cpp
+++ b/libs/routing/src/Choose.cpp
@@ -47,6 +47,12 @@
   const Slot &slot(SlotIndex Index) const { return m_Fleet.m_Slots[Index]; }
 };
 
+/// Whether the target must not get this request now.
+bool isExcluded(const TargetSearch &Search, const Slot &TargetSlot) {
+  return isAvoided(Search.m_Request, TargetSlot) ||
+         !hasRateToken(TargetSlot, Search.m_Now);
+}
+
 /// Whether a target that is warming up accepts this request.
 bool admitsDuringWarmUp(TargetSearch &Search, const Slot &TargetSlot) {
   const double Fraction =
@@ -77,7 +83,7 @@
 void considerWhole(TargetSearch &Search, SlotIndex Index,
                    double AffinityValue) {
   const Slot &TargetSlot = Search.slot(Index);
-  if (!isEligible(TargetSlot) || isAvoided(Search.m_Request, TargetSlot) ||
+  if (!isEligible(TargetSlot) || isExcluded(Search, TargetSlot) ||
       !runsWholeRequests(Search.m_Fleet, TargetSlot) ||
       (isDecodeOnly(Search, Index) && !Search.m_IncludesDecodeOnly))
     return;
@@ -95,7 +101,7 @@
 void considerPrefill(TargetSearch &Search, SlotIndex Index,
                      double AffinityValue) {
   const Slot &TargetSlot = Search.slot(Index);
-  if (!isEligible(TargetSlot) || isAvoided(Search.m_Request, TargetSlot))
+  if (!isEligible(TargetSlot) || isExcluded(Search, TargetSlot))
     return;
   if (!admitsDuringWarmUp(Search, TargetSlot))
     return;
@@ -112,7 +118,7 @@
 void considerDecode(TargetSearch &Search, SlotIndex Index,
                     double AffinityValue) {
   const Slot &TargetSlot = Search.slot(Index);
-  if (!isEligible(TargetSlot) || isAvoided(Search.m_Request, TargetSlot))
+  if (!isEligible(TargetSlot) || isExcluded(Search, TargetSlot))
     return;
   if (Index == *Search.m_PrefillSlot || !admitsDuringWarmUp(Search, TargetSlot))
     return;
@@ -140,7 +146,7 @@
   for (std::uint32_t I = 0; I < Count; ++I) {
     SlotIndex Index = List[randomIndex(Search.m_Rng, List.size())];
     for (int Draw = 1; Draw < MaxDrawsPerSample; ++Draw) {
-      if (!isAvoided(Search.m_Request, Search.slot(Index)))
+      if (!isExcluded(Search, Search.slot(Index)))
         break;
       Index = List[randomIndex(Search.m_Rng, List.size())];
     }
@@ -370,7 +376,7 @@
   for (std::size_t I = 0; I < List.size(); ++I) {
     const SlotIndex Index =
         List[Search.m_Pool.m_NextRoundRobin++ % List.size()];
-    if (!isAvoided(Search.m_Request, Search.slot(Index)))
+    if (!isExcluded(Search, Search.slot(Index)))
       return wholeRequestCandidate(Search, Index);
   }
   return std::nullopt;
@@ -379,7 +385,7 @@
 std::optional<Candidate> selectLeastReported(TargetSearch &Search) {
   std::optional<SlotIndex> Best;
   for (SlotIndex Index : baselineSlots(Search)) {
-    if (isAvoided(Search.m_Request, Search.slot(Index)))
+    if (isExcluded(Search, Search.slot(Index)))
       continue;
     if (!Best || Search.slot(Index).m_ReportedRequests <
                      Search.slot(*Best).m_ReportedRequests)
@@ -412,6 +418,7 @@
   const bool Serves = std::find(Models.begin(), Models.end(),
                                 Search.m_Request.m_Model) != Models.end();
   if (!isEligible(TargetSlot) || !Serves ||
+      !hasRateToken(TargetSlot, Search.m_Now) ||
       TargetSlot.m_Target.m_Kind != Search.m_Request.m_Kind)
     return std::nullopt;
   return wholeRequestCandidate(Search, Found->second);
@@ -423,7 +430,7 @@
     const Slot &TargetSlot = Search.slot(Index);
     if (TargetSlot.m_Health.m_State != HealthState::Ejected ||
         TargetSlot.m_Health.m_EjectedUntil > Search.m_Now ||
-        isAvoided(Search.m_Request, TargetSlot) ||
+        isExcluded(Search, TargetSlot) ||
         !runsWholeRequests(Search.m_Fleet, TargetSlot))
       continue;
     Candidate Proposal = wholeRequestCandidate(Search, Index);
--- a/libs/routing/src/Internal.h
+++ b/libs/routing/src/Internal.h
@@ -158,6 +158,11 @@
                      const Request &Req);
 std::uint64_t kvBlocksNeeded(const Request &Req);
 
+// RateLimits.cpp
+/// Whether the target's rate limit admits a request of this entry now.
+bool hasRateToken(const Slot &TargetSlot, TimePoint Now);
+void takeRateToken(Slot &TargetSlot, TimePoint Now);
+
 // Choose.cpp
 struct Candidate {
   SlotIndex m_Run = 0;
--- /dev/null
+++ b/libs/routing/src/RateLimits.cpp
@@ -0,0 +1,73 @@
+// Token buckets for targets that limit their requests.
+
+#include "Internal.h"
+
+namespace wasabivale::routing {
+
+namespace {
+
+constexpr double MaxTokens = 1;
+
+double tokensAt(const RateLimit &Limit, TimePoint Now) {
+  return std::min(MaxTokens,
+                  Limit.m_Tokens +
+                      Limit.m_PerSecond * seconds(Now - Limit.m_FilledAt));
+}
+
+void fill(RateLimit &Limit, TimePoint Now) {
+  Limit.m_Tokens = tokensAt(Limit, Now);
+  Limit.m_FilledAt = Now;
+}
+
+} // namespace
+
+void limitRate(State &Fleet, const TargetId &Id,
+               std::optional<double> PerSecond, TimePoint Now) {
+  const auto Found = Fleet.m_ByTarget.find(Id);
+  if (Found == Fleet.m_ByTarget.end())
+    return;
+  std::optional<RateLimit> &Limit = Fleet.m_Slots[Found->second].m_RateLimit;
+  if (!PerSecond) {
+    Limit.reset();
+    return;
+  }
+  if (!Limit)
+    Limit = RateLimit{*PerSecond, 0, Now};
+  fill(*Limit, Now);
+  Limit->m_PerSecond = *PerSecond;
+}
+
+bool hasRateToken(const Slot &TargetSlot, TimePoint Now) {
+  return !TargetSlot.m_RateLimit ||
+         tokensAt(*TargetSlot.m_RateLimit, Now) >= MaxTokens;
+}
+
+void takeRateToken(Slot &TargetSlot, TimePoint Now) {
+  if (!TargetSlot.m_RateLimit)
+    return;
+  fill(*TargetSlot.m_RateLimit, Now);
+  TargetSlot.m_RateLimit->m_Tokens -= MaxTokens;
+}
+
+std::optional<TimePoint> nextAdmittedAt(const State &Fleet, Kind TargetKind,
+                                        const ModelId &Model, TimePoint Now) {
+  const auto &Pools = Fleet.m_Pools[static_cast<std::size_t>(TargetKind)];
+  const auto Found = Pools.find(Model);
+  if (Found == Pools.end())
+    return std::nullopt;
+  std::optional<TimePoint> Next;
+  for (const auto &List : Found->second.m_ByRole)
+    for (const SlotIndex Index : List) {
+      const auto &Limit = Fleet.m_Slots[Index].m_RateLimit;
+      if (!Limit)
+        return Now;
+      if (Limit->m_PerSecond <= 0)
+        continue;
+      const double Missing = std::max(0.0, MaxTokens - tokensAt(*Limit, Now));
+      const TimePoint At = Now + fromSeconds(Missing / Limit->m_PerSecond);
+      Next = std::min(Next.value_or(At), At);
+    }
+  return Next;
+}
+
+} // namespace wasabivale::routing
--- a/libs/routing/src/Tries.cpp
+++ b/libs/routing/src/Tries.cpp
@@ -217,6 +217,9 @@
   Attempt.m_ProgressAt = Now;
   Attempt.m_Probe = Selection.m_Probe;
 
+  takeRateToken(Run, Now);
+  if (Attempt.m_Prefill)
+    takeRateToken(Prefill, Now);
   addRequest(Fleet, Attempt.m_Run, Attempt.m_RunGeneration, Now);
   Run.m_Own.m_KvBlocks += Attempt.m_KvBlocks;
   if (Attempt.m_Prefill)
