Close connections whose answers never end

Cause: evhttp's client has no bound for a head unless one is set, none at all for the line that states a chunk's size, and the bound for a body grew with what had been handed over, while plain answers were collected behind it. Class: memory that the peer decides on. The event reader and the server side had their bounds already.

Change: heads end at 64 KiB, answers that are collected at 4 MiB, and bytes that evhttp holds unread at their sum; an answer that is not of the target ends with its head. The connection is closed and the request counts as one that may have run: 502, unknown.

The test plays eleven such answers.

--- a/apps/entry/tests/PassedTest.cpp
+++ b/apps/entry/tests/PassedTest.cpp
@@ -1,6 +1,7 @@
 // Plain requests through the whole data path, to targets of raw answers.
 
 #include "DataPath.h"
+#include "EndlessAnswer.h"
 #include "World.h"
 #include "events/events.h"
 
@@ -235,6 +236,13 @@
     return Told;
   }
 
+  /// Adds a target that something else listens for.
+  wire::Target &addForeign() {
+    wire::Target &Told = add([](const Exchange &) {});
+    m_Targets.back().reset();
+    return Told;
+  }
+
   /// Adds an engine, and the route to engines before the first one.
   wire::Target &addEngine(const std::string &Role, const Play &Each) {
     wire::RouteTable &Table = *m_Fleet.mutable_routes();
@@ -626,6 +634,61 @@
   }
 }
 
+TEST_CASE("bytes that are no answer and never end do not fill the memory") {
+  struct Row {
+    const char *m_Name;
+    std::string m_Start;
+    std::string m_Repeated;
+  };
+  const std::string Long(16'384, 'x');
+  const std::string Ok = "HTTP/1.1 200 OK\r\n";
+  const std::string Signed = Ok + "Signed: s-1\r\nAttempt: r-1\r\n";
+  const std::string Stream = Signed + "Content-Type: text/event-stream\r\n\r\n";
+  const Row Rows[] = {
+      {"no status line", "x", Long},
+      {"a field without an end", Ok + "X: ", Long},
+      {"fields without an end", Ok, "X: " + Long + "\r\n"},
+      {"a body that nobody signed", Ok + "\r\n", Long},
+      {"chunks that nobody signed", Ok + "Transfer-Encoding: chunked\r\n\r\n",
+       "4000\r\n" + Long + "\r\n"},
+      {"a signed body without an end", Signed + "\r\n", Long},
+      {"signed chunks without an end",
+       Signed + "Transfer-Encoding: chunked\r\n\r\n",
+       "4000\r\n" + Long + "\r\n"},
+      {"a chunk size without an end",
+       Signed + "Transfer-Encoding: chunked\r\n\r\n", Long},
+      {"trailers without an end",
+       Signed + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+       "X: " + Long + "\r\n"},
+      {"an event without an end", Stream + "id: 1\ndata: ", Long},
+      {"an event without an end behind a whole one",
+       Stream + eventText(1) + "id: 2\ndata: ", Long},
+  };
+  // The longest plain answer, and what sockets and buffers hold besides.
+  constexpr std::size_t MostBytes = 12U << 20U;
+  for (const Row &Case : Rows) {
+    INFO(Case.m_Name);
+    Shop On;
+    On.addForeign();
+    REQUIRE(On.m_Path->takeFleet(On.m_Fleet));
+    EndlessAnswer Target(On.m_Loop.m_Base, FirstPort, Case.m_Start,
+                         Case.m_Repeated);
+    const bool IsStream =
+        Case.m_Start.find("event-stream") != std::string::npos;
+    const TimePoint Sent = BootClock::now();
+    const Answered Got = On.ask("POST", IsStream ? "/advice/7" : "/book/7");
+    CHECK(BootClock::now() - Sent < std::chrono::milliseconds(1200));
+    // A stream of which an event has been passed on can only be broken off.
+    const bool Passed = Case.m_Start.find(eventText(1)) != std::string::npos;
+    CHECK(Got.m_Status == (Passed ? 0 : 502));
+    if (!Passed)
+      CHECK(http::field(Got.m_Fields, "wasabivale-outcome") == "unknown");
+    CHECK(Target.requests() == 1);
+    CHECK(On.m_Loop.until([&] { return Target.isClosed(); }));
+    CHECK(Target.bytesSent() < MostBytes);
+  }
+}
+
 TEST_CASE("what takes long goes first within its rank only") {
   MeanPrompts Means;
   routes::Route Urgent;
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -167,6 +167,8 @@
   /// collected, otherwise one chunk, or the length that the peer has stated.
   /// The call ends with an error above it.
   std::size_t m_AnswerBytes = 16U << 20U;
+  /// Most bytes of the answer's head, and of the framing within its body.
+  std::size_t m_HeadBytes = 64U << 10U;
 };
 
 struct ClientHandlers {
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -67,6 +67,9 @@
                                      : m_Pool->take(m_What.m_To, m_Repeatable);
     bufferevent *Buffer = evhttp_connection_get_bufferevent(m_Connection);
     m_Output = evbuffer_add_cb(bufferevent_get_output(Buffer), onOutput, this);
+    m_Input = evbuffer_add_cb(bufferevent_get_input(Buffer), onInput, this);
+    evhttp_connection_set_max_headers_size(
+        m_Connection, static_cast<ev_ssize_t>(m_What.m_HeadBytes));
     evhttp_connection_set_max_body_size(
         m_Connection, static_cast<ev_ssize_t>(m_What.m_AnswerBytes));
     evhttp_request *Raw = evhttp_request_new(onComplete, this);
@@ -135,6 +138,21 @@
     bufferevent *Buffer = evhttp_connection_get_bufferevent(m_Connection);
     evbuffer_remove_cb_entry(bufferevent_get_output(Buffer),
                              std::exchange(m_Output, nullptr));
+    evbuffer_remove_cb_entry(bufferevent_get_input(Buffer),
+                             std::exchange(m_Input, nullptr));
+  }
+
+  /// evhttp bounds heads and bodies, but not the line that states a chunk's
+  /// size.
+  static void onInput(evbuffer *Buffer, const evbuffer_cb_info *,
+                      void *Argument) {
+    auto &Self = *static_cast<ClientCallState *>(Argument);
+    if (Self.m_Ended || Self.m_TooLong ||
+        evbuffer_get_length(Buffer) <=
+            Self.m_What.m_AnswerBytes + Self.m_What.m_HeadBytes)
+      return;
+    Self.m_TooLong.emplace(Self.m_Loop, std::chrono::milliseconds(0), false,
+                           [&Self] { Self.end("the answer is too long"); });
   }
 
   static void onOutput(evbuffer *, const evbuffer_cb_info *Info,
@@ -246,6 +264,7 @@
             evhttp_connection_free(Raw);
           (*Held)->m_Deadline.reset();
           (*Held)->m_Connecting.reset();
+          (*Held)->m_TooLong.reset();
         },
         Last, &AtOnce);
   }
@@ -259,9 +278,11 @@
   std::optional<Timer> m_Deadline;
   std::optional<Timer> m_FailedAtStart;
   std::optional<Timer> m_Connecting;
+  std::optional<Timer> m_TooLong;
   std::shared_ptr<Pool::State> m_Pool;
   bool m_Repeatable;
   evbuffer_cb_entry *m_Output = nullptr;
+  evbuffer_cb_entry *m_Input = nullptr;
   std::shared_ptr<ClientCallState> m_Self;
   std::size_t m_PassedOn = 0; ///< Bytes of the body given to `m_OnChunk`.
   bool m_InCallback = false;
--- a/libs/relay/src/Send.cpp
+++ b/libs/relay/src/Send.cpp
@@ -9,6 +9,8 @@
 constexpr int FirstSuccess = 200;
 constexpr int FirstRedirect = 300;
 constexpr int FirstServerError = 500;
+/// Longest response that is collected: as long as the longest request.
+constexpr std::size_t MaxResponseBytes = 4U << 20U;
 constexpr std::string_view StreamType = "text/event-stream";
 
 bool isSuccess(int Status) {
@@ -44,6 +46,8 @@
 
   void onHead(int Status, const http::Fields &Fields);
   void onBytes(std::string_view Bytes);
+  /// Ends the try because its response is invalid or too long.
+  void reject(Error Why);
   void onDone(const Result<http::Response> &Response);
   TryResult classify(const Result<http::Response> &Response) const;
   void finish(TryResult Result);
@@ -66,11 +70,31 @@
           StreamType;
   if (m_IsStream)
     m_Handlers.m_OnHead(Status, Fields);
+  else if (!isValidResponse() && !m_ResponseInfo.m_NotRun &&
+           !m_ResponseInfo.m_WrongTarget)
+    reject({"relay.answer", m_Peer,
+            "the response does not belong to this request"});
+}
+
+void Task::reject(Error Why) {
+  const auto Call = m_Call.lock();
+  if (Call == nullptr)
+    return;
+  TryResult Result;
+  Result.m_Status = m_Status;
+  Result.m_InvalidResponse = true;
+  if (m_EventReader)
+    Result.m_LastEventId = m_EventReader->lastEventId();
+  Result.m_Failure = std::move(Why);
+  Call->cancel();
+  finish(std::move(Result));
 }
 
 void Task::onBytes(std::string_view Bytes) {
   if (!m_IsStream) {
     m_Body += Bytes;
+    if (m_Body.size() > MaxResponseBytes)
+      reject({"relay.answer", m_Peer, "the response is too long"});
     return;
   }
   if (m_StreamError)
@@ -82,15 +106,7 @@
   if (!failed(Parsed))
     return;
   m_StreamError = errorOf(Parsed);
-  if (const auto Call = m_Call.lock()) {
-    TryResult Result;
-    Result.m_Status = m_Status;
-    Result.m_InvalidResponse = true;
-    Result.m_LastEventId = m_EventReader->lastEventId();
-    Result.m_Failure = *m_StreamError;
-    Call->cancel();
-    finish(std::move(Result));
-  }
+  reject(*m_StreamError);
 }
 
 TryResult Task::classify(const Result<http::Response> &Response) const {
@@ -161,6 +177,7 @@
       Format.m_RequestFields(Request, Options, BootClock::now());
   Outgoing.m_Body = Request.m_Body;
   Outgoing.m_Deadline = Options.m_Deadline;
+  Outgoing.m_AnswerBytes = MaxResponseBytes;
   auto NewTask = std::make_shared<Task>(
       Format, Request, http::printAddress(Address), std::move(Handlers));
   NewTask->m_PrefillOnly = Options.m_PrefillOnly;
