--- a/libs/retries/include/retries/retries.h
+++ b/libs/retries/include/retries/retries.h
@@ -469,6 +469,7 @@
   std::map<Trait, TimePoint> m_RecentlySound;
   Duration m_SoundDuration = std::chrono::seconds(10);
   std::size_t m_MaxSound = 4096;
+  TimePoint m_NextSweep; ///< Of `m_RecentlySound`, when it is full.
 };
 
 std::optional<TimePoint> quarantinedUntil(const TraitTracker &Tracker,
--- a/libs/retries/src/TraitTracker.cpp
+++ b/libs/retries/src/TraitTracker.cpp
@@ -8,9 +8,14 @@
 
 namespace {
 
+constexpr std::chrono::seconds SweepInterval{1};
+
 void rememberSound(TraitTracker &Tracker, Trait Value, TimePoint Now) {
   if (Tracker.m_RecentlySound.size() >= Tracker.m_MaxSound &&
       !Tracker.m_RecentlySound.contains(Value)) {
+    if (Now < Tracker.m_NextSweep)
+      return;
+    Tracker.m_NextSweep = Now + SweepInterval;
     std::erase_if(Tracker.m_RecentlySound, [&](const auto &Each) {
       return Now - Each.second > Tracker.m_SoundDuration;
     });
--- a/tools/decision-bench/src/RetriesBench.cpp
+++ b/tools/decision-bench/src/RetriesBench.cpp
@@ -57,6 +57,37 @@
   addCost(Rows, "apply_crash_32_running", Each);
 }
 
+void benchTraits(std::vector<Row> &Rows) {
+  constexpr Trait Quarantines = 64;
+  TraitTracker Entry;
+  const TimePoint Now{1000s};
+  for (Trait Value = 0; Value < Quarantines; ++Value)
+    Entry.m_Quarantines.push_back(
+        {{3 * Value, 3 * Value + 1}, Now + 60s, Now + 120s, 1});
+  Trait Next = 1000;
+  addCost(
+      Rows, "trait_gate_64_quarantines", measure(Calls, [&] {
+        Next += 4;
+        quarantinedUntil(Entry, {Next, {Next + 1, Next + 2, Next + 3}}, Now);
+      }));
+  addCost(Rows, "trait_sound", measure(Calls, [&] {
+            Next += 4;
+            recordSound(Entry, {Next, {Next + 1, Next + 2}}, Now);
+          }));
+  TraitTable Fleet;
+  TimePoint LogNow{1000s};
+  addCost(
+      Rows, "apply_trait_crash_4_waiting", measure(200, [&] {
+        TraitCrash Report{{std::to_string(++Next)}, "first", {}};
+        for (int I = 0; I < 4; ++I) {
+          Next += 4;
+          Report.m_Waiting.push_back({Next, {Next % 100, 1000 + Next}, false});
+        }
+        LogNow += 1s;
+        applyTraitCrash(Fleet, Report, LogNow);
+      }));
+}
+
 } // namespace
 
 std::vector<Row> benchRetries() {
@@ -64,6 +95,7 @@
   benchDecide(Rows);
   benchGate(Rows);
   benchCrash(Rows);
+  benchTraits(Rows);
   return Rows;
 }
 
