Divide named limits by target rather than by entry

A change of one limit made the leader build a row for each pair of target and entry. It now keeps the users of each target, and builds an entry's rows when they are asked for. The shares are the same; the test checks their sum and number as before.

--- a/apps/control/src/TargetRates.cpp
+++ b/apps/control/src/TargetRates.cpp
@@ -22,7 +22,7 @@
     Entries.push_back(Entry);
   if (Rates.m_Revision == Known.m_Revision && Rates.m_Entries == Entries)
     return;
-  Rates.m_ByEntry = limits::divideTargetLimits(Known, Entries);
+  Rates.m_Divisions = limits::divideTargetLimits(Known, Entries);
   Rates.m_Revision = Known.m_Revision;
   Rates.m_Entries = std::move(Entries);
 }
@@ -48,7 +48,7 @@
                      const wire::EntryReport &Report,
                      wire::ControlGrant &Grant) {
   divide(Rates, Known, Observed);
-  const limits::TargetRates &Own = Rates.m_ByEntry[Entry];
+  const limits::TargetRates Own = limits::ratesOf(Rates.m_Divisions, Entry);
   Grant.set_target_rates_revision(hashRates(Own));
   if (Grant.target_rates_revision() == Report.target_rates_revision())
     return;
--- a/apps/control/src/TargetRates.h
+++ b/apps/control/src/TargetRates.h
@@ -13,7 +13,7 @@
 struct TargetRates {
   std::uint64_t m_Revision = 0; ///< Of the limits that were divided.
   std::vector<NodeId> m_Entries;
-  std::map<NodeId, limits::TargetRates> m_ByEntry;
+  limits::TargetDivisions m_Divisions;
 };
 
 /// \returns the command to propose for limits that differ from the known ones,
--- a/libs/limits/include/limits/limits.h
+++ b/libs/limits/include/limits/limits.h
@@ -380,11 +380,20 @@
 };
 using TargetRates = std::map<std::string, TargetRate>;
 
+/// Entries that may use a target's limit, in equal parts.
+struct TargetDivision {
+  double m_Limit = 0;
+  std::vector<NodeId> m_Users; ///< Sorted.
+};
+using TargetDivisions = std::map<std::string, TargetDivision>;
+
 /// Divides each limit among as many entries as it allows a burst of one request
 /// each, chosen by rendezvous hashing.
-std::map<NodeId, TargetRates>
-divideTargetLimits(const TargetLimitTable &Table,
-                   const std::vector<NodeId> &Entries);
+TargetDivisions divideTargetLimits(const TargetLimitTable &Table,
+                                   const std::vector<NodeId> &Entries);
+
+/// What one entry is told: every limit, and its share of it.
+TargetRates ratesOf(const TargetDivisions &Divisions, const NodeId &Entry);
 
 // --- Limits named by targets (entry) ----------------------------------------
 
--- a/libs/limits/src/TargetLimits.cpp
+++ b/libs/limits/src/TargetLimits.cpp
@@ -18,10 +18,11 @@
 /// Entries with the highest rendezvous scores for the target.
 std::vector<NodeId> usersOf(const std::string &Address, double PerSecond,
                             const std::vector<NodeId> &Entries) {
-  std::vector<std::pair<std::uint64_t, NodeId>> Scored;
+  std::vector<std::pair<std::uint64_t, const NodeId *>> Scored;
   Scored.reserve(Entries.size());
+  const std::uint64_t Seed = hashBytes(Address);
   for (const NodeId &Entry : Entries)
-    Scored.emplace_back(hashBytes(Entry.m_Value, hashBytes(Address)), Entry);
+    Scored.emplace_back(hashBytes(Entry.m_Value, Seed), &Entry);
   const auto Count =
       static_cast<std::size_t>(std::min(std::floor(PerSecond) + ExtraEntries,
                                         static_cast<double>(Scored.size())));
@@ -32,7 +33,8 @@
                     });
   std::vector<NodeId> Users;
   for (std::size_t I = 0; I < Count; ++I)
-    Users.push_back(Scored[I].second);
+    Users.push_back(*Scored[I].second);
+  std::sort(Users.begin(), Users.end());
   return Users;
 }
 
@@ -73,17 +75,24 @@
   });
 }
 
-std::map<NodeId, TargetRates>
-divideTargetLimits(const TargetLimitTable &Table,
-                   const std::vector<NodeId> &Entries) {
-  std::map<NodeId, TargetRates> Rates;
-  for (const auto &[Address, Limit] : Table.m_Limits) {
-    for (const NodeId &Entry : Entries)
-      Rates[Entry][Address].m_Limit = Limit.m_PerSecond;
-    const auto Users = usersOf(Address, Limit.m_PerSecond, Entries);
-    for (const NodeId &Entry : Users)
-      Rates[Entry][Address].m_Share =
-          Limit.m_PerSecond * HandedOut / static_cast<double>(Users.size());
+TargetDivisions divideTargetLimits(const TargetLimitTable &Table,
+                                   const std::vector<NodeId> &Entries) {
+  TargetDivisions Divisions;
+  for (const auto &[Address, Limit] : Table.m_Limits)
+    Divisions[Address] = {Limit.m_PerSecond,
+                          usersOf(Address, Limit.m_PerSecond, Entries)};
+  return Divisions;
+}
+
+TargetRates ratesOf(const TargetDivisions &Divisions, const NodeId &Entry) {
+  TargetRates Rates;
+  for (const auto &[Address, Division] : Divisions) {
+    const auto &Users = Division.m_Users;
+    const bool IsUser = std::binary_search(Users.begin(), Users.end(), Entry);
+    Rates[Address] = {Division.m_Limit,
+                      IsUser ? Division.m_Limit * HandedOut /
+                                   static_cast<double>(Users.size())
+                             : 0};
   }
   return Rates;
 }
--- a/libs/limits/tests/TargetLimitsTest.cpp
+++ b/libs/limits/tests/TargetLimitsTest.cpp
@@ -63,12 +63,14 @@
   INFO("entries " << Count << ", limit " << Limit);
   TargetLimitTable Table;
   applyTargetLimit(Table, Address, Limit, TimePoint(1000s));
-  const auto Rates = divideTargetLimits(Table, entries(Count));
+  const auto Divisions = divideTargetLimits(Table, entries(Count));
   double Sum = 0;
   double Users = 0;
-  for (const auto &[Entry, Own] : Rates) {
-    Sum += Own.at(Address).m_Share;
-    Users += Own.at(Address).m_Share > 0 ? 1 : 0;
+  for (const NodeId &Entry : entries(Count)) {
+    const TargetRate Own = ratesOf(Divisions, Entry).at(Address);
+    CHECK(Own.m_Limit == Limit);
+    Sum += Own.m_Share;
+    Users += Own.m_Share > 0 ? 1 : 0;
   }
   CHECK(Sum <= Limit);
   CHECK(Sum >= 0.9 * Limit);
--- a/tools/decision-bench/src/LimitsBench.cpp
+++ b/tools/decision-bench/src/LimitsBench.cpp
@@ -129,6 +129,22 @@
   addCost(Rows, "renew_share", Renewal);
 }
 
+void benchTargetLimits(std::vector<Row> &Rows) {
+  constexpr int Limited = 94; // A tenth of the targets to design for.
+  TargetLimitTable Table;
+  for (int I = 0; I < Limited; ++I)
+    applyTargetLimit(Table, "10.0.0." + std::to_string(I) + ":80", 4,
+                     TimePoint(1000s));
+  std::vector<NodeId> Entries;
+  for (std::uint64_t I = 0; I < FleetEntries; ++I)
+    Entries.push_back({"entry-" + std::to_string(I)});
+  TargetDivisions Divisions;
+  addCost(Rows, "divide_94_target_limits",
+          measure(20, [&] { Divisions = divideTargetLimits(Table, Entries); }));
+  addCost(Rows, "rates_of_94_target_limits",
+          measure(1000, [&] { ratesOf(Divisions, Entries.front()); }));
+}
+
 void benchMemory(std::vector<Row> &Rows) {
   const TimePoint Now{1000s};
   const std::int64_t Before = heldBytes();
@@ -157,6 +173,7 @@
   benchAdmit(Rows, false);
   benchAdmit(Rows, true);
   benchDivision(Rows);
+  benchTargetLimits(Rows);
   benchMemory(Rows);
   return Rows;
 }
