Stop repeating crashes that control has answered

An entry repeated each crash for 30 s in every report, up to 64 of them at 60 bytes or more, which would have taken several KB/s of the 6 KB/s that control may cost a node. A crash is now dropped after six grants received since, about 3 s; without control it is kept for 30 s.

--- a/apps/entry/src/CrashTraits.cpp
+++ b/apps/entry/src/CrashTraits.cpp
@@ -9,7 +9,9 @@
 /// A process that dies may close its connections before its listener.
 constexpr std::chrono::milliseconds ProbeDelay{20};
 constexpr std::chrono::milliseconds ProbeTimeout{500};
-/// Longer than an election, so that a new leader hears of it.
+/// A crash is repeated until control has answered this many reports.
+constexpr unsigned GrantsToForget = 6;
+/// Longer than several elections, so that a new leader hears of it.
 constexpr std::chrono::seconds CrashRepeated{30};
 constexpr std::size_t MaxReports = 64;
 
@@ -101,6 +103,10 @@
        Sent = m_SoundSent.erase(Sent))
     if (Sent->first < Grant.renewal())
       m_Tracker.m_Sound.insert(Sent->second.begin(), Sent->second.end());
+  if (Grant.traits_revision() != 0)
+    std::erase_if(m_Reports, [](Report &Each) {
+      return ++Each.m_Grants >= GrantsToForget;
+    });
   if (Grant.traits_revision() == 0 ||
       Grant.traits_revision() == m_Tracker.m_Revision)
     return;
--- a/apps/entry/src/CrashTraits.h
+++ b/apps/entry/src/CrashTraits.h
@@ -57,6 +57,7 @@
   struct Report {
     retries::TraitCrash m_Crash;
     TimePoint m_RepeatedUntil;
+    unsigned m_Grants = 0; ///< Received from control since.
   };
 
   void finishProbe(const retries::CrashKey &Key, bool Crashed);
