Bound the wait for a probe and the unanswered reports of sound traits

Read again: a caller whose target broke off just before its deadline could have waited half a second longer for a probe that nobody answers, and reports that no leader answers were kept without a bound. The probe waits 250 ms, and 16 reports are kept.

--- a/apps/entry/src/CrashTraits.cpp
+++ b/apps/entry/src/CrashTraits.cpp
@@ -8,12 +8,13 @@
 
 /// A process that dies may close its connections before its listener.
 constexpr std::chrono::milliseconds ProbeDelay{20};
-constexpr std::chrono::milliseconds ProbeTimeout{500};
+constexpr std::chrono::milliseconds ProbeTimeout{250};
 /// A crash is repeated until control has answered this many reports.
 constexpr unsigned GrantsToForget = 6;
 /// Longer than several elections, so that a new leader hears of it.
 constexpr std::chrono::seconds CrashRepeated{30};
 constexpr std::size_t MaxReports = 64;
+constexpr std::size_t MaxUnanswered = 16;
 
 } // namespace
 
@@ -93,6 +94,8 @@
                                          m_Tracker.m_Sound.end());
   if (!m_Tracker.m_Sound.empty())
     m_SoundSent[Message.renewal()] = std::exchange(m_Tracker.m_Sound, {});
+  while (m_SoundSent.size() > MaxUnanswered)
+    m_SoundSent.erase(m_SoundSent.begin());
   Message.set_traits_revision(m_Tracker.m_Revision);
 }
 
