Forget limits of addresses that no target has

Limits that an entry had observed stayed for ever when their target ended before control had divided them. They go with the target; what control tells outlives its restart.

--- a/apps/entry/src/RateLimits.cpp
+++ b/apps/entry/src/RateLimits.cpp
@@ -30,6 +30,10 @@
 }
 
 void RateLimits::applyAll(TimePoint Now) {
+  // What control tells outlives a target's restart.
+  std::erase_if(m_Tracker.m_Observed, [this](const auto &Each) {
+    return m_Fleet.targetsAt(Each.first).empty();
+  });
   for (const auto &[Address, PerSecond] : m_Tracker.m_Observed)
     apply(Address, Now);
   for (const auto &[Address, Rate] : m_Tracker.m_Told)
