Do not blame parts of completed runs again for 15 seconds

That one was acquitted time and again, and blamed anew by the next crash, so that it became an alternative explanation of the guilty part's crashes, which had to lead it by three and never did. Class: an acquittal that has no memory.

The test fails without it: the guilty part is not refused after three crashes.

--- a/libs/fleet/src/Suspicion.cpp
+++ b/libs/fleet/src/Suspicion.cpp
@@ -136,6 +136,11 @@
     assign(*Row.mutable_alternatives(), Evidence.m_Alternatives);
     assign(*Row.mutable_contents(), Evidence.m_Contents);
   }
+  for (const auto &[Value, Until] : Traits.m_AcquittedUntil) {
+    wire::TraitAcquittalState &Row = *Message.add_acquittals();
+    Row.set_trait(Value);
+    Row.set_until_ns(nanosecondsIn(Until));
+  }
   for (const auto &[Key, Crash] : Traits.m_Crashes) {
     wire::TraitCrashState &Row = *Message.add_crashes();
     write(*Row.mutable_name(), Key);
@@ -164,6 +169,8 @@
                                    Row.alternatives().end());
     Evidence.m_Contents.insert(Row.contents().begin(), Row.contents().end());
   }
+  for (const wire::TraitAcquittalState &Row : Message.acquittals())
+    Traits.m_AcquittedUntil[Row.trait()] = timeOf(Row.until_ns());
   for (const wire::TraitCrashState &Row : Message.crashes()) {
     retries::TraitTable::CrashRecord &Crash =
         Traits.m_Crashes[read(Row.name())];
--- a/libs/retries/include/retries/retries.h
+++ b/libs/retries/include/retries/retries.h
@@ -373,6 +373,9 @@
   /// between: a rack or zone that fails takes many targets at the same moment.
   Duration m_CommonCauseWindow = std::chrono::milliseconds(500);
   Duration m_EvidenceDuration = std::chrono::minutes(2);
+  /// How long a trait of a completed run is not blamed again: popular parts
+  /// wait at most targets that crash.
+  Duration m_AcquittalDuration = std::chrono::seconds(15);
   /// Duration of a first quarantine; it doubles with each further one.
   Duration m_QuarantineDuration = std::chrono::minutes(10);
   Duration m_MaxQuarantine = std::chrono::hours(6);
@@ -428,6 +431,7 @@
   std::map<Trait, TraitEvidence> m_Evidence;
   std::map<CrashKey, CrashRecord> m_Crashes;
   std::vector<TraitQuarantine> m_Quarantines;
+  std::map<Trait, TimePoint> m_AcquittedUntil;
 };
 
 /// Whether the table holds the crash with all of its requests.
--- a/libs/retries/src/TraitTable.cpp
+++ b/libs/retries/src/TraitTable.cpp
@@ -234,11 +234,15 @@
     Record.m_ReportedAt = Now;
   ++Table.m_Revision;
   TraitCrash Unknown = Report;
+  for (RequestTraits &Request : Unknown.m_Waiting)
+    std::erase_if(Request.m_Parts, [&](Trait Part) {
+      return Table.m_AcquittedUntil.contains(Part);
+    });
   std::erase_if(Unknown.m_Waiting, [&](const RequestTraits &Request) {
     return !Record.m_Contents.insert(Request.m_Content).second;
   });
   bool Explained = false;
-  for (const RequestTraits &Request : Unknown.m_Waiting)
+  for (const RequestTraits &Request : Report.m_Waiting)
     Explained = renewQuarantines(Table, Request, Now) || Explained;
   if (!Explained)
     for (const RequestTraits *Request : blamedRequests(Table, Unknown)) {
@@ -266,6 +270,8 @@
     return;
   ++Table.m_Revision;
   Table.m_Evidence.erase(Value);
+  if (Table.m_AcquittedUntil.size() < Table.m_Settings.m_MaxTraits)
+    Table.m_AcquittedUntil[Value] = Now + Table.m_Settings.m_AcquittalDuration;
   for (auto &[Other, Evidence] : Table.m_Evidence) {
     std::erase(Evidence.m_Companions, Value);
     std::erase(Evidence.m_Alternatives, Value);
@@ -285,6 +291,8 @@
       std::erase_if(Table.m_Quarantines, [Now](const TraitQuarantine &Each) {
         return Each.m_ForgottenAt <= Now;
       });
+  std::erase_if(Table.m_AcquittedUntil,
+                [Now](const auto &Each) { return Each.second <= Now; });
   std::erase_if(Table.m_Crashes, [&](const auto &Each) {
     return Each.second.m_ReportedAt + Table.m_Settings.m_EvidenceDuration <=
            Now;
--- a/libs/retries/tests/TraitsTest.cpp
+++ b/libs/retries/tests/TraitsTest.cpp
@@ -138,6 +138,21 @@
   }
 }
 
+SCENARIO("a popular first part does not hide the guilty part behind it") {
+  Crashes On;
+  for (int I = 0; I < 3; ++I) {
+    On.crash({On.request({Shop, Bad}), On.request({Shop, Good}),
+              On.request({Shop})});
+    if (I > 0)
+      continue;
+    applySoundTrait(On.m_Table, Shop, On.m_Now);
+    applySoundTrait(On.m_Table, Good, On.m_Now);
+  }
+  CHECK(On.refuses({Shop, Bad}));
+  CHECK_FALSE(On.refuses({Shop, Good}));
+  CHECK(On.m_Table.m_Quarantines.front().m_Traits == TraitSet{Bad});
+}
+
 SCENARIO("evidence against traits is bounded and expires") {
   Crashes On;
   On.m_Table.m_Settings.m_MaxTraits = 50;
