--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -530,7 +530,7 @@
 }
 
 void Serving::probeTarget(const Try &Over, const TryEnding &Ending) {
-  const routing::Leg At = Over.leg();
+  const routing::Leg &At = Over.leg();
   if (m_Asked.m_Passed) {
     // What has begun elsewhere did not crash that target.
     if (m_Offset > 0)
--- a/apps/entry/tests/PassedTest.cpp
+++ b/apps/entry/tests/PassedTest.cpp
@@ -569,7 +569,7 @@
     On.addEngine("decode", On.crashesOn(I, "bad"));
   On.warmUp();
   const auto Ask = [&](const std::string &Parts) {
-    const Answered Got =
+    Answered Got =
         On.ask("POST", "/oracle/7", {{"Prompt", "300"}, {"Parts", Parts}});
     On.m_Loop.turnFor(std::chrono::milliseconds(600));
     return Got;
