--- a/apps/control/src/SuspectNotices.cpp
+++ b/apps/control/src/SuspectNotices.cpp
@@ -178,6 +178,7 @@
   // Single crashes, which most of the evidence comes from, matter to no entry
   // beyond the first retry.
   std::vector<std::pair<retries::Trait, const retries::TraitEvidence *>> Rows;
+  Rows.reserve(Known.m_Evidence.size());
   for (const auto &[Value, Evidence] : Known.m_Evidence)
     Rows.emplace_back(Value, &Evidence);
   std::stable_sort(Rows.begin(), Rows.end(),
--- a/apps/control/src/TargetRates.cpp
+++ b/apps/control/src/TargetRates.cpp
@@ -18,6 +18,7 @@
 void divide(TargetRates &Rates, const limits::TargetLimitTable &Known,
             const fleet::ObservedState &Observed) {
   std::vector<NodeId> Entries;
+  Entries.reserve(Observed.m_Entries.size());
   for (const auto &[Entry, View] : Observed.m_Entries)
     Entries.push_back(Entry);
   if (Rates.m_Revision == Known.m_Revision && Rates.m_Entries == Entries)
--- a/libs/limits/src/TargetLimits.cpp
+++ b/libs/limits/src/TargetLimits.cpp
@@ -32,6 +32,7 @@
                       return Left.first > Right.first;
                     });
   std::vector<NodeId> Users;
+  Users.reserve(Count);
   for (std::size_t I = 0; I < Count; ++I)
     Users.push_back(*Scored[I].second);
   std::sort(Users.begin(), Users.end());
--- a/libs/limits/tests/TargetLimitsTest.cpp
+++ b/libs/limits/tests/TargetLimitsTest.cpp
@@ -13,6 +13,7 @@
 
 std::vector<NodeId> entries(int Count) {
   std::vector<NodeId> Made;
+  Made.reserve(static_cast<std::size_t>(Count));
   for (int I = 0; I < Count; ++I)
     Made.push_back({"entry-" + std::to_string(I)});
   return Made;
--- a/tools/decision-bench/src/LimitsBench.cpp
+++ b/tools/decision-bench/src/LimitsBench.cpp
@@ -136,6 +136,7 @@
     applyTargetLimit(Table, "10.0.0." + std::to_string(I) + ":80", 4,
                      TimePoint(1000s));
   std::vector<NodeId> Entries;
+  Entries.reserve(FleetEntries);
   for (std::uint64_t I = 0; I < FleetEntries; ++I)
     Entries.push_back({"entry-" + std::to_string(I)});
   TargetDivisions Divisions;
