Acquit at control the parts that an entry leaves out of its blame

Cause: entries leave parts that ran well just now out of a crash report, but did not tell control that they are sound. Reports of other entries blamed the first part, so it stood at three crashes as an alternative explanation of the guilty part, which then had to lead it by three.

Change: what is left out is reported as sound. The check was added to the test of the left-out part and fails without the change.

--- a/libs/retries/src/TraitTracker.cpp
+++ b/libs/retries/src/TraitTracker.cpp
@@ -72,8 +72,12 @@
   TraitCrash Report{Target, Incarnation, {Request}};
   std::erase_if(Report.m_Waiting.front().m_Parts, [&](Trait Part) {
     const auto Found = Tracker.m_RecentlySound.find(Part);
-    return Found != Tracker.m_RecentlySound.end() &&
-           Now - Found->second <= Tracker.m_SoundDuration;
+    const bool IsSound = Found != Tracker.m_RecentlySound.end() &&
+                         Now - Found->second <= Tracker.m_SoundDuration;
+    // Reports of other entries may blame it.
+    if (IsSound)
+      Tracker.m_Sound.insert(Part);
+    return IsSound;
   });
   applyTraitCrash(Tracker.m_Own, Report, Now);
   return Report;
--- a/libs/retries/tests/TraitsTest.cpp
+++ b/libs/retries/tests/TraitsTest.cpp
@@ -194,6 +194,7 @@
     recordSound(Tracker, {1, {Shop, Good}}, Now);
     const TraitCrash Report = Crash({Shop, Bad});
     CHECK(Report.m_Waiting.front().m_Parts == TraitSet{Bad});
+    CHECK(Tracker.m_Sound == std::set<Trait>{Shop});
   }
   THEN("runs with suspect parts are reported as sound") {
     Tracker.m_Evidence[Shop].m_Crashes = 2;
