Log the content of failed tries and how long they had waited

The lines of a crash did not tell whether requests that waited at several crashed targets were equal, nor whether they had been sent after the crash before. try_failed names the content's hash and the time since the try was sent; reports to control carry that time and a hash of the route. Nothing decides by them yet.

--- a/apps/entry/src/CrashTraits.cpp
+++ b/apps/entry/src/CrashTraits.cpp
@@ -86,6 +86,10 @@
       wire::RequestTraits &Row = *Crash.add_waiting();
       Row.set_content(Request.m_Content);
       Row.set_sent_again(Request.m_SentAgain);
+      Row.set_route(Request.m_Route);
+      if (Request.m_Waited)
+        Row.set_waited_ns(
+            static_cast<std::uint64_t>(Request.m_Waited->count()));
       Row.mutable_parts()->Assign(Request.m_Parts.begin(),
                                   Request.m_Parts.end());
     }
--- a/apps/entry/src/Describe.cpp
+++ b/apps/entry/src/Describe.cpp
@@ -55,6 +55,8 @@
   if (!Request.m_Passed)
     return Traits;
   Traits.m_Content = fingerprintOf(Request);
+  const routes::Route &Route = Request.m_Passed->m_Route;
+  Traits.m_Route = hashBytes(Route.m_Host + Route.m_PathPrefix);
   const auto &Parts = Request.m_Passed->m_Ask.m_PromptParts;
   for (const relay::PromptPart &Part : Parts) {
     Traits.m_Content = hashBytes(std::to_string(Part.m_Hash), Traits.m_Content);
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -395,6 +395,7 @@
                        (Prefill != nullptr && Prefill->m_Address.has_value()));
   enter(Phase::Running);
   ++m_Tries;
+  m_SentAt = Now;
   m_LastTarget = Where.m_Run.m_Target;
   m_ServiceTime = std::max<Duration>(
       Where.m_Estimate.m_Finish - Where.m_Estimate.m_Start, Duration(0));
@@ -536,6 +537,7 @@
     if (m_Offset > 0)
       return takeFailure(Ending);
     enter(Phase::Probing);
+    m_Traits.m_Waited = BootClock::now() - m_SentAt;
     return m_Shared.m_Traits.probe(
         At.m_Target, At.m_Incarnation, Over.address(), m_Traits,
         [Weak = weak_from_this(), Ending](bool Crashed) {
@@ -605,6 +607,8 @@
                 {"prefill", Ending.m_InPrefill},
                 {"begun", Ending.m_Begun},
                 {"parts", printParts(m_Asked)},
+                {"content", fmt::format("{:016x}", m_Traits.m_Content)},
+                {"waited_ms", milliseconds(Now - m_SentAt)},
                 {"next", nextName(Next)},
                 {"step", Ending.m_Error.m_Step},
                 {"message", Ending.m_Error.m_Message}});
--- a/apps/entry/src/Serving.h
+++ b/apps/entry/src/Serving.h
@@ -120,6 +120,7 @@
   std::optional<targets::ServiceAnswer> m_Failing;
   std::uint32_t m_Tries = 0;
   Duration m_ServiceTime{0};
+  TimePoint m_SentAt; ///< Of the last try.
   std::unique_ptr<http::Timer> m_Wake;
   TimePoint m_LastPieceAt;
   TimePoint m_FirstPieceAt; ///< The epoch: none yet.
--- a/libs/fleet/src/Suspicion.cpp
+++ b/libs/fleet/src/Suspicion.cpp
@@ -80,11 +80,15 @@
 
 retries::TraitCrash readTraitCrash(const wire::TraitCrash &Message) {
   retries::TraitCrash Result{{Message.target()}, Message.incarnation(), {}};
-  for (const wire::RequestTraits &Request : Message.waiting())
-    Result.m_Waiting.push_back(
-        {Request.content(),
-         {Request.parts().begin(), Request.parts().end()},
-         Request.sent_again()});
+  for (const wire::RequestTraits &Request : Message.waiting()) {
+    retries::RequestTraits &Traits = Result.m_Waiting.emplace_back();
+    Traits.m_Content = Request.content();
+    Traits.m_Parts.assign(Request.parts().begin(), Request.parts().end());
+    Traits.m_SentAgain = Request.sent_again();
+    Traits.m_Route = Request.route();
+    if (Request.has_waited_ns())
+      Traits.m_Waited = std::chrono::nanoseconds(Request.waited_ns());
+  }
   return Result;
 }
 
--- a/libs/retries/include/retries/retries.h
+++ b/libs/retries/include/retries/retries.h
@@ -361,6 +361,11 @@
   TraitSet m_Parts;    ///< Shared parts of the prompt.
   /// Another target had crashed under the same request before it was sent.
   bool m_SentAgain = false;
+  /// What requests are routed by; requests of one route have it in common.
+  Trait m_Route = 0;
+  /// Time from sending the request to the end of its connection. Unset if not
+  /// known.
+  std::optional<Duration> m_Waited = std::nullopt;
 };
 
 struct TraitSettings {
