Count each crash of an equal request that was sent after the crash before

Callers saw bookings and lookups fail in waves: one request crashed all three targets of a service within 300 ms, again and again as they restarted (12 and 14 targets in the record of the users). Crashes within 500 ms counted once unless the entry itself had sent the request again; a caller's repeat comes to another entry as a new request, so a wave of three counted as one crash.

Crash reports tell how long the request had been at the target. If it was sent after the crash that was counted last, the two have no common cause and the crash counts. Requests with a common part still count once within 500 ms: a popular part is sent to a failing rack all the time. The content of a request that ran within 10 s is not blamed, like its parts, and does not depend on the service that a split selects any more.

--- a/apps/entry/src/CrashTraits.cpp
+++ b/apps/entry/src/CrashTraits.cpp
@@ -59,6 +59,8 @@
 }
 
 void CrashTraits::queueReport(const retries::TraitCrash &Crash, TimePoint Now) {
+  if (Crash.m_Waiting.empty())
+    return;
   const bool Known =
       !m_Reports.empty() &&
       m_Reports.back().m_Crash.m_Target == Crash.m_Target &&
--- a/apps/entry/src/Describe.cpp
+++ b/apps/entry/src/Describe.cpp
@@ -54,10 +54,13 @@
   retries::RequestTraits Traits;
   if (!Request.m_Passed)
     return Traits;
-  Traits.m_Content = fingerprintOf(Request);
+  // A split may select another service for each repeat of a request.
+  const relay::CallerRequest &Ask = Request.m_Passed->m_Ask;
+  Traits.m_Content = retries::fingerprintOf(
+      {Ask.m_Host}, Ask.m_Method + Ask.m_Target + Ask.m_Body);
   const routes::Route &Route = Request.m_Passed->m_Route;
   Traits.m_Route = hashBytes(Route.m_Host + Route.m_PathPrefix);
-  const auto &Parts = Request.m_Passed->m_Ask.m_PromptParts;
+  const auto &Parts = Ask.m_PromptParts;
   for (const relay::PromptPart &Part : Parts) {
     Traits.m_Content = hashBytes(std::to_string(Part.m_Hash), Traits.m_Content);
     Traits.m_Parts.push_back(Part.m_Hash);
--- a/libs/retries/src/TraitTable.cpp
+++ b/libs/retries/src/TraitTable.cpp
@@ -61,6 +61,14 @@
   Evidence.m_Alternatives = std::move(All);
 }
 
+/// Whether the request was sent after the crash that was counted last, which it
+/// then did not share a cause with.
+bool isSentSince(const TraitEvidence &Evidence, const RequestTraits &Request,
+                 TimePoint CrashedAt) {
+  return Request.m_Waited &&
+         CrashedAt - *Request.m_Waited > Evidence.m_LastCrash;
+}
+
 void addEvidence(TraitTable &Table, Trait Value, const TraitSet &Companions,
                  const RequestTraits &Request, TimePoint CrashedAt) {
   const TraitSettings &Options = Table.m_Settings;
@@ -73,7 +81,11 @@
   Evidence.m_Companions = intersection(Evidence.m_Companions, Companions);
   if (Evidence.m_Contents.size() < Options.m_RequestsToQuarantine)
     Evidence.m_Contents.insert(Request.m_Content);
+  // Different requests with a popular part are sent all the time, also while a
+  // rack fails.
+  const bool IsSameRequest = Value == Request.m_Content;
   if (Added || Request.m_SentAgain ||
+      (IsSameRequest && isSentSince(Evidence, Request, CrashedAt)) ||
       CrashedAt - Evidence.m_LastCrash > Options.m_CommonCauseWindow) {
     ++Evidence.m_Crashes;
     Evidence.m_LastCrash = CrashedAt;
--- a/libs/retries/src/TraitTracker.cpp
+++ b/libs/retries/src/TraitTracker.cpp
@@ -60,6 +60,7 @@
 void recordSound(TraitTracker &Tracker, const RequestTraits &Request,
                  TimePoint Now) {
   recordSoundTrait(Tracker, Request.m_Content, Now);
+  rememberSound(Tracker, Request.m_Content, Now);
   for (const Trait Part : Request.m_Parts) {
     recordSoundTrait(Tracker, Part, Now);
     rememberSound(Tracker, Part, Now);
@@ -69,16 +70,20 @@
 TraitCrash recordWaitingAtCrash(TraitTracker &Tracker, const TargetId &Target,
                                 const std::string &Incarnation,
                                 const RequestTraits &Request, TimePoint Now) {
-  TraitCrash Report{Target, Incarnation, {Request}};
-  std::erase_if(Report.m_Waiting.front().m_Parts, [&](Trait Part) {
-    const auto Found = Tracker.m_RecentlySound.find(Part);
-    const bool IsSound = Found != Tracker.m_RecentlySound.end() &&
-                         Now - Found->second <= Tracker.m_SoundDuration;
+  TraitCrash Report{Target, Incarnation, {}};
+  const auto IsSound = [&](Trait Value) {
+    const auto Found = Tracker.m_RecentlySound.find(Value);
+    if (Found == Tracker.m_RecentlySound.end() ||
+        Now - Found->second > Tracker.m_SoundDuration)
+      return false;
     // Reports of other entries may blame it.
-    if (IsSound)
-      Tracker.m_Sound.insert(Part);
-    return IsSound;
-  });
+    Tracker.m_Sound.insert(Value);
+    return true;
+  };
+  if (IsSound(Request.m_Content))
+    return Report;
+  Report.m_Waiting.push_back(Request);
+  std::erase_if(Report.m_Waiting.front().m_Parts, IsSound);
   applyTraitCrash(Tracker.m_Own, Report, Now);
   return Report;
 }
