Quarantine requests of a suspect route after their first crash

A route whose request has crashed two targets is suspect for a minute. Its requests are not retried after a crash, and each that waited at a crash is quarantined by its content for 30 s. Control notifies all entries of a new quarantine when it commits it, since a repeat comes within 100 ms and a grant within a second only. A route itself is never quarantined.

--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -106,6 +106,7 @@
     wire::CallReply Reply = applyPayload(m_State, Payload);
     if (!m_Replica || !m_Replica->isLeader())
       return;
+    sendNewQuarantines();
     m_Replies[Index] = std::move(Reply);
     if (m_Replies.size() > MaxReplies)
       m_Replies.erase(m_Replies.begin());
@@ -511,6 +512,20 @@
       sendMembers(Name, Known, Members);
 }
 
+void Control::sendNewQuarantines() {
+  const auto Update =
+      takeNewQuarantines(m_State.m_Fleet.m_Traits, m_NotifiedQuarantines,
+                         fleet::suspicionTime(logNow(BootClock::now())));
+  if (!Update)
+    return;
+  for (const auto &[Entry, Known] : m_Sent) {
+    wire::Envelope Message;
+    Message.set_term(m_Replica->term());
+    *Message.mutable_traits_update() = *Update;
+    (void)m_Hub->send(Entry, std::move(Message)); // The next grant repeats it.
+  }
+}
+
 // --- Periodic work of the leader ------------------------------------------
 
 /// Ends sessions that no live entry has; the outcome of their keys is unknown.
--- a/apps/control/src/Control.h
+++ b/apps/control/src/Control.h
@@ -91,6 +91,8 @@
   void sendMembers(const NodeId &Entry, SentRevisions &Known,
                    const std::vector<NodeId> &Members);
   void sendChanges();
+  /// Notifies all entries of quarantines that the last command started.
+  void sendNewQuarantines();
 
   void handleLeadershipGained();
   void handleLeadershipLost();
@@ -135,6 +137,7 @@
   RolePlanner m_Roles;
   Shares m_Shares;
   SuspectNotices m_Notices;
+  NotifiedQuarantines m_NotifiedQuarantines;
   TargetRates m_TargetRates;
   std::map<NodeId, SentRevisions> m_Sent;
   std::map<consensus::Index, wire::CallReply> m_Replies;
--- a/apps/control/src/SuspectNotices.cpp
+++ b/apps/control/src/SuspectNotices.cpp
@@ -96,6 +96,21 @@
   Message.set_rerun_left_ns(nanosecondsOf(Notice.m_RerunRemaining));
 }
 
+void write(wire::TraitNotice &Message, retries::Trait Value,
+           const retries::TraitEvidence &Evidence) {
+  Message.set_trait(Value);
+  Message.set_crashes(Evidence.m_Crashes);
+  Message.mutable_companions()->Assign(Evidence.m_Companions.begin(),
+                                       Evidence.m_Companions.end());
+}
+
+void write(wire::TraitQuarantineNotice &Message,
+           const retries::TraitQuarantine &Quarantine, TimePoint LogNow) {
+  Message.mutable_traits()->Assign(Quarantine.m_Traits.begin(),
+                                   Quarantine.m_Traits.end());
+  Message.set_remaining_ns(nanosecondsOf(Quarantine.m_EndsAt - LogNow));
+}
+
 } // namespace
 
 std::uint64_t noticeRevision(std::uint64_t Revision, bool Settled) {
@@ -151,6 +166,28 @@
   }
 }
 
+std::optional<wire::TraitsUpdate>
+takeNewQuarantines(const retries::TraitTable &Known,
+                   NotifiedQuarantines &Notified, TimePoint LogNow) {
+  wire::TraitsUpdate Update;
+  NotifiedQuarantines Current;
+  for (const retries::TraitQuarantine &Each : Known.m_Quarantines) {
+    if (Each.m_EndsAt <= LogNow)
+      continue;
+    Current[Each.m_Traits] = Each.m_EndsAt;
+    const auto Found = Notified.find(Each.m_Traits);
+    if (Found == Notified.end() || Found->second != Each.m_EndsAt)
+      write(*Update.add_quarantines(), Each, LogNow);
+  }
+  Notified = std::move(Current);
+  if (Update.quarantines().empty())
+    return std::nullopt;
+  for (const auto &[Value, Evidence] : Known.m_Evidence)
+    if (retries::isRoute(Evidence))
+      write(*Update.add_routes(), Value, Evidence);
+  return Update;
+}
+
 std::optional<fleet::Propose> proposeTraits(const retries::TraitTable &Known,
                                             const NodeId &Entry,
                                             const wire::EntryReport &Report) {
@@ -187,18 +224,11 @@
                    });
   Rows.resize(std::min(Rows.size(), MaxTraitNotices));
   for (const auto &[Value, Evidence] : Rows) {
-    wire::TraitNotice &Notice = *Grant.add_traits();
-    Notice.set_trait(Value);
-    Notice.set_crashes(Evidence->m_Crashes);
-    Notice.mutable_companions()->Assign(Evidence->m_Companions.begin(),
-                                        Evidence->m_Companions.end());
+    write(*Grant.add_traits(), Value, *Evidence);
   }
   for (const retries::TraitQuarantine &Each : Known.m_Quarantines) {
-    if (Each.m_EndsAt <= LogNow)
-      continue;
-    wire::TraitQuarantineNotice &Notice = *Grant.add_trait_quarantines();
-    Notice.mutable_traits()->Assign(Each.m_Traits.begin(), Each.m_Traits.end());
-    Notice.set_remaining_ns(nanosecondsOf(Each.m_EndsAt - LogNow));
+    if (Each.m_EndsAt > LogNow)
+      write(*Grant.add_trait_quarantines(), Each, LogNow);
   }
 }
 
--- a/apps/control/src/SuspectNotices.h
+++ b/apps/control/src/SuspectNotices.h
@@ -49,6 +49,15 @@
                                             const NodeId &Entry,
                                             const wire::EntryReport &Report);
 
+/// Ends of the quarantines of which entries have been notified, by traits.
+using NotifiedQuarantines = std::map<retries::TraitSet, TimePoint>;
+
+/// \returns the notice of quarantines that are not in \p Notified, which it
+/// adds, or nothing.
+std::optional<wire::TraitsUpdate>
+takeNewQuarantines(const retries::TraitTable &Known,
+                   NotifiedQuarantines &Notified, TimePoint LogNow);
+
 /// Fills in the traits for the entry that sent \p Report, unless it knows them.
 void fillTraits(const retries::TraitTable &Known,
                 const wire::EntryReport &Report, TimePoint LogNow,
--- a/apps/entry/src/ControlLink.cpp
+++ b/apps/entry/src/ControlLink.cpp
@@ -111,6 +111,11 @@
             WorkBytesPerSecond));
     m_Handlers.m_OnOthersWork(Message.others_work());
     break;
+  case wire::Envelope::kTraitsUpdate:
+    m_HighestTerm = Message.term();
+    follow(From);
+    m_Handlers.m_OnTraits(Message.traits_update());
+    break;
   case wire::Envelope::kCallReply:
     takeReply(Message.call_reply());
     break;
--- a/apps/entry/src/ControlLink.h
+++ b/apps/entry/src/ControlLink.h
@@ -32,6 +32,7 @@
     /// and none of others is wanted.
     std::function<bool(wire::WorkNotice &)> m_FillWork;
     std::function<void(const wire::OthersWork &)> m_OnOthersWork;
+    std::function<void(const wire::TraitsUpdate &)> m_OnTraits;
   };
 
   static Result<std::unique_ptr<ControlLink>>
--- a/apps/entry/src/CrashTraits.cpp
+++ b/apps/entry/src/CrashTraits.cpp
@@ -15,6 +15,16 @@
 constexpr std::chrono::seconds CrashRepeated{30};
 constexpr std::size_t MaxReports = 64;
 constexpr std::size_t MaxUnanswered = 16;
+/// Twice as many as control holds.
+constexpr std::size_t MaxQuarantines = 512;
+
+retries::TraitQuarantine read(const wire::TraitQuarantineNotice &Notice,
+                              TimePoint Now) {
+  retries::TraitQuarantine Quarantine;
+  Quarantine.m_Traits.assign(Notice.traits().begin(), Notice.traits().end());
+  Quarantine.m_EndsAt = Now + std::chrono::nanoseconds(Notice.remaining_ns());
+  return Quarantine;
+}
 
 } // namespace
 
@@ -129,16 +139,26 @@
   }
   const std::size_t Before = m_Tracker.m_Quarantines.size();
   m_Tracker.m_Quarantines.clear();
-  for (const wire::TraitQuarantineNotice &Notice : Grant.trait_quarantines()) {
-    retries::TraitQuarantine Quarantine;
-    Quarantine.m_Traits.assign(Notice.traits().begin(), Notice.traits().end());
-    Quarantine.m_EndsAt = Now + std::chrono::nanoseconds(Notice.remaining_ns());
-    m_Tracker.m_Quarantines.push_back(std::move(Quarantine));
-  }
+  for (const wire::TraitQuarantineNotice &Notice : Grant.trait_quarantines())
+    m_Tracker.m_Quarantines.push_back(read(Notice, Now));
   if (m_Tracker.m_Quarantines.size() != Before)
-    events::emit(events::Event::TraitsQuarantined,
-                 {{"quarantines", m_Tracker.m_Quarantines.size()},
-                  {"suspects", m_Tracker.m_Evidence.size()}});
+    logQuarantines();
+}
+
+void CrashTraits::apply(const wire::TraitsUpdate &Update, TimePoint Now) {
+  // Each grant replaces them all; until then there are at most as many again.
+  for (const wire::TraitQuarantineNotice &Notice : Update.quarantines())
+    if (m_Tracker.m_Quarantines.size() < MaxQuarantines)
+      m_Tracker.m_Quarantines.push_back(read(Notice, Now));
+  for (const wire::TraitNotice &Notice : Update.routes())
+    m_Tracker.m_Evidence[Notice.trait()].m_Crashes = Notice.crashes();
+  logQuarantines();
+}
+
+void CrashTraits::logQuarantines() const {
+  events::emit(events::Event::TraitsQuarantined,
+               {{"quarantines", m_Tracker.m_Quarantines.size()},
+                {"suspects", m_Tracker.m_Evidence.size()}});
 }
 
 } // namespace wasabivale::entry
--- a/apps/entry/src/CrashTraits.h
+++ b/apps/entry/src/CrashTraits.h
@@ -40,6 +40,8 @@
 
   void fillReport(wire::EntryReport &Report, TimePoint Now);
   void takeGrant(const wire::ControlGrant &Grant, TimePoint Now);
+  /// Applies quarantines that are newer than the last grant.
+  void apply(const wire::TraitsUpdate &Update, TimePoint Now);
 
   [[nodiscard]] std::uint64_t crashes() const { return m_CrashCount; }
 
@@ -61,6 +63,7 @@
   };
 
   void finishProbe(const retries::CrashKey &Key, bool Crashed);
+  void logQuarantines() const;
   void queueReport(const retries::TraitCrash &Crash, TimePoint Now);
 
   event_base *m_Loop;
--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -496,6 +496,10 @@
   return true;
 }
 
+void DataPath::applyTraits(const wire::TraitsUpdate &Update) {
+  m_Shared.m_Traits.apply(Update, BootClock::now());
+}
+
 void DataPath::takeOthersWork(const wire::OthersWork &Told) {
   std::vector<routing::EngineWork> Rows;
   for (const wire::TargetWork &Each : Told.work()) {
--- a/apps/entry/src/DataPath.h
+++ b/apps/entry/src/DataPath.h
@@ -44,6 +44,7 @@
   void fillReport(wire::EntryReport &Report);
   /// Own work at engines. False where routes do not lead to any.
   bool fillWork(wire::WorkNotice &Notice);
+  void applyTraits(const wire::TraitsUpdate &Update);
   void takeOthersWork(const wire::OthersWork &Told);
 
   /// From now on every new request is refused.
--- a/apps/entry/src/Entry.cpp
+++ b/apps/entry/src/Entry.cpp
@@ -77,6 +77,9 @@
   Handlers.m_FillWork = [this](wire::WorkNotice &Notice) {
     return m_Requests->fillWork(Notice);
   };
+  Handlers.m_OnTraits = [this](const wire::TraitsUpdate &Update) {
+    m_Requests->applyTraits(Update);
+  };
   Handlers.m_OnOthersWork = [this](const wire::OthersWork &Told) {
     m_Requests->takeOthersWork(Told);
   };
--- a/libs/retries/include/retries/retries.h
+++ b/libs/retries/include/retries/retries.h
@@ -384,6 +384,12 @@
   /// Duration of a first quarantine; it doubles with each further one.
   Duration m_QuarantineDuration = std::chrono::minutes(10);
   Duration m_MaxQuarantine = std::chrono::hours(6);
+  /// How long a route stays suspect after one of its requests has crashed two
+  /// targets.
+  Duration m_RouteSuspicion = std::chrono::minutes(1);
+  /// Quarantine of a request of a suspect route after its first crash. Short,
+  /// since requests that waited beside the guilty one get it as well.
+  Duration m_FirstCrashQuarantine = std::chrono::seconds(30);
   /// How long after a quarantine a single crash renews it.
   Duration m_ProbationDuration = std::chrono::hours(1);
   /// Crashes beyond those of an alternative explanation, once that has more
@@ -412,10 +418,17 @@
   /// Parts that only some of them had: other explanations of these crashes. The
   /// first `m_MaxAlternatives`.
   TraitSet m_Alternatives;
-  /// Contents of blamed requests, at most `m_RequestsToQuarantine`.
+  /// Contents of blamed requests, at most `m_RequestsToQuarantine`. Empty for a
+  /// route.
   std::set<Trait> m_Contents;
 };
 
+/// Whether the evidence is against a route rather than against what requests
+/// contain.
+inline bool isRoute(const TraitEvidence &Evidence) {
+  return Evidence.m_Contents.empty();
+}
+
 /// Requests that have all of these traits are refused.
 struct TraitQuarantine {
   TraitSet m_Traits;
@@ -433,6 +446,8 @@
   };
   TraitSettings m_Settings;
   std::uint64_t m_Revision = 0; ///< Incremented by each change.
+  /// Evidence against a route counts its requests that crashed two targets; it
+  /// never leads to a quarantine of the route.
   std::map<Trait, TraitEvidence> m_Evidence;
   std::map<CrashKey, CrashRecord> m_Crashes;
   std::vector<TraitQuarantine> m_Quarantines;
@@ -467,6 +482,11 @@
 std::uint32_t crashesOf(const std::map<Trait, TraitEvidence> &Evidence,
                         const RequestTraits &Request);
 
+/// Whether the request has no shared parts and other requests of its route have
+/// crashed two targets each.
+bool isRouteSuspect(const std::map<Trait, TraitEvidence> &Evidence,
+                    const RequestTraits &Request);
+
 /// What one entry knows about traits.
 struct TraitTracker {
   TraitTable m_Own; ///< From crashes that this entry observed itself.
@@ -486,7 +506,7 @@
                                           TimePoint Now);
 
 /// Whether a request that waited at a crashed target may be tried again: not if
-/// an earlier crash speaks against it as well.
+/// an earlier crash speaks against it as well, or against its route.
 bool mayRetryAfterCrash(const TraitTracker &Tracker,
                         const RequestTraits &Request);
 
--- a/libs/retries/src/TraitTable.cpp
+++ b/libs/retries/src/TraitTable.cpp
@@ -122,6 +122,21 @@
   return Found;
 }
 
+/// Suspects the route of a request that has crashed two targets. What its other
+/// requests have in common with that one may not show before they crash one.
+void suspectRoute(TraitTable &Table, const RequestTraits &Request,
+                  TimePoint Now) {
+  const auto Found = Table.m_Evidence.find(Request.m_Content);
+  if (Request.m_Route == 0 || !Request.m_Parts.empty() ||
+      Found == Table.m_Evidence.end() ||
+      Found->second.m_Crashes < CrashesToExplain)
+    return;
+  TraitEvidence &Route = Table.m_Evidence[Request.m_Route];
+  ++Route.m_Crashes;
+  Route.m_LastCrash = Now;
+  Route.m_ExpiresAt = Now + Table.m_Settings.m_RouteSuspicion;
+}
+
 /// Most crashes against a part that explains some of the trait's as well.
 std::uint32_t crashesOfAlternatives(const TraitTable &Table,
                                     const TraitEvidence &Evidence) {
@@ -161,6 +176,14 @@
     Table.m_Evidence.erase(Value);
 }
 
+void quarantineAfterFirstCrash(TraitTable &Table, const RequestTraits &Request,
+                               TimePoint Now) {
+  quarantine(Table, {Request.m_Content}, Now);
+  TraitQuarantine &New = Table.m_Quarantines.back();
+  New.m_EndsAt = Now + Table.m_Settings.m_FirstCrashQuarantine;
+  New.m_ForgottenAt = New.m_EndsAt;
+}
+
 /// Quarantines the largest sets first: a part that comes with the guilty one
 /// each time is not guilty by itself.
 void quarantineDue(TraitTable &Table, TimePoint Now) {
@@ -198,6 +221,12 @@
 
 } // namespace
 
+bool isRouteSuspect(const std::map<Trait, TraitEvidence> &Evidence,
+                    const RequestTraits &Request) {
+  return Request.m_Route != 0 && Request.m_Parts.empty() &&
+         Evidence.contains(Request.m_Route);
+}
+
 std::uint32_t crashesOf(const std::map<Trait, TraitEvidence> &Evidence,
                         const RequestTraits &Request) {
   std::uint32_t Crashes = 0;
@@ -256,14 +285,20 @@
   bool Explained = false;
   for (const RequestTraits &Request : Report.m_Waiting)
     Explained = renewQuarantines(Table, Request, Now) || Explained;
-  if (!Explained)
-    for (const RequestTraits *Request : blamedRequests(Table, Unknown)) {
-      addEvidence(Table, Request->m_Content, {}, *Request, Record.m_ReportedAt);
-      for (const Trait Part : Request->m_Parts)
-        addEvidence(Table, Part, without(Request->m_Parts, Part), *Request,
-                    Record.m_ReportedAt);
-    }
+  const auto Blamed = Explained ? std::vector<const RequestTraits *>{}
+                                : blamedRequests(Table, Unknown);
+  for (const RequestTraits *Request : Blamed) {
+    addEvidence(Table, Request->m_Content, {}, *Request, Record.m_ReportedAt);
+    for (const Trait Part : Request->m_Parts)
+      addEvidence(Table, Part, without(Request->m_Parts, Part), *Request,
+                  Record.m_ReportedAt);
+    suspectRoute(Table, *Request, Now);
+  }
   quarantineDue(Table, Now);
+  for (const RequestTraits *Request : Blamed)
+    if (isRouteSuspect(Table.m_Evidence, *Request) &&
+        !quarantinedUntil(Table.m_Quarantines, *Request, Now))
+      quarantineAfterFirstCrash(Table, *Request, Now);
   evictOldest(Table);
 }
 
--- a/libs/retries/src/TraitTracker.cpp
+++ b/libs/retries/src/TraitTracker.cpp
@@ -54,7 +54,9 @@
                         const RequestTraits &Request) {
   // The crash itself is in the entry's own table, and not yet in control's.
   return crashesOf(Tracker.m_Own.m_Evidence, Request) <= 1 &&
-         crashesOf(Tracker.m_Evidence, Request) == 0;
+         crashesOf(Tracker.m_Evidence, Request) == 0 &&
+         !isRouteSuspect(Tracker.m_Own.m_Evidence, Request) &&
+         !isRouteSuspect(Tracker.m_Evidence, Request);
 }
 
 void recordSound(TraitTracker &Tracker, const RequestTraits &Request,
