Run requests of a suspect route at one target of their service

Callers of all routes of a service lost its three targets together while requests of one route crashed them. Each such request is new, so that only the route tells of it. While the route is suspect its requests run at one target, which all entries choose by its address, also while it restarts; the other targets serve the other routes. Requests that a target has answered with a failure of its own are retried anywhere.

--- a/apps/entry/src/CrashTraits.h
+++ b/apps/entry/src/CrashTraits.h
@@ -28,6 +28,10 @@
   mayRetryAfterCrash(const retries::RequestTraits &Request) const {
     return retries::mayRetryAfterCrash(m_Tracker, Request);
   }
+  [[nodiscard]] bool
+  isRouteSuspect(const retries::RequestTraits &Request) const {
+    return retries::isRouteSuspect(m_Tracker, Request);
+  }
   void recordSound(const retries::RequestTraits &Request, TimePoint Now) {
     retries::recordSound(m_Tracker, Request, Now);
   }
--- a/apps/entry/src/FleetView.cpp
+++ b/apps/entry/src/FleetView.cpp
@@ -124,6 +124,32 @@
   return Names;
 }
 
+FleetView::Isolation FleetView::isolation(const std::string &Service) const {
+  std::uint64_t Best = 0;
+  std::string Address;
+  bool IsUsed = false;
+  for (const auto &[Id, Target] : m_Targets) {
+    const wire::Target &Given = Target.m_Description;
+    const bool Stays = Given.state() == "serving" || Given.state() == "lost";
+    if (Given.kind() != "service" || !Stays || Given.models().empty() ||
+        Given.models(0) != Service)
+      continue;
+    const std::uint64_t Score = hashBytes(Given.address(), hashBytes(Service));
+    IsUsed = IsUsed || (!Address.empty() && Given.address() != Address);
+    if (!Address.empty() && Score <= Best)
+      continue;
+    Best = Score;
+    Address = Given.address();
+  }
+  Isolation Result;
+  Result.m_IsUsed = IsUsed;
+  for (const auto &[Id, Target] : m_Targets)
+    if (Target.m_Description.address() == Address &&
+        Target.m_Description.state() == "serving" && Target.m_Address)
+      Result.m_Target = Id;
+  return Result;
+}
+
 void FleetView::fillBarriers(const routing::State &Routing,
                              wire::EntryReport &Report) const {
   for (const auto &[Id, Target] : m_Targets) {
--- a/apps/entry/src/FleetView.h
+++ b/apps/entry/src/FleetView.h
@@ -41,6 +41,15 @@
   /// Whether the target gets no new work and waits for what runs there.
   [[nodiscard]] bool isClosing(const TargetId &Id) const;
   [[nodiscard]] std::set<std::string> servedModels() const;
+
+  /// The target of a service that alone runs requests of suspect routes.
+  struct Isolation {
+    bool m_IsUsed = false; ///< False if the service has one address only.
+    TargetId m_Target;     ///< Empty while none serves at the address.
+  };
+  /// Entries that know the same addresses choose the same one, also while its
+  /// target restarts.
+  [[nodiscard]] Isolation isolation(const std::string &Service) const;
   [[nodiscard]] std::size_t size() const { return m_Targets.size(); }
 
   /// Acknowledges the generation of every target that gets no new work.
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -311,7 +311,7 @@
     return waitUntil(Now + LeaseLook);
   }
   routing::Request Wanted = routingRequest();
-  if (!passGate(Wanted, Now))
+  if (!passGate(Wanted, Now) || !isolate(Wanted))
     return;
   placeAt(std::move(Wanted), Now);
 }
@@ -362,10 +362,29 @@
   return true;
 }
 
+bool Serving::isolate(routing::Request &Wanted) {
+  // One that a target has answered does not crash targets.
+  if (!m_Asked.m_Passed || !m_Asked.isService() || m_Failing ||
+      !m_Shared.m_Traits.isRouteSuspect(m_Traits))
+    return true;
+  const FleetView::Isolation Only = m_Shared.m_Fleet.isolation(m_Asked.m_Model);
+  if (!Only.m_IsUsed)
+    return true;
+  const bool HasFailed =
+      std::find(m_Avoid.begin(), m_Avoid.end(), Only.m_Target) != m_Avoid.end();
+  if (Only.m_Target.empty() || HasFailed) {
+    giveUp(Refusal::NoTarget, outcomeSoFar(), Error{"isolation", "", ""});
+    return false;
+  }
+  Wanted.m_RequiredTarget = Only.m_Target;
+  return true;
+}
+
 void Serving::placeAt(routing::Request Wanted, TimePoint Now) {
   auto Where =
       routing::choose(m_Shared.m_Routing, Wanted, Now, m_Shared.m_Random);
-  if (failed(Where) && Wanted.m_RequiredTarget) {
+  // A gate requires the target of copies in flight only if it can be had.
+  if (failed(Where) && Wanted.m_RequiredTarget && !m_Asked.m_Passed) {
     Wanted.m_RequiredTarget.reset();
     Where = routing::choose(m_Shared.m_Routing, Wanted, Now, m_Shared.m_Random);
   }
--- a/apps/entry/src/Serving.h
+++ b/apps/entry/src/Serving.h
@@ -67,6 +67,10 @@
   void takeKey(const KeyAnswer &Answer);
   void place();
   void placeAt(routing::Request Wanted, TimePoint Now);
+  /// Places a request of a route whose requests crash targets at the one target
+  /// that runs them, so that the others are kept for the rest. \returns false
+  /// if it was refused.
+  bool isolate(routing::Request &Wanted);
   void send(routing::Choice Where, TimePoint Now);
   void waitUntil(TimePoint When);
   [[nodiscard]] routing::Request routingRequest() const;
--- a/libs/retries/include/retries/retries.h
+++ b/libs/retries/include/retries/retries.h
@@ -505,6 +505,8 @@
                                           const RequestTraits &Request,
                                           TimePoint Now);
 
+bool isRouteSuspect(const TraitTracker &Tracker, const RequestTraits &Request);
+
 /// Whether a request that waited at a crashed target may be tried again: not if
 /// an earlier crash speaks against it as well, or against its route.
 bool mayRetryAfterCrash(const TraitTracker &Tracker,
--- a/libs/retries/src/TraitTable.cpp
+++ b/libs/retries/src/TraitTable.cpp
@@ -182,6 +182,8 @@
   TraitQuarantine &New = Table.m_Quarantines.back();
   New.m_EndsAt = Now + Table.m_Settings.m_FirstCrashQuarantine;
   New.m_ForgottenAt = New.m_EndsAt;
+  Table.m_Evidence[Request.m_Route].m_ExpiresAt =
+      Now + Table.m_Settings.m_RouteSuspicion;
 }
 
 /// Quarantines the largest sets first: a part that comes with the guilty one
--- a/libs/retries/src/TraitTracker.cpp
+++ b/libs/retries/src/TraitTracker.cpp
@@ -50,13 +50,17 @@
   return Told && Own ? std::max(Told, Own) : Told ? Told : Own;
 }
 
+bool isRouteSuspect(const TraitTracker &Tracker, const RequestTraits &Request) {
+  return isRouteSuspect(Tracker.m_Own.m_Evidence, Request) ||
+         isRouteSuspect(Tracker.m_Evidence, Request);
+}
+
 bool mayRetryAfterCrash(const TraitTracker &Tracker,
                         const RequestTraits &Request) {
   // The crash itself is in the entry's own table, and not yet in control's.
   return crashesOf(Tracker.m_Own.m_Evidence, Request) <= 1 &&
          crashesOf(Tracker.m_Evidence, Request) == 0 &&
-         !isRouteSuspect(Tracker.m_Own.m_Evidence, Request) &&
-         !isRouteSuspect(Tracker.m_Evidence, Request);
+         !isRouteSuspect(Tracker, Request);
 }
 
 void recordSound(TraitTracker &Tracker, const RequestTraits &Request,
