Decode the software version of targets and the first attempt of resumed streams

A registration's version of the software and the field Resumes were not read, so that no line told at which version a stream ran. Nothing decides by them yet.

--- a/apps/control/src/RegistryApi.cpp
+++ b/apps/control/src/RegistryApi.cpp
@@ -39,6 +39,7 @@
   Target.set_started_ms(
       static_cast<std::uint64_t>(Beat.m_StartedAt.time_since_epoch().count()));
   Target.set_self_managed(true);
+  Target.set_software_version(Announcement.m_SoftwareVersion);
   return Target;
 }
 
@@ -55,6 +56,7 @@
          Known.m_Address == Announced.address() &&
          Known.m_Role == Announced.role() &&
          Known.m_MaxRunning == Announced.max_running() &&
+         Known.m_SoftwareVersion == Announced.software_version() &&
          Known.m_State != fleet::TargetState::Lost;
 }
 
--- a/apps/entry/src/FleetView.cpp
+++ b/apps/entry/src/FleetView.cpp
@@ -43,6 +43,7 @@
   if (Given.decode_tokens_per_second() > 0)
     Made.m_DecodeTokensPerSecond = Given.decode_tokens_per_second();
   Made.m_KvBlocks = static_cast<std::uint32_t>(Given.kv_blocks());
+  Made.m_SoftwareVersion = Given.software_version();
   Made.m_MaxRunning = std::max(1U, Given.max_running());
   if (Made.m_KvBlocks == 0 && Given.models_size() > 0)
     if (const auto Service = Routes.m_Services.find(Given.models(0));
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -424,6 +424,7 @@
        {"route", m_Asked.m_Caller},
        {"routes", m_Shared.m_Routes.table().m_Version},
        {"target", Where.m_Run.m_Target},
+       {"version", Run->m_Description.software_version()},
        {"prefill_at", Where.m_Prefill ? Where.m_Prefill->m_Target : TargetId{}},
        {"fetch_from",
         Where.m_FetchFrom ? Where.m_FetchFrom->m_Target : TargetId{}},
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -115,6 +115,7 @@
   /// address a later start replaces an earlier one.
   std::uint64_t m_StartedMs = 0;
   /// It joins and leaves without orders; only its role can be ordered.
+  std::string m_SoftwareVersion;
   bool m_SelfManaged = false;
   bool m_Held = false; ///< Taken out of service while its role changes.
 
--- a/libs/fleet/src/Snapshot.cpp
+++ b/libs/fleet/src/Snapshot.cpp
@@ -71,6 +71,7 @@
   Target.m_MaxRunning = Announcement.max_running();
   Target.m_StartedMs = Announcement.started_ms();
   Target.m_SelfManaged = Announcement.self_managed();
+  Target.m_SoftwareVersion = Announcement.software_version();
   Target.m_Held = Announcement.held();
   Target.m_PrefillTokensPerSecond = Announcement.prefill_tokens_per_second();
   Target.m_DecodeTokensPerSecond = Announcement.decode_tokens_per_second();
--- a/libs/fleet/src/Targets.cpp
+++ b/libs/fleet/src/Targets.cpp
@@ -64,6 +64,7 @@
   Target.m_DecodeTokensPerSecond = Announcement.decode_tokens_per_second();
   Target.m_StartedMs = Announcement.started_ms();
   Target.m_SelfManaged = Announcement.self_managed();
+  Target.m_SoftwareVersion = Announcement.software_version();
 }
 
 /// Whether the announcing process started later than \p Holder at the same
@@ -81,6 +82,7 @@
   copyAnnouncement(Next, Announcement);
   return Next.m_Role != Current.m_Role || Next.m_Models != Current.m_Models ||
          Next.m_MaxRunning != Current.m_MaxRunning ||
+         Next.m_SoftwareVersion != Current.m_SoftwareVersion ||
          Next.m_KvBlocks != Current.m_KvBlocks;
 }
 
--- a/libs/fleet/src/View.cpp
+++ b/libs/fleet/src/View.cpp
@@ -81,6 +81,7 @@
   Result.set_max_running(Target.m_MaxRunning);
   Result.set_started_ms(Target.m_StartedMs);
   Result.set_self_managed(Target.m_SelfManaged);
+  Result.set_software_version(Target.m_SoftwareVersion);
   Result.set_held(Target.m_Held);
   return Result;
 }
--- a/libs/relay/include/relay/relay.h
+++ b/libs/relay/include/relay/relay.h
@@ -51,6 +51,9 @@
   std::uint32_t m_ExpectedTokens = 0; ///< Caller's estimate; zero if unknown.
   std::vector<PromptPart> m_PromptParts; ///< In prompt order.
   std::uint64_t m_LastEventId = 0;       ///< Last event that the caller has.
+  /// Id of the attempt that brought the first event of a resumed stream; empty
+  /// if not given.
+  std::string m_FirstAttempt;
 
   bool operator==(const CallerRequest &) const = default;
 };
--- a/libs/targets/include/targets/targets.h
+++ b/libs/targets/include/targets/targets.h
@@ -81,6 +81,7 @@
   std::uint64_t m_MaxRunning = 1;
   std::uint64_t m_PrefillTokensPerSecond = 0;
   std::uint64_t m_DecodeTokensPerSecond = 0; ///< Of one stream.
+  std::string m_SoftwareVersion; ///< Of its program, not of the weights.
 
   bool operator==(const Announcement &) const = default;
 };
