Let the failing test of two software versions stall rather than reset

A target that resets right after its events loses them on the way, so that the test failed for another reason.

--- a/apps/entry/tests/PassedTest.cpp
+++ b/apps/entry/tests/PassedTest.cpp
@@ -5,7 +5,6 @@
 #include "World.h"
 #include "events/events.h"
 
-#include <array>
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 #include <sstream>
@@ -595,43 +594,38 @@
 
 SCENARIO("a stream does not go on at another software version") {
   Shop On;
-  std::array<int, 3> Resumed{};
-  const auto Engine = [&](std::size_t Index, const std::string &Version,
-                          const Play &Each) {
-    On.addEngine("decode", [&Resumed, Index, Each](const Exchange &Arrived) {
-        if (!http::field(Arrived->request().m_Fields, "seen").empty())
-          ++Resumed[Index];
-        Each(Arrived);
+  std::vector<std::string> Ran; // Versions, in the order of the runs.
+  // A fresh run stalls after three events, a resumed one is whole.
+  const auto Add = [&](const std::string &Version) {
+    On.addEngine("decode", [&Ran, Version](const Exchange &Arrived) {
+        Ran.push_back(Version);
+        const bool IsResumed =
+            !http::field(Arrived->request().m_Fields, "seen").empty();
+        streams(IsResumed ? 6 : 3, IsResumed)(Arrived);
       }).set_software_version(Version);
   };
-  const Play Breaks = [](const Exchange &Arrived) {
-    streams(3, false)(Arrived);
-    Arrived->abort();
-  };
-  const Play Resumes = [](const Exchange &Arrived) {
-    if (http::field(Arrived->request().m_Fields, "seen").empty())
-      return Arrived->relay(503, {{"Not-Run", "1"}}, "");
-    streams(6, true)(Arrived);
-  };
-  Engine(0, "v1", Breaks);
-  Engine(1, "v2", Resumes);
   const auto Ask = [&] {
     On.warmUp();
     return On.ask("POST", "/oracle/7", {{"Prompt", "300"}});
   };
-  GIVEN("another target of the version that began it") {
-    Engine(2, "v1", Resumes);
-    const Answered Got = Ask();
-    THEN("that one goes on") {
-      CHECK(Got.m_Status == 200);
-      CHECK(Resumed == std::array<int, 3>{0, 0, 1});
+  GIVEN("two targets of each of two versions") {
+    for (const char *Version : {"v1", "v1", "v2", "v2"})
+      Add(Version);
+    THEN("the version that began it goes on") {
+      for (int Times = 0; Times < 4; ++Times) {
+        Ran.clear();
+        CHECK(Ask().m_Status == 200);
+        REQUIRE(Ran.size() == 2);
+        CHECK(Ran[0] == Ran[1]);
+      }
     }
   }
-  GIVEN("targets of another version only") {
-    const Answered Got = Ask();
+  GIVEN("one target of each version") {
+    Add("v1");
+    Add("v2");
     THEN("the answer breaks off visibly") {
-      CHECK(Got.m_Status == 0);
-      CHECK(Resumed[1] == 0);
+      CHECK(Ask().m_Status == 0);
+      CHECK(Ran.size() == 1);
     }
   }
 }
