Resume a stream at the software version that began it only

Callers got events of two software versions in one answer: when a target failed in the stream, its entry resumed it wherever a target was free, and prompts were prefilled or fetched at one version and decoded at another.

The entry pins the version of the first event; routing takes it as a requirement that failures do not relax, and pairs prefill, decode and fetched prefixes of one version only. If no target of the version is left the answer breaks off visibly.

--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -281,6 +281,7 @@
   Wanted.m_Avoid = m_Avoid;
   if (m_Offset > m_FirstOffset)
     Wanted.m_MaySplit = false;
+  Wanted.m_RequiredVersion = m_StreamVersion;
   return Wanted;
 }
 
@@ -416,6 +417,7 @@
   ++m_Tries;
   m_SentAt = Now;
   m_LastTarget = Where.m_Run.m_Target;
+  m_TargetVersion = Run->m_Description.software_version();
   m_ServiceTime = std::max<Duration>(
       Where.m_Estimate.m_Finish - Where.m_Estimate.m_Start, Duration(0));
   events::emit(
@@ -488,6 +490,7 @@
   else
     Metrics.m_BetweenTokens.record(Now - m_LastPieceAt);
   m_LastPieceAt = Now;
+  m_StreamVersion = m_TargetVersion;
   m_Offset = Piece.m_Offset + Piece.m_Tokens;
   Metrics.m_Tokens.add(Piece.m_Tokens);
   Metrics.m_Bytes.add(Piece.m_Text.size());
@@ -656,6 +659,7 @@
   // Nothing was passed on: begin a new stream, so that no line of the former
   // can be taken for one of it.
   m_Writer->restart();
+  m_StreamVersion.reset();
   m_Offset = m_FirstOffset;
   m_StreamId = randomIdentity();
   waitUntil(Again.m_StartTime);
--- a/apps/entry/src/Serving.h
+++ b/apps/entry/src/Serving.h
@@ -117,7 +117,10 @@
   bool m_RunNoted = false; ///< A run is registered with the suspects.
   TargetId m_LastTarget;
   std::string m_StreamId;
-  std::uint64_t m_Offset = 0;      ///< Tokens, or events, taken in order.
+  std::uint64_t m_Offset = 0;  ///< Tokens, or events, taken in order.
+  std::string m_TargetVersion; ///< Software version at the last try.
+  /// Software version that generated the events of this answer so far.
+  std::optional<std::string> m_StreamVersion;
   std::uint64_t m_FirstOffset = 0; ///< What the caller had at the start.
   std::uint32_t m_Runs = 0;        ///< Tries that may have run.
   /// A target's own failure, passed on if no other try does better.
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -125,6 +125,9 @@
   std::optional<TargetId>
       /// If set, no other target may run the request (isolated re-run).
       m_RequiredTarget;
+  /// If set, only targets of this software version may run the request: what
+  /// two versions generate does not fit together.
+  std::optional<std::string> m_RequiredVersion;
   /// False for requests that must not be sent to an unhealthy target.
   bool m_MayProbe = true;
   /// False when prefill and decode must run on the same engine.
--- a/libs/routing/src/Choose.cpp
+++ b/libs/routing/src/Choose.cpp
@@ -49,7 +49,9 @@
 
 /// Whether the target must not get this request now.
 bool isExcluded(const TargetSearch &Search, const Slot &TargetSlot) {
+  const auto &Version = Search.m_Request.m_RequiredVersion;
   return isAvoided(Search.m_Request, TargetSlot) ||
+         (Version && TargetSlot.m_Target.m_SoftwareVersion != *Version) ||
          !hasRateToken(TargetSlot, Search.m_Now);
 }
 
@@ -115,11 +117,20 @@
   Search.m_Prefill = PrefillCost;
 }
 
+/// Whether KV memory of one target fits the other.
+bool haveSameVersion(const TargetSearch &Search, SlotIndex Left,
+                     SlotIndex Right) {
+  return Search.slot(Left).m_Target.m_SoftwareVersion ==
+         Search.slot(Right).m_Target.m_SoftwareVersion;
+}
+
 void considerDecode(TargetSearch &Search, SlotIndex Index,
                     double AffinityValue) {
   const Slot &TargetSlot = Search.slot(Index);
   if (!isEligible(TargetSlot) || isExcluded(Search, TargetSlot))
     return;
+  if (!haveSameVersion(Search, Index, *Search.m_PrefillSlot))
+    return;
   if (Index == *Search.m_PrefillSlot || !admitsDuringWarmUp(Search, TargetSlot))
     return;
   Candidate Proposal;
@@ -343,6 +354,7 @@
   if (Best && Source) {
     const SlotIndex PrefillEngine = Best->m_Prefill.value_or(Best->m_Run);
     if (PrefillEngine != *Source &&
+        haveSameVersion(Search, PrefillEngine, *Source) &&
         !hasPrefix(Search.slot(PrefillEngine),
                    prefixHash(Search.m_Request.m_Blocks)))
       Best->m_FetchFrom = Source;
