--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -68,7 +68,7 @@
   double m_DecodeTokensPerSecond = 50; ///< Rate of a single stream.
   std::uint32_t m_KvBlocks = 0;        ///< Zero: unlimited.
   std::uint32_t m_MaxRunning = 1;
-  bool m_Serving = false; ///< False while draining, leaving or lost.
+  bool m_Serving = false;        ///< False while draining, leaving or lost.
   std::string m_SoftwareVersion; ///< Versions have no order.
 
   bool operator==(const Target &) const = default;
