--- a/apps/entry/src/Entry.h
+++ b/apps/entry/src/Entry.h
@@ -36,6 +36,7 @@
   void reload(const EntrySettings &Next) { m_Control->reload(Next); }
   /// Brings gauges up to date.
   void updateGauges();
+  [[nodiscard]] DataPath &requests() { return *m_Requests; }
 
 private:
   Entry(event_base *Loop, const EntrySettings &Settings,
