Add a failing test of requests that are cut by the end of their process

The test stops an entry whose callers go on using open connections, sends a stream that the rest of its time can't finish, and reads an answer slowly.

--- /dev/null
+++ b/apps/entry/tests/StopTest.cpp
@@ -0,0 +1,186 @@
+// Requests around the end of the process that took them.
+
+#include "Shop.h"
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <cerrno>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace wasabivale::entry::test {
+
+namespace {
+
+/// Answers after \p Delay, as a target at work does.
+Play answersAfter(Shop &Around, std::chrono::milliseconds Delay,
+                  const std::string &Body) {
+  return [&Around, Delay, Body](const Exchange &Request) {
+    Around.m_Restarts.push_back(
+        std::make_unique<http::Timer>(Around.m_Loop.m_Base, Delay, false,
+                                      [=] { answers(200, Body)(Request); }));
+  };
+}
+
+/// Callers with open connections to an entry, which they go on using.
+class Callers {
+public:
+  Callers(Shop &Around, int Connections)
+      : m_Around(Around), m_Pool(Around.m_Loop.m_Base, {}) {
+    for (int I = 0; I < Connections; ++I)
+      send();
+    REQUIRE(Around.m_Loop.until([&] { return open() == 0; }));
+    REQUIRE(m_Pool.idle() == std::size_t(Connections));
+    m_Sent.clear();
+    Around.m_Seen.clear();
+  }
+
+  /// Sends a call on an open connection, if there is one.
+  void send() {
+    const std::string Id = "r-" + std::to_string(m_Next++);
+    http::ClientRequest Out;
+    Out.m_To = {"127.0.0.1", EntryPort};
+    Out.m_Path = "/book/7";
+    Out.m_Fields = {{"Host", "shop.example"}, {"Attempt", Id}};
+    Out.m_Body = "body";
+    Out.m_Deadline = BootClock::now() + std::chrono::seconds(5);
+    auto Got = std::make_shared<Answered>();
+    http::ClientHandlers Handlers;
+    Handlers.m_OnDone = [Got](const Result<http::Response> &Ending) {
+      if (!failed(Ending))
+        Got->m_Status = valueOf(Ending).m_Status;
+      Got->m_Ended = true;
+    };
+    (void)m_Pool.call(std::move(Out), std::move(Handlers), true);
+    m_Sent[Id] = Got;
+  }
+
+  [[nodiscard]] std::size_t idle() const { return m_Pool.idle(); }
+  [[nodiscard]] int open() const {
+    int Count = 0;
+    for (const auto &[Id, Each] : m_Sent)
+      Count += Each->m_Ended ? 0 : 1;
+    return Count;
+  }
+  /// Requests that a target got and whose callers were never answered.
+  [[nodiscard]] int cut() const {
+    int Count = 0;
+    for (const http::Request &Each : m_Around.m_Seen)
+      if (const auto Found =
+              m_Sent.find(std::string(http::field(Each.m_Fields, "attempt")));
+          Found != m_Sent.end())
+        Count += Found->second->m_Status == 0 ? 1 : 0;
+    return Count;
+  }
+
+private:
+  Shop &m_Around;
+  http::Pool m_Pool;
+  std::map<std::string, std::shared_ptr<Answered>> m_Sent;
+  int m_Next = 0;
+};
+
+/// A caller whose kernel takes little of an answer before it is read.
+class SlowReader {
+public:
+  explicit SlowReader(const std::string &Request)
+      : m_Socket(socket(AF_INET, SOCK_STREAM, 0)) {
+    constexpr int BufferBytes = 4096;
+    setsockopt(m_Socket, SOL_SOCKET, SO_RCVBUF, &BufferBytes,
+               sizeof(BufferBytes));
+    sockaddr_in To{};
+    To.sin_family = AF_INET;
+    To.sin_port = htons(EntryPort);
+    To.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(connect(m_Socket, reinterpret_cast<sockaddr *>(&To), sizeof(To)) ==
+            0);
+    REQUIRE(::send(m_Socket, Request.data(), Request.size(), 0) ==
+            static_cast<ssize_t>(Request.size()));
+  }
+  ~SlowReader() { close(m_Socket); }
+  SlowReader(const SlowReader &) = delete;
+  SlowReader &operator=(const SlowReader &) = delete;
+
+  /// Appends what has arrived. \returns whether the connection has ended.
+  bool readMore(std::string &Got) const {
+    std::array<char, 65536> Bytes{};
+    ssize_t Count = 0;
+    while ((Count = recv(m_Socket, Bytes.data(), Bytes.size(), MSG_DONTWAIT)) >
+           0)
+      Got.append(Bytes.data(), static_cast<std::size_t>(Count));
+    return Count == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  }
+
+private:
+  int m_Socket;
+};
+
+/// Asks the entry to stop; its process ends when it says that it is done.
+void stop(Shop &Stopping) {
+  Stopping.m_Entry->stop([&Stopping] {
+    Stopping.m_Restarts.push_back(std::make_unique<http::Timer>(
+        Stopping.m_Loop.m_Base, std::chrono::milliseconds(0), false,
+        [&Stopping] { Stopping.end(); }));
+  });
+}
+
+} // namespace
+
+SCENARIO("a request is not cut by the end of the process that took it") {
+  Shop On;
+  On.m_Settings.m_StopLag = 150ms;
+  On.m_Settings.m_StopPatience = 600ms;
+  GIVEN("callers that go on using open connections") {
+    On.open({answersAfter(On, 40ms, "booked")});
+    Callers Around(On, 40);
+    WHEN("the process stops while they send") {
+      stop(On);
+      while (On.m_Entry != nullptr) {
+        if (Around.idle() > 0)
+          Around.send();
+        On.m_Loop.turnFor(50ms);
+      }
+      On.m_Loop.turnFor(100ms);
+      THEN("whatever reached a target is answered") {
+        CHECK(On.m_Seen.size() > 2);
+        CHECK(Around.cut() == 0);
+      }
+    }
+  }
+  GIVEN("an engine that streams for longer than the process has") {
+    On.addEngine("decode", streams(1, false));
+    On.warmUp();
+    WHEN("a stream arrives while the balancer may still send callers") {
+      stop(On);
+      On.m_Loop.turnFor(50ms);
+      const auto Got = On.start("POST", "/oracle/7", {{"Waits-S", "4"}});
+      On.m_Loop.turnFor(50ms);
+      THEN("it is refused at once, and has not run") {
+        CHECK(Got->m_Status == 503);
+        CHECK(On.m_Seen.empty());
+      }
+      REQUIRE(On.m_Loop.until([&] { return On.m_Entry == nullptr; }));
+    }
+  }
+  GIVEN("an answer that its caller takes its time to read") {
+    const std::string Body(3U << 20U, 'x');
+    On.open({answers(200, Body)});
+    const SlowReader Caller("POST /book/7 HTTP/1.1\r\nHost: shop.example\r\n"
+                            "Attempt: r-1\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(On.m_Loop.until([&] { return !On.m_Seen.empty(); }));
+    WHEN("the process stops meanwhile") {
+      stop(On);
+      On.m_Loop.turnFor(400ms);
+      std::string Got;
+      REQUIRE(On.m_Loop.until([&] { return Caller.readMore(Got); }));
+      THEN("the caller gets all of it") {
+        CHECK(Got.rfind("HTTP/1.1 200", 0) == 0);
+        CHECK(Got.size() > Body.size());
+      }
+      REQUIRE(On.m_Loop.until([&] { return On.m_Entry == nullptr; }));
+    }
+  }
+}
+
+} // namespace wasabivale::entry::test
