Refuse what a stopping process can't finish, and close only what is idle

Cause: three. Between the last look at open requests and the end of the loop lay 100 ms in which calls were still taken. For 0.4 of the grace each stream was taken as if the process were not stopping. An answer that waited in a connection's buffer counted as given. Class: an end that is decided by a look at the state of some time before.

Change: libs/shutdown holds the deadlines and stages of a process that stops. A request is taken if its deadline lies before the process exits, or, while the balancer may send its caller here again, if its estimate does with a margin; else it is refused at once with not_run. Tries and waiting requests are held to the same. New requests are refused before connections are closed; idle connections alone are closed, unread bytes are read first, and the process ends with the last connection or at its last deadline.

Its callers now stop with 3 s of patience: with 600 ms their calls of 1.5 s are rightly refused. The scenario of streams refused in PassedTest is replaced: calls were served there after the time for streams was over, which is what cut them.

--- a/apps/entry/src/Context.h
+++ b/apps/entry/src/Context.h
@@ -17,9 +17,11 @@
 #include "relay/relay.h"
 #include "retries/retries.h"
 #include "routing/routing.h"
+#include "shutdown/shutdown.h"
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace wasabivale::entry {
@@ -64,6 +66,8 @@
   CrashTraits m_Traits{m_Loop};
   RateLimits m_RateLimits{m_Fleet, m_Routing};
   std::map<std::string, ModelUse> m_Models; ///< By model; not services.
+  /// Set once the process was asked to stop.
+  std::optional<shutdown::Schedule> m_StopSchedule;
 };
 
 } // namespace wasabivale::entry
--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -119,7 +119,9 @@
 void DataPath::take(const std::shared_ptr<http::Exchange> &Arrived) {
   const TimePoint Now = BootClock::now();
   const RequestId Id{randomIdentity()};
-  if (m_Stopping)
+  if (m_Shared.m_StopSchedule)
+    Arrived->closeAfter();
+  if (m_RefusesAll)
     return refuse(*Arrived, Id, notRun(Refusal::Stopping, "stop"));
   auto Read = readArrival(Arrived->request(), m_Shared.m_Configuration,
                           {m_Shared.m_Settings.m_AllowAnonymous}, Now);
@@ -154,7 +156,7 @@
 
 void DataPath::takePassed(const std::shared_ptr<http::Exchange> &Arrived) {
   const TimePoint Now = BootClock::now();
-  if (m_Closing)
+  if (m_Shared.m_StopSchedule)
     Arrived->closeAfter();
   auto Read = readPassed(Arrived->request(), m_Shared.m_Routes,
                          *m_Shared.m_Dialect, m_Shared.m_MeanPrompts, Now);
@@ -162,8 +164,7 @@
     return refusePassed(*Arrived, {}, *Why);
   Arrival &Asked = std::get<Arrival>(Read);
   m_Shared.m_Metrics.m_Requests.add();
-  // A stream might be cut by the end of the process; a call is over before.
-  if (m_Stopping && !Asked.isService())
+  if (m_RefusesAll)
     return refusePassed(*Arrived, Asked.m_Id,
                         notRun(Refusal::Stopping, "stop"));
   if (m_Open.size() >= m_Shared.m_Settings.m_Streams)
@@ -235,6 +236,12 @@
   if (failed(Expected))
     return Made->refuseUnstarted(
         {Refusal::NoTarget, untilRateAdmits(m_Shared, Wanted, Now)});
+  if (m_Shared.m_StopSchedule &&
+      !shutdown::mayStart(*m_Shared.m_StopSchedule,
+                          {For.m_Deadline, valueOf(Expected).m_FirstToken,
+                           valueOf(Expected).m_Finish},
+                          Now))
+    return Made->refuseUnstarted({Refusal::Stopping, StoppingRetryAfter});
   // Of a large prompt the estimate counts others that it goes before.
   if (For.m_Passed && For.m_Stream && !For.m_Passed->isLarge()) {
     const Duration First =
@@ -263,6 +270,9 @@
   if (For.m_Passed && For.m_Stream)
     Ask.m_Deadline = std::min(
         Ask.m_Deadline, lastEnd(For, valueOf(Expected), Ask.m_ServiceTime));
+  if (m_Shared.m_StopSchedule)
+    Ask.m_Deadline =
+        std::min(Ask.m_Deadline, m_Shared.m_StopSchedule->m_AnswerBy);
   const limits::Decision Decided = limits::admit(m_Shared.m_Limits, Ask, Now);
   takeRefused(Decided.m_Evicted);
   if (const auto *Why = std::get_if<limits::Refused>(&Decided.m_Verdict))
@@ -365,10 +375,28 @@
     One->check(Now);
   if (m_Shared.m_Settings.m_Routes)
     forgetOldLoads(m_Shared.m_Routing, Now);
+  if (m_Shared.m_StopSchedule)
+    refuseWaitingForStop(Now);
   if (!m_Waiting.empty())
     pump();
 }
 
+void DataPath::startStopping(const shutdown::Schedule &Deadlines) {
+  m_Shared.m_StopSchedule = Deadlines;
+}
+
+void DataPath::refuseWaitingForStop(TimePoint Now) {
+  std::vector<limits::RefusedTicket> Refused;
+  for (const auto &[Ticket, Waiting] : m_Waiting)
+    // Its target, and with it an estimate, is not known before it starts.
+    if (!shutdown::mayStart(*m_Shared.m_StopSchedule,
+                            {Waiting->arrival().m_Deadline, Now, Now}, Now))
+      Refused.push_back({Ticket, {Refusal::Stopping, StoppingRetryAfter}});
+  for (const limits::RefusedTicket &Each : Refused)
+    limits::abandon(m_Shared.m_Limits, Each.m_Ticket, Now);
+  takeRefused(Refused);
+}
+
 bool DataPath::takeFleet(const wire::FleetUpdate &Update) {
   const TimePoint Now = BootClock::now();
   if (!Update.configuration().empty()) {
--- a/apps/entry/src/DataPath.h
+++ b/apps/entry/src/DataPath.h
@@ -47,10 +47,11 @@
   void applyTraits(const wire::TraitsUpdate &Update);
   void takeOthersWork(const wire::OthersWork &Told);
 
+  /// From now on only requests that end in time are taken, and callers are
+  /// asked to open new connections, elsewhere.
+  void startStopping(const shutdown::Schedule &Deadlines);
   /// From now on every new request is refused.
-  void stopTaking() { m_Stopping = true; }
-  /// From now on callers are asked to open new connections, elsewhere.
-  void startClosing() { m_Closing = true; }
+  void stopTaking() { m_RefusesAll = true; }
   /// Requests that are not answered yet.
   [[nodiscard]] std::size_t open() const { return m_Open.size(); }
   /// Ends every request, for a process whose patience is over.
@@ -69,6 +70,8 @@
   void applyRoutes(const wire::RouteTable &Given, TimePoint Now);
   void answerModels(http::Exchange &Arrived);
   void admit(const std::shared_ptr<http::Exchange> &Arrived, Arrival Asked);
+  /// Refuses waiting requests that can't be answered before the process exits.
+  void refuseWaitingForStop(TimePoint Now);
   [[nodiscard]] std::optional<Rejection> refuseAtOnce(TimePoint Now) const;
   void ensureShare(const CallerId &Caller, TimePoint Now);
   [[nodiscard]] limits::Capacity capacity(const ModelId &Name,
@@ -82,8 +85,7 @@
   void applyCallers(const Configuration &Next, TimePoint Now);
 
   Context m_Shared;
-  bool m_Stopping = false;
-  bool m_Closing = false;
+  bool m_RefusesAll = false;
   std::unordered_map<Serving *, std::shared_ptr<Serving>> m_Open;
   std::unordered_map<limits::Ticket, Serving *> m_Waiting;
   /// Until when each caller's share lasts.
--- a/apps/entry/src/Entry.cpp
+++ b/apps/entry/src/Entry.cpp
@@ -9,8 +9,6 @@
 /// Several ends of runs at a draining target share one report.
 constexpr std::chrono::milliseconds ReportDelay{5};
 constexpr std::chrono::milliseconds StopLook{20};
-/// Time for the last report to leave.
-constexpr std::chrono::milliseconds LastReportTime{100};
 
 } // namespace
 
@@ -136,7 +134,7 @@
 }
 
 std::string Entry::notReady() const {
-  if (m_Stopping)
+  if (m_Stop)
     return "stopping";
   if (m_Settings.m_Routes)
     return m_Control->routesVersion() == 0 ? "no routes yet" : "";
@@ -178,38 +176,65 @@
 }
 
 void Entry::stop(std::function<void()> Done) {
-  if (m_Stopping)
+  if (m_Stop)
     return;
-  m_Stopping = true;
+  m_Stop = shutdown::State{shutdown::makeSchedule(BootClock::now(),
+                                                  m_Settings.m_StopLag,
+                                                  m_Settings.m_StopPatience),
+                           shutdown::Stage::Answering,
+                           {}};
   m_OnStopped = std::move(Done);
-  m_Requests->startClosing();
-  m_StopTimer = std::make_unique<http::Timer>(m_Loop, m_Settings.m_StopLag,
-                                              false, [this] { stopTaking(); });
+  m_Requests->startStopping(m_Stop->m_Deadlines);
+  m_StopTimer = std::make_unique<http::Timer>(m_Loop, StopLook, true,
+                                              [this] { advanceStop(); });
 }
 
-void Entry::stopTaking() {
-  for (const auto &Listener : {&m_Callers, &m_PlainCallers})
-    if (*Listener != nullptr)
-      (*Listener)->stopAccepting();
-  m_Requests->stopTaking();
-  m_StopBy = BootClock::now() + m_Settings.m_StopPatience;
-  m_StopTimer = std::make_unique<http::Timer>(m_Loop, StopLook, true, [this] {
-    const bool Late = BootClock::now() >= m_StopBy;
-    if (Late && m_Requests->open() > 0) {
-      events::emit(events::Event::StopPatienceOver,
-                   {{"open", m_Requests->open()}});
-      m_Requests->endAll();
-    }
-    if (m_Requests->open() == 0)
-      finishStop();
-  });
+std::vector<http::Server *> Entry::callerServers() const {
+  std::vector<http::Server *> Servers;
+  for (const auto *Each : {&m_Callers, &m_PlainCallers})
+    if (*Each != nullptr)
+      Servers.push_back(Each->get());
+  return Servers;
 }
 
-void Entry::finishStop() {
-  m_Control->reportNow();
-  m_StopTimer =
-      std::make_unique<http::Timer>(m_Loop, LastReportTime, false, [this] {
-        m_StopTimer.reset();
+void Entry::advanceStop() {
+  const TimePoint Now = BootClock::now();
+  if (shutdown::mustCut(*m_Stop, Now) && m_Requests->open() > 0) {
+    events::emit(events::Event::StopPatienceOver,
+                 {{"open", m_Requests->open()}});
+    m_Requests->endAll();
+  }
+  if (m_Stop->m_Stage == shutdown::Stage::Closing)
+    for (http::Server *Each : callerServers())
+      Each->closeIdle();
+  shutdown::Progress Seen{m_Requests->open(), 0};
+  for (const http::Server *Each : callerServers())
+    Seen.m_Connections += Each->connections();
+  if (!shutdown::advance(*m_Stop, Seen, Now))
+    return;
+  events::emit(
+      events::Event::StopAdvanced,
+      {{"stage", shutdown::stageName(m_Stop->m_Stage)},
+       {"open", Seen.m_OpenRequests},
+       {"connections", Seen.m_Connections},
+       {"left_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                       m_Stop->m_Deadlines.m_ExitBy - Now)
+                       .count()}});
+  enterStage(m_Stop->m_Stage);
+}
+
+void Entry::enterStage(shutdown::Stage Next) {
+  if (Next == shutdown::Stage::Refusing) {
+    for (http::Server *Each : callerServers())
+      Each->stopAccepting();
+    m_Requests->stopTaking();
+    m_Control->reportNow();
+  }
+  if (Next != shutdown::Stage::Exiting)
+    return;
+  // Not from here: the end of the process takes the timer with it.
+  m_StopTimer = std::make_unique<http::Timer>(
+      m_Loop, std::chrono::milliseconds(0), false, [this] {
         if (const auto Done = std::exchange(m_OnStopped, nullptr))
           Done();
       });
--- a/apps/entry/src/Entry.h
+++ b/apps/entry/src/Entry.h
@@ -29,8 +29,9 @@
 
   /// \returns why the entry should get no requests; empty when it should.
   [[nodiscard]] std::string notReady() const;
-  /// Turns unready, goes on taking requests for `m_StopLag`, finishes what runs
-  /// within `m_StopPatience`, reports to control, and calls \p Done.
+  /// Turns unready, takes requests as long as they end within `m_StopLag` and
+  /// `m_StopPatience`, refuses later ones, reports to control, and calls
+  /// \p Done when no caller's connection is open any longer.
   void stop(std::function<void()> Done);
   /// Takes what may change without a restart: where control is looked for.
   void reload(const EntrySettings &Next) { m_Control->reload(Next); }
@@ -44,8 +45,9 @@
   Status listenToPlainRequests();
   Status openControl();
   Status listenToAll();
-  void stopTaking();
-  void finishStop();
+  void advanceStop();
+  void enterStage(shutdown::Stage Next);
+  [[nodiscard]] std::vector<http::Server *> callerServers() const;
   void fillReport(wire::EntryReport &Report);
   void reportSoon();
   [[nodiscard]] LedgerClient::Call controlCall();
@@ -64,8 +66,8 @@
   std::unique_ptr<http::Timer> m_ReportTimer;
   std::unique_ptr<http::Timer> m_StopTimer;
   std::function<void()> m_OnStopped;
-  TimePoint m_StopBy;
-  bool m_Stopping = false;
+  /// Set once the process was asked to stop.
+  std::optional<shutdown::State> m_Stop;
 };
 
 } // namespace wasabivale::entry
--- a/apps/entry/src/EntrySettings.cpp
+++ b/apps/entry/src/EntrySettings.cpp
@@ -132,8 +132,8 @@
 /// Divides the time between the order to stop and the kill: first the balancer
 /// notices, then running requests finish, and the rest is for the last words.
 static void shareStopTime(double Seconds, EntrySettings &To) {
-  constexpr double LagPart = 0.4;
-  constexpr double PatiencePart = 0.5;
+  constexpr double LagPart = 0.35;
+  constexpr double PatiencePart = 0.6;
   constexpr double MillisecondsPerSecond = 1000;
   const auto Part = [&](double Of) {
     return std::chrono::milliseconds(
--- a/apps/entry/src/Rejection.h
+++ b/apps/entry/src/Rejection.h
@@ -33,6 +33,8 @@
 /// The same where fractions are understood: a target that was full or went away
 /// is made up for by another within a few round trips.
 inline constexpr std::chrono::milliseconds DefaultPassedRetryAfter{100};
+/// Of a process that stops: any other takes the request at once.
+inline constexpr std::chrono::milliseconds StoppingRetryAfter{10};
 
 /// The reason of this number, or \p Otherwise when the catalogue has none.
 Refusal refusalFromNumber(std::uint32_t Number, Refusal Otherwise);
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -392,6 +392,12 @@
   if (failed(Where))
     return giveUp(Refusal::NoTarget, outcomeSoFar(), errorOf(Where),
                   untilRateAdmits(m_Shared, Wanted, Now));
+  if (!mayStartBeforeStop(valueOf(Where).m_Estimate, Now)) {
+    routing::recordEnded(m_Shared.m_Routing, valueOf(Where).m_Try,
+                         TryOutcome::NotSent, Now);
+    return giveUp(Refusal::Stopping, outcomeSoFar(), Error{"stop", "", ""},
+                  StoppingRetryAfter);
+  }
   const bool Alone =
       m_Shared.m_Suspects.gate(m_Print, Now).m_Gate == Gate::Isolated;
   const TargetId &Target = valueOf(Where).m_Run.m_Target;
@@ -403,6 +409,16 @@
   send(std::move(valueOf(Where)), Now);
 }
 
+bool Serving::mayStartBeforeStop(const routing::Estimate &Expected,
+                                 TimePoint Now) const {
+  // What its caller has seen the beginning of goes on.
+  if (!m_Shared.m_StopSchedule || m_Writer->hasPassed())
+    return true;
+  return shutdown::mayStart(
+      *m_Shared.m_StopSchedule,
+      {m_Asked.m_Deadline, Expected.m_FirstToken, Expected.m_Finish}, Now);
+}
+
 void Serving::send(routing::Choice Where, TimePoint Now) {
   WASABIVALE_INVARIANT(!(m_Asked.m_NotRepeatable && m_MayHaveRun));
   WASABIVALE_INVARIANT(!m_Asked.isKept() || m_KeyGranted);
--- a/apps/entry/src/Serving.h
+++ b/apps/entry/src/Serving.h
@@ -67,6 +67,9 @@
   void takeKey(const KeyAnswer &Answer);
   void place();
   void placeAt(routing::Request Wanted, TimePoint Now);
+  /// Whether a try that starts now ends before the process exits.
+  [[nodiscard]] bool mayStartBeforeStop(const routing::Estimate &Expected,
+                                        TimePoint Now) const;
   /// Places a request of a route whose requests crash targets at the one target
   /// that runs them, so that the others are kept for the rest. \returns false
   /// if it was refused.
--- a/apps/entry/tests/PassedTest.cpp
+++ b/apps/entry/tests/PassedTest.cpp
@@ -51,18 +51,31 @@
   Shop On;
   On.addEngine("decode", streams(1, true));
   On.open({answers(200, "three left")});
-  On.m_Path->startClosing();
-  THEN("it asks callers to come by another connection") {
-    CHECK(http::field(On.ask("POST", "/book/7").m_Fields, "connection") ==
-          "close");
-  }
-  WHEN("its time to take streams is over") {
-    On.m_Path->stopTaking();
-    THEN("short calls are still served") {
+  GIVEN("three seconds until its answers must be complete") {
+    const TimePoint Now = BootClock::now();
+    On.m_Path->startStopping({Now, Now + 3s, Now + 3s, Now + 3s});
+    THEN("it asks callers to come by another connection") {
+      CHECK(http::field(On.ask("POST", "/book/7").m_Fields, "connection") ==
+            "close");
+    }
+    THEN("what is answered by then whatever happens is served") {
       CHECK(On.ask("POST", "/book/7").m_Status == 200);
+      CHECK(On.ask("POST", "/oracle/7").m_Status == 200);
+    }
+    THEN("what may take longer is refused truly") {
+      // The deadline of its route is in two seconds.
+      On.m_Path->startStopping({Now, Now + 1s, Now + 1s, Now + 1s});
+      const Answered Got = On.ask("POST", "/oracle/7", {{"Waits-S", "4"}});
+      CHECK(Got.m_Status == 503);
+      CHECK(On.m_Seen.empty());
     }
-    THEN("streams are refused truly") {
-      CHECK(On.ask("POST", "/oracle/7").m_Status == 503);
+    WHEN("nothing is taken any longer") {
+      On.m_Path->stopTaking();
+      THEN("calls and streams are refused truly") {
+        CHECK(On.ask("POST", "/book/7").m_Status == 503);
+        CHECK(On.ask("POST", "/oracle/7").m_Status == 503);
+        CHECK(On.m_Seen.empty());
+      }
     }
   }
 }
--- a/apps/entry/tests/StopTest.cpp
+++ b/apps/entry/tests/StopTest.cpp
@@ -132,6 +132,7 @@
   On.m_Settings.m_StopLag = 150ms;
   On.m_Settings.m_StopPatience = 600ms;
   GIVEN("callers that go on using open connections") {
+    On.m_Settings.m_StopPatience = 3s;
     On.open({answersAfter(On, 40ms, "booked")});
     Callers Around(On, 40);
     WHEN("the process stops while they send") {
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -141,6 +141,9 @@
   [[nodiscard]] virtual std::uint64_t slowSenders() const = 0;
   /// Stops accepting connections; those that are open go on.
   virtual void stopAccepting() = 0;
+  /// Closes the connections on which nothing is under way: no request is being
+  /// received or answered, and no byte waits to be read or written.
+  virtual void closeIdle() = 0;
 };
 
 /// Listens on \p At. \p Loop must outlive the server. Exchanges that outlive
--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -3,6 +3,7 @@
 
 #include <cstring>
 #include <event2/bufferevent.h>
+#include <sys/ioctl.h>
 #include <unordered_map>
 #include <utility>
 
@@ -302,7 +303,28 @@
       evhttp_del_accept_socket(m_Http, std::exchange(m_Socket, nullptr));
   }
 
+  void closeIdle() override {
+    std::vector<evhttp_connection *> Idle;
+    for (const auto &[Raw, Known] : m_Open)
+      if (isIdle(Raw, *Known))
+        Idle.push_back(Raw);
+    for (evhttp_connection *Raw : Idle)
+      evhttp_connection_free(Raw);
+  }
+
 private:
+  static bool isIdle(evhttp_connection *Raw, const Connection &Known) {
+    if (Known.m_Current != nullptr || Known.m_FirstByte != TimePoint::max())
+      return false;
+    bufferevent *Buffer = evhttp_connection_get_bufferevent(Raw);
+    if (evbuffer_get_length(bufferevent_get_output(Buffer)) > 0)
+      return false;
+    // What the kernel holds would be lost, and reset the connection.
+    int Unread = 0;
+    return ioctl(bufferevent_getfd(Buffer), FIONREAD, &Unread) != 0 ||
+           Unread == 0;
+  }
+
   struct Accepted {
     ServerState *m_Owner;
     bufferevent *m_Buffer;
--- /dev/null
+++ b/libs/shutdown/include/shutdown/shutdown.h
@@ -0,0 +1,81 @@
+/// \file
+/// Graceful shutdown of a process that answers requests: which requests it may
+/// still start once it was asked to stop, and what it does when. Decides only;
+/// reads no clock and does no I/O.
+
+#ifndef WASABIVALE_SHUTDOWN_SHUTDOWN_H
+#define WASABIVALE_SHUTDOWN_SHUTDOWN_H
+
+#include "base/base.h"
+
+#include <cstddef>
+#include <string_view>
+
+namespace wasabivale::shutdown {
+
+/// Deadlines of a process that was asked to stop, in their order.
+struct Schedule {
+  /// Until then the balancer may still send new connections here.
+  TimePoint m_BalancedUntil;
+  /// Every answer is to be complete by then.
+  TimePoint m_AnswerBy;
+  /// What is still open is ended then.
+  TimePoint m_CutAt;
+  /// The process exits then, whatever has not been written yet.
+  TimePoint m_ExitBy;
+};
+
+/// \param BalancerLag longest time until the balancer sends no new connections.
+/// \param Patience time for answers after that.
+Schedule makeSchedule(TimePoint StopAt, Duration BalancerLag,
+                      Duration Patience);
+
+/// When a request ends, as far as is known.
+struct Work {
+  /// Of its caller or its route: it is answered by then, well or badly.
+  TimePoint m_Deadline;
+  TimePoint m_FirstByteAt; ///< Expected.
+  TimePoint m_FinishAt;    ///< Expected.
+};
+
+/// Whether a request may start: its answer is complete before the process
+/// exits. Only its deadline is certain. While the balancer may send its caller
+/// here again, an estimate with a margin will do.
+bool mayStart(const Schedule &Deadlines, const Work &Request, TimePoint Now);
+
+enum class Stage : std::uint8_t {
+  Answering, ///< Takes new connections, and requests that `mayStart`.
+  Refusing,  ///< Refuses new requests on the connections that are open.
+  Closing,   ///< Closes connections on which nothing is under way.
+  Exiting,   ///< The process ends.
+};
+
+/// Name of a stage in log lines, in lower case.
+std::string_view stageName(Stage Value);
+
+struct Progress {
+  std::size_t m_OpenRequests = 0; ///< Not answered yet.
+  std::size_t m_Connections = 0;  ///< Of callers, open.
+};
+
+/// How long new requests are refused before connections are closed: those that
+/// were on their way are refused rather than cut.
+inline constexpr std::chrono::milliseconds RefusalTime{100};
+
+/// A process that was asked to stop.
+struct State {
+  Schedule m_Deadlines;
+  Stage m_Stage = Stage::Answering;
+  TimePoint m_RefusingSince;
+};
+
+/// Moves on by at most one stage. Call it until the stage stays, after every
+/// change of \p Now or \p Seen. \returns whether the stage has changed.
+bool advance(State &Stopping, const Progress &Seen, TimePoint Now);
+
+/// Whether what is still open must be ended now.
+bool mustCut(const State &Stopping, TimePoint Now);
+
+} // namespace wasabivale::shutdown
+
+#endif // WASABIVALE_SHUTDOWN_SHUTDOWN_H
--- /dev/null
+++ b/libs/shutdown/src/Shutdown.cpp
@@ -0,0 +1,90 @@
+#include "shutdown/shutdown.h"
+
+#include <algorithm>
+
+namespace wasabivale::shutdown {
+
+namespace {
+
+/// Parts of the patience by which answers must be complete before what is open
+/// is ended, and that the last bytes have after that.
+constexpr int AnswerMarginPart = 20;
+constexpr int ExitMarginPart = 30;
+/// Factors by which estimates may be wrong, and the least time that a request
+/// counts with.
+constexpr int FirstByteFactor = 3;
+constexpr int RestFactor = 4;
+constexpr std::chrono::milliseconds LeastTime{1'000};
+
+} // namespace
+
+Schedule makeSchedule(TimePoint StopAt, Duration BalancerLag,
+                      Duration Patience) {
+  Schedule Deadlines;
+  Deadlines.m_BalancedUntil = StopAt + BalancerLag;
+  Deadlines.m_CutAt = Deadlines.m_BalancedUntil + Patience;
+  Deadlines.m_AnswerBy = Deadlines.m_CutAt - Patience / AnswerMarginPart;
+  Deadlines.m_ExitBy = Deadlines.m_CutAt + Patience / ExitMarginPart;
+  return Deadlines;
+}
+
+bool mayStart(const Schedule &Deadlines, const Work &Request, TimePoint Now) {
+  if (Request.m_Deadline <= Deadlines.m_AnswerBy)
+    return true;
+  if (Now >= Deadlines.m_BalancedUntil)
+    return false;
+  const Duration First =
+      std::max<Duration>(Request.m_FirstByteAt - Now, Duration(0));
+  const Duration Rest = std::max<Duration>(
+      Request.m_FinishAt - std::max(Request.m_FirstByteAt, Now), Duration(0));
+  return Now + LeastTime + First * FirstByteFactor + Rest * RestFactor <=
+         Deadlines.m_AnswerBy;
+}
+
+std::string_view stageName(Stage Value) {
+  switch (Value) {
+  case Stage::Answering:
+    return "answering";
+  case Stage::Refusing:
+    return "refusing";
+  case Stage::Closing:
+    return "closing";
+  case Stage::Exiting:
+    return "exiting";
+  }
+  return "";
+}
+
+bool advance(State &Stopping, const Progress &Seen, TimePoint Now) {
+  const Schedule &Deadlines = Stopping.m_Deadlines;
+  const bool AllAnswered = Seen.m_OpenRequests == 0;
+  switch (Stopping.m_Stage) {
+  case Stage::Answering:
+    if (Now < Deadlines.m_AnswerBy &&
+        (Now < Deadlines.m_BalancedUntil || !AllAnswered))
+      return false;
+    Stopping.m_Stage = Stage::Refusing;
+    Stopping.m_RefusingSince = Now;
+    return true;
+  case Stage::Refusing:
+    if (Now < Deadlines.m_CutAt &&
+        (!AllAnswered || Now < Stopping.m_RefusingSince + RefusalTime))
+      return false;
+    Stopping.m_Stage = Stage::Closing;
+    return true;
+  case Stage::Closing:
+    if (Now < Deadlines.m_ExitBy && Seen.m_Connections > 0)
+      return false;
+    Stopping.m_Stage = Stage::Exiting;
+    return true;
+  case Stage::Exiting:
+    return false;
+  }
+  return false;
+}
+
+bool mustCut(const State &Stopping, TimePoint Now) {
+  return Now >= Stopping.m_Deadlines.m_CutAt;
+}
+
+} // namespace wasabivale::shutdown
--- /dev/null
+++ b/libs/shutdown/tests/ShutdownTest.cpp
@@ -0,0 +1,78 @@
+#include "shutdown/shutdown.h"
+
+#include <catch2/catch.hpp>
+
+using namespace wasabivale;
+using namespace wasabivale::shutdown;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint StopAt{100s};
+const Schedule Deadlines = makeSchedule(StopAt, 3s, 4s);
+
+} // namespace
+
+SCENARIO("a stopping process takes what it can answer before it exits") {
+  struct Row {
+    const char *m_Name;
+    Duration m_Age; ///< Since the process was asked to stop.
+    Duration m_TimeToDeadline;
+    Duration m_ToFirstByte; ///< Expected.
+    Duration m_ToFinish;    ///< Expected.
+    bool m_MayStart;
+  };
+  const Row Rows[] = {
+      {"its deadline is before", 0s, 6s, 5s, 6s, true},
+      {"its deadline is after, its estimate well before", 0s, 8s, 200ms, 700ms,
+       true},
+      {"its estimate may be short by a factor", 0s, 8s, 2s, 3s, false},
+      {"balanced elsewhere, and its deadline is before", 5s, 1s, 20ms, 20ms,
+       true},
+      {"balanced elsewhere, and only its estimate is before", 3s, 6s, 20ms,
+       20ms, false},
+      {"at the very end", 6900ms, 500ms, 1ms, 2ms, false},
+  };
+  for (const Row &Each : Rows) {
+    INFO(Each.m_Name);
+    const TimePoint Now = StopAt + Each.m_Age;
+    CHECK(mayStart(Deadlines,
+                   {Now + Each.m_TimeToDeadline, Now + Each.m_ToFirstByte,
+                    Now + Each.m_ToFinish},
+                   Now) == Each.m_MayStart);
+  }
+}
+
+SCENARIO("a stopping process leaves no request between two stages") {
+  State Stopping{Deadlines, Stage::Answering, {}};
+  GIVEN("requests that end while the balancer still sends callers") {
+    CHECK_FALSE(advance(Stopping, {0, 4}, StopAt + 2900ms));
+    WHEN("it sends none any more") {
+      CHECK_FALSE(advance(Stopping, {1, 4}, StopAt + 3100ms));
+      REQUIRE(advance(Stopping, {0, 4}, StopAt + 3200ms));
+      CHECK(Stopping.m_Stage == Stage::Refusing);
+      THEN("what is on its way is refused before connections close") {
+        CHECK_FALSE(advance(Stopping, {0, 4}, StopAt + 3250ms));
+        REQUIRE(advance(Stopping, {0, 4}, StopAt + 3300ms));
+        CHECK(Stopping.m_Stage == Stage::Closing);
+        AND_THEN("it exits when the last connection is closed") {
+          CHECK_FALSE(advance(Stopping, {0, 1}, StopAt + 3400ms));
+          REQUIRE(advance(Stopping, {0, 0}, StopAt + 3500ms));
+          CHECK(Stopping.m_Stage == Stage::Exiting);
+        }
+      }
+    }
+  }
+  GIVEN("a request that does not end") {
+    REQUIRE(advance(Stopping, {1, 1}, Deadlines.m_AnswerBy));
+    CHECK_FALSE(mustCut(Stopping, Deadlines.m_AnswerBy));
+    CHECK_FALSE(advance(Stopping, {1, 1}, Deadlines.m_CutAt - 1ms));
+    THEN("it is cut, and the process exits in time") {
+      CHECK(mustCut(Stopping, Deadlines.m_CutAt));
+      REQUIRE(advance(Stopping, {1, 1}, Deadlines.m_CutAt));
+      CHECK_FALSE(advance(Stopping, {0, 1}, Deadlines.m_CutAt));
+      REQUIRE(advance(Stopping, {0, 1}, Deadlines.m_ExitBy));
+      CHECK(Stopping.m_Stage == Stage::Exiting);
+    }
+  }
+}
