Let a control member's answers be read before it exits

Operators and targets could lose the answer to a call that a stopping member had read: its loop ended at once, with answers in the connections' buffers. Nothing acknowledged was lost; they sent again.

The member now takes no new connections, closes idle ones and waits up to 300 ms for the others.

--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -186,6 +186,21 @@
   return std::monostate{};
 }
 
+void Control::closeIdle() {
+  for (const auto *Server : {&m_OperatorServer, &m_RegistryServer})
+    if (*Server != nullptr) {
+      (*Server)->stopAccepting();
+      (*Server)->closeIdle();
+    }
+}
+
+std::size_t Control::connections() const {
+  std::size_t Count = 0;
+  for (const auto *Server : {&m_OperatorServer, &m_RegistryServer})
+    Count += *Server == nullptr ? 0 : (*Server)->connections();
+  return Count;
+}
+
 std::string Control::notReady() const {
   return m_Replica->leader().empty() ? "no leader is known" : "";
 }
--- a/apps/control/src/Control.h
+++ b/apps/control/src/Control.h
@@ -49,6 +49,10 @@
   [[nodiscard]] std::string notReady() const;
   /// Transfers leadership before a planned stop.
   void prepareStop() { m_Replica->transferLeadership(); }
+  /// Takes no new connections, and closes those on which nothing is under way.
+  void closeIdle();
+  /// Open connections of operators and targets.
+  [[nodiscard]] std::size_t connections() const;
   /// Number of group members that this member knows.
   [[nodiscard]] std::size_t members() const {
     return m_Replica->status().m_Members.size();
--- a/apps/control/src/Handover.h
+++ b/apps/control/src/Handover.h
@@ -18,6 +18,9 @@
   return !IsLeader || Members < 2 || Now >= Deadline;
 }
 
+/// Longest time for answers to operators and targets to be read after that.
+inline constexpr std::chrono::milliseconds CloseTimeout{300};
+
 } // namespace wasabivale::control
 
 #endif // WASABIVALE_CONTROL_HANDOVER_H
--- a/apps/control/src/Main.cpp
+++ b/apps/control/src/Main.cpp
@@ -6,6 +6,8 @@
 #include "daemon/daemon.h"
 #include "events/events.h"
 
+#include <optional>
+
 using namespace wasabivale;
 
 static constexpr std::chrono::milliseconds HandoverPollInterval{20};
@@ -38,6 +40,7 @@
     return daemon::ExitFailed;
   }
   std::unique_ptr<http::Timer> Ending;
+  std::optional<TimePoint> CloseBy;
   Loop.onStop([&] {
     Stopping = true;
     events::emit(events::Event::ProcessStopping, {{"id", Settings.m_Id}});
@@ -46,9 +49,16 @@
     const TimePoint Deadline = BootClock::now() + control::HandoverTimeout;
     Ending = std::make_unique<http::Timer>(
         Loop.base(), HandoverPollInterval, true, [&, Deadline] {
-          const control::Control *Now = Member.now();
-          if (Now == nullptr || control::mayEnd(Now->isLeader(), Now->members(),
-                                                BootClock::now(), Deadline))
+          control::Control *Now = Member.now();
+          if (Now == nullptr)
+            return Loop.end();
+          if (!CloseBy && !control::mayEnd(Now->isLeader(), Now->members(),
+                                           BootClock::now(), Deadline))
+            return;
+          if (!CloseBy)
+            CloseBy = BootClock::now() + control::CloseTimeout;
+          Now->closeIdle();
+          if (Now->connections() == 0 || BootClock::now() >= *CloseBy)
             Loop.end();
         });
   });
