Keep a connection on which the next request has begun to arrive

A review of the fix of stops found callers that could still lose an answer: - an answer with Connection: close was followed by a close although the next request waited unread, which resets the connection and may destroy the answer; closeAfterLast leaves it open then, and that request is refused; - closeIdle did not look at bytes that were read but not parsed; - tries of requests that had been taken were held to the rule for new ones, so that a target's failure late in a stop was not made up for; - the second leg after a prefill started without a look at the time left; - the balancer's lag grew with the grace, though it does not depend on it; - the listener closed before the time in which requests are refused; - calls to control that were not answered yet were dropped at the end.

--- a/apps/entry/src/ControlLink.h
+++ b/apps/entry/src/ControlLink.h
@@ -50,6 +50,8 @@
     return Now < m_LeaseEnd;
   }
   [[nodiscard]] std::uint64_t session() const { return m_Hub->session(); }
+  /// Calls that control has not answered yet.
+  [[nodiscard]] std::size_t openCalls() const { return m_Calls.size(); }
   [[nodiscard]] std::uint64_t fleetRevision() const { return m_FleetRevision; }
   [[nodiscard]] std::uint64_t routesVersion() const { return m_RoutesVersion; }
   [[nodiscard]] std::uint64_t configurationRevision() const {
--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -47,6 +47,12 @@
           std::max(1.0, By.m_Running * Share)};
 }
 
+Rejection stopping() {
+  Rejection Why = notRun(Refusal::Stopping, "stop");
+  Why.m_RetryAfter = StoppingRetryAfter;
+  return Why;
+}
+
 /// When a stream ends whose first event comes just before its caller leaves.
 TimePoint lastEnd(const Arrival &Of, const routing::Estimate &Expected,
                   Duration Least) {
@@ -120,9 +126,7 @@
   const TimePoint Now = BootClock::now();
   const RequestId Id{randomIdentity()};
   if (m_Shared.m_StopSchedule)
-    Arrived->closeAfter();
-  if (m_RefusesAll)
-    return refuse(*Arrived, Id, notRun(Refusal::Stopping, "stop"));
+    Arrived->closeAfterLast();
   auto Read = readArrival(Arrived->request(), m_Shared.m_Configuration,
                           {m_Shared.m_Settings.m_AllowAnonymous}, Now);
   if (auto *Why = std::get_if<Rejection>(&Read))
@@ -157,7 +161,7 @@
 void DataPath::takePassed(const std::shared_ptr<http::Exchange> &Arrived) {
   const TimePoint Now = BootClock::now();
   if (m_Shared.m_StopSchedule)
-    Arrived->closeAfter();
+    Arrived->closeAfterLast();
   auto Read = readPassed(Arrived->request(), m_Shared.m_Routes,
                          *m_Shared.m_Dialect, m_Shared.m_MeanPrompts, Now);
   if (const auto *Why = std::get_if<Rejection>(&Read))
@@ -165,8 +169,7 @@
   Arrival &Asked = std::get<Arrival>(Read);
   m_Shared.m_Metrics.m_Requests.add();
   if (m_RefusesAll)
-    return refusePassed(*Arrived, Asked.m_Id,
-                        notRun(Refusal::Stopping, "stop"));
+    return refusePassed(*Arrived, Asked.m_Id, stopping());
   if (m_Open.size() >= m_Shared.m_Settings.m_Streams)
     return refusePassed(*Arrived, Asked.m_Id,
                         notRun(Refusal::TooManyStreams, "admission"));
@@ -201,6 +204,8 @@
 }
 
 std::optional<Rejection> DataPath::refuseAtOnce(TimePoint Now) const {
+  if (m_RefusesAll)
+    return stopping();
   const bool Lapsed = !m_Shared.m_HoldsLease(Now) &&
                       (!m_HadLease || Now - m_LeaseLostAt > LapseGrace);
   if (Lapsed)
@@ -239,7 +244,7 @@
   if (m_Shared.m_StopSchedule &&
       !shutdown::mayStart(*m_Shared.m_StopSchedule,
                           {For.m_Deadline, valueOf(Expected).m_FirstToken,
-                           valueOf(Expected).m_Finish},
+                           valueOf(Expected).m_Finish, false},
                           Now))
     return Made->refuseUnstarted({Refusal::Stopping, StoppingRetryAfter});
   // Of a large prompt the estimate counts others that it goes before.
@@ -390,7 +395,8 @@
   for (const auto &[Ticket, Waiting] : m_Waiting)
     // Its target, and with it an estimate, is not known before it starts.
     if (!shutdown::mayStart(*m_Shared.m_StopSchedule,
-                            {Waiting->arrival().m_Deadline, Now, Now}, Now))
+                            {Waiting->arrival().m_Deadline, Now, Now, true},
+                            Now))
       Refused.push_back({Ticket, {Refusal::Stopping, StoppingRetryAfter}});
   for (const limits::RefusedTicket &Each : Refused)
     limits::abandon(m_Shared.m_Limits, Each.m_Ticket, Now);
--- a/apps/entry/src/Entry.cpp
+++ b/apps/entry/src/Entry.cpp
@@ -207,16 +207,16 @@
   if (m_Stop->m_Stage == shutdown::Stage::Closing)
     for (http::Server *Each : callerServers())
       Each->closeIdle();
-  shutdown::Progress Seen{m_Requests->open(), 0};
+  shutdown::Progress Open{m_Requests->open(), 0, m_Control->openCalls()};
   for (const http::Server *Each : callerServers())
-    Seen.m_Connections += Each->connections();
-  if (!shutdown::advance(*m_Stop, Seen, Now))
+    Open.m_Connections += Each->connections();
+  if (!shutdown::advance(*m_Stop, Open, Now))
     return;
   events::emit(
       events::Event::StopAdvanced,
       {{"stage", shutdown::stageName(m_Stop->m_Stage)},
-       {"open", Seen.m_OpenRequests},
-       {"connections", Seen.m_Connections},
+       {"open", Open.m_OpenRequests},
+       {"connections", Open.m_Connections},
        {"left_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
                        m_Stop->m_Deadlines.m_ExitBy - Now)
                        .count()}});
@@ -224,10 +224,11 @@
 }
 
 void Entry::enterStage(shutdown::Stage Next) {
-  if (Next == shutdown::Stage::Refusing) {
+  if (Next == shutdown::Stage::Refusing)
+    m_Requests->stopTaking();
+  if (Next == shutdown::Stage::Closing) {
     for (http::Server *Each : callerServers())
       Each->stopAccepting();
-    m_Requests->stopTaking();
     m_Control->reportNow();
   }
   if (Next != shutdown::Stage::Exiting)
--- a/apps/entry/src/EntrySettings.cpp
+++ b/apps/entry/src/EntrySettings.cpp
@@ -130,17 +130,20 @@
 }
 
 /// Divides the time between the order to stop and the kill: first the balancer
-/// notices, then running requests finish, and the rest is for the last words.
+/// notices, then running requests finish, and the rest is for closing
+/// connections.
 static void shareStopTime(double Seconds, EntrySettings &To) {
-  constexpr double LagPart = 0.35;
-  constexpr double PatiencePart = 0.6;
+  // The balancer asks once a second and takes two misses for an answer.
+  constexpr std::chrono::milliseconds LongestLag{2'800};
+  constexpr double LagPart = 0.4;
+  constexpr double AnswerPart = 0.95;
   constexpr double MillisecondsPerSecond = 1000;
   const auto Part = [&](double Of) {
     return std::chrono::milliseconds(
         static_cast<std::int64_t>(Seconds * Of * MillisecondsPerSecond));
   };
-  To.m_StopLag = Part(LagPart);
-  To.m_StopPatience = Part(PatiencePart);
+  To.m_StopLag = std::min(Part(LagPart), LongestLag);
+  To.m_StopPatience = Part(AnswerPart) - To.m_StopLag;
 }
 
 Result<EntrySettings> toEntrySettings(const Json &Document) {
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -416,7 +416,8 @@
     return true;
   return shutdown::mayStart(
       *m_Shared.m_StopSchedule,
-      {m_Asked.m_Deadline, Expected.m_FirstToken, Expected.m_Finish}, Now);
+      {m_Asked.m_Deadline, Expected.m_FirstToken, Expected.m_Finish, true},
+      Now);
 }
 
 void Serving::send(routing::Choice Where, TimePoint Now) {
@@ -466,6 +467,7 @@
             m_Shared.m_Fleet.find(Where.m_FetchFrom->m_Target);
         Home != nullptr)
       Plan.m_FetchFrom = Home->m_Address;
+  const routing::Estimate Expected = Where.m_Estimate;
   Plan.m_Choice = std::move(Where);
   Plan.m_StreamId = m_StreamId;
   Plan.m_Offset = m_Offset;
@@ -473,7 +475,11 @@
   Handlers.m_OnHead = [this](int Status, const http::Fields &Fields) {
     m_Writer->head(Status, Fields);
   };
-  Handlers.m_MayRun = [this] { return !quarantinedUntil(BootClock::now()); };
+  Handlers.m_MayRun = [this, Expected] {
+    const TimePoint Prefilled = BootClock::now();
+    return !quarantinedUntil(Prefilled) &&
+           mayStartBeforeStop(Expected, Prefilled);
+  };
   Handlers.m_OnRateLimit = [this](const http::Address &Target,
                                   std::optional<double> RequestsPerSecond) {
     if (m_Shared.m_RateLimits.observe(http::printAddress(Target),
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -99,6 +99,10 @@
   virtual void startRelay(int Status, const Fields &With) = 0;
   /// The connection ends after the answer. Call before the answer begins.
   virtual void closeAfter() = 0;
+  /// The connection ends after the answer, unless the caller's next request has
+  /// begun to arrive: closing would reset the connection, and the caller could
+  /// lose this answer. Call before the answer begins.
+  virtual void closeAfterLast() = 0;
   virtual void write(std::string_view Piece) = 0;
   /// Ends a stream in order.
   virtual void finish() = 0;
--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -3,7 +3,7 @@
 
 #include <cstring>
 #include <event2/bufferevent.h>
-#include <sys/ioctl.h>
+#include <sys/socket.h>
 #include <unordered_map>
 #include <utility>
 
@@ -58,6 +58,16 @@
   return Made;
 }
 
+/// Whether bytes of the peer wait to be read, here or in the kernel.
+bool hasUnread(evhttp_connection *Raw) {
+  bufferevent *Buffer = evhttp_connection_get_bufferevent(Raw);
+  if (evbuffer_get_length(bufferevent_get_input(Buffer)) > 0)
+    return true;
+  char Byte = 0;
+  return recv(bufferevent_getfd(Buffer), &Byte, sizeof(Byte),
+              MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 /// An exchange owns its evhttp request until it is answered. evhttp keeps a
 /// request whose connection broke until it is answered, so that every path
 /// below answers exactly once.
@@ -100,9 +110,12 @@
     if (m_Raw == nullptr)
       return;
     addFields(evhttp_request_get_output_headers(m_Raw), With);
+    decideClose();
     evhttp_send_reply_start(m_Raw, Status, nullptr);
   }
 
+  void closeAfterLast() override { m_ClosesAfterLast = true; }
+
   void closeAfter() override {
     if (m_Raw != nullptr)
       evhttp_add_header(evhttp_request_get_output_headers(m_Raw), "Connection",
@@ -110,6 +123,7 @@
   }
 
   void send(int Status, std::string_view Body) {
+    decideClose();
     evbuffer *Buffer = evbuffer_new();
     evbuffer_add(Buffer, Body.data(), Body.size());
     evhttp_request *Raw = release();
@@ -122,6 +136,7 @@
     if (m_Raw == nullptr)
       return;
     addHeaders(evhttp_request_get_output_headers(m_Raw), With);
+    decideClose();
     evhttp_send_reply_start(m_Raw, Status, nullptr);
   }
 
@@ -208,6 +223,12 @@
   }
 
 private:
+  void decideClose() {
+    evhttp_connection *Connection = evhttp_request_get_connection(m_Raw);
+    if (m_ClosesAfterLast && Connection != nullptr && !hasUnread(Connection))
+      closeAfter();
+  }
+
   void noteAnswered() {
     if (m_OnAnswered)
       m_OnAnswered();
@@ -231,6 +252,7 @@
   event *m_Hangup = nullptr;
   Request m_Request;
   bool m_Gone = false;
+  bool m_ClosesAfterLast = false;
   std::function<void()> m_OnGone;
   std::function<void()> m_OnReleased;
   std::function<void()> m_OnAnswered;
@@ -317,12 +339,9 @@
     if (Known.m_Current != nullptr || Known.m_FirstByte != TimePoint::max())
       return false;
     bufferevent *Buffer = evhttp_connection_get_bufferevent(Raw);
-    if (evbuffer_get_length(bufferevent_get_output(Buffer)) > 0)
-      return false;
-    // What the kernel holds would be lost, and reset the connection.
-    int Unread = 0;
-    return ioctl(bufferevent_getfd(Buffer), FIONREAD, &Unread) != 0 ||
-           Unread == 0;
+    // Unread bytes would be lost, and reset the connection.
+    return evbuffer_get_length(bufferevent_get_output(Buffer)) == 0 &&
+           !hasUnread(Raw);
   }
 
   struct Accepted {
--- a/libs/http/tests/HttpTest.cpp
+++ b/libs/http/tests/HttpTest.cpp
@@ -260,3 +260,65 @@
     ::close(Descriptor);
   }
 }
+
+SCENARIO("a server that stops closes only connections with nothing under way") {
+  Loop Loop;
+  std::vector<std::shared_ptr<http::Exchange>> Open;
+  auto Server = http::listen(Loop.m_Base, At, {},
+                             [&](std::shared_ptr<http::Exchange> Arrived) {
+                               Open.push_back(std::move(Arrived));
+                             });
+  REQUIRE(!failed(Server));
+  const int Peer = connectRaw();
+  const std::string Request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+  const auto Send = [&](const std::string &Bytes) {
+    REQUIRE(::send(Peer, Bytes.data(), Bytes.size(), 0) ==
+            static_cast<ssize_t>(Bytes.size()));
+  };
+  std::string Got;
+  const auto ReadUntil = [&](const std::string &End) {
+    return Loop.turnUntil([&] {
+      char Bytes[4096];
+      const ssize_t Count = recv(Peer, Bytes, sizeof(Bytes), MSG_DONTWAIT);
+      if (Count > 0)
+        Got.append(Bytes, static_cast<std::size_t>(Count));
+      return Count == 0 || (!End.empty() && Got.find(End) != Got.npos);
+    });
+  };
+  REQUIRE(Loop.turnUntil([&] { return valueOf(Server)->connections() == 1; }));
+  GIVEN("a connection without a request") {
+    THEN("it is closed") {
+      valueOf(Server)->closeIdle();
+      CHECK(valueOf(Server)->connections() == 0);
+    }
+    THEN("it stays open if bytes wait to be read") {
+      Send("GET");
+      valueOf(Server)->closeIdle();
+      CHECK(valueOf(Server)->connections() == 1);
+    }
+  }
+  GIVEN("a request that is being answered") {
+    Send(Request);
+    REQUIRE(Loop.turnUntil([&] { return Open.size() == 1; }));
+    THEN("its connection stays open until it is answered") {
+      valueOf(Server)->closeIdle();
+      Open[0]->closeAfterLast();
+      Open[0]->reply(200, {}, "first");
+      REQUIRE(ReadUntil(""));
+      CHECK(Got.find("first") != Got.npos);
+      CHECK(valueOf(Server)->connections() == 0);
+    }
+    THEN("the next request on it does not cost its caller this answer") {
+      Send(Request);
+      Open[0]->closeAfterLast();
+      Open[0]->reply(200, {}, "first");
+      REQUIRE(ReadUntil("first"));
+      REQUIRE(Loop.turnUntil([&] { return Open.size() == 2; }));
+      Open[1]->closeAfterLast();
+      Open[1]->reply(503, {}, "second");
+      REQUIRE(ReadUntil(""));
+      CHECK(Got.find("second") != Got.npos);
+    }
+  }
+  ::close(Peer);
+}
--- a/libs/shutdown/include/shutdown/shutdown.h
+++ b/libs/shutdown/include/shutdown/shutdown.h
@@ -32,15 +32,18 @@
 
 /// When a request ends, as far as is known.
 struct Work {
-  /// Of its caller or its route: it is answered by then, well or badly.
+  /// Of its caller or its route: it is answered by then, also with an error.
   TimePoint m_Deadline;
   TimePoint m_FirstByteAt; ///< Expected.
   TimePoint m_FinishAt;    ///< Expected.
+  /// Taken before: another try of it, or the end of its wait.
+  bool m_IsTaken = false;
 };
 
 /// Whether a request may start: its answer is complete before the process
-/// exits. Only its deadline is certain. While the balancer may send its caller
-/// here again, an estimate with a margin will do.
+/// exits. Only its deadline is certain. An estimate with a margin will do for
+/// one that was taken before, and while the balancer may send its caller here
+/// again.
 bool mayStart(const Schedule &Deadlines, const Work &Request, TimePoint Now);
 
 enum class Stage : std::uint8_t {
@@ -56,12 +59,9 @@
 struct Progress {
   std::size_t m_OpenRequests = 0; ///< Not answered yet.
   std::size_t m_Connections = 0;  ///< Of callers, open.
+  std::size_t m_ControlCalls = 0; ///< Sent to control, not answered yet.
 };
 
-/// How long new requests are refused before connections are closed: those that
-/// were on their way are refused rather than cut.
-inline constexpr std::chrono::milliseconds RefusalTime{100};
-
 /// A process that was asked to stop.
 struct State {
   Schedule m_Deadlines;
@@ -69,12 +69,12 @@
   TimePoint m_RefusingSince;
 };
 
-/// Moves on by at most one stage. Call it until the stage stays, after every
-/// change of \p Now or \p Seen. \returns whether the stage has changed.
-bool advance(State &Stopping, const Progress &Seen, TimePoint Now);
+/// Moves on by at most one stage. Call it once a turn of the loop, so that what
+/// a stage has answered is written. \returns whether the stage has changed.
+bool advance(State &Process, const Progress &Open, TimePoint Now);
 
 /// Whether what is still open must be ended now.
-bool mustCut(const State &Stopping, TimePoint Now);
+bool mustCut(const State &Process, TimePoint Now);
 
 } // namespace wasabivale::shutdown
 
--- a/libs/shutdown/src/Shutdown.cpp
+++ b/libs/shutdown/src/Shutdown.cpp
@@ -15,6 +15,9 @@
 constexpr int FirstByteFactor = 3;
 constexpr int RestFactor = 4;
 constexpr std::chrono::milliseconds LeastTime{1'000};
+/// How long new requests are refused before connections are closed: those that
+/// were on their way are refused rather than cut.
+constexpr std::chrono::milliseconds RefusalTime{100};
 
 } // namespace
 
@@ -31,7 +34,7 @@
 bool mayStart(const Schedule &Deadlines, const Work &Request, TimePoint Now) {
   if (Request.m_Deadline <= Deadlines.m_AnswerBy)
     return true;
-  if (Now >= Deadlines.m_BalancedUntil)
+  if (Now >= Deadlines.m_BalancedUntil && !Request.m_IsTaken)
     return false;
   const Duration First =
       std::max<Duration>(Request.m_FirstByteAt - Now, Duration(0));
@@ -55,27 +58,28 @@
   return "";
 }
 
-bool advance(State &Stopping, const Progress &Seen, TimePoint Now) {
-  const Schedule &Deadlines = Stopping.m_Deadlines;
-  const bool AllAnswered = Seen.m_OpenRequests == 0;
-  switch (Stopping.m_Stage) {
+bool advance(State &Process, const Progress &Open, TimePoint Now) {
+  const Schedule &Deadlines = Process.m_Deadlines;
+  const bool AllAnswered = Open.m_OpenRequests == 0;
+  switch (Process.m_Stage) {
   case Stage::Answering:
     if (Now < Deadlines.m_AnswerBy &&
         (Now < Deadlines.m_BalancedUntil || !AllAnswered))
       return false;
-    Stopping.m_Stage = Stage::Refusing;
-    Stopping.m_RefusingSince = Now;
+    Process.m_Stage = Stage::Refusing;
+    Process.m_RefusingSince = Now;
     return true;
   case Stage::Refusing:
     if (Now < Deadlines.m_CutAt &&
-        (!AllAnswered || Now < Stopping.m_RefusingSince + RefusalTime))
+        (!AllAnswered || Now < Process.m_RefusingSince + RefusalTime))
       return false;
-    Stopping.m_Stage = Stage::Closing;
+    Process.m_Stage = Stage::Closing;
     return true;
   case Stage::Closing:
-    if (Now < Deadlines.m_ExitBy && Seen.m_Connections > 0)
+    if (Now < Deadlines.m_ExitBy &&
+        (Open.m_Connections > 0 || Open.m_ControlCalls > 0))
       return false;
-    Stopping.m_Stage = Stage::Exiting;
+    Process.m_Stage = Stage::Exiting;
     return true;
   case Stage::Exiting:
     return false;
@@ -83,8 +87,8 @@
   return false;
 }
 
-bool mustCut(const State &Stopping, TimePoint Now) {
-  return Now >= Stopping.m_Deadlines.m_CutAt;
+bool mustCut(const State &Process, TimePoint Now) {
+  return Now >= Process.m_Deadlines.m_CutAt;
 }
 
 } // namespace wasabivale::shutdown
