Pause a route whose requests go on crashing targets, and try it out after

Cause: isolation limits how many targets a suspect route takes at a time, not how often. Class: retries without backoff, here of a route as a whole.

Change: a crash under a suspect route pauses the route for 5 s, three times as long after each further one. After the pause its requests are on trial: one at a time, at one in eight entries by permission of the leader, until eight for each pause have completed. Pauses and trials are in the replicated table of traits, whose rows are bounded and expire as before.

--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -442,6 +442,7 @@
   grantShares(m_Shares, Sender, Report, Now, LeaseUntil, MaxEntryLease, Grant);
   fillGrant(m_Notices, Suspicion, Sender, Report, Now, LogNow, Grant);
   fillTraits(Traits, Report, LogNow, Grant);
+  fillTrials(Traits, m_Observed, Sender, LogNow, Grant);
   fillTargetRates(m_TargetRates, Limits, m_Observed, Sender, Report, Grant);
   // The answer to the next report replaces a lost grant.
   (void)m_Hub->send(Sender, std::move(Answer));
--- a/apps/control/src/SuspectNotices.cpp
+++ b/apps/control/src/SuspectNotices.cpp
@@ -9,6 +9,11 @@
 
 /// Rows of evidence in one grant, about 20 bytes each.
 constexpr std::size_t MaxTraitNotices = 256;
+/// How long a route on trial is assigned to the same entries, which may have no
+/// callers for it.
+constexpr std::chrono::seconds TrialTurn{10};
+/// One in this many entries, at least one, takes part in a trial.
+constexpr std::size_t EntriesPerTrial = 8;
 
 retries::CrashKey keyOf(const wire::CrashReport &Crash) {
   return {{Crash.target()}, Crash.incarnation()};
@@ -97,9 +102,12 @@
 }
 
 void write(wire::TraitNotice &Message, retries::Trait Value,
-           const retries::TraitEvidence &Evidence) {
+           const retries::TraitEvidence &Evidence, TimePoint LogNow) {
   Message.set_trait(Value);
   Message.set_crashes(Evidence.m_Crashes);
+  if (Evidence.m_PausedUntil > LogNow)
+    Message.set_paused_ns(nanosecondsOf(Evidence.m_PausedUntil - LogNow));
+  Message.set_trial_runs(Evidence.m_TrialRuns);
   Message.mutable_companions()->Assign(Evidence.m_Companions.begin(),
                                        Evidence.m_Companions.end());
 }
@@ -184,7 +192,7 @@
     return std::nullopt;
   for (const auto &[Value, Evidence] : Known.m_Evidence)
     if (retries::isRoute(Evidence))
-      write(*Update.add_routes(), Value, Evidence);
+      write(*Update.add_routes(), Value, Evidence, LogNow);
   return Update;
 }
 
@@ -220,11 +228,14 @@
     Rows.emplace_back(Value, &Evidence);
   std::stable_sort(Rows.begin(), Rows.end(),
                    [](const auto &Left, const auto &Right) {
-                     return Left.second->m_Crashes > Right.second->m_Crashes;
+                     return std::pair(retries::isRoute(*Left.second),
+                                      Left.second->m_Crashes) >
+                            std::pair(retries::isRoute(*Right.second),
+                                      Right.second->m_Crashes);
                    });
   Rows.resize(std::min(Rows.size(), MaxTraitNotices));
   for (const auto &[Value, Evidence] : Rows) {
-    write(*Grant.add_traits(), Value, *Evidence);
+    write(*Grant.add_traits(), Value, *Evidence, LogNow);
   }
   for (const retries::TraitQuarantine &Each : Known.m_Quarantines) {
     if (Each.m_EndsAt > LogNow)
@@ -232,4 +243,24 @@
   }
 }
 
+void fillTrials(const retries::TraitTable &Known,
+                const fleet::ObservedState &Observed, const NodeId &Entry,
+                TimePoint LogNow, wire::ControlGrant &Grant) {
+  const auto Turn =
+      static_cast<std::uint64_t>(LogNow.time_since_epoch() / TrialTurn);
+  const std::size_t Assigned =
+      std::max<std::size_t>(1, Observed.m_Entries.size() / EntriesPerTrial);
+  for (const retries::Trait Route : retries::routesOnTrial(Known, LogNow)) {
+    const std::uint64_t Seed = Route ^ Turn;
+    const std::uint64_t Score = hashBytes(Entry.m_Value, Seed);
+    const auto Before =
+        std::count_if(Observed.m_Entries.begin(), Observed.m_Entries.end(),
+                      [&](const auto &Each) {
+                        return hashBytes(Each.first.m_Value, Seed) > Score;
+                      });
+    if (static_cast<std::size_t>(Before) < Assigned)
+      Grant.add_trial_routes(Route);
+  }
+}
+
 } // namespace wasabivale::control
--- a/apps/control/src/SuspectNotices.h
+++ b/apps/control/src/SuspectNotices.h
@@ -63,6 +63,12 @@
                 const wire::EntryReport &Report, TimePoint LogNow,
                 wire::ControlGrant &Grant);
 
+/// Permits \p Entry to run requests of routes on trial that are assigned to it:
+/// each to a few of \p Observed at a time, in turn.
+void fillTrials(const retries::TraitTable &Known,
+                const fleet::ObservedState &Observed, const NodeId &Entry,
+                TimePoint LogNow, wire::ControlGrant &Grant);
+
 } // namespace wasabivale::control
 
 #endif // WASABIVALE_CONTROL_SUSPECTNOTICES_H
--- a/apps/control/tests/SuspectNoticesTest.cpp
+++ b/apps/control/tests/SuspectNoticesTest.cpp
@@ -256,3 +256,86 @@
     CHECK_FALSE(Commit(Message));
   }
 }
+
+SCENARIO("a route that crashes targets is paused at every entry") {
+  constexpr retries::Trait Route = 77;
+  ReplicatedState State;
+  TimePoint Now(1000s);
+  const auto Commit = [&](wire::TraitReport Report) {
+    wire::Command Command;
+    *Command.mutable_trait_report() = std::move(Report);
+    Command.set_log_time_ns(
+        static_cast<std::uint64_t>(Now.time_since_epoch().count()));
+    REQUIRE(applyPayload(State, Command.SerializeAsString()).refusal() == 0);
+  };
+  const auto Crash = [&](const std::string &Target, std::uint64_t Content) {
+    Now += 1s;
+    wire::TraitReport Report;
+    wire::TraitCrash &Row = *Report.add_crashes();
+    Row.set_target(Target);
+    Row.set_incarnation("1");
+    Row.add_waiting()->set_content(Content);
+    Row.mutable_waiting(0)->set_route(Route);
+    Commit(std::move(Report));
+  };
+  Crash("t-1", 1);
+  Crash("t-2", 1);
+  Crash("t-3", 2);
+  const auto Notice = [&](const ReplicatedState &Leader) {
+    wire::ControlGrant Answer;
+    fillTraits(Leader.m_Fleet.m_Traits, {}, Now, Answer);
+    for (const wire::TraitNotice &Each : Answer.traits())
+      if (Each.trait() == Route)
+        return Each;
+    return wire::TraitNotice{};
+  };
+  fleet::ObservedState Observed;
+  for (int I = 0; I < 16; ++I)
+    Observed.m_Entries[{"entry-" + std::to_string(I)}];
+  const auto Permitted = [&] {
+    std::set<std::string> Names;
+    for (const auto &[Entry, View] : Observed.m_Entries) {
+      wire::ControlGrant Answer;
+      fillTrials(State.m_Fleet.m_Traits, Observed, Entry, Now, Answer);
+      if (Answer.trial_routes_size() > 0)
+        Names.insert(Entry.m_Value);
+    }
+    return Names;
+  };
+  THEN("a new leader tells of the same pause") {
+    CHECK(Notice(State).paused_ns() > 0);
+    const auto Restored = fromSnapshot(takeSnapshot(State));
+    REQUIRE_FALSE(failed(Restored));
+    CHECK(Notice(valueOf(Restored)).SerializeAsString() ==
+          Notice(State).SerializeAsString());
+  }
+  THEN("no entry runs its requests during the pause") {
+    CHECK(Permitted().empty());
+  }
+  WHEN("the pause is over") {
+    Now += 6s;
+    THEN("few entries run them, others from turn to turn") {
+      const auto First = Permitted();
+      CHECK(First.size() == 2);
+      std::set<std::string> All = First;
+      for (int I = 0; I < 5; ++I) {
+        Now += 10s;
+        All.merge(Permitted());
+      }
+      CHECK(All.size() > 2);
+    }
+    THEN("completed requests end the trial") {
+      const std::uint32_t Runs = Notice(State).trial_runs();
+      REQUIRE(Runs > 0);
+      for (std::uint32_t I = 0; I < Runs; ++I) {
+        CHECK_FALSE(Permitted().empty());
+        wire::TraitReport Sound;
+        Sound.add_sound(Route);
+        Commit(std::move(Sound));
+      }
+      CHECK(Permitted().empty());
+      CHECK(Notice(State).trial_runs() == 0);
+      CHECK(Notice(State).crashes() > 0);
+    }
+  }
+}
--- a/apps/entry/src/CrashTraits.cpp
+++ b/apps/entry/src/CrashTraits.cpp
@@ -15,6 +15,8 @@
 constexpr std::chrono::seconds CrashRepeated{30};
 constexpr std::size_t MaxReports = 64;
 constexpr std::size_t MaxUnanswered = 16;
+/// How long a permission to run a route on trial lasts without another grant.
+constexpr std::chrono::milliseconds TrialLease{1'500};
 /// Twice as many as control holds.
 constexpr std::size_t MaxQuarantines = 512;
 
@@ -26,6 +28,14 @@
   return Quarantine;
 }
 
+void readRoute(const wire::TraitNotice &Notice, TimePoint Now,
+               retries::TraitEvidence &Evidence) {
+  Evidence.m_Crashes = Notice.crashes();
+  Evidence.m_TrialRuns = Notice.trial_runs();
+  if (Notice.paused_ns() > 0)
+    Evidence.m_PausedUntil = Now + std::chrono::nanoseconds(Notice.paused_ns());
+}
+
 } // namespace
 
 void CrashTraits::probe(const TargetId &Target, const std::string &Incarnation,
@@ -126,6 +136,9 @@
     std::erase_if(m_Reports, [](Report &Each) {
       return ++Each.m_Grants >= GrantsToForget;
     });
+  retries::permitTrials(
+      m_Tracker, {Grant.trial_routes().begin(), Grant.trial_routes().end()},
+      Now + TrialLease);
   if (Grant.traits_revision() == 0 ||
       Grant.traits_revision() == m_Tracker.m_Revision)
     return;
@@ -133,7 +146,7 @@
   m_Tracker.m_Evidence.clear();
   for (const wire::TraitNotice &Notice : Grant.traits()) {
     retries::TraitEvidence &Evidence = m_Tracker.m_Evidence[Notice.trait()];
-    Evidence.m_Crashes = Notice.crashes();
+    readRoute(Notice, Now, Evidence);
     Evidence.m_Companions.assign(Notice.companions().begin(),
                                  Notice.companions().end());
   }
@@ -151,7 +164,7 @@
     if (m_Tracker.m_Quarantines.size() < MaxQuarantines)
       m_Tracker.m_Quarantines.push_back(read(Notice, Now));
   for (const wire::TraitNotice &Notice : Update.routes())
-    m_Tracker.m_Evidence[Notice.trait()].m_Crashes = Notice.crashes();
+    readRoute(Notice, Now, m_Tracker.m_Evidence[Notice.trait()]);
   logQuarantines();
 }
 
--- a/apps/entry/src/CrashTraits.h
+++ b/apps/entry/src/CrashTraits.h
@@ -32,6 +32,14 @@
   isRouteSuspect(const retries::RequestTraits &Request) const {
     return retries::isRouteSuspect(m_Tracker, Request);
   }
+  [[nodiscard]] retries::RouteDecision
+  evaluateRoute(const retries::RequestTraits &Request, TimePoint Now) const {
+    return retries::evaluateRoute(m_Tracker, Request, Now);
+  }
+  void startTrial(retries::Trait Route) {
+    retries::startTrial(m_Tracker, Route);
+  }
+  void endTrial(retries::Trait Route) { retries::endTrial(m_Tracker, Route); }
   void recordSound(const retries::RequestTraits &Request, TimePoint Now) {
     retries::recordSound(m_Tracker, Request, Now);
   }
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -312,7 +312,7 @@
     return waitUntil(Now + LeaseLook);
   }
   routing::Request Wanted = routingRequest();
-  if (!passGate(Wanted, Now) || !isolate(Wanted))
+  if (!passGate(Wanted, Now) || !passRouteGate(Now) || !isolate(Wanted))
     return;
   placeAt(std::move(Wanted), Now);
 }
@@ -363,6 +363,24 @@
   return true;
 }
 
+bool Serving::passRouteGate(TimePoint Now) {
+  // One that a target has answered does not crash targets.
+  if (!m_Asked.m_Passed || m_Failing || m_InTrial)
+    return true;
+  const retries::RouteDecision Decided =
+      m_Shared.m_Traits.evaluateRoute(m_Traits, Now);
+  if (Decided.m_Gate == retries::RouteGate::Closed) {
+    giveUp(Refusal::Quarantined, outcomeSoFar(), Error{"route_pause", "", ""},
+           Decided.m_RetryAt - Now);
+    return false;
+  }
+  if (Decided.m_Gate == retries::RouteGate::Trial) {
+    m_InTrial = true;
+    m_Shared.m_Traits.startTrial(m_Traits.m_Route);
+  }
+  return true;
+}
+
 bool Serving::isolate(routing::Request &Wanted) {
   // One that a target has answered does not crash targets.
   if (!m_Asked.m_Passed || !m_Asked.isService() || m_Failing ||
@@ -814,6 +832,8 @@
   enter(Phase::Ended);
   m_Wake.reset();
   endTry(TryOutcome::Cancelled, Now);
+  if (std::exchange(m_InTrial, false))
+    m_Shared.m_Traits.endTrial(m_Traits.m_Route);
   if (InService || m_RunNoted)
     noteTryOver(false);
   m_Shared.m_Suspects.dropWish(m_Print);
--- a/apps/entry/src/Serving.h
+++ b/apps/entry/src/Serving.h
@@ -70,6 +70,9 @@
   /// Whether a try that starts now ends before the process exits.
   [[nodiscard]] bool mayStartBeforeStop(const routing::Estimate &Expected,
                                         TimePoint Now) const;
+  /// Applies the pause and the trial of a route whose requests crash targets.
+  /// \returns whether to go on.
+  bool passRouteGate(TimePoint Now);
   /// Places a request of a route whose requests crash targets at the one target
   /// that runs them, so that the others are kept for the rest. \returns false
   /// if it was refused.
@@ -114,6 +117,7 @@
   retries::RequestTraits m_Traits;
   /// The request waited at a target that crashed, and may be the cause.
   bool m_MayCrashTargets = false;
+  bool m_InTrial = false; ///< Of a route whose requests crash targets.
   std::vector<std::uint64_t> m_Blocks;
   std::vector<TargetId> m_Avoid;
   std::shared_ptr<Try> m_Try;
--- a/apps/entry/tests/PassedTest.cpp
+++ b/apps/entry/tests/PassedTest.cpp
@@ -286,6 +286,64 @@
   }
 }
 
+SCENARIO("requests of a paused route do not reach targets") {
+  Shop On;
+  On.open({On.crashesOn(0, "bad"), answers(200, "ok"), answers(200, "ok")});
+  // One of the targets crashes, so that the route's trait is reported.
+  for (int I = 0; I < 20 && On.m_Crashes == 0; ++I)
+    On.ask("GET", fmt::format("/stock/bad-{}", I), {{"Parts", "bad"}});
+  REQUIRE(On.m_Crashes == 1);
+  wire::EntryReport Report;
+  On.m_Path->fillReport(Report);
+  REQUIRE(Report.trait_crashes_size() == 1);
+  wire::TraitNotice Route;
+  Route.set_trait(Report.trait_crashes(0).waiting(0).route());
+  Route.set_crashes(1);
+  Route.set_trial_runs(2);
+  const std::size_t Before = On.m_Seen.size();
+  GIVEN("a pause that control has told") {
+    Route.set_paused_ns(3'000'000'000);
+    wire::TraitsUpdate Update;
+    *Update.add_routes() = Route;
+    On.m_Path->applyTraits(Update);
+    THEN("they are refused, have not run, and may come back after it") {
+      const Answered Got = On.ask("GET", "/stock/2");
+      CHECK(Got.m_Status == 503);
+      CHECK(std::stod(std::string(http::field(Got.m_Fields, "retry-after"))) >
+            2.0);
+      CHECK(On.m_Seen.size() == Before);
+    }
+    THEN("requests of other routes are served") {
+      CHECK(On.ask("POST", "/book/2").m_Status == 200);
+    }
+  }
+  GIVEN("a trial after it") {
+    wire::ControlGrant Grant;
+    Grant.set_traits_revision(5);
+    *Grant.add_traits() = Route;
+    WHEN("this entry has no permission") {
+      On.m_Path->takeGrant(Grant, BootClock::now() + 1s);
+      THEN("they are refused") {
+        CHECK(On.ask("GET", "/stock/2").m_Status == 503);
+        CHECK(On.m_Seen.size() == Before);
+      }
+    }
+    WHEN("it has permission") {
+      Grant.add_trial_routes(Route.trait());
+      On.m_Path->takeGrant(Grant, BootClock::now() + 1s);
+      THEN("they run one at a time") {
+        const auto First = On.start("GET", "/stock/2");
+        const auto Second = On.start("GET", "/stock/3");
+        REQUIRE(On.m_Loop.until([&] { return Second->m_Ended; }));
+        REQUIRE(On.m_Loop.until([&] { return First->m_Ended; }));
+        CHECK(First->m_Status + Second->m_Status == 200 + 503);
+        CHECK(On.m_Seen.size() == Before + 1);
+        CHECK(On.ask("GET", "/stock/4").m_Status == 200);
+      }
+    }
+  }
+}
+
 SCENARIO("a stream does not go on at another software version") {
   Shop On;
   std::vector<std::string> Ran; // Versions, in the order of the runs.
--- a/libs/fleet/src/Suspicion.cpp
+++ b/libs/fleet/src/Suspicion.cpp
@@ -139,6 +139,9 @@
     assign(*Row.mutable_companions(), Evidence.m_Companions);
     assign(*Row.mutable_alternatives(), Evidence.m_Alternatives);
     assign(*Row.mutable_contents(), Evidence.m_Contents);
+    Row.set_paused_until_ns(nanosecondsIn(Evidence.m_PausedUntil));
+    Row.set_pauses(Evidence.m_Pauses);
+    Row.set_trial_runs(Evidence.m_TrialRuns);
   }
   for (const auto &[Value, Until] : Traits.m_AcquittedUntil) {
     wire::TraitAcquittalState &Row = *Message.add_acquittals();
@@ -172,6 +175,9 @@
     Evidence.m_Alternatives.assign(Row.alternatives().begin(),
                                    Row.alternatives().end());
     Evidence.m_Contents.insert(Row.contents().begin(), Row.contents().end());
+    Evidence.m_PausedUntil = timeOf(Row.paused_until_ns());
+    Evidence.m_Pauses = Row.pauses();
+    Evidence.m_TrialRuns = Row.trial_runs();
   }
   for (const wire::TraitAcquittalState &Row : Message.acquittals())
     Traits.m_AcquittedUntil[Row.trait()] = timeOf(Row.until_ns());
--- a/libs/retries/include/retries/retries.h
+++ b/libs/retries/include/retries/retries.h
@@ -392,6 +392,16 @@
   Duration m_FirstCrashQuarantine = std::chrono::seconds(30);
   /// How long after a quarantine a single crash renews it.
   Duration m_ProbationDuration = std::chrono::hours(1);
+  /// Crashes of any targets within the window that pause a route as it becomes
+  /// suspect.
+  std::ptrdiff_t m_CrashesToPause = 3;
+  Duration m_RouteCrashWindow = std::chrono::seconds(10);
+  /// How long requests of a suspect route are refused after another of them has
+  /// crashed a target; grows by the factor with each further crash.
+  Duration m_RoutePause = std::chrono::seconds(5);
+  std::uint32_t m_RoutePauseFactor = 3;
+  std::uint32_t m_TrialRunsPerPause = 8; ///< For each pause so far.
+  Duration m_MaxRoutePause = std::chrono::minutes(10);
   /// Crashes beyond those of an alternative explanation, once that has more
   /// than one.
   std::uint32_t m_CrashesAhead = 3;
@@ -421,6 +431,19 @@
   /// Contents of blamed requests, at most `m_RequestsToQuarantine`. Empty for a
   /// route.
   std::set<Trait> m_Contents;
+  /// Of a route: all its requests are refused until then.
+  TimePoint m_PausedUntil;
+  std::uint32_t m_Pauses = 0; ///< Of a route, so far.
+  /// Of a route after a pause: its requests run one at a time, at few entries,
+  /// until this many more have completed. Zero: not on trial.
+  std::uint32_t m_TrialRuns = 0;
+};
+
+/// What an entry may do with a request of a suspect route.
+enum class RouteGate : std::uint8_t {
+  Open,   ///< May run, at the target that is kept for suspect routes.
+  Trial,  ///< May run while no other request of the route does.
+  Closed, ///< Refuse with `not_run`.
 };
 
 /// Whether the evidence is against a route rather than against what requests
@@ -446,8 +469,8 @@
   };
   TraitSettings m_Settings;
   std::uint64_t m_Revision = 0; ///< Incremented by each change.
-  /// Evidence against a route counts its requests that crashed two targets; it
-  /// never leads to a quarantine of the route.
+  /// Evidence against a route counts its requests that crashed two targets. It
+  /// pauses the route but never quarantines it.
   std::map<Trait, TraitEvidence> m_Evidence;
   std::map<CrashKey, CrashRecord> m_Crashes;
   std::vector<TraitQuarantine> m_Quarantines;
@@ -487,6 +510,9 @@
 bool isRouteSuspect(const std::map<Trait, TraitEvidence> &Evidence,
                     const RequestTraits &Request);
 
+/// Routes on trial whose pause is over.
+std::vector<Trait> routesOnTrial(const TraitTable &Table, TimePoint Now);
+
 /// What one entry knows about traits.
 struct TraitTracker {
   TraitTable m_Own; ///< From crashes that this entry observed itself.
@@ -499,6 +525,10 @@
   Duration m_SoundDuration = std::chrono::seconds(10);
   std::size_t m_MaxSound = 4096;
   TimePoint m_NextSweep; ///< Of `m_RecentlySound`, when it is full.
+  /// Routes on trial that this entry may run until then, by permission of
+  /// control.
+  std::map<Trait, TimePoint> m_TrialsUntil;
+  std::set<Trait> m_InTrial; ///< Routes with a request under way.
 };
 
 std::optional<TimePoint> quarantinedUntil(const TraitTracker &Tracker,
@@ -507,6 +537,22 @@
 
 bool isRouteSuspect(const TraitTracker &Tracker, const RequestTraits &Request);
 
+/// Whether a request of a suspect route may run now, and when to ask again if
+/// not.
+struct RouteDecision {
+  RouteGate m_Gate = RouteGate::Open;
+  TimePoint m_RetryAt;
+};
+RouteDecision evaluateRoute(const TraitTracker &Tracker,
+                            const RequestTraits &Request, TimePoint Now);
+
+/// Applies the permissions of control, which replace the former ones.
+void permitTrials(TraitTracker &Tracker, const std::vector<Trait> &Routes,
+                  TimePoint Until);
+/// A request of a route on trial starts; `endTrial` follows when it has ended.
+void startTrial(TraitTracker &Tracker, Trait Route);
+void endTrial(TraitTracker &Tracker, Trait Route);
+
 /// Whether a request that waited at a crashed target may be tried again: not if
 /// an earlier crash speaks against it as well, or against its route.
 bool mayRetryAfterCrash(const TraitTracker &Tracker,
--- a/libs/retries/src/TraitTable.cpp
+++ b/libs/retries/src/TraitTable.cpp
@@ -122,6 +122,24 @@
   return Found;
 }
 
+/// Pauses a route that was suspect when one more of its requests crashed a
+/// target. Requests that were under way at the start of a pause count once.
+void pauseRoute(TraitTable &Table, const RequestTraits &Request,
+                TimePoint Now) {
+  const TraitSettings &Options = Table.m_Settings;
+  TraitEvidence &Route = Table.m_Evidence[Request.m_Route];
+  if (Now < Route.m_PausedUntil)
+    return;
+  Duration Pause = Options.m_RoutePause;
+  for (std::uint32_t I = 0;
+       I < Route.m_Pauses && Pause < Options.m_MaxRoutePause; ++I)
+    Pause *= Options.m_RoutePauseFactor;
+  Route.m_PausedUntil = Now + std::min(Pause, Options.m_MaxRoutePause);
+  Route.m_ExpiresAt = Route.m_PausedUntil + Options.m_RouteSuspicion;
+  ++Route.m_Pauses;
+  Route.m_TrialRuns = Route.m_Pauses * Options.m_TrialRunsPerPause;
+}
+
 /// Suspects the route of a request that has crashed two targets. What its other
 /// requests have in common with that one may not show before they crash one.
 void suspectRoute(TraitTable &Table, const RequestTraits &Request,
@@ -132,9 +150,18 @@
       Found->second.m_Crashes < CrashesToExplain)
     return;
   TraitEvidence &Route = Table.m_Evidence[Request.m_Route];
+  const auto Recent = std::count_if(
+      Table.m_Crashes.begin(), Table.m_Crashes.end(), [&](const auto &Each) {
+        return Now - Each.second.m_ReportedAt <=
+               Table.m_Settings.m_RouteCrashWindow;
+      });
+  // The guilty requests of a route may differ from the first crash on.
+  if (Recent >= Table.m_Settings.m_CrashesToPause)
+    pauseRoute(Table, Request, Now);
   ++Route.m_Crashes;
   Route.m_LastCrash = Now;
-  Route.m_ExpiresAt = Now + Table.m_Settings.m_RouteSuspicion;
+  Route.m_ExpiresAt =
+      std::max(Route.m_ExpiresAt, Now + Table.m_Settings.m_RouteSuspicion);
 }
 
 /// Most crashes against a part that explains some of the trait's as well.
@@ -182,8 +209,9 @@
   TraitQuarantine &New = Table.m_Quarantines.back();
   New.m_EndsAt = Now + Table.m_Settings.m_FirstCrashQuarantine;
   New.m_ForgottenAt = New.m_EndsAt;
-  Table.m_Evidence[Request.m_Route].m_ExpiresAt =
-      Now + Table.m_Settings.m_RouteSuspicion;
+  TraitEvidence &Route = Table.m_Evidence[Request.m_Route];
+  Route.m_ExpiresAt =
+      std::max(Route.m_ExpiresAt, Now + Table.m_Settings.m_RouteSuspicion);
 }
 
 /// Quarantines the largest sets first: a part that comes with the guilty one
@@ -229,6 +257,14 @@
          Evidence.contains(Request.m_Route);
 }
 
+std::vector<Trait> routesOnTrial(const TraitTable &Table, TimePoint Now) {
+  std::vector<Trait> Routes;
+  for (const auto &[Value, Evidence] : Table.m_Evidence)
+    if (Evidence.m_TrialRuns > 0 && Evidence.m_PausedUntil <= Now)
+      Routes.push_back(Value);
+  return Routes;
+}
+
 std::uint32_t crashesOf(const std::map<Trait, TraitEvidence> &Evidence,
                         const RequestTraits &Request) {
   std::uint32_t Crashes = 0;
@@ -289,6 +325,9 @@
     Explained = renewQuarantines(Table, Request, Now) || Explained;
   const auto Blamed = Explained ? std::vector<const RequestTraits *>{}
                                 : blamedRequests(Table, Unknown);
+  for (const RequestTraits &Request : Unknown.m_Waiting)
+    if (isRouteSuspect(Table.m_Evidence, Request))
+      pauseRoute(Table, Request, Now);
   for (const RequestTraits *Request : Blamed) {
     addEvidence(Table, Request->m_Content, {}, *Request, Record.m_ReportedAt);
     for (const Trait Part : Request->m_Parts)
@@ -317,6 +356,15 @@
   expireTraits(Table, Now);
   if (!isSuspectTrait(Table, Value))
     return;
+  const auto Found = Table.m_Evidence.find(Value);
+  if (Found != Table.m_Evidence.end() && isRoute(Found->second)) {
+    // A request that was sent before the pause says nothing of the route since.
+    if (Found->second.m_TrialRuns == 0 || Found->second.m_PausedUntil > Now)
+      return;
+    ++Table.m_Revision;
+    --Found->second.m_TrialRuns;
+    return;
+  }
   ++Table.m_Revision;
   Table.m_Evidence.erase(Value);
   if (Table.m_AcquittedUntil.size() < Table.m_Settings.m_MaxTraits)
--- a/libs/retries/src/TraitTracker.cpp
+++ b/libs/retries/src/TraitTracker.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::chrono::seconds SweepInterval{1};
+/// When a request of a route on trial may come back to another entry.
+constexpr std::chrono::seconds TrialRetryAfter{1};
 
 void rememberSound(TraitTracker &Tracker, Trait Value, TimePoint Now) {
   if (Tracker.m_RecentlySound.size() >= Tracker.m_MaxSound &&
@@ -34,6 +36,19 @@
                      });
 }
 
+/// What is known of a suspect route: from control, or else from crashes that
+/// this entry has observed.
+const TraitEvidence *findRoute(const TraitTracker &Tracker, Trait Route,
+                               TimePoint Now) {
+  if (const auto Told = Tracker.m_Evidence.find(Route);
+      Told != Tracker.m_Evidence.end())
+    return &Told->second;
+  const auto Own = Tracker.m_Own.m_Evidence.find(Route);
+  return Own != Tracker.m_Own.m_Evidence.end() && Own->second.m_ExpiresAt > Now
+             ? &Own->second
+             : nullptr;
+}
+
 void recordSoundTrait(TraitTracker &Tracker, Trait Value, TimePoint Now) {
   if (isSuspect(Tracker, Value))
     Tracker.m_Sound.insert(Value);
@@ -55,6 +70,42 @@
          isRouteSuspect(Tracker.m_Evidence, Request);
 }
 
+RouteDecision evaluateRoute(const TraitTracker &Tracker,
+                            const RequestTraits &Request, TimePoint Now) {
+  if (Request.m_Route == 0 || !Request.m_Parts.empty())
+    return {};
+  const auto Own = Tracker.m_Own.m_Evidence.find(Request.m_Route);
+  if (Own != Tracker.m_Own.m_Evidence.end() && Now < Own->second.m_PausedUntil)
+    return {RouteGate::Closed, Own->second.m_PausedUntil};
+  const TraitEvidence *Known = findRoute(Tracker, Request.m_Route, Now);
+  if (Known == nullptr)
+    return {};
+  if (Now < Known->m_PausedUntil)
+    return {RouteGate::Closed, Known->m_PausedUntil};
+  if (Known->m_TrialRuns == 0)
+    return {};
+  const auto Permitted = Tracker.m_TrialsUntil.find(Request.m_Route);
+  if (Permitted == Tracker.m_TrialsUntil.end() || Permitted->second <= Now ||
+      Tracker.m_InTrial.contains(Request.m_Route))
+    return {RouteGate::Closed, Now + TrialRetryAfter};
+  return {RouteGate::Trial, Now};
+}
+
+void permitTrials(TraitTracker &Tracker, const std::vector<Trait> &Routes,
+                  TimePoint Until) {
+  Tracker.m_TrialsUntil.clear();
+  for (const Trait Route : Routes)
+    Tracker.m_TrialsUntil[Route] = Until;
+}
+
+void startTrial(TraitTracker &Tracker, Trait Route) {
+  WASABIVALE_INVARIANT(Tracker.m_InTrial.insert(Route).second);
+}
+
+void endTrial(TraitTracker &Tracker, Trait Route) {
+  WASABIVALE_INVARIANT(Tracker.m_InTrial.erase(Route) == 1);
+}
+
 bool mayRetryAfterCrash(const TraitTracker &Tracker,
                         const RequestTraits &Request) {
   // The crash itself is in the entry's own table, and not yet in control's.
@@ -67,6 +118,8 @@
                  TimePoint Now) {
   recordSoundTrait(Tracker, Request.m_Content, Now);
   rememberSound(Tracker, Request.m_Content, Now);
+  if (Tracker.m_InTrial.contains(Request.m_Route))
+    recordSoundTrait(Tracker, Request.m_Route, Now);
   for (const Trait Part : Request.m_Parts) {
     recordSoundTrait(Tracker, Part, Now);
     rememberSound(Tracker, Part, Now);
--- a/libs/retries/tests/TraitsTest.cpp
+++ b/libs/retries/tests/TraitsTest.cpp
@@ -1,5 +1,7 @@
 #include "retries/retries.h"
 
+#include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
 
@@ -340,3 +342,261 @@
   CHECK(On.m_Crashes.size() == Guilty.size());
   CHECK(On.m_SoundRefused <= On.m_Sound / 100);
 }
+
+namespace {
+
+/// A plain service of three targets that restart, behind several entries, in
+/// virtual time. Requests of its route have nothing else in common, and some of
+/// them crash the target that runs them.
+struct RouteRun {
+  static constexpr std::size_t Entries = 6;
+  static constexpr std::size_t Targets = 3;
+  static constexpr Trait Route = 77;
+  static constexpr Duration Tick = 10ms;
+  static constexpr Duration ContactTime = 3s;
+  static constexpr Duration TimeToCrash = 100ms;
+  static constexpr Duration TimeToAnswer = 20ms;
+  struct Job {
+    RequestTraits m_Request;
+    std::size_t m_Entry = 0;
+    std::size_t m_Target = 0;
+    TimePoint m_SentAt;
+    bool m_IsGuilty = false;
+    bool m_InTrial = false;
+    bool m_IsRepeat = false;
+  };
+  struct Arrival {
+    TimePoint m_At;
+    Job m_Job;
+  };
+
+  Random m_Rng;
+  TraitTable m_Control;
+  std::vector<TraitTracker> m_Trackers{Entries};
+  std::vector<std::vector<TraitCrash>> m_Reports{Entries};
+  std::array<TimePoint, Targets> m_BackAt{};
+  std::array<int, Targets> m_Incarnations{1, 1, 1};
+  std::vector<Job> m_Jobs;
+  std::vector<Arrival> m_Arrivals; ///< Repeats of callers.
+  TimePoint m_Now{1000s};
+  TimePoint m_ThirdCrashAt = TimePoint::max();
+  int m_Crashes = 0;
+  int m_SentLate = 0; ///< Guilty, later than `ContactTime` after that.
+  int m_Sound = 0;
+  int m_SoundServed = 0;
+  Trait m_Content = 1'000'000;
+
+  explicit RouteRun(std::uint64_t Seed) : m_Rng(Seed) {}
+
+  [[nodiscard]] std::optional<std::size_t> place(const Job &New) {
+    // The target that is kept for suspect routes is the first one.
+    if (isRouteSuspect(m_Trackers[New.m_Entry], New.m_Request))
+      return m_BackAt[0] <= m_Now ? std::optional<std::size_t>(0)
+                                  : std::nullopt;
+    const std::size_t First = m_Rng() % Targets;
+    for (std::size_t I = 0; I < Targets; ++I)
+      if (m_BackAt[(First + I) % Targets] <= m_Now)
+        return (First + I) % Targets;
+    return std::nullopt;
+  }
+
+  void send(Job New) {
+    TraitTracker &Tracker = m_Trackers[New.m_Entry];
+    if (quarantinedUntil(Tracker, New.m_Request, m_Now))
+      return;
+    const RouteGate Gate = evaluateRoute(Tracker, New.m_Request, m_Now).m_Gate;
+    if (Gate == RouteGate::Closed)
+      return;
+    const auto Target = place(New);
+    if (!Target)
+      return;
+    New.m_InTrial = Gate == RouteGate::Trial;
+    if (New.m_InTrial)
+      startTrial(Tracker, Route);
+    New.m_Target = *Target;
+    New.m_SentAt = m_Now;
+    if (New.m_IsGuilty && m_ThirdCrashAt != TimePoint::max() &&
+        m_Now > m_ThirdCrashAt + ContactTime)
+      ++m_SentLate;
+    m_Jobs.push_back(New);
+  }
+
+  void arrive(bool IsGuilty) {
+    Job New;
+    New.m_Request = {++m_Content, {}};
+    New.m_Request.m_Route = Route;
+    New.m_Entry = m_Rng() % Entries;
+    New.m_IsGuilty = IsGuilty;
+    m_Sound += IsGuilty ? 0 : 1;
+    send(New);
+  }
+
+  void end(const Job &Ended, bool Crashed) {
+    TraitTracker &Tracker = m_Trackers[Ended.m_Entry];
+    if (!Crashed) {
+      recordSound(Tracker, Ended.m_Request, m_Now);
+      m_SoundServed += 1;
+    } else if (!Ended.m_IsRepeat) {
+      Job Again = Ended;
+      Again.m_IsRepeat = true;
+      Again.m_Entry = m_Rng() % Entries;
+      m_Arrivals.push_back({m_Now + 80ms, Again});
+    }
+    if (Ended.m_InTrial)
+      endTrial(Tracker, Route);
+  }
+
+  void crash(std::size_t Target) {
+    if (++m_Crashes == 3)
+      m_ThirdCrashAt = m_Now;
+    m_BackAt[Target] = m_Now + 2s + std::chrono::milliseconds(m_Rng() % 1500);
+    const std::string Incarnation = std::to_string(m_Incarnations[Target]++);
+    for (Job Each : m_Jobs) {
+      if (Each.m_Target != Target)
+        continue;
+      Each.m_Request.m_Waited = m_Now - Each.m_SentAt;
+      m_Reports[Each.m_Entry].push_back(recordWaitingAtCrash(
+          m_Trackers[Each.m_Entry], {std::to_string(Target)}, Incarnation,
+          Each.m_Request, m_Now));
+      end(Each, true);
+    }
+    std::erase_if(m_Jobs,
+                  [&](const Job &Each) { return Each.m_Target == Target; });
+  }
+
+  void restart(std::size_t Entry) {
+    std::erase_if(m_Jobs,
+                  [&](const Job &Each) { return Each.m_Entry == Entry; });
+    m_Trackers[Entry] = {};
+    m_Reports[Entry].clear();
+    notify(Entry);
+  }
+
+  void notify(std::size_t Entry) {
+    m_Trackers[Entry].m_Evidence = m_Control.m_Evidence;
+    m_Trackers[Entry].m_Quarantines = m_Control.m_Quarantines;
+  }
+
+  void step() {
+    m_Now += Tick;
+    for (std::size_t Target = 0; Target < Targets; ++Target)
+      if (std::any_of(m_Jobs.begin(), m_Jobs.end(), [&](const Job &Each) {
+            return Each.m_Target == Target && Each.m_IsGuilty &&
+                   Each.m_SentAt + TimeToCrash <= m_Now;
+          }))
+        crash(Target);
+    for (std::size_t I = 0; I < m_Jobs.size();) {
+      const Job Each = m_Jobs[I];
+      if (Each.m_IsGuilty || Each.m_SentAt + TimeToAnswer > m_Now) {
+        ++I;
+        continue;
+      }
+      m_Jobs.erase(m_Jobs.begin() + static_cast<std::ptrdiff_t>(I));
+      end(Each, false);
+    }
+    const std::vector<Arrival> Due = std::exchange(m_Arrivals, {});
+    for (const Arrival &Each : Due)
+      if (Each.m_At > m_Now)
+        m_Arrivals.push_back(Each);
+      else
+        send(Each.m_Job);
+    // Crashes are reported at once, the rest twice a second.
+    const bool HasCrash =
+        std::any_of(m_Reports.begin(), m_Reports.end(),
+                    [](const auto &Each) { return !Each.empty(); });
+    if (m_Now.time_since_epoch() % (HasCrash ? Duration(50ms) : 500ms) ==
+        Duration(0))
+      exchange();
+  }
+
+  /// Reports of entries, and the notices that follow at once.
+  void exchange() {
+    for (std::size_t I = 0; I < Entries; ++I) {
+      for (const TraitCrash &Each : m_Reports[I])
+        applyTraitCrash(m_Control, Each, m_Now);
+      m_Reports[I].clear();
+      for (const Trait Value : std::exchange(m_Trackers[I].m_Sound, {}))
+        applySoundTrait(m_Control, Value, m_Now);
+    }
+    expireTraits(m_Control, m_Now);
+    const std::vector<Trait> Trials = routesOnTrial(m_Control, m_Now);
+    const auto Turn =
+        static_cast<std::size_t>(m_Now.time_since_epoch() / 10s) % Entries;
+    for (std::size_t I = 0; I < Entries; ++I) {
+      notify(I);
+      permitTrials(m_Trackers[I], I == Turn ? Trials : std::vector<Trait>{},
+                   m_Now + 1500ms);
+    }
+  }
+};
+
+} // namespace
+
+TEST_CASE("requests that share only their route reach targets in three retries "
+          "at most once three have crashed") {
+  const auto Seed = GENERATE(range(std::uint64_t(1), std::uint64_t(21)));
+  const unsigned GuiltyPercent = GENERATE(5U, 30U);
+  const bool EntriesRestart = GENERATE(false, true);
+  RouteRun On(Seed);
+  constexpr auto Length = 45s;
+  const TimePoint GuiltyUntil = On.m_Now + 30s;
+  while (On.m_Now < TimePoint(1000s) + Length) {
+    if (On.m_Rng() % 10 == 0)
+      On.arrive(On.m_Now < GuiltyUntil && On.m_Rng() % 100 < GuiltyPercent);
+    if (EntriesRestart && On.m_Rng() % 300 == 0)
+      On.restart(On.m_Rng() % RouteRun::Entries);
+    On.step();
+  }
+  INFO("seed " << Seed << ", guilty " << GuiltyPercent << "%, restarts "
+               << EntriesRestart << ", crashes " << On.m_Crashes
+               << ", sound requests served " << On.m_SoundServed << " of "
+               << On.m_Sound);
+  CHECK(On.m_SentLate <= 3);
+}
+
+SCENARIO("a route on trial is served again once its requests complete") {
+  RouteRun On(1);
+  for (int I = 0; I < 400; ++I) {
+    if (I % 10 == 0)
+      On.arrive(true);
+    On.step();
+  }
+  REQUIRE_FALSE(routesOnTrial(On.m_Control, On.m_Now + 1h).empty());
+  const RequestTraits Sound{1, {}, false, RouteRun::Route};
+  WHEN("its pause is over and its requests are sound") {
+    while (routesOnTrial(On.m_Control, On.m_Now).empty())
+      On.step();
+    for (int I = 0; I < 50; ++I)
+      On.step();
+    THEN("entries with permission run them, one at a time") {
+      int Running = 0;
+      for (TraitTracker &Each : On.m_Trackers) {
+        if (evaluateRoute(Each, Sound, On.m_Now).m_Gate != RouteGate::Trial)
+          continue;
+        ++Running;
+        startTrial(Each, RouteRun::Route);
+        CHECK(evaluateRoute(Each, Sound, On.m_Now).m_Gate == RouteGate::Closed);
+        endTrial(Each, RouteRun::Route);
+      }
+      CHECK(Running == 1);
+    }
+    THEN("all entries run them after some have completed") {
+      for (int I = 0; I < 3000; ++I) {
+        if (I % 10 == 0)
+          On.arrive(false);
+        On.step();
+      }
+      for (const TraitTracker &Each : On.m_Trackers)
+        CHECK(evaluateRoute(Each, Sound, On.m_Now).m_Gate == RouteGate::Open);
+    }
+  }
+  WHEN("control is away") {
+    On.m_Now += 20s;
+    for (TraitTracker &Each : On.m_Trackers)
+      permitTrials(Each, {}, On.m_Now);
+    THEN("no entry runs them") {
+      for (const TraitTracker &Each : On.m_Trackers)
+        CHECK(evaluateRoute(Each, Sound, On.m_Now).m_Gate == RouteGate::Closed);
+    }
+  }
+}
