Believe a refusal only if it answers this request

Callers were told "not run, try again" for requests that a target had run or was running, when the target wrote an earlier refusal once more on a kept connection; such a request could also run at a second target.

Cause: a try took the word "not run" of any head for its own, whatever request the head named, and an answer without an id for valid on any connection. Bytes that had arrived in the kernel between two requests were not seen when the connection was chosen, and were parsed as the answer to the next request. The fields of an interim head were added to those of the final one.

Change: a head answers a request if it carries its id, or carries none and is the first on its connection. A later try of a request gets a connection of its own, since the answer to the former try carries the same id. A pool looks into the kernel's buffer before it hands out a connection; bytes that arrive before the request end the call unsent, and an answer that begins before its request is written ends the connection. Interim heads are not passed on.

--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -471,6 +471,7 @@
   Plan.m_Choice = std::move(Where);
   Plan.m_StreamId = m_StreamId;
   Plan.m_Offset = m_Offset;
+  Plan.m_IsRetry = m_Tries > 1;
   TryHandlers Handlers;
   Handlers.m_OnHead = [this](int Status, const http::Fields &Fields) {
     m_Writer->head(Status, Fields);
--- a/apps/entry/src/Try.cpp
+++ b/apps/entry/src/Try.cpp
@@ -218,6 +218,7 @@
   With.m_Urgency = What->m_Urgency;
   With.m_LastEventId = m_Plan.m_Offset;
   With.m_PrefillOnly = PrefillOnly;
+  With.m_FreshConnection = m_Plan.m_IsRetry;
   // KV memory that is handed over holds all of the prompt.
   if (m_Plan.m_FetchFrom && KvSource.empty())
     With.m_FetchFrom = http::printAddress(*m_Plan.m_FetchFrom);
--- a/apps/entry/src/Try.h
+++ b/apps/entry/src/Try.h
@@ -41,6 +41,8 @@
   std::optional<http::Address> m_FetchFrom;
   std::string m_StreamId;
   std::uint64_t m_Offset = 0;
+  /// Whether the request was tried before.
+  bool m_IsRetry = false;
 };
 
 /// What all tries of an entry use; outlives them.
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -176,6 +176,8 @@
   std::size_t m_AnswerBytes = 16U << 20U;
   /// Most bytes of the answer's head, and of the framing within its body.
   std::size_t m_HeadBytes = 64U << 10U;
+  /// Whether a pool must open a connection for it.
+  bool m_FreshConnection = false;
 };
 
 struct ClientHandlers {
@@ -198,6 +200,9 @@
   /// Whether any byte of the request has been handed to the kernel. While it
   /// is false the peer can't have seen the request.
   [[nodiscard]] virtual bool hasSent() const = 0;
+  /// Whether the connection has carried an earlier request. What arrives on it
+  /// may then be a late or repeated answer to that one.
+  [[nodiscard]] virtual bool isReused() const = 0;
   /// Ends the call and closes its connection; no callback follows. May be
   /// called from within a callback, which then runs to its end.
   virtual void cancel() = 0;
@@ -227,8 +232,10 @@
 };
 
 /// Kept connections to servers: at most one request at a time on each. A
-/// connection is kept only after a whole answer with nothing behind it, and
-/// once the whole request has been written.
+/// connection is kept only after a whole answer with nothing behind it that
+/// began once the whole request had been written. Bytes that arrive while no
+/// request is open close it; those that arrive before a request is sent end
+/// the call, and nothing is sent.
 class Pool {
 public:
   Pool(event_base *Loop, PoolSettings Settings);
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -63,8 +63,12 @@
     const std::optional<evhttp_cmd_type> Method = methodOf(m_What.m_Method);
     if (!Method)
       return failSoon();
-    m_Connection = m_Pool == nullptr ? openConnection(m_Loop, m_What.m_To)
-                                     : m_Pool->take(m_What.m_To, m_Repeatable);
+    const Pool::State::Taken Taken =
+        m_Pool == nullptr
+            ? Pool::State::Taken{openConnection(m_Loop, m_What.m_To), false}
+            : m_Pool->take(m_What, m_Repeatable);
+    m_Connection = Taken.m_Connection;
+    m_IsReused = Taken.m_IsReused;
     bufferevent *Buffer = evhttp_connection_get_bufferevent(m_Connection);
     m_Output = evbuffer_add_cb(bufferevent_get_output(Buffer), onOutput, this);
     m_Input = evbuffer_add_cb(bufferevent_get_input(Buffer), onInput, this);
@@ -107,6 +111,7 @@
   }
 
   [[nodiscard]] bool hasSent() const override { return m_HasSent; }
+  [[nodiscard]] bool isReused() const override { return m_IsReused; }
 
   void cancel() override {
     if (!m_InCallback)
@@ -142,17 +147,37 @@
                              std::exchange(m_Input, nullptr));
   }
 
-  /// evhttp bounds heads and bodies, but not the line that states a chunk's
-  /// size.
-  static void onInput(evbuffer *Buffer, const evbuffer_cb_info *,
+  static void onInput(evbuffer *Buffer, const evbuffer_cb_info *Info,
                       void *Argument) {
     auto &Self = *static_cast<ClientCallState *>(Argument);
-    if (Self.m_Ended || Self.m_TooLong ||
-        evbuffer_get_length(Buffer) <=
-            Self.m_What.m_AnswerBytes + Self.m_What.m_HeadBytes)
+    if (Self.m_Ended || Self.m_BadInput)
       return;
-    Self.m_TooLong.emplace(Self.m_Loop, std::chrono::milliseconds(0), false,
-                           [&Self] { Self.end("the answer is too long"); });
+    if (Info->n_added > 0)
+      Self.checkEarlyBytes();
+    // evhttp bounds heads and bodies, but not the line that states a chunk's
+    // size.
+    if (evbuffer_get_length(Buffer) >
+        Self.m_What.m_AnswerBytes + Self.m_What.m_HeadBytes)
+      Self.endSoon("the answer is too long");
+  }
+
+  /// Bytes that arrive before the request has been written answer something
+  /// else.
+  void checkEarlyBytes() {
+    bufferevent *Buffer = evhttp_connection_get_bufferevent(m_Connection);
+    if (m_HasSent) {
+      m_IsEarly =
+          m_IsEarly || evbuffer_get_length(bufferevent_get_output(Buffer)) > 0;
+      return;
+    }
+    bufferevent_disable(Buffer, EV_WRITE);
+    endSoon("bytes arrived before the request was sent");
+  }
+
+  void endSoon(const char *Message) {
+    if (!m_BadInput)
+      m_BadInput.emplace(m_Loop, std::chrono::milliseconds(0), false,
+                         [this, Message] { end(Message); });
   }
 
   static void onOutput(evbuffer *, const evbuffer_cb_info *Info,
@@ -161,14 +186,26 @@
     if (Info->n_deleted == 0 || Self.m_HasSent)
       return;
     Self.m_HasSent = true;
+    // What can be read already was sent before the request arrived.
+    Self.m_IsEarly = Self.m_IsEarly || !hasNoInput(Self.m_Connection);
     if (Self.m_Pool != nullptr)
       Self.m_Pool->watchSilence(Self.m_Connection);
   }
 
+  static bool isInterim(evhttp_request *Raw) {
+    constexpr int FirstFinal = 200;
+    return evhttp_request_get_response_code(Raw) < FirstFinal;
+  }
+
   static int onHead(evhttp_request *Raw, void *Argument) {
     auto &Self = *static_cast<ClientCallState *>(Argument);
     if (Self.m_Ended)
       return 0;
+    // evhttp would add the fields of the next head to those of this one.
+    if (isInterim(Raw)) {
+      evhttp_clear_headers(evhttp_request_get_input_headers(Raw));
+      return 0;
+    }
     Self.m_Response.m_Status = evhttp_request_get_response_code(Raw);
     Self.m_Response.m_Headers =
         toHeaders(evhttp_request_get_input_headers(Raw));
@@ -219,10 +256,11 @@
 
   static void onComplete(evhttp_request *Raw, void *Argument) {
     auto &Self = *static_cast<ClientCallState *>(Argument);
-    if (Raw == nullptr || evhttp_request_get_response_code(Raw) == 0) {
-      Self.end(Self.m_ErrorText);
-      return;
-    }
+    if (Raw == nullptr || evhttp_request_get_response_code(Raw) == 0)
+      return Self.end(Self.m_ErrorText);
+    // evhttp goes on after 100 only.
+    if (isInterim(Raw))
+      return Self.end("an interim answer came instead of the final one");
     Self.m_Response.m_Body += takeBody(evhttp_request_get_input_buffer(Raw));
     Self.m_Response.m_Status = evhttp_request_get_response_code(Raw);
     Self.m_IsWhole = true;
@@ -250,7 +288,7 @@
       return;
     m_Ended = true;
     unwatch();
-    if (m_Pool != nullptr && m_IsWhole && m_Connection != nullptr)
+    if (m_Pool != nullptr && m_IsWhole && !m_IsEarly && m_Connection != nullptr)
       m_Pool->giveBack(std::exchange(m_Connection, nullptr), m_What.m_To,
                        m_Response.m_Fields);
     const timeval AtOnce{0, 0};
@@ -264,7 +302,7 @@
             evhttp_connection_free(Raw);
           (*Held)->m_Deadline.reset();
           (*Held)->m_Connecting.reset();
-          (*Held)->m_TooLong.reset();
+          (*Held)->m_BadInput.reset();
         },
         Last, &AtOnce);
   }
@@ -278,7 +316,7 @@
   std::optional<Timer> m_Deadline;
   std::optional<Timer> m_FailedAtStart;
   std::optional<Timer> m_Connecting;
-  std::optional<Timer> m_TooLong;
+  std::optional<Timer> m_BadInput;
   std::shared_ptr<Pool::State> m_Pool;
   bool m_Repeatable;
   evbuffer_cb_entry *m_Output = nullptr;
@@ -287,6 +325,8 @@
   std::size_t m_PassedOn = 0; ///< Bytes of the body given to `m_OnChunk`.
   bool m_InCallback = false;
   bool m_HasSent = false;
+  bool m_IsReused = false;
+  bool m_IsEarly = false; ///< Bytes came before the request was written.
   bool m_IsWhole = false;
   bool m_Ended = false;
 };
--- a/libs/http/src/Pool.cpp
+++ b/libs/http/src/Pool.cpp
@@ -3,6 +3,7 @@
 #include "Headers.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 #include <event2/bufferevent.h>
 #include <netinet/in.h>
@@ -49,15 +50,25 @@
   return std::chrono::seconds(Seconds);
 }
 
+/// Whether the connection is open, all was written and nothing has arrived.
 bool isQuiet(evhttp_connection *Of) {
   bufferevent *Buffer = evhttp_connection_get_bufferevent(Of);
-  return bufferevent_getfd(Buffer) != -1 &&
-         evbuffer_get_length(bufferevent_get_input(Buffer)) == 0 &&
-         evbuffer_get_length(bufferevent_get_output(Buffer)) == 0;
+  return evbuffer_get_length(bufferevent_get_output(Buffer)) == 0 &&
+         hasNoInput(Of);
 }
 
 } // namespace
 
+bool hasNoInput(evhttp_connection *Connection) {
+  bufferevent *Buffer = evhttp_connection_get_bufferevent(Connection);
+  const evutil_socket_t Socket = bufferevent_getfd(Buffer);
+  if (Socket == -1 || evbuffer_get_length(bufferevent_get_input(Buffer)) != 0)
+    return false;
+  char Byte = 0;
+  return recv(Socket, &Byte, sizeof(Byte), MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 evhttp_connection *openConnection(event_base *Loop, const Address &To) {
   bufferevent *Buffer = bufferevent_socket_new(Loop, -1, BEV_OPT_CLOSE_ON_FREE);
   evhttp_connection *Made = evhttp_connection_base_bufferevent_new(
@@ -88,10 +99,11 @@
   freeClosing();
 }
 
-evhttp_connection *Pool::State::take(const Address &To, bool Repeatable) {
+Pool::State::Taken Pool::State::take(const ClientRequest &Request,
+                                     bool Repeatable) {
   const TimePoint Now = BootClock::now();
-  auto &Kept = m_Idle[printAddress(To)];
-  while (!Kept.empty()) {
+  auto &Kept = m_Idle[printAddress(Request.m_To)];
+  while (!Kept.empty() && !Request.m_FreshConnection) {
     const Idle Last = Kept.back();
     const bool Fresh =
         Repeatable || Now - Last.m_Since <= m_Settings.m_FreshIdle;
@@ -101,11 +113,11 @@
     Kept.pop_back();
     evhttp_connection_set_closecb(Last.m_Connection, nullptr, nullptr);
     if (Now < Last.m_CloseAt && isQuiet(Last.m_Connection))
-      return Last.m_Connection;
+      return {Last.m_Connection, true};
     close(Last.m_Connection);
   }
   ++m_Opened;
-  return openConnection(m_Loop, To);
+  return {openConnection(m_Loop, Request.m_To), false};
 }
 
 void Pool::State::giveBack(evhttp_connection *Used, const Address &To,
--- a/libs/http/src/Pool.h
+++ b/libs/http/src/Pool.h
@@ -14,14 +14,22 @@
 /// Opens nothing yet: evhttp connects with the first request.
 evhttp_connection *openConnection(event_base *Loop, const Address &To);
 
+/// Whether nothing waits to be read on an open connection, neither here nor in
+/// the kernel.
+bool hasNoInput(evhttp_connection *Connection);
+
 struct Pool::State : std::enable_shared_from_this<Pool::State> {
   State(event_base *Loop, PoolSettings Settings);
   ~State();
   State(const State &) = delete;
   State &operator=(const State &) = delete;
 
-  /// The connection that was used last, or a new one. It belongs to the caller.
-  evhttp_connection *take(const Address &To, bool Repeatable);
+  struct Taken {
+    evhttp_connection *m_Connection; ///< Belongs to the caller.
+    bool m_IsReused;
+  };
+  /// The connection that was used last, or a new one.
+  Taken take(const ClientRequest &Request, bool Repeatable);
   /// Keeps a connection whose answer was whole, or closes it.
   void giveBack(evhttp_connection *Used, const Address &To,
                 const Fields &Answer);
--- a/libs/http/tests/PoolTest.cpp
+++ b/libs/http/tests/PoolTest.cpp
@@ -171,6 +171,60 @@
   }
 }
 
+TEST_CASE("bytes between two requests are not taken for an answer") {
+  Stage On;
+  RawServer Server(On.m_Loop, {Plain, Plain});
+  Pool Through(On.m_Loop, {});
+  CHECK(valueOf(On.ask(Through)).m_Body == "ok");
+  REQUIRE(Through.idle() == 1);
+  const std::string Stale = "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n";
+  // Written past the loop: the client learns of them from its socket only.
+  const int Socket = bufferevent_getfd(Server.m_Open.front());
+  const auto WriteStale = [&] {
+    CHECK(send(Socket, Stale.data(), Stale.size(), 0) ==
+          static_cast<ssize_t>(Stale.size()));
+  };
+  SECTION("when they arrive before the connection is chosen") {
+    WriteStale();
+    CHECK(valueOf(On.ask(Through)).m_Status == 200);
+    CHECK(Server.m_Accepted == 2);
+  }
+  SECTION("when they arrive before the request is sent") {
+    std::optional<Result<Response>> Got;
+    ClientRequest Out;
+    Out.m_To = {"127.0.0.1", Port};
+    Out.m_Method = "GET";
+    Out.m_Path = "/a";
+    Out.m_Fields = {{"Host", "x.example"}};
+    Out.m_Deadline = BootClock::now() + std::chrono::seconds(2);
+    ClientHandlers Handlers;
+    Handlers.m_OnDone = [&](Result<Response> Ended) {
+      Got = std::move(Ended);
+      event_base_loopbreak(On.m_Loop);
+    };
+    const std::size_t SeenBefore = Server.m_Seen.size();
+    const auto Call = Through.call(std::move(Out), std::move(Handlers), true);
+    WriteStale();
+    event_base_dispatch(On.m_Loop);
+    REQUIRE(Got.has_value());
+    // They are read before the request is written, or right after.
+    CHECK((Call->hasSent() || failed(*Got)));
+    CHECK((Call->hasSent() || Server.m_Seen.size() == SeenBefore));
+    CHECK(Call->isReused());
+    CHECK(Through.idle() == 0);
+  }
+}
+
+TEST_CASE("an answer that begins within its request ends the connection") {
+  Stage On;
+  RawServer Server(On.m_Loop, {Plain, Plain});
+  Pool Through(On.m_Loop, {});
+  // More than the kernel takes at once.
+  CHECK(valueOf(On.ask(Through, std::string(8U << 20U, 'x'), "POST")).m_Body ==
+        "ok");
+  CHECK(Through.idle() == 0);
+}
+
 TEST_CASE("an answer that is not whole is a failure") {
   Stage On;
   const char *Broken[] = {
--- a/libs/relay/include/relay/relay.h
+++ b/libs/relay/include/relay/relay.h
@@ -68,6 +68,9 @@
   std::string m_KvSource; ///< `ip:port/handle` of KV memory, or empty.
   /// `ip:port` of an engine that has part of the prompt cached, or empty.
   std::string m_FetchFrom;
+  /// Set for a request that may have been sent before: a kept connection could
+  /// repeat the answer to that try, which has the same id.
+  bool m_FreshConnection = false;
 };
 
 /// Metadata in the head of a target's response, besides the status.
--- a/libs/relay/src/Send.cpp
+++ b/libs/relay/src/Send.cpp
@@ -38,10 +38,20 @@
   std::string m_Body;
   http::Fields m_Fields;
 
+  /// Whether the response answers this request. Only the first response on a
+  /// connection needs no id for that: others may repeat an earlier one.
+  [[nodiscard]] bool answersRequest() const {
+    if (!m_ResponseInfo.m_Id.empty())
+      return m_ResponseInfo.m_Id == m_Request.m_Id;
+    const auto Call = m_Call.lock();
+    return Call != nullptr && !Call->isReused();
+  }
   [[nodiscard]] bool isValidResponse() const {
-    return (m_ResponseInfo.m_Signed || m_PrefillOnly) &&
-           (m_ResponseInfo.m_Id.empty() ||
-            m_ResponseInfo.m_Id == m_Request.m_Id);
+    return (m_ResponseInfo.m_Signed || m_PrefillOnly) && answersRequest();
+  }
+  [[nodiscard]] bool provesNotRun() const {
+    return (m_ResponseInfo.m_NotRun || m_ResponseInfo.m_WrongTarget) &&
+           answersRequest();
   }
 
   void onHead(int Status, const http::Fields &Fields);
@@ -57,6 +67,9 @@
   m_Status = Status;
   m_Fields = Fields;
   m_ResponseInfo = m_Format.m_ReadResponse(Status, Fields);
+  if (!isValidResponse() && !provesNotRun())
+    return reject({"relay.answer", m_Peer,
+                   "the response does not belong to this request"});
   if (m_ResponseInfo.m_Load && m_Handlers.m_OnLoad)
     m_Handlers.m_OnLoad(*m_ResponseInfo.m_Load);
   const bool FromTarget =
@@ -65,15 +78,11 @@
   if (FromTarget && m_Handlers.m_OnRateLimit)
     m_Handlers.m_OnRateLimit(m_ResponseInfo.m_RequestsPerSecond);
   m_IsStream =
-      isSuccess(Status) && isValidResponse() && m_EventReader &&
+      isSuccess(Status) && !provesNotRun() && m_EventReader &&
       http::field(Fields, "content-type").substr(0, StreamType.size()) ==
           StreamType;
   if (m_IsStream)
     m_Handlers.m_OnHead(Status, Fields);
-  else if (!isValidResponse() && !m_ResponseInfo.m_NotRun &&
-           !m_ResponseInfo.m_WrongTarget)
-    reject({"relay.answer", m_Peer,
-            "the response does not belong to this request"});
 }
 
 void Task::reject(Error Why) {
@@ -112,13 +121,13 @@
 TryResult Task::classify(const Result<http::Response> &Response) const {
   TryResult Result;
   Result.m_Status = m_Status;
-  Result.m_WrongTarget = m_ResponseInfo.m_WrongTarget;
+  Result.m_WrongTarget = m_ResponseInfo.m_WrongTarget && answersRequest();
   if (m_EventReader) {
     Result.m_LastEventId = m_EventReader->lastEventId();
     Result.m_Duplicates = m_EventReader->duplicates();
   }
   // The head alone is conclusive, even if the body is truncated.
-  if (m_ResponseInfo.m_NotRun || m_ResponseInfo.m_WrongTarget) {
+  if (provesNotRun()) {
     Result.m_Outcome = TryCompletion::NotRun;
     Result.m_Failure = {"relay.send", m_Peer,
                         "the target did not run the request"};
@@ -178,6 +187,7 @@
   Outgoing.m_Body = Request.m_Body;
   Outgoing.m_Deadline = Options.m_Deadline;
   Outgoing.m_AnswerBytes = MaxResponseBytes;
+  Outgoing.m_FreshConnection = Options.m_FreshConnection;
   auto NewTask = std::make_shared<Task>(
       Format, Request, http::printAddress(Address), std::move(Handlers));
   NewTask->m_PrefillOnly = Options.m_PrefillOnly;
--- a/libs/relay/tests/RelayTest.cpp
+++ b/libs/relay/tests/RelayTest.cpp
@@ -1,7 +1,11 @@
 #include "relay/relay.h"
 
 #include <catch2/catch.hpp>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
 
 using namespace wasabivale;
 using namespace wasabivale::relay;
@@ -276,3 +280,190 @@
     CHECK(Fixture.m_Events == std::vector<std::uint64_t>{1});
   }
 }
+
+namespace {
+
+/// A target that answers each request with the next of its raw texts.
+struct RawTarget {
+  event_base *m_Loop;
+  std::vector<std::string> m_Answers;
+  std::size_t m_Requests = 0;
+  int m_Connections = 0;
+  std::vector<bufferevent *> m_Open;
+  evconnlistener *m_Listener;
+
+  RawTarget(event_base *Loop, std::vector<std::string> Answers)
+      : m_Loop(Loop), m_Answers(std::move(Answers)) {
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_port = htons(TargetPort);
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    m_Listener = evconnlistener_new_bind(
+        Loop, onAccept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+        reinterpret_cast<sockaddr *>(&Address), sizeof(Address));
+    REQUIRE(m_Listener != nullptr);
+  }
+  ~RawTarget() {
+    for (bufferevent *Each : m_Open)
+      bufferevent_free(Each);
+    evconnlistener_free(m_Listener);
+  }
+  RawTarget(const RawTarget &) = delete;
+  RawTarget &operator=(const RawTarget &) = delete;
+
+  static void onAccept(evconnlistener *, evutil_socket_t Socket, sockaddr *,
+                       int, void *Owner) {
+    auto &Self = *static_cast<RawTarget *>(Owner);
+    ++Self.m_Connections;
+    bufferevent *Accepted =
+        bufferevent_socket_new(Self.m_Loop, Socket, BEV_OPT_CLOSE_ON_FREE);
+    Self.m_Open.push_back(Accepted);
+    bufferevent_setcb(Accepted, onRead, nullptr, nullptr, Owner);
+    bufferevent_enable(Accepted, EV_READ | EV_WRITE);
+  }
+
+  static void onRead(bufferevent *Connection, void *Owner) {
+    auto &Self = *static_cast<RawTarget *>(Owner);
+    evbuffer *Input = bufferevent_get_input(Connection);
+    std::string Bytes(evbuffer_get_length(Input), '\0');
+    evbuffer_remove(Input, Bytes.data(), Bytes.size());
+    if (Bytes.find("\r\n\r\n") == Bytes.npos ||
+        Self.m_Requests >= Self.m_Answers.size())
+      return;
+    const std::string &Answer = Self.m_Answers[Self.m_Requests++];
+    bufferevent_write(Connection, Answer.data(), Answer.size());
+  }
+};
+
+/// Requests that follow each other through one pool.
+struct Sequence {
+  event_base *m_Loop = event_base_new();
+  std::unique_ptr<http::Pool> m_Connections =
+      std::make_unique<http::Pool>(m_Loop, http::PoolSettings{});
+  std::function<void()> m_AfterSend = [] {};
+
+  Sequence() = default;
+  ~Sequence() {
+    m_Connections.reset();
+    event_base_loop(m_Loop, EVLOOP_NONBLOCK);
+    event_base_free(m_Loop);
+  }
+  Sequence(const Sequence &) = delete;
+  Sequence &operator=(const Sequence &) = delete;
+
+  TryResult run(const std::string &Id, TryOptions Options = {}) {
+    CallerRequest Request;
+    Request.m_Id = Id;
+    Request.m_Method = "POST";
+    Request.m_Target = "/a";
+    Request.m_Fields = {{"Host", "shop.example"}};
+    Options.m_Deadline = BootClock::now() + std::chrono::milliseconds(500);
+    std::optional<TryResult> Ended;
+    TryHandlers Handlers;
+    Handlers.m_OnEnd = [&](TryResult Result) {
+      Ended = std::move(Result);
+      event_base_loopbreak(m_Loop);
+    };
+    (void)send(*m_Connections, TestDialect, {"127.0.0.1", TargetPort}, Request,
+               Options, true, std::move(Handlers));
+    m_AfterSend();
+    event_base_dispatch(m_Loop);
+    REQUIRE(Ended.has_value());
+    return *Ended;
+  }
+};
+
+std::string refusal(const std::string &Id) {
+  return "HTTP/1.1 503 Full\r\nNot-Run: 1\r\n" +
+         (Id.empty() ? "" : "Id: " + Id + "\r\n") + "Content-Length: 0\r\n\r\n";
+}
+
+std::string success(const std::string &Id, const std::string &Body) {
+  return "HTTP/1.1 200 OK\r\nSigned: yes\r\nId: " + Id +
+         "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
+}
+
+} // namespace
+
+TEST_CASE("a repeated answer on a kept connection is not taken for the next") {
+  struct Row {
+    const char *m_Name;
+    std::string m_First;
+    std::string m_Repeated;
+  };
+  const Row Rows[] = {
+      {"a refusal", refusal("r-1"), refusal("r-1")},
+      {"a refusal without an id", refusal(""), refusal("")},
+      {"the word of another process", success("r-1", "a"),
+       "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"},
+      {"a success", success("r-1", "a"), success("r-1", "a")},
+      {"a success without an id", success("r-1", "a"),
+       "HTTP/1.1 200 OK\r\nSigned: yes\r\nContent-Length: 1\r\n\r\na"},
+      {"an interim head", success("r-1", "a"),
+       "HTTP/1.1 103 Early\r\nNot-Run: 1\r\nId: r-2\r\n\r\n"},
+      {"fields of an interim head", success("r-1", "a"),
+       "HTTP/1.1 100 Continue\r\nNot-Run: 1\r\nId: r-2\r\n\r\n"
+       "HTTP/1.1 500 No\r\nSigned: yes\r\nContent-Length: 0\r\n\r\n"},
+  };
+  for (const Row &Case : Rows)
+    for (const bool PrefillOnly : {false, true}) {
+      INFO(Case.m_Name << (PrefillOnly ? ", prefill" : ""));
+      Sequence On;
+      RawTarget Target(On.m_Loop, {Case.m_First, Case.m_Repeated});
+      TryOptions Options;
+      Options.m_PrefillOnly = PrefillOnly;
+      (void)On.run("r-1", Options);
+      const TryResult Result = On.run("r-2", Options);
+      CHECK(Target.m_Connections == 1);
+      CHECK(Target.m_Requests == 2);
+      CHECK(Result.m_Outcome == TryCompletion::Inconclusive);
+      CHECK(Result.m_Response.m_Body.empty());
+      CHECK(On.m_Connections->idle() == 0);
+    }
+}
+
+TEST_CASE("a refusal that names the request proves that it has not run") {
+  Sequence On;
+  SECTION("on a kept connection") {
+    RawTarget Target(On.m_Loop, {success("r-1", "a"), refusal("r-2")});
+    (void)On.run("r-1");
+    CHECK(On.run("r-2").m_Outcome == TryCompletion::NotRun);
+    CHECK(Target.m_Connections == 1);
+  }
+  SECTION("and without a name on one that carried nothing before") {
+    RawTarget Target(On.m_Loop, {refusal("")});
+    CHECK(On.run("r-1").m_Outcome == TryCompletion::NotRun);
+  }
+  SECTION("but not when another arrives before the request is sent") {
+    RawTarget Target(On.m_Loop, {success("r-1", "a"), success("r-2", "b")});
+    (void)On.run("r-1");
+    const std::string Stale = refusal("r-1");
+    const int Socket = bufferevent_getfd(Target.m_Open.front());
+    const auto Written = [&] {
+      return ::send(Socket, Stale.data(), Stale.size(), 0) > 0;
+    };
+    SECTION("and the connection has not been chosen") {
+      REQUIRE(Written());
+      CHECK(On.run("r-2").m_Outcome == TryCompletion::Complete);
+      CHECK(Target.m_Connections == 2);
+    }
+    SECTION("and the connection has been chosen") {
+      On.m_AfterSend = [&] { REQUIRE(Written()); };
+      const TryResult Result = On.run("r-2");
+      // Nothing was sent, or the fate of what was sent is unknown.
+      CHECK(Result.m_Outcome != TryCompletion::Complete);
+      CHECK((Result.m_Outcome == TryCompletion::Inconclusive ||
+             Target.m_Requests == 1));
+      CHECK(On.m_Connections->idle() == 0);
+    }
+  }
+  SECTION("but not when it repeats what an earlier try was told") {
+    RawTarget Target(On.m_Loop, {refusal("r-1"), success("r-1", "a")});
+    (void)On.run("r-1");
+    TryOptions Again;
+    Again.m_FreshConnection = true;
+    CHECK(On.run("r-1", Again).m_Outcome == TryCompletion::Complete);
+    CHECK(Target.m_Connections == 2);
+  }
+}
--- a/libs/targets/src/RunClient.cpp
+++ b/libs/targets/src/RunClient.cpp
@@ -25,6 +25,7 @@
       : m_Run(std::move(Run)), m_Call(std::move(Call)) {}
 
   [[nodiscard]] bool hasSent() const override { return m_Call->hasSent(); }
+  [[nodiscard]] bool isReused() const override { return m_Call->isReused(); }
   void cancel() override {
     m_Run->m_Ended = true;
     m_Call->cancel();
