--- a/build.sh
+++ b/build.sh
@@ -12,6 +12,7 @@
   demo                 run the whole system on loopback, step by step
   bench [NAME...]      run the measurements; --capacity measures the slopes of docs/CAPACITY.md
   soak [OPTIONS]       long randomised runs of the pure steps (--seed N --steps M --seeds K)
+  fault-soak [OPTIONS] the real programs under faults (--seed N --seeds K --seconds S --entries E)
   proto                regenerate libs/wire/generated (needs protobuf-compiler)
   format               rewrite the sources with clang-format
   check-format         fail when clang-format would change something
@@ -124,6 +125,9 @@
 demo) build && exec tools/demo/demo.sh "$@" ;;
 bench) build && exec tools/bench/bench.sh "$@" ;;
 soak) build wasabivale-soak && exec out/build/bin/wasabivale-soak "$@" ;;
+fault-soak)
+  build wasabivale-fault-soak && exec out/build/bin/wasabivale-fault-soak --logs out/fault-soak "$@"
+  ;;
 proto) proto ;;
 format) list_sources | xargs -r clang-format -i ;;
 check-format) check_format ;;
--- /dev/null
+++ b/tools/fault-soak/src/Judge.cpp
@@ -0,0 +1,352 @@
+#include "Judge.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <sstream>
+
+namespace wasabivale::soak {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int Ok = 200;
+constexpr int NotFound = 404;
+/// Requests that an entry must have been sent in a window to judge it.
+constexpr std::uint64_t WindowRequests = 10;
+constexpr std::chrono::milliseconds WindowLength{4'000};
+/// A caller's connection that ends this soon after its request may have ended
+/// before the entry read it.
+constexpr std::chrono::milliseconds ReadSlack{600};
+/// Requests sent this soon after a SIGTERM may still run at the end.
+constexpr std::chrono::milliseconds EarlyAfterStop{3'000};
+
+bool promisesNotRun(int Status) {
+  return Status == 503 || Status == 429 || Status == 408 || Status == 421;
+}
+
+bool isStream(Kind What) {
+  return What == Kind::Stream || What == Kind::Resumable;
+}
+
+bool isRepeatable(Kind What) {
+  return What == Kind::Safe || What == Kind::Resumable;
+}
+
+std::int64_t inMilliseconds(Duration Span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count();
+}
+
+} // namespace
+
+unsigned linkNumber(unsigned Entry, unsigned Target) {
+  return (Entry << 16U) + Target;
+}
+
+std::string eventText(std::uint64_t Id, std::uint64_t Total,
+                      const std::string &Request, const std::string &Version) {
+  return fmt::format("id: {}\ndata: {} {} {} {}\n\n", Id, Request, Id, Total,
+                     Version);
+}
+
+Events readEvents(std::string_view Body, const Sent &Request) {
+  Events Seen;
+  Seen.m_Last = Request.m_LastEventId;
+  Seen.m_Version = Request.m_FirstVersion;
+  constexpr std::string_view End = "\n\n";
+  constexpr std::string_view Data = "data: ";
+  for (std::size_t At = Body.find(End); At != std::string_view::npos;
+       At = Body.find(End)) {
+    const std::string_view Event = Body.substr(0, At);
+    Body.remove_prefix(At + End.size());
+    const std::size_t From = Event.find(Data);
+    std::uint64_t Id = 0;
+    std::string Owner;
+    std::string Version;
+    if (From != std::string_view::npos) {
+      std::istringstream Text(std::string(Event.substr(From + Data.size())));
+      Text >> Owner >> Id >> Seen.m_Total >> Version;
+    }
+    Seen.m_IsForeign = Seen.m_IsForeign || Owner != Request.m_Id;
+    Seen.m_HasGap = Seen.m_HasGap || Id != Seen.m_Last + 1;
+    if (Seen.m_Version.empty())
+      Seen.m_Version = Version;
+    Seen.m_IsMixed = Seen.m_IsMixed || Version != Seen.m_Version;
+    Seen.m_Last = Id;
+  }
+  return Seen;
+}
+
+void Judge::report(const std::string &Rule, const Record &Request,
+                   const std::string &Text, TimePoint At) {
+  std::string Runs;
+  for (const Run &Each : Request.m_Runs)
+    Runs += fmt::format(" target={} began_ms={} answered_ms={}", Each.m_Target,
+                        inMilliseconds(Each.m_At - Request.m_Sent.m_At),
+                        Each.m_AnsweredAt ? inMilliseconds(*Each.m_AnsweredAt -
+                                                           Request.m_Sent.m_At)
+                                          : -1);
+  const auto Stop = stopBefore(Request.m_Sent.m_Entry, At);
+  m_Violations.push_back(
+      {Rule, Request.m_Sent.m_Id,
+       fmt::format("{}: route={} entry={} after_sending_ms={} "
+                   "sent_after_stop_ms={}{}",
+                   Text, Request.m_Sent.m_Route, Request.m_Sent.m_Entry,
+                   inMilliseconds(At - Request.m_Sent.m_At),
+                   Stop ? inMilliseconds(Request.m_Sent.m_At - *Stop) : 0,
+                   Runs),
+       At});
+}
+
+bool Judge::wasDisturbed(Part What, unsigned Number, TimePoint From,
+                         TimePoint Until) const {
+  const auto Found = m_Disturbances.find({What, Number});
+  if (Found == m_Disturbances.end())
+    return false;
+  return std::any_of(Found->second.begin(), Found->second.end(),
+                     [&](const auto &Each) {
+                       return Each.first <= Until && Each.second >= From;
+                     });
+}
+
+bool Judge::isInTouch(unsigned Entry, TimePoint From, TimePoint Until) const {
+  const TimePoint Start = From - m_Bounds.m_Contact - m_Bounds.m_Margin;
+  return !wasDisturbed(Part::Entry, Entry, Start, Until) &&
+         !wasDisturbed(Part::Start, Entry, Start, Until) &&
+         !wasDisturbed(Part::Core, 0, Start, Until) &&
+         !wasDisturbed(Part::Observer, 0, Start, Until);
+}
+
+std::optional<TimePoint> Judge::stopBefore(unsigned Entry, TimePoint At) const {
+  const auto Found = m_Stops.find(Entry);
+  if (Found == m_Stops.end())
+    return std::nullopt;
+  std::optional<TimePoint> Last;
+  for (const TimePoint Each : Found->second)
+    if (Each <= At && At - Each < m_Bounds.m_Grace + 1s)
+      Last = Each;
+  return Last;
+}
+
+void Judge::sent(const Sent &Request) {
+  ++m_Counts.m_Sent;
+  ++m_Windows[Request.m_Entry].m_Sent;
+  m_Requests[Request.m_Id].m_Sent = Request;
+}
+
+std::size_t Judge::began(const std::string &Id, Run Started) {
+  ++m_Counts.m_Runs;
+  const auto Found = m_Requests.find(Id);
+  if (Found == m_Requests.end()) {
+    Record Unknown;
+    Unknown.m_Sent.m_Id = Id;
+    report("UNASKED", Unknown, "no caller sent this", Started.m_At);
+    return 0;
+  }
+  Record &Request = Found->second;
+  if (const auto Stop = stopBefore(Request.m_Sent.m_Entry, Started.m_At);
+      Stop && Request.m_Sent.m_At > *Stop)
+    ++m_Counts.m_RunsWhileStopping;
+  Request.m_Runs.push_back(std::move(Started));
+  const Run &Now = Request.m_Runs.back();
+  const bool IsOnce = !isRepeatable(Request.m_Sent.m_Kind);
+  if (IsOnce && Request.m_Runs.size() > 1)
+    report("TWICE", Request, "runs again", Now.m_At);
+  if (IsOnce && Request.m_Ending && !Request.m_Ending->m_IsBroken &&
+      promisesNotRun(Request.m_Ending->m_Status))
+    report("REFUSED", Request, "runs after its refusal", Now.m_At);
+  checkRoute(Request, Now);
+  checkDrain(Request, Now);
+  return Request.m_Runs.size() - 1;
+}
+
+void Judge::answered(const std::string &Id, std::size_t Number, TimePoint At) {
+  const auto Found = m_Requests.find(Id);
+  if (Found != m_Requests.end() && Number < Found->second.m_Runs.size())
+    Found->second.m_Runs[Number].m_AnsweredAt = At;
+}
+
+std::uint64_t Judge::leastVersion(const Sent &Request, TimePoint Until) const {
+  std::uint64_t Least = 0;
+  if (!isInTouch(Request.m_Entry, Request.m_At, Until))
+    return Least;
+  for (const auto &[Version, At] : m_Acknowledged)
+    if (At + m_Bounds.m_Apply + m_Bounds.m_Margin < Request.m_At)
+      Least = std::max(Least, Version);
+  return Least;
+}
+
+void Judge::checkRoute(const Record &Request, const Run &Started) {
+  const std::uint64_t Least = leastVersion(Request.m_Sent, Started.m_At);
+  bool IsAllowed = false;
+  bool WasEver = false;
+  for (const auto &[Version, Content] : m_Routes) {
+    const auto Found = Content.find(Request.m_Sent.m_Route);
+    const bool Allows =
+        Found != Content.end() && Found->second.count(Started.m_Service) > 0;
+    WasEver = WasEver || Allows;
+    IsAllowed = IsAllowed || (Allows && Version >= Least);
+  }
+  if (!WasEver)
+    report("ROUTE", Request, "no configuration allows " + Started.m_Service,
+           Started.m_At);
+  else if (!IsAllowed)
+    report("CONFIG", Request,
+           fmt::format("run by {}, which version {} no longer allows",
+                       Started.m_Service, Least),
+           Started.m_At);
+}
+
+void Judge::checkDrain(const Record &Request, const Run &Started) {
+  const auto Left = m_Leaves.find(Started.m_Target);
+  if (Left == m_Leaves.end() ||
+      Request.m_Sent.m_At < Left->second + m_Bounds.m_Drain + m_Bounds.m_Margin)
+    return;
+  if (isInTouch(Request.m_Sent.m_Entry, Left->second, Started.m_At))
+    report("DRAIN", Request, "reaches a target that leaves", Started.m_At);
+}
+
+void Judge::checkLost(const Record &Request) {
+  const Sent &Asked = Request.m_Sent;
+  const TimePoint EndAt = Request.m_Ending->m_At;
+  const auto Stop = stopBefore(Asked.m_Entry, EndAt);
+  if (EndAt > Asked.m_Deadline - m_Bounds.m_Margin ||
+      wasDisturbed(Part::Entry, Asked.m_Entry, Asked.m_At - m_Bounds.m_Contact,
+                   EndAt) ||
+      wasDisturbed(Part::Observer, 0, Asked.m_At, EndAt))
+    return;
+  if (Request.m_Runs.empty()) {
+    if (Stop && Asked.m_OnKeptConnection && EndAt - Asked.m_At > ReadSlack)
+      report("LOST", Request, "read, not passed on and not answered", EndAt);
+    return;
+  }
+  for (const Run &Each : Request.m_Runs)
+    if (wasDisturbed(Part::Target, Each.m_Target, Asked.m_At, EndAt) ||
+        wasDisturbed(Part::Link, linkNumber(Asked.m_Entry, Each.m_Target),
+                     Asked.m_At, EndAt))
+      return;
+  const bool IsAnswered = Request.m_Runs.back().m_AnsweredAt.has_value();
+  if (!IsAnswered && Stop && EndAt >= *Stop + m_Bounds.m_Grace * 5 / 6 &&
+      Asked.m_At <= *Stop + EarlyAfterStop)
+    return;
+  report("LOST", Request,
+         IsAnswered ? "the target's answer did not arrive"
+                    : "ended while its target was at work",
+         EndAt);
+}
+
+void Judge::checkAnswer(const Record &Request) {
+  const Ending &Got = *Request.m_Ending;
+  if (Got.m_Status != Ok)
+    return;
+  if (isStream(Request.m_Sent.m_Kind)) {
+    const Events Seen = readEvents(Got.m_Body, Request.m_Sent);
+    if (Seen.m_HasGap)
+      report("ORDER", Request, "a piece is missing or comes twice", Got.m_At);
+    if (Seen.m_IsForeign)
+      report("MIXED", Request, "events of another request", Got.m_At);
+    if (m_ChecksVersions && Seen.m_IsMixed)
+      report("ORDER", Request, "pieces of two software versions", Got.m_At);
+    if (!Got.m_IsBroken && (Seen.m_Total == 0 || Seen.m_Last != Seen.m_Total))
+      report("ORDER", Request,
+             fmt::format("looks complete after event {} of {}", Seen.m_Last,
+                         Seen.m_Total),
+             Got.m_At);
+  }
+  if (Got.m_IsBroken)
+    return;
+  const bool IsOfRun = std::any_of(
+      Request.m_Runs.begin(), Request.m_Runs.end(), [&](const Run &Each) {
+        return Each.m_Stamp == Got.m_Stamp &&
+               (isStream(Request.m_Sent.m_Kind) || Each.m_Body == Got.m_Body);
+      });
+  if (!IsOfRun)
+    report("MIXED", Request, "a success that no target gave to this request",
+           Got.m_At);
+}
+
+void Judge::checkDenied(const Record &Request) {
+  const Ending &Got = *Request.m_Ending;
+  if (Got.m_Status != NotFound)
+    return;
+  const std::uint64_t Least = leastVersion(Request.m_Sent, Got.m_At);
+  const bool IsEverywhere = std::all_of(
+      m_Routes.lower_bound(Least), m_Routes.end(), [&](const auto &Each) {
+        return Each.second.count(Request.m_Sent.m_Route) > 0;
+      });
+  if (IsEverywhere)
+    report("CONFIG", Request, "not found, though its route is in force",
+           Got.m_At);
+}
+
+void Judge::ended(const std::string &Id, const Ending &Got) {
+  Record &Request = m_Requests[Id];
+  Request.m_Ending = Got;
+  if (Got.m_IsBroken)
+    ++m_Counts.m_Broken;
+  else if (Got.m_Status == Ok) {
+    ++m_Counts.m_Served;
+    ++m_Windows[Request.m_Sent.m_Entry].m_Served;
+  } else
+    ++(promisesNotRun(Got.m_Status) ? m_Counts.m_Refused : m_Counts.m_Failed);
+  checkAnswer(Request);
+  if (Got.m_IsBroken) {
+    if (!Got.m_IsTimeout)
+      checkLost(Request);
+    return;
+  }
+  if (!Got.m_Id.empty() && Got.m_Id != Id)
+    report("MIXED", Request, "answer of " + Got.m_Id, Got.m_At);
+  if (!isRepeatable(Request.m_Sent.m_Kind) && !Request.m_Runs.empty() &&
+      promisesNotRun(Got.m_Status))
+    report("REFUSED", Request, fmt::format("{}, and has run", Got.m_Status),
+           Got.m_At);
+  checkDenied(Request);
+}
+
+void Judge::disturbed(Part What, unsigned Number, TimePoint From,
+                      TimePoint Until) {
+  m_Disturbances[{What, Number}].emplace_back(From, Until);
+}
+
+void Judge::stopAsked(unsigned Entry, TimePoint At) {
+  m_Stops[Entry].push_back(At);
+}
+
+void Judge::leaveAcknowledged(unsigned Target, TimePoint At) {
+  m_Leaves.emplace(Target, At);
+}
+
+void Judge::targetStarted(unsigned Target) { m_Leaves.erase(Target); }
+
+void Judge::routesSent(std::uint64_t Version, const Routes &Content) {
+  m_Routes[Version] = Content;
+}
+
+void Judge::routesAcknowledged(std::uint64_t Version, TimePoint At) {
+  m_Acknowledged.emplace(Version, At);
+}
+
+void Judge::processEnded(const std::string &Name, int Status, TimePoint At) {
+  m_Violations.push_back(
+      {"ENDED", "", fmt::format("{} ended by itself: {}", Name, Status), At});
+}
+
+void Judge::checkService(TimePoint Now) {
+  for (auto &[Entry, Each] : m_Windows) {
+    if (Now - Each.m_From < WindowLength)
+      continue;
+    if (Each.m_Sent >= WindowRequests && Each.m_Served == 0 &&
+        Each.m_From != TimePoint{} && isInTouch(Entry, Each.m_From, Now))
+      m_Violations.push_back(
+          {"SERVED", "",
+           fmt::format("entry {} was sent {} requests in {} ms and served none",
+                       Entry, Each.m_Sent, inMilliseconds(Now - Each.m_From)),
+           Now});
+    Each = {0, 0, Now};
+  }
+}
+
+std::vector<Violation> Judge::take() { return std::exchange(m_Violations, {}); }
+
+} // namespace wasabivale::soak
--- /dev/null
+++ b/tools/fault-soak/src/Judge.h
@@ -0,0 +1,192 @@
+/// \file
+/// Checks what callers and targets have seen against what the system promises.
+/// Reads no clock and does no I/O.
+
+#ifndef WASABIVALE_FAULTSOAK_JUDGE_H
+#define WASABIVALE_FAULTSOAK_JUDGE_H
+
+#include "base/base.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace wasabivale::soak {
+
+enum class Kind : std::uint8_t {
+  Safe,
+  Unsafe,
+  Stream,    ///< Runs at most once.
+  Resumable, ///< A stream that may be continued by another run.
+};
+
+/// What a disturbance concerns. One of a kind without number has number 0.
+enum class Part : std::uint8_t {
+  Entry,    ///< Killed, paused, or cut off from targets.
+  Start,    ///< An entry that was started or was asked to stop.
+  Target,   ///< Crashed, left or silent.
+  Link,     ///< Between an entry and a target: `linkNumber`.
+  Core,     ///< Any control member.
+  Observer, ///< The soak itself was not scheduled.
+};
+
+unsigned linkNumber(unsigned Entry, unsigned Target);
+
+/// A request as its caller sent it.
+struct Sent {
+  std::string m_Id;
+  std::string m_Route;
+  Kind m_Kind = Kind::Safe;
+  unsigned m_Entry = 0;
+  bool m_OnKeptConnection = false;
+  std::uint64_t m_LastEventId = 0;
+  std::string m_FirstVersion; ///< Of the stream that is resumed.
+  TimePoint m_At;
+  TimePoint m_Deadline;
+};
+
+/// A target begins to work on a request.
+struct Run {
+  unsigned m_Target = 0;
+  std::string m_Service;
+  std::string m_Stamp; ///< Signature of the answer.
+  std::string m_Body;  ///< Of a call's answer.
+  TimePoint m_At;
+  /// When the target had handed over the whole answer.
+  std::optional<TimePoint> m_AnsweredAt;
+};
+
+/// What the caller has got.
+struct Ending {
+  bool m_IsBroken = false;  ///< The connection ended before the answer did.
+  bool m_IsTimeout = false; ///< The caller gave up.
+  int m_Status = 0;
+  std::string m_Id;    ///< `Request-Id` of the answer.
+  std::string m_Stamp; ///< `Server-Stamp` of the answer.
+  std::string m_Body;
+  TimePoint m_At;
+};
+
+struct Violation {
+  std::string m_Rule;
+  std::string m_Request; ///< Empty if it concerns none.
+  std::string m_Text;
+  TimePoint m_At;
+};
+
+/// Events of a stream's body, as far as they are whole.
+struct Events {
+  std::uint64_t m_Last = 0; ///< Last id, or the id that it goes on from.
+  std::uint64_t m_Total = 0;
+  std::string m_Version;    ///< Software that made the first event.
+  bool m_HasGap = false;    ///< An id is missing or comes twice.
+  bool m_IsForeign = false; ///< An event of another request.
+  bool m_IsMixed = false;   ///< Events of two software versions.
+};
+
+/// Text of an event as the targets of the soak write it.
+std::string eventText(std::uint64_t Id, std::uint64_t Total,
+                      const std::string &Request, const std::string &Version);
+Events readEvents(std::string_view Body, const Sent &Request);
+
+/// Time that is granted for a change of the routes to reach every entry.
+struct Bounds {
+  std::chrono::milliseconds m_Contact{3'000};
+  std::chrono::milliseconds m_Apply{2'000};
+  std::chrono::milliseconds m_Drain{2'000};
+  std::chrono::milliseconds m_Grace{8'000};
+  /// What the machine's scheduling may add to any of these.
+  std::chrono::milliseconds m_Margin{400};
+};
+
+/// Services of each route in one version of the configuration.
+using Routes = std::map<std::string, std::set<std::string>>;
+
+class Judge {
+public:
+  Judge(Bounds Limits, bool ChecksVersions)
+      : m_Bounds(Limits), m_ChecksVersions(ChecksVersions) {}
+
+  void sent(const Sent &Request);
+  /// \returns the number of the run among those of the request.
+  std::size_t began(const std::string &Id, Run Started);
+  void answered(const std::string &Id, std::size_t Number, TimePoint At);
+  void ended(const std::string &Id, const Ending &Got);
+
+  /// \p Until may lie ahead.
+  void disturbed(Part What, unsigned Number, TimePoint From, TimePoint Until);
+  void stopAsked(unsigned Entry, TimePoint At);
+  /// Control has acknowledged that a target drains or is gone.
+  void leaveAcknowledged(unsigned Target, TimePoint At);
+  /// Another process serves at the target's address.
+  void targetStarted(unsigned Target);
+  void routesSent(std::uint64_t Version, const Routes &Content);
+  void routesAcknowledged(std::uint64_t Version, TimePoint At);
+  void processEnded(const std::string &Name, int Status, TimePoint At);
+  /// Looks whether undisturbed entries have served anything of late.
+  void checkService(TimePoint Now);
+
+  /// Violations since the last call.
+  std::vector<Violation> take();
+
+  struct Counts {
+    std::uint64_t m_Sent = 0;
+    std::uint64_t m_Served = 0;
+    std::uint64_t m_Refused = 0;
+    std::uint64_t m_Failed = 0;
+    std::uint64_t m_Broken = 0;
+    std::uint64_t m_Runs = 0;
+    /// Runs of requests that were sent to an entry after its SIGTERM.
+    std::uint64_t m_RunsWhileStopping = 0;
+  };
+  [[nodiscard]] const Counts &counts() const { return m_Counts; }
+
+private:
+  struct Record {
+    Sent m_Sent;
+    std::vector<Run> m_Runs;
+    std::optional<Ending> m_Ending;
+  };
+  struct Window {
+    std::uint64_t m_Sent = 0;
+    std::uint64_t m_Served = 0;
+    TimePoint m_From;
+  };
+
+  void report(const std::string &Rule, const Record &Request,
+              const std::string &Text, TimePoint At);
+  [[nodiscard]] bool wasDisturbed(Part What, unsigned Number, TimePoint From,
+                                  TimePoint Until) const;
+  /// Whether the entry was in touch for all of a time and the span before it.
+  [[nodiscard]] bool isInTouch(unsigned Entry, TimePoint From,
+                               TimePoint Until) const;
+  [[nodiscard]] std::optional<TimePoint> stopBefore(unsigned Entry,
+                                                    TimePoint At) const;
+  /// Versions of the routes that may decide about a request.
+  [[nodiscard]] std::uint64_t leastVersion(const Sent &Request,
+                                           TimePoint Until) const;
+  void checkRoute(const Record &Request, const Run &Started);
+  void checkDrain(const Record &Request, const Run &Started);
+  void checkLost(const Record &Request);
+  void checkAnswer(const Record &Request);
+  void checkDenied(const Record &Request);
+
+  Bounds m_Bounds;
+  bool m_ChecksVersions;
+  Counts m_Counts;
+  std::map<std::string, Record> m_Requests;
+  std::map<std::pair<Part, unsigned>,
+           std::vector<std::pair<TimePoint, TimePoint>>>
+      m_Disturbances;
+  std::map<unsigned, std::vector<TimePoint>> m_Stops;
+  std::map<unsigned, TimePoint> m_Leaves;
+  std::map<std::uint64_t, Routes> m_Routes;
+  std::map<std::uint64_t, TimePoint> m_Acknowledged;
+  std::map<unsigned, Window> m_Windows;
+  std::vector<Violation> m_Violations;
+};
+
+} // namespace wasabivale::soak
+
+#endif // WASABIVALE_FAULTSOAK_JUDGE_H
--- /dev/null
+++ b/tools/fault-soak/src/Main.cpp
@@ -0,0 +1,71 @@
+// wasabivale-fault-soak: randomised faults from outside against the real
+// programs, and checks of what callers and targets see.
+
+#include "Soak.h"
+
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fmt/format.h>
+#include <iostream>
+#include <sys/file.h>
+
+namespace po = boost::program_options;
+using namespace wasabivale;
+
+int main(int ArgumentCount, char **Arguments) {
+  std::uint64_t Seed = 1;
+  std::uint64_t Seeds = 1;
+  unsigned Seconds = 20;
+  soak::Options Wanted;
+  Wanted.m_Folder = std::filesystem::temp_directory_path() / "fault-soak";
+  po::options_description Known("wasabivale-fault-soak [OPTIONS]");
+  Known.add_options()("help", "print this")(
+      "seed", po::value(&Seed)->default_value(Seed), "first seed")(
+      "seeds", po::value(&Seeds)->default_value(Seeds),
+      "how many")("seconds", po::value(&Seconds)->default_value(Seconds),
+                  "time of faults for each seed")(
+      "entries", po::value(&Wanted.m_Shape.m_Entries)->default_value(4),
+      "")("targets", po::value(&Wanted.m_Shape.m_Targets)->default_value(12),
+          "")("callers", po::value(&Wanted.m_CallersOfEntry)->default_value(12),
+              "for each entry")("network",
+                                po::value(&Wanted.m_Network)->default_value(77),
+                                "N of the addresses 127.N.x.y")(
+      "cuts", po::bool_switch(&Wanted.m_Shape.m_Cuts),
+      "cut entries off from all targets")(
+      "versions", po::bool_switch(&Wanted.m_ChecksVersions),
+      "upgrade targets, and fail on streams of two versions")(
+      "keep-logs", po::bool_switch(&Wanted.m_KeepsLogs),
+      "keep the logs of clean seeds")(
+      "logs", po::value(&Wanted.m_Folder)->default_value(Wanted.m_Folder),
+      "folder of the logs");
+  po::variables_map Given;
+  try {
+    po::store(po::parse_command_line(ArgumentCount, Arguments, Known), Given);
+    po::notify(Given);
+  } catch (const po::error &Wrong) {
+    fmt::print(stderr, "wasabivale-fault-soak: {}\n", Wrong.what());
+    return 2;
+  }
+  if (Given.count("help") > 0) {
+    std::cout << Known;
+    return 0;
+  }
+  Wanted.m_Shape.m_Length = std::chrono::seconds(Seconds);
+  Wanted.m_Shape.m_Upgrades = Wanted.m_ChecksVersions;
+  std::signal(SIGPIPE, SIG_IGN);
+  // Another run with the same addresses waits for the end of this one.
+  const std::string Lock =
+      std::filesystem::temp_directory_path() /
+      fmt::format("wasabivale-fault-soak-{}", Wanted.m_Network);
+  const int Held = ::open(Lock.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0600);
+  if (Held < 0 || ::flock(Held, LOCK_EX) != 0) {
+    fmt::print(stderr, "wasabivale-fault-soak: cannot lock {}\n", Lock);
+    return 2;
+  }
+  std::size_t Violations = 0;
+  for (std::uint64_t I = 0; I < Seeds; ++I)
+    Violations += soak::runSeed(Seed + I, Wanted);
+  return Violations == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tools/fault-soak/src/Processes.cpp
@@ -0,0 +1,148 @@
+#include "Processes.h"
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fmt/format.h>
+#include <fstream>
+#include <sstream>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace wasabivale::soak {
+
+namespace {
+
+std::string binFolder() {
+  return std::filesystem::read_symlink("/proc/self/exe").parent_path();
+}
+
+std::string readFile(const std::string &Name) {
+  std::ifstream File(Name);
+  std::ostringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
+} // namespace
+
+std::string fillTemplate(std::string Text, const Json &Fields) {
+  constexpr std::string_view AsJson = "|json";
+  for (std::size_t At = Text.find("{{"); At != std::string::npos;
+       At = Text.find("{{", At)) {
+    const std::size_t End = Text.find("}}", At);
+    std::string Name = Text.substr(At + 2, End - At - 2);
+    const std::size_t Option = Name.find(AsJson);
+    const bool IsJson = Option != std::string::npos;
+    std::string Pointer = "/" + Name.substr(0, Option);
+    for (char &Each : Pointer)
+      Each = Each == '.' ? '/' : Each;
+    const Json Value = Fields.value(Json::json_pointer(Pointer), Json());
+    const std::string Filled =
+        !IsJson && Value.is_string() ? Value.get<std::string>() : Value.dump();
+    Text.replace(At, End + 2 - At, Filled);
+    At += Filled.size();
+  }
+  return Text;
+}
+
+Process::Process(std::string Name, std::string Program, std::string Folder,
+                 Json Fields)
+    : m_Name(std::move(Name)), m_Program(std::move(Program)),
+      m_Folder(std::move(Folder)), m_Fields(std::move(Fields)) {}
+
+Process::~Process() {
+  if (m_Pid <= 0)
+    return;
+  ::kill(m_Pid, SIGKILL);
+  ::waitpid(m_Pid, nullptr, 0);
+}
+
+void Process::writeSettings() const {
+  const std::string Template =
+      fmt::format("{}/deploy/{}.json", WASABIVALE_SOURCE_DIR, m_Program);
+  const std::string File = fmt::format("{}/{}.json", m_Folder, m_Name);
+  // A rename, so that no process reads half of it.
+  std::ofstream(File + ".new") << fillTemplate(readFile(Template), m_Fields);
+  std::filesystem::rename(File + ".new", File);
+}
+
+bool Process::start() {
+  writeSettings();
+  const std::string Path =
+      fmt::format("{}/wasabivale-{}", binFolder(), m_Program);
+  const std::string Settings = fmt::format("{}/{}.json", m_Folder, m_Name);
+  const std::string Log = fmt::format("{}/{}.log", m_Folder, m_Name);
+  const pid_t Parent = ::getpid();
+  m_Pid = ::fork();
+  if (m_Pid != 0)
+    return m_Pid > 0;
+  // The child ends with the soak, however that ends.
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+  if (::getppid() != Parent)
+    ::_exit(1);
+  const int Output = ::open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  ::dup2(Output, STDOUT_FILENO);
+  ::dup2(Output, STDERR_FILENO);
+  ::close_range(3, ~0U, 0);
+  ::execl(Path.c_str(), Path.c_str(), "--config", Settings.c_str(), nullptr);
+  ::_exit(127);
+}
+
+void Process::signal(int Number) const {
+  if (m_Pid > 0)
+    ::kill(m_Pid, Number);
+}
+
+std::optional<int> Process::reap() {
+  int State = 0;
+  if (m_Pid <= 0 || ::waitpid(m_Pid, &State, WNOHANG) != m_Pid)
+    return std::nullopt;
+  m_Pid = 0;
+  return WIFEXITED(State) ? WEXITSTATUS(State) : -WTERMSIG(State);
+}
+
+std::optional<std::uint64_t> socketInode(const http::Address &Peer,
+                                         std::uint16_t Port) {
+  in_addr Host{};
+  inet_pton(AF_INET, Peer.m_Host.c_str(), &Host);
+  const std::string Remote =
+      fmt::format("{:08X}:{:04X}", Host.s_addr, Peer.m_Port);
+  const std::string Local = fmt::format(":{:04X}", Port);
+  std::ifstream File("/proc/net/tcp");
+  for (std::string Line; std::getline(File, Line);) {
+    std::istringstream Words(Line);
+    std::string Slot;
+    std::string From;
+    std::string To;
+    Words >> Slot >> From >> To;
+    if (To != Remote || From.substr(From.find(':')) != Local)
+      continue;
+    constexpr int WordsBetween = 6;
+    std::string Skipped;
+    for (int I = 0; I < WordsBetween; ++I)
+      Words >> Skipped;
+    std::uint64_t Inode = 0;
+    Words >> Inode;
+    return Inode;
+  }
+  return std::nullopt;
+}
+
+bool holdsSocket(pid_t Process, std::uint64_t Inode) {
+  const std::string Wanted = fmt::format("socket:[{}]", Inode);
+  std::error_code Failure;
+  // A process that ends meanwhile holds nothing.
+  for (const auto &Each : std::filesystem::directory_iterator(
+           fmt::format("/proc/{}/fd", Process), Failure)) {
+    std::error_code Gone;
+    if (std::filesystem::read_symlink(Each.path(), Gone) == Wanted)
+      return true;
+  }
+  return false;
+}
+
+} // namespace wasabivale::soak
--- /dev/null
+++ b/tools/fault-soak/src/Processes.h
@@ -0,0 +1,59 @@
+/// \file
+/// The real programs as child processes, each with an address of its own.
+
+#ifndef WASABIVALE_FAULTSOAK_PROCESSES_H
+#define WASABIVALE_FAULTSOAK_PROCESSES_H
+
+#include "http/http.h"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <sys/types.h>
+
+namespace wasabivale::soak {
+
+using Json = nlohmann::json;
+
+/// Fills a template of deploy/ in: `{{a.b}}`, `{{a.0}}` and `{{a|json}}`.
+std::string fillTemplate(std::string Text, const Json &Fields);
+
+/// A program that is started, stopped and started again with the same settings.
+/// Killed and waited for when it goes out of scope.
+class Process {
+public:
+  Process(std::string Name, std::string Program, std::string Folder,
+          Json Fields);
+  ~Process();
+  Process(const Process &) = delete;
+  Process &operator=(const Process &) = delete;
+
+  /// Writes the settings anew and starts the program. \returns false when that
+  /// failed.
+  bool start();
+  void writeSettings() const;
+  void signal(int Number) const;
+  /// \returns the exit code, or minus the signal, once it has ended.
+  std::optional<int> reap();
+
+  [[nodiscard]] bool isRunning() const { return m_Pid > 0; }
+  [[nodiscard]] pid_t pid() const { return m_Pid; }
+  [[nodiscard]] const std::string &name() const { return m_Name; }
+  /// The platform's description of the machine.
+  Json &fields() { return m_Fields; }
+
+private:
+  std::string m_Name;
+  std::string m_Program;
+  std::string m_Folder;
+  Json m_Fields;
+  pid_t m_Pid = 0;
+};
+
+/// Inodes of the TCP sockets whose peer listens on an address, by their port.
+std::optional<std::uint64_t> socketInode(const http::Address &Peer,
+                                         std::uint16_t Port);
+bool holdsSocket(pid_t Process, std::uint64_t Inode);
+
+} // namespace wasabivale::soak
+
+#endif // WASABIVALE_FAULTSOAK_PROCESSES_H
--- /dev/null
+++ b/tools/fault-soak/src/Schedule.cpp
@@ -0,0 +1,124 @@
+#include "Schedule.h"
+
+#include <algorithm>
+
+namespace wasabivale::soak {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A control member starts and catches up within this time.
+constexpr milliseconds ControlRecovery{7'000};
+constexpr unsigned LongestSeries = 4;
+
+struct Span {
+  unsigned m_Least;
+  unsigned m_Most;
+};
+
+/// Shortest and longest time of each kind of fault, in milliseconds.
+Span spanOf(Fault Kind) {
+  switch (Kind) {
+  case Fault::PauseEntry:
+    return {200, 4'000};
+  case Fault::PauseControl:
+    return {200, 2'500};
+  case Fault::DelayLinks:
+    return {500, 4'000};
+  case Fault::SilenceTarget:
+    return {1'000, 1'000};
+  case Fault::CutEntry:
+  case Fault::CutHalf:
+    return {1'000, 4'000};
+  default:
+    return {100, 2'000};
+  }
+}
+
+unsigned pick(std::mt19937_64 &Random, unsigned Count) {
+  return static_cast<unsigned>(Random() % Count);
+}
+
+milliseconds pickTime(std::mt19937_64 &Random, Span From) {
+  return milliseconds(From.m_Least +
+                      pick(Random, From.m_Most - From.m_Least + 1));
+}
+
+bool isOfControl(Fault Kind) {
+  return Kind == Fault::StopControl || Kind == Fault::KillControl ||
+         Kind == Fault::PauseControl;
+}
+
+bool isOfTarget(Fault Kind) {
+  return Kind == Fault::SilenceTarget || Kind == Fault::CrashTarget ||
+         Kind == Fault::LeaveTarget || Kind == Fault::UpgradeTarget;
+}
+
+/// Kinds by how often they are drawn.
+std::vector<Fault> kinds(const Shape &Size) {
+  std::vector<Fault> Kinds{
+      Fault::StopEntry,    Fault::StopEntry,     Fault::StopEntry,
+      Fault::StopEntry,    Fault::KillEntry,     Fault::PauseEntry,
+      Fault::ReloadEntry,  Fault::ReloadEntry,   Fault::DelayLinks,
+      Fault::ResetLinks,   Fault::SilenceTarget, Fault::CrashTarget,
+      Fault::LeaveTarget,  Fault::LeaveTarget,   Fault::StopControl,
+      Fault::KillControl,  Fault::PauseControl,  Fault::ChangeRoutes,
+      Fault::ChangeRoutes, Fault::ChangeRoutes};
+  if (Size.m_Cuts)
+    Kinds.insert(Kinds.end(),
+                 {Fault::CutEntry, Fault::CutHalf, Fault::CutHalf});
+  if (Size.m_Upgrades)
+    Kinds.insert(Kinds.end(), {Fault::UpgradeTarget, Fault::UpgradeTarget});
+  return Kinds;
+}
+
+} // namespace
+
+const char *faultName(Fault Kind) {
+  constexpr const char *Names[] = {
+      "stop-entry",    "kill-entry",   "pause-entry",    "reload-entry",
+      "delay-links",   "reset-links",  "silence-target", "crash-target",
+      "leave-target",  "stop-control", "kill-control",   "pause-control",
+      "change-routes", "cut-entry",    "cut-half",       "upgrade-target"};
+  return Names[static_cast<std::size_t>(Kind)];
+}
+
+std::vector<Step> makeSchedule(std::uint64_t Seed, const Shape &Size) {
+  std::mt19937_64 Random(Seed);
+  const std::vector<Fault> Kinds = kinds(Size);
+  std::vector<Step> Steps;
+  milliseconds ControlFreeAt{0};
+  for (milliseconds Now{0}; Now < Size.m_Length;) {
+    const Fault Kind = Kinds[pick(Random, static_cast<unsigned>(Kinds.size()))];
+    const unsigned Series = 1 + pick(Random, LongestSeries);
+    milliseconds At = Now;
+    for (unsigned I = 0; I < Series && At < Size.m_Length; ++I) {
+      const unsigned Machines = isOfControl(Kind)  ? Size.m_Control
+                                : isOfTarget(Kind) ? Size.m_Targets
+                                                   : Size.m_Entries;
+      Step Next;
+      Next.m_At = At;
+      Next.m_For = pickTime(Random, spanOf(Kind));
+      Next.m_Fault = Kind;
+      Next.m_Machine = pick(Random, Machines);
+      Next.m_Peer = pick(Random, Size.m_Targets);
+      Next.m_Variant = pick(Random, 1U << 16U);
+      At += pickTime(Random, {20, 900});
+      if (isOfControl(Kind)) {
+        if (Next.m_At < ControlFreeAt)
+          continue;
+        ControlFreeAt = Next.m_At + Next.m_For + ControlRecovery;
+      }
+      Steps.push_back(Next);
+    }
+    // Series overlap: the next may begin before this one has ended.
+    Now += pickTime(Random, {100, 1'800});
+  }
+  std::stable_sort(
+      Steps.begin(), Steps.end(),
+      [](const Step &One, const Step &Other) { return One.m_At < Other.m_At; });
+  return Steps;
+}
+
+} // namespace wasabivale::soak
--- /dev/null
+++ b/tools/fault-soak/src/Schedule.h
@@ -0,0 +1,58 @@
+/// \file
+/// Which faults a run injects, and when. Depends on the seed alone.
+
+#ifndef WASABIVALE_FAULTSOAK_SCHEDULE_H
+#define WASABIVALE_FAULTSOAK_SCHEDULE_H
+
+#include "base/base.h"
+
+#include <vector>
+
+namespace wasabivale::soak {
+
+enum class Fault : std::uint8_t {
+  StopEntry,     ///< SIGTERM, and a restart after its end.
+  KillEntry,     ///< SIGKILL, and a restart.
+  PauseEntry,    ///< SIGSTOP, and SIGCONT later.
+  ReloadEntry,   ///< Changed settings, and SIGHUP.
+  DelayLinks,    ///< Bytes between an entry and a target arrive late.
+  ResetLinks,    ///< The connections of an entry to a target are reset.
+  SilenceTarget, ///< A target neither reads nor answers.
+  CrashTarget,   ///< A target ends, and starts under the same or another id.
+  LeaveTarget,   ///< A target drains, leaves and is replaced.
+  StopControl,
+  KillControl,
+  PauseControl,
+  ChangeRoutes,  ///< The operator puts another configuration.
+  CutEntry,      ///< An entry loses all targets, one way or both.
+  CutHalf,       ///< Half of the entries do.
+  UpgradeTarget, ///< A target restarts with another software version.
+};
+
+const char *faultName(Fault Kind);
+
+struct Step {
+  std::chrono::milliseconds m_At;  ///< Since the start of the faults.
+  std::chrono::milliseconds m_For; ///< Length of the fault, or until a restart.
+  Fault m_Fault = Fault::StopEntry;
+  unsigned m_Machine = 0; ///< Entry, control member or target.
+  unsigned m_Peer = 0;    ///< The target of a link.
+  unsigned m_Variant = 0;
+};
+
+struct Shape {
+  std::chrono::milliseconds m_Length{20'000};
+  unsigned m_Entries = 4;
+  unsigned m_Control = 3;
+  unsigned m_Targets = 8;
+  bool m_Cuts = false;     ///< `CutEntry` and `CutHalf` occur.
+  bool m_Upgrades = false; ///< `UpgradeTarget` occurs.
+};
+
+/// Series of faults that overlap, in the order of their times. At most one
+/// control member is disturbed at a time.
+std::vector<Step> makeSchedule(std::uint64_t Seed, const Shape &Size);
+
+} // namespace wasabivale::soak
+
+#endif // WASABIVALE_FAULTSOAK_SCHEDULE_H
--- /dev/null
+++ b/tools/fault-soak/src/Soak.cpp
@@ -0,0 +1,464 @@
+#include "Soak.h"
+
+#include "Callers.h"
+#include "Links.h"
+#include "Operator.h"
+#include "Processes.h"
+#include "Targets.h"
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fmt/format.h>
+#include <fmt/ostream.h>
+#include <fstream>
+
+namespace wasabivale::soak {
+
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds TurnInterval{4};
+/// A longer pause of the soak itself excuses what falls into it.
+constexpr milliseconds LongestPause{150};
+constexpr milliseconds StartPatience{30'000};
+/// Requests are given up after the longest route's time and a little more.
+constexpr milliseconds SettlePatience{12'000};
+constexpr milliseconds Grace{8'000};
+constexpr std::uint16_t FrontPort = 8149;
+constexpr std::uint16_t ReadinessPort = 8141;
+constexpr std::uint16_t ControlPort = 8144;
+constexpr std::uint16_t TargetPort = 8080;
+
+class World {
+public:
+  World(std::uint64_t Seed, const Options &Wanted, std::string Folder);
+  ~World();
+  World(const World &) = delete;
+  World &operator=(const World &) = delete;
+
+  /// \returns the number of violations.
+  std::size_t play();
+
+private:
+  struct Machine {
+    std::unique_ptr<Process> m_Process;
+    TimePoint m_StartAt; ///< While it does not run.
+    TimePoint m_KillAt;  ///< After a SIGTERM.
+    TimePoint m_ResumeAt;
+    bool m_IsPaused = false;
+    bool m_IsEnding = false; ///< Was asked to stop, or was killed.
+    milliseconds m_DownFor{0};
+  };
+
+  [[nodiscard]] http::Address at(unsigned Kind, unsigned Number,
+                                 std::uint16_t Port) const;
+  Json fields(const std::string &Ip, bool IsControl) const;
+  void addMachines();
+  bool prepare();
+  void turn();
+  void turnMachine(Machine &Each, bool IsEntry, unsigned Number, TimePoint Now);
+  void inject(const Step &What, TimePoint Now);
+  void injectIntoMachine(Machine &Into, bool IsEntry, const Step &What,
+                         TimePoint Now);
+  void cutEntry(unsigned Entry, const Step &What, TimePoint Now);
+  void disturbMachine(bool IsEntry, unsigned Number, TimePoint From,
+                      TimePoint Until);
+  void report();
+  /// Turns the loop until \p Done or the end of a time.
+  bool runUntil(const std::function<bool()> &Done, milliseconds Longest);
+
+  std::uint64_t m_Seed;
+  Options m_Options;
+  std::string m_Folder;
+  event_base *m_Loop;
+  Judge m_Judge;
+  std::vector<Machine> m_Entries;
+  std::vector<Machine> m_Control;
+  std::vector<http::Address> m_Fronts;
+  std::unique_ptr<Links> m_Links;
+  std::unique_ptr<Targets> m_Targets;
+  std::unique_ptr<Operator> m_Operator;
+  std::unique_ptr<Balancer> m_Balancer;
+  std::vector<std::unique_ptr<Caller>> m_Callers;
+  std::unique_ptr<http::Timer> m_Turn;
+  std::function<bool()> m_IsDone;
+  std::ofstream m_Log;
+  TimePoint m_StartedAt;
+  TimePoint m_TurnedAt;
+  TimePoint m_ChecksFrom = TimePoint::max(); ///< Of `checkService`.
+  bool m_IsSending = false;
+  std::size_t m_Violations = 0;
+  std::uint64_t m_Pauses = 0;
+};
+
+enum MachineKind : unsigned {
+  ControlMachine,
+  EntryMachine,
+  TargetFront,
+  TargetBack
+};
+
+World::World(std::uint64_t Seed, const Options &Wanted, std::string Folder)
+    : m_Seed(Seed), m_Options(Wanted), m_Folder(std::move(Folder)),
+      m_Loop(event_base_new()), m_Judge({}, Wanted.m_ChecksVersions),
+      m_Log(m_Folder + "/soak.log"), m_StartedAt(BootClock::now()),
+      m_TurnedAt(m_StartedAt) {
+  addMachines();
+  std::vector<http::Address> Registries;
+  for (unsigned I = 0; I < m_Options.m_Shape.m_Control; ++I)
+    Registries.push_back(at(ControlMachine, I, ControlPort));
+  std::vector<http::Address> Readiness;
+  for (unsigned I = 0; I < m_Options.m_Shape.m_Entries; ++I) {
+    m_Fronts.push_back(at(EntryMachine, I, FrontPort));
+    Readiness.push_back(at(EntryMachine, I, ReadinessPort));
+  }
+  m_Links = std::make_unique<Links>(
+      m_Loop,
+      [this](const http::Address &Listener,
+             std::uint16_t Port) -> std::optional<unsigned> {
+        const auto Inode = socketInode(Listener, Port);
+        for (unsigned I = 0; Inode && I < m_Entries.size(); ++I)
+          if (m_Entries[I].m_Process->isRunning() &&
+              holdsSocket(m_Entries[I].m_Process->pid(), *Inode))
+            return I;
+        return std::nullopt;
+      });
+  std::vector<Targets::Place> Places;
+  for (unsigned I = 0; I < m_Options.m_Shape.m_Targets; ++I)
+    Places.push_back({Services[I % std::size(Services)],
+                      at(TargetFront, I, TargetPort),
+                      at(TargetBack, I, TargetPort)});
+  m_Targets = std::make_unique<Targets>(m_Loop, *m_Links, m_Judge, Registries,
+                                        std::move(Places));
+  m_Operator = std::make_unique<Operator>(m_Loop, m_Judge, Registries);
+  m_Balancer = std::make_unique<Balancer>(m_Loop, std::move(Readiness));
+  const unsigned Callers =
+      m_Options.m_Shape.m_Entries * m_Options.m_CallersOfEntry;
+  for (unsigned I = 0; I < Callers; ++I)
+    m_Callers.push_back(std::make_unique<Caller>(m_Loop, m_Judge, *m_Balancer,
+                                                 m_Fronts, I, m_Seed));
+  m_Turn = std::make_unique<http::Timer>(m_Loop, TurnInterval, true,
+                                         [this] { turn(); });
+}
+
+World::~World() {
+  m_Turn.reset();
+  m_Entries.clear();
+  m_Control.clear();
+  // Lets the calls under way see that their peers are gone.
+  const timeval Tick{2, 0};
+  event_base_loopexit(m_Loop, &Tick);
+  event_base_dispatch(m_Loop);
+  m_Callers.clear();
+  m_Targets.reset();
+  m_Links.reset();
+  m_Operator.reset();
+  m_Balancer.reset();
+  event_base_free(m_Loop);
+}
+
+http::Address World::at(unsigned Kind, unsigned Number,
+                        std::uint16_t Port) const {
+  return {
+      fmt::format("127.{}.{}.{}", m_Options.m_Network, Kind + 1, Number + 1),
+      Port};
+}
+
+Json World::fields(const std::string &Ip, bool IsControl) const {
+  Json Seeds = Json::array();
+  for (unsigned I = 0; I < m_Options.m_Shape.m_Control; ++I)
+    Seeds.push_back(http::printAddress(at(ControlMachine, I, ControlPort)));
+  const auto Listen = [&](std::uint16_t Port) {
+    return http::printAddress({Ip, Port});
+  };
+  return {
+      {"ip", Ip},
+      {"zone", "zone-a"},
+      {"region", "region-a"},
+      {"zones", {{"zone-a", "region-a"}}},
+      {"listen",
+       {{"front", Listen(FrontPort)},
+        {"readiness", Listen(ReadinessPort)},
+        {"control", Listen(ControlPort)}}},
+      {"internal_port_range", {7380, 7395}},
+      {"seeds", Seeds},
+      {"bootstrap", IsControl},
+      {"data_dir", m_Folder + "/data-" + Ip},
+      {"fault_tolerance", {{"machines", 1}}},
+      {"bounds",
+       {{"grace_s", 8}, {"retry_budget_ratio", 0.2}, {"budget_slack", 52}}}};
+}
+
+void World::addMachines() {
+  const auto Add = [this](std::vector<Machine> &To, const char *Program,
+                          MachineKind Kind, unsigned Count) {
+    for (unsigned I = 0; I < Count; ++I) {
+      const std::string Ip = at(Kind, I, 0).m_Host;
+      const bool IsControl = Kind == ControlMachine;
+      if (IsControl)
+        std::filesystem::create_directories(m_Folder + "/data-" + Ip);
+      Machine Made;
+      Made.m_Process =
+          std::make_unique<Process>(fmt::format("{}-{}", Program, I), Program,
+                                    m_Folder, fields(Ip, IsControl));
+      Made.m_StartAt = BootClock::now();
+      To.push_back(std::move(Made));
+    }
+  };
+  Add(m_Control, "control", ControlMachine, m_Options.m_Shape.m_Control);
+  Add(m_Entries, "entry", EntryMachine, m_Options.m_Shape.m_Entries);
+}
+
+void World::disturbMachine(bool IsEntry, unsigned Number, TimePoint From,
+                           TimePoint Until) {
+  m_Judge.disturbed(IsEntry ? Part::Entry : Part::Core, IsEntry ? Number : 0,
+                    From, Until);
+}
+
+void World::turnMachine(Machine &Each, bool IsEntry, unsigned Number,
+                        TimePoint Now) {
+  Process &Program = *Each.m_Process;
+  if (!Program.isRunning()) {
+    if (Now < Each.m_StartAt)
+      return;
+    Program.start();
+    // Set once the system has started for the first time.
+    Program.fields()["bootstrap"] = false;
+    Each.m_IsEnding = Each.m_IsPaused = false;
+    if (IsEntry)
+      m_Judge.disturbed(Part::Start, Number, Now, Now);
+    else
+      m_Judge.disturbed(Part::Core, 0, Now, Now);
+    return;
+  }
+  if (Each.m_IsPaused && Now >= Each.m_ResumeAt) {
+    Each.m_IsPaused = false;
+    Program.signal(SIGCONT);
+    disturbMachine(IsEntry, Number, Now, Now);
+  }
+  if (Each.m_IsEnding && Now >= Each.m_KillAt) {
+    fmt::print(m_Log, "{} is killed at the end of its grace\n", Program.name());
+    Program.signal(SIGKILL);
+  }
+  if (const auto Status = Program.reap()) {
+    if (!Each.m_IsEnding)
+      m_Judge.processEnded(Program.name(), *Status, Now);
+    if (!Each.m_IsEnding)
+      disturbMachine(IsEntry, Number, Now, Now);
+    Each.m_StartAt = Now + Each.m_DownFor;
+  }
+}
+
+void World::injectIntoMachine(Machine &Into, bool IsEntry, const Step &What,
+                              TimePoint Now) {
+  Process &Program = *Into.m_Process;
+  if (!Program.isRunning())
+    return;
+  switch (What.m_Fault) {
+  case Fault::StopEntry:
+  case Fault::StopControl:
+    if (Into.m_IsEnding)
+      return;
+    Into.m_IsEnding = true;
+    Into.m_DownFor = What.m_For;
+    Into.m_KillAt = Now + Grace;
+    if (IsEntry) {
+      m_Judge.stopAsked(What.m_Machine, Now);
+      m_Judge.disturbed(Part::Start, What.m_Machine, Now, Now + Grace);
+    } else {
+      m_Judge.disturbed(Part::Core, 0, Now, Now);
+    }
+    return Program.signal(SIGTERM);
+  case Fault::KillEntry:
+  case Fault::KillControl:
+    Into.m_IsEnding = true;
+    Into.m_DownFor = What.m_For;
+    Into.m_KillAt = Now + Grace;
+    disturbMachine(IsEntry, What.m_Machine, Now, Now + What.m_For);
+    return Program.signal(SIGKILL);
+  case Fault::PauseEntry:
+  case Fault::PauseControl:
+    Into.m_IsPaused = true;
+    Into.m_ResumeAt = std::max(Into.m_ResumeAt, Now + What.m_For);
+    disturbMachine(IsEntry, What.m_Machine, Now, Into.m_ResumeAt);
+    return Program.signal(SIGSTOP);
+  case Fault::ReloadEntry:
+    Program.fields()["bounds"]["budget_slack"] = 40 + What.m_Variant % 40;
+    Program.writeSettings();
+    return Program.signal(SIGHUP);
+  default:
+    return;
+  }
+}
+
+void World::cutEntry(unsigned Entry, const Step &What, TimePoint Now) {
+  const Cut Direction = static_cast<Cut>(What.m_Variant % 3);
+  m_Links->cut(Entry, Direction, Now + What.m_For);
+  m_Judge.disturbed(Part::Entry, Entry, Now, Now + What.m_For);
+}
+
+void World::inject(const Step &What, TimePoint Now) {
+  fmt::print(
+      m_Log, "{} {} machine={} peer={} for_ms={} variant={}\n",
+      std::chrono::duration_cast<milliseconds>(Now - m_StartedAt).count(),
+      faultName(What.m_Fault), What.m_Machine, What.m_Peer, What.m_For.count(),
+      What.m_Variant);
+  m_Log.flush();
+  const TimePoint Until = Now + What.m_For;
+  const unsigned Link = linkNumber(What.m_Machine, What.m_Peer);
+  switch (What.m_Fault) {
+  case Fault::StopEntry:
+  case Fault::KillEntry:
+  case Fault::PauseEntry:
+  case Fault::ReloadEntry:
+    return injectIntoMachine(m_Entries[What.m_Machine], true, What, Now);
+  case Fault::StopControl:
+  case Fault::KillControl:
+  case Fault::PauseControl:
+    return injectIntoMachine(m_Control[What.m_Machine], false, What, Now);
+  case Fault::DelayLinks: {
+    const milliseconds Extra(20 + What.m_Variant % 300);
+    m_Judge.disturbed(Part::Link, Link, Now, Until + Extra);
+    return m_Links->delay(What.m_Machine, What.m_Peer, Extra, Until);
+  }
+  case Fault::ResetLinks:
+    m_Judge.disturbed(Part::Link, Link, Now, Now);
+    return m_Links->reset(What.m_Machine, What.m_Peer);
+  case Fault::SilenceTarget:
+    m_Judge.disturbed(Part::Target, What.m_Machine, Now, Until);
+    return m_Links->silence(What.m_Machine, Until);
+  case Fault::CrashTarget:
+    return m_Targets->crash(What.m_Machine, What.m_For, What.m_Variant % 2 == 0,
+                            false);
+  case Fault::UpgradeTarget:
+    return m_Targets->crash(What.m_Machine, What.m_For, What.m_Variant % 2 == 0,
+                            true);
+  case Fault::LeaveTarget:
+    return m_Targets->leave(What.m_Machine, What.m_For,
+                            What.m_Variant % 4 == 0);
+  case Fault::ChangeRoutes:
+    return m_Operator->change(What.m_Variant);
+  case Fault::CutEntry:
+    return cutEntry(What.m_Machine, What, Now);
+  case Fault::CutHalf:
+    for (unsigned I = 0; I < m_Entries.size(); I += 2)
+      cutEntry((I + What.m_Machine) % m_Options.m_Shape.m_Entries, What, Now);
+    return;
+  }
+}
+
+void World::report() {
+  for (const Violation &Each : m_Judge.take()) {
+    ++m_Violations;
+    const std::string Line = fmt::format(
+        "VIOLATION {} seed={} at_ms={} request={} {}", Each.m_Rule, m_Seed,
+        std::chrono::duration_cast<milliseconds>(Each.m_At - m_StartedAt)
+            .count(),
+        Each.m_Request, Each.m_Text);
+    fmt::print("{}\n", Line);
+    fmt::print(m_Log, "{}\n", Line);
+  }
+}
+
+void World::turn() {
+  const TimePoint Now = BootClock::now();
+  if (Now - m_TurnedAt > LongestPause) {
+    ++m_Pauses;
+    m_Judge.disturbed(Part::Observer, 0, m_TurnedAt, Now);
+  }
+  m_TurnedAt = Now;
+  for (unsigned I = 0; I < m_Control.size(); ++I)
+    turnMachine(m_Control[I], false, I, Now);
+  for (unsigned I = 0; I < m_Entries.size(); ++I)
+    turnMachine(m_Entries[I], true, I, Now);
+  m_Links->turn(Now);
+  m_Targets->turn(Now);
+  m_Operator->turn(Now);
+  m_Balancer->turn(Now);
+  if (m_IsSending)
+    for (const auto &Each : m_Callers)
+      Each->turn(Now);
+  if (Now >= m_ChecksFrom)
+    m_Judge.checkService(Now);
+  report();
+  if (m_IsDone && m_IsDone())
+    event_base_loopbreak(m_Loop);
+}
+
+bool World::runUntil(const std::function<bool()> &Done, milliseconds Longest) {
+  const TimePoint GiveUpAt = BootClock::now() + Longest;
+  m_IsDone = [&] { return Done() || BootClock::now() >= GiveUpAt; };
+  event_base_dispatch(m_Loop);
+  m_IsDone = nullptr;
+  return Done();
+}
+
+bool World::prepare() {
+  if (!m_Targets->startAll())
+    return false;
+  m_Operator->change(0);
+  if (!runUntil([&] { return m_Operator->isAcknowledged(); }, StartPatience))
+    return false;
+  return runUntil([&] { return m_Balancer->areAllReady(); }, StartPatience);
+}
+
+std::size_t World::play() {
+  if (!prepare()) {
+    fmt::print("VIOLATION START seed={} the system did not start\n", m_Seed);
+    return 1;
+  }
+  const std::vector<Step> Steps = makeSchedule(m_Seed, m_Options.m_Shape);
+  m_IsSending = true;
+  // Callers open their connections before the first fault.
+  runUntil([] { return false; }, 1s);
+  const TimePoint FaultsFrom = BootClock::now();
+  m_ChecksFrom = FaultsFrom;
+  std::size_t Next = 0;
+  runUntil(
+      [&] {
+        const TimePoint Now = BootClock::now();
+        for (; Next < Steps.size() && Now >= FaultsFrom + Steps[Next].m_At;
+             ++Next)
+          inject(Steps[Next], Now);
+        return Next == Steps.size() &&
+               Now >= FaultsFrom + m_Options.m_Shape.m_Length;
+      },
+      m_Options.m_Shape.m_Length + 60s);
+  m_IsSending = false;
+  m_ChecksFrom = TimePoint::max();
+  runUntil(
+      [&] {
+        return std::none_of(m_Callers.begin(), m_Callers.end(),
+                            [](const auto &Each) { return Each->isWaiting(); });
+      },
+      SettlePatience);
+  const Judge::Counts &Seen = m_Judge.counts();
+  fmt::print("seed={} faults={} sent={} served={} refused={} failed={} "
+             "broken={} runs={} runs_while_stopping={} pauses={} "
+             "violations={}\n",
+             m_Seed, Steps.size(), Seen.m_Sent, Seen.m_Served, Seen.m_Refused,
+             Seen.m_Failed, Seen.m_Broken, Seen.m_Runs,
+             Seen.m_RunsWhileStopping, m_Pauses, m_Violations);
+  std::fflush(stdout);
+  return m_Violations;
+}
+
+} // namespace
+
+std::size_t runSeed(std::uint64_t Seed, const Options &Wanted) {
+  const std::string Folder = std::filesystem::absolute(
+      fmt::format("{}/seed-{}", Wanted.m_Folder, Seed));
+  std::filesystem::remove_all(Folder);
+  std::filesystem::create_directories(Folder);
+  const std::size_t Violations = World(Seed, Wanted, Folder).play();
+  if (Violations == 0 && !Wanted.m_KeepsLogs)
+    std::filesystem::remove_all(Folder);
+  else
+    fmt::print("logs: {}\n", Folder);
+  return Violations;
+}
+
+} // namespace wasabivale::soak
--- /dev/null
+++ b/tools/fault-soak/src/Soak.h
@@ -0,0 +1,31 @@
+/// \file
+/// One run: the processes, their callers and targets, and the faults of a seed.
+
+#ifndef WASABIVALE_FAULTSOAK_SOAK_H
+#define WASABIVALE_FAULTSOAK_SOAK_H
+
+#include "Judge.h"
+#include "Schedule.h"
+
+#include <string>
+
+namespace wasabivale::soak {
+
+struct Options {
+  Shape m_Shape;
+  unsigned m_CallersOfEntry = 12;
+  /// Second octet of the addresses, `127.N.x.y`.
+  unsigned m_Network = 77;
+  /// Two software versions in one stream are a violation.
+  bool m_ChecksVersions = false;
+  bool m_KeepsLogs = false;
+  std::string m_Folder; ///< Of the logs; a folder for each seed is made there.
+};
+
+/// Runs the faults of \p Seed, prints a line for each violation, and keeps the
+/// logs if there was one. \returns how many there were.
+std::size_t runSeed(std::uint64_t Seed, const Options &Wanted);
+
+} // namespace wasabivale::soak
+
+#endif // WASABIVALE_FAULTSOAK_SOAK_H
