--- /dev/null
+++ b/tools/fault-soak/tests/ScheduleTest.cpp
@@ -0,0 +1,66 @@
+#include "Schedule.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace wasabivale;
+using namespace wasabivale::soak;
+
+namespace {
+
+bool hasFault(const std::vector<Step> &Steps, Fault Kind) {
+  return std::any_of(Steps.begin(), Steps.end(),
+                     [Kind](const Step &Each) { return Each.m_Fault == Kind; });
+}
+
+} // namespace
+
+SCENARIO("the faults of a run follow from its seed") {
+  Shape Size;
+  Size.m_Length = std::chrono::minutes(5);
+  const std::vector<Step> Steps = makeSchedule(7, Size);
+  THEN("the same seed gives the same faults, another seed others") {
+    const std::vector<Step> Again = makeSchedule(7, Size);
+    const auto IsSame = [](const Step &One, const Step &Other) {
+      return One.m_At == Other.m_At && One.m_For == Other.m_For &&
+             One.m_Fault == Other.m_Fault && One.m_Machine == Other.m_Machine &&
+             One.m_Variant == Other.m_Variant;
+    };
+    CHECK(std::equal(Steps.begin(), Steps.end(), Again.begin(), Again.end(),
+                     IsSame));
+    const std::vector<Step> Others = makeSchedule(8, Size);
+    CHECK_FALSE(std::equal(Steps.begin(), Steps.end(), Others.begin(),
+                           Others.end(), IsSame));
+  }
+  THEN("they are in order, within the run, and hit existing machines") {
+    CHECK(std::is_sorted(Steps.begin(), Steps.end(),
+                         [](const Step &One, const Step &Other) {
+                           return One.m_At < Other.m_At;
+                         }));
+    for (const Step &Each : Steps) {
+      CHECK(Each.m_At < Size.m_Length);
+      CHECK(Each.m_Machine < Size.m_Targets);
+      CHECK(Each.m_Peer < Size.m_Targets);
+    }
+  }
+  THEN("no two control members are disturbed at a time") {
+    std::chrono::milliseconds FreeAt{0};
+    for (const Step &Each : Steps) {
+      if (Each.m_Fault != Fault::StopControl &&
+          Each.m_Fault != Fault::KillControl &&
+          Each.m_Fault != Fault::PauseControl)
+        continue;
+      CHECK(Each.m_At >= FreeAt);
+      FreeAt = Each.m_At + Each.m_For;
+    }
+  }
+  THEN("cuts and upgrades occur only when they are asked for") {
+    CHECK(hasFault(Steps, Fault::StopEntry));
+    CHECK_FALSE(hasFault(Steps, Fault::CutHalf));
+    CHECK_FALSE(hasFault(Steps, Fault::UpgradeTarget));
+    Size.m_Cuts = Size.m_Upgrades = true;
+    const std::vector<Step> All = makeSchedule(7, Size);
+    CHECK(hasFault(All, Fault::CutHalf));
+    CHECK(hasFault(All, Fault::UpgradeTarget));
+  }
+}
