--- a/tools/fault-soak/src/Judge.cpp
+++ b/tools/fault-soak/src/Judge.cpp
@@ -117,6 +117,15 @@
          !wasDisturbed(Part::Observer, 0, Start, Until);
 }
 
+std::size_t Judge::disturbedTargets(TimePoint From, TimePoint Until) const {
+  std::set<unsigned> Found;
+  for (const auto &[What, Spans] : m_Disturbances)
+    if (What.first == Part::Target &&
+        wasDisturbed(What.first, What.second, From, Until))
+      Found.insert(What.second);
+  return Found.size();
+}
+
 std::optional<TimePoint> Judge::stopBefore(unsigned Entry, TimePoint At) const {
   const auto Found = m_Stops.find(Entry);
   if (Found == m_Stops.end())
@@ -336,12 +345,14 @@
   for (auto &[Entry, Each] : m_Windows) {
     if (Now - Each.m_From < WindowLength)
       continue;
-    if (Each.m_Sent >= WindowRequests && Each.m_Served == 0 &&
-        Each.m_From != TimePoint{} && isInTouch(Entry, Each.m_From, Now))
+    if (Each.m_Sent >= WindowRequests && Each.m_Served * 2 < Each.m_Sent &&
+        Each.m_From != TimePoint{} && isInTouch(Entry, Each.m_From, Now) &&
+        disturbedTargets(Each.m_From - m_Bounds.m_Contact, Now) <= 1)
       m_Violations.push_back(
           {"SERVED", "",
-           fmt::format("entry {} was sent {} requests in {} ms and served none",
-                       Entry, Each.m_Sent, inMilliseconds(Now - Each.m_From)),
+           fmt::format("entry {} was sent {} requests in {} ms and served {}",
+                       Entry, Each.m_Sent, inMilliseconds(Now - Each.m_From),
+                       Each.m_Served),
            Now});
     Each = {0, 0, Now};
   }
--- a/tools/fault-soak/src/Judge.h
+++ b/tools/fault-soak/src/Judge.h
@@ -124,7 +124,8 @@
   void routesSent(std::uint64_t Version, const Routes &Content);
   void routesAcknowledged(std::uint64_t Version, TimePoint At);
   void processEnded(const std::string &Name, int Status, TimePoint At);
-  /// Looks whether undisturbed entries have served anything of late.
+  /// Looks whether entries that were in touch, and whose targets were well but
+  /// for one, have served half of their requests of late.
   void checkService(TimePoint Now);
 
   /// Violations since the last call.
@@ -161,6 +162,8 @@
   /// Whether the entry was in touch for all of a time and the span before it.
   [[nodiscard]] bool isInTouch(unsigned Entry, TimePoint From,
                                TimePoint Until) const;
+  [[nodiscard]] std::size_t disturbedTargets(TimePoint From,
+                                             TimePoint Until) const;
   [[nodiscard]] std::optional<TimePoint> stopBefore(unsigned Entry,
                                                     TimePoint At) const;
   /// Versions of the routes that may decide about a request.
--- a/tools/fault-soak/tests/JudgeTest.cpp
+++ b/tools/fault-soak/tests/JudgeTest.cpp
@@ -225,22 +225,40 @@
       CHECK(On.rules() == "ORDER ");
     }
   }
-  GIVEN("an undisturbed entry that serves nothing") {
+  GIVEN("an entry that refuses most requests") {
     Story On(Kind::Safe);
-    On.m_Judge.checkService(Start);
-    for (int I = 0; I < 20; ++I) {
-      On.m_Sent.m_Id = "s-" + std::to_string(I);
-      On.send();
-    }
-    On.m_Judge.checkService(Start + 1s);
-    CHECK(On.rules().empty());
+    int Next = 0;
+    const auto Refuse = [&](TimePoint At) {
+      for (int I = 0; I < 20; ++I) {
+        On.m_Sent.m_Id = "r-" + std::to_string(++Next);
+        On.m_Sent.m_At = At;
+        On.send();
+      }
+      On.m_Judge.checkService(At);
+    };
     // The first look opens the entry's window.
-    On.m_Judge.checkService(Start + 10s);
-    for (int I = 0; I < 20; ++I) {
-      On.m_Sent.m_Id = "t-" + std::to_string(I);
-      On.send();
+    Refuse(Start);
+    Refuse(Start + 1s);
+    CHECK(On.rules().empty());
+    WHEN("nothing is wrong around it") {
+      Refuse(Start + 5s);
+      CHECK(On.rules() == "SERVED ");
+    }
+    WHEN("one target is away") {
+      On.m_Judge.disturbed(Part::Target, 1, Start, Start + 5s);
+      Refuse(Start + 5s);
+      CHECK(On.rules() == "SERVED ");
+    }
+    WHEN("two targets are away") {
+      On.m_Judge.disturbed(Part::Target, 1, Start, Start + 5s);
+      On.m_Judge.disturbed(Part::Target, 2, Start, Start + 5s);
+      Refuse(Start + 5s);
+      CHECK(On.rules().empty());
+    }
+    WHEN("it is cut off itself") {
+      On.m_Judge.disturbed(Part::Entry, 0, Start + 2s, Start + 3s);
+      Refuse(Start + 5s);
+      CHECK(On.rules().empty());
     }
-    On.m_Judge.checkService(Start + 15s);
-    CHECK(On.rules() == "SERVED ");
   }
 }
