--- a/tools/fault-soak/src/Judge.cpp
+++ b/tools/fault-soak/src/Judge.cpp
@@ -143,6 +143,13 @@
   m_Requests[Request.m_Id].m_Sent = Request;
 }
 
+std::optional<unsigned> Judge::entryOf(const std::string &Id) const {
+  const auto Found = m_Requests.find(Id);
+  if (Found == m_Requests.end())
+    return std::nullopt;
+  return Found->second.m_Sent.m_Entry;
+}
+
 std::size_t Judge::began(const std::string &Id, Run Started) {
   ++m_Counts.m_Runs;
   const auto Found = m_Requests.find(Id);
--- a/tools/fault-soak/src/Judge.h
+++ b/tools/fault-soak/src/Judge.h
@@ -109,6 +109,8 @@
       : m_Bounds(Limits), m_ChecksVersions(ChecksVersions) {}
 
   void sent(const Sent &Request);
+  /// The entry that a request was sent to.
+  [[nodiscard]] std::optional<unsigned> entryOf(const std::string &Id) const;
   /// \returns the number of the run among those of the request.
   std::size_t began(const std::string &Id, Run Started);
   void answered(const std::string &Id, std::size_t Number, TimePoint At);
--- a/tools/fault-soak/src/Links.cpp
+++ b/tools/fault-soak/src/Links.cpp
@@ -49,7 +49,9 @@
 
   Links *m_Links = nullptr;
   unsigned m_Target = 0;
-  std::optional<unsigned> m_Entry;
+  http::Address m_Front;
+  std::uint16_t m_PeerPort = 0;
+  std::optional<unsigned> m_Entry; ///< Known once it has sent something.
   Flow m_From[2];
   bool m_IsDone = false;
 };
@@ -104,7 +106,8 @@
   Pipe &On = *Made;
   On.m_Links = this;
   On.m_Target = At.m_Target;
-  On.m_Entry = m_Find(At.m_Front, PeerPort);
+  On.m_Front = At.m_Front;
+  On.m_PeerPort = PeerPort;
   evutil_make_socket_nonblocking(Socket);
   On.m_From[EntrySide].m_Socket =
       bufferevent_socket_new(m_Loop, Socket, BEV_OPT_CLOSE_ON_FREE);
@@ -159,6 +162,8 @@
   evbuffer *Bytes = bufferevent_get_input(From.m_Socket);
   std::string Text(evbuffer_get_length(Bytes), '\0');
   evbuffer_remove(Bytes, Text.data(), Text.size());
+  if (Side == EntrySide && !On.m_Entry)
+    On.m_Entry = m_Find(Text, On.m_Front, On.m_PeerPort);
   TimePoint DueAt = Now;
   if (On.m_Entry)
     if (const auto Found = m_Slow.find({*On.m_Entry, On.m_Target});
--- a/tools/fault-soak/src/Links.h
+++ b/tools/fault-soak/src/Links.h
@@ -18,9 +18,10 @@
 
 class Links {
 public:
-  /// Finds the entry whose process holds the other end of a connection.
+  /// Finds the entry that sent the first bytes of a connection.
   using FindEntry = std::function<std::optional<unsigned>(
-      const http::Address &Listener, std::uint16_t PeerPort)>;
+      std::string_view Bytes, const http::Address &Listener,
+      std::uint16_t PeerPort)>;
 
   Links(event_base *Loop, FindEntry Find);
   ~Links();
--- a/tools/fault-soak/src/Soak.cpp
+++ b/tools/fault-soak/src/Soak.cpp
@@ -55,7 +55,10 @@
 
   [[nodiscard]] http::Address at(unsigned Kind, unsigned Number,
                                  std::uint16_t Port) const;
-  Json fields(const std::string &Ip, bool IsControl) const;
+  [[nodiscard]] std::optional<unsigned> findEntry(std::string_view Bytes,
+                                                  const http::Address &Listener,
+                                                  std::uint16_t Port) const;
+  [[nodiscard]] Json fields(const std::string &Ip, bool IsControl) const;
   void addMachines();
   bool prepare();
   void turn();
@@ -117,15 +120,8 @@
   }
   m_Links = std::make_unique<Links>(
       m_Loop,
-      [this](const http::Address &Listener,
-             std::uint16_t Port) -> std::optional<unsigned> {
-        const auto Inode = socketInode(Listener, Port);
-        for (unsigned I = 0; Inode && I < m_Entries.size(); ++I)
-          if (m_Entries[I].m_Process->isRunning() &&
-              holdsSocket(m_Entries[I].m_Process->pid(), *Inode))
-            return I;
-        return std::nullopt;
-      });
+      [this](std::string_view Bytes, const http::Address &Listener,
+             std::uint16_t Port) { return findEntry(Bytes, Listener, Port); });
   std::vector<Targets::Place> Places;
   for (unsigned I = 0; I < m_Options.m_Shape.m_Targets; ++I)
     Places.push_back({Services[I % std::size(Services)],
@@ -160,6 +156,23 @@
   event_base_free(m_Loop);
 }
 
+/// By the id of its request, or by its process if it has sent something else.
+std::optional<unsigned> World::findEntry(std::string_view Bytes,
+                                         const http::Address &Listener,
+                                         std::uint16_t Port) const {
+  constexpr std::string_view Name = "\r\nRequest-Id: ";
+  if (const std::size_t At = Bytes.find(Name); At != Bytes.npos) {
+    const std::string_view Id = Bytes.substr(At + Name.size());
+    return m_Judge.entryOf(std::string(Id.substr(0, Id.find('\r'))));
+  }
+  const auto Inode = socketInode(Listener, Port);
+  for (unsigned I = 0; Inode && I < m_Entries.size(); ++I)
+    if (m_Entries[I].m_Process->isRunning() &&
+        holdsSocket(m_Entries[I].m_Process->pid(), *Inode))
+      return I;
+  return std::nullopt;
+}
+
 http::Address World::at(unsigned Kind, unsigned Number,
                         std::uint16_t Port) const {
   return {
