--- a/apps/entry/tests/Shop.cpp
+++ b/apps/entry/tests/Shop.cpp
@@ -20,6 +20,7 @@
                                        : std::chrono::seconds(std::stoi(Waits));
   const std::string Seen(http::field(From.m_Fields, "Seen"));
   Made.m_LastEventId = Seen.empty() ? 0 : std::stoull(Seen);
+  Made.m_FirstAttempt = http::field(From.m_Fields, "Resumes");
   const std::string Prompt(http::field(From.m_Fields, "Prompt"));
   if (!Prompt.empty()) {
     Made.m_Model = "m";
@@ -136,10 +137,7 @@
   m_Settings.m_Routes->m_Listen = {"127.0.0.1", EntryPort};
   // Nobody listens there: the tests speak for control.
   m_Settings.m_Control = {{{"control-1"}, "", "127.0.0.1:21879"}};
-  auto Opened = Entry::open(m_Loop.m_Base, m_Settings, m_Registry, &Plain);
-  REQUIRE_FALSE(failed(Opened));
-  m_Entry = std::move(valueOf(Opened));
-  m_Path = &m_Entry->requests();
+  openEntry();
   m_Fleet.set_revision(1);
   wire::RouteTable &Table = *m_Fleet.mutable_routes();
   Table.set_version(1);
@@ -160,6 +158,21 @@
   m_Targets.clear();
 }
 
+void Shop::openEntry() {
+  auto Opened = Entry::open(m_Loop.m_Base, m_Settings, m_Registry, &Plain);
+  REQUIRE_FALSE(failed(Opened));
+  m_Entry = std::move(valueOf(Opened));
+  m_Path = &m_Entry->requests();
+}
+
+void Shop::restart() {
+  m_Path->endAll();
+  m_Loop.turnFor(std::chrono::milliseconds(5));
+  end();
+  openEntry();
+  REQUIRE(m_Path->takeFleet(m_Fleet));
+}
+
 void Shop::end() {
   m_Path = nullptr;
   m_Entry.reset();
--- a/apps/entry/tests/Shop.h
+++ b/apps/entry/tests/Shop.h
@@ -63,6 +63,8 @@
   ~Shop();
   /// The entry's process ends.
   void end();
+  /// The entry's process ends, and another starts with the same fleet.
+  void restart();
   Shop(const Shop &) = delete;
   Shop &operator=(const Shop &) = delete;
 
@@ -157,7 +159,9 @@
     Out.m_To = {"127.0.0.1", EntryPort};
     Out.m_Method = Method;
     Out.m_Path = Path;
-    Out.m_Fields = {{"Host", "shop.example"}, {"Attempt", "r-1"}};
+    Out.m_Fields = {{"Host", "shop.example"}};
+    if (http::field(More, "Attempt").empty())
+      Out.m_Fields.emplace_back("Attempt", "r-1");
     Out.m_Fields.insert(Out.m_Fields.end(), More.begin(), More.end());
     if (Method == "POST")
       Out.m_Body = "body";
@@ -185,6 +189,9 @@
     REQUIRE(m_Loop.until([&] { return Got->m_Ended; }));
     return *Got;
   }
+
+private:
+  void openEntry();
 };
 
 } // namespace wasabivale::entry::test
