Let resumed streams go on only at the software version that began them

Cause: nothing remembered the version of a stream beyond the entry that ran it, and a caller that came back was placed at any version.

Control now replicates which software versions each service has, and had within 60 s of log time, and, while a service has several, the version of each stream that entries have sent to a target: 64-bit hashes of the first attempt's id and of the version. Entries tell them in batches, 10 ms after the first and at most each 100 ms; the leader commits those of 5 ms together. A stream without events that has to move to another version first has its record released; records of two versions make it unknown. So a committed record is never wrong, after a kill of all entries and at a new leader too. A caller that resumes is placed at the version in the entry's own memory, or the only one if control has confirmed the fleet within a second, or the one that the leader answers; otherwise it is refused as not run.

Failed before, passes now: a stream that its caller resumes does not go on at another software version.

The scripted entry of the tests now hears from control once it is opened: an entry that never heard from it may not assume that a service has one version.

--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -20,6 +20,8 @@
 /// Minimum remaining leader lease for sending an order.
 constexpr std::chrono::milliseconds OrderLeaseMargin{150};
 constexpr std::size_t MaxReplies = 65'536;
+/// Time in which records of begun streams are collected from all entries.
+constexpr std::chrono::milliseconds StreamCollectInterval{5};
 /// Pause between membership changes, so that the first takes effect.
 constexpr std::chrono::milliseconds RepairInterval{200};
 
@@ -294,6 +296,10 @@
   m_Sent.clear();
   m_SharedWork = {};
   m_PendingProposals.clear();
+  // Entries send again what isn't acknowledged.
+  m_CollectedStreams.Clear();
+  m_StreamReplies.clear();
+  m_StreamTimer.reset();
   fleet::startTerm(m_Observed, m_State.m_Fleet, m_LeaderSince, MaxEntryLease);
   startTerm(m_Roles, m_State.m_Fleet, m_LeaderSince);
   startTerm(m_Shares, m_LeaderSince, MaxEntryLease);
@@ -461,9 +467,9 @@
   wire::Command Command = Call.command();
   Command.set_request_id(Call.request_id());
   Command.set_actor(Sender.m_Value);
-  const bool Allowed = ledger::handles(Command) ||
-                       Command.has_announce_target() ||
-                       Command.has_leave_target();
+  const bool Allowed =
+      ledger::handles(Command) || Command.has_announce_target() ||
+      Command.has_leave_target() || Command.has_stream_versions();
   const auto Answer = [this, Sender,
                        Name = Call.request_id()](wire::CallReply Reply) {
     wire::Envelope Message;
@@ -483,9 +489,42 @@
     fleet::recordTargetSeen(m_Observed, {Target.id()}, Target.incarnation(),
                             BootClock::now());
   }
+  if (Command.has_stream_versions()) {
+    if (!Command.stream_versions().has_look_up())
+      return collectStreams(Command.stream_versions(), Answer);
+    // A leader with its lease has applied every committed record.
+    wire::CallReply Found;
+    if (const auto Version = fleet::findStreamVersion(
+            m_State.m_Fleet, Command.stream_versions().look_up()))
+      Found.set_result(std::to_string(*Version));
+    return Answer(Found);
+  }
   propose(std::move(Command), Answer);
 }
 
+void Control::collectStreams(const wire::StreamVersions &Report, OnReply Done) {
+  if (!fleet::append(m_CollectedStreams, Report)) {
+    wire::CallReply Refused;
+    Refused.set_refusal(static_cast<std::uint32_t>(Refusal::InvalidField));
+    return Done(Refused);
+  }
+  m_StreamReplies.push_back(std::move(Done));
+  if (m_StreamTimer == nullptr)
+    m_StreamTimer = std::make_unique<http::Timer>(
+        m_Loop, StreamCollectInterval, false, [this] { proposeStreams(); });
+}
+
+void Control::proposeStreams() {
+  m_StreamTimer.reset();
+  wire::Command Next;
+  *Next.mutable_stream_versions() = std::exchange(m_CollectedStreams, {});
+  propose(std::move(Next), [Replies = std::exchange(m_StreamReplies, {})](
+                               const wire::CallReply &Reply) {
+    for (const OnReply &Done : Replies)
+      Done(Reply);
+  });
+}
+
 void Control::sendFleet(const NodeId &Entry, SentRevisions &Known) {
   const fleet::State &Fleet = m_State.m_Fleet;
   wire::Envelope Message;
--- a/apps/control/src/Control.h
+++ b/apps/control/src/Control.h
@@ -90,6 +90,9 @@
   void handleReport(const NodeId &Sender, const wire::Envelope &Message);
   void handleWork(const NodeId &Sender, const wire::WorkNotice &Notice);
   void handleCall(const NodeId &Sender, const wire::CallRequest &Call);
+  /// Adds records of begun streams to the command that is proposed next.
+  void collectStreams(const wire::StreamVersions &Report, OnReply Done);
+  void proposeStreams();
   void redirect(const NodeId &Entry);
   void sendFleet(const NodeId &Entry, SentRevisions &Known);
   void sendMembers(const NodeId &Entry, SentRevisions &Known,
@@ -146,6 +149,10 @@
   std::map<NodeId, SentRevisions> m_Sent;
   std::map<consensus::Index, wire::CallReply> m_Replies;
   std::set<std::string> m_PendingProposals;
+  /// Records of begun streams that wait to be proposed together.
+  wire::StreamVersions m_CollectedStreams;
+  std::vector<OnReply> m_StreamReplies;
+  std::unique_ptr<http::Timer> m_StreamTimer;
   TimePoint m_LeaderSince;
   LogTime m_LogBase; ///< Log time at `m_LeaderSince`.
 };
--- a/apps/entry/src/Context.h
+++ b/apps/entry/src/Context.h
@@ -12,6 +12,7 @@
 #include "FleetView.h"
 #include "LedgerClient.h"
 #include "RateLimits.h"
+#include "StreamVersions.h"
 #include "Suspects.h"
 #include "limits/limits.h"
 #include "relay/relay.h"
@@ -65,6 +66,7 @@
   Suspects m_Suspects{m_Loop};
   CrashTraits m_Traits{m_Loop};
   RateLimits m_RateLimits{m_Fleet, m_Routing};
+  StreamVersions m_StreamVersions{m_Loop, m_Fleet, m_Metrics};
   std::map<std::string, ModelUse> m_Models; ///< By model; not services.
   /// Set once the process was asked to stop.
   std::optional<shutdown::Schedule> m_StopSchedule;
--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -89,6 +89,7 @@
   m_Shared.m_HoldsLease = std::move(To.m_HoldsLease);
   m_Shared.m_ReportSoon = std::move(To.m_ReportSoon);
   m_Shared.m_Dialect = To.m_Dialect;
+  m_Shared.m_StreamVersions.setControl(std::move(To.m_Control));
   if (Settings.m_Routes) {
     // Loads come with answers, and other engines refuse what is not theirs.
     m_Shared.m_Routing.m_Settings.m_ReportLag = Settings.m_Routes->m_ReportLag;
@@ -422,6 +423,7 @@
   m_Shared.m_Fleet.apply(Update, m_Shared.m_Routes.table(), m_Shared.m_Routing,
                          Now);
   m_Shared.m_RateLimits.applyAll(Now);
+  m_Shared.m_StreamVersions.apply(Update, Now);
   events::emit(
       events::Event::FleetApplied,
       {{"revision", Update.revision()}, {"targets", m_Shared.m_Fleet.size()}});
@@ -478,6 +480,7 @@
   m_Shared.m_Suspects.takeGrant(Grant, Now);
   m_Shared.m_Traits.takeGrant(Grant, Now);
   m_Shared.m_RateLimits.takeGrant(Grant, Now);
+  m_Shared.m_StreamVersions.takeGrant(Grant, LeaseEnd);
   pumpSoon();
 }
 
--- a/apps/entry/src/DataPath.h
+++ b/apps/entry/src/DataPath.h
@@ -20,6 +20,7 @@
     std::function<bool(TimePoint)> m_HoldsLease;
     std::function<void()> m_ReportSoon;
     const relay::Dialect *m_Dialect = nullptr; ///< Of plain requests.
+    LedgerClient::Call m_Control = {};
   };
 
   DataPath(event_base *Loop, const EntrySettings &Settings,
@@ -60,6 +61,9 @@
   [[nodiscard]] const FleetView &fleet() const { return m_Shared.m_Fleet; }
   [[nodiscard]] routing::State &routing() { return m_Shared.m_Routing; }
   [[nodiscard]] const Context &context() const { return m_Shared; }
+  [[nodiscard]] StreamVersions &streamVersions() {
+    return m_Shared.m_StreamVersions;
+  }
   void updateGauges();
 
 private:
--- a/apps/entry/src/Entry.cpp
+++ b/apps/entry/src/Entry.cpp
@@ -27,7 +27,8 @@
                                   (m_Settings.m_Routes.has_value() ||
                                    m_Control->holdsLease(Now));
                          },
-                         [this] { reportSoon(); }, PlainRequests})),
+                         [this] { reportSoon(); }, PlainRequests,
+                         controlCall()})),
       m_TargetsApi(controlCall(), m_Requests->fleet(), m_Requests->routing(),
                    Registry) {}
 
--- a/apps/entry/src/EntryMetrics.cpp
+++ b/apps/entry/src/EntryMetrics.cpp
@@ -23,6 +23,9 @@
                          "Bytes of generated text taken from engines")),
       m_Resumes(In.counter("wasabivale_entry_resumes_total",
                            "Streams continued at an offset")),
+      m_StreamRecords(
+          In.counter("wasabivale_entry_stream_records_total",
+                     "Begun streams whose version control was told")),
       m_Cancels(In.counter("wasabivale_entry_cancels_total",
                            "Runs that engines were told to cancel")),
       m_AbandonedTries(
@@ -71,6 +74,15 @@
       .add();
 }
 
+void EntryMetrics::countResume(bool IsKnown, const std::string &Source) {
+  m_Registry
+      .counter("wasabivale_entry_caller_resumes_total",
+               "Streams that callers resumed, by what is known of their "
+               "software version",
+               {{"known", IsKnown ? "yes" : "no"}, {"source", Source}})
+      .add();
+}
+
 void EntryMetrics::countRetry(retries::FailureKind After, bool Resumed) {
   m_Registry
       .counter("wasabivale_entry_retries_total",
--- a/apps/entry/src/EntryMetrics.h
+++ b/apps/entry/src/EntryMetrics.h
@@ -19,6 +19,8 @@
   void countTry(routing::TryOutcome Ending);
   /// Counts a retry by the failure that it follows.
   void countRetry(retries::FailureKind After, bool Resumed);
+  /// Counts a stream that a caller resumes, by how its version was found.
+  void countResume(bool IsKnown, const std::string &Source);
 
   metrics::Registry &m_Registry;
   metrics::Counter &m_Requests;
@@ -30,6 +32,7 @@
   metrics::Counter &m_Tokens;
   metrics::Counter &m_Bytes;
   metrics::Counter &m_Resumes;
+  metrics::Counter &m_StreamRecords;
   metrics::Counter &m_Cancels;
   metrics::Counter &m_AbandonedTries;
   metrics::Counter &m_DuplicatePieces;
--- a/apps/entry/src/FleetView.cpp
+++ b/apps/entry/src/FleetView.cpp
@@ -125,6 +125,17 @@
   return Names;
 }
 
+std::map<std::string, std::set<std::string>>
+FleetView::softwareVersions() const {
+  std::map<std::string, std::set<std::string>> Versions;
+  for (const auto &[Id, Target] : m_Targets)
+    if (Target.m_Description.state() != "lost" &&
+        Target.m_Description.state() != "withdrawn")
+      for (const std::string &Service : Target.m_Description.models())
+        Versions[Service].insert(Target.m_Description.software_version());
+  return Versions;
+}
+
 FleetView::Isolation FleetView::isolation(const std::string &Service) const {
   std::uint64_t Best = 0;
   std::string Address;
--- a/apps/entry/src/FleetView.h
+++ b/apps/entry/src/FleetView.h
@@ -41,6 +41,9 @@
   /// Whether the target gets no new work and waits for what runs there.
   [[nodiscard]] bool isClosing(const TargetId &Id) const;
   [[nodiscard]] std::set<std::string> servedModels() const;
+  /// Software versions of the targets that are registered, by service.
+  [[nodiscard]] std::map<std::string, std::set<std::string>>
+  softwareVersions() const;
 
   /// The target of a service that alone runs requests of suspect routes.
   struct Isolation {
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -17,6 +17,9 @@
 constexpr std::chrono::milliseconds SuspectLook{100};
 /// Longest wait for the ledger's word.
 constexpr std::chrono::seconds LedgerPatience{3};
+/// Longest wait for control's word on the version of a stream; covers the
+/// election of a leader.
+constexpr std::chrono::milliseconds VersionPatience{1500};
 /// Weight of the newest answer in a model's mean share of output.
 constexpr double OutputShareStep = 0.05;
 
@@ -108,6 +111,15 @@
   if (m_Asked.m_Passed)
     m_Offset = m_Asked.m_Passed->m_Ask.m_LastEventId;
   m_FirstOffset = m_Offset;
+  if (m_Asked.m_Passed) {
+    const std::string &First = m_Asked.m_Passed->m_Ask.m_FirstAttempt;
+    m_Stream = hashBytes(
+        m_FirstOffset > 0 && !First.empty() ? First : m_Asked.m_Id.m_Value);
+  }
+}
+
+bool Serving::isRecorded() const {
+  return m_Asked.m_Passed && m_Asked.m_Stream && m_Asked.isResumable();
 }
 
 void Serving::watchCaller() {
@@ -282,6 +294,9 @@
   if (m_Offset > m_FirstOffset)
     Wanted.m_MaySplit = false;
   Wanted.m_RequiredVersion = m_StreamVersion;
+  if (!Wanted.m_RequiredVersion && isRecorded())
+    Wanted.m_RequiredVersion =
+        m_Shared.m_StreamVersions.reportedVersion(m_Stream);
   return Wanted;
 }
 
@@ -311,12 +326,66 @@
     m_Shared.m_Metrics.m_LeaseWaits.add();
     return waitUntil(Now + LeaseLook);
   }
+  if (isRecorded() && m_FirstOffset > 0 && !m_ResumedVersion)
+    return findVersion(Now);
   routing::Request Wanted = routingRequest();
   if (!passGate(Wanted, Now) || !isolate(Wanted))
     return;
   placeAt(std::move(Wanted), Now);
 }
 
+void Serving::findVersion(TimePoint Now) {
+  const bool IsNamed = !m_Asked.m_Passed->m_Ask.m_FirstAttempt.empty();
+  m_Shared.m_StreamVersions.find(
+      m_Asked.m_Model, IsNamed ? std::optional(m_Stream) : std::nullopt,
+      std::min<TimePoint>(m_Asked.m_Deadline, Now + VersionPatience),
+      [Weak = weak_from_this()](const StreamVersions::Finding &Found) {
+        const auto Self = Weak.lock();
+        if (Self != nullptr && Self->m_Phase == Phase::Placing)
+          Self->takeVersion(Found);
+      });
+}
+
+void Serving::takeVersion(const StreamVersions::Finding &Found) {
+  m_Shared.m_Metrics.countResume(Found.m_Version.has_value(), Found.m_Source);
+  const std::string &First = m_Asked.m_Passed->m_Ask.m_FirstAttempt;
+  if (!Found.m_Version) {
+    events::emit(events::Event::ResumeRefused, {{"request", m_Asked.m_Id},
+                                                {"first_attempt", First},
+                                                {"offset", m_FirstOffset},
+                                                {"reason", Found.m_Source}});
+    return giveUp(Refusal::NoTarget, outcomeSoFar(),
+                  Error{"resume", "",
+                        "the software version of the stream is not known (" +
+                            Found.m_Source + ")"});
+  }
+  events::emit(events::Event::StreamResumed, {{"request", m_Asked.m_Id},
+                                              {"first_attempt", First},
+                                              {"offset", m_FirstOffset},
+                                              {"version", *Found.m_Version},
+                                              {"source", Found.m_Source}});
+  m_ResumedVersion = Found.m_Version;
+  m_StreamVersion = Found.m_Version;
+  place();
+}
+
+void Serving::releaseVersion(TimePoint Now) {
+  m_Shared.m_StreamVersions.release(
+      m_Stream, std::min<TimePoint>(m_Asked.m_Deadline, Now + VersionPatience),
+      [Weak = weak_from_this()](bool IsReleased) {
+        const auto Self = Weak.lock();
+        if (Self == nullptr || Self->m_Phase != Phase::Placing)
+          return;
+        events::emit(
+            events::Event::StreamReleased,
+            {{"request", Self->m_Asked.m_Id}, {"committed", IsReleased}});
+        if (IsReleased)
+          return Self->place();
+        Self->giveUp(Refusal::NoTarget, Self->outcomeSoFar(),
+                     Error{"release", "", "control did not answer"});
+      });
+}
+
 bool Serving::passGate(routing::Request &Wanted, TimePoint Now) {
   if (const auto Until = quarantinedUntil(Now)) {
     giveUp(Refusal::Quarantined, outcomeSoFar(), Error{"quarantine", "", ""},
@@ -389,6 +458,12 @@
     Wanted.m_RequiredTarget.reset();
     Where = routing::choose(m_Shared.m_Routing, Wanted, Now, m_Shared.m_Random);
   }
+  if (failed(Where) && Wanted.m_RequiredVersion && !m_StreamVersion) {
+    Wanted.m_RequiredVersion.reset();
+    if (!failed(routing::estimate(m_Shared.m_Routing, Wanted, Now,
+                                  m_Shared.m_Random)))
+      return releaseVersion(Now);
+  }
   if (failed(Where))
     return giveUp(Refusal::NoTarget, outcomeSoFar(), errorOf(Where),
                   untilRateAdmits(m_Shared, Wanted, Now));
@@ -435,6 +510,9 @@
   m_SentAt = Now;
   m_LastTarget = Where.m_Run.m_Target;
   m_TargetVersion = Run->m_Description.software_version();
+  if (isRecorded())
+    m_Shared.m_StreamVersions.recordSent(m_Stream, m_Asked.m_Model,
+                                         m_TargetVersion, Now);
   m_ServiceTime = std::max<Duration>(
       Where.m_Estimate.m_Finish - Where.m_Estimate.m_Start, Duration(0));
   events::emit(
@@ -681,7 +759,7 @@
   // Nothing was passed on: begin a new stream, so that no line of the former
   // can be taken for one of it.
   m_Writer->restart();
-  m_StreamVersion.reset();
+  m_StreamVersion = m_ResumedVersion;
   m_Offset = m_FirstOffset;
   m_StreamId = randomIdentity();
   waitUntil(Again.m_StartTime);
@@ -817,6 +895,8 @@
   if (InService || m_RunNoted)
     noteTryOver(false);
   m_Shared.m_Suspects.dropWish(m_Print);
+  if (isRecorded())
+    m_Shared.m_StreamVersions.recordEnded(m_Stream, Now);
   if (m_Started)
     limits::finish(m_Shared.m_Limits, m_Ticket,
                    {m_Asked.isService() ? 0 : promptTokensOf(m_Asked),
--- a/apps/entry/src/Serving.h
+++ b/apps/entry/src/Serving.h
@@ -67,6 +67,14 @@
   void takeKey(const KeyAnswer &Answer);
   void place();
   void placeAt(routing::Request Wanted, TimePoint Now);
+  /// Whether the answer is a stream that its caller may resume elsewhere.
+  [[nodiscard]] bool isRecorded() const;
+  /// Finds the version of a stream that its caller resumes, then places it.
+  void findVersion(TimePoint Now);
+  void takeVersion(const StreamVersions::Finding &Found);
+  /// Places a stream without events at any version, once control has forgotten
+  /// the one that it was told.
+  void releaseVersion(TimePoint Now);
   /// Whether a try that starts now ends before the process exits.
   [[nodiscard]] bool mayStartBeforeStop(const routing::Estimate &Expected,
                                         TimePoint Now) const;
@@ -124,6 +132,9 @@
   std::string m_TargetVersion; ///< Software version at the last try.
   /// Software version that generated the events of this answer so far.
   std::optional<std::string> m_StreamVersion;
+  /// Version that generated what the caller had at the start.
+  std::optional<std::string> m_ResumedVersion;
+  StreamVersions::StreamKey m_Stream = 0;
   std::uint64_t m_FirstOffset = 0; ///< What the caller had at the start.
   std::uint32_t m_Runs = 0;        ///< Tries that may have run.
   /// A target's own failure, passed on if no other try does better.
--- /dev/null
+++ b/apps/entry/src/StreamVersions.cpp
@@ -0,0 +1,272 @@
+#include "StreamVersions.h"
+
+#include "events/events.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace wasabivale::entry {
+
+namespace {
+
+/// Streams that begin within this time share a message.
+constexpr std::chrono::milliseconds SendDelay{10};
+/// Shortest time between two messages: bounds their cost at busy entries.
+constexpr std::chrono::milliseconds SendInterval{100};
+constexpr std::chrono::seconds ReportPatience{5};
+constexpr std::size_t MaxStreamsOfMessage = 2'048;
+/// Records of open streams are repeated, as control forgets them after a time.
+constexpr std::chrono::seconds RepeatInterval{25};
+constexpr std::chrono::seconds Retention{60};
+constexpr std::size_t MaxStreams = 65'536;
+constexpr std::chrono::seconds SweepInterval{1};
+/// Age of a grant up to which no target of a version that isn't known here can
+/// have begun a stream that breaks off and comes back.
+constexpr std::chrono::milliseconds GrantAge{1'000};
+
+} // namespace
+
+StreamVersions::StreamVersions(event_base *Loop, const FleetView &Fleet,
+                               EntryMetrics &Metrics)
+    : m_Loop(Loop), m_Fleet(Fleet), m_Metrics(Metrics),
+      m_Sweep(std::make_unique<http::Timer>(Loop, SweepInterval, true,
+                                            [this] { sweep(); })) {}
+
+// --- Versions of services ---------------------------------------------------
+
+void StreamVersions::apply(const wire::FleetUpdate &Update, TimePoint Now) {
+  const auto Former = std::exchange(m_Versions, {});
+  m_FleetRevision = Update.revision();
+  for (const wire::ServiceVersion &Each : Update.service_versions())
+    m_Versions[Each.service()][Each.software_version()] =
+        Each.remaining_ns() == 0
+            ? TimePoint::max()
+            : Now + std::chrono::nanoseconds(
+                        static_cast<std::int64_t>(Each.remaining_ns()));
+  for (const auto &[Service, Versions] : m_Fleet.softwareVersions())
+    for (const std::string &Version : Versions)
+      m_Versions[Service][Version] = TimePoint::max();
+  for (const auto &[Service, Versions] : m_Versions) {
+    const auto Before = Former.find(Service);
+    if (Versions.size() > 1 &&
+        (Before == Former.end() || Before->second.size() < 2))
+      events::emit(events::Event::VersionsMixed,
+                   {{"service", Service}, {"versions", Versions.size()}});
+  }
+  for (auto &[Stream, Record] : m_Streams)
+    if (!Record.m_IsReported && !Record.m_IsReleased &&
+        hasSeveralVersions(Record.m_Service, Now))
+      report(Stream, Record, Now);
+}
+
+void StreamVersions::takeGrant(const wire::ControlGrant &Grant,
+                               TimePoint LeaseEnd) {
+  if (Grant.fleet_revision() > m_FleetRevision)
+    return;
+  const TimePoint SentAt =
+      LeaseEnd -
+      std::chrono::nanoseconds(static_cast<std::int64_t>(Grant.lease_ns()));
+  m_ConfirmedUntil = std::max<TimePoint>(m_ConfirmedUntil, SentAt + GrantAge);
+}
+
+std::vector<std::string>
+StreamVersions::currentVersions(const std::string &Service,
+                                TimePoint Now) const {
+  std::vector<std::string> Current;
+  if (const auto Found = m_Versions.find(Service); Found != m_Versions.end())
+    for (const auto &[Version, ForgottenAt] : Found->second)
+      if (Now < ForgottenAt)
+        Current.push_back(Version);
+  return Current;
+}
+
+bool StreamVersions::hasSeveralVersions(const std::string &Service,
+                                        TimePoint Now) const {
+  return currentVersions(Service, Now).size() > 1;
+}
+
+// --- Records ----------------------------------------------------------------
+
+void StreamVersions::recordSent(StreamKey Stream, const std::string &Service,
+                                const std::string &Version, TimePoint Now) {
+  const auto Found = m_Streams.find(Stream);
+  if (Found == m_Streams.end() && m_Streams.size() >= MaxStreams)
+    return;
+  Row &Record = Found == m_Streams.end() ? m_Streams[Stream] : Found->second;
+  Record.m_Service = Service;
+  Record.m_Version = Version;
+  Record.m_IsOpen = true;
+  if (!Record.m_IsReported && !Record.m_IsReleased &&
+      hasSeveralVersions(Service, Now))
+    report(Stream, Record, Now);
+}
+
+void StreamVersions::recordEnded(StreamKey Stream, TimePoint Now) {
+  const auto Found = m_Streams.find(Stream);
+  if (Found == m_Streams.end())
+    return;
+  Found->second.m_IsOpen = false;
+  Found->second.m_ExpiresAt = Now + Retention;
+}
+
+std::optional<std::string>
+StreamVersions::reportedVersion(StreamKey Stream) const {
+  const auto Found = m_Streams.find(Stream);
+  if (Found == m_Streams.end() || !Found->second.m_IsReported ||
+      Found->second.m_IsReleased)
+    return std::nullopt;
+  return Found->second.m_Version;
+}
+
+void StreamVersions::report(StreamKey Stream, Row &Record, TimePoint Now) {
+  Record.m_IsReported = true;
+  Record.m_NextReport = Now + RepeatInterval;
+  m_Unsent.push_back(Stream);
+  sendSoon(Now);
+}
+
+void StreamVersions::sendSoon(TimePoint Now) {
+  if (m_SendTimer != nullptr || m_Unsent.empty())
+    return;
+  const Duration Delay = std::max<Duration>(SendDelay, m_NextSend - Now);
+  m_SendTimer = std::make_unique<http::Timer>(
+      m_Loop, std::chrono::ceil<std::chrono::milliseconds>(Delay), false,
+      [this] { sendReports(); });
+}
+
+void StreamVersions::sendReports() {
+  const TimePoint Now = BootClock::now();
+  m_SendTimer.reset();
+  m_NextSend = Now + SendInterval;
+  wire::Command Command;
+  wire::StreamVersions &Report = *Command.mutable_stream_versions();
+  std::map<std::string, std::uint32_t> Indices;
+  const auto Last =
+      m_Unsent.begin() + static_cast<std::ptrdiff_t>(
+                             std::min(m_Unsent.size(), MaxStreamsOfMessage));
+  std::vector<StreamKey> Streams(m_Unsent.begin(), Last);
+  m_Unsent.erase(m_Unsent.begin(), Last);
+  std::erase_if(Streams, [&](StreamKey Stream) {
+    const auto Found = m_Streams.find(Stream);
+    return Found == m_Streams.end() || Found->second.m_IsReleased;
+  });
+  for (const StreamKey Stream : Streams) {
+    const std::string &Version = m_Streams.at(Stream).m_Version;
+    const auto [Index, New] = Indices.try_emplace(
+        Version, static_cast<std::uint32_t>(Indices.size()));
+    if (New)
+      Report.add_versions(hashBytes(Version));
+    Report.add_streams(Stream);
+    Report.add_version_indices(Index->second);
+  }
+  if (!Streams.empty() && m_Control) {
+    m_Metrics.m_StreamRecords.add(Streams.size());
+    m_Control(std::move(Command), Now + ReportPatience,
+              [this, Streams, IsAlive = std::weak_ptr<bool>(m_IsAlive)](
+                  const Result<wire::CallReply> &Reply) {
+                if (!IsAlive.expired())
+                  takeReply(Streams, Reply);
+              });
+  }
+  sendSoon(Now);
+}
+
+void StreamVersions::takeReply(const std::vector<StreamKey> &Streams,
+                               const Result<wire::CallReply> &Reply) {
+  if (!failed(Reply) && valueOf(Reply).refusal() == 0)
+    return;
+  events::emit(events::Event::StreamRecordsDelayed,
+               {{"streams", Streams.size()},
+                {"message", failed(Reply) ? errorOf(Reply).m_Message
+                                          : valueOf(Reply).message()}});
+  for (const StreamKey Stream : Streams)
+    if (m_Streams.count(Stream) != 0)
+      m_Unsent.push_back(Stream);
+  sendSoon(BootClock::now());
+}
+
+void StreamVersions::release(StreamKey Stream, TimePoint Deadline,
+                             std::function<void(bool)> Done) {
+  const auto Found = m_Streams.find(Stream);
+  WASABIVALE_INVARIANT(Found != m_Streams.end());
+  if (!m_Control)
+    return Done(false);
+  wire::Command Command;
+  Command.mutable_stream_versions()->add_released(Stream);
+  m_Control(std::move(Command), Deadline,
+            [this, Stream, Done = std::move(Done),
+             IsAlive = std::weak_ptr<bool>(m_IsAlive)](
+                const Result<wire::CallReply> &Reply) {
+              const bool Committed =
+                  !failed(Reply) && valueOf(Reply).refusal() == 0;
+              if (IsAlive.expired())
+                return;
+              if (const auto Record = m_Streams.find(Stream);
+                  Committed && Record != m_Streams.end())
+                Record->second.m_IsReleased = true;
+              Done(Committed);
+            });
+}
+
+void StreamVersions::sweep() {
+  const TimePoint Now = BootClock::now();
+  std::erase_if(m_Streams, [&](const auto &Item) {
+    return !Item.second.m_IsOpen && Item.second.m_ExpiresAt < Now;
+  });
+  for (auto &[Stream, Record] : m_Streams)
+    if (Record.m_IsOpen && Record.m_IsReported && !Record.m_IsReleased &&
+        Record.m_NextReport <= Now && hasSeveralVersions(Record.m_Service, Now))
+      report(Stream, Record, Now);
+}
+
+// --- Resumed streams --------------------------------------------------------
+
+void StreamVersions::find(const std::string &Service,
+                          std::optional<StreamKey> Stream, TimePoint Deadline,
+                          std::function<void(const Finding &)> Done) {
+  const TimePoint Now = BootClock::now();
+  if (Stream)
+    if (const auto Found = m_Streams.find(*Stream); Found != m_Streams.end())
+      return Done({Found->second.m_Version, "own_memory"});
+  const std::vector<std::string> Versions = currentVersions(Service, Now);
+  if (Now < m_ConfirmedUntil && Versions.size() == 1)
+    return Done({Versions.front(), "only_version"});
+  if (!m_Control)
+    return Done({std::nullopt, "no_control"});
+  wire::Command Command;
+  wire::StreamLookUp &Query =
+      *Command.mutable_stream_versions()->mutable_look_up();
+  Query.set_service(Service);
+  Query.set_stream(Stream.value_or(0));
+  m_Control(std::move(Command), Deadline,
+            [this, Service, Done = std::move(Done),
+             IsAlive = std::weak_ptr<bool>(m_IsAlive)](
+                const Result<wire::CallReply> &Reply) {
+              if (!IsAlive.expired())
+                Done(readAnswer(Service, Reply));
+            });
+}
+
+StreamVersions::Finding
+StreamVersions::readAnswer(const std::string &Service,
+                           const Result<wire::CallReply> &Reply) const {
+  if (failed(Reply))
+    return {std::nullopt, "no_answer"};
+  if (valueOf(Reply).refusal() != 0)
+    return {std::nullopt, "refused"};
+  const std::string &Text = valueOf(Reply).result();
+  if (Text.empty())
+    return {std::nullopt, "not_recorded"};
+  std::uint64_t Hash = 0;
+  const auto Read =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Hash);
+  if (Read.ec != std::errc() || Read.ptr != Text.data() + Text.size())
+    return {std::nullopt, "unreadable"};
+  if (const auto Found = m_Versions.find(Service); Found != m_Versions.end())
+    for (const auto &[Version, ForgottenAt] : Found->second)
+      if (hashBytes(Version) == Hash)
+        return {Version, "control"};
+  return {std::nullopt, "no_target"};
+}
+
+} // namespace wasabivale::entry
--- a/apps/entry/tests/Shop.h
+++ b/apps/entry/tests/Shop.h
@@ -73,6 +73,16 @@
     for (const Play &Each : Scripts)
       add(Each);
     REQUIRE(m_Path->takeFleet(m_Fleet));
+    grant();
+  }
+
+  /// Control confirms the fleet that the entry knows.
+  void grant() {
+    constexpr std::chrono::seconds Lease{2};
+    wire::ControlGrant Grant;
+    Grant.set_fleet_revision(m_Fleet.revision());
+    Grant.set_lease_ns(std::chrono::nanoseconds(Lease).count());
+    m_Path->takeGrant(Grant, BootClock::now() + Lease);
   }
 
   /// Adds a target to what the entry will hear next.
--- a/apps/entry/tests/StreamVersionsTest.cpp
+++ b/apps/entry/tests/StreamVersionsTest.cpp
@@ -1,4 +1,5 @@
 #include "Shop.h"
+#include "fleet/fleet.h"
 
 using namespace wasabivale;
 using namespace wasabivale::entry;
@@ -6,29 +7,112 @@
 
 namespace {
 
+/// Control with its state, for entries that come and go.
+struct FakeControl {
+  fleet::State m_State;
+  bool m_IsReachable = true;
+  std::vector<wire::Command> m_Commands;
+  std::vector<std::unique_ptr<http::Timer>> m_Timers;
+
+  LedgerClient::Call call(const Loop &Loop) {
+    return [this, &Loop](const wire::Command &Command, TimePoint Deadline,
+                         const LedgerClient::OnReply &Done) {
+      m_Commands.push_back(Command);
+      Result<wire::CallReply> Reply = Error{"control.call", "", "no reply"};
+      if (m_IsReachable)
+        Reply = answer(Command);
+      const Duration Wait = m_IsReachable
+                                ? Duration(std::chrono::milliseconds(2))
+                                : Deadline - BootClock::now();
+      m_Timers.push_back(std::make_unique<http::Timer>(
+          Loop.m_Base, std::chrono::ceil<std::chrono::milliseconds>(Wait),
+          false, [Done, Reply] { Done(Reply); }));
+    };
+  }
+
+  wire::CallReply answer(wire::Command Command) {
+    wire::CallReply Reply;
+    if (Command.stream_versions().has_look_up()) {
+      if (const auto Version = fleet::findStreamVersion(
+              m_State, Command.stream_versions().look_up()))
+        Reply.set_result(std::to_string(*Version));
+      return Reply;
+    }
+    Command.set_log_time_ns(static_cast<std::uint64_t>(
+        BootClock::now().time_since_epoch().count()));
+    if (const auto Refused = fleet::apply(m_State, Command).m_Refusal)
+      Reply.set_refusal(static_cast<std::uint32_t>(*Refused));
+    return Reply;
+  }
+
+  void announce(const wire::Target &Target) {
+    wire::Command Command;
+    *Command.mutable_announce_target()->mutable_target() = Target;
+    CHECK(answer(Command).refusal() == 0);
+  }
+};
+
 /// Engines of two software versions, whose fresh runs break off after three
 /// events.
 struct TwoVersions {
   Shop m_Shop;
+  FakeControl m_Control;
   std::vector<std::string> m_Ran; ///< Versions, in the order of the runs.
+  /// The target of the first run refuses it and leaves.
+  bool m_DrainsFirst = false;
 
-  TwoVersions() {
-    for (const char *Version : {"v1", "v1", "v2", "v2"})
+  explicit TwoVersions(const std::vector<std::string> &Versions = {
+                           "v1", "v1", "v2", "v2"}) {
+    for (const std::string &Version : Versions)
       add(Version);
+    connect();
     m_Shop.warmUp();
   }
 
+  ~TwoVersions() {
+    // The entry outlives its control.
+    m_Shop.m_Path->streamVersions().setControl({});
+    m_Control.m_Timers.clear();
+  }
+  TwoVersions(const TwoVersions &) = delete;
+  TwoVersions &operator=(const TwoVersions &) = delete;
+
+  void connect() {
+    m_Shop.m_Path->streamVersions().setControl(m_Control.call(m_Shop.m_Loop));
+  }
+
+  /// The entry's process ends, and another starts.
+  void restart() {
+    m_Shop.restart();
+    connect();
+    m_Shop.m_Loop.turnFor(std::chrono::milliseconds(1100));
+    m_Ran.clear();
+  }
+
   void add(const std::string &Version) {
-    m_Shop
-        .addEngine(
-            "decode",
-            [this, Version](const Exchange &Arrived) {
-              m_Ran.push_back(Version);
-              const bool IsResumed =
-                  !http::field(Arrived->request().m_Fields, "seen").empty();
-              streams(IsResumed ? 6 : 3, IsResumed)(Arrived);
-            })
-        .set_software_version(Version);
+    wire::Target &Target =
+        m_Shop.addEngine("decode", [this, Version](const Exchange &Arrived) {
+          m_Ran.push_back(Version);
+          const bool IsResumed =
+              !http::field(Arrived->request().m_Fields, "seen").empty();
+          if (std::exchange(m_DrainsFirst, false)) {
+            drain(Version);
+            return refuses()(Arrived);
+          }
+          streams(IsResumed ? 6 : 3, IsResumed)(Arrived);
+        });
+    Target.set_software_version(Version);
+    m_Control.announce(Target);
+  }
+
+  void drain(const std::string &Version) {
+    for (wire::Target &Each : *m_Shop.m_Fleet.mutable_targets())
+      if (Each.software_version() == Version) {
+        Each.set_state("draining");
+        Each.set_generation(Each.generation() + 1);
+      }
+    m_Shop.m_Fleet.set_revision(m_Shop.m_Fleet.revision() + 1);
+    REQUIRE(m_Shop.m_Path->takeFleet(m_Shop.m_Fleet));
   }
 
   std::shared_ptr<Answered> begin(const std::string &Attempt) {
@@ -54,14 +138,12 @@
 SCENARIO("a stream that its caller resumes does not go on at another software "
          "version") {
   TwoVersions On;
+  constexpr int Streams = 3;
   GIVEN("streams that broke off when the entry's process ended") {
-    constexpr int Streams = 3;
+    On.m_Control.m_IsReachable = false;
     for (int I = 0; I < Streams; ++I)
       (void)On.begin(fmt::format("a-{}", I));
-    const std::vector<std::string> Began = On.m_Ran;
-    On.m_Shop.restart();
-    On.m_Shop.m_Loop.turnFor(std::chrono::milliseconds(1100));
-    On.m_Ran.clear();
+    On.restart();
     THEN("an entry that can't learn the version refuses what it can't run") {
       for (int I = 0; I < Streams; ++I) {
         const Answered Got =
@@ -72,5 +154,94 @@
       }
       CHECK(On.m_Ran.empty());
     }
+    THEN("streams that control has no record of are refused") {
+      On.m_Control.m_IsReachable = true;
+      CHECK(On.resume("b-1", "a-1").m_Status == 503);
+      CHECK(On.resume("b-2", "").m_Status == 503);
+      CHECK(On.m_Ran.empty());
+    }
+  }
+  GIVEN("streams whose versions control was told") {
+    for (int I = 0; I < Streams; ++I)
+      (void)On.begin(fmt::format("a-{}", I));
+    const std::vector<std::string> Began = On.m_Ran;
+    REQUIRE(On.m_Shop.m_Loop.until([&] {
+      return On.m_Control.m_State.m_StreamVersions.m_Begun.size() == Streams;
+    }));
+    On.restart();
+    THEN(
+        "each goes on at the version that began it, and may be resumed again") {
+      for (const char *Attempt : {"b", "c"})
+        for (int I = 0; I < Streams; ++I) {
+          On.m_Ran.clear();
+          CHECK(On.resume(fmt::format("{}-{}", Attempt, I),
+                          fmt::format("a-{}", I))
+                    .m_Status == 200);
+          REQUIRE(On.m_Ran.size() == 1);
+          CHECK(On.m_Ran[0] == Began[I]);
+        }
+    }
+    THEN("an entry that is cut from control refuses them") {
+      On.m_Control.m_IsReachable = false;
+      CHECK(On.resume("b-1", "a-1").m_Status == 503);
+      CHECK(On.m_Ran.empty());
+    }
+  }
+}
+
+SCENARIO(
+    "streams that began before the second version of their service appeared") {
+  TwoVersions On({"v1", "v1"});
+  (void)On.begin("a-1");
+  CHECK(On.m_Control.m_Commands.empty());
+  On.add("v2");
+  On.m_Shop.m_Fleet.set_revision(2);
+  REQUIRE(On.m_Shop.m_Path->takeFleet(On.m_Shop.m_Fleet));
+  REQUIRE(On.m_Shop.m_Loop.until([&] {
+    return On.m_Control.m_State.m_StreamVersions.m_Begun.size() == 1;
+  }));
+  On.restart();
+  CHECK(On.resume("b-1", "a-1").m_Status == 200);
+  CHECK(On.m_Ran == std::vector<std::string>{"v1"});
+}
+
+SCENARIO("streams of a service that has one version") {
+  TwoVersions On({"v1", "v1"});
+  (void)On.begin("a-1");
+  On.restart();
+  THEN("they go on without a question while control confirms the fleet") {
+    On.m_Shop.grant();
+    CHECK(On.resume("b-1", "a-1").m_Status == 200);
+    CHECK(On.m_Control.m_Commands.empty());
+  }
+  THEN("control is asked when it has not confirmed the fleet lately") {
+    CHECK(On.resume("b-1", "a-1").m_Status == 200);
+    CHECK(On.m_Control.m_Commands.size() == 1);
+  }
+}
+
+SCENARIO("a stream without events begins at another version only when its "
+         "record is withdrawn") {
+  TwoVersions On({"v1", "v2"});
+  On.m_DrainsFirst = true;
+  GIVEN("control that answers") {
+    (void)On.m_Shop.ask("POST", "/oracle/7",
+                        {{"Prompt", "300"}, {"Attempt", "a-1"}});
+    THEN("its version is not known from then on") {
+      REQUIRE(On.m_Ran.size() >= 2);
+      CHECK(On.m_Ran[0] != On.m_Ran[1]);
+      const auto &Begun = On.m_Control.m_State.m_StreamVersions.m_Begun;
+      REQUIRE(Begun.count(hashBytes("a-1")) == 1);
+      CHECK(Begun.at(hashBytes("a-1")).m_Version == 0);
+    }
+  }
+  GIVEN("control that can't be reached") {
+    On.m_Control.m_IsReachable = false;
+    const Answered Got = On.m_Shop.ask("POST", "/oracle/7",
+                                       {{"Prompt", "300"}, {"Attempt", "a-1"}});
+    THEN("it does not begin there") {
+      CHECK(On.m_Ran.size() == 1);
+      CHECK(Got.m_Status == 503);
+    }
   }
 }
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -32,6 +32,7 @@
 #include <string>
 #include <string_view>
 #include <tuple>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -66,6 +67,14 @@
 inline constexpr std::chrono::seconds SelfManagedTargetRetention{60};
 /// Removed targets kept, so that entries at an older revision get a delta.
 inline constexpr std::size_t MaxRemovedTargets = 256;
+/// A software version is remembered for this long after its last target, and a
+/// begun stream after its last record: longer than a stream and the attempts
+/// of its caller to resume it last.
+inline constexpr std::chrono::seconds StreamVersionRetention{60};
+/// Software versions remembered, over all services.
+inline constexpr std::size_t MaxServedVersions = 1'024;
+/// Begun streams remembered, about 70 bytes each.
+inline constexpr std::size_t MaxBegunStreams = 262'144;
 
 // --- Targets --------------------------------------------------------------
 
@@ -324,6 +333,25 @@
   std::string m_Source;     ///< The text that the operator sent.
 };
 
+// --- Software versions of streams -------------------------------------------
+
+/// A stream may only go on at the software version that began it. Streams of a
+/// service are recorded while it has several versions.
+struct StreamVersions {
+  /// Last time that a target of the version was registered, by service and
+  /// version.
+  std::map<std::pair<std::string, std::string>, LogTime> m_LastServed;
+  struct Origin {
+    std::uint64_t m_Version = 0; ///< Hash of the version; zero: not known.
+    LogTime m_ExpiresAt;
+  };
+  /// By the hash of the id of the stream's first attempt.
+  std::unordered_map<std::uint64_t, Origin> m_Begun;
+  /// In the order of expiry. An element is out of date if its time differs from
+  /// the one in `m_Begun`.
+  std::deque<std::pair<std::uint64_t, LogTime>> m_Expiries;
+};
+
 // --- Answered operator calls ----------------------------------------------
 
 /// Answer to a command.
@@ -368,6 +396,7 @@
   retries::SuspectTable m_Suspicion;       ///< Its times are log times.
   retries::TraitTable m_Traits;            ///< Its times are log times.
   limits::TargetLimitTable m_TargetLimits; ///< Its times are log times.
+  StreamVersions m_StreamVersions;
 };
 
 /// Converts a log time to the time type of `retries::SuspectTable`.
@@ -409,6 +438,16 @@
                               std::uint64_t ConfigurationFrom,
                               std::uint64_t RoutesFrom);
 
+/// Hash of the software version that began a stream of \p Service, or nothing
+/// if it isn't known. The answer doesn't change until it expires: a stream with
+/// records of two versions has none.
+std::optional<std::uint64_t> findStreamVersion(const State &Fleet,
+                                               const wire::StreamLookUp &Query);
+
+/// Adds the records of \p Report to those of \p To. \returns false, and adds
+/// nothing, if the report is malformed.
+bool append(wire::StreamVersions &To, const wire::StreamVersions &Report);
+
 wire::Target toWire(const Target &Target);
 
 /// The order under way for target \p Name, or null.
--- a/libs/fleet/src/Apply.cpp
+++ b/libs/fleet/src/Apply.cpp
@@ -3,6 +3,7 @@
 #include "Orders.h"
 #include "Plans.h"
 #include "Replies.h"
+#include "StreamVersions.h"
 #include "Suspicion.h"
 #include "Targets.h"
 
@@ -60,29 +61,14 @@
   return accept();
 }
 
-} // namespace
-
-std::optional<Reply> precheck(const wire::Command &Command) {
-  if (!Command.has_operator_command())
-    return std::nullopt;
-  const wire::OperatorCommand &Call = Command.operator_command();
-  Reply Verdict;
-  if (Call.kind() == "config")
-    Verdict = checkDocument(Call.body());
-  if (Call.kind() == "intent") {
-    const Json Intent = Json::parse(Call.body(), nullptr, false);
-    if (Intent.is_object() && textOf(Intent, "intent") == "configure" &&
-        Intent.contains("document"))
-      Verdict = checkDocument(Intent["document"].dump());
-  }
-  return Verdict.m_Refusal ? std::optional(Verdict) : std::nullopt;
+/// Whether the command may change which software versions are registered.
+bool changesTargets(const wire::Command &Command) {
+  return Command.has_announce_target() || Command.has_leave_target() ||
+         Command.has_lose_target() || Command.has_hold_target() ||
+         Command.has_order_progress();
 }
 
-Reply apply(State &Fleet, const wire::Command &Command) {
-  Fleet.m_Now = std::max(Fleet.m_Now, logTime(Command.log_time_ns()));
-  retries::expireSuspects(Fleet.m_Suspicion, suspicionTime(Fleet.m_Now));
-  limits::expireTargetLimits(Fleet.m_TargetLimits, suspicionTime(Fleet.m_Now));
-  retries::expireTraits(Fleet.m_Traits, suspicionTime(Fleet.m_Now));
+Reply handle(State &Fleet, const wire::Command &Command) {
   switch (Command.body_case()) {
   case wire::Command::kAnnounceTarget:
     return handleAnnounce(Fleet, Command.announce_target().target());
@@ -111,6 +97,8 @@
       limits::applyTargetLimit(Fleet.m_TargetLimits, Each.address(),
                                Each.per_second(), suspicionTime(Fleet.m_Now));
     return accept();
+  case wire::Command::kStreamVersions:
+    return handleStreamVersions(Fleet, Command.stream_versions());
   case wire::Command::kTraitReport:
     return handleTraitReport(Fleet, Command.trait_report());
   case wire::Command::kPutRoutes:
@@ -122,4 +110,37 @@
   }
 }
 
+} // namespace
+
+std::optional<Reply> precheck(const wire::Command &Command) {
+  if (!Command.has_operator_command())
+    return std::nullopt;
+  const wire::OperatorCommand &Call = Command.operator_command();
+  Reply Verdict;
+  if (Call.kind() == "config")
+    Verdict = checkDocument(Call.body());
+  if (Call.kind() == "intent") {
+    const Json Intent = Json::parse(Call.body(), nullptr, false);
+    if (Intent.is_object() && textOf(Intent, "intent") == "configure" &&
+        Intent.contains("document"))
+      Verdict = checkDocument(Intent["document"].dump());
+  }
+  return Verdict.m_Refusal ? std::optional(Verdict) : std::nullopt;
+}
+
+Reply apply(State &Fleet, const wire::Command &Command) {
+  Fleet.m_Now = std::max(Fleet.m_Now, logTime(Command.log_time_ns()));
+  retries::expireSuspects(Fleet.m_Suspicion, suspicionTime(Fleet.m_Now));
+  limits::expireTargetLimits(Fleet.m_TargetLimits, suspicionTime(Fleet.m_Now));
+  retries::expireTraits(Fleet.m_Traits, suspicionTime(Fleet.m_Now));
+  expireStreamVersions(Fleet);
+  if (!changesTargets(Command))
+    return handle(Fleet, Command);
+  // What is registered until now served until now.
+  recordServedVersions(Fleet);
+  Reply Result = handle(Fleet, Command);
+  recordServedVersions(Fleet);
+  return Result;
+}
+
 } // namespace wasabivale::fleet
--- a/libs/fleet/src/Snapshot.cpp
+++ b/libs/fleet/src/Snapshot.cpp
@@ -1,4 +1,5 @@
 #include "Configuration.h"
+#include "StreamVersions.h"
 #include "Suspicion.h"
 #include "fleet/fleet.h"
 
@@ -352,6 +353,7 @@
     Row.set_until_ns(static_cast<std::uint64_t>(
         Limit.m_ExpiresAt.time_since_epoch().count()));
   }
+  write(*Message.mutable_stream_versions(), Fleet.m_StreamVersions);
   *Message.mutable_routes()->mutable_table() = Fleet.m_Routes.m_Table;
   Message.mutable_routes()->set_source(Fleet.m_Routes.m_Source);
   return Message.SerializeAsString();
@@ -375,6 +377,7 @@
   for (const wire::TargetLimitState &Row : Message.target_limits().limits())
     Fleet.m_TargetLimits.m_Limits[Row.address()] = {
         Row.per_second(), suspicionTime(logTime(Row.until_ns()))};
+  Fleet.m_StreamVersions = read(Message.stream_versions());
   Fleet.m_Routes = {Message.routes().table(), Message.routes().source()};
   return Fleet;
 }
--- a/libs/fleet/src/View.cpp
+++ b/libs/fleet/src/View.cpp
@@ -1,4 +1,4 @@
-#include "fleet/fleet.h"
+#include "StreamVersions.h"
 
 #include <fmt/format.h>
 
@@ -110,6 +110,7 @@
   Result.set_routes_version(Fleet.m_Routes.m_Table.version());
   if (RoutesFrom < Fleet.m_Routes.m_Table.version())
     *Result.mutable_routes() = Fleet.m_Routes.m_Table;
+  fillServedVersions(Fleet, Result);
   return Result;
 }
 
