--- a/apps/entry/tests/Shop.h
+++ b/apps/entry/tests/Shop.h
@@ -63,6 +63,8 @@
   ~Shop();
   /// The entry's process ends.
   void end();
+  /// The entry's process ends, and another starts with the same fleet.
+  void restart();
   Shop(const Shop &) = delete;
   Shop &operator=(const Shop &) = delete;
 
@@ -71,6 +73,16 @@
     for (const Play &Each : Scripts)
       add(Each);
     REQUIRE(m_Path->takeFleet(m_Fleet));
+    grant();
+  }
+
+  /// Control confirms the fleet that the entry knows.
+  void grant() {
+    constexpr std::chrono::seconds Lease{2};
+    wire::ControlGrant Grant;
+    Grant.set_fleet_revision(m_Fleet.revision());
+    Grant.set_lease_ns(std::chrono::nanoseconds(Lease).count());
+    m_Path->takeGrant(Grant, BootClock::now() + Lease);
   }
 
   /// Adds a target to what the entry will hear next.
@@ -157,7 +169,9 @@
     Out.m_To = {"127.0.0.1", EntryPort};
     Out.m_Method = Method;
     Out.m_Path = Path;
-    Out.m_Fields = {{"Host", "shop.example"}, {"Attempt", "r-1"}};
+    Out.m_Fields = {{"Host", "shop.example"}};
+    if (http::field(More, "Attempt").empty())
+      Out.m_Fields.emplace_back("Attempt", "r-1");
     Out.m_Fields.insert(Out.m_Fields.end(), More.begin(), More.end());
     if (Method == "POST")
       Out.m_Body = "body";
@@ -185,6 +199,9 @@
     REQUIRE(m_Loop.until([&] { return Got->m_Ended; }));
     return *Got;
   }
+
+private:
+  void openEntry();
 };
 
 } // namespace wasabivale::entry::test
