Add a library that detects a partition from all targets

libs/reach decides, from failed connections and from probes that it asks for, whether an entry reaches any target. Two targets that fail raise a suspicion; probes of others decide. Errors of six different targets (or of all of a smaller fleet) are a partition at once, silence after 1.5 s only, since sound targets may be silent for that long. A cut ends when two targets are reached within a second.

--- /dev/null
+++ b/libs/reach/src/Reach.cpp
@@ -0,0 +1,270 @@
+#include "reach/reach.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace wasabivale::reach {
+
+namespace {
+
+/// A fleet of one target that is down looks like a partition.
+constexpr std::size_t FewestTargets = 2;
+/// Targets that may be silent by themselves while all others answer with an
+/// error.
+constexpr std::size_t SilentTargets = 2;
+
+void enter(State &Entry, Phase Next, TimePoint Now) {
+  Entry.m_Phase = Next;
+  Entry.m_PhaseSince = Now;
+  Entry.m_NextProbe = Now;
+  Entry.m_IsProbingDue = false;
+  Entry.m_Reached.clear();
+  if (Next == Phase::Cut)
+    return;
+  Entry.m_Failed.clear();
+  Entry.m_Rejected.clear();
+  Entry.m_RoundRejected = false;
+  Entry.m_ProbedAt.clear();
+  if (Next != Phase::Direct)
+    return;
+  Entry.m_Failures.clear();
+  Entry.m_NextSuspicion = Now + Entry.m_Settings.m_SuspicionInterval;
+}
+
+void expireFailures(State &Entry, TimePoint Now) {
+  std::erase_if(Entry.m_Failures, [&](const auto &Each) {
+    return Now - Each.second.m_At > Entry.m_Settings.m_EvidenceDuration;
+  });
+}
+
+bool isSuspicionDue(const State &Entry, TimePoint Now) {
+  if (Entry.m_Phase != Phase::Direct || Entry.m_ServingCount < FewestTargets)
+    return false;
+  return Entry.m_IsProbingDue ||
+         (Now >= Entry.m_NextSuspicion &&
+          Entry.m_Failures.size() >= Entry.m_Settings.m_TargetsToSuspect);
+}
+
+/// From when on the silence that a suspicion found has lasted for long enough.
+/// It begins with the second target: the first may be silent by itself.
+TimePoint silenceDecides(const State &Entry) {
+  std::vector<TimePoint> Since;
+  for (const auto &[Address, Each] : Entry.m_Failures)
+    Since.push_back(Each.m_SilentSince);
+  std::sort(Since.begin(), Since.end());
+  const TimePoint Second = Since.size() < FewestTargets
+                               ? Entry.m_PhaseSince
+                               : Since[FewestTargets - 1];
+  return std::max({Second, Entry.m_ConnectedAt, Entry.m_ReceivedAt}) +
+         Entry.m_Settings.m_SilenceToCut;
+}
+
+std::size_t targetsToCut(const State &Entry) {
+  return std::min(Entry.m_Settings.m_TargetsToCut, Entry.m_ServingCount);
+}
+
+/// Decides what follows a round whose probes have all failed. \returns whether
+/// a cut has begun.
+bool finishRound(State &Entry, TimePoint Now) {
+  const std::size_t Needed = targetsToCut(Entry);
+  const TimePoint SilenceDecides = silenceDecides(Entry);
+  const std::size_t Silent = Entry.m_Failed.size() - Entry.m_Rejected.size();
+  const bool IsRejected =
+      Entry.m_Rejected.size() >= Needed && Silent <= SilentTargets;
+  const bool IsSilent = !Entry.m_RoundRejected &&
+                        Entry.m_Failed.size() >= Needed &&
+                        Entry.m_RoundStart >= SilenceDecides;
+  if (IsRejected || IsSilent) {
+    enter(Entry, Phase::Cut, Now);
+    return true;
+  }
+  const bool MoreMayReject = Entry.m_RoundRejected && Silent <= SilentTargets &&
+                             Entry.m_Failed.size() < Entry.m_ServingCount;
+  Entry.m_NextProbe = MoreMayReject ? Now : std::max(Now, SilenceDecides);
+  return false;
+}
+
+/// Records that a target was reached while cut. \returns whether the cut ends.
+bool recordReached(State &Entry, const std::string &Address, TimePoint Now) {
+  std::erase_if(Entry.m_Reached, [&](const auto &Each) {
+    return Now - Each.second > Entry.m_Settings.m_ReturnWindow;
+  });
+  Entry.m_Reached[Address] = Now;
+  const std::size_t Known = std::max<std::size_t>(1, Entry.m_ServingCount);
+  if (Entry.m_Reached.size() <
+      std::min(Entry.m_Settings.m_TargetsToReturn, Known))
+    return false;
+  enter(Entry, Phase::Direct, Now);
+  return true;
+}
+
+/// Chooses targets that say the most: probed the longest ago, of different
+/// services, without a failure of late, and in different zones. Among equals
+/// the order changes with each round: neighbours may share a rack.
+std::vector<std::string> chooseProbes(const State &Entry,
+                                      const std::vector<Candidate> &Serving,
+                                      std::size_t Count) {
+  std::vector<std::string> Chosen;
+  std::map<std::string, std::size_t> ByService;
+  std::map<ZoneId, std::size_t> ByZone;
+  while (Chosen.size() < Count) {
+    const auto Rank = [&](const Candidate &Each) {
+      const auto Probed = Entry.m_ProbedAt.find(Each.m_Address);
+      return std::tuple(
+          Probed == Entry.m_ProbedAt.end() ? TimePoint::min() : Probed->second,
+          ByService[Each.m_Service], Entry.m_Failures.count(Each.m_Address),
+          ByZone[Each.m_Zone], hashBytes(Each.m_Address, Entry.m_Rounds));
+    };
+    const Candidate *Best = nullptr;
+    for (const Candidate &Each : Serving) {
+      const bool IsTaken = std::find(Chosen.begin(), Chosen.end(),
+                                     Each.m_Address) != Chosen.end() ||
+                           Entry.m_Probing.contains(Each.m_Address);
+      if (!IsTaken && (Best == nullptr || Rank(Each) < Rank(*Best)))
+        Best = &Each;
+    }
+    if (Best == nullptr)
+      break;
+    ++ByService[Best->m_Service];
+    ++ByZone[Best->m_Zone];
+    Chosen.push_back(Best->m_Address);
+  }
+  return Chosen;
+}
+
+/// Probes to start now.
+std::size_t countDueProbes(State &Entry, TimePoint Now) {
+  if (isSuspicionDue(Entry, Now))
+    enter(Entry, Phase::Suspected, Now);
+  if (Entry.m_Phase == Phase::Direct || Now < Entry.m_NextProbe)
+    return 0;
+  if (Entry.m_Phase == Phase::Cut) {
+    Entry.m_NextProbe = Now + Entry.m_Settings.m_ProbeInterval;
+    return 1;
+  }
+  if (isProbing(Entry))
+    return 0;
+  Entry.m_NextProbe = Now + Entry.m_Settings.m_ProbeTimeout;
+  Entry.m_RoundStart = Now;
+  Entry.m_RoundRejected = false;
+  return Entry.m_Settings.m_ProbesPerRound;
+}
+
+std::size_t countServing(const std::vector<Candidate> &Serving) {
+  std::set<std::string_view> Addresses;
+  for (const Candidate &Each : Serving)
+    Addresses.insert(Each.m_Address);
+  return Addresses.size();
+}
+
+} // namespace
+
+std::string_view phaseName(Phase Value) {
+  switch (Value) {
+  case Phase::Direct:
+    return "direct";
+  case Phase::Suspected:
+    return "suspected";
+  case Phase::Cut:
+    return "cut";
+  }
+  return "";
+}
+
+bool recordConnected(State &Entry, const std::string &Address, TimePoint Now) {
+  Entry.m_ConnectedAt = Now;
+  Entry.m_Failures.clear();
+  if (Entry.m_Phase == Phase::Suspected)
+    enter(Entry, Phase::Direct, Now);
+  return Entry.m_Phase == Phase::Cut && recordReached(Entry, Address, Now);
+}
+
+void recordReceived(State &Entry, TimePoint Now) {
+  Entry.m_ReceivedAt = Now;
+  const bool WaitsForSilence = Entry.m_Phase == Phase::Suspected &&
+                               !isProbing(Entry) && Now < Entry.m_NextProbe;
+  if (WaitsForSilence)
+    enter(Entry, Phase::Direct, Now);
+}
+
+void recordFailure(State &Entry, const std::string &Address,
+                   TimePoint SilentSince, TimePoint Now) {
+  if (Entry.m_Phase == Phase::Cut)
+    return;
+  expireFailures(Entry, Now);
+  const auto [Known, IsFirst] =
+      Entry.m_Failures.try_emplace(Address, State::Failure{Now, SilentSince});
+  if (!IsFirst)
+    Known->second = {Now, std::min(Known->second.m_SilentSince, SilentSince)};
+  // A request that was sent earlier may give up later.
+  if (Entry.m_Phase == Phase::Suspected && !isProbing(Entry) &&
+      Now < Entry.m_NextProbe)
+    Entry.m_NextProbe = std::max(Now, silenceDecides(Entry));
+}
+
+void requestProbes(State &Entry) {
+  if (Entry.m_Phase == Phase::Direct && Entry.m_ServingCount >= FewestTargets)
+    Entry.m_IsProbingDue = true;
+}
+
+std::vector<std::string>
+takeProbes(State &Entry, const std::vector<Candidate> &Serving, TimePoint Now) {
+  Entry.m_ServingCount = countServing(Serving);
+  expireFailures(Entry, Now);
+  // What is left of the fleet can't tell a partition from its own end.
+  if (Entry.m_Phase == Phase::Suspected && Entry.m_ServingCount < FewestTargets)
+    enter(Entry, Phase::Direct, Now);
+  if (Entry.m_Phase == Phase::Cut && Serving.empty())
+    enter(Entry, Phase::Direct, Now);
+  if (Entry.m_ServingCount < FewestTargets)
+    Entry.m_IsProbingDue = false;
+  const std::size_t Count = countDueProbes(Entry, Now);
+  Entry.m_Rounds += Count > 0 ? 1 : 0;
+  std::vector<std::string> Chosen = chooseProbes(Entry, Serving, Count);
+  for (const std::string &Address : Chosen) {
+    Entry.m_Probing[Address] = Now;
+    Entry.m_ProbedAt[Address] = Now;
+  }
+  std::erase_if(Entry.m_ProbedAt, [&](const auto &Each) {
+    return std::none_of(
+        Serving.begin(), Serving.end(),
+        [&](const Candidate &Known) { return Known.m_Address == Each.first; });
+  });
+  return Chosen;
+}
+
+std::optional<TimePoint> nextProbesAt(const State &Entry) {
+  if (Entry.m_Phase == Phase::Cut)
+    return Entry.m_NextProbe;
+  if (Entry.m_Phase == Phase::Suspected && !isProbing(Entry))
+    return Entry.m_NextProbe;
+  return std::nullopt;
+}
+
+bool isProbing(const State &Entry) {
+  const auto IsOfPhase = [&](const auto &Each) {
+    return Each.second >= Entry.m_PhaseSince;
+  };
+  return Entry.m_IsProbingDue ||
+         (Entry.m_Phase == Phase::Suspected &&
+          std::any_of(Entry.m_Probing.begin(), Entry.m_Probing.end(),
+                      IsOfPhase));
+}
+
+bool recordProbe(State &Entry, const std::string &Address, ProbeResult Result,
+                 TimePoint Now) {
+  const auto Open = Entry.m_Probing.extract(Address);
+  if (Result == ProbeResult::Connected)
+    return recordConnected(Entry, Address, Now);
+  const bool IsOfPhase = !Open.empty() && Open.mapped() >= Entry.m_PhaseSince;
+  if (Entry.m_Phase != Phase::Suspected || !IsOfPhase)
+    return false;
+  Entry.m_Failed.insert(Address);
+  if (Result == ProbeResult::Rejected) {
+    Entry.m_Rejected.insert(Address);
+    Entry.m_RoundRejected = true;
+  }
+  return !isProbing(Entry) && finishRound(Entry, Now);
+}
+
+} // namespace wasabivale::reach
--- /dev/null
+++ b/libs/reach/tests/ReachTest.cpp
@@ -0,0 +1,402 @@
+// Partitions of an entry from its targets, and what only looks like one, in
+// virtual time.
+
+#include "reach/reach.h"
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <optional>
+#include <queue>
+
+using namespace wasabivale;
+using namespace wasabivale::reach;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint Start{100s};
+
+/// What a target does with new connections and with kept ones.
+enum class Net : std::uint8_t {
+  Sound,
+  Rejects,    ///< Kept connections are reset as well.
+  Drops,      ///< Nothing is answered.
+  RejectsNew, ///< Kept connections live on.
+};
+
+using NetAt = std::function<Net(std::size_t Target, TimePoint)>;
+
+/// An entry that sends a request every `m_Interval`, to a target by chance, on
+/// a kept connection or on a new one.
+class Simulation {
+public:
+  Simulation(std::size_t Targets, std::size_t Services, NetAt What,
+             std::uint64_t Seed = 1)
+      : m_Net(std::move(What)), m_Random(Seed) {
+    for (std::size_t I = 0; I < Targets; ++I)
+      m_Serving.push_back({std::to_string(I),
+                           std::to_string(I % Services),
+                           {std::to_string(I % 3)}});
+  }
+
+  void runUntil(TimePoint End) {
+    if (m_Events.empty())
+      at(m_Now, [this] { sendNext(); });
+    while (!m_Events.empty() && m_Events.top().m_At <= End) {
+      const Event Next = m_Events.top();
+      m_Events.pop();
+      m_Now = Next.m_At;
+      Next.m_Do();
+    }
+    m_Now = End;
+  }
+
+  State m_Entry;
+  std::vector<Candidate> m_Serving;
+  Duration m_Interval = 50ms;
+  double m_NewConnections = 0.3; ///< Part of the requests that open one.
+  std::optional<TimePoint> m_CutAt;
+  std::optional<TimePoint> m_ReturnAt;
+  std::size_t m_Probes = 0;
+  TimePoint m_Now = Start;
+
+private:
+  static constexpr Duration RoundTrip = 2ms;
+  static constexpr Duration ConnectTimeout = 500ms;
+  static constexpr Duration Unacknowledged = 1s;
+  static constexpr Duration Retransmission = 1s;
+
+  struct Event {
+    TimePoint m_At;
+    std::uint64_t m_Order;
+    std::function<void()> m_Do;
+    bool operator<(const Event &Other) const {
+      return std::tie(Other.m_At, Other.m_Order) < std::tie(m_At, m_Order);
+    }
+  };
+
+  void at(TimePoint When, std::function<void()> Do) {
+    m_Events.push({When, m_Order++, std::move(Do)});
+  }
+
+  void sendNext() {
+    at(m_Now + m_Interval, [this] { sendNext(); });
+    if (m_Serving.empty())
+      return;
+    const auto Target = std::uniform_int_distribution<std::size_t>(
+        0, m_Serving.size() - 1)(m_Random);
+    const bool IsNew = std::uniform_real_distribution<double>(0, 1)(m_Random) <
+                       m_NewConnections;
+    IsNew ? sendNew(Target) : sendKept(Target);
+  }
+
+  /// \param Patience how long the connection may take.
+  void connect(std::size_t Target, Duration Patience,
+               const std::function<void(ProbeResult)> &Done) {
+    const Net Now = m_Net(Target, m_Now);
+    if (Now == Net::Sound)
+      return at(m_Now + RoundTrip, [Done] { Done(ProbeResult::Connected); });
+    if (Now != Net::Drops)
+      return at(m_Now + RoundTrip, [Done] { Done(ProbeResult::Rejected); });
+    // The next packet of the same connection comes too late for all.
+    static_assert(Retransmission > ConnectTimeout);
+    at(m_Now + Patience, [Done] { Done(ProbeResult::Silent); });
+  }
+
+  void sendNew(std::size_t Target) {
+    const std::string Address = std::to_string(Target);
+    const TimePoint Since = m_Now;
+    connect(Target, ConnectTimeout, [=, this](ProbeResult Result) {
+      if (Result == ProbeResult::Connected)
+        see(recordConnected(m_Entry, Address, m_Now));
+      else
+        recordFailure(m_Entry, Address, Since, m_Now);
+      probe();
+    });
+  }
+
+  void sendKept(std::size_t Target) {
+    const std::string Address = std::to_string(Target);
+    const TimePoint Since = m_Now;
+    const Net Now = m_Net(Target, m_Now);
+    if (Now == Net::Sound || Now == Net::RejectsNew)
+      return at(m_Now + RoundTrip, [this] {
+        recordReceived(m_Entry, m_Now);
+        probe();
+      });
+    if (Now == Net::Rejects)
+      return at(m_Now + RoundTrip, [=, this] {
+        recordFailure(m_Entry, Address, Since, m_Now);
+        probe();
+      });
+    answerWhenSound(Target, Since, m_Now + Unacknowledged);
+  }
+
+  /// The kernel sends again while nothing is acknowledged.
+  void answerWhenSound(std::size_t Target, TimePoint Since,
+                       TimePoint GiveUpAt) {
+    at(m_Now + 200ms, [=, this] {
+      if (m_Net(Target, m_Now) == Net::Sound) {
+        recordReceived(m_Entry, m_Now);
+        return probe();
+      }
+      if (m_Now < GiveUpAt)
+        return answerWhenSound(Target, Since, GiveUpAt);
+      recordFailure(m_Entry, std::to_string(Target), Since, m_Now);
+      probe();
+    });
+  }
+
+  void probe() {
+    for (const std::string &Address : takeProbes(m_Entry, m_Serving, m_Now)) {
+      ++m_Probes;
+      connect(std::stoul(Address), m_Entry.m_Settings.m_ProbeTimeout,
+              [=, this](ProbeResult Result) {
+                see(recordProbe(m_Entry, Address, Result, m_Now));
+                probe();
+              });
+    }
+    if (const auto Next = nextProbesAt(m_Entry);
+        Next && (!m_Wake || *m_Wake <= m_Now || *Next < *m_Wake)) {
+      m_Wake = std::max(*Next, m_Now + 1ms);
+      at(*m_Wake, [this] { probe(); });
+    }
+  }
+
+  void see(bool HasChanged) {
+    if (!HasChanged)
+      return;
+    (isCut(m_Entry) ? m_CutAt : m_ReturnAt) = m_Now;
+  }
+
+  NetAt m_Net;
+  Random m_Random;
+  std::priority_queue<Event> m_Events;
+  std::uint64_t m_Order = 0;
+  std::optional<TimePoint> m_Wake;
+};
+
+NetAt during(TimePoint From, Duration Length, Net What) {
+  return [=](std::size_t, TimePoint Now) {
+    return Now >= From && Now < From + Length ? What : Net::Sound;
+  };
+}
+
+const TimePoint FaultAt = Start + 5s;
+
+} // namespace
+
+SCENARIO("an entry that is cut from all targets knows it within two seconds") {
+  struct Row {
+    const char *m_Name;
+    Net m_Net;
+    std::size_t m_Targets;
+    std::size_t m_Services;
+    Duration m_Within;
+  };
+  const Row Rows[] = {
+      {"connections are reset", Net::Rejects, 20, 3, 1200ms},
+      {"connections hang", Net::Drops, 20, 3, 2s},
+      {"only new connections are refused", Net::RejectsNew, 20, 3, 1500ms},
+      {"one service, reset", Net::Rejects, 5, 1, 1200ms},
+      {"one service, hang", Net::Drops, 5, 1, 2s},
+      {"a fleet of two, reset", Net::Rejects, 2, 1, 1200ms},
+      {"a fleet of two, hang", Net::Drops, 2, 2, 2s},
+  };
+  for (const Row &Each : Rows) {
+    INFO(Each.m_Name);
+    Simulation Run(Each.m_Targets, Each.m_Services,
+                   during(FaultAt, 12s, Each.m_Net));
+    Run.runUntil(FaultAt);
+    CHECK_FALSE(Run.m_CutAt);
+    Run.runUntil(FaultAt + 12s);
+    REQUIRE(Run.m_CutAt);
+    CHECK(*Run.m_CutAt - FaultAt <= Each.m_Within);
+    CHECK_FALSE(Run.m_ReturnAt);
+    // About four a second, and those that decided.
+    CHECK(Run.m_Probes <= 12 * 4 + 20);
+    Run.runUntil(FaultAt + 13s);
+    REQUIRE(Run.m_ReturnAt);
+    CHECK(*Run.m_ReturnAt - FaultAt <= 12s + 800ms);
+    CHECK_FALSE(isCut(Run.m_Entry));
+  }
+}
+
+SCENARIO("what only looks like a partition is none") {
+  struct Row {
+    const char *m_Name;
+    std::size_t m_Targets;
+    std::size_t m_Services;
+    NetAt m_Net;
+  };
+  const auto Some = [](const std::function<bool(std::size_t)> &IsHit,
+                       Net What) {
+    return [=](std::size_t Target, TimePoint Now) {
+      return Now >= FaultAt && IsHit(Target) ? What : Net::Sound;
+    };
+  };
+  const Row Rows[] = {
+      {"one broken target", 20, 3,
+       Some([](std::size_t I) { return I == 7; }, Net::Rejects)},
+      {"one silent target of two", 2, 1,
+       Some([](std::size_t I) { return I == 1; }, Net::Drops)},
+      {"a zone that is reset", 20, 2,
+       Some([](std::size_t I) { return I % 3 == 0; }, Net::Rejects)},
+      {"two zones that are silent", 20, 2,
+       Some([](std::size_t I) { return I % 3 != 0; }, Net::Drops)},
+      {"all targets of one service of three", 21, 3,
+       Some([](std::size_t I) { return I % 3 == 0; }, Net::Rejects)},
+      {"all but one target", 6, 2,
+       Some([](std::size_t I) { return I != 4; }, Net::Rejects)},
+      {"all targets, silent for 1.5 s", 20, 3,
+       during(FaultAt, 1500ms, Net::Drops)},
+      {"all of a small fleet, silent for 1.5 s", 3, 1,
+       during(FaultAt, 1500ms, Net::Drops)},
+      {"the only target", 1, 1, during(FaultAt, 10s, Net::Rejects)},
+  };
+  for (const Row &Each : Rows)
+    for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+      INFO(Each.m_Name << ", seed " << Seed);
+      Simulation Run(Each.m_Targets, Each.m_Services, Each.m_Net, Seed);
+      Run.runUntil(FaultAt + 10s);
+      CHECK_FALSE(Run.m_CutAt);
+      // A suspicion a second at the most.
+      CHECK(Run.m_Probes <= 100);
+    }
+}
+
+SCENARIO("an entry that starts while it is cut learns it as well") {
+  for (const Net What : {Net::Rejects, Net::Drops}) {
+    Simulation Run(20, 3, during(Start, 10s, What));
+    Run.m_NewConnections = 1;
+    Run.runUntil(Start + 3s);
+    REQUIRE(Run.m_CutAt);
+    CHECK(*Run.m_CutAt - Start <= 2s);
+  }
+}
+
+SCENARIO("the end of a cut needs two targets in a row of probes") {
+  State Entry;
+  std::vector<Candidate> Serving;
+  Serving.reserve(6);
+  for (int I = 0; I < 6; ++I)
+    Serving.push_back({std::to_string(I), "a", {"z"}});
+  TimePoint Now = Start;
+  recordFailure(Entry, "0", Now, Now);
+  recordFailure(Entry, "1", Now, Now);
+  bool HasChanged = false;
+  while (!HasChanged) {
+    const auto Probes = takeProbes(Entry, Serving, Now);
+    REQUIRE_FALSE(Probes.empty());
+    for (const std::string &Each : Probes)
+      HasChanged = recordProbe(Entry, Each, ProbeResult::Rejected, Now);
+    Now += 1ms;
+  }
+  REQUIRE(isCut(Entry));
+  const auto Probe = [&](ProbeResult Result) {
+    Now += Entry.m_Settings.m_ProbeInterval;
+    const auto Probes = takeProbes(Entry, Serving, Now);
+    REQUIRE(Probes.size() == 1);
+    return recordProbe(Entry, Probes[0], Result, Now);
+  };
+  GIVEN("one target that is reached again and again") {
+    THEN("the entry stays cut") {
+      for (int I = 0; I < 3; ++I)
+        CHECK_FALSE(recordConnected(Entry, "3", Now += 100ms));
+      CHECK(isCut(Entry));
+    }
+  }
+  GIVEN("two targets that are reached with one between that is not") {
+    THEN("the cut ends") {
+      CHECK_FALSE(Probe(ProbeResult::Connected));
+      CHECK_FALSE(Probe(ProbeResult::Silent));
+      CHECK(Probe(ProbeResult::Connected));
+      CHECK_FALSE(isCut(Entry));
+    }
+    AND_THEN("the next suspicion of failures waits") {
+      (void)Probe(ProbeResult::Connected);
+      (void)Probe(ProbeResult::Connected);
+      recordFailure(Entry, "0", Now, Now);
+      recordFailure(Entry, "1", Now, Now);
+      CHECK(takeProbes(Entry, Serving, Now).empty());
+    }
+  }
+  GIVEN("a fleet of which one target is left") {
+    Serving.resize(1);
+    THEN("that one is enough") { CHECK(Probe(ProbeResult::Connected)); }
+  }
+  GIVEN("a fleet of which nothing is left") {
+    THEN("there is nothing to be cut from") {
+      CHECK(takeProbes(Entry, {}, Now).empty());
+      CHECK_FALSE(isCut(Entry));
+    }
+  }
+}
+
+SCENARIO("a caller may ask whether targets can be reached") {
+  State Entry;
+  const std::vector<Candidate> Serving{
+      {"0", "a", {"y"}}, {"1", "a", {"z"}}, {"2", "b", {"z"}}};
+  (void)takeProbes(Entry, Serving, Start);
+  requestProbes(Entry);
+  CHECK(isProbing(Entry));
+  CHECK(takeProbes(Entry, Serving, Start).size() == 3);
+  CHECK(isProbing(Entry));
+  CHECK_FALSE(recordProbe(Entry, "1", ProbeResult::Connected, Start + 1ms));
+  CHECK_FALSE(isProbing(Entry));
+  CHECK(Entry.m_Phase == Phase::Direct);
+  // Those that come later change nothing.
+  CHECK_FALSE(recordProbe(Entry, "0", ProbeResult::Silent, Start + 250ms));
+  CHECK(Entry.m_Phase == Phase::Direct);
+}
+
+SCENARIO("faults drawn at random are told from partitions") {
+  for (std::uint64_t Seed = 1; Seed <= 2000; ++Seed) {
+    Random Draw(Seed);
+    const auto Number = [&](int Low, int High) {
+      return std::uniform_int_distribution<int>(Low, High)(Draw);
+    };
+    const auto Targets = static_cast<std::size_t>(Number(4, 40));
+    const auto Services = static_cast<std::size_t>(Number(1, 3));
+    const Net Forms[] = {Net::Rejects, Net::Drops, Net::RejectsNew};
+    // Each target is silent now and then; one is broken, and a rack of a
+    // quarter of the fleet is down for a while.
+    std::vector<TimePoint> SilentAt;
+    for (std::size_t I = 0; I < Targets; ++I)
+      SilentAt.push_back(Start + std::chrono::milliseconds(Number(0, 20'000)));
+    const auto Broken = static_cast<std::size_t>(Number(0, 1'000)) % Targets;
+    const auto Rack = static_cast<std::size_t>(Number(0, 1'000)) % Targets;
+    const Net RackForm = Forms[Number(0, 1)];
+    const TimePoint RackAt =
+        Start + std::chrono::milliseconds(Number(0, 15'000));
+    const TimePoint AllSilentAt =
+        Start + std::chrono::milliseconds(Number(5'000, 15'000));
+    const Duration Silence = std::chrono::milliseconds(Number(500, 1'500));
+    const Net CutForm = Forms[Number(0, 2)];
+    const TimePoint CutAt = Start + 25s;
+    const NetAt What = [=](std::size_t Target, TimePoint Now) {
+      if (Now >= CutAt)
+        return CutForm;
+      if (Now >= AllSilentAt && Now < AllSilentAt + Silence)
+        return Net::Drops;
+      const bool IsInRack = Target >= Rack && Target < Rack + Targets / 4;
+      if (IsInRack && Now >= RackAt && Now < RackAt + 8s)
+        return RackForm;
+      if (Target == Broken)
+        return Net::RejectsNew;
+      if (Now >= SilentAt[Target] && Now < SilentAt[Target] + 1500ms)
+        return Net::Drops;
+      return Net::Sound;
+    };
+    INFO("seed " << Seed << ", " << Targets << " targets, form "
+                 << static_cast<int>(CutForm));
+    Simulation Run(Targets, Services, What, Seed);
+    // Three new connections a second at the least.
+    Run.m_NewConnections = 0.05 * Number(3, 20);
+    Run.runUntil(CutAt);
+    CHECK_FALSE(Run.m_CutAt);
+    Run.runUntil(CutAt + 3s);
+    REQUIRE(Run.m_CutAt);
+    CHECK(*Run.m_CutAt - CutAt <= 2s);
+  }
+}
