Detect at an entry that it is cut from all targets

Such an entry took its broken connections for crashed targets and blamed the requests, spent its retry budget on connections that were never made, and stayed ready.

- failures neither eject targets nor, where nothing was sent, spend the budget

--- a/apps/entry/tests/CutOffTest.cpp
+++ b/apps/entry/tests/CutOffTest.cpp
@@ -22,6 +22,15 @@
     for (auto &Each : m_Targets)
       Each.reset();
   }
+
+  void listenAgain(std::size_t Index) {
+    auto Listening = http::listen(
+        m_Loop.m_Base,
+        {"127.0.0.1", static_cast<std::uint16_t>(FirstPort + Index)},
+        http::ServerLimits{}, answers(200, "three left"));
+    REQUIRE_FALSE(failed(Listening));
+    m_Targets[Index] = std::move(valueOf(Listening));
+  }
 };
 
 } // namespace
@@ -29,10 +38,20 @@
 SCENARIO("an entry cut from all targets neither blames requests nor stays "
          "ready") {
   CutShop On;
+  const auto IsCut = [&] { return On.m_Path->context().m_Reach.isCut(); };
+  const auto Report = [&] {
+    wire::EntryReport Told;
+    On.m_Path->fillReport(Told);
+    return Told;
+  };
   GIVEN("requests that wait at each target") {
     std::vector<std::shared_ptr<Answered>> Waiting;
     for (std::size_t I = 0; I < 2 * TargetCount; ++I)
       Waiting.push_back(On.start("GET", "/stock/7"));
+    const auto HaveEnded = [&] {
+      return std::all_of(Waiting.begin(), Waiting.end(),
+                         [](const auto &Each) { return Each->m_Ended; });
+    };
     REQUIRE(
         On.m_Loop.until([&] { return On.m_Seen.size() == Waiting.size(); }));
     WHEN("all connections end, and new ones are refused") {
@@ -45,11 +64,31 @@
         });
         CHECK(On.m_Entry->notReady() == "no target can be reached");
         CHECK(BootClock::now() - CutAt < 1500ms);
-        CHECK(On.m_Loop.until([&] {
-          return std::all_of(Waiting.begin(), Waiting.end(),
-                             [](const auto &Each) { return Each->m_Ended; });
-        }));
+        CHECK(On.m_Loop.until(HaveEnded));
         CHECK(On.m_Path->context().m_Traits.crashes() == 0);
+        CHECK(Report().targets_unreachable());
+        CHECK(http::field(On.ask("GET", "/stock/7").m_Fields, "connection") ==
+              "close");
+        AND_WHEN("targets listen again") {
+          for (std::size_t I = 0; I < TargetCount; ++I)
+            On.listenAgain(I);
+          THEN("it is ready again, and no target is avoided") {
+            CHECK(On.m_Loop.until([&] { return !IsCut(); }));
+            CHECK(On.m_Entry->notReady() != "no target can be reached");
+            CHECK_FALSE(Report().targets_unreachable());
+            for (std::size_t I = 0; I < TargetCount; ++I)
+              CHECK(On.ask("GET", "/stock/7").m_Status == 200);
+          }
+        }
+      }
+    }
+    WHEN("one of the targets ends") {
+      On.m_Held.clear();
+      On.m_Targets[0].reset();
+      THEN("it counts as crashed, and the entry serves on") {
+        CHECK(On.m_Loop.until(
+            [&] { return On.m_Path->context().m_Traits.crashes() == 1; }));
+        CHECK_FALSE(IsCut());
       }
     }
   }
--- a/libs/retries/include/retries/retries.h
+++ b/libs/retries/include/retries/retries.h
@@ -77,7 +77,10 @@
   bool m_BytesSent = false;    ///< Some byte may have been sent.
   bool m_FirstBytePassed = false; ///< The caller received part of the answer.
   bool m_Resumable = false;       ///< A target can continue from an offset.
-  std::uint64_t m_Offset = 0;     ///< Tokens forwarded to the caller.
+  /// This entry reaches no target. A try that has sent nothing adds no load
+  /// then, and its retry is not charged.
+  bool m_NoTargetReached = false;
+  std::uint64_t m_Offset = 0; ///< Tokens forwarded to the caller.
 };
 
 /// Repeat the request from the start.
