--- a/apps/entry/src/DataPath.h
+++ b/apps/entry/src/DataPath.h
@@ -64,6 +64,9 @@
   [[nodiscard]] StreamVersions &streamVersions() {
     return m_Shared.m_StreamVersions;
   }
+  /// Whether callers had better come to another entry, since this one reaches
+  /// no target.
+  [[nodiscard]] bool sendsCallersAway() const;
   void updateGauges();
 
 private:
--- /dev/null
+++ b/apps/entry/tests/CutOffTest.cpp
@@ -0,0 +1,97 @@
+// An entry that reaches none of its targets, on loopback.
+
+#include "Shop.h"
+
+#include <algorithm>
+
+namespace wasabivale::entry::test {
+
+namespace {
+
+constexpr std::size_t TargetCount = 4;
+
+/// Targets that hold every request, whose connections all end at once while new
+/// ones are refused.
+struct CutShop : Shop {
+  CutShop() {
+    open(std::vector<Play>(TargetCount, [](const Exchange &) {}));
+  }
+
+  void cut() {
+    m_Held.clear();
+    for (auto &Each : m_Targets)
+      Each.reset();
+  }
+
+  void listenAgain(std::size_t Index) {
+    auto Listening = http::listen(
+        m_Loop.m_Base,
+        {"127.0.0.1", static_cast<std::uint16_t>(FirstPort + Index)},
+        http::ServerLimits{}, answers(200, "three left"));
+    REQUIRE_FALSE(failed(Listening));
+    m_Targets[Index] = std::move(valueOf(Listening));
+  }
+};
+
+} // namespace
+
+SCENARIO("an entry cut from all targets neither blames requests nor stays "
+         "ready") {
+  CutShop On;
+  const auto IsCut = [&] { return On.m_Path->context().m_Reach.isCut(); };
+  const auto Report = [&] {
+    wire::EntryReport Told;
+    On.m_Path->fillReport(Told);
+    return Told;
+  };
+  GIVEN("requests that wait at each target") {
+    std::vector<std::shared_ptr<Answered>> Waiting;
+    for (std::size_t I = 0; I < 2 * TargetCount; ++I)
+      Waiting.push_back(On.start("GET", "/stock/7"));
+    const auto HaveEnded = [&] {
+      return std::all_of(Waiting.begin(), Waiting.end(),
+                         [](const auto &Each) { return Each->m_Ended; });
+    };
+    REQUIRE(
+        On.m_Loop.until([&] { return On.m_Seen.size() == Waiting.size(); }));
+    WHEN("all connections end, and new ones are refused") {
+      On.cut();
+      const TimePoint CutAt = BootClock::now();
+      THEN("it is not ready within 1.5 s, and no target counts as crashed") {
+        On.m_Loop.until([&] {
+          return !On.m_Entry->notReady().empty() &&
+                 On.m_Entry->notReady() != "no routes yet";
+        });
+        CHECK(On.m_Entry->notReady() == "no target can be reached");
+        CHECK(BootClock::now() - CutAt < 1500ms);
+        CHECK(On.m_Loop.until(HaveEnded));
+        CHECK(On.m_Path->context().m_Traits.crashes() == 0);
+        CHECK(Report().targets_unreachable());
+        CHECK(http::field(On.ask("GET", "/stock/7").m_Fields, "connection") ==
+              "close");
+        AND_WHEN("targets listen again") {
+          for (std::size_t I = 0; I < TargetCount; ++I)
+            On.listenAgain(I);
+          THEN("it is ready again, and no target is avoided") {
+            CHECK(On.m_Loop.until([&] { return !IsCut(); }));
+            CHECK(On.m_Entry->notReady() != "no target can be reached");
+            CHECK_FALSE(Report().targets_unreachable());
+            for (std::size_t I = 0; I < TargetCount; ++I)
+              CHECK(On.ask("GET", "/stock/7").m_Status == 200);
+          }
+        }
+      }
+    }
+    WHEN("one of the targets ends") {
+      On.m_Held.clear();
+      On.m_Targets[0].reset();
+      THEN("it counts as crashed, and the entry serves on") {
+        CHECK(On.m_Loop.until(
+            [&] { return On.m_Path->context().m_Traits.crashes() == 1; }));
+        CHECK_FALSE(IsCut());
+      }
+    }
+  }
+}
+
+} // namespace wasabivale::entry::test
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -63,6 +63,7 @@
     const std::optional<evhttp_cmd_type> Method = methodOf(m_What.m_Method);
     if (!Method)
       return failSoon();
+    m_HeardAt = BootClock::now();
     const Pool::State::Taken Taken =
         m_Pool == nullptr
             ? Pool::State::Taken{openConnection(m_Loop, m_What.m_To), false}
@@ -105,8 +106,10 @@
       return failSoon();
     if (m_Pool != nullptr)
       m_Connecting.emplace(m_Loop, m_Pool->m_Settings.m_Connect, false, [this] {
-        if (!m_HasSent)
-          end("no connection in time");
+        if (m_HasSent)
+          return;
+        recordFailure();
+        end("no connection in time");
       });
   }
 
@@ -134,7 +137,11 @@
 private:
   void failSoon() {
     m_FailedAtStart.emplace(m_Loop, std::chrono::milliseconds(0), false,
-                            [this] { end("the connection failed"); });
+                            [this] {
+                              if (m_Connection != nullptr)
+                                recordFailure();
+                              end("the connection failed");
+                            });
   }
 
   void unwatch() {
@@ -150,6 +157,8 @@
   static void onInput(evbuffer *Buffer, const evbuffer_cb_info *Info,
                       void *Argument) {
     auto &Self = *static_cast<ClientCallState *>(Argument);
+    if (Info->n_added > 0)
+      Self.recordReceived();
     if (Self.m_Ended || Self.m_BadInput)
       return;
     if (Info->n_added > 0)
@@ -188,8 +197,24 @@
     Self.m_HasSent = true;
     // What can be read already was sent before the request arrived.
     Self.m_IsEarly = Self.m_IsEarly || !hasNoInput(Self.m_Connection);
-    if (Self.m_Pool != nullptr)
-      Self.m_Pool->watchSilence(Self.m_Connection);
+    if (Self.m_Pool == nullptr)
+      return;
+    Self.m_Pool->watchSilence(Self.m_Connection);
+    if (!Self.m_IsReused && Self.m_Pool->m_Observer.m_OnConnected)
+      Self.m_Pool->m_Observer.m_OnConnected(Self.m_What.m_To);
+  }
+
+  void recordReceived() {
+    if (m_Pool == nullptr)
+      return;
+    m_HeardAt = BootClock::now();
+    if (m_Pool->m_Observer.m_OnReceived)
+      m_Pool->m_Observer.m_OnReceived();
+  }
+
+  void recordFailure() const {
+    if (m_Pool != nullptr && m_Pool->m_Observer.m_OnFailure)
+      m_Pool->m_Observer.m_OnFailure(m_What.m_To, m_HeardAt);
   }
 
   static bool isInterim(evhttp_request *Raw) {
@@ -251,13 +276,20 @@
   }
 
   static void onError(evhttp_request_error Kind, void *Argument) {
-    static_cast<ClientCallState *>(Argument)->m_ErrorText = textOf(Kind);
+    auto &Self = *static_cast<ClientCallState *>(Argument);
+    Self.m_ErrorText = textOf(Kind);
+    Self.m_IsPeerError =
+        Kind == EVREQ_HTTP_INVALID_HEADER || Kind == EVREQ_HTTP_DATA_TOO_LONG;
   }
 
   static void onComplete(evhttp_request *Raw, void *Argument) {
     auto &Self = *static_cast<ClientCallState *>(Argument);
-    if (Raw == nullptr || evhttp_request_get_response_code(Raw) == 0)
-      return Self.end(Self.m_ErrorText);
+    if (Raw == nullptr || evhttp_request_get_response_code(Raw) == 0) {
+      if (!Self.m_Ended && !Self.m_IsPeerError)
+        Self.recordFailure();
+      Self.end(Self.m_ErrorText);
+      return;
+    }
     // evhttp goes on after 100 only.
     if (isInterim(Raw))
       return Self.end("an interim answer came instead of the final one");
@@ -323,6 +355,8 @@
   evbuffer_cb_entry *m_Input = nullptr;
   std::shared_ptr<ClientCallState> m_Self;
   std::size_t m_PassedOn = 0; ///< Bytes of the body given to `m_OnChunk`.
+  TimePoint m_HeardAt;        ///< Newest bytes received, or the start.
+  bool m_IsPeerError = false; ///< The peer's bytes are at fault.
   bool m_InCallback = false;
   bool m_HasSent = false;
   bool m_IsReused = false;
