--- a/tools/fault-soak/src/Judge.cpp
+++ b/tools/fault-soak/src/Judge.cpp
@@ -229,6 +229,8 @@
   if (EndAt > Asked.m_Deadline - m_Bounds.m_Margin ||
       wasDisturbed(Part::Entry, Asked.m_Entry, Asked.m_At - m_Bounds.m_Contact,
                    EndAt) ||
+      wasDisturbed(Part::Cut, Asked.m_Entry, Asked.m_At - m_Bounds.m_Contact,
+                   EndAt) ||
       wasDisturbed(Part::Observer, 0, Asked.m_At, EndAt))
     return;
   if (Request.m_Runs.empty()) {
@@ -295,6 +297,56 @@
            Got.m_At);
 }
 
+void Judge::countDuringCuts(const Record &Request) {
+  const Sent &Asked = Request.m_Sent;
+  const Ending &Got = *Request.m_Ending;
+  // Not found is right for a route that comes and goes.
+  if (Got.m_Status == NotFound ||
+      !isInTouch(Asked.m_Entry, Asked.m_At, Got.m_At))
+    return;
+  // Some entry was cut off for the contact time before, and still is.
+  const auto IsCut = [&](unsigned Entry) {
+    const auto Found = m_Disturbances.find({Part::Cut, Entry});
+    return Found != m_Disturbances.end() &&
+           std::any_of(Found->second.begin(), Found->second.end(),
+                       [&](const auto &Each) {
+                         return Each.first + m_Bounds.m_Contact +
+                                        m_Bounds.m_Margin <=
+                                    Asked.m_At &&
+                                Asked.m_At < Each.second;
+                       });
+  };
+  const bool IsAtCut = IsCut(Asked.m_Entry);
+  const bool IsAtOther = !IsAtCut && !wasDisturbed(Part::Cut, Asked.m_Entry,
+                                                   Asked.m_At, Asked.m_At);
+  const bool IsAnyCut = std::any_of(
+      m_Disturbances.begin(), m_Disturbances.end(), [&](const auto &Each) {
+        return Each.first.first == Part::Cut && IsCut(Each.first.second);
+      });
+  if (!IsAnyCut || (!IsAtCut && !IsAtOther))
+    return;
+  Window &Counted = IsAtCut ? m_AtCut : m_AtOthers;
+  ++Counted.m_Sent;
+  Counted.m_Served += !Got.m_IsBroken && Got.m_Status == Ok ? 1 : 0;
+}
+
+void Judge::checkCuts(TimePoint Now) {
+  constexpr std::uint64_t FailuresAllowed = 10;
+  constexpr std::uint64_t OneInAllowed = 50;
+  const std::uint64_t Failed = m_AtCut.m_Sent - m_AtCut.m_Served;
+  // Served less than two thirds as often.
+  if (Failed > FailuresAllowed + m_AtCut.m_Sent / OneInAllowed &&
+      m_AtCut.m_Served * m_AtOthers.m_Sent * 3 <
+          m_AtOthers.m_Served * m_AtCut.m_Sent * 2)
+    m_Violations.push_back(
+        {"RECOVER", "",
+         fmt::format("entries that were cut off served {} of {} requests, the "
+                     "others {} of {}",
+                     m_AtCut.m_Served, m_AtCut.m_Sent, m_AtOthers.m_Served,
+                     m_AtOthers.m_Sent),
+         Now});
+}
+
 void Judge::ended(const std::string &Id, const Ending &Got) {
   Record &Request = m_Requests[Id];
   Request.m_Ending = Got;
@@ -305,6 +357,7 @@
     ++m_Windows[Request.m_Sent.m_Entry].m_Served;
   } else
     ++(promisesNotRun(Got.m_Status) ? m_Counts.m_Refused : m_Counts.m_Failed);
+  countDuringCuts(Request);
   checkAnswer(Request);
   if (Got.m_IsBroken) {
     if (!Got.m_IsTimeout)
@@ -354,6 +407,8 @@
       continue;
     if (Each.m_Sent >= WindowRequests && Each.m_Served * 2 < Each.m_Sent &&
         Each.m_From != TimePoint{} && isInTouch(Entry, Each.m_From, Now) &&
+        !wasDisturbed(Part::Cut, Entry, Each.m_From - m_Bounds.m_Contact,
+                      Now) &&
         disturbedTargets(Each.m_From - m_Bounds.m_Contact, Now) <= 1)
       m_Violations.push_back(
           {"SERVED", "",
--- a/tools/fault-soak/src/Judge.h
+++ b/tools/fault-soak/src/Judge.h
@@ -23,7 +23,8 @@
 
 /// What a disturbance concerns. One of a kind without number has number 0.
 enum class Part : std::uint8_t {
-  Entry,    ///< Killed, paused, or cut off from targets.
+  Entry,    ///< Killed or paused.
+  Cut,      ///< An entry that is cut off from all targets.
   Start,    ///< An entry that was started or was asked to stop.
   Target,   ///< Crashed, left or silent.
   Link,     ///< Between an entry and a target: `linkNumber`.
@@ -130,6 +131,10 @@
   /// for one, have served half of their requests of late.
   void checkService(TimePoint Now);
 
+  /// Compares what entries that were cut off have served with what the others
+  /// served meanwhile; to be called once, at the end.
+  void checkCuts(TimePoint Now);
+
   /// Violations since the last call.
   std::vector<Violation> take();
 
@@ -176,6 +181,7 @@
   void checkLost(const Record &Request);
   void checkAnswer(const Record &Request);
   void checkDenied(const Record &Request);
+  void countDuringCuts(const Record &Request);
 
   Bounds m_Bounds;
   bool m_ChecksVersions;
@@ -189,6 +195,8 @@
   std::map<std::uint64_t, Routes> m_Routes;
   std::map<std::uint64_t, TimePoint> m_Acknowledged;
   std::map<unsigned, Window> m_Windows;
+  Window m_AtCut;    ///< Requests to entries that are cut off.
+  Window m_AtOthers; ///< To the others at that time.
   std::vector<Violation> m_Violations;
 };
 
--- a/tools/fault-soak/src/Schedule.cpp
+++ b/tools/fault-soak/src/Schedule.cpp
@@ -30,7 +30,7 @@
     return {1'000, 1'000};
   case Fault::CutEntry:
   case Fault::CutHalf:
-    return {1'000, 4'000};
+    return {1'000, 9'000};
   default:
     return {100, 2'000};
   }
--- a/tools/fault-soak/src/Soak.cpp
+++ b/tools/fault-soak/src/Soak.cpp
@@ -310,7 +310,7 @@
 void World::cutEntry(unsigned Entry, const Step &What, TimePoint Now) {
   const Cut Direction = static_cast<Cut>(What.m_Variant % 3);
   m_Links->cut(Entry, Direction, Now + What.m_For);
-  m_Judge.disturbed(Part::Entry, Entry, Now, Now + What.m_For);
+  m_Judge.disturbed(Part::Cut, Entry, Now, Now + What.m_For);
 }
 
 void World::inject(const Step &What, TimePoint Now) {
@@ -448,6 +448,8 @@
                             [](const auto &Each) { return Each->isWaiting(); });
       },
       SettlePatience);
+  m_Judge.checkCuts(BootClock::now());
+  report();
   const Judge::Counts &Seen = m_Judge.counts();
   fmt::print("seed={} faults={} sent={} served={} refused={} failed={} "
              "broken={} runs={} runs_while_stopping={} pauses={} "
--- a/tools/fault-soak/tests/JudgeTest.cpp
+++ b/tools/fault-soak/tests/JudgeTest.cpp
@@ -256,9 +256,43 @@
       CHECK(On.rules().empty());
     }
     WHEN("it is cut off itself") {
-      On.m_Judge.disturbed(Part::Entry, 0, Start + 2s, Start + 3s);
+      On.m_Judge.disturbed(Part::Cut, 0, Start + 2s, Start + 3s);
       Refuse(Start + 5s);
       CHECK(On.rules().empty());
     }
   }
+  GIVEN("an entry that is cut off from all targets, and another") {
+    Story On(Kind::Safe);
+    On.m_Judge.disturbed(Part::Cut, 0, Start, Start + 9s);
+    int Next = 0;
+    const auto Ask = [&](unsigned Entry, TimePoint At, int Status) {
+      for (int I = 0; I < 40; ++I) {
+        On.m_Sent.m_Id = "r-" + std::to_string(++Next);
+        On.m_Sent.m_Entry = Entry;
+        On.m_Sent.m_At = At;
+        On.send();
+        Ending Got;
+        Got.m_Status = Status;
+        Got.m_At = At;
+        On.m_Judge.ended(On.m_Sent.m_Id, Got);
+      }
+      (void)On.m_Judge.take();
+    };
+    Ask(1, Start + 5s, 200);
+    WHEN("it refuses for longer than it may") {
+      Ask(0, Start + 5s, 503);
+      On.m_Judge.checkCuts(Start + 10s);
+      CHECK(On.rules() == "RECOVER ");
+    }
+    WHEN("it serves by other ways") {
+      Ask(0, Start + 5s, 200);
+      On.m_Judge.checkCuts(Start + 10s);
+      CHECK(On.rules().empty());
+    }
+    WHEN("it refuses only at the beginning") {
+      Ask(0, Start + 2s, 503);
+      On.m_Judge.checkCuts(Start + 10s);
+      CHECK(On.rules().empty());
+    }
+  }
 }
