--- a/apps/control/src/SuspectNotices.cpp
+++ b/apps/control/src/SuspectNotices.cpp
@@ -13,7 +13,7 @@
 /// callers for it.
 constexpr std::chrono::seconds TrialTurn{10};
 /// One in this many entries, at least one, takes part in a trial.
-constexpr std::size_t EntriesPerTrial = 8;
+constexpr std::ptrdiff_t EntriesPerTrial = 8;
 
 retries::CrashKey keyOf(const wire::CrashReport &Crash) {
   return {{Crash.target()}, Crash.incarnation()};
@@ -248,17 +248,25 @@
                 TimePoint LogNow, wire::ControlGrant &Grant) {
   const auto Turn =
       static_cast<std::uint64_t>(LogNow.time_since_epoch() / TrialTurn);
-  const std::size_t Assigned =
-      std::max<std::size_t>(1, Observed.m_Entries.size() / EntriesPerTrial);
+  const auto MayRun = [](const auto &Each) {
+    return !Each.second.m_TargetsUnreachable;
+  };
+  const auto Own = Observed.m_Entries.find(Entry);
+  if (Own == Observed.m_Entries.end() || !MayRun(*Own))
+    return;
+  const auto Candidates = std::count_if(Observed.m_Entries.begin(),
+                                        Observed.m_Entries.end(), MayRun);
+  const auto Assigned =
+      std::max<std::ptrdiff_t>(1, Candidates / EntriesPerTrial);
   for (const retries::Trait Route : retries::routesOnTrial(Known, LogNow)) {
     const std::uint64_t Seed = Route ^ Turn;
     const std::uint64_t Score = hashBytes(Entry.m_Value, Seed);
-    const auto Before =
-        std::count_if(Observed.m_Entries.begin(), Observed.m_Entries.end(),
-                      [&](const auto &Each) {
-                        return hashBytes(Each.first.m_Value, Seed) > Score;
-                      });
-    if (static_cast<std::size_t>(Before) < Assigned)
+    const auto Before = std::count_if(
+        Observed.m_Entries.begin(), Observed.m_Entries.end(),
+        [&](const auto &Each) {
+          return MayRun(Each) && hashBytes(Each.first.m_Value, Seed) > Score;
+        });
+    if (Before < Assigned)
       Grant.add_trial_routes(Route);
   }
 }
--- a/apps/entry/src/CrashTraits.cpp
+++ b/apps/entry/src/CrashTraits.cpp
@@ -31,6 +31,8 @@
 void readRoute(const wire::TraitNotice &Notice, TimePoint Now,
                retries::TraitEvidence &Evidence) {
   Evidence.m_Crashes = Notice.crashes();
+  Evidence.m_ExpiresAt = Now + std::chrono::nanoseconds(Notice.paused_ns()) +
+                         retries::TraitSettings{}.m_RouteSuspicion;
   Evidence.m_TrialRuns = Notice.trial_runs();
   if (Notice.paused_ns() > 0)
     Evidence.m_PausedUntil = Now + std::chrono::nanoseconds(Notice.paused_ns());
@@ -64,8 +66,20 @@
                                     http::ListenerState State) {
   if (State != http::ListenerState::Refused)
     return finishProbe(Key, false);
-  m_Reach.verify(m_Probes[Key].m_BrokenAt,
-                 [this, Key](bool IsReached) { finishProbe(Key, IsReached); });
+  m_Reach.verify(m_Probes[Key].m_BrokenAt, [this, Key](bool IsReached) {
+    if (IsReached)
+      return confirm(Key);
+    finishProbe(Key, false);
+  });
+}
+
+void CrashTraits::confirm(const retries::CrashKey &Key) {
+  Probe &Open = m_Probes[Key];
+  Open.m_Listener = std::make_unique<http::ListenerProbe>(
+      m_Loop, Open.m_Address, BootClock::now() + ProbeTimeout,
+      [this, Key](http::ListenerState State) {
+        finishProbe(Key, State == http::ListenerState::Refused);
+      });
 }
 
 void CrashTraits::finishProbe(const retries::CrashKey &Key, bool Crashed) {
@@ -134,7 +148,8 @@
   Message.set_traits_revision(m_Tracker.m_Revision);
 }
 
-void CrashTraits::takeGrant(const wire::ControlGrant &Grant, TimePoint Now) {
+void CrashTraits::takeGrant(const wire::ControlGrant &Grant, TimePoint SentAt,
+                            TimePoint Now) {
   // Those in reports before the one that is answered may have been lost.
   for (auto Sent = m_SoundSent.begin();
        Sent != m_SoundSent.end() && Sent->first <= Grant.renewal();
@@ -147,7 +162,7 @@
     });
   retries::permitTrials(
       m_Tracker, {Grant.trial_routes().begin(), Grant.trial_routes().end()},
-      Now + TrialLease);
+      SentAt + TrialLease);
   if (Grant.traits_revision() == 0 ||
       Grant.traits_revision() == m_Tracker.m_Revision)
     return;
--- a/apps/entry/src/CrashTraits.h
+++ b/apps/entry/src/CrashTraits.h
@@ -35,8 +35,9 @@
     return retries::isRouteSuspect(m_Tracker, Request);
   }
   [[nodiscard]] retries::RouteDecision
-  evaluateRoute(const retries::RequestTraits &Request, TimePoint Now) const {
-    return retries::evaluateRoute(m_Tracker, Request, Now);
+  evaluateRoute(const retries::RequestTraits &Request, TimePoint Now,
+                bool HoldsTrial) const {
+    return retries::evaluateRoute(m_Tracker, Request, Now, HoldsTrial);
   }
   void startTrial(retries::Trait Route) {
     retries::startTrial(m_Tracker, Route);
@@ -54,7 +55,9 @@
              std::function<void(bool Crashed)> Done);
 
   void fillReport(wire::EntryReport &Report, TimePoint Now);
-  void takeGrant(const wire::ControlGrant &Grant, TimePoint Now);
+  /// \p SentAt is when the report that the grant answers was sent.
+  void takeGrant(const wire::ControlGrant &Grant, TimePoint SentAt,
+                 TimePoint Now);
   /// Applies quarantines that are newer than the last grant.
   void apply(const wire::TraitsUpdate &Update, TimePoint Now);
 
@@ -80,6 +83,9 @@
 
   void takeListenerState(const retries::CrashKey &Key,
                          http::ListenerState State);
+  /// Probes the listener again, now that other targets are reached: the first
+  /// probe may have failed because this entry was partitioned.
+  void confirm(const retries::CrashKey &Key);
   void finishProbe(const retries::CrashKey &Key, bool Crashed);
   void logQuarantines() const;
   void queueReport(const retries::TraitCrash &Crash, TimePoint Now);
--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -485,7 +485,11 @@
           1.0, Routes->m_RetryReserve * RetryReserveUsed / Grant.entries());
   }
   m_Shared.m_Suspects.takeGrant(Grant, Now);
-  m_Shared.m_Traits.takeGrant(Grant, Now);
+  m_Shared.m_Traits.takeGrant(
+      Grant,
+      LeaseEnd -
+          std::chrono::nanoseconds(static_cast<std::int64_t>(Grant.lease_ns())),
+      Now);
   m_Shared.m_RateLimits.takeGrant(Grant, Now);
   m_Shared.m_StreamVersions.takeGrant(Grant, LeaseEnd);
   pumpSoon();
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -434,10 +434,10 @@
 
 bool Serving::passRouteGate(TimePoint Now) {
   // One that a target has answered does not crash targets.
-  if (!m_Asked.m_Passed || m_Failing || m_InTrial)
+  if (!m_Asked.m_Passed || m_Failing)
     return true;
   const retries::RouteDecision Decided =
-      m_Shared.m_Traits.evaluateRoute(m_Traits, Now);
+      m_Shared.m_Traits.evaluateRoute(m_Traits, Now, m_InTrial);
   if (Decided.m_Gate == retries::RouteGate::Closed) {
     giveUp(Refusal::Quarantined, outcomeSoFar(), Error{"route_pause", "", ""},
            Decided.m_RetryAt - Now);
--- a/libs/fleet/src/Suspicion.cpp
+++ b/libs/fleet/src/Suspicion.cpp
@@ -153,6 +153,7 @@
     write(*Row.mutable_name(), Key);
     Row.set_at_ns(nanosecondsIn(Crash.m_ReportedAt));
     assign(*Row.mutable_contents(), Crash.m_Contents);
+    assign(*Row.mutable_routes(), Crash.m_Routes);
   }
   for (const retries::TraitQuarantine &Each : Traits.m_Quarantines) {
     wire::TraitQuarantineState &Row = *Message.add_quarantines();
@@ -186,6 +187,7 @@
         Traits.m_Crashes[read(Row.name())];
     Crash.m_ReportedAt = timeOf(Row.at_ns());
     Crash.m_Contents.insert(Row.contents().begin(), Row.contents().end());
+    Crash.m_Routes.insert(Row.routes().begin(), Row.routes().end());
   }
   for (const wire::TraitQuarantineState &Row : Message.quarantines())
     Traits.m_Quarantines.push_back({{Row.traits().begin(), Row.traits().end()},
--- a/libs/retries/include/retries/retries.h
+++ b/libs/retries/include/retries/retries.h
@@ -395,8 +395,8 @@
   Duration m_FirstCrashQuarantine = std::chrono::seconds(30);
   /// How long after a quarantine a single crash renews it.
   Duration m_ProbationDuration = std::chrono::hours(1);
-  /// Crashes of any targets within the window that pause a route as it becomes
-  /// suspect.
+  /// Crashes under requests of a route within the window that pause it as it
+  /// becomes suspect.
   std::ptrdiff_t m_CrashesToPause = 3;
   Duration m_RouteCrashWindow = std::chrono::seconds(10);
   /// How long requests of a suspect route are refused after another of them has
@@ -469,6 +469,7 @@
   struct CrashRecord {
     TimePoint m_ReportedAt;
     std::set<Trait> m_Contents; ///< Of the requests reported with it.
+    std::set<Trait> m_Routes;   ///< Of the same.
   };
   TraitSettings m_Settings;
   std::uint64_t m_Revision = 0; ///< Incremented by each change.
@@ -546,8 +547,10 @@
   RouteGate m_Gate = RouteGate::Open;
   TimePoint m_RetryAt;
 };
+/// \p HoldsTrial tells that the request is the one of its route on trial.
 RouteDecision evaluateRoute(const TraitTracker &Tracker,
-                            const RequestTraits &Request, TimePoint Now);
+                            const RequestTraits &Request, TimePoint Now,
+                            bool HoldsTrial = false);
 
 /// Applies the permissions of control, which replace the former ones.
 void permitTrials(TraitTracker &Tracker, const std::vector<Trait> &Routes,
--- a/libs/retries/src/TraitTable.cpp
+++ b/libs/retries/src/TraitTable.cpp
@@ -125,10 +125,10 @@
 /// Pauses a route that was suspect when one more of its requests crashed a
 /// target. Requests that were under way at the start of a pause count once.
 void pauseRoute(TraitTable &Table, const RequestTraits &Request,
-                TimePoint Now) {
+                TimePoint CrashedAt, TimePoint Now) {
   const TraitSettings &Options = Table.m_Settings;
   TraitEvidence &Route = Table.m_Evidence[Request.m_Route];
-  if (Now < Route.m_PausedUntil)
+  if (CrashedAt < Route.m_PausedUntil)
     return;
   Duration Pause = Options.m_RoutePause;
   for (std::uint32_t I = 0;
@@ -140,6 +140,14 @@
   Route.m_TrialRuns = Route.m_Pauses * Options.m_TrialRunsPerPause;
 }
 
+/// Whether a quarantine holds for the request, or did until not long ago.
+bool isEverQuarantined(const TraitTable &Table, const RequestTraits &Request) {
+  return std::any_of(Table.m_Quarantines.begin(), Table.m_Quarantines.end(),
+                     [&](const TraitQuarantine &Each) {
+                       return includesAll(Request, Each.m_Traits);
+                     });
+}
+
 /// Suspects the route of a request that has crashed two targets. What its other
 /// requests have in common with that one may not show before they crash one.
 void suspectRoute(TraitTable &Table, const RequestTraits &Request,
@@ -152,12 +160,13 @@
   TraitEvidence &Route = Table.m_Evidence[Request.m_Route];
   const auto Recent = std::count_if(
       Table.m_Crashes.begin(), Table.m_Crashes.end(), [&](const auto &Each) {
-        return Now - Each.second.m_ReportedAt <=
-               Table.m_Settings.m_RouteCrashWindow;
+        return Each.second.m_Routes.contains(Request.m_Route) &&
+               Now - Each.second.m_ReportedAt <=
+                   Table.m_Settings.m_RouteCrashWindow;
       });
   // The guilty requests of a route may differ from the first crash on.
   if (Recent >= Table.m_Settings.m_CrashesToPause)
-    pauseRoute(Table, Request, Now);
+    pauseRoute(Table, Request, Now, Now);
   ++Route.m_Crashes;
   Route.m_LastCrash = Now;
   Route.m_ExpiresAt =
@@ -320,14 +329,21 @@
   std::erase_if(Unknown.m_Waiting, [&](const RequestTraits &Request) {
     return !Record.m_Contents.insert(Request.m_Content).second;
   });
+  for (const RequestTraits &Request : Unknown.m_Waiting)
+    if (Request.m_Route != 0)
+      Record.m_Routes.insert(Request.m_Route);
   bool Explained = false;
   for (const RequestTraits &Request : Report.m_Waiting)
     Explained = renewQuarantines(Table, Request, Now) || Explained;
   const auto Blamed = Explained ? std::vector<const RequestTraits *>{}
                                 : blamedRequests(Table, Unknown);
-  for (const RequestTraits &Request : Unknown.m_Waiting)
-    if (isRouteSuspect(Table.m_Evidence, Request))
-      pauseRoute(Table, Request, Now);
+  for (const RequestTraits &Request : Unknown.m_Waiting) {
+    const bool IsCulprit = Explained ? isEverQuarantined(Table, Request)
+                                     : std::find(Blamed.begin(), Blamed.end(),
+                                                 &Request) != Blamed.end();
+    if (IsCulprit && isRouteSuspect(Table.m_Evidence, Request))
+      pauseRoute(Table, Request, Record.m_ReportedAt, Now);
+  }
   for (const RequestTraits *Request : Blamed) {
     addEvidence(Table, Request->m_Content, {}, *Request, Record.m_ReportedAt);
     for (const Trait Part : Request->m_Parts)
--- a/libs/retries/src/TraitTracker.cpp
+++ b/libs/retries/src/TraitTracker.cpp
@@ -41,7 +41,7 @@
 const TraitEvidence *findRoute(const TraitTracker &Tracker, Trait Route,
                                TimePoint Now) {
   if (const auto Told = Tracker.m_Evidence.find(Route);
-      Told != Tracker.m_Evidence.end())
+      Told != Tracker.m_Evidence.end() && Told->second.m_ExpiresAt > Now)
     return &Told->second;
   const auto Own = Tracker.m_Own.m_Evidence.find(Route);
   return Own != Tracker.m_Own.m_Evidence.end() && Own->second.m_ExpiresAt > Now
@@ -71,7 +71,8 @@
 }
 
 RouteDecision evaluateRoute(const TraitTracker &Tracker,
-                            const RequestTraits &Request, TimePoint Now) {
+                            const RequestTraits &Request, TimePoint Now,
+                            bool HoldsTrial) {
   if (Request.m_Route == 0 || !Request.m_Parts.empty())
     return {};
   const auto Own = Tracker.m_Own.m_Evidence.find(Request.m_Route);
@@ -82,7 +83,7 @@
     return {};
   if (Now < Known->m_PausedUntil)
     return {RouteGate::Closed, Known->m_PausedUntil};
-  if (Known->m_TrialRuns == 0)
+  if (Known->m_TrialRuns == 0 || HoldsTrial)
     return {};
   const auto Permitted = Tracker.m_TrialsUntil.find(Request.m_Route);
   if (Permitted == Tracker.m_TrialsUntil.end() || Permitted->second <= Now ||
