--- a/apps/entry/src/EntrySettings.cpp
+++ b/apps/entry/src/EntrySettings.cpp
@@ -60,6 +60,7 @@
         "properties": {
           "listen": {"$ref": "#/definitions/address"},
           "readiness": {"$ref": "#/definitions/address"},
+          "forward_listen": {"$ref": "#/definitions/address"},
           "retry_share": {"type": "number", "minimum": 0, "maximum": 1},
           "retry_reserve": {"type": "number", "minimum": 0,
                             "maximum": 1000000}}},
@@ -116,8 +117,12 @@
 static Status readRoutes(const Json &From, EntrySettings &To) {
   RouteSettings Made;
   const std::pair<const char *, http::Address *> Addresses[] = {
-      {"listen", &Made.m_Listen}, {"readiness", &Made.m_ReadinessListen}};
+      {"listen", &Made.m_Listen},
+      {"readiness", &Made.m_ReadinessListen},
+      {"forward_listen", &Made.m_ForwardListen}};
   for (const auto &[Name, Into] : Addresses) {
+    if (!From.contains(Name))
+      continue; // The schema requires the others.
     const auto Parsed = http::parseAddress(From[Name].get<std::string>());
     if (failed(Parsed))
       return errorOf(Parsed);
--- a/apps/entry/src/EntrySettings.h
+++ b/apps/entry/src/EntrySettings.h
@@ -18,6 +18,8 @@
 struct RouteSettings {
   http::Address m_Listen;
   http::Address m_ReadinessListen;
+  /// Where other entries forward requests to; without a port: nowhere.
+  http::Address m_ForwardListen;
   /// Retries for each request of a service, over all entries.
   double m_RetryShare = 0.2;
   /// Retries that the whole fleet may make beside that share, at once.
