Forward requests to another entry where no target is reached

What callers saw: an entry that is cut from all targets refused its callers with 503 and 502 while other entries reached all targets.

Cause: an entry had one way to serve a request, its own connections to targets. Readiness alone does not help: the balancer uses all entries of a zone again when none of it is ready, and open connections stay.

Change: a request whose targets could not be connected to twice in turn, or for which routing has only ejected targets, goes to another entry over HTTP, on an internal listener (`routes.forward_listen`). The peer takes it by the path of every plain request, with its own admission, limits, quarantine and retries. `Serving` treats the forward as a try: sent once, unknown when it may have run, resumed behind the last event, never forwarded again by the peer, two peers at most. `Serving::reachesNoTarget` is the one place that takes an entry for cut.

The naming of peers has tests in libs/fleet (ForwardPeersTest.cpp) that were not run for this commit.

--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -1,5 +1,6 @@
 #include "Control.h"
 
+#include "ForwardPeers.h"
 #include "OperatorApi.h"
 #include "RegistryApi.h"
 #include "events/events.h"
@@ -417,6 +418,7 @@
   const wire::EntryReport &Report = Message.entry_report();
   fleet::recordEntryReport(m_Observed, Sender, Message.session(), Report, Now,
                            LeaseUntil);
+  m_Observed.m_Entries[Sender].m_Zone = {Message.zone()};
   control::handleReport(m_Roles, Report);
   if (m_RoleOrders)
     m_RoleOrders->handleReport(Report);
@@ -443,6 +445,7 @@
   fillGrant(m_Notices, Suspicion, Sender, Report, Now, LogNow, Grant);
   fillTraits(Traits, Report, LogNow, Grant);
   fillTargetRates(m_TargetRates, Limits, m_Observed, Sender, Report, Grant);
+  fillForwardPeers(m_Observed, Sender, Report, Now, Grant);
   // The answer to the next report replaces a lost grant.
   (void)m_Hub->send(Sender, std::move(Answer));
   if (m_RegistryApi)
--- a/apps/entry/src/AnswerWriter.cpp
+++ b/apps/entry/src/AnswerWriter.cpp
@@ -18,7 +18,8 @@
 std::unique_ptr<Answer> makeAnswer(std::shared_ptr<http::Exchange> Caller,
                                    const Arrival &For, std::size_t KeepBytes) {
   if (For.m_Passed)
-    return std::make_unique<PassedAnswer>(std::move(Caller), For.m_Id);
+    return std::make_unique<PassedAnswer>(std::move(Caller), For.m_Id,
+                                          For.m_Forwarded.has_value());
   return std::make_unique<AnswerWriter>(std::move(Caller), For, KeepBytes);
 }
 
@@ -47,7 +48,7 @@
   To += "}]}\n\n";
 }
 
-void AnswerWriter::head(int, const http::Fields &) {
+void AnswerWriter::head(int, const http::Fields &, const std::string &) {
   // The head of our own streams does not depend on the target's.
 }
 
--- a/apps/entry/src/AnswerWriter.h
+++ b/apps/entry/src/AnswerWriter.h
@@ -29,7 +29,9 @@
 public:
   virtual ~Answer() = default;
   /// Takes the head of a target's stream, to be passed on with the first piece.
-  virtual void head(int Status, const http::Fields &Fields) = 0;
+  /// \param Version software version of the target.
+  virtual void head(int Status, const http::Fields &Fields,
+                    const std::string &Version) = 0;
   /// Takes the next piece of a stream.
   virtual void piece(std::string_view Text) = 0;
   /// Forgets the pieces so far, for a restart. \pre !hasPassed()
@@ -63,7 +65,8 @@
   AnswerWriter(std::shared_ptr<http::Exchange> Caller, const Arrival &For,
                std::size_t KeepBytes);
 
-  void head(int Status, const http::Fields &Fields) override;
+  void head(int Status, const http::Fields &Fields,
+            const std::string &Version) override;
   void piece(std::string_view Text) override;
   void restart() override;
   [[nodiscard]] bool hasPassed() const override { return m_Started; }
--- a/apps/entry/src/Arrival.h
+++ b/apps/entry/src/Arrival.h
@@ -5,6 +5,7 @@
 #define WASABIVALE_ENTRY_ARRIVAL_H
 
 #include "Configuration.h"
+#include "Forwarding.h"
 #include "Rejection.h"
 #include "http/http.h"
 #include "relay/relay.h"
@@ -13,6 +14,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -94,6 +96,8 @@
 
   /// Set when the request is passed on unread.
   std::shared_ptr<const Passed> m_Passed;
+  /// Set when another entry has forwarded the request here.
+  std::optional<ForwardOrigin> m_Forwarded;
 
   [[nodiscard]] bool isService() const {
     return m_Passed ? !m_Passed->m_ForEngine : m_Api == Api::Service;
@@ -122,10 +126,11 @@
 
 /// A plain request, read by \p In and led by \p By. \returns the refusal when
 /// it is not well formed or no route leads it anywhere.
-std::variant<Arrival, Rejection> readPassed(const http::Request &From,
-                                            const routes::Index &By,
-                                            const relay::Dialect &In,
-                                            MeanPrompts &Means, TimePoint Now);
+/// \param Forwarded what the forwarding entry tells; unset for a caller's.
+std::variant<Arrival, Rejection>
+readPassed(const http::Request &From, const routes::Index &By,
+           const relay::Dialect &In, MeanPrompts &Means, TimePoint Now,
+           const std::optional<ForwardOrigin> &Forwarded = std::nullopt);
 
 /// Tokens of \p Text by this system's arithmetic.
 std::uint32_t tokensOf(std::string_view Text);
--- a/apps/entry/src/Context.h
+++ b/apps/entry/src/Context.h
@@ -10,6 +10,7 @@
 #include "EntryMetrics.h"
 #include "EntrySettings.h"
 #include "FleetView.h"
+#include "Forwarding.h"
 #include "LedgerClient.h"
 #include "RateLimits.h"
 #include "Suspects.h"
@@ -65,6 +66,7 @@
   Suspects m_Suspects{m_Loop};
   CrashTraits m_Traits{m_Loop};
   RateLimits m_RateLimits{m_Fleet, m_Routing};
+  ForwardPeers m_ForwardPeers;
   std::map<std::string, ModelUse> m_Models; ///< By model; not services.
   /// Set once the process was asked to stop.
   std::optional<shutdown::Schedule> m_StopSchedule;
--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -35,6 +35,9 @@
 /// Part of the fleet's reserve of retries that is handed out: the rest is for
 /// entries that have joined since the count.
 constexpr double RetryReserveUsed = 0.7;
+/// Part of the streams at once that other entries' requests may be, so that
+/// those of entries that are cut leave room for own callers.
+constexpr std::size_t ForwardedPart = 2;
 
 limits::Limits toLimits(const wire::Share &From) {
   return {From.requests_per_second(), From.prompt_tokens_per_second(),
@@ -176,6 +179,46 @@
   admit(Arrived, std::move(Asked));
 }
 
+void DataPath::takeForwarded(const std::shared_ptr<http::Exchange> &Arrived) {
+  const TimePoint Now = BootClock::now();
+  if (m_Shared.m_StopSchedule)
+    Arrived->closeAfterLast();
+  const auto Refuse = [&](const Rejection &Why) {
+    m_Shared.m_Metrics.m_Registry.refusals(Why.m_Reason).add();
+    events::emit(events::Event::RequestRefused,
+                 {{"reason", refusalInfo(Why.m_Reason).m_Name},
+                  {"outcome", outcomeName(Why.m_Outcome)},
+                  {"step", Why.m_Step},
+                  {"peer", Arrived->request().m_PeerAddress}});
+    replyForwardRejection(*Arrived, Why);
+  };
+  const auto Origin = readForwardOrigin(Arrived->request().m_Fields, Now);
+  if (failed(Origin))
+    return Refuse(notRun(Refusal::MalformedRequest, errorOf(Origin).m_Step,
+                         errorOf(Origin).m_Message));
+  auto Read =
+      readPassed(Arrived->request(), m_Shared.m_Routes, *m_Shared.m_Dialect,
+                 m_Shared.m_MeanPrompts, Now, valueOf(Origin));
+  if (const auto *Why = std::get_if<Rejection>(&Read))
+    return Refuse(*Why);
+  if (m_RefusesAll)
+    return Refuse(stopping());
+  const std::size_t Streams = m_Shared.m_Settings.m_Streams;
+  if (m_Open.size() >= Streams || m_OpenForwarded >= Streams / ForwardedPart)
+    return Refuse(notRun(Refusal::TooManyStreams, "admission"));
+  Arrival &Asked = std::get<Arrival>(Read);
+  m_Shared.m_Metrics.m_ForwardsTaken.add();
+  events::emit(
+      events::Event::ForwardTaken,
+      {{"request", Asked.m_Id},
+       {"entry", valueOf(Origin).m_Entry},
+       {"runs", valueOf(Origin).m_Runs},
+       {"left_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                       Asked.m_Deadline - Now)
+                       .count()}});
+  admit(Arrived, std::move(Asked));
+}
+
 http::Response DataPath::refuseMalformed(int HttpStatus) {
   http::Response Page = malformedPage(HttpStatus);
   Refusal Reason = Refusal::MalformedRequest;
@@ -223,6 +266,7 @@
       std::make_shared<Serving>(m_Shared, Arrived, std::move(Asked),
                                 [this](Serving &Which) { takeEnded(Which); });
   m_Open[Made.get()] = Made;
+  m_OpenForwarded += Made->arrival().m_Forwarded ? 1 : 0;
   Made->watchCaller();
   const Arrival &For = Made->arrival();
   ModelUse *Use = nullptr;
@@ -234,10 +278,16 @@
   }
   if (const auto Until = Made->quarantinedUntil(Now))
     return Made->refuseUnstarted({Refusal::Quarantined, *Until - Now});
+  if (Made->forwardUnstarted(false))
+    return;
+  if (For.m_Forwarded && Made->reachesNoTarget())
+    return Made->refuseUnstarted({Refusal::NoTarget, Duration(0)});
   const routing::Request Wanted =
       describeForRouting(For, blocksOf(For), Use ? Use->m_OutputShare : 1);
   const auto Expected =
       routing::estimate(m_Shared.m_Routing, Wanted, Now, m_Shared.m_Random);
+  if (failed(Expected) && Made->forwardUnstarted(true))
+    return;
   if (failed(Expected))
     return Made->refuseUnstarted(
         {Refusal::NoTarget, untilRateAdmits(m_Shared, Wanted, Now)});
@@ -337,6 +387,7 @@
 
 void DataPath::takeEnded(Serving &Which) {
   m_Waiting.erase(Which.ticket());
+  m_OpenForwarded -= Which.arrival().m_Forwarded ? 1 : 0;
   m_Open.erase(&Which);
   pumpSoon();
 }
@@ -374,7 +425,7 @@
   m_HadLease = m_HadLease || Holds;
   std::vector<std::shared_ptr<Serving>> Running;
   for (const auto &[Key, One] : m_Open)
-    if (One->phase() == Phase::Running)
+    if (One->phase() == Phase::Running || One->phase() == Phase::Forwarding)
       Running.push_back(One);
   for (const auto &One : Running)
     One->check(Now);
@@ -478,6 +529,7 @@
   m_Shared.m_Suspects.takeGrant(Grant, Now);
   m_Shared.m_Traits.takeGrant(Grant, Now);
   m_Shared.m_RateLimits.takeGrant(Grant, Now);
+  m_Shared.m_ForwardPeers.takeGrant(Grant, Now);
   pumpSoon();
 }
 
@@ -487,6 +539,11 @@
   m_Shared.m_Suspects.fillReport(Report, Now);
   m_Shared.m_Traits.fillReport(Report, Now);
   m_Shared.m_RateLimits.fillReport(Report);
+  Report.set_forward_peers_revision(m_Shared.m_ForwardPeers.revision());
+  // A process that stops is named to nobody any more.
+  const auto &Routes = m_Shared.m_Settings.m_Routes;
+  if (Routes && Routes->m_ForwardListen.m_Port != 0 && !m_Shared.m_StopSchedule)
+    Report.set_forward_address(http::printAddress(Routes->m_ForwardListen));
   for (auto &[Name, Use] : m_Shared.m_Models) {
     if (Use.m_Demand.requests() == 0 && Use.m_Demand.output_tokens() == 0 &&
         Use.m_Demand.refused() == 0)
--- a/apps/entry/src/DataPath.h
+++ b/apps/entry/src/DataPath.h
@@ -34,6 +34,9 @@
   /// Takes a plain request, to be passed on by its route.
   void takePassed(const std::shared_ptr<http::Exchange> &Arrived);
 
+  /// Takes a request that another entry has forwarded here.
+  void takeForwarded(const std::shared_ptr<http::Exchange> &Arrived);
+
   /// Answers a request that is too malformed to be taken.
   http::Response refuseMalformed(int HttpStatus);
 
@@ -86,6 +89,7 @@
 
   Context m_Shared;
   bool m_RefusesAll = false;
+  std::size_t m_OpenForwarded = 0; ///< Of other entries.
   std::unordered_map<Serving *, std::shared_ptr<Serving>> m_Open;
   std::unordered_map<limits::Ticket, Serving *> m_Waiting;
   /// Until when each caller's share lasts.
--- a/apps/entry/src/Entry.cpp
+++ b/apps/entry/src/Entry.cpp
@@ -33,6 +33,7 @@
 
 Entry::~Entry() {
   // Nothing may call back into what is already gone.
+  m_Forwards.reset();
   m_PlainCallers.reset();
   m_Callers.reset();
   m_Targets.reset();
@@ -105,10 +106,27 @@
   return std::monostate{};
 }
 
+Status Entry::listenToForwards() {
+  if (m_Settings.m_Routes->m_ForwardListen.m_Port == 0)
+    return std::monostate{};
+  auto Forwards = http::listen(
+      m_Loop, m_Settings.m_Routes->m_ForwardListen, m_Settings.m_CallerLimits,
+      [this](const std::shared_ptr<http::Exchange> &Arrived) {
+        m_Requests->takeForwarded(Arrived);
+      });
+  if (failed(Forwards))
+    return errorOf(Forwards);
+  m_Forwards = std::move(valueOf(Forwards));
+  return std::monostate{};
+}
+
 Status Entry::listenToAll() {
-  if (m_Settings.m_Routes)
+  if (m_Settings.m_Routes) {
     if (Status Opened = listenToPlainRequests(); failed(Opened))
       return Opened;
+    if (Status Opened = listenToForwards(); failed(Opened))
+      return Opened;
+  }
   if (m_Settings.m_CallersListen.m_Port == 0)
     return std::monostate{};
   auto Targets =
@@ -191,7 +209,7 @@
 
 std::vector<http::Server *> Entry::callerServers() const {
   std::vector<http::Server *> Servers;
-  for (const auto *Each : {&m_Callers, &m_PlainCallers})
+  for (const auto *Each : {&m_Callers, &m_PlainCallers, &m_Forwards})
     if (*Each != nullptr)
       Servers.push_back(Each->get());
   return Servers;
--- a/apps/entry/src/Entry.h
+++ b/apps/entry/src/Entry.h
@@ -43,6 +43,7 @@
   Entry(event_base *Loop, const EntrySettings &Settings,
         metrics::Registry &Registry, const relay::Dialect *PlainRequests);
   Status listenToPlainRequests();
+  Status listenToForwards();
   Status openControl();
   Status listenToAll();
   void advanceStop();
@@ -63,6 +64,7 @@
   std::unique_ptr<http::Server> m_Targets;
   std::unique_ptr<http::Server> m_Callers;
   std::unique_ptr<http::Server> m_PlainCallers;
+  std::unique_ptr<http::Server> m_Forwards; ///< Other entries.
   std::unique_ptr<http::Timer> m_ReportTimer;
   std::unique_ptr<http::Timer> m_StopTimer;
   std::function<void()> m_OnStopped;
--- a/apps/entry/src/EntryMetrics.cpp
+++ b/apps/entry/src/EntryMetrics.cpp
@@ -34,6 +34,13 @@
                            "Targets seen to crash under a request")),
       m_LeaseWaits(In.counter("wasabivale_entry_lease_waits_total",
                               "Tries put off for want of a lease")),
+      m_Forwards(In.counter("wasabivale_entry_forwards_total",
+                            "Requests sent to another entry")),
+      m_ForwardFailures(
+          In.counter("wasabivale_entry_forward_failures_total",
+                     "Forwards that ended without a whole answer")),
+      m_ForwardsTaken(In.counter("wasabivale_entry_forwards_taken_total",
+                                 "Requests taken from another entry")),
       m_FirstToken(In.histogram("wasabivale_entry_first_token_seconds",
                                 "From arrival to the first token")),
       m_BetweenTokens(In.histogram("wasabivale_entry_between_tokens_seconds",
--- a/apps/entry/src/EntryMetrics.h
+++ b/apps/entry/src/EntryMetrics.h
@@ -35,6 +35,9 @@
   metrics::Counter &m_DuplicatePieces;
   metrics::Counter &m_Crashes;
   metrics::Counter &m_LeaseWaits;
+  metrics::Counter &m_Forwards;
+  metrics::Counter &m_ForwardFailures;
+  metrics::Counter &m_ForwardsTaken;
   metrics::Histogram &m_FirstToken;
   metrics::Histogram &m_BetweenTokens;
   metrics::Histogram &m_Total;
--- a/apps/entry/src/Passed.cpp
+++ b/apps/entry/src/Passed.cpp
@@ -44,10 +44,10 @@
   return By.m_Rank * UrgenciesOfRank + (IsLarge ? 0 : 1);
 }
 
-std::variant<Arrival, Rejection> readPassed(const http::Request &From,
-                                            const routes::Index &By,
-                                            const relay::Dialect &In,
-                                            MeanPrompts &Means, TimePoint Now) {
+std::variant<Arrival, Rejection>
+readPassed(const http::Request &From, const routes::Index &By,
+           const relay::Dialect &In, MeanPrompts &Means, TimePoint Now,
+           const std::optional<ForwardOrigin> &Forwarded) {
   if (By.table().m_Version == 0)
     return notRun(Refusal::NoConfiguration, "routes");
   auto Read = In.m_ReadRequest(From);
@@ -55,6 +55,12 @@
     return notRun(Refusal::MalformedRequest, Why->m_Step, Why->m_Message);
   auto Made = std::make_shared<Passed>();
   Made->m_Ask = std::get<relay::CallerRequest>(std::move(Read));
+  std::erase_if(Made->m_Ask.m_Fields,
+                [](const auto &Field) { return isForwardField(Field.first); });
+  // The forwarding entry may have passed on more than its caller brought.
+  if (Forwarded)
+    Made->m_Ask.m_LastEventId =
+        std::max(Made->m_Ask.m_LastEventId, Forwarded->m_LastEventId);
   const relay::CallerRequest &Ask = Made->m_Ask;
   const routes::Route *Route = By.find(Ask.m_Host, Ask.m_Path);
   if (Route == nullptr)
@@ -71,6 +77,9 @@
   if (Ask.m_CallerTimeout)
     Asked.m_Deadline =
         std::min<TimePoint>(Asked.m_Deadline, Now + *Ask.m_CallerTimeout);
+  if (Forwarded)
+    Asked.m_Deadline = std::min(Asked.m_Deadline, Forwarded->m_Deadline);
+  Asked.m_Forwarded = Forwarded;
   Asked.m_NotRepeatable = !Route->isRepeatable();
   Asked.m_Model = routes::pickService(*Route, hashBytes(Ask.m_Id));
   const auto Service = By.table().m_Services.find(Asked.m_Model);
--- a/apps/entry/src/PassedAnswer.cpp
+++ b/apps/entry/src/PassedAnswer.cpp
@@ -1,5 +1,7 @@
 #include "PassedAnswer.h"
 
+#include "Forwarding.h"
+
 namespace wasabivale::entry {
 
 namespace {
@@ -14,12 +16,19 @@
 
 } // namespace
 
-void PassedAnswer::head(int Status, const http::Fields &Fields) {
+http::Fields PassedAnswer::answerFields(const http::Fields &Target,
+                                        const std::string &Version) const {
+  return m_IsForwarded ? answerForwardFields(Target, Version)
+                       : endToEnd(Target);
+}
+
+void PassedAnswer::head(int Status, const http::Fields &Fields,
+                        const std::string &Version) {
   // A stream that goes on at another target keeps its first head.
   if (m_Started)
     return;
   m_Status = Status;
-  m_Fields = endToEnd(Fields);
+  m_Fields = answerFields(Fields, Version);
 }
 
 void PassedAnswer::start() {
@@ -44,7 +53,8 @@
 
 void PassedAnswer::pass(const KeptAnswer &Whole) {
   if (m_Caller != nullptr)
-    m_Caller->relay(Whole.m_Status, endToEnd(Whole.m_Fields), Whole.m_Body);
+    m_Caller->relay(Whole.m_Status, answerFields(Whole.m_Fields, {}),
+                    Whole.m_Body);
 }
 
 void PassedAnswer::refuse(const Rejection &Why) {
@@ -52,6 +62,8 @@
     return;
   if (m_Started)
     return m_Caller->abort();
+  if (m_IsForwarded)
+    return replyForwardRejection(*m_Caller, Why);
   replyPassedRejection(*m_Caller, m_Request, Why);
 }
 
--- a/apps/entry/src/PassedAnswer.h
+++ b/apps/entry/src/PassedAnswer.h
@@ -10,10 +10,15 @@
 
 class PassedAnswer final : public Answer {
 public:
-  PassedAnswer(std::shared_ptr<http::Exchange> Caller, RequestId Request)
-      : m_Caller(std::move(Caller)), m_Request(std::move(Request)) {}
-
-  void head(int Status, const http::Fields &Fields) override;
+  /// \param IsForwarded the caller is an entry, which is told more than a
+  /// caller is.
+  PassedAnswer(std::shared_ptr<http::Exchange> Caller, RequestId Request,
+               bool IsForwarded)
+      : m_Caller(std::move(Caller)), m_Request(std::move(Request)),
+        m_IsForwarded(IsForwarded) {}
+
+  void head(int Status, const http::Fields &Fields,
+            const std::string &Version) override;
   void piece(std::string_view Text) override;
   void restart() override;
   [[nodiscard]] bool hasPassed() const override { return m_Started; }
@@ -27,9 +32,12 @@
 
 private:
   void start();
+  [[nodiscard]] http::Fields answerFields(const http::Fields &Target,
+                                          const std::string &Version) const;
 
   std::shared_ptr<http::Exchange> m_Caller;
   RequestId m_Request;
+  bool m_IsForwarded;
   KeptAnswer m_Kept; ///< Never filled: plain requests are not kept.
   int m_Status = 0;
   http::Fields m_Fields;
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -19,6 +19,11 @@
 constexpr std::chrono::seconds LedgerPatience{3};
 /// Weight of the newest answer in a model's mean share of output.
 constexpr double OutputShareStep = 0.05;
+/// Targets that a request could not be sent to, one after the other, before the
+/// fault is taken for this entry's own.
+constexpr std::size_t UnreachedTargets = 2;
+/// Entries that a request is forwarded to, one after the other.
+constexpr std::size_t MaxForwards = 2;
 
 struct Change {
   Phase m_From;
@@ -27,11 +32,13 @@
 
 /// Every legal change of phase. `Ended` is reached from all but itself.
 constexpr Change LegalChanges[] = {
-    {Phase::Arrived, Phase::Queued},  {Phase::Arrived, Phase::Reserving},
-    {Phase::Arrived, Phase::Placing}, {Phase::Queued, Phase::Reserving},
-    {Phase::Queued, Phase::Placing},  {Phase::Reserving, Phase::Placing},
-    {Phase::Placing, Phase::Running}, {Phase::Running, Phase::Placing},
-    {Phase::Running, Phase::Probing}, {Phase::Probing, Phase::Placing},
+    {Phase::Arrived, Phase::Queued},     {Phase::Arrived, Phase::Reserving},
+    {Phase::Arrived, Phase::Placing},    {Phase::Queued, Phase::Reserving},
+    {Phase::Queued, Phase::Placing},     {Phase::Reserving, Phase::Placing},
+    {Phase::Placing, Phase::Running},    {Phase::Running, Phase::Placing},
+    {Phase::Running, Phase::Probing},    {Phase::Probing, Phase::Placing},
+    {Phase::Arrived, Phase::Forwarding}, {Phase::Placing, Phase::Forwarding},
+    {Phase::Forwarding, Phase::Placing},
 };
 
 std::int64_t milliseconds(Duration Of) {
@@ -53,6 +60,30 @@
   return Text;
 }
 
+/// Whether tries of this entry have failed at a target that would do.
+bool hasEjectedTarget(const routing::State &Fleet,
+                      const routing::Request &Wanted) {
+  return std::any_of(
+      Fleet.m_Slots.begin(), Fleet.m_Slots.end(),
+      [&](const routing::Slot &Each) {
+        const std::vector<ModelId> &Models = Each.m_Target.m_Models;
+        return Each.m_Used && Each.m_Current &&
+               Each.m_Target.m_Kind == Wanted.m_Kind &&
+               (Each.m_Health.m_State == routing::HealthState::Ejected ||
+                Each.m_Health.m_State == routing::HealthState::Probing) &&
+               std::find(Models.begin(), Models.end(), Wanted.m_Model) !=
+                   Models.end();
+      });
+}
+
+/// How long a peer may be silent: twice as long as the target it waits for.
+std::chrono::nanoseconds forwardPatience(const Arrival &Request,
+                                         const Try::Patience &Patience) {
+  constexpr int Silences = 2;
+  return Request.m_Stream ? streamPatience(Request.m_Passed->m_Route) * Silences
+                          : std::chrono::nanoseconds(Patience.m_Call);
+}
+
 bool isLegal(Phase From, Phase To) {
   if (To == Phase::Ended)
     return From != Phase::Ended;
@@ -108,6 +139,10 @@
   if (m_Asked.m_Passed)
     m_Offset = m_Asked.m_Passed->m_Ask.m_LastEventId;
   m_FirstOffset = m_Offset;
+  if (m_Asked.m_Forwarded) {
+    m_Runs = m_Asked.m_Forwarded->m_Runs;
+    m_StreamVersion = m_Asked.m_Forwarded->m_RequiredVersion;
+  }
 }
 
 void Serving::watchCaller() {
@@ -209,7 +244,7 @@
     limits::abandon(m_Shared.m_Limits, m_Ticket, Now);
   if (m_KeyGranted)
     m_Shared.m_Ledger.release(m_Asked);
-  if (m_Try != nullptr)
+  if (m_Try != nullptr || m_Forward != nullptr)
     m_MayHaveRun = true;
   end();
 }
@@ -312,7 +347,11 @@
     return waitUntil(Now + LeaseLook);
   }
   routing::Request Wanted = routingRequest();
-  if (!passGate(Wanted, Now) || !isolate(Wanted))
+  if (!passGate(Wanted, Now))
+    return;
+  if (mustForward(Now))
+    return forward(Now);
+  if (!isolate(Wanted))
     return;
   placeAt(std::move(Wanted), Now);
 }
@@ -389,6 +428,9 @@
     Wanted.m_RequiredTarget.reset();
     Where = routing::choose(m_Shared.m_Routing, Wanted, Now, m_Shared.m_Random);
   }
+  if (failed(Where) && hasEjectedTarget(m_Shared.m_Routing, Wanted) &&
+      mayForward(Now))
+    return forward(Now);
   if (failed(Where))
     return giveUp(Refusal::NoTarget, outcomeSoFar(), errorOf(Where),
                   untilRateAdmits(m_Shared, Wanted, Now));
@@ -473,7 +515,7 @@
   Plan.m_Offset = m_Offset;
   TryHandlers Handlers;
   Handlers.m_OnHead = [this](int Status, const http::Fields &Fields) {
-    m_Writer->head(Status, Fields);
+    m_Writer->head(Status, Fields, m_TargetVersion);
   };
   Handlers.m_MayRun = [this, Expected] {
     const TimePoint Prefilled = BootClock::now();
@@ -500,6 +542,170 @@
                  std::move(Handlers), Now);
 }
 
+// --- Forwarding --------------------------------------------------------------
+
+bool Serving::mayForward(TimePoint Now) const {
+  // One that was forwarded here goes no further.
+  if (!m_Asked.m_Passed || m_Asked.m_Forwarded || m_CallerGone ||
+      m_UsedPeers.size() >= MaxForwards || m_Asked.isLate(Now))
+    return false;
+  if ((m_Asked.m_NotRepeatable && m_MayHaveRun) ||
+      (m_Writer->hasPassed() && !m_Asked.isResumable()))
+    return false;
+  const std::uint32_t MaxRuns = m_Asked.m_Passed->m_Route.m_MaxAttempts;
+  if (MaxRuns != 0 && m_Runs >= MaxRuns)
+    return false;
+  if (m_Shared.m_StopSchedule && !m_Writer->hasPassed() &&
+      !shutdown::mayStart(*m_Shared.m_StopSchedule,
+                          {m_Asked.m_Deadline, Now, Now, m_Started}, Now))
+    return false;
+  return m_Shared.m_ForwardPeers.has(m_UsedPeers, Now);
+}
+
+bool Serving::reachesNoTarget() const {
+  return m_Unreached.size() >= UnreachedTargets;
+}
+
+bool Serving::mustForward(TimePoint Now) const {
+  return reachesNoTarget() && mayForward(Now);
+}
+
+bool Serving::forwardUnstarted(bool NoTarget) {
+  const TimePoint Now = BootClock::now();
+  const routing::Request Wanted = routingRequest();
+  const bool NoneReached =
+      NoTarget && hasEjectedTarget(m_Shared.m_Routing, Wanted);
+  if (!mustForward(Now) && !(NoneReached && mayForward(Now)))
+    return false;
+  forward(Now);
+  return true;
+}
+
+void Serving::forward(TimePoint Now) {
+  // As with a target: what may have run must not run again.
+  WASABIVALE_INVARIANT(!(m_Asked.m_NotRepeatable && m_MayHaveRun));
+  WASABIVALE_INVARIANT(!m_Asked.m_Forwarded);
+  const auto To =
+      m_Shared.m_ForwardPeers.choose(m_UsedPeers, Now, m_Shared.m_Random);
+  WASABIVALE_INVARIANT(To.has_value());
+  enter(Phase::Forwarding);
+  m_UsedPeers.push_back(To->m_Entry);
+  ++m_Tries;
+  m_SentAt = Now;
+  m_LastTarget = {};
+  m_Shared.m_Metrics.m_Forwards.add();
+  events::emit(events::Event::RequestForwarded,
+               {{"request", m_Asked.m_Id},
+                {"route", m_Asked.m_Caller},
+                {"entry", To->m_Entry},
+                {"runs", m_Runs},
+                {"offset", m_Offset},
+                {"left_ms", milliseconds(m_Asked.m_Deadline - Now)}});
+  ForwardOrigin Origin;
+  Origin.m_Entry = m_Shared.m_Settings.m_Id;
+  Origin.m_Runs = m_Runs;
+  Origin.m_Deadline = m_Asked.m_Deadline;
+  Origin.m_LastEventId = m_Offset;
+  Origin.m_RequiredVersion = m_StreamVersion;
+  ForwardHandlers Handlers;
+  Handlers.m_OnHead = [this](int Status, const ForwardedAnswer &Answer) {
+    m_TargetVersion = Answer.m_Version;
+    m_Writer->head(Status, Answer.m_Fields, m_TargetVersion);
+  };
+  Handlers.m_OnEvent = [this](const relay::Event &Got) {
+    m_UsedPeers.clear();
+    takePiece({Got.m_Id == 0 ? 0 : Got.m_Id - 1, 1, Got.m_Text});
+  };
+  Handlers.m_OnEnd = [Weak = weak_from_this()](const ForwardEnding &Ending) {
+    if (const auto Self = Weak.lock())
+      Self->takeForwardEnding(Ending);
+  };
+  m_Forward = Forward::start(
+      m_Shared.m_Connections, *To, m_Caller->request(), m_Asked, Origin,
+      forwardPatience(m_Asked, m_Shared.m_Settings.m_Patience),
+      std::move(Handlers), Now);
+}
+
+void Serving::takeForwardEnding(const ForwardEnding &Ending) {
+  if (m_Phase != Phase::Forwarding)
+    return;
+  const std::shared_ptr<Forward> Over = std::exchange(m_Forward, nullptr);
+  if (const auto *Whole = std::get_if<ForwardEnding::Whole>(&Ending.m_Result))
+    return takeForwarded(*Whole);
+  m_Shared.m_Metrics.m_ForwardFailures.add();
+  if (const auto *Why = std::get_if<Rejection>(&Ending.m_Result))
+    return takeForwardRejection(*Why);
+  const auto &Broken = std::get<ForwardEnding::Broken>(Ending.m_Result);
+  if (!Broken.m_Sent)
+    m_Shared.m_ForwardPeers.recordUnreachable(Over->peer(), BootClock::now());
+  takeBrokenForward(Broken);
+}
+
+void Serving::takeForwarded(const ForwardEnding::Whole &Whole) {
+  const TimePoint Now = BootClock::now();
+  if (Whole.m_Streamed)
+    m_Writer->finish({}, 0, 0);
+  else
+    m_Writer->pass({Whole.m_Answer.m_Status, "", Whole.m_Answer.m_Body,
+                    Whole.m_Answer.m_Fields});
+  events::emit(events::Event::ForwardCompleted,
+               {{"request", m_Asked.m_Id},
+                {"total_ms", milliseconds(Now - m_Asked.m_At)},
+                {"events", m_Offset}});
+  EntryMetrics &Metrics = m_Shared.m_Metrics;
+  Metrics.m_Total.record(Now - m_Asked.m_At);
+  (Now <= m_Asked.m_Deadline ? Metrics.m_Completed : Metrics.m_CompletedLate)
+      .add();
+  m_MayHaveRun = true;
+  end();
+}
+
+void Serving::takeForwardRejection(const Rejection &Why) {
+  events::emit(events::Event::ForwardFailed,
+               {{"request", m_Asked.m_Id},
+                {"entry", Why.m_Peer},
+                {"reason", refusalInfo(Why.m_Reason).m_Name},
+                {"outcome", outcomeName(Why.m_Outcome)},
+                {"tries", m_Tries}});
+  const Error Last{Why.m_Step, Why.m_Peer, ""};
+  // Its retries are used up: it has those of this entry.
+  if (Why.m_Outcome != Outcome::NotRun) {
+    m_MayHaveRun = true;
+    return giveUp(Why.m_Reason, Outcome::Unknown, Last);
+  }
+  if (!mayForward(BootClock::now()))
+    return giveUp(Why.m_Reason, outcomeSoFar(), Last, Why.m_RetryAfter);
+  enter(Phase::Placing);
+  forward(BootClock::now());
+}
+
+void Serving::takeBrokenForward(const ForwardEnding::Broken &Broken) {
+  const TimePoint Now = BootClock::now();
+  events::emit(events::Event::ForwardFailed,
+               {{"request", m_Asked.m_Id},
+                {"entry", Broken.m_Why.m_Peer},
+                {"sent", Broken.m_Sent},
+                {"tries", m_Tries},
+                {"step", Broken.m_Why.m_Step},
+                {"message", Broken.m_Why.m_Message}});
+  // Without a byte sent it is no try, and costs no retry.
+  if (!Broken.m_Sent && mayForward(Now)) {
+    enter(Phase::Placing);
+    return forward(Now);
+  }
+  TryEnding Ending;
+  Ending.m_Failure.m_Kind = !Broken.m_Sent ? retries::FailureKind::ConnectFailed
+                            : Broken.m_Silent  ? retries::FailureKind::Stalled
+                            : Broken.m_Invalid ? retries::FailureKind::Malformed
+                                               : retries::FailureKind::Broken;
+  Ending.m_Failure.m_NotRunProven = !Broken.m_Sent;
+  Ending.m_Failure.m_BytesSent = Broken.m_Sent;
+  Ending.m_Error = Broken.m_Why;
+  // The budget of all targets without a name is for no target's failures.
+  retries::forgetTarget(m_Shared.m_Retries, {});
+  decideNext(Ending, Now);
+}
+
 // --- Running ----------------------------------------------------------------
 
 void Serving::takePiece(const targets::StreamPiece &Piece) {
@@ -521,17 +727,28 @@
 }
 
 void Serving::pauseIfSlow(TimePoint Now) {
-  if (m_CallerGone || m_Try == nullptr || m_Try->isPaused() ||
+  if (m_CallerGone || (m_Try == nullptr && m_Forward == nullptr) ||
+      isPaused() ||
       m_Caller->pendingBytes() <= m_Shared.m_Settings.m_PendingBytes)
     return;
   m_Shared.m_Metrics.m_Pauses.add();
   m_PausedSince = Now;
-  m_Try->pause();
+  if (m_Try != nullptr)
+    m_Try->pause();
+  if (m_Forward != nullptr)
+    m_Forward->pause();
+}
+
+void Serving::resumeReading(TimePoint Now) {
+  if (m_Try != nullptr)
+    m_Try->resume(Now);
+  if (m_Forward != nullptr)
+    m_Forward->resume(Now);
 }
 
 void Serving::checkReader(TimePoint Now) {
   if (m_Caller->pendingBytes() <= m_Shared.m_Settings.m_PendingBytes / 2)
-    return m_Try->resume(Now);
+    return resumeReading(Now);
   if (Now - m_PausedSince <= m_Shared.m_Settings.m_ReaderPatience)
     return;
   m_Shared.m_Metrics.m_SlowReaders.add();
@@ -545,13 +762,13 @@
 }
 
 void Serving::check(TimePoint Now) {
-  if (m_Phase != Phase::Running || m_Try == nullptr)
-    return;
   const auto Self = shared_from_this();
-  if (m_Try->isPaused())
+  if (isPaused())
     checkReader(Now);
   if (m_Phase == Phase::Running && m_Try != nullptr)
     m_Try->check(Now);
+  if (m_Phase == Phase::Forwarding && m_Forward != nullptr)
+    m_Forward->check(Now);
 }
 
 void Serving::noteTryOver(bool Completed) {
@@ -638,6 +855,20 @@
   So.m_Runs = m_Runs += retries::tryMayHaveRun(Facts) ? 1 : 0;
   if (Ending.m_Failing)
     m_Failing = Ending.m_Failing;
+  if (!m_LastTarget.empty()) {
+    if (Facts.m_BytesSent)
+      m_Unreached.clear();
+    else if (Facts.m_Kind == retries::FailureKind::ConnectFailed)
+      m_Unreached.push_back(m_LastTarget);
+  }
+  // Nothing was sent to a target: another entry's try is no retry.
+  if (!Facts.m_BytesSent && m_Phase == Phase::Running && mustForward(Now)) {
+    enter(Phase::Placing);
+    return forward(Now);
+  }
+  // The entry that has forwarded it asks another one, which is no retry.
+  if (!m_MayHaveRun && m_Asked.m_Forwarded && reachesNoTarget())
+    return giveUp(Refusal::NoTarget, outcomeSoFar(), Ending.m_Error);
   const retries::RetryDecision Next =
       retries::decide(m_Shared.m_Retries, So, Facts, Now, m_Shared.m_Random);
   events::emit(events::Event::TryFailed,
@@ -658,6 +889,10 @@
                 {"step", Ending.m_Error.m_Step},
                 {"message", Ending.m_Error.m_Message}});
   if (const auto *Stop = std::get_if<retries::GiveUp>(&Next)) {
+    if (!m_Unreached.empty() && m_Phase == Phase::Running && mayForward(Now)) {
+      enter(Phase::Placing);
+      return forward(Now);
+    }
     // The target was at work until the deadline passed.
     const bool Late = m_Asked.isLate(Now);
     return giveUp(Late ? Refusal::TargetTimeout : Stop->m_Reason,
@@ -681,7 +916,8 @@
   // Nothing was passed on: begin a new stream, so that no line of the former
   // can be taken for one of it.
   m_Writer->restart();
-  m_StreamVersion.reset();
+  m_StreamVersion = m_Asked.m_Forwarded ? m_Asked.m_Forwarded->m_RequiredVersion
+                                        : std::nullopt;
   m_Offset = m_FirstOffset;
   m_StreamId = randomIdentity();
   waitUntil(Again.m_StartTime);
@@ -814,6 +1050,8 @@
   enter(Phase::Ended);
   m_Wake.reset();
   endTry(TryOutcome::Cancelled, Now);
+  if (m_Forward != nullptr)
+    m_Forward->cancel();
   if (InService || m_RunNoted)
     noteTryOver(false);
   m_Shared.m_Suspects.dropWish(m_Print);
@@ -832,7 +1070,7 @@
   const bool Running = m_Phase == Phase::Running || m_Phase == Phase::Probing;
   if (m_Phase == Phase::Queued)
     limits::abandon(m_Shared.m_Limits, m_Ticket, BootClock::now());
-  if (Running)
+  if (Running || (m_Forward != nullptr && m_Forward->hasSent()))
     m_MayHaveRun = true;
   giveUp(Refusal::Stopping, outcomeSoFar(), Error{"stop", "", ""});
 }
--- a/apps/entry/src/Serving.h
+++ b/apps/entry/src/Serving.h
@@ -7,6 +7,7 @@
 #include "AnswerWriter.h"
 #include "Arrival.h"
 #include "Context.h"
+#include "Forward.h"
 #include "Try.h"
 
 #include <functional>
@@ -18,13 +19,14 @@
 /// States of a request. Legal changes are those of the table in Serving.cpp;
 /// any other breaks an invariant.
 enum class Phase : std::uint8_t {
-  Arrived,   ///< Admitted, or about to wait.
-  Queued,    ///< Waits for its start.
-  Reserving, ///< Started; waits for the ledger to grant its key.
-  Placing,   ///< Looks for a target, or waits until it may.
-  Running,   ///< A target has it.
-  Probing,   ///< Its connection broke; the target is looked at.
-  Ended,     ///< Answered, or nobody waits for the answer.
+  Arrived,    ///< Admitted, or about to wait.
+  Queued,     ///< Waits for its start.
+  Reserving,  ///< Started; waits for the ledger to grant its key.
+  Placing,    ///< Looks for a target, or waits until it may.
+  Running,    ///< A target has it.
+  Probing,    ///< Its connection broke; the target is looked at.
+  Forwarding, ///< Another entry has it.
+  Ended,      ///< Answered, or nobody waits for the answer.
 };
 
 class Serving : public std::enable_shared_from_this<Serving> {
@@ -44,6 +46,12 @@
   void begin(limits::Ticket Id);
   /// Refuses a request that waits, or has just arrived.
   void refuseUnstarted(const limits::Refused &Why);
+  /// Whether this entry is taken to be cut from the targets.
+  [[nodiscard]] bool reachesNoTarget() const;
+  /// Starts a request that has just arrived at another entry, if this one
+  /// reaches no target for it. \param NoTarget routing has found none.
+  /// \returns whether it did.
+  bool forwardUnstarted(bool NoTarget);
   /// Looks at a slow reader, a silent target and the deadline.
   void check(TimePoint Now);
   /// The process ends now: ends the request, whatever it is doing.
@@ -51,7 +59,8 @@
 
   [[nodiscard]] Phase phase() const { return m_Phase; }
   [[nodiscard]] bool isPaused() const {
-    return m_Try != nullptr && m_Try->isPaused();
+    return (m_Try != nullptr && m_Try->isPaused()) ||
+           (m_Forward != nullptr && m_Forward->isPaused());
   }
   [[nodiscard]] const Arrival &arrival() const { return m_Asked; }
   [[nodiscard]] limits::Ticket ticket() const { return m_Ticket; }
@@ -75,6 +84,13 @@
   /// if it was refused.
   bool isolate(routing::Request &Wanted);
   void send(routing::Choice Where, TimePoint Now);
+  [[nodiscard]] bool mayForward(TimePoint Now) const;
+  [[nodiscard]] bool mustForward(TimePoint Now) const;
+  void forward(TimePoint Now);
+  void takeForwardEnding(const ForwardEnding &Ending);
+  void takeForwarded(const ForwardEnding::Whole &Whole);
+  void takeForwardRejection(const Rejection &Why);
+  void takeBrokenForward(const ForwardEnding::Broken &Broken);
   void waitUntil(TimePoint When);
   [[nodiscard]] routing::Request routingRequest() const;
   /// Applies the gate for suspects. \returns whether to go on.
@@ -95,6 +111,7 @@
   void end();
   void pauseIfSlow(TimePoint Now);
   void checkReader(TimePoint Now);
+  void resumeReading(TimePoint Now);
   [[nodiscard]] ModelUse *modelUse();
   [[nodiscard]] Outcome outcomeSoFar() const;
 
@@ -117,6 +134,11 @@
   std::vector<std::uint64_t> m_Blocks;
   std::vector<TargetId> m_Avoid;
   std::shared_ptr<Try> m_Try;
+  std::shared_ptr<Forward> m_Forward;
+  /// Entries that have had the request since the last event of its answer.
+  std::vector<NodeId> m_UsedPeers;
+  /// Targets in turn that could not be connected to, since one was.
+  std::vector<TargetId> m_Unreached;
   bool m_RunNoted = false; ///< A run is registered with the suspects.
   TargetId m_LastTarget;
   std::string m_StreamId;
--- a/apps/entry/tests/ForwardTest.cpp
+++ b/apps/entry/tests/ForwardTest.cpp
@@ -228,14 +228,17 @@
   }
   GIVEN("a peer whose stream breaks off, and a target that can continue it") {
     CutShop Around(streams(4, true));
-    FakePeer Breaks(Around, FirstFakePort, [](const Exchange &Arrived) {
+    FakePeer Breaks(Around, FirstFakePort, [&](const Exchange &Arrived) {
       http::Fields Head = stamped(Arrived);
       Head.emplace_back("Content-Type", "text/event-stream");
       Head.emplace_back(std::string(ForwardResultField), "answer");
       Arrived->startRelay(200, Head);
       Arrived->write(events(1, 2));
       Arrived->write("id: 3\nda");
-      Arrived->abort();
+      // What is still unwritten is lost with the connection.
+      Around.m_Restarts.push_back(std::make_unique<http::Timer>(
+          Around.m_Loop.m_Base, std::chrono::milliseconds(50), false,
+          [Arrived] { Arrived->abort(); }));
     });
     namePeers(*Around.m_Path, {FirstFakePort});
     const auto Got = Around.start("POST", "/note/7");
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -437,6 +437,10 @@
   std::uint64_t m_ConfigurationRevision = 0;
   std::uint64_t m_RoutesVersion = 0;
   bool m_ReportsTargets = false; ///< Has reported the load of a target.
+  /// It can't connect to any target for now.
+  bool m_TargetsUnreachable = false;
+  ZoneId m_Zone;                ///< Empty if unknown.
+  std::string m_ForwardAddress; ///< `ip:port`; empty if it takes no forwards.
   struct Acknowledgement {
     std::uint64_t m_Generation = 0;
     std::uint64_t m_InFlight = 0;
@@ -506,6 +510,23 @@
 /// the prefixes that are pending for it.
 wire::OthersWork takeOthersWork(SharedWork &Work, const NodeId &Entry);
 
+/// An entry that takes requests which another one can't send to targets.
+struct ForwardPeer {
+  NodeId m_Entry;
+  std::string m_Address; ///< `ip:port`
+
+  bool operator==(const ForwardPeer &) const = default;
+};
+
+/// Most entries that one is told of.
+inline constexpr std::size_t MaxForwardPeers = 4;
+
+/// Entries that \p Entry may forward requests to: those with a valid lease that
+/// reach targets, chosen by rendezvous hashing so that the load of several
+/// spreads, from every availability zone in turn and its own zone last.
+std::vector<ForwardPeer> chooseForwardPeers(const ObservedState &Observed,
+                                            const NodeId &Entry, TimePoint Now);
+
 /// Removes entries whose lease has expired and adds their sessions to
 /// `m_EndedSessions`.
 void expireEntries(ObservedState &Observed, TimePoint Now);
