--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -1,5 +1,6 @@
 #include "Control.h"
 
+#include "ForwardPeers.h"
 #include "OperatorApi.h"
 #include "RegistryApi.h"
 #include "events/events.h"
@@ -423,6 +424,7 @@
   const wire::EntryReport &Report = Message.entry_report();
   fleet::recordEntryReport(m_Observed, Sender, Message.session(), Report, Now,
                            LeaseUntil);
+  m_Observed.m_Entries[Sender].m_Zone = {Message.zone()};
   control::handleReport(m_Roles, Report);
   if (m_RoleOrders)
     m_RoleOrders->handleReport(Report);
@@ -450,6 +452,7 @@
   fillTraits(Traits, Report, LogNow, Grant);
   fillTrials(Traits, m_Observed, Sender, LogNow, Grant);
   fillTargetRates(m_TargetRates, Limits, m_Observed, Sender, Report, Grant);
+  fillForwardPeers(m_Observed, Sender, Report, Now, Grant);
   // The answer to the next report replaces a lost grant.
   (void)m_Hub->send(Sender, std::move(Answer));
   if (m_RegistryApi)
--- a/apps/entry/src/Context.h
+++ b/apps/entry/src/Context.h
@@ -10,6 +10,7 @@
 #include "EntryMetrics.h"
 #include "EntrySettings.h"
 #include "FleetView.h"
+#include "Forwarding.h"
 #include "LedgerClient.h"
 #include "RateLimits.h"
 #include "StreamVersions.h"
@@ -71,6 +72,7 @@
   std::function<bool(TimePoint)> m_CanForward;
   RateLimits m_RateLimits{m_Fleet, m_Routing};
   StreamVersions m_StreamVersions{m_Loop, m_Fleet, m_Metrics};
+  ForwardPeers m_ForwardPeers;
   std::map<std::string, ModelUse> m_Models; ///< By model; not services.
   /// Set once the process was asked to stop.
   std::optional<shutdown::Schedule> m_StopSchedule;
--- a/apps/entry/src/EntryMetrics.h
+++ b/apps/entry/src/EntryMetrics.h
@@ -40,6 +40,9 @@
   metrics::Counter &m_LeaseWaits;
   metrics::Counter &m_Partitions;
   metrics::Counter &m_ReachProbes;
+  metrics::Counter &m_Forwards;
+  metrics::Counter &m_ForwardFailures;
+  metrics::Counter &m_ForwardsTaken;
   metrics::Histogram &m_FirstToken;
   metrics::Histogram &m_BetweenTokens;
   metrics::Histogram &m_Total;
