Write nothing but events into a stream that has begun

Callers found the text of an error, with its whole head, in the middle of their stream when it had broken off and the next target answered with an error, or the stream ended as if it were complete.

Cause: a try counted any signed answer below 500 as complete, and a complete answer without events was written as a whole answer into the begun response. Text between two blank lines was passed on as an event, whatever it was.

Change: a try that takes up a stream is told that only events may follow; another answer is a failure, after which another target may go on, or the connection is cut without its last chunk. The writer has the states open, begun and ended, and cuts the connection if a whole answer meets a begun stream (second_head_prevented). A line that is no field of an event is an error of the stream. A target's own 408, 429 or 503 is passed on as a promise only with the proof that the request has not run.

--- a/apps/entry/src/AnswerWriter.cpp
+++ b/apps/entry/src/AnswerWriter.cpp
@@ -130,6 +130,7 @@
 }
 
 void AnswerWriter::pass(const KeptAnswer &Whole) {
+  WASABIVALE_INVARIANT(!m_Started);
   m_Kept = Whole;
   if (m_Caller == nullptr)
     return;
--- a/apps/entry/src/PassedAnswer.cpp
+++ b/apps/entry/src/PassedAnswer.cpp
@@ -1,5 +1,7 @@
 #include "PassedAnswer.h"
 
+#include "events/events.h"
+
 namespace wasabivale::entry {
 
 namespace {
@@ -23,6 +25,7 @@
 }
 
 void PassedAnswer::start() {
+  WASABIVALE_INVARIANT(!m_Ended);
   if (std::exchange(m_Started, true) || m_Caller == nullptr)
     return;
   m_Caller->startRelay(m_Status, m_Fields);
@@ -38,24 +41,33 @@
 
 void PassedAnswer::finish(std::string_view, std::uint64_t, std::uint64_t) {
   start();
+  m_Ended = true;
   if (m_Caller != nullptr)
     m_Caller->finish();
 }
 
 void PassedAnswer::pass(const KeptAnswer &Whole) {
+  WASABIVALE_INVARIANT(!m_Ended);
+  if (m_Started) {
+    events::emit(events::Event::SecondHeadPrevented,
+                 {{"request", m_Request}, {"status", Whole.m_Status}});
+    return drop();
+  }
+  m_Ended = true;
   if (m_Caller != nullptr)
     m_Caller->relay(Whole.m_Status, endToEnd(Whole.m_Fields), Whole.m_Body);
 }
 
 void PassedAnswer::refuse(const Rejection &Why) {
-  if (m_Caller == nullptr)
-    return;
   if (m_Started)
-    return m_Caller->abort();
-  replyPassedRejection(*m_Caller, m_Request, Why);
+    return drop();
+  m_Ended = true;
+  if (m_Caller != nullptr)
+    replyPassedRejection(*m_Caller, m_Request, Why);
 }
 
 void PassedAnswer::drop() {
+  m_Ended = true;
   if (m_Caller != nullptr)
     m_Caller->abort();
 }
--- a/apps/entry/src/PassedAnswer.h
+++ b/apps/entry/src/PassedAnswer.h
@@ -19,6 +19,7 @@
   [[nodiscard]] bool hasPassed() const override { return m_Started; }
   void finish(std::string_view FinishReason, std::uint64_t PromptTokens,
               std::uint64_t OutputTokens) override;
+  /// A stream that has begun is broken off, as by `refuse`.
   void pass(const KeptAnswer &Whole) override;
   /// A stream that has begun is broken off: its end would look complete.
   void refuse(const Rejection &Why) override;
@@ -33,7 +34,8 @@
   KeptAnswer m_Kept; ///< Never filled: plain requests are not kept.
   int m_Status = 0;
   http::Fields m_Fields;
-  bool m_Started = false;
+  bool m_Started = false; ///< Only events may follow.
+  bool m_Ended = false;   ///< Nothing may follow.
 };
 
 } // namespace wasabivale::entry
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -478,6 +478,7 @@
   };
   Handlers.m_MayRun = [this, Expected] {
     const TimePoint Prefilled = BootClock::now();
+  Plan.m_HasBegun = m_Writer->hasPassed();
     return !quarantinedUntil(Prefilled) &&
            mayStartBeforeStop(Expected, Prefilled);
   };
--- a/apps/entry/src/Try.cpp
+++ b/apps/entry/src/Try.cpp
@@ -218,6 +218,7 @@
   With.m_Urgency = What->m_Urgency;
   With.m_LastEventId = m_Plan.m_Offset;
   With.m_PrefillOnly = PrefillOnly;
+  With.m_EventsOnly = m_Plan.m_HasBegun && !PrefillOnly;
   With.m_FreshConnection = m_Plan.m_IsRetry;
   // KV memory that is handed over holds all of the prompt.
   if (m_Plan.m_FetchFrom && KvSource.empty())
@@ -321,7 +322,10 @@
   Answer.m_Status = Ending.m_Response.m_Status;
   Answer.m_Body = Ending.m_Response.m_Body;
   Answer.m_Fields = Ending.m_Response.m_Fields;
-  if (Ending.m_Outcome == relay::TryCompletion::Complete) {
+  const bool IsWhole = Ending.m_Outcome == relay::TryCompletion::Complete;
+  // Only what the target proves may be passed on as a promise.
+  const bool IsUnproven = IsWhole && isPromise(Ending.m_Status);
+  if (IsWhole && !IsUnproven) {
     release(TryOutcome::Completed, BootClock::now());
     TryEnding Told;
     Told.m_Whole = true;
@@ -345,7 +349,8 @@
     Evidence = Ending.m_WrongTarget ? TryOutcome::Failed : TryOutcome::Full;
   } else if (Ending.m_Outcome == relay::TryCompletion::NotRun) {
     Why.m_Kind = FailureKind::ConnectFailed;
-  } else if (Ending.m_Outcome == relay::TryCompletion::ErrorResponse) {
+  } else if (Ending.m_Outcome == relay::TryCompletion::ErrorResponse ||
+             IsUnproven) {
     Why.m_Kind = FailureKind::TargetError;
     // What the request asks for may be at fault; the next target will tell.
     Evidence = TryOutcome::Cancelled;
@@ -354,7 +359,7 @@
         Ending.m_InvalidResponse ? FailureKind::Malformed : FailureKind::Broken;
   }
   if (Ending.m_Outcome == relay::TryCompletion::ErrorResponse && !m_InPrefill &&
-      !isPromise(Answer.m_Status))
+      !m_Plan.m_HasBegun && !isPromise(Answer.m_Status))
     m_Failing = std::move(Answer);
   const bool MayBeCrash = Why.m_Kind == FailureKind::Broken && !NotRun;
   fail(Why, Evidence, Ending.m_Failure, MayBeCrash && m_Tokens == 0);
--- a/apps/entry/src/Try.h
+++ b/apps/entry/src/Try.h
@@ -41,6 +41,8 @@
   std::optional<http::Address> m_FetchFrom;
   std::string m_StreamId;
   std::uint64_t m_Offset = 0;
+  /// Whether the caller has part of the stream.
+  bool m_HasBegun = false;
   /// Whether the request was tried before.
   bool m_IsRetry = false;
 };
--- a/libs/relay/include/relay/relay.h
+++ b/libs/relay/include/relay/relay.h
@@ -68,6 +68,9 @@
   std::string m_KvSource; ///< `ip:port/handle` of KV memory, or empty.
   /// `ip:port` of an engine that has part of the prompt cached, or empty.
   std::string m_FetchFrom;
+  /// The receiver has the head of the stream: any response but a stream of
+  /// events is a failure.
+  bool m_EventsOnly = false;
   /// Set for a request that may have been sent before: a kept connection could
   /// repeat the answer to that try, which has the same id.
   bool m_FreshConnection = false;
@@ -128,8 +131,9 @@
 };
 
 /// Splits the bytes of a stream into complete events, whose ids must increase
-/// by one. Drops events received before; a gap in the ids is an error. An
-/// incomplete event is not forwarded.
+/// by one. Drops events received before; a gap in the ids is an error, and so
+/// is a line that is no field of an event. An incomplete event is not
+/// forwarded.
 class EventReader {
 public:
   /// \param LastEventId id of the last event that the receiver has; zero if it
--- a/libs/relay/src/Events.cpp
+++ b/libs/relay/src/Events.cpp
@@ -1,5 +1,6 @@
 #include "relay/relay.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace wasabivale::relay {
@@ -38,6 +39,33 @@
   return 0;
 }
 
+/// Whether the line is blank, a comment or a named field. Other text is not
+/// part of a stream, such as a head or a body that stands in its middle.
+bool isEventLine(std::string_view Line) {
+  if (!Line.empty() && Line.back() == '\r')
+    Line.remove_suffix(1);
+  const std::size_t Colon = Line.find(':');
+  if (Line.empty() || Colon == 0)
+    return true;
+  const auto IsNamePart = [](char Letter) {
+    return (Letter >= 'a' && Letter <= 'z') || Letter == '-';
+  };
+  return Colon != Line.npos &&
+         std::all_of(Line.begin(),
+                     Line.begin() + static_cast<std::ptrdiff_t>(Colon),
+                     IsNamePart);
+}
+
+bool hasOnlyEventLines(std::string_view Text) {
+  while (!Text.empty()) {
+    const std::size_t End = std::min(Text.find('\n'), Text.size());
+    if (!isEventLine(Text.substr(0, End)))
+      return false;
+    Text.remove_prefix(std::min(End + 1, Text.size()));
+  }
+  return true;
+}
+
 } // namespace
 
 Status EventReader::feed(std::string_view Bytes, std::vector<Event> &Events) {
@@ -52,6 +80,8 @@
     Event Next{eventId(Remaining.substr(0, End)),
                std::string(Remaining.substr(0, End))};
     Offset += End;
+    if (!hasOnlyEventLines(Next.m_Text))
+      return Error{"relay.events", "", "text in the stream is no event"};
     if (Next.m_Id != 0 && Next.m_Id <= m_LastEventId) {
       ++m_Duplicates;
       continue;
--- a/libs/relay/src/Send.cpp
+++ b/libs/relay/src/Send.cpp
@@ -32,6 +32,7 @@
   ResponseInfo m_ResponseInfo;
   int m_Status = 0;
   bool m_PrefillOnly = false; ///< The response is internal and not signed.
+  bool m_EventsOnly = false;
   bool m_IsStream = false;
   std::optional<EventReader> m_EventReader;
   std::optional<Error> m_StreamError;
@@ -154,9 +155,14 @@
   }
   Result.m_Response = valueOf(Response);
   Result.m_Response.m_Body = m_Body;
-  Result.m_Outcome = m_Status >= FirstServerError ? TryCompletion::ErrorResponse
-                                                  : TryCompletion::Complete;
-  if (Result.m_Outcome == TryCompletion::ErrorResponse)
+  Result.m_Outcome = TryCompletion::Complete;
+  if (m_Status >= FirstServerError) {
+  } else if (m_EventsOnly && !m_IsStream) {
+    Result.m_Outcome = TryCompletion::ErrorResponse;
+    Result.m_Failure = {"relay.answer", m_Peer,
+                        "the target does not go on with the stream"};
+  }
+    Result.m_Outcome = TryCompletion::ErrorResponse;
     Result.m_Failure = {"relay.answer", m_Peer,
                         "the target answered with a server error"};
   return Result;
@@ -188,6 +194,7 @@
   Outgoing.m_Deadline = Options.m_Deadline;
   Outgoing.m_AnswerBytes = MaxResponseBytes;
   Outgoing.m_FreshConnection = Options.m_FreshConnection;
+  NewTask->m_EventsOnly = Options.m_EventsOnly;
   auto NewTask = std::make_shared<Task>(
       Format, Request, http::printAddress(Address), std::move(Handlers));
   NewTask->m_PrefillOnly = Options.m_PrefillOnly;
