Send nothing to a target that says it leaves or asks for a rest

A target tells in its answers that it leaves (Server-Leaving) and, with a 503, for how long it wants no request (Retry-After). Neither was read: requests reached targets that leave long after they had said so, and targets that had asked for a rest got new requests at once.

Evidence: with the reading taken out, the scenarios "a target whose answer says that it leaves gets no new work", "a second leg does not start at a target that leaves or rests" and "a target that asks for a rest gets no request until it ends" fail.

Routing closes the incarnation of a target that leaves until it is removed or another registers, whatever later descriptions say: first and second legs, fetch sources, resumed streams and probes. A rest is a deadline of the incarnation; the longest one told counts. Choices, estimates and capacity leave such targets out. If all targets of a model rest, a request is refused at once with the time to the first end, and so is what waits here past its deadline for that. A request that is refused after its tries is told the same time.

The two share the path from an answer's head to the slot of a target and are changed together. Control is not told: the rule binds each entry by what it has passed on itself, and a restarted entry is free of it.

--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -294,7 +294,8 @@
   const routing::Capacity Room = routing::capacityFor(
       m_Shared.m_Routing,
       IsService ? routing::Kind::Service : routing::Kind::Engine,
-      IsService ? ModelId{Name.m_Value.substr(ServiceCapacity.size())} : Name);
+      IsService ? ModelId{Name.m_Value.substr(ServiceCapacity.size())} : Name,
+      Now);
   limits::Capacity Told{Room.m_FreeSlots, Room.m_Slots};
   const auto Use = m_Shared.m_Models.find(Name.m_Value);
   const std::uint32_t Unplaced =
@@ -382,6 +383,7 @@
     forgetOldLoads(m_Shared.m_Routing, Now);
   if (m_Shared.m_StopSchedule)
     refuseWaitingForStop(Now);
+  refuseWaitingForRest(Now);
   if (!m_Waiting.empty())
     pump();
 }
@@ -398,6 +400,32 @@
                             {Waiting->arrival().m_Deadline, Now, Now, true},
                             Now))
       Refused.push_back({Ticket, {Refusal::Stopping, StoppingRetryAfter}});
+  refuseWaiting(Refused, Now);
+}
+
+void DataPath::refuseWaitingForRest(TimePoint Now) {
+  if (m_Shared.m_Routing.m_Resting.empty())
+    return;
+  std::map<std::string, std::optional<TimePoint>> AdmittedAt;
+  std::vector<limits::RefusedTicket> Refused;
+  for (const auto &[Ticket, Waiting] : m_Waiting) {
+    const Arrival &Request = Waiting->arrival();
+    const auto [Found, New] =
+        AdmittedAt.try_emplace(capacityName(Request).m_Value);
+    if (New)
+      Found->second = routing::nextAdmittedAt(
+          m_Shared.m_Routing,
+          Request.isService() ? routing::Kind::Service : routing::Kind::Engine,
+          {Request.m_Model}, Now);
+    if (Found->second && *Found->second > Now &&
+        *Found->second >= Request.m_Deadline)
+      Refused.push_back({Ticket, {Refusal::NoTarget, *Found->second - Now}});
+  }
+  refuseWaiting(Refused, Now);
+}
+
+void DataPath::refuseWaiting(const std::vector<limits::RefusedTicket> &Refused,
+                             TimePoint Now) {
   for (const limits::RefusedTicket &Each : Refused)
     limits::abandon(m_Shared.m_Limits, Each.m_Ticket, Now);
   takeRefused(Refused);
--- a/apps/entry/src/DataPath.h
+++ b/apps/entry/src/DataPath.h
@@ -72,6 +72,10 @@
   void admit(const std::shared_ptr<http::Exchange> &Arrived, Arrival Asked);
   /// Refuses waiting requests that can't be answered before the process exits.
   void refuseWaitingForStop(TimePoint Now);
+  /// Refuses what would wait past its deadline for targets that rest.
+  void refuseWaitingForRest(TimePoint Now);
+  void refuseWaiting(const std::vector<limits::RefusedTicket> &Refused,
+                     TimePoint Now);
   [[nodiscard]] std::optional<Rejection> refuseAtOnce(TimePoint Now) const;
   void ensureShare(const CallerId &Caller, TimePoint Now);
   [[nodiscard]] limits::Capacity capacity(const ModelId &Name,
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -381,6 +381,13 @@
   return true;
 }
 
+Duration Serving::untilAdmitted(TimePoint Now) const {
+  const routing::Request Wanted = routingRequest();
+  const auto Next = routing::nextAdmittedAt(m_Shared.m_Routing, Wanted.m_Kind,
+                                            Wanted.m_Model, Now);
+  return Next ? *Next - Now : Duration(0);
+}
+
 void Serving::placeAt(routing::Request Wanted, TimePoint Now) {
   auto Where =
       routing::choose(m_Shared.m_Routing, Wanted, Now, m_Shared.m_Random);
@@ -471,6 +478,7 @@
   Plan.m_Choice = std::move(Where);
   Plan.m_StreamId = m_StreamId;
   Plan.m_Offset = m_Offset;
+  Plan.m_HasBegun = m_Writer->hasPassed();
   Plan.m_IsRetry = m_Tries > 1;
   TryHandlers Handlers;
   Handlers.m_OnHead = [this](int Status, const http::Fields &Fields) {
@@ -478,7 +486,6 @@
   };
   Handlers.m_MayRun = [this, Expected] {
     const TimePoint Prefilled = BootClock::now();
-  Plan.m_HasBegun = m_Writer->hasPassed();
     return !quarantinedUntil(Prefilled) &&
            mayStartBeforeStop(Expected, Prefilled);
   };
@@ -663,7 +670,7 @@
     // The target was at work until the deadline passed.
     const bool Late = m_Asked.isLate(Now);
     return giveUp(Late ? Refusal::TargetTimeout : Stop->m_Reason,
-                  Stop->m_Outcome, Ending.m_Error);
+                  Stop->m_Outcome, Ending.m_Error, untilAdmitted(Now));
   }
   if (m_CallerGone) {
     if (m_KeyGranted)
--- a/apps/entry/src/Serving.h
+++ b/apps/entry/src/Serving.h
@@ -74,6 +74,9 @@
   /// that runs them, so that the others are kept for the rest. \returns false
   /// if it was refused.
   bool isolate(routing::Request &Wanted);
+  /// Time until some target admits a request; zero if one does now, or none
+  /// ever will.
+  [[nodiscard]] Duration untilAdmitted(TimePoint Now) const;
   void send(routing::Choice Where, TimePoint Now);
   void waitUntil(TimePoint When);
   [[nodiscard]] routing::Request routingRequest() const;
--- a/apps/entry/src/Try.cpp
+++ b/apps/entry/src/Try.cpp
@@ -230,9 +230,9 @@
     if (const auto Self = Weak.lock())
       Self->takeLoad(Told);
   };
-  Handlers.m_OnRateLimit = [Weak](std::optional<double> RequestsPerSecond) {
+  Handlers.m_OnResponse = [Weak](const relay::ResponseInfo &Info) {
     if (const auto Self = Weak.lock())
-      Self->takeRateLimit(RequestsPerSecond);
+      Self->takeResponse(Info);
   };
   if (!PrefillOnly && m_For.m_Stream) {
     Handlers.m_OnHead = [Weak](int Status, const http::Fields &Fields) {
@@ -262,9 +262,25 @@
                        std::move(Handlers));
 }
 
-void Try::takeRateLimit(std::optional<double> RequestsPerSecond) {
-  if (m_Handlers.m_OnRateLimit)
-    m_Handlers.m_OnRateLimit(address(), RequestsPerSecond);
+void Try::takeResponse(const relay::ResponseInfo &Info) {
+  const TimePoint Now = BootClock::now();
+  if ((Info.m_Signed || Info.m_RequestsPerSecond) && m_Handlers.m_OnRateLimit)
+    m_Handlers.m_OnRateLimit(address(), Info.m_RequestsPerSecond);
+  if (Info.m_Leaving && routing::closeTarget(m_Tools.m_Routing, leg(), Now))
+    events::emit(events::Event::TargetSaysLeaving,
+                 {{"target", leg().m_Target},
+                  {"incarnation", leg().m_Incarnation},
+                  {"request", m_For.m_Id}});
+  if (Info.m_RestFor) {
+    routing::restTarget(m_Tools.m_Routing, leg(), Now + *Info.m_RestFor, Now);
+    events::emit(
+        events::Event::TargetRests,
+        {{"target", leg().m_Target},
+         {"request", m_For.m_Id},
+         {"for_ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(*Info.m_RestFor)
+              .count()}});
+  }
 }
 
 void Try::takeLoad(const relay::ResponseInfo::Load &Told) {
@@ -286,7 +302,7 @@
   routing::recordPrefilled(m_Tools.m_Routing, m_Plan.m_Choice.m_Try, Now);
   // The second engine may have begun to leave while the first one read, and
   // the request may have been quarantined.
-  if (!routing::acceptsNewWork(m_Tools.m_Routing, m_Plan.m_Choice.m_Run) ||
+  if (!routing::acceptsNewWork(m_Tools.m_Routing, m_Plan.m_Choice.m_Run, Now) ||
       !m_Handlers.m_MayRun()) {
     if (!failed(Read))
       m_KvHandle = valueOf(Read).m_Handle;
--- a/apps/entry/src/Try.h
+++ b/apps/entry/src/Try.h
@@ -112,7 +112,7 @@
   void startCall();
   /// Sends a plain request; \p KvSource may be empty.
   void sendPassed(std::string KvSource, bool PrefillOnly);
-  void takeRateLimit(std::optional<double> RequestsPerSecond);
+  void takeResponse(const relay::ResponseInfo &Info);
   void takeLoad(const relay::ResponseInfo::Load &Told);
   void takePassedPrefill(const relay::TryResult &Ending);
   void takePassed(const relay::TryResult &Ending);
--- a/apps/entry/tests/Shop.cpp
+++ b/apps/entry/tests/Shop.cpp
@@ -64,6 +64,10 @@
   const std::string Limit(http::field(Of, "Limit"));
   if (!Limit.empty())
     Made.m_RequestsPerSecond = std::stod(Limit);
+  Made.m_Leaving = !http::field(Of, "Leaving").empty();
+  const std::string Rest(http::field(Of, "Rest-Ms"));
+  if (!Rest.empty())
+    Made.m_RestFor = std::chrono::milliseconds(std::stoi(Rest));
   const std::string Load(http::field(Of, "Load"));
   if (!Load.empty())
     Made.m_Load = {static_cast<std::uint32_t>(std::stoul(Load)), 0, 6};
--- a/apps/entry/tests/TargetAnswersTest.cpp
+++ b/apps/entry/tests/TargetAnswersTest.cpp
@@ -129,4 +129,142 @@
     CHECK(Got.m_Status == 502);
 }
 
+SCENARIO("a target whose answer says that it leaves gets no new work") {
+  Shop On;
+  bool Leaves = true;
+  int Status = 200;
+  int AtLeaving = 0;
+  const Play Leaving = [&](const Exchange &Arrived) {
+    ++AtLeaving;
+    http::Fields Fields = stamped(Arrived);
+    if (Leaves)
+      Fields.emplace_back("Leaving", "1");
+    if (Status != 200)
+      Fields.emplace_back("Not-Run", "1");
+    Arrived->relay(Status, Fields, "three left");
+  };
+  On.add(Leaving);
+  GIVEN("it and another") {
+    On.open({answers(200, "two left")});
+    const auto Flood = [&] {
+      for (int I = 0; I < 20; ++I)
+        CHECK(On.ask("GET", "/stock/7").m_Status == 200);
+    };
+    Flood();
+    CHECK(AtLeaving <= 1);
+    AND_WHEN("the fleet still calls it serving, in newer words") {
+      const int Before = AtLeaving;
+      On.m_Fleet.mutable_targets(0)->set_generation(2);
+      On.m_Fleet.set_revision(2);
+      On.m_Fleet.mutable_routes()->set_version(2);
+      REQUIRE(On.m_Path->takeFleet(On.m_Fleet));
+      Flood();
+      THEN("it stays closed") { CHECK(AtLeaving == Before); }
+    }
+    AND_WHEN("a new incarnation registers") {
+      Leaves = false;
+      const int Before = AtLeaving;
+      On.m_Fleet.mutable_targets(0)->set_incarnation("2");
+      On.m_Fleet.set_revision(2);
+      REQUIRE(On.m_Path->takeFleet(On.m_Fleet));
+      On.m_Loop.turnFor(std::chrono::milliseconds(1100));
+      Flood();
+      THEN("it gets work") { CHECK(AtLeaving > Before); }
+    }
+  }
+  GIVEN("it alone, refusing") {
+    Status = 503;
+    On.open({});
+    CHECK(On.ask("POST", "/book/7").m_Status == 503);
+    THEN("nothing reaches it after its refusal") {
+      CHECK(AtLeaving == 1);
+      CHECK(On.ask("POST", "/book/7").m_Status == 503);
+      CHECK(AtLeaving == 1);
+    }
+  }
+}
+
+SCENARIO("a second leg does not start at a target that leaves or rests") {
+  const http::Fields LongPrompt = {{"prompt", "30000"}};
+  for (const bool Rests : {false, true}) {
+    INFO((Rests ? "rests" : "leaves"));
+    Shop On;
+    bool IsFull = false;
+    On.addEngine("prefill", [&](const Exchange &Arrived) {
+      if (Arrived->request().m_Method == "POST")
+        IsFull = true;
+      answers(200, "h1")(Arrived);
+    });
+    int AtDecode = 0;
+    On.addEngine("decode", [&](const Exchange &Arrived) {
+      ++AtDecode;
+      if (Rests)
+        return Arrived->relay(
+            503, {{"Not-Run", "1"}, {"Attempt", "r-1"}, {"Rest-Ms", "3000"}},
+            "");
+      http::Fields Head = with(Arrived, "Leaving", "1");
+      Head.emplace_back("Content-Type", "text/event-stream");
+      Arrived->startRelay(200, Head);
+      Arrived->write(eventText(1));
+      Arrived->finish();
+    });
+    On.warmUp();
+    (void)On.ask("POST", "/oracle/7", LongPrompt);
+    CHECK(AtDecode == 1);
+    const Answered Next = On.ask("POST", "/oracle/8", LongPrompt);
+    CHECK(Next.m_Status == 503);
+    CHECK(AtDecode == 1);
+  }
+}
+
+SCENARIO("a target that asks for a rest gets no request until it ends") {
+  Shop On;
+  constexpr std::chrono::milliseconds Rest{1000};
+  int AtResting = 0;
+  bool Refuses = true;
+  const Play Resting = [&](const Exchange &Arrived) {
+    ++AtResting;
+    if (!Refuses)
+      return answers(200, "three left")(Arrived);
+    http::Fields Fields = with(Arrived, "Not-Run", "1");
+    Fields.emplace_back("Rest-Ms", std::to_string(Rest.count()));
+    Arrived->relay(503, Fields, "");
+  };
+  GIVEN("it and another") {
+    On.open({Resting, answers(200, "two left")});
+    for (int I = 0; I < 30; ++I)
+      CHECK(On.ask("GET", "/stock/7").m_Status == 200);
+    THEN("the other gets all of them") { CHECK(AtResting <= 1); }
+  }
+  GIVEN("it alone") {
+    On.open({Resting});
+    const TimePoint Start = BootClock::now();
+    CHECK(On.ask("POST", "/book/7").m_Status == 503);
+    THEN("a request is refused at once, until the first target has rested") {
+      const TimePoint Sent = BootClock::now();
+      const Answered Got = On.ask("POST", "/book/7");
+      CHECK(BootClock::now() - Sent < std::chrono::milliseconds(300));
+      CHECK(Got.m_Status == 503);
+      CHECK(AtResting == 1);
+      const std::string After(http::field(Got.m_Fields, "retry-after"));
+      REQUIRE_FALSE(After.empty());
+      CHECK(std::stod(After) <= 1.0);
+      CHECK(std::stod(After) > 0.3);
+    }
+    THEN("it is served when the rest is over") {
+      Refuses = false;
+      On.m_Loop.turnFor(Rest);
+      CHECK(BootClock::now() - Start > Rest);
+      CHECK(On.ask("POST", "/book/7").m_Status == 200);
+    }
+    THEN("a new incarnation does not inherit it") {
+      Refuses = false;
+      On.m_Fleet.mutable_targets(0)->set_incarnation("2");
+      On.m_Fleet.set_revision(2);
+      REQUIRE(On.m_Path->takeFleet(On.m_Fleet));
+      CHECK(On.ask("POST", "/book/7").m_Status == 200);
+    }
+  }
+}
+
 } // namespace wasabivale::entry::test
--- a/libs/relay/include/relay/relay.h
+++ b/libs/relay/include/relay/relay.h
@@ -94,6 +94,9 @@
   /// Requests a second that the target accepts from all entries together; unset
   /// if it names no limit.
   std::optional<double> m_RequestsPerSecond;
+  bool m_Leaving = false; ///< The target is about to leave.
+  /// The target turned the request away and wants no other for this long.
+  std::optional<Duration> m_RestFor;
 };
 
 /// Result of a prefill whose KV memory the engine keeps until it is fetched.
@@ -180,8 +183,9 @@
   std::function<void(int Status, const http::Fields &)> m_OnHead;
   std::function<void(const Event &)> m_OnEvent;
   std::function<void(const ResponseInfo::Load &)> m_OnLoad; ///< Optional.
-  /// Called with the head of each response of the target itself. Optional.
-  std::function<void(std::optional<double> RequestsPerSecond)> m_OnRateLimit;
+  /// Called with the head of each response of the target itself to the
+  /// request. Optional.
+  std::function<void(const ResponseInfo &)> m_OnResponse;
   /// Called once, as the last handler; not called after `cancel`.
   std::function<void(TryResult)> m_OnEnd;
 };
--- a/libs/relay/src/Send.cpp
+++ b/libs/relay/src/Send.cpp
@@ -73,11 +73,8 @@
                    "the response does not belong to this request"});
   if (m_ResponseInfo.m_Load && m_Handlers.m_OnLoad)
     m_Handlers.m_OnLoad(*m_ResponseInfo.m_Load);
-  const bool FromTarget =
-      (m_ResponseInfo.m_Signed || m_ResponseInfo.m_RequestsPerSecond) &&
-      !m_ResponseInfo.m_WrongTarget;
-  if (FromTarget && m_Handlers.m_OnRateLimit)
-    m_Handlers.m_OnRateLimit(m_ResponseInfo.m_RequestsPerSecond);
+  if (!m_ResponseInfo.m_WrongTarget && m_Handlers.m_OnResponse)
+    m_Handlers.m_OnResponse(m_ResponseInfo);
   m_IsStream =
       isSuccess(Status) && !provesNotRun() && m_EventReader &&
       http::field(Fields, "content-type").substr(0, StreamType.size()) ==
@@ -157,14 +154,14 @@
   Result.m_Response.m_Body = m_Body;
   Result.m_Outcome = TryCompletion::Complete;
   if (m_Status >= FirstServerError) {
+    Result.m_Outcome = TryCompletion::ErrorResponse;
+    Result.m_Failure = {"relay.answer", m_Peer,
+                        "the target answered with a server error"};
   } else if (m_EventsOnly && !m_IsStream) {
     Result.m_Outcome = TryCompletion::ErrorResponse;
     Result.m_Failure = {"relay.answer", m_Peer,
                         "the target does not go on with the stream"};
   }
-    Result.m_Outcome = TryCompletion::ErrorResponse;
-    Result.m_Failure = {"relay.answer", m_Peer,
-                        "the target answered with a server error"};
   return Result;
 }
 
@@ -194,10 +191,10 @@
   Outgoing.m_Deadline = Options.m_Deadline;
   Outgoing.m_AnswerBytes = MaxResponseBytes;
   Outgoing.m_FreshConnection = Options.m_FreshConnection;
-  NewTask->m_EventsOnly = Options.m_EventsOnly;
   auto NewTask = std::make_shared<Task>(
       Format, Request, http::printAddress(Address), std::move(Handlers));
   NewTask->m_PrefillOnly = Options.m_PrefillOnly;
+  NewTask->m_EventsOnly = Options.m_EventsOnly;
   if (NewTask->m_Handlers.m_OnEvent)
     NewTask->m_EventReader.emplace(Options.m_LastEventId);
   http::ClientHandlers Callbacks;
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -336,6 +336,8 @@
   double m_PrefillBusy = 0; ///< Mean fraction of reports with pending prefill.
   TimePoint m_FullUntil;
   std::optional<RateLimit> m_RateLimit;
+  bool m_Leaving = false;   ///< Its answers say so; holds until it is removed.
+  TimePoint m_RestingUntil; ///< It asked for no requests until then.
   std::vector<WorkSample> m_History; ///< Bounded; oldest first.
   std::map<std::uint64_t, std::uint32_t> m_ByGeneration; ///< Tries in flight.
   std::array<std::uint64_t, MaxPriority + 1> m_PromptByPriority{};
@@ -438,6 +440,7 @@
   std::vector<Slot> m_Slots;
   std::vector<SlotIndex> m_FreeSlotIndexes;
   std::unordered_map<TargetId, SlotIndex> m_ByTarget;
+  std::vector<SlotIndex> m_Resting; ///< Each once; pruned by `restTarget`.
   std::array<std::unordered_map<ModelId, Pool>, 2> m_Pools; ///< By kind.
   std::unordered_map<TryId, Try> m_Tries;
   TryId m_NextTry = 1;
@@ -516,14 +519,25 @@
 
 /// Whether the incarnation that a leg was chosen for still accepts new work.
 /// The decode leg of a split starts long after its choice.
-bool acceptsNewWork(const State &Fleet, const Leg &TargetLeg);
+bool acceptsNewWork(const State &Fleet, const Leg &TargetLeg, TimePoint Now);
+
+/// Closes the incarnation of a leg for new work until it is removed, whatever
+/// its later descriptions say. Does nothing for an earlier incarnation.
+/// \returns whether it was open.
+bool closeTarget(State &Fleet, const Leg &TargetLeg, TimePoint Now);
+
+/// Sends no request to the incarnation of a leg until \p Until, or later if it
+/// has asked for that before. Does nothing for an earlier incarnation.
+void restTarget(State &Fleet, const Leg &TargetLeg, TimePoint Until,
+                TimePoint Now);
 
 /// Capacity for new work at a model's targets that is available to this entry.
 struct Capacity {
   std::uint32_t m_FreeSlots = 0; ///< Requests that this entry may start now.
   double m_Slots = 0;            ///< This entry's share of all slots.
 };
-Capacity capacityFor(const State &Fleet, Kind TargetKind, const ModelId &Model);
+Capacity capacityFor(const State &Fleet, Kind TargetKind, const ModelId &Model,
+                     TimePoint Now);
 
 /// Number of own tries in flight at a target that started under a generation
 /// below \p Generation, which a drain barrier waits for. Counts all
@@ -548,9 +562,9 @@
 void limitRate(State &Fleet, const TargetId &Id,
                std::optional<double> PerSecond, TimePoint Now);
 
-/// When the rate limits of a model's targets admit the next request of this
-/// entry; \p Now if some target has no limit or a token, nothing if none of
-/// them ever will.
+/// When the rate limits and rests of a model's targets admit the next request
+/// of this entry; \p Now if some target admits it now, nothing if none of them
+/// ever will.
 std::optional<TimePoint> nextAdmittedAt(const State &Fleet, Kind TargetKind,
                                         const ModelId &Model, TimePoint Now);
 
--- a/libs/routing/src/Choose.cpp
+++ b/libs/routing/src/Choose.cpp
@@ -52,7 +52,7 @@
   const auto &Version = Search.m_Request.m_RequiredVersion;
   return isAvoided(Search.m_Request, TargetSlot) ||
          (Version && TargetSlot.m_Target.m_SoftwareVersion != *Version) ||
-         !hasRateToken(TargetSlot, Search.m_Now);
+         !admitsNow(TargetSlot, Search.m_Now);
 }
 
 /// Whether a target that is warming up accepts this request.
@@ -67,11 +67,6 @@
          randomUnit(Search.m_Rng) < Fraction;
 }
 
-bool runsWholeRequests(const State &Fleet, const Slot &TargetSlot) {
-  return Fleet.m_Settings.m_PrefillRunsWhole ||
-         TargetSlot.m_Target.m_Role != Role::Prefill;
-}
-
 bool isDecodeOnly(const TargetSearch &Search, SlotIndex Index) {
   const auto &DecodeOnly = Search.m_Pool.m_DecodeOnly;
   return std::binary_search(DecodeOnly.begin(), DecodeOnly.end(), Index);
@@ -430,7 +425,7 @@
   const bool Serves = std::find(Models.begin(), Models.end(),
                                 Search.m_Request.m_Model) != Models.end();
   if (!isEligible(TargetSlot) || !Serves ||
-      !hasRateToken(TargetSlot, Search.m_Now) ||
+      !admitsNow(TargetSlot, Search.m_Now) ||
       TargetSlot.m_Target.m_Kind != Search.m_Request.m_Kind)
     return std::nullopt;
   return wholeRequestCandidate(Search, Found->second);
@@ -469,6 +464,11 @@
 
 } // namespace
 
+bool runsWholeRequests(const State &Fleet, const Slot &TargetSlot) {
+  return Fleet.m_Settings.m_PrefillRunsWhole ||
+         TargetSlot.m_Target.m_Role != Role::Prefill;
+}
+
 std::optional<Candidate> selectCandidate(State &Fleet, Pool &TargetPool,
                                          const Request &Req, TimePoint Now,
                                          Random &Rng, bool MayProbe) {
--- a/libs/routing/src/Fleet.cpp
+++ b/libs/routing/src/Fleet.cpp
@@ -98,6 +98,15 @@
 
 } // namespace
 
+static Slot *findIncarnation(State &Fleet, const Leg &TargetLeg) {
+  const auto Found = Fleet.m_ByTarget.find(TargetLeg.m_Target);
+  if (Found == Fleet.m_ByTarget.end())
+    return nullptr;
+  Slot &Current = Fleet.m_Slots[Found->second];
+  return Current.m_Target.m_Incarnation == TargetLeg.m_Incarnation ? &Current
+                                                                   : nullptr;
+}
+
 Pool &getPool(State &Fleet, Kind TargetKind, const ModelId &Model) {
   return Fleet.m_Pools[static_cast<std::size_t>(TargetKind)][Model];
 }
@@ -108,9 +117,13 @@
   return Found == Pools.end() ? nullptr : &Found->second;
 }
 
-bool isEligible(const Slot &TargetSlot) {
+bool isServing(const Slot &TargetSlot) {
   return TargetSlot.m_Current && TargetSlot.m_Target.m_Serving &&
-         !isEjected(TargetSlot);
+         !TargetSlot.m_Leaving;
+}
+
+bool isEligible(const Slot &TargetSlot) {
+  return isServing(TargetSlot) && !isEjected(TargetSlot);
 }
 
 /// Selects the decode-only engines of a pool. The order by hash makes all
@@ -139,7 +152,7 @@
 void addToPools(State &Fleet, SlotIndex Index) {
   const Slot &TargetSlot = Fleet.m_Slots[Index];
   const Target &TargetInfo = TargetSlot.m_Target;
-  if (!TargetSlot.m_Current || !TargetInfo.m_Serving)
+  if (!isServing(TargetSlot))
     return;
   for (const ModelId &Model : TargetInfo.m_Models) {
     Pool &TargetPool = getPool(Fleet, TargetInfo.m_Kind, Model);
@@ -211,6 +224,33 @@
   return true;
 }
 
+bool closeTarget(State &Fleet, const Leg &TargetLeg, TimePoint Now) {
+  Slot *TargetSlot = findIncarnation(Fleet, TargetLeg);
+  if (TargetSlot == nullptr || TargetSlot->m_Leaving)
+    return false;
+  const SlotIndex Index = Fleet.m_ByTarget[TargetLeg.m_Target];
+  removeFromPools(Fleet, Index);
+  TargetSlot->m_Leaving = true;
+  updateTotals(Fleet, Index);
+  readmitExcessInPools(Fleet, *TargetSlot, Now);
+  return true;
+}
+
+void restTarget(State &Fleet, const Leg &TargetLeg, TimePoint Until,
+                TimePoint Now) {
+  std::erase_if(Fleet.m_Resting, [&](SlotIndex Index) {
+    return Fleet.m_Slots[Index].m_RestingUntil <= Now;
+  });
+  Slot *TargetSlot = findIncarnation(Fleet, TargetLeg);
+  if (TargetSlot == nullptr || Until <= TargetSlot->m_RestingUntil)
+    return;
+  const SlotIndex Index = Fleet.m_ByTarget[TargetLeg.m_Target];
+  TargetSlot->m_RestingUntil = Until;
+  if (std::find(Fleet.m_Resting.begin(), Fleet.m_Resting.end(), Index) ==
+      Fleet.m_Resting.end())
+    Fleet.m_Resting.push_back(Index);
+}
+
 void removeTarget(State &Fleet, const TargetId &Id, TimePoint Now) {
   const auto Found = Fleet.m_ByTarget.find(Id);
   if (Found == Fleet.m_ByTarget.end())
--- a/libs/routing/src/Internal.h
+++ b/libs/routing/src/Internal.h
@@ -37,6 +37,8 @@
 // Fleet.cpp
 Pool &getPool(State &Fleet, Kind TargetKind, const ModelId &Model);
 Pool *findPool(State &Fleet, Kind TargetKind, const ModelId &Model);
+/// Whether the slot is in service, ejected or not.
+bool isServing(const Slot &TargetSlot);
 /// Whether new work other than a probe may be sent to the slot.
 bool isEligible(const Slot &TargetSlot);
 /// Adds the slot to, or removes it from, the lists of its pools according to
@@ -159,8 +161,8 @@
 std::uint64_t kvBlocksNeeded(const Request &Req);
 
 // RateLimits.cpp
-/// Whether the target's rate limit admits a request of this entry now.
-bool hasRateToken(const Slot &TargetSlot, TimePoint Now);
+/// Whether the target's rate limit and rest admit a request of this entry now.
+bool admitsNow(const Slot &TargetSlot, TimePoint Now);
 void takeRateToken(Slot &TargetSlot, TimePoint Now);
 
 // Choose.cpp
@@ -172,6 +174,7 @@
   CostEstimate m_CostEstimate;
   bool m_Probe = false;
 };
+bool runsWholeRequests(const State &Fleet, const Slot &TargetSlot);
 std::optional<Candidate> selectCandidate(State &Fleet, Pool &TargetPool,
                                          const Request &Req, TimePoint Now,
                                          Random &Rng, bool MayProbe);
--- a/libs/routing/src/RateLimits.cpp
+++ b/libs/routing/src/RateLimits.cpp
@@ -1,4 +1,5 @@
-// Token buckets for targets that limit their requests.
+// Token buckets for targets that limit their requests, and rests that targets
+// ask for.
 
 #include "Internal.h"
 
@@ -37,9 +38,10 @@
   Limit->m_PerSecond = *PerSecond;
 }
 
-bool hasRateToken(const Slot &TargetSlot, TimePoint Now) {
-  return !TargetSlot.m_RateLimit ||
-         tokensAt(*TargetSlot.m_RateLimit, Now) >= MaxTokens;
+bool admitsNow(const Slot &TargetSlot, TimePoint Now) {
+  return TargetSlot.m_RestingUntil <= Now &&
+         (!TargetSlot.m_RateLimit ||
+          tokensAt(*TargetSlot.m_RateLimit, Now) >= MaxTokens);
 }
 
 void takeRateToken(Slot &TargetSlot, TimePoint Now) {
@@ -49,6 +51,20 @@
   TargetSlot.m_RateLimit->m_Tokens -= MaxTokens;
 }
 
+/// When the slot admits a request, or nothing if it never will.
+static std::optional<TimePoint> admittedAt(const Slot &TargetSlot,
+                                           TimePoint Now) {
+  const TimePoint Rested = std::max(Now, TargetSlot.m_RestingUntil);
+  const auto &Limit = TargetSlot.m_RateLimit;
+  if (!Limit)
+    return Rested;
+  if (Limit->m_PerSecond <= 0)
+    return std::nullopt;
+  const double Missing = std::max(0.0, MaxTokens - tokensAt(*Limit, Now));
+  return std::max<TimePoint>(Rested,
+                             Now + fromSeconds(Missing / Limit->m_PerSecond));
+}
+
 std::optional<TimePoint> nextAdmittedAt(const State &Fleet, Kind TargetKind,
                                         const ModelId &Model, TimePoint Now) {
   const auto &Pools = Fleet.m_Pools[static_cast<std::size_t>(TargetKind)];
@@ -58,14 +74,10 @@
   std::optional<TimePoint> Next;
   for (const auto &List : Found->second.m_ByRole)
     for (const SlotIndex Index : List) {
-      const auto &Limit = Fleet.m_Slots[Index].m_RateLimit;
-      if (!Limit)
-        return Now;
-      if (Limit->m_PerSecond <= 0)
-        continue;
-      const double Missing = std::max(0.0, MaxTokens - tokensAt(*Limit, Now));
-      const TimePoint At = Now + fromSeconds(Missing / Limit->m_PerSecond);
-      Next = std::min(Next.value_or(At), At);
+      const Slot &TargetSlot = Fleet.m_Slots[Index];
+      const auto AdmittedAt = admittedAt(TargetSlot, Now);
+      if (AdmittedAt && runsWholeRequests(Fleet, TargetSlot))
+        Next = std::min(Next.value_or(*AdmittedAt), *AdmittedAt);
     }
   return Next;
 }
--- a/libs/routing/src/Tries.cpp
+++ b/libs/routing/src/Tries.cpp
@@ -183,7 +183,7 @@
   const SlotIndex PrefillSlot = Selection.m_Prefill.value_or(Selection.m_Run);
   Slot &Run = Fleet.m_Slots[Selection.m_Run];
   Slot &Prefill = Fleet.m_Slots[PrefillSlot];
-  WASABIVALE_INVARIANT(Run.m_Current && Run.m_Target.m_Serving);
+  WASABIVALE_INVARIANT(isServing(Run));
   WASABIVALE_INVARIANT(Selection.m_Probe || isEligible(Run));
   WASABIVALE_INVARIANT(!Selection.m_Prefill || isEligible(Prefill));
   const Estimate &Expected = Selection.m_CostEstimate.m_Estimate;
@@ -339,12 +339,13 @@
   return Count;
 }
 
-bool acceptsNewWork(const State &Fleet, const Leg &TargetLeg) {
+bool acceptsNewWork(const State &Fleet, const Leg &TargetLeg, TimePoint Now) {
   const auto Found = Fleet.m_ByTarget.find(TargetLeg.m_Target);
   if (Found == Fleet.m_ByTarget.end())
     return false;
-  const Target &Current = Fleet.m_Slots[Found->second].m_Target;
-  return Current.m_Serving && Current.m_Incarnation == TargetLeg.m_Incarnation;
+  const Slot &Current = Fleet.m_Slots[Found->second];
+  return isServing(Current) && Current.m_RestingUntil <= Now &&
+         Current.m_Target.m_Incarnation == TargetLeg.m_Incarnation;
 }
 
 std::optional<Health> findHealth(const State &Fleet, const TargetId &Id) {
--- a/libs/routing/src/Work.cpp
+++ b/libs/routing/src/Work.cpp
@@ -313,10 +313,25 @@
   return Sum;
 }
 
+/// Free places at targets of the model that rest.
+double restingSlots(const State &Fleet, Kind TargetKind, const ModelId &Model,
+                    TimePoint Now) {
+  double Sum = 0;
+  for (const SlotIndex Index : Fleet.m_Resting) {
+    const Slot &TargetSlot = Fleet.m_Slots[Index];
+    const auto &Models = TargetSlot.m_Target.m_Models;
+    if (TargetSlot.m_RestingUntil > Now &&
+        TargetSlot.m_Target.m_Kind == TargetKind &&
+        std::find(Models.begin(), Models.end(), Model) != Models.end())
+      Sum += static_cast<double>(TargetSlot.m_Contribution.m_Free);
+  }
+  return Sum;
+}
+
 } // namespace
 
-Capacity capacityFor(const State &Fleet, Kind TargetKind,
-                     const ModelId &Model) {
+Capacity capacityFor(const State &Fleet, Kind TargetKind, const ModelId &Model,
+                     TimePoint Now) {
   const auto &Pools = Fleet.m_Pools[static_cast<std::size_t>(TargetKind)];
   const auto Found = Pools.find(Model);
   if (Found == Pools.end())
@@ -331,6 +346,7 @@
   double Free = std::min(static_cast<double>(Sum.m_Free), Slots);
   if (TargetKind == Kind::Engine)
     Free = std::min(Free, prefillCapacity(Options, Found->second, Entries));
+  Free = std::max(0.0, Free - restingSlots(Fleet, TargetKind, Model, Now));
   return {static_cast<std::uint32_t>(Free), Max / Entries};
 }
 
--- a/libs/routing/tests/RateLimitTest.cpp
+++ b/libs/routing/tests/RateLimitTest.cpp
@@ -57,3 +57,77 @@
   }
   verify(Fleet);
 }
+
+SCENARIO("a target that rests or leaves is chosen by nobody") {
+  Random Rng(1);
+  State Fleet = makeFleet(2);
+  const Leg First{{"engine-0"}, "first", 0};
+  const Leg Second{{"engine-1"}, "first", 0};
+  const auto Count = [&](const char *Id, TimePoint Now) {
+    int Chosen = 0;
+    for (int I = 0; I < 50; ++I) {
+      auto Where = choose(Fleet, makeRequest(), Now, Rng);
+      if (failed(Where))
+        continue;
+      Chosen += valueOf(Where).m_Run.m_Target.m_Value == Id ? 1 : 0;
+      recordEnded(Fleet, valueOf(Where).m_Try, TryOutcome::Completed, Now);
+    }
+    return Chosen;
+  };
+  const auto Free = [&](TimePoint Now) {
+    return capacityFor(Fleet, Kind::Engine, Gourd, Now).m_FreeSlots;
+  };
+  GIVEN("a rest of one of two") {
+    const auto Before = Free(at(0s));
+    restTarget(Fleet, First, at(2s), at(0s));
+    restTarget(Fleet, First, at(1s), at(0s));
+    THEN("it gets nothing and has no free places until the longer one ends") {
+      CHECK(Count("engine-0", at(1500ms)) == 0);
+      CHECK(Free(at(1500ms)) < Before);
+      CHECK_FALSE(acceptsNewWork(Fleet, First, at(1500ms)));
+      CHECK(Count("engine-0", at(2s)) > 0);
+      CHECK(Free(at(2s)) == Before);
+      CHECK(acceptsNewWork(Fleet, First, at(2s)));
+    }
+    THEN("the next request is admitted by the other at once") {
+      CHECK(nextAdmittedAt(Fleet, Kind::Engine, Gourd, at(0s)) == at(0s));
+    }
+    WHEN("the other rests too") {
+      restTarget(Fleet, Second, at(3s), at(0s));
+      THEN("the next is admitted when the first rest ends") {
+        CHECK(failed(choose(Fleet, makeRequest(), at(1s), Rng)));
+        CHECK(nextAdmittedAt(Fleet, Kind::Engine, Gourd, at(1s)) == at(2s));
+        CHECK(Free(at(1s)) == 0);
+      }
+    }
+    WHEN("a new incarnation registers") {
+      Target Next = makeEngine(0, "attiki-1");
+      Next.m_Incarnation = "second";
+      updateTarget(Fleet, Next, at(100ms));
+      THEN("it does not rest") { CHECK(Count("engine-0", at(30s)) > 0); }
+      THEN("what the former one says is not its word") {
+        restTarget(Fleet, First, at(60s), at(1s));
+        CHECK_FALSE(closeTarget(Fleet, First, at(1s)));
+        CHECK(Count("engine-0", at(30s)) > 0);
+      }
+    }
+  }
+  GIVEN("one that leaves") {
+    CHECK(closeTarget(Fleet, First, at(0s)));
+    CHECK_FALSE(closeTarget(Fleet, First, at(0s)));
+    THEN("newer descriptions do not open it again") {
+      Target Later = makeEngine(0, "attiki-1");
+      Later.m_Generation = 7;
+      updateTarget(Fleet, Later, at(1s));
+      CHECK(Count("engine-0", at(60s)) == 0);
+      CHECK_FALSE(acceptsNewWork(Fleet, {{"engine-0"}, "first", 7}, at(60s)));
+    }
+    THEN("a new incarnation is open") {
+      Target Next = makeEngine(0, "attiki-1");
+      Next.m_Incarnation = "second";
+      updateTarget(Fleet, Next, at(1s));
+      CHECK(Count("engine-0", at(60s)) > 0);
+    }
+  }
+  verify(Fleet);
+}
--- a/libs/routing/tests/RoutingTest.cpp
+++ b/libs/routing/tests/RoutingTest.cpp
@@ -25,7 +25,7 @@
     }
     THEN("an older description does not reopen it") {
       CHECK_FALSE(updateTarget(Fleet, makeEngine(1), at(1s)));
-      CHECK(capacityFor(Fleet, Kind::Engine, Gourd).m_Slots == 32);
+      CHECK(capacityFor(Fleet, Kind::Engine, Gourd, at(0s)).m_Slots == 32);
     }
     THEN("a model that no target serves is refused") {
       Request Other = makeRequest();
@@ -102,29 +102,29 @@
   Random Rng(5);
   State Fleet = makeFleet(1);
   const Choice Decision = valueOf(choose(Fleet, makeRequest(), at(0s), Rng));
-  CHECK(acceptsNewWork(Fleet, Decision.m_Run));
+  CHECK(acceptsNewWork(Fleet, Decision.m_Run, at(0s)));
   GIVEN("a target that has started to drain") {
     Target Next = makeEngine(0);
     Next.m_Serving = false;
     Next.m_Generation = 1;
     updateTarget(Fleet, Next, at(1s));
-    CHECK_FALSE(acceptsNewWork(Fleet, Decision.m_Run));
+    CHECK_FALSE(acceptsNewWork(Fleet, Decision.m_Run, at(0s)));
   }
   GIVEN("a new incarnation of the target") {
     Target Next = makeEngine(0);
     Next.m_Incarnation = "second";
     updateTarget(Fleet, Next, at(1s));
-    CHECK_FALSE(acceptsNewWork(Fleet, Decision.m_Run));
+    CHECK_FALSE(acceptsNewWork(Fleet, Decision.m_Run, at(0s)));
   }
   GIVEN("a removed target") {
     removeTarget(Fleet, Decision.m_Run.m_Target, at(1s));
-    CHECK_FALSE(acceptsNewWork(Fleet, Decision.m_Run));
+    CHECK_FALSE(acceptsNewWork(Fleet, Decision.m_Run, at(0s)));
   }
   GIVEN("a higher generation of a serving target") {
     Target Next = makeEngine(0);
     Next.m_Generation = 1;
     updateTarget(Fleet, Next, at(1s));
-    CHECK(acceptsNewWork(Fleet, Decision.m_Run));
+    CHECK(acceptsNewWork(Fleet, Decision.m_Run, at(0s)));
   }
 }
 
@@ -218,7 +218,7 @@
       applyLoad(Fleet, {"engine-" + std::to_string(I)}, "first", LoadReport{},
                 at(500ms));
     THEN("the tries still count") {
-      CHECK(capacityFor(Fleet, Kind::Engine, Gourd).m_FreeSlots == 24);
+      CHECK(capacityFor(Fleet, Kind::Engine, Gourd, at(0s)).m_FreeSlots == 24);
     }
     THEN("tries that a report includes are not counted twice") {
       for (int I = 0; I < 2; ++I) {
@@ -227,7 +227,7 @@
         applyLoad(Fleet, {"engine-" + std::to_string(I)}, "first", Report,
                   at(3s));
       }
-      CHECK(capacityFor(Fleet, Kind::Engine, Gourd).m_FreeSlots == 24);
+      CHECK(capacityFor(Fleet, Kind::Engine, Gourd, at(0s)).m_FreeSlots == 24);
     }
   }
 }
@@ -237,9 +237,9 @@
   State Fleet = makeFleet(4);
   Fleet.m_Settings.m_Entries = 4;
   const auto FreeSlots = [&] {
-    return capacityFor(Fleet, Kind::Engine, Gourd).m_FreeSlots;
+    return capacityFor(Fleet, Kind::Engine, Gourd, at(0s)).m_FreeSlots;
   };
-  CHECK(capacityFor(Fleet, Kind::Engine, Gourd).m_Slots == 32);
+  CHECK(capacityFor(Fleet, Kind::Engine, Gourd, at(0s)).m_Slots == 32);
   GIVEN("other entries that use their whole share") {
     LoadReport Busy;
     Busy.m_Running = 24;
--- a/tools/experiment/src/Entries.cpp
+++ b/tools/experiment/src/Entries.cpp
@@ -50,8 +50,8 @@
 }
 
 limits::Capacity roomFor(const Entry &At, routing::Kind Kind,
-                         const ModelId &Model) {
-  routing::Capacity Room = routing::capacityFor(At.m_Routing, Kind, Model);
+                         const ModelId &Model, TimePoint Now) {
+  routing::Capacity Room = routing::capacityFor(At.m_Routing, Kind, Model, Now);
   return {Room.m_FreeSlots, Room.m_Slots};
 }
 
@@ -260,7 +260,7 @@
   Asked.m_OutputTokens = Wanted.m_ExpectedOutputTokens;
   Asked.m_Deadline = What.m_Deadline;
   Asked.m_ServiceTime = valueOf(Expected).m_Finish - In.m_Now;
-  Asked.m_Capacity = roomFor(At, kindOf(What), Asked.m_Model);
+  Asked.m_Capacity = roomFor(At, kindOf(What), Asked.m_Model, In.m_Now);
   limits::Decision Made = limits::admit(At.m_Limits, Asked, In.m_Now);
   refuseAll(In, At, Made.m_Evicted);
   if (const auto *Refused = std::get_if<limits::Refused>(&Made.m_Verdict))
@@ -327,10 +327,11 @@
 void serveQueue(World &In, std::uint32_t Number) {
   Entry &At = In.m_Entries[Number];
   refuseAll(In, At, limits::expire(At.m_Limits, In.m_Now));
-  limits::CapacityView Room = [&At](const ModelId &Model) {
+  limits::CapacityView Room = [&At, &In](const ModelId &Model) {
     bool IsService = Model.m_Value == "orders";
-    return roomFor(
-        At, IsService ? routing::Kind::Service : routing::Kind::Engine, Model);
+    return roomFor(At,
+                   IsService ? routing::Kind::Service : routing::Kind::Engine,
+                   Model, In.m_Now);
   };
   while (std::optional<limits::Ticket> Next =
              limits::nextToStart(At.m_Limits, In.m_Now, Room))
