--- a/apps/entry/src/Try.cpp
+++ b/apps/entry/src/Try.cpp
@@ -218,6 +218,7 @@
   With.m_Urgency = What->m_Urgency;
   With.m_LastEventId = m_Plan.m_Offset;
   With.m_PrefillOnly = PrefillOnly;
+  With.m_EventsOnly = m_Plan.m_HasBegun && !PrefillOnly;
   With.m_FreshConnection = m_Plan.m_IsRetry;
   // KV memory that is handed over holds all of the prompt.
   if (m_Plan.m_FetchFrom && KvSource.empty())
@@ -229,9 +230,9 @@
     if (const auto Self = Weak.lock())
       Self->takeLoad(Told);
   };
-  Handlers.m_OnRateLimit = [Weak](std::optional<double> RequestsPerSecond) {
+  Handlers.m_OnResponse = [Weak](const relay::ResponseInfo &Info) {
     if (const auto Self = Weak.lock())
-      Self->takeRateLimit(RequestsPerSecond);
+      Self->takeResponse(Info);
   };
   if (!PrefillOnly && m_For.m_Stream) {
     Handlers.m_OnHead = [Weak](int Status, const http::Fields &Fields) {
@@ -261,9 +262,25 @@
                        std::move(Handlers));
 }
 
-void Try::takeRateLimit(std::optional<double> RequestsPerSecond) {
-  if (m_Handlers.m_OnRateLimit)
-    m_Handlers.m_OnRateLimit(address(), RequestsPerSecond);
+void Try::takeResponse(const relay::ResponseInfo &Info) {
+  const TimePoint Now = BootClock::now();
+  if ((Info.m_Signed || Info.m_RequestsPerSecond) && m_Handlers.m_OnRateLimit)
+    m_Handlers.m_OnRateLimit(address(), Info.m_RequestsPerSecond);
+  if (Info.m_Leaving && routing::closeTarget(m_Tools.m_Routing, leg(), Now))
+    events::emit(events::Event::TargetSaysLeaving,
+                 {{"target", leg().m_Target},
+                  {"incarnation", leg().m_Incarnation},
+                  {"request", m_For.m_Id}});
+  if (Info.m_RestFor) {
+    routing::restTarget(m_Tools.m_Routing, leg(), Now + *Info.m_RestFor, Now);
+    events::emit(
+        events::Event::TargetRests,
+        {{"target", leg().m_Target},
+         {"request", m_For.m_Id},
+         {"for_ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(*Info.m_RestFor)
+              .count()}});
+  }
 }
 
 void Try::takeLoad(const relay::ResponseInfo::Load &Told) {
@@ -285,7 +302,7 @@
   routing::recordPrefilled(m_Tools.m_Routing, m_Plan.m_Choice.m_Try, Now);
   // The second engine may have begun to leave while the first one read, and
   // the request may have been quarantined.
-  if (!routing::acceptsNewWork(m_Tools.m_Routing, m_Plan.m_Choice.m_Run) ||
+  if (!routing::acceptsNewWork(m_Tools.m_Routing, m_Plan.m_Choice.m_Run, Now) ||
       !m_Handlers.m_MayRun()) {
     if (!failed(Read))
       m_KvHandle = valueOf(Read).m_Handle;
@@ -321,7 +338,10 @@
   Answer.m_Status = Ending.m_Response.m_Status;
   Answer.m_Body = Ending.m_Response.m_Body;
   Answer.m_Fields = Ending.m_Response.m_Fields;
-  if (Ending.m_Outcome == relay::TryCompletion::Complete) {
+  const bool IsWhole = Ending.m_Outcome == relay::TryCompletion::Complete;
+  // Only what the target proves may be passed on as a promise.
+  const bool IsUnproven = IsWhole && isPromise(Ending.m_Status);
+  if (IsWhole && !IsUnproven) {
     release(TryOutcome::Completed, BootClock::now());
     TryEnding Told;
     Told.m_Whole = true;
@@ -345,7 +365,8 @@
     Evidence = Ending.m_WrongTarget ? TryOutcome::Failed : TryOutcome::Full;
   } else if (Ending.m_Outcome == relay::TryCompletion::NotRun) {
     Why.m_Kind = FailureKind::ConnectFailed;
-  } else if (Ending.m_Outcome == relay::TryCompletion::ErrorResponse) {
+  } else if (Ending.m_Outcome == relay::TryCompletion::ErrorResponse ||
+             IsUnproven) {
     Why.m_Kind = FailureKind::TargetError;
     // What the request asks for may be at fault; the next target will tell.
     Evidence = TryOutcome::Cancelled;
@@ -354,7 +375,7 @@
         Ending.m_InvalidResponse ? FailureKind::Malformed : FailureKind::Broken;
   }
   if (Ending.m_Outcome == relay::TryCompletion::ErrorResponse && !m_InPrefill &&
-      !isPromise(Answer.m_Status))
+      !m_Plan.m_HasBegun && !isPromise(Answer.m_Status))
     m_Failing = std::move(Answer);
   const bool MayBeCrash = Why.m_Kind == FailureKind::Broken && !NotRun;
   fail(Why, Evidence, Ending.m_Failure, MayBeCrash && m_Tokens == 0);
--- a/apps/entry/src/Try.h
+++ b/apps/entry/src/Try.h
@@ -42,6 +42,8 @@
   std::optional<http::Address> m_FetchFrom;
   std::string m_StreamId;
   std::uint64_t m_Offset = 0;
+  /// Whether the caller has part of the stream.
+  bool m_HasBegun = false;
   /// Whether the request was tried before.
   bool m_IsRetry = false;
 };
@@ -112,7 +114,7 @@
   void startCall();
   /// Sends a plain request; \p KvSource may be empty.
   void sendPassed(std::string KvSource, bool PrefillOnly);
-  void takeRateLimit(std::optional<double> RequestsPerSecond);
+  void takeResponse(const relay::ResponseInfo &Info);
   void takeLoad(const relay::ResponseInfo::Load &Told);
   void takePassedPrefill(const relay::TryResult &Ending);
   void takePassed(const relay::TryResult &Ending);
--- a/libs/relay/include/relay/relay.h
+++ b/libs/relay/include/relay/relay.h
@@ -68,6 +68,9 @@
   std::string m_KvSource; ///< `ip:port/handle` of KV memory, or empty.
   /// `ip:port` of an engine that has part of the prompt cached, or empty.
   std::string m_FetchFrom;
+  /// The receiver has the head of the stream: any response but a stream of
+  /// events is a failure.
+  bool m_EventsOnly = false;
   /// Set for a request that may have been sent before: a kept connection could
   /// repeat the answer to that try, which has the same id.
   bool m_FreshConnection = false;
@@ -91,6 +94,9 @@
   /// Requests a second that the target accepts from all entries together; unset
   /// if it names no limit.
   std::optional<double> m_RequestsPerSecond;
+  bool m_Leaving = false; ///< The target is about to leave.
+  /// The target turned the request away and wants no other for this long.
+  std::optional<Duration> m_RestFor;
 };
 
 /// Result of a prefill whose KV memory the engine keeps until it is fetched.
@@ -128,8 +134,9 @@
 };
 
 /// Splits the bytes of a stream into complete events, whose ids must increase
-/// by one. Drops events received before; a gap in the ids is an error. An
-/// incomplete event is not forwarded.
+/// by one. Drops events received before; a gap in the ids is an error, and so
+/// is a line that is no field of an event. An incomplete event is not
+/// forwarded.
 class EventReader {
 public:
   /// \param LastEventId id of the last event that the receiver has; zero if it
@@ -176,8 +183,9 @@
   std::function<void(int Status, const http::Fields &)> m_OnHead;
   std::function<void(const Event &)> m_OnEvent;
   std::function<void(const ResponseInfo::Load &)> m_OnLoad; ///< Optional.
-  /// Called with the head of each response of the target itself. Optional.
-  std::function<void(std::optional<double> RequestsPerSecond)> m_OnRateLimit;
+  /// Called with the head of each response of the target itself to the
+  /// request. Optional.
+  std::function<void(const ResponseInfo &)> m_OnResponse;
   /// Called once, as the last handler; not called after `cancel`.
   std::function<void(TryResult)> m_OnEnd;
 };
