--- a/tools/fault-soak/src/Judge.cpp
+++ b/tools/fault-soak/src/Judge.cpp
@@ -325,25 +325,25 @@
       });
   if (!IsAnyCut || (!IsAtCut && !IsAtOther))
     return;
-  Window &Counted = IsAtCut ? m_AtCut : m_AtOthers;
-  ++Counted.m_Sent;
-  Counted.m_Served += !Got.m_IsBroken && Got.m_Status == Ok ? 1 : 0;
+  const std::uint64_t Served = !Got.m_IsBroken && Got.m_Status == Ok ? 1 : 0;
+  ++(IsAtCut ? m_Counts.m_SentAtCut : m_Counts.m_SentAtOthers);
+  (IsAtCut ? m_Counts.m_ServedAtCut : m_Counts.m_ServedAtOthers) += Served;
 }
 
 void Judge::checkCuts(TimePoint Now) {
   constexpr std::uint64_t FailuresAllowed = 10;
   constexpr std::uint64_t OneInAllowed = 50;
-  const std::uint64_t Failed = m_AtCut.m_Sent - m_AtCut.m_Served;
+  const std::uint64_t Failed = m_Counts.m_SentAtCut - m_Counts.m_ServedAtCut;
   // Served less than two thirds as often.
-  if (Failed > FailuresAllowed + m_AtCut.m_Sent / OneInAllowed &&
-      m_AtCut.m_Served * m_AtOthers.m_Sent * 3 <
-          m_AtOthers.m_Served * m_AtCut.m_Sent * 2)
+  if (Failed > FailuresAllowed + m_Counts.m_SentAtCut / OneInAllowed &&
+      m_Counts.m_ServedAtCut * m_Counts.m_SentAtOthers * 3 <
+          m_Counts.m_ServedAtOthers * m_Counts.m_SentAtCut * 2)
     m_Violations.push_back(
         {"RECOVER", "",
          fmt::format("entries that were cut off served {} of {} requests, the "
                      "others {} of {}",
-                     m_AtCut.m_Served, m_AtCut.m_Sent, m_AtOthers.m_Served,
-                     m_AtOthers.m_Sent),
+                     m_Counts.m_ServedAtCut, m_Counts.m_SentAtCut,
+                     m_Counts.m_ServedAtOthers, m_Counts.m_SentAtOthers),
          Now});
 }
 
--- a/tools/fault-soak/src/Judge.h
+++ b/tools/fault-soak/src/Judge.h
@@ -147,6 +147,12 @@
     std::uint64_t m_Runs = 0;
     /// Runs of requests that were sent to an entry after its SIGTERM.
     std::uint64_t m_RunsWhileStopping = 0;
+    /// Requests to entries that were cut off for a while, and to the others at
+    /// that time.
+    std::uint64_t m_SentAtCut = 0;
+    std::uint64_t m_ServedAtCut = 0;
+    std::uint64_t m_SentAtOthers = 0;
+    std::uint64_t m_ServedAtOthers = 0;
   };
   [[nodiscard]] const Counts &counts() const { return m_Counts; }
 
@@ -195,8 +201,6 @@
   std::map<std::uint64_t, Routes> m_Routes;
   std::map<std::uint64_t, TimePoint> m_Acknowledged;
   std::map<unsigned, Window> m_Windows;
-  Window m_AtCut;    ///< Requests to entries that are cut off.
-  Window m_AtOthers; ///< To the others at that time.
   std::vector<Violation> m_Violations;
 };
 
--- a/tools/fault-soak/src/Soak.cpp
+++ b/tools/fault-soak/src/Soak.cpp
@@ -452,11 +452,13 @@
   report();
   const Judge::Counts &Seen = m_Judge.counts();
   fmt::print("seed={} faults={} sent={} served={} refused={} failed={} "
-             "broken={} runs={} runs_while_stopping={} pauses={} "
-             "violations={}\n",
+             "broken={} runs={} runs_while_stopping={} served_at_cut={}/{} "
+             "served_at_others={}/{} pauses={} violations={}\n",
              m_Seed, Steps.size(), Seen.m_Sent, Seen.m_Served, Seen.m_Refused,
              Seen.m_Failed, Seen.m_Broken, Seen.m_Runs,
-             Seen.m_RunsWhileStopping, m_Pauses, m_Violations);
+             Seen.m_RunsWhileStopping, Seen.m_ServedAtCut, Seen.m_SentAtCut,
+             Seen.m_ServedAtOthers, Seen.m_SentAtOthers, m_Pauses,
+             m_Violations);
   std::fflush(stdout);
   return m_Violations;
 }
