--- a/apps/entry/src/Forward.cpp
+++ b/apps/entry/src/Forward.cpp
@@ -106,7 +106,9 @@
         {ForwardEnding::Broken{hasSent(), false, false, errorOf(Ending)}});
   if (!m_Answer)
     return finish({ForwardEnding::Broken{
-        true, true, false,
+        true,
+        true,
+        false,
         {"forward.answer", m_Peer.m_Value, "the answer has no head"}}});
   if (m_Streaming && !m_Events.isBetweenEvents())
     return finish({ForwardEnding::Broken{
