Detect at an entry that it is cut from all targets

Such an entry took its broken connections for crashed targets and blamed the requests, spent its retry budget on connections that were never made, and stayed ready.

http::Pool tells an observer of new connections, failures and bytes; TargetReach feeds libs/reach with them and probes targets for it.

- failures neither eject targets nor, where nothing was sent, spend the budget
- the entry is not ready, and asks callers to close their connections, unless another entry takes its requests (Context::m_CanForward, not set yet)
- reports tell control, which keeps it in EntryView

--- a/apps/entry/src/Context.h
+++ b/apps/entry/src/Context.h
@@ -13,6 +13,7 @@
 #include "LedgerClient.h"
 #include "RateLimits.h"
 #include "Suspects.h"
+#include "TargetReach.h"
 #include "limits/limits.h"
 #include "relay/relay.h"
 #include "retries/retries.h"
@@ -63,7 +64,10 @@
   routing::State m_Routing;
   retries::State m_Retries;
   Suspects m_Suspects{m_Loop};
-  CrashTraits m_Traits{m_Loop};
+  TargetReach m_Reach{m_Loop, m_Connections, m_Fleet, m_Metrics};
+  CrashTraits m_Traits{m_Loop, m_Reach};
+  /// Whether another entry can take this one's requests. Null: none can.
+  std::function<bool(TimePoint)> m_CanForward;
   RateLimits m_RateLimits{m_Fleet, m_Routing};
   std::map<std::string, ModelUse> m_Models; ///< By model; not services.
   /// Set once the process was asked to stop.
--- a/apps/entry/src/CrashTraits.cpp
+++ b/apps/entry/src/CrashTraits.cpp
@@ -38,17 +38,26 @@
   if (Open.m_Waiting.size() > 1)
     return;
   Open.m_Address = Address;
+  Open.m_BrokenAt = BootClock::now();
   Open.m_Start =
       std::make_unique<http::Timer>(m_Loop, ProbeDelay, false, [this, Key] {
         Probe &Started = m_Probes[Key];
         Started.m_Listener = std::make_unique<http::ListenerProbe>(
             m_Loop, Started.m_Address, BootClock::now() + ProbeTimeout,
             [this, Key](http::ListenerState State) {
-              finishProbe(Key, State == http::ListenerState::Refused);
+              takeListenerState(Key, State);
             });
       });
 }
 
+void CrashTraits::takeListenerState(const retries::CrashKey &Key,
+                                    http::ListenerState State) {
+  if (State != http::ListenerState::Refused)
+    return finishProbe(Key, false);
+  m_Reach.verify(m_Probes[Key].m_BrokenAt,
+                 [this, Key](bool IsReached) { finishProbe(Key, IsReached); });
+}
+
 void CrashTraits::finishProbe(const retries::CrashKey &Key, bool Crashed) {
   const TimePoint Now = BootClock::now();
   auto Node = m_Probes.extract(Key);
--- a/apps/entry/src/CrashTraits.h
+++ b/apps/entry/src/CrashTraits.h
@@ -5,6 +5,7 @@
 #ifndef WASABIVALE_ENTRY_CRASHTRAITS_H
 #define WASABIVALE_ENTRY_CRASHTRAITS_H
 
+#include "TargetReach.h"
 #include "http/http.h"
 #include "retries/retries.h"
 #include "wire.pb.h"
@@ -18,7 +19,8 @@
 
 class CrashTraits {
 public:
-  explicit CrashTraits(event_base *Loop) : m_Loop(Loop) {}
+  CrashTraits(event_base *Loop, TargetReach &Reach)
+      : m_Loop(Loop), m_Reach(Reach) {}
 
   [[nodiscard]] std::optional<TimePoint>
   quarantinedUntil(const retries::RequestTraits &Request, TimePoint Now) const {
@@ -37,7 +39,8 @@
   }
 
   /// Finds out whether a target's process ended while the request waited there.
-  /// \p Done gets true when it did; the crash is recorded by then.
+  /// \p Done gets true when it did; the crash is recorded by then. A target
+  /// that can't be reached while no other can is not taken for crashed.
   void probe(const TargetId &Target, const std::string &Incarnation,
              const http::Address &Address, retries::RequestTraits Request,
              std::function<void(bool Crashed)> Done);
@@ -57,6 +60,7 @@
     };
     std::vector<Waiting> m_Waiting;
     http::Address m_Address;
+    TimePoint m_BrokenAt;
     std::unique_ptr<http::Timer> m_Start;
     std::unique_ptr<http::ListenerProbe> m_Listener;
   };
@@ -66,11 +70,14 @@
     unsigned m_Grants = 0; ///< Received from control since.
   };
 
+  void takeListenerState(const retries::CrashKey &Key,
+                         http::ListenerState State);
   void finishProbe(const retries::CrashKey &Key, bool Crashed);
   void logQuarantines() const;
   void queueReport(const retries::TraitCrash &Crash, TimePoint Now);
 
   event_base *m_Loop;
+  TargetReach &m_Reach;
   retries::TraitTracker m_Tracker;
   std::map<retries::CrashKey, Probe> m_Probes;
   std::vector<Report> m_Reports; ///< The oldest first.
--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -89,6 +89,7 @@
   m_Shared.m_HoldsLease = std::move(To.m_HoldsLease);
   m_Shared.m_ReportSoon = std::move(To.m_ReportSoon);
   m_Shared.m_Dialect = To.m_Dialect;
+  m_Shared.m_Reach.onChange([this] { m_Shared.m_ReportSoon(); });
   if (Settings.m_Routes) {
     // Loads come with answers, and other engines refuse what is not theirs.
     m_Shared.m_Routing.m_Settings.m_ReportLag = Settings.m_Routes->m_ReportLag;
@@ -125,7 +126,7 @@
 void DataPath::take(const std::shared_ptr<http::Exchange> &Arrived) {
   const TimePoint Now = BootClock::now();
   const RequestId Id{randomIdentity()};
-  if (m_Shared.m_StopSchedule)
+  if (m_Shared.m_StopSchedule || sendsCallersAway())
     Arrived->closeAfterLast();
   auto Read = readArrival(Arrived->request(), m_Shared.m_Configuration,
                           {m_Shared.m_Settings.m_AllowAnonymous}, Now);
@@ -160,7 +161,7 @@
 
 void DataPath::takePassed(const std::shared_ptr<http::Exchange> &Arrived) {
   const TimePoint Now = BootClock::now();
-  if (m_Shared.m_StopSchedule)
+  if (m_Shared.m_StopSchedule || sendsCallersAway())
     Arrived->closeAfterLast();
   auto Read = readPassed(Arrived->request(), m_Shared.m_Routes,
                          *m_Shared.m_Dialect, m_Shared.m_MeanPrompts, Now);
@@ -403,6 +404,12 @@
   takeRefused(Refused);
 }
 
+bool DataPath::sendsCallersAway() const {
+  const bool CanForward =
+      m_Shared.m_CanForward && m_Shared.m_CanForward(BootClock::now());
+  return turnsCallersAway(WhileCut, m_Shared.m_Reach, CanForward);
+}
+
 bool DataPath::takeFleet(const wire::FleetUpdate &Update) {
   const TimePoint Now = BootClock::now();
   if (!Update.configuration().empty()) {
@@ -487,6 +494,7 @@
   m_Shared.m_Suspects.fillReport(Report, Now);
   m_Shared.m_Traits.fillReport(Report, Now);
   m_Shared.m_RateLimits.fillReport(Report);
+  Report.set_targets_unreachable(m_Shared.m_Reach.isCut());
   for (auto &[Name, Use] : m_Shared.m_Models) {
     if (Use.m_Demand.requests() == 0 && Use.m_Demand.output_tokens() == 0 &&
         Use.m_Demand.refused() == 0)
--- a/apps/entry/src/DataPath.h
+++ b/apps/entry/src/DataPath.h
@@ -60,6 +60,9 @@
   [[nodiscard]] const FleetView &fleet() const { return m_Shared.m_Fleet; }
   [[nodiscard]] routing::State &routing() { return m_Shared.m_Routing; }
   [[nodiscard]] const Context &context() const { return m_Shared; }
+  /// Whether callers had better come to another entry, since this one reaches
+  /// no target.
+  [[nodiscard]] bool sendsCallersAway() const;
   void updateGauges();
 
 private:
--- a/apps/entry/src/Entry.cpp
+++ b/apps/entry/src/Entry.cpp
@@ -136,6 +136,8 @@
 std::string Entry::notReady() const {
   if (m_Stop)
     return "stopping";
+  if (m_Requests->sendsCallersAway())
+    return "no target can be reached";
   if (m_Settings.m_Routes)
     return m_Control->routesVersion() == 0 ? "no routes yet" : "";
   if (!m_Control->holdsLease(BootClock::now()))
--- a/apps/entry/src/EntryMetrics.cpp
+++ b/apps/entry/src/EntryMetrics.cpp
@@ -34,6 +34,11 @@
                            "Targets seen to crash under a request")),
       m_LeaseWaits(In.counter("wasabivale_entry_lease_waits_total",
                               "Tries put off for want of a lease")),
+      m_Partitions(In.counter("wasabivale_entry_partitions_total",
+                              "Times that no target could be reached")),
+      m_ReachProbes(In.counter("wasabivale_entry_reach_probes_total",
+                               "Connections opened only to find out whether "
+                               "targets can be reached")),
       m_FirstToken(In.histogram("wasabivale_entry_first_token_seconds",
                                 "From arrival to the first token")),
       m_BetweenTokens(In.histogram("wasabivale_entry_between_tokens_seconds",
@@ -51,7 +56,9 @@
       m_Running(In.gauge("wasabivale_entry_running_requests",
                          "Requests that were started")),
       m_Paused(In.gauge("wasabivale_entry_paused_streams",
-                        "Streams that wait for a slow reader")) {
+                        "Streams that wait for a slow reader")),
+      m_TargetsUnreachable(In.gauge("wasabivale_entry_targets_unreachable",
+                                    "One while no target can be reached")) {
   // Every reason is printed from the start, with zero.
   for (std::size_t I = 0; I < refusalCount(); ++I)
     In.refusals(static_cast<Refusal>(refusalAt(I).m_Number));
--- a/apps/entry/src/EntryMetrics.h
+++ b/apps/entry/src/EntryMetrics.h
@@ -35,6 +35,8 @@
   metrics::Counter &m_DuplicatePieces;
   metrics::Counter &m_Crashes;
   metrics::Counter &m_LeaseWaits;
+  metrics::Counter &m_Partitions;
+  metrics::Counter &m_ReachProbes;
   metrics::Histogram &m_FirstToken;
   metrics::Histogram &m_BetweenTokens;
   metrics::Histogram &m_Total;
@@ -44,6 +46,7 @@
   metrics::Gauge &m_Queued;
   metrics::Gauge &m_Running;
   metrics::Gauge &m_Paused;
+  metrics::Gauge &m_TargetsUnreachable;
 };
 
 } // namespace wasabivale::entry
--- a/apps/entry/src/FleetView.cpp
+++ b/apps/entry/src/FleetView.cpp
@@ -151,6 +151,20 @@
   return Result;
 }
 
+std::vector<reach::Candidate> FleetView::serving() const {
+  std::vector<reach::Candidate> Serving;
+  std::set<std::string_view> Addresses;
+  for (const auto &[Id, Target] : m_Targets) {
+    const wire::Target &Given = Target.m_Description;
+    if (Given.state() == "serving" && Target.m_Address &&
+        Addresses.insert(Given.address()).second)
+      Serving.push_back({Given.address(),
+                         Given.models().empty() ? "" : Given.models(0),
+                         {Given.zone()}});
+  }
+  return Serving;
+}
+
 void FleetView::fillBarriers(const routing::State &Routing,
                              wire::EntryReport &Report) const {
   for (const auto &[Id, Target] : m_Targets) {
--- a/apps/entry/src/FleetView.h
+++ b/apps/entry/src/FleetView.h
@@ -7,6 +7,7 @@
 
 #include "base/base.h"
 #include "http/http.h"
+#include "reach/reach.h"
 #include "routes/routes.h"
 #include "routing/routing.h"
 #include "wire.pb.h"
@@ -50,6 +51,8 @@
   /// Entries that know the same addresses choose the same one, also while its
   /// target restarts.
   [[nodiscard]] Isolation isolation(const std::string &Service) const;
+  /// The targets that serve, one for each address.
+  [[nodiscard]] std::vector<reach::Candidate> serving() const;
   [[nodiscard]] std::size_t size() const { return m_Targets.size(); }
 
   /// Acknowledges the generation of every target that gets no new work.
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -495,7 +495,7 @@
   };
   m_Try =
       Try::start({m_Shared.m_Loop, m_Shared.m_Connections, m_Shared.m_Dialect,
-                  m_Shared.m_Routing, m_Shared.m_Metrics},
+                  m_Shared.m_Routing, m_Shared.m_Metrics, m_Shared.m_Reach},
                  m_Asked, std::move(Plan), m_Shared.m_Settings.m_Patience,
                  std::move(Handlers), Now);
 }
@@ -620,6 +620,7 @@
   Facts.m_FirstBytePassed = m_Writer->hasPassed();
   Facts.m_Resumable = m_Asked.isResumable();
   Facts.m_Offset = m_Offset;
+  Facts.m_NoTargetReached = m_Shared.m_Reach.phase() != reach::Phase::Direct;
   retries::Attempt So;
   // Callers of one service share its budget.
   So.m_Caller = lineOf(m_Asked);
--- a/apps/entry/src/Try.cpp
+++ b/apps/entry/src/Try.cpp
@@ -431,9 +431,12 @@
   const TimePoint Now = BootClock::now();
   // What ended by the caller's deadline says nothing about its target.
   const bool Late = m_For.isLate(Now);
-  release(Late && Evidence == TryOutcome::Failed ? TryOutcome::Cancelled
-                                                 : Evidence,
-          Now);
+  // Nor does what failed while no target was reached.
+  const bool IsPartitioned = m_Tools.m_Reach.phase() != reach::Phase::Direct;
+  const bool SaysNothing =
+      (Evidence == TryOutcome::Failed && (Late || IsPartitioned)) ||
+      (Evidence == TryOutcome::Stalled && IsPartitioned);
+  release(SaysNothing ? TryOutcome::Cancelled : Evidence, Now);
   TryEnding Told;
   Told.m_Failure = Why;
   Told.m_MayBeCrash = MayBeCrash && !Late;
@@ -494,6 +497,8 @@
   if (!Stalled)
     return;
   const auto Self = shared_from_this();
+  if (m_For.m_Passed)
+    m_Tools.m_Reach.recordStalled(address(), m_SilentSince);
   retries::Failure Why;
   Why.m_Kind = FailureKind::Stalled;
   Why.m_NotRunProven = m_For.m_Passed && m_InPrefill;
--- a/apps/entry/src/Try.h
+++ b/apps/entry/src/Try.h
@@ -7,6 +7,7 @@
 
 #include "Arrival.h"
 #include "EntryMetrics.h"
+#include "TargetReach.h"
 #include "retries/retries.h"
 #include "routing/routing.h"
 #include "targets/targets.h"
@@ -50,6 +51,7 @@
   const relay::Dialect *m_Dialect;
   routing::State &m_Routing;
   EntryMetrics &m_Metrics;
+  TargetReach &m_Reach;
 };
 
 struct TryHandlers {
--- a/apps/entry/tests/CutOffTest.cpp
+++ b/apps/entry/tests/CutOffTest.cpp
@@ -3,6 +3,10 @@
 #include "Shop.h"
 
 #include <algorithm>
+#include <array>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace wasabivale::entry::test {
 
@@ -22,17 +26,90 @@
     for (auto &Each : m_Targets)
       Each.reset();
   }
+
+  void listenAgain(std::size_t Index) {
+    auto Listening = http::listen(
+        m_Loop.m_Base,
+        {"127.0.0.1", static_cast<std::uint16_t>(FirstPort + Index)},
+        http::ServerLimits{}, answers(200, "three left"));
+    REQUIRE_FALSE(failed(Listening));
+    m_Targets[Index] = std::move(valueOf(Listening));
+  }
+};
+
+/// A port whose new connections are not answered: the kernel drops them, since
+/// its queue is full and nobody accepts.
+class DeafPort {
+public:
+  explicit DeafPort(std::uint16_t Port) {
+    sockaddr_in At{};
+    At.sin_family = AF_INET;
+    At.sin_port = htons(Port);
+    At.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const auto *Raw = reinterpret_cast<const sockaddr *>(&At);
+    m_Sockets[0] = socket(AF_INET, SOCK_STREAM, 0);
+    const int Yes = 1;
+    setsockopt(m_Sockets[0], SOL_SOCKET, SO_REUSEADDR, &Yes, sizeof(Yes));
+    REQUIRE(bind(m_Sockets[0], Raw, sizeof(At)) == 0);
+    REQUIRE(listen(m_Sockets[0], 0) == 0);
+    for (std::size_t I = 1; I < m_Sockets.size(); ++I) {
+      m_Sockets[I] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      (void)connect(m_Sockets[I], Raw, sizeof(At));
+    }
+  }
+  ~DeafPort() {
+    for (const int Each : m_Sockets)
+      close(Each);
+  }
+  DeafPort(const DeafPort &) = delete;
+  DeafPort &operator=(const DeafPort &) = delete;
+
+private:
+  std::array<int, 4> m_Sockets{};
 };
 
 } // namespace
 
+SCENARIO("an entry whose connections to all targets hang knows it") {
+  Shop On;
+  std::vector<std::unique_ptr<DeafPort>> Ports;
+  for (std::size_t I = 0; I < TargetCount; ++I) {
+    On.addForeign();
+    Ports.push_back(
+        std::make_unique<DeafPort>(static_cast<std::uint16_t>(FirstPort + I)));
+  }
+  REQUIRE(On.m_Path->takeFleet(On.m_Fleet));
+  const auto IsCut = [&] { return On.m_Path->context().m_Reach.isCut(); };
+  const TimePoint CutAt = BootClock::now();
+  std::vector<std::shared_ptr<Answered>> Asked;
+  while (!IsCut() && BootClock::now() - CutAt < 5s) {
+    Asked.push_back(On.start("GET", "/stock/7"));
+    On.m_Loop.turnFor(100ms);
+  }
+  CHECK(IsCut());
+  // Sound targets may all be silent for shorter than this.
+  CHECK(BootClock::now() - CutAt > 1500ms);
+  CHECK(BootClock::now() - CutAt < 2500ms);
+  CHECK(On.m_Path->context().m_Traits.crashes() == 0);
+}
+
 SCENARIO("an entry cut from all targets neither blames requests nor stays "
          "ready") {
   CutShop On;
+  const auto IsCut = [&] { return On.m_Path->context().m_Reach.isCut(); };
+  const auto Report = [&] {
+    wire::EntryReport Told;
+    On.m_Path->fillReport(Told);
+    return Told;
+  };
   GIVEN("requests that wait at each target") {
     std::vector<std::shared_ptr<Answered>> Waiting;
     for (std::size_t I = 0; I < 2 * TargetCount; ++I)
       Waiting.push_back(On.start("GET", "/stock/7"));
+    const auto HaveEnded = [&] {
+      return std::all_of(Waiting.begin(), Waiting.end(),
+                         [](const auto &Each) { return Each->m_Ended; });
+    };
     REQUIRE(
         On.m_Loop.until([&] { return On.m_Seen.size() == Waiting.size(); }));
     WHEN("all connections end, and new ones are refused") {
@@ -45,11 +122,31 @@
         });
         CHECK(On.m_Entry->notReady() == "no target can be reached");
         CHECK(BootClock::now() - CutAt < 1500ms);
-        CHECK(On.m_Loop.until([&] {
-          return std::all_of(Waiting.begin(), Waiting.end(),
-                             [](const auto &Each) { return Each->m_Ended; });
-        }));
+        CHECK(On.m_Loop.until(HaveEnded));
         CHECK(On.m_Path->context().m_Traits.crashes() == 0);
+        CHECK(Report().targets_unreachable());
+        CHECK(http::field(On.ask("GET", "/stock/7").m_Fields, "connection") ==
+              "close");
+        AND_WHEN("targets listen again") {
+          for (std::size_t I = 0; I < TargetCount; ++I)
+            On.listenAgain(I);
+          THEN("it is ready again, and no target is avoided") {
+            CHECK(On.m_Loop.until([&] { return !IsCut(); }));
+            CHECK(On.m_Entry->notReady() != "no target can be reached");
+            CHECK_FALSE(Report().targets_unreachable());
+            for (std::size_t I = 0; I < TargetCount; ++I)
+              CHECK(On.ask("GET", "/stock/7").m_Status == 200);
+          }
+        }
+      }
+    }
+    WHEN("one of the targets ends") {
+      On.m_Held.clear();
+      On.m_Targets[0].reset();
+      THEN("it counts as crashed, and the entry serves on") {
+        CHECK(On.m_Loop.until(
+            [&] { return On.m_Path->context().m_Traits.crashes() == 1; }));
+        CHECK_FALSE(IsCut());
       }
     }
   }
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -436,7 +436,8 @@
   std::uint64_t m_FleetRevision = 0;
   std::uint64_t m_ConfigurationRevision = 0;
   std::uint64_t m_RoutesVersion = 0;
-  bool m_ReportsTargets = false; ///< Has reported the load of a target.
+  bool m_ReportsTargets = false;     ///< Has reported the load of a target.
+  bool m_TargetsUnreachable = false; ///< It is partitioned from all targets.
   struct Acknowledgement {
     std::uint64_t m_Generation = 0;
     std::uint64_t m_InFlight = 0;
--- a/libs/fleet/src/Barriers.cpp
+++ b/libs/fleet/src/Barriers.cpp
@@ -45,6 +45,7 @@
   View.m_ConfigurationRevision = Report.configuration_revision();
   View.m_RoutesVersion = Report.routes_version();
   View.m_ReportsTargets |= Report.targets_size() > 0;
+  View.m_TargetsUnreachable = Report.targets_unreachable();
   View.m_Barriers.clear();
   for (const wire::BarrierState &Barrier : Report.barriers())
     View.m_Barriers[{Barrier.target()}] = {Barrier.generation(),
--- a/libs/fleet/tests/ViewTest.cpp
+++ b/libs/fleet/tests/ViewTest.cpp
@@ -28,6 +28,18 @@
   CHECK(Row["max_attempts"] == 2);
 }
 
+TEST_CASE("the leader records which entries reach no target") {
+  ObservedState Observed;
+  const TimePoint Now(std::chrono::seconds(100));
+  for (const bool IsCut : {true, false}) {
+    wire::EntryReport Report;
+    Report.set_targets_unreachable(IsCut);
+    recordEntryReport(Observed, {"entry-1"}, 1, Report, Now,
+                      Now + std::chrono::seconds(3));
+    CHECK(Observed.m_Entries.at({"entry-1"}).m_TargetsUnreachable == IsCut);
+  }
+}
+
 TEST_CASE("the leader records which routes an entry has applied") {
   ObservedState Observed;
   wire::EntryReport Report;
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -226,6 +226,18 @@
   std::chrono::milliseconds m_Unacknowledged{1'000};
 };
 
+/// What the calls of a pool learn of connections. All are called from within
+/// the pool and must not use it.
+struct PoolObserver {
+  /// A new connection was made.
+  std::function<void(const Address &)> m_OnConnected;
+  /// A connection could not be made, or broke under a call; nothing was
+  /// received on it since \p SilentSince.
+  std::function<void(const Address &, TimePoint SilentSince)> m_OnFailure;
+  /// Bytes of an answer have arrived.
+  std::function<void()> m_OnReceived;
+};
+
 /// Kept connections to servers: at most one request at a time on each. A
 /// connection is kept only after a whole answer with nothing behind it, and
 /// once the whole request has been written.
@@ -240,6 +252,8 @@
   /// \param Repeatable false: only a connection that was used just now.
   std::shared_ptr<ClientCall> call(ClientRequest What, ClientHandlers Handlers,
                                    bool Repeatable);
+  /// Replaces the observer; an empty one ends the observation.
+  void observe(PoolObserver Observer);
   /// Closes the idle connections to a server that is not used any longer.
   void forget(const Address &Server);
   [[nodiscard]] std::size_t idle() const;
@@ -254,7 +268,8 @@
 enum class ListenerState : std::uint8_t {
   Listening, ///< The connection was made; it is closed again.
   Refused,   ///< The peer's kernel answers that nobody listens.
-  Unknown,   ///< No answer in time, or another error.
+  Failed,    ///< Another error, such as a reset.
+  Unknown,   ///< No answer in time.
 };
 
 /// Finds out whether a process listens on an address, without sending anything
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -63,8 +63,11 @@
     const std::optional<evhttp_cmd_type> Method = methodOf(m_What.m_Method);
     if (!Method)
       return failSoon();
+    m_HeardAt = BootClock::now();
+    const std::uint64_t Opened = m_Pool == nullptr ? 0 : m_Pool->m_Opened;
     m_Connection = m_Pool == nullptr ? openConnection(m_Loop, m_What.m_To)
                                      : m_Pool->take(m_What.m_To, m_Repeatable);
+    m_IsNew = m_Pool != nullptr && m_Pool->m_Opened != Opened;
     bufferevent *Buffer = evhttp_connection_get_bufferevent(m_Connection);
     m_Output = evbuffer_add_cb(bufferevent_get_output(Buffer), onOutput, this);
     m_Input = evbuffer_add_cb(bufferevent_get_input(Buffer), onInput, this);
@@ -101,8 +104,10 @@
       return failSoon();
     if (m_Pool != nullptr)
       m_Connecting.emplace(m_Loop, m_Pool->m_Settings.m_Connect, false, [this] {
-        if (!m_HasSent)
-          end("no connection in time");
+        if (m_HasSent)
+          return;
+        recordFailure();
+        end("no connection in time");
       });
   }
 
@@ -129,7 +134,11 @@
 private:
   void failSoon() {
     m_FailedAtStart.emplace(m_Loop, std::chrono::milliseconds(0), false,
-                            [this] { end("the connection failed"); });
+                            [this] {
+                              if (m_Connection != nullptr)
+                                recordFailure();
+                              end("the connection failed");
+                            });
   }
 
   void unwatch() {
@@ -144,9 +153,11 @@
 
   /// evhttp bounds heads and bodies, but not the line that states a chunk's
   /// size.
-  static void onInput(evbuffer *Buffer, const evbuffer_cb_info *,
+  static void onInput(evbuffer *Buffer, const evbuffer_cb_info *Info,
                       void *Argument) {
     auto &Self = *static_cast<ClientCallState *>(Argument);
+    if (Info->n_added > 0)
+      Self.recordReceived();
     if (Self.m_Ended || Self.m_TooLong ||
         evbuffer_get_length(Buffer) <=
             Self.m_What.m_AnswerBytes + Self.m_What.m_HeadBytes)
@@ -161,8 +172,24 @@
     if (Info->n_deleted == 0 || Self.m_HasSent)
       return;
     Self.m_HasSent = true;
-    if (Self.m_Pool != nullptr)
-      Self.m_Pool->watchSilence(Self.m_Connection);
+    if (Self.m_Pool == nullptr)
+      return;
+    Self.m_Pool->watchSilence(Self.m_Connection);
+    if (Self.m_IsNew && Self.m_Pool->m_Observer.m_OnConnected)
+      Self.m_Pool->m_Observer.m_OnConnected(Self.m_What.m_To);
+  }
+
+  void recordReceived() {
+    if (m_Pool == nullptr)
+      return;
+    m_HeardAt = BootClock::now();
+    if (m_Pool->m_Observer.m_OnReceived)
+      m_Pool->m_Observer.m_OnReceived();
+  }
+
+  void recordFailure() const {
+    if (m_Pool != nullptr && m_Pool->m_Observer.m_OnFailure)
+      m_Pool->m_Observer.m_OnFailure(m_What.m_To, m_HeardAt);
   }
 
   static int onHead(evhttp_request *Raw, void *Argument) {
@@ -214,12 +241,17 @@
   }
 
   static void onError(evhttp_request_error Kind, void *Argument) {
-    static_cast<ClientCallState *>(Argument)->m_ErrorText = textOf(Kind);
+    auto &Self = *static_cast<ClientCallState *>(Argument);
+    Self.m_ErrorText = textOf(Kind);
+    Self.m_IsPeerError =
+        Kind == EVREQ_HTTP_INVALID_HEADER || Kind == EVREQ_HTTP_DATA_TOO_LONG;
   }
 
   static void onComplete(evhttp_request *Raw, void *Argument) {
     auto &Self = *static_cast<ClientCallState *>(Argument);
     if (Raw == nullptr || evhttp_request_get_response_code(Raw) == 0) {
+      if (!Self.m_Ended && !Self.m_IsPeerError)
+        Self.recordFailure();
       Self.end(Self.m_ErrorText);
       return;
     }
@@ -285,6 +317,9 @@
   evbuffer_cb_entry *m_Input = nullptr;
   std::shared_ptr<ClientCallState> m_Self;
   std::size_t m_PassedOn = 0; ///< Bytes of the body given to `m_OnChunk`.
+  TimePoint m_HeardAt;        ///< Newest bytes received, or the start.
+  bool m_IsNew = false;       ///< The connection was opened for this call.
+  bool m_IsPeerError = false; ///< The peer's bytes are at fault.
   bool m_InCallback = false;
   bool m_HasSent = false;
   bool m_IsWhole = false;
--- a/libs/http/src/ListenerProbe.cpp
+++ b/libs/http/src/ListenerProbe.cpp
@@ -34,7 +34,7 @@
   }
 
   static void onEvent(bufferevent *Buffer, short What, void *Argument) {
-    ListenerState Found = ListenerState::Unknown;
+    ListenerState Found = ListenerState::Failed;
     if ((What & BEV_EVENT_CONNECTED) != 0)
       Found = ListenerState::Listening;
     else if (EVUTIL_SOCKET_ERROR() == ECONNREFUSED)
@@ -65,7 +65,7 @@
                                  reinterpret_cast<const sockaddr *>(&Peer),
                                  sizeof(Peer)) == 0;
   if (!Started)
-    Open.finish(Loop, ListenerState::Unknown);
+    Open.finish(Loop, ListenerState::Failed);
 }
 
 ListenerProbe::~ListenerProbe() = default;
--- a/libs/http/src/Pool.cpp
+++ b/libs/http/src/Pool.cpp
@@ -173,6 +173,10 @@
 
 Pool::~Pool() = default;
 
+void Pool::observe(PoolObserver Observer) {
+  m_State->m_Observer = std::move(Observer);
+}
+
 void Pool::forget(const Address &Server) {
   const auto Found = m_State->m_Idle.find(printAddress(Server));
   if (Found == m_State->m_Idle.end())
--- a/libs/http/tests/PoolTest.cpp
+++ b/libs/http/tests/PoolTest.cpp
@@ -263,6 +263,48 @@
   }
 }
 
+TEST_CASE("a pool tells its observer of connections") {
+  const Stage On;
+  Pool Through(On.m_Loop, {});
+  int Connected = 0;
+  int Received = 0;
+  std::vector<TimePoint> Failures;
+  Through.observe({[&](const Address &) { ++Connected; },
+                   [&](const Address &Peer, TimePoint SilentSince) {
+                     CHECK(Peer == Address{"127.0.0.1", Port});
+                     Failures.push_back(SilentSince);
+                   },
+                   [&] { ++Received; }});
+  const std::string Answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  {
+    const std::string Short = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n!";
+    RawServer Server(On.m_Loop, {Answer, Answer, Short});
+    (void)On.ask(Through);
+    CHECK(Connected == 1);
+    CHECK(Received == 1);
+    SECTION("a kept one is not new") {
+      (void)On.ask(Through);
+      CHECK(Connected == 1);
+      CHECK(Received == 2);
+      CHECK(Failures.empty());
+      SECTION("and fails when it ends before the answer") {
+        const TimePoint Sent = BootClock::now();
+        (void)On.ask(Through);
+        REQUIRE(Failures.size() == 1);
+        // Its first bytes were heard.
+        CHECK(Failures[0] >= Sent);
+        CHECK(Failures[0] <= BootClock::now());
+      }
+    }
+  }
+  SECTION("one that is refused fails") {
+    Through.forget({"127.0.0.1", Port});
+    CHECK(failed(On.ask(Through)));
+    CHECK(Connected == 1);
+    CHECK(Failures.size() == 1);
+  }
+}
+
 TEST_CASE("a probe tells whether a process listens") {
   event_base *Loop = event_base_new();
   {
--- a/libs/reach/include/reach/reach.h
+++ b/libs/reach/include/reach/reach.h
@@ -122,7 +122,8 @@
                    TimePoint SilentSince, TimePoint Now);
 
 /// Asks for a suspicion without waiting for failures, for a caller that needs
-/// to know; nothing happens unless the entry is direct. See `isProbing`.
+/// to know. `isProbing` turns false once `takeProbes` and the results of its
+/// probes have decided; only a direct entry is probed for it.
 void requestProbes(State &Entry);
 
 /// Starts a suspicion or the next round of probes if one is due. \returns the
--- a/libs/reach/src/Reach.cpp
+++ b/libs/reach/src/Reach.cpp
@@ -203,8 +203,7 @@
 }
 
 void requestProbes(State &Entry) {
-  if (Entry.m_Phase == Phase::Direct && Entry.m_ServingCount >= FewestTargets)
-    Entry.m_IsProbingDue = true;
+  Entry.m_IsProbingDue = Entry.m_Phase == Phase::Direct;
 }
 
 std::vector<std::string>
--- a/libs/retries/include/retries/retries.h
+++ b/libs/retries/include/retries/retries.h
@@ -78,6 +78,9 @@
   bool m_FirstBytePassed = false; ///< The caller received part of the answer.
   bool m_Resumable = false;       ///< A target can continue from an offset.
   std::uint64_t m_Offset = 0;     ///< Tokens forwarded to the caller.
+  /// This entry reaches no target. A try that has sent nothing adds no load
+  /// then, and its retry is not charged.
+  bool m_NoTargetReached = false;
 };
 
 /// Repeat the request from the start.
--- a/libs/retries/src/RetryDecision.cpp
+++ b/libs/retries/src/RetryDecision.cpp
@@ -160,7 +160,8 @@
       Now + backoff(Entry.m_Settings, Request.m_Tries, Rng);
   if (StartTime + Request.m_ServiceTime > Request.m_Deadline)
     return giveUp(Refusal::CannotMeetDeadline, MayHaveRun);
-  if (!chargeRetry(Entry, Request))
+  const bool IsCharged = !Facts.m_NoTargetReached || Facts.m_BytesSent;
+  if (IsCharged && !chargeRetry(Entry, Request))
     return giveUp(Refusal::RetryBudgetSpent, MayHaveRun);
   WASABIVALE_INVARIANT(!(Request.m_NotRepeatable && MayHaveRun));
   if (Facts.m_FirstBytePassed)
--- a/libs/retries/tests/RetryDecisionTest.cpp
+++ b/libs/retries/tests/RetryDecisionTest.cpp
@@ -176,6 +176,17 @@
       Other.m_Target = {"engine-2"};
       CHECK(IsRetried(Other));
     }
+    THEN("an entry that reaches no target retries what was not sent") {
+      Failure Unsent{FailureKind::ConnectFailed, true, false};
+      const auto Next = [&] {
+        return decide(Entry, attempt(), Unsent, at(0s), Rng);
+      };
+      CHECK(std::holds_alternative<GiveUp>(Next()));
+      Unsent.m_NoTargetReached = true;
+      CHECK(std::holds_alternative<RetryAt>(Next()));
+      Unsent.m_BytesSent = true;
+      CHECK(std::holds_alternative<GiveUp>(Next()));
+    }
     THEN("five successes earn one more retry") {
       for (int I = 0; I < 5; ++I)
         recordSuccess(Entry, {"carver"}, {"engine-1"});
