--- a/apps/entry/tests/CutOffTest.cpp
+++ b/apps/entry/tests/CutOffTest.cpp
@@ -3,6 +3,10 @@
 #include "Shop.h"
 
 #include <algorithm>
+#include <array>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace wasabivale::entry::test {
 
@@ -33,8 +37,62 @@
   }
 };
 
+/// A port whose new connections are not answered: the kernel drops them, since
+/// its queue is full and nobody accepts.
+class DeafPort {
+public:
+  explicit DeafPort(std::uint16_t Port) {
+    sockaddr_in At{};
+    At.sin_family = AF_INET;
+    At.sin_port = htons(Port);
+    At.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const auto *Raw = reinterpret_cast<const sockaddr *>(&At);
+    m_Sockets[0] = socket(AF_INET, SOCK_STREAM, 0);
+    const int Yes = 1;
+    setsockopt(m_Sockets[0], SOL_SOCKET, SO_REUSEADDR, &Yes, sizeof(Yes));
+    REQUIRE(bind(m_Sockets[0], Raw, sizeof(At)) == 0);
+    REQUIRE(listen(m_Sockets[0], 0) == 0);
+    for (std::size_t I = 1; I < m_Sockets.size(); ++I) {
+      m_Sockets[I] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      (void)connect(m_Sockets[I], Raw, sizeof(At));
+    }
+  }
+  ~DeafPort() {
+    for (const int Each : m_Sockets)
+      close(Each);
+  }
+  DeafPort(const DeafPort &) = delete;
+  DeafPort &operator=(const DeafPort &) = delete;
+
+private:
+  std::array<int, 4> m_Sockets{};
+};
+
 } // namespace
 
+SCENARIO("an entry whose connections to all targets hang knows it") {
+  Shop On;
+  std::vector<std::unique_ptr<DeafPort>> Ports;
+  for (std::size_t I = 0; I < TargetCount; ++I) {
+    On.addForeign();
+    Ports.push_back(
+        std::make_unique<DeafPort>(static_cast<std::uint16_t>(FirstPort + I)));
+  }
+  REQUIRE(On.m_Path->takeFleet(On.m_Fleet));
+  const auto IsCut = [&] { return On.m_Path->context().m_Reach.isCut(); };
+  const TimePoint CutAt = BootClock::now();
+  std::vector<std::shared_ptr<Answered>> Asked;
+  while (!IsCut() && BootClock::now() - CutAt < 5s) {
+    Asked.push_back(On.start("GET", "/stock/7"));
+    On.m_Loop.turnFor(100ms);
+  }
+  CHECK(IsCut());
+  // Sound targets may all be silent for shorter than this.
+  CHECK(BootClock::now() - CutAt > 1500ms);
+  CHECK(BootClock::now() - CutAt < 2500ms);
+  CHECK(On.m_Path->context().m_Traits.crashes() == 0);
+}
+
 SCENARIO("an entry cut from all targets neither blames requests nor stays "
          "ready") {
   CutShop On;
--- a/libs/http/tests/PoolTest.cpp
+++ b/libs/http/tests/PoolTest.cpp
@@ -331,7 +331,8 @@
                    [&] { ++Received; }});
   const std::string Answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
   {
-    RawServer Server(On.m_Loop, {Answer, Answer, "!"});
+    const std::string Short = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n!";
+    RawServer Server(On.m_Loop, {Answer, Answer, Short});
     (void)On.ask(Through);
     CHECK(Connected == 1);
     CHECK(Received == 1);
@@ -344,6 +345,7 @@
         const TimePoint Sent = BootClock::now();
         (void)On.ask(Through);
         REQUIRE(Failures.size() == 1);
+        // Its first bytes were heard.
         CHECK(Failures[0] >= Sent);
         CHECK(Failures[0] <= BootClock::now());
       }
