Forward what reaches no target, and keep the versions of forwarded streams

A caller's resume on a route with several services was placed by its own id, so that it could go on at another service; it goes by the first attempt's id now. Test: 'a resumed stream does not go on at another service of its route'.

--- a/apps/entry/src/Context.h
+++ b/apps/entry/src/Context.h
@@ -42,7 +42,8 @@
   Context(event_base *Loop, const EntrySettings &Settings,
           EntryMetrics &Metrics, LedgerClient &Ledger)
       : m_Loop(Loop), m_Settings(Settings), m_Metrics(Metrics),
-        m_Ledger(Ledger), m_Connections(Loop, http::PoolSettings{}) {}
+        m_Ledger(Ledger), m_Connections(Loop, http::PoolSettings{}),
+        m_PeerConnections(Loop, http::PoolSettings{}) {}
 
   event_base *m_Loop;
   const EntrySettings &m_Settings;
@@ -55,7 +56,8 @@
 
   /// How plain requests are passed on; null where none are taken.
   const relay::Dialect *m_Dialect = nullptr;
-  http::Pool m_Connections;
+  http::Pool m_Connections;     ///< To targets.
+  http::Pool m_PeerConnections; ///< To other entries.
   routes::Index m_Routes;
   MeanPrompts m_MeanPrompts;
 
--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -94,6 +94,9 @@
   m_Shared.m_Dialect = To.m_Dialect;
   m_Shared.m_StreamVersions.setControl(std::move(To.m_Control));
   m_Shared.m_Reach.onChange([this] { m_Shared.m_ReportSoon(); });
+  m_Shared.m_CanForward = [this](TimePoint Now) {
+    return m_Shared.m_ForwardPeers.has({}, Now);
+  };
   if (Settings.m_Routes) {
     // Loads come with answers, and other engines refuse what is not theirs.
     m_Shared.m_Routing.m_Settings.m_ReportLag = Settings.m_Routes->m_ReportLag;
--- a/apps/entry/src/Passed.cpp
+++ b/apps/entry/src/Passed.cpp
@@ -81,7 +81,10 @@
     Asked.m_Deadline = std::min(Asked.m_Deadline, Forwarded->m_Deadline);
   Asked.m_Forwarded = Forwarded;
   Asked.m_NotRepeatable = !Route->isRepeatable();
-  Asked.m_Model = routes::pickService(*Route, hashBytes(Ask.m_Id));
+  // A resumed stream stays with the service that began it.
+  const bool IsResumed = Ask.m_LastEventId > 0 && !Ask.m_FirstAttempt.empty();
+  Asked.m_Model = routes::pickService(
+      *Route, hashBytes(IsResumed ? Ask.m_FirstAttempt : Ask.m_Id));
   const auto Service = By.table().m_Services.find(Asked.m_Model);
   Made->m_ForEngine = Service != By.table().m_Services.end() &&
                       Service->second.m_KvCapacityTokens > 0;
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -662,14 +662,15 @@
   if (MaxRuns != 0 && m_Runs >= MaxRuns)
     return false;
   if (m_Shared.m_StopSchedule && !m_Writer->hasPassed() &&
-      !shutdown::mayStart(*m_Shared.m_StopSchedule,
-                          {m_Asked.m_Deadline, Now, Now, m_Started}, Now))
+      !shutdown::mayStart(
+          *m_Shared.m_StopSchedule,
+          {m_Asked.m_Deadline, Now, m_Asked.m_Deadline, m_Started}, Now))
     return false;
   return m_Shared.m_ForwardPeers.has(m_UsedPeers, Now);
 }
 
 bool Serving::reachesNoTarget() const {
-  return m_Unreached.size() >= UnreachedTargets;
+  return m_Shared.m_Reach.isCut() || m_Unreached.size() >= UnreachedTargets;
 }
 
 bool Serving::mustForward(TimePoint Now) const {
@@ -713,9 +714,16 @@
   Origin.m_Deadline = m_Asked.m_Deadline;
   Origin.m_LastEventId = m_Offset;
   Origin.m_RequiredVersion = m_StreamVersion;
+  if (!m_StreamVersion && isRecorded())
+    Origin.m_RequiredVersion =
+        m_Offset > 0 ? m_Shared.m_StreamVersions.knownVersion(m_Stream)
+                     : m_Shared.m_StreamVersions.reportedVersion(m_Stream);
   ForwardHandlers Handlers;
   Handlers.m_OnHead = [this](int Status, const ForwardedAnswer &Answer) {
     m_TargetVersion = Answer.m_Version;
+    if (isRecorded())
+      m_Shared.m_StreamVersions.recordSent(m_Stream, m_Asked.m_Model,
+                                           m_TargetVersion, BootClock::now());
     m_Writer->head(Status, Answer.m_Fields, m_TargetVersion);
   };
   Handlers.m_OnEvent = [this](const relay::Event &Got) {
@@ -727,7 +735,7 @@
       Self->takeForwardEnding(Ending);
   };
   m_Forward = Forward::start(
-      m_Shared.m_Connections, *To, m_Caller->request(), m_Asked, Origin,
+      m_Shared.m_PeerConnections, *To, m_Caller->request(), m_Asked, Origin,
       forwardPatience(m_Asked, m_Shared.m_Settings.m_Patience),
       std::move(Handlers), Now);
 }
--- a/apps/entry/src/StreamVersions.cpp
+++ b/apps/entry/src/StreamVersions.cpp
@@ -118,6 +118,14 @@
   return Found->second.m_Version;
 }
 
+std::optional<std::string>
+StreamVersions::knownVersion(StreamKey Stream) const {
+  const auto Found = m_Streams.find(Stream);
+  if (Found == m_Streams.end())
+    return std::nullopt;
+  return Found->second.m_Version;
+}
+
 void StreamVersions::report(StreamKey Stream, Row &Record, TimePoint Now) {
   Record.m_IsReported = true;
   Record.m_NextReport = Now + RepeatInterval;
--- a/apps/entry/tests/ForwardTest.cpp
+++ b/apps/entry/tests/ForwardTest.cpp
@@ -60,7 +60,7 @@
     Each.set_address(fmt::format("127.0.0.1:{}", Port));
   }
   Grant.set_forward_peers_revision(++Revision);
-  Entry.takeGrant(Grant, TimePoint::max());
+  Entry.takeGrant(Grant, BootClock::now() + std::chrono::seconds(2));
 }
 
 /// What arrives at a scripted peer.
--- a/apps/entry/tests/PassedTest.cpp
+++ b/apps/entry/tests/PassedTest.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
+#include <set>
 
 namespace wasabivale::entry::test {
 
@@ -344,6 +345,36 @@
   }
 }
 
+SCENARIO("a resumed stream does not go on at another service of its route") {
+  Shop On;
+  On.add(streams(3, true));
+  On.add(streams(3, true)).set_models(0, "desk-2");
+  wire::RouteTable &Table = *On.m_Fleet.mutable_routes();
+  Table.add_services()->set_name("desk-2");
+  for (wire::Route &Each : *Table.mutable_routes())
+    if (Each.name() == "note") {
+      wire::ServiceShare &Other = *Each.add_services();
+      Other.set_service("desk-2");
+      Other.set_weight(1);
+    }
+  On.warmUp();
+  On.grant();
+  const auto TargetOf = [&](http::Fields Fields) {
+    CHECK(On.ask("POST", "/note/7", std::move(Fields)).m_Status == 200);
+    return std::string(http::field(On.m_Seen.back().m_Fields, "only"));
+  };
+  std::set<std::string> Began;
+  for (int I = 0; I < 12; ++I) {
+    const std::string First = fmt::format("first-{}", I);
+    const std::string Target = TargetOf({{"Attempt", First}});
+    Began.insert(Target);
+    CHECK(TargetOf({{"Attempt", fmt::format("again-{}", I)},
+                    {"Resumes", First},
+                    {"Seen", "1"}}) == Target);
+  }
+  CHECK(Began.size() == 2);
+}
+
 SCENARIO("a stream does not go on at another software version") {
   Shop On;
   std::vector<std::string> Ran; // Versions, in the order of the runs.
