--- a/apps/entry/tests/ForwardTest.cpp
+++ b/apps/entry/tests/ForwardTest.cpp
@@ -15,7 +15,6 @@
 
 constexpr std::uint16_t PeerPort = 21950;
 constexpr std::uint16_t PeerForwardPort = 21951;
-constexpr std::uint16_t CutForwardPort = 21952;
 constexpr std::uint16_t FirstFakePort = 21953;
 /// Nobody listens from here on.
 constexpr std::uint16_t FirstDeadPort = 21970;
