--- a/apps/entry/src/Passed.cpp
+++ b/apps/entry/src/Passed.cpp
@@ -66,12 +66,16 @@
   if (Route == nullptr)
     return notRun(Refusal::UnknownPath, "routes.find");
   Made->m_Route = *Route;
-  Made->m_Urgency = urgencyOf(*Route, Ask.m_PromptTokens, Means);
+  // Its caller has part of the answer, and little of its time is left.
+  const bool IsResumed = Route->m_Resumable && Ask.m_LastEventId > 0;
+  Made->m_Urgency =
+      IsResumed ? 0 : urgencyOf(*Route, Ask.m_PromptTokens, Means);
   Arrival Asked;
   Asked.m_Id = {Ask.m_Id};
   Asked.m_Api = Api::Passed;
   Asked.m_Caller = {Route->m_Name};
-  Asked.m_Priority = priorityOf(Route->m_Rank);
+  Asked.m_Priority =
+      IsResumed ? routing::MaxPriority : priorityOf(Route->m_Rank);
   Asked.m_At = Now;
   Asked.m_Deadline = Now + Route->m_Timeout;
   if (Ask.m_CallerTimeout)
@@ -82,9 +86,9 @@
   Asked.m_Forwarded = Forwarded;
   Asked.m_NotRepeatable = !Route->isRepeatable();
   // A resumed stream stays with the service that began it.
-  const bool IsResumed = Ask.m_LastEventId > 0 && !Ask.m_FirstAttempt.empty();
+  const bool HasFirst = IsResumed && !Ask.m_FirstAttempt.empty();
   Asked.m_Model = routes::pickService(
-      *Route, hashBytes(IsResumed ? Ask.m_FirstAttempt : Ask.m_Id));
+      *Route, hashBytes(HasFirst ? Ask.m_FirstAttempt : Ask.m_Id));
   const auto Service = By.table().m_Services.find(Asked.m_Model);
   Made->m_ForEngine = Service != By.table().m_Services.end() &&
                       Service->second.m_KvCapacityTokens > 0;
--- a/apps/entry/tests/PassedTest.cpp
+++ b/apps/entry/tests/PassedTest.cpp
@@ -533,6 +533,40 @@
   CHECK(urgencyOf(Patient, 40'000, Means) > urgencyOf(Urgent, 500, Means));
 }
 
+TEST_CASE("a resumed stream is not refused for new ones that wait") {
+  routes::Table Table;
+  Table.m_Version = 1;
+  for (const bool Resumable : {true, false}) {
+    routes::Route &Added = Table.m_Routes.emplace_back();
+    Added.m_Name = Resumable ? "note" : "advice";
+    Added.m_Host = "shop.example";
+    Added.m_PathPrefix = "/" + Added.m_Name + "/";
+    Added.m_Kind = routes::Kind::Streaming;
+    Added.m_Timeout = std::chrono::seconds(2);
+    Added.m_Rank = 2;
+    Added.m_Resumable = Resumable;
+    Added.m_Services = {{"desk", 1}};
+  }
+  const routes::Index Routes(Table);
+  MeanPrompts Means;
+  const auto Read = [&](const std::string &Path, const std::string &Seen) {
+    http::Request From;
+    From.m_Method = "POST";
+    From.m_Path = Path;
+    From.m_Target = Path;
+    From.m_Fields = {{"Host", "shop.example"}, {"Attempt", "r-1"}};
+    if (!Seen.empty())
+      From.m_Fields.emplace_back("Seen", Seen);
+    return std::get<Arrival>(
+        readPassed(From, Routes, Plain, Means, BootClock::now()));
+  };
+  const Arrival New = Read("/note/7", "");
+  const Arrival Resumed = Read("/note/7", "3");
+  CHECK(Resumed.m_Priority > New.m_Priority);
+  CHECK(Resumed.m_Passed->m_Urgency < New.m_Passed->m_Urgency);
+  CHECK(Read("/advice/7", "3").m_Priority == New.m_Priority);
+}
+
 TEST_CASE("a status that promises is given only to what has not run") {
   for (std::size_t I = 0; I < refusalCount(); ++I) {
     const auto Reason = static_cast<Refusal>(refusalAt(I).m_Number);
