--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -477,7 +477,7 @@
   std::uint64_t m_RoutesVersion = 0;
   bool m_ReportsTargets = false;     ///< Has reported the load of a target.
   bool m_TargetsUnreachable = false; ///< It is partitioned from all targets.
-  ZoneId m_Zone;                ///< Empty if unknown.
+  ZoneId m_Zone;                     ///< Empty if unknown.
   std::string m_ForwardAddress; ///< `ip:port`; empty if it takes no forwards.
   struct Acknowledgement {
     std::uint64_t m_Generation = 0;
