Admit a resumed stream whatever its estimate

Callers that came back for a broken stream with 1 to 2.8 s left were refused at once (cannot_meet_deadline, LOST on rejoined): estimates are those of a whole answer, and grow by the bias of a crowded queue. A resumed stream is admitted by its deadline alone; it has less to come, and its caller has the beginning.

--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -302,8 +302,11 @@
                            valueOf(Expected).m_Finish, false},
                           Now))
     return Made->refuseUnstarted({Refusal::Stopping, StoppingRetryAfter});
+  // Estimates are those of a whole answer; a resumed stream has less to come.
+  const bool IsResumed = For.m_Passed && For.isResumable() &&
+                         For.m_Passed->m_Ask.m_LastEventId > 0;
   // Of a large prompt the estimate counts others that it goes before.
-  if (For.m_Passed && For.m_Stream && !For.m_Passed->isLarge()) {
+  if (For.m_Passed && For.m_Stream && !For.m_Passed->isLarge() && !IsResumed) {
     const Duration First =
         std::max<Duration>(valueOf(Expected).m_FirstToken - Now, Duration(0)) *
         FirstEventCertainty / 100;
@@ -327,7 +330,9 @@
       std::max<Duration>(valueOf(Expected).m_Finish - From, Duration(0));
   if (For.m_Passed)
     Ask.m_ServiceTime = leastTime(valueOf(Expected), From);
-  if (For.m_Passed && For.m_Stream)
+  if (IsResumed)
+    Ask.m_ServiceTime = Duration(0);
+  else if (For.m_Passed && For.m_Stream)
     Ask.m_Deadline = std::min(
         Ask.m_Deadline, lastEnd(For, valueOf(Expected), Ask.m_ServiceTime));
   if (m_Shared.m_StopSchedule)
--- a/apps/entry/tests/PassedTest.cpp
+++ b/apps/entry/tests/PassedTest.cpp
@@ -375,6 +375,24 @@
   CHECK(Began.size() == 2);
 }
 
+SCENARIO("a resumed stream is sent although a whole answer would be late") {
+  Shop On;
+  On.addEngine("decode", streams(3, true));
+  On.warmUp();
+  On.grant();
+  const std::string Large =
+      "200000"; // Tokens, longer to read than its caller waits.
+  CHECK(On.ask("POST", "/oracle/7", {{"Prompt", Large}}).m_Status == 503);
+  CHECK(On.m_Seen.empty());
+  const Answered Resumed = On.ask("POST", "/oracle/7",
+                                  {{"Prompt", Large},
+                                   {"Attempt", "r-2"},
+                                   {"Resumes", "r-1"},
+                                   {"Seen", "1"}});
+  CHECK(Resumed.m_Status == 200);
+  CHECK(Resumed.m_Body == eventText(2) + eventText(3));
+}
+
 SCENARIO("a stream does not go on at another software version") {
   Shop On;
   std::vector<std::string> Ran; // Versions, in the order of the runs.
