--- a/apps/entry/tests/PassedTest.cpp
+++ b/apps/entry/tests/PassedTest.cpp
@@ -359,8 +359,8 @@
     }
   On.warmUp();
   On.grant();
-  const auto TargetOf = [&](http::Fields Fields) {
-    CHECK(On.ask("POST", "/note/7", std::move(Fields)).m_Status == 200);
+  const auto TargetOf = [&](const http::Fields &Fields) {
+    CHECK(On.ask("POST", "/note/7", Fields).m_Status == 200);
     return std::string(http::field(On.m_Seen.back().m_Fields, "only"));
   };
   std::set<std::string> Began;
