--- a/tools/fault-soak/src/Callers.cpp
+++ b/tools/fault-soak/src/Callers.cpp
@@ -1,5 +1,7 @@
 #include "Callers.h"
 
+#include "platform/platform.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -7,6 +9,7 @@
 
 using namespace std::chrono_literals;
 using std::chrono::milliseconds;
+namespace fields = platform::fields;
 
 namespace {
 
@@ -19,34 +22,36 @@
 
 Balancer::Balancer(event_base *Loop, std::vector<http::Address> Readiness)
     : m_Loop(Loop) {
-  for (http::Address &Each : Readiness)
-    m_Entries.push_back({std::move(Each), {}, MissesOut, false});
+  for (http::Address &Address : Readiness)
+    m_Entries.push_back({std::move(Address), {}, MissesOut, false});
 }
 
 void Balancer::turn(TimePoint Now) {
-  for (Entry &Each : m_Entries) {
-    if (Each.m_IsAsked || Now < Each.m_AskAt)
+  for (Entry &Checked : m_Entries) {
+    if (Checked.m_IsChecking || Now < Checked.m_CheckAt)
       continue;
-    Each.m_IsAsked = true;
-    Each.m_AskAt = Now + ReadinessInterval;
+    Checked.m_IsChecking = true;
+    Checked.m_CheckAt = Now + ReadinessInterval;
     http::ClientRequest Out;
-    Out.m_To = Each.m_Readiness;
+    Out.m_To = Checked.m_Readiness;
     Out.m_Method = "GET";
-    Out.m_Path = "/ready";
+    Out.m_Path = platform::ReadinessPath;
     Out.m_Deadline = Now + ReadinessInterval;
     http::ClientHandlers Handlers;
-    Handlers.m_OnDone = [&Each](const Result<http::Response> &Got) {
-      Each.m_IsAsked = false;
+    Handlers.m_OnDone = [&Checked](const Result<http::Response> &Got) {
+      Checked.m_IsChecking = false;
       const bool IsReady = !failed(Got) && valueOf(Got).m_Status == 200;
-      Each.m_Misses = IsReady ? 0 : std::min(Each.m_Misses + 1, MissesOut);
+      Checked.m_Misses =
+          IsReady ? 0 : std::min(Checked.m_Misses + 1, MissesOut);
     };
     http::call(m_Loop, std::move(Out), std::move(Handlers));
   }
 }
 
 bool Balancer::areAllReady() const {
-  return std::all_of(m_Entries.begin(), m_Entries.end(),
-                     [](const Entry &Each) { return Each.m_Misses == 0; });
+  return std::all_of(
+      m_Entries.begin(), m_Entries.end(),
+      [](const Entry &Checked) { return Checked.m_Misses == 0; });
 }
 
 unsigned Balancer::choose(std::mt19937_64 &Random) const {
@@ -105,24 +110,24 @@
   Next.m_Sent.m_Kind = Route->m_Kind;
   Next.m_Sent.m_Entry = m_Entry;
   Next.m_Sent.m_OnKeptConnection = IsKept;
-  Next.m_Sent.m_At = Now;
+  Next.m_Sent.m_SentAt = Now;
   Next.m_Sent.m_Deadline = Now + Route->m_Timeout;
   Next.m_Got = {};
   http::ClientRequest Out;
   Out.m_To = m_Entries[m_Entry];
   Out.m_Path = fmt::format("/{}/{}", Route->m_Name, Next.m_Sent.m_Id);
   Out.m_Fields = {{"Host", Host},
-                  {"Request-Id", Next.m_Sent.m_Id},
-                  {"Deadline-Ms", std::to_string(Route->m_Timeout.count())},
+                  {fields::RequestId, Next.m_Sent.m_Id},
+                  {fields::Deadline, std::to_string(Route->m_Timeout.count())},
                   {"Soak-Ms", std::to_string(Next.m_WorkMs)}};
   if (Next.m_Events > 0)
     Out.m_Fields.emplace_back("Soak-Events", std::to_string(Next.m_Events));
   if (Next.m_FirstId.empty()) {
     Next.m_FirstId = Next.m_Sent.m_Id;
   } else {
-    Out.m_Fields.emplace_back("Last-Event-Id",
+    Out.m_Fields.emplace_back(fields::LastEvent,
                               std::to_string(Next.m_Sent.m_LastEventId));
-    Out.m_Fields.emplace_back("Resumes", Next.m_FirstId);
+    Out.m_Fields.emplace_back(fields::FirstAttempt, Next.m_FirstId);
   }
   Out.m_Body = "body";
   Out.m_Deadline = Next.m_Sent.m_Deadline + ExtraWait;
@@ -131,8 +136,8 @@
   http::ClientHandlers Handlers;
   Handlers.m_OnFields = [this](int Status, const http::Fields &Head) {
     m_Open->m_Got.m_Status = Status;
-    m_Open->m_Got.m_Id = http::field(Head, "Request-Id");
-    m_Open->m_Got.m_Stamp = http::field(Head, "Server-Stamp");
+    m_Open->m_Got.m_Id = http::field(Head, fields::RequestId);
+    m_Open->m_Got.m_Stamp = http::field(Head, fields::Signature);
   };
   Handlers.m_OnChunk = [this](std::string_view Piece) {
     m_Open->m_Got.m_Body += Piece;
@@ -147,7 +152,7 @@
   const TimePoint Now = BootClock::now();
   Open Done = std::move(*m_Open);
   m_Open.reset();
-  Done.m_Got.m_At = Now;
+  Done.m_Got.m_EndedAt = Now;
   Done.m_Got.m_IsBroken = failed(Got);
   Done.m_Got.m_IsTimeout =
       failed(Got) && Now >= Done.m_Sent.m_Deadline + ExtraWait;
--- a/tools/fault-soak/src/Callers.h
+++ b/tools/fault-soak/src/Callers.h
@@ -25,9 +25,9 @@
 private:
   struct Entry {
     http::Address m_Readiness;
-    TimePoint m_AskAt;
+    TimePoint m_CheckAt;
     unsigned m_Misses = 2;
-    bool m_IsAsked = false;
+    bool m_IsChecking = false;
   };
   event_base *m_Loop;
   std::vector<Entry> m_Entries;
--- a/tools/fault-soak/src/Judge.cpp
+++ b/tools/fault-soak/src/Judge.cpp
@@ -25,12 +25,12 @@
   return Status == 503 || Status == 429 || Status == 408 || Status == 421;
 }
 
-bool isStream(Kind What) {
-  return What == Kind::Stream || What == Kind::Resumable;
+bool isStream(Kind Value) {
+  return Value == Kind::Stream || Value == Kind::Resumable;
 }
 
-bool isRepeatable(Kind What) {
-  return What == Kind::Safe || What == Kind::Resumable;
+bool isRepeatable(Kind Value) {
+  return Value == Kind::Safe || Value == Kind::Resumable;
 }
 
 std::int64_t inMilliseconds(Duration Span) {
@@ -55,16 +55,17 @@
   Seen.m_Version = Request.m_FirstVersion;
   constexpr std::string_view End = "\n\n";
   constexpr std::string_view Data = "data: ";
-  for (std::size_t At = Body.find(End); At != std::string_view::npos;
-       At = Body.find(End)) {
-    const std::string_view Event = Body.substr(0, At);
-    Body.remove_prefix(At + End.size());
-    const std::size_t From = Event.find(Data);
+  for (std::size_t Length = Body.find(End); Length != std::string_view::npos;
+       Length = Body.find(End)) {
+    const std::string_view Event = Body.substr(0, Length);
+    Body.remove_prefix(Length + End.size());
+    const std::size_t DataStart = Event.find(Data);
     std::uint64_t Id = 0;
     std::string Owner;
     std::string Version;
-    if (From != std::string_view::npos) {
-      std::istringstream Text(std::string(Event.substr(From + Data.size())));
+    if (DataStart != std::string_view::npos) {
+      std::istringstream Text(
+          std::string(Event.substr(DataStart + Data.size())));
       Text >> Owner >> Id >> Seen.m_Total >> Version;
     }
     Seen.m_IsForeign = Seen.m_IsForeign || Owner != Request.m_Id;
@@ -78,62 +79,64 @@
 }
 
 void Judge::report(const std::string &Rule, const Record &Request,
-                   const std::string &Text, TimePoint At) {
+                   const std::string &Text, TimePoint Now) {
   std::string Runs;
-  for (const Run &Each : Request.m_Runs)
-    Runs += fmt::format(" target={} began_ms={} answered_ms={}", Each.m_Target,
-                        inMilliseconds(Each.m_At - Request.m_Sent.m_At),
-                        Each.m_AnsweredAt ? inMilliseconds(*Each.m_AnsweredAt -
-                                                           Request.m_Sent.m_At)
-                                          : -1);
-  const auto Stop = stopBefore(Request.m_Sent.m_Entry, At);
+  for (const Run &Attempt : Request.m_Runs)
+    Runs += fmt::format(
+        " target={} began_ms={} answered_ms={}", Attempt.m_Target,
+        inMilliseconds(Attempt.m_BeganAt - Request.m_Sent.m_SentAt),
+        Attempt.m_AnsweredAt
+            ? inMilliseconds(*Attempt.m_AnsweredAt - Request.m_Sent.m_SentAt)
+            : -1);
+  const auto Stop = stopBefore(Request.m_Sent.m_Entry, Now);
   m_Violations.push_back(
       {Rule, Request.m_Sent.m_Id,
        fmt::format("{}: route={} entry={} after_sending_ms={} "
                    "sent_after_stop_ms={}{}",
                    Text, Request.m_Sent.m_Route, Request.m_Sent.m_Entry,
-                   inMilliseconds(At - Request.m_Sent.m_At),
-                   Stop ? inMilliseconds(Request.m_Sent.m_At - *Stop) : 0,
+                   inMilliseconds(Now - Request.m_Sent.m_SentAt),
+                   Stop ? inMilliseconds(Request.m_Sent.m_SentAt - *Stop) : 0,
                    Runs),
-       At});
+       Now});
 }
 
-bool Judge::wasDisturbed(Part What, unsigned Number, TimePoint From,
+bool Judge::wasDisturbed(Part Kind, unsigned Number, TimePoint Start,
                          TimePoint Until) const {
-  const auto Found = m_Disturbances.find({What, Number});
+  const auto Found = m_Disturbances.find({Kind, Number});
   if (Found == m_Disturbances.end())
     return false;
-  return std::any_of(Found->second.begin(), Found->second.end(),
-                     [&](const auto &Each) {
-                       return Each.first <= Until && Each.second >= From;
-                     });
+  return std::any_of(
+      Found->second.begin(), Found->second.end(), [&](const auto &Disturbance) {
+        return Disturbance.first <= Until && Disturbance.second >= Start;
+      });
 }
 
-bool Judge::isInTouch(unsigned Entry, TimePoint From, TimePoint Until) const {
-  const TimePoint Start = From - m_Bounds.m_Contact - m_Bounds.m_Margin;
-  return !wasDisturbed(Part::Entry, Entry, Start, Until) &&
-         !wasDisturbed(Part::Start, Entry, Start, Until) &&
-         !wasDisturbed(Part::Core, 0, Start, Until) &&
-         !wasDisturbed(Part::Observer, 0, Start, Until);
+bool Judge::isInTouch(unsigned Entry, TimePoint Start, TimePoint Until) const {
+  const TimePoint Earliest = Start - m_Bounds.m_Contact - m_Bounds.m_Margin;
+  return !wasDisturbed(Part::Entry, Entry, Earliest, Until) &&
+         !wasDisturbed(Part::Start, Entry, Earliest, Until) &&
+         !wasDisturbed(Part::Core, 0, Earliest, Until) &&
+         !wasDisturbed(Part::Observer, 0, Earliest, Until);
 }
 
-std::size_t Judge::disturbedTargets(TimePoint From, TimePoint Until) const {
+std::size_t Judge::disturbedTargets(TimePoint Start, TimePoint Until) const {
   std::set<unsigned> Found;
-  for (const auto &[What, Spans] : m_Disturbances)
-    if (What.first == Part::Target &&
-        wasDisturbed(What.first, What.second, From, Until))
-      Found.insert(What.second);
+  for (const auto &[Subject, Spans] : m_Disturbances)
+    if (Subject.first == Part::Target &&
+        wasDisturbed(Subject.first, Subject.second, Start, Until))
+      Found.insert(Subject.second);
   return Found.size();
 }
 
-std::optional<TimePoint> Judge::stopBefore(unsigned Entry, TimePoint At) const {
+std::optional<TimePoint> Judge::stopBefore(unsigned Entry,
+                                           TimePoint Now) const {
   const auto Found = m_Stops.find(Entry);
   if (Found == m_Stops.end())
     return std::nullopt;
   std::optional<TimePoint> Last;
-  for (const TimePoint Each : Found->second)
-    if (Each <= At && At - Each < m_Bounds.m_Grace + 1s)
-      Last = Each;
+  for (const TimePoint StoppedAt : Found->second)
+    if (StoppedAt <= Now && Now - StoppedAt < m_Bounds.m_Grace + 1s)
+      Last = StoppedAt;
   return Last;
 }
 
@@ -156,44 +159,45 @@
   if (Found == m_Requests.end()) {
     Record Unknown;
     Unknown.m_Sent.m_Id = Id;
-    report("UNASKED", Unknown, "no caller sent this", Started.m_At);
+    report("UNASKED", Unknown, "no caller sent this", Started.m_BeganAt);
     return 0;
   }
   Record &Request = Found->second;
-  if (const auto Stop = stopBefore(Request.m_Sent.m_Entry, Started.m_At);
-      Stop && Request.m_Sent.m_At > *Stop)
+  if (const auto Stop = stopBefore(Request.m_Sent.m_Entry, Started.m_BeganAt);
+      Stop && Request.m_Sent.m_SentAt > *Stop)
     ++m_Counts.m_RunsWhileStopping;
   Request.m_Runs.push_back(std::move(Started));
-  const Run &Now = Request.m_Runs.back();
+  const Run &Newest = Request.m_Runs.back();
   const bool IsOnce = !isRepeatable(Request.m_Sent.m_Kind);
   if (IsOnce && Request.m_Runs.size() > 1)
-    report("TWICE", Request, "runs again", Now.m_At);
+    report("TWICE", Request, "runs again", Newest.m_BeganAt);
   if (IsOnce && Request.m_Ending && !Request.m_Ending->m_IsBroken &&
       promisesNotRun(Request.m_Ending->m_Status))
-    report("REFUSED", Request, "runs after its refusal", Now.m_At);
-  checkRoute(Request, Now);
-  checkDrain(Request, Now);
+    report("REFUSED", Request, "runs after its refusal", Newest.m_BeganAt);
+  checkRoute(Request, Newest);
+  checkDrain(Request, Newest);
   return Request.m_Runs.size() - 1;
 }
 
-void Judge::answered(const std::string &Id, std::size_t Number, TimePoint At) {
+void Judge::answered(const std::string &Id, std::size_t Number, TimePoint Now) {
   const auto Found = m_Requests.find(Id);
   if (Found != m_Requests.end() && Number < Found->second.m_Runs.size())
-    Found->second.m_Runs[Number].m_AnsweredAt = At;
+    Found->second.m_Runs[Number].m_AnsweredAt = Now;
 }
 
 std::uint64_t Judge::leastVersion(const Sent &Request, TimePoint Until) const {
   std::uint64_t Least = 0;
-  if (!isInTouch(Request.m_Entry, Request.m_At, Until))
+  if (!isInTouch(Request.m_Entry, Request.m_SentAt, Until))
     return Least;
-  for (const auto &[Version, At] : m_Acknowledged)
-    if (At + m_Bounds.m_Apply + m_Bounds.m_Margin < Request.m_At)
+  for (const auto &[Version, AcknowledgedAt] : m_Acknowledged)
+    if (AcknowledgedAt + m_Bounds.m_Apply + m_Bounds.m_Margin <
+        Request.m_SentAt)
       Least = std::max(Least, Version);
   return Least;
 }
 
 void Judge::checkRoute(const Record &Request, const Run &Started) {
-  const std::uint64_t Least = leastVersion(Request.m_Sent, Started.m_At);
+  const std::uint64_t Least = leastVersion(Request.m_Sent, Started.m_BeganAt);
   bool IsAllowed = false;
   bool WasEver = false;
   for (const auto &[Version, Content] : m_Routes) {
@@ -205,47 +209,48 @@
   }
   if (!WasEver)
     report("ROUTE", Request, "no configuration allows " + Started.m_Service,
-           Started.m_At);
+           Started.m_BeganAt);
   else if (!IsAllowed)
     report("CONFIG", Request,
            fmt::format("run by {}, which version {} no longer allows",
                        Started.m_Service, Least),
-           Started.m_At);
+           Started.m_BeganAt);
 }
 
 void Judge::checkDrain(const Record &Request, const Run &Started) {
   const auto Left = m_Leaves.find(Started.m_Target);
-  if (Left == m_Leaves.end() ||
-      Request.m_Sent.m_At < Left->second + m_Bounds.m_Drain + m_Bounds.m_Margin)
+  if (Left == m_Leaves.end() || Request.m_Sent.m_SentAt < Left->second +
+                                                              m_Bounds.m_Drain +
+                                                              m_Bounds.m_Margin)
     return;
-  if (isInTouch(Request.m_Sent.m_Entry, Left->second, Started.m_At))
-    report("DRAIN", Request, "reaches a target that leaves", Started.m_At);
+  if (isInTouch(Request.m_Sent.m_Entry, Left->second, Started.m_BeganAt))
+    report("DRAIN", Request, "reaches a target that leaves", Started.m_BeganAt);
 }
 
 void Judge::checkLost(const Record &Request) {
-  const Sent &Asked = Request.m_Sent;
-  const TimePoint EndAt = Request.m_Ending->m_At;
-  const auto Stop = stopBefore(Asked.m_Entry, EndAt);
-  if (EndAt > Asked.m_Deadline - m_Bounds.m_Margin ||
-      wasDisturbed(Part::Entry, Asked.m_Entry, Asked.m_At - m_Bounds.m_Contact,
-                   EndAt) ||
-      wasDisturbed(Part::Cut, Asked.m_Entry, Asked.m_At - m_Bounds.m_Contact,
+  const Sent &Call = Request.m_Sent;
+  const TimePoint EndAt = Request.m_Ending->m_EndedAt;
+  const auto Stop = stopBefore(Call.m_Entry, EndAt);
+  if (EndAt > Call.m_Deadline - m_Bounds.m_Margin ||
+      wasDisturbed(Part::Entry, Call.m_Entry,
+                   Call.m_SentAt - m_Bounds.m_Contact, EndAt) ||
+      wasDisturbed(Part::Cut, Call.m_Entry, Call.m_SentAt - m_Bounds.m_Contact,
                    EndAt) ||
-      wasDisturbed(Part::Observer, 0, Asked.m_At, EndAt))
+      wasDisturbed(Part::Observer, 0, Call.m_SentAt, EndAt))
     return;
   if (Request.m_Runs.empty()) {
-    if (Stop && Asked.m_OnKeptConnection && EndAt - Asked.m_At > ReadSlack)
+    if (Stop && Call.m_OnKeptConnection && EndAt - Call.m_SentAt > ReadSlack)
       report("LOST", Request, "read, not passed on and not answered", EndAt);
     return;
   }
-  for (const Run &Each : Request.m_Runs)
-    if (wasDisturbed(Part::Target, Each.m_Target, Asked.m_At, EndAt) ||
-        wasDisturbed(Part::Link, linkNumber(Asked.m_Entry, Each.m_Target),
-                     Asked.m_At, EndAt))
+  for (const Run &Attempt : Request.m_Runs)
+    if (wasDisturbed(Part::Target, Attempt.m_Target, Call.m_SentAt, EndAt) ||
+        wasDisturbed(Part::Link, linkNumber(Call.m_Entry, Attempt.m_Target),
+                     Call.m_SentAt, EndAt))
       return;
   const bool IsAnswered = Request.m_Runs.back().m_AnsweredAt.has_value();
   if (!IsAnswered && Stop && EndAt >= *Stop + m_Bounds.m_Grace * 5 / 6 &&
-      Asked.m_At <= *Stop + EarlyAfterStop)
+      Call.m_SentAt <= *Stop + EarlyAfterStop)
     return;
   report("LOST", Request,
          IsAnswered ? "the target's answer did not arrive"
@@ -260,69 +265,76 @@
   if (isStream(Request.m_Sent.m_Kind)) {
     const Events Seen = readEvents(Got.m_Body, Request.m_Sent);
     if (Seen.m_HasGap)
-      report("ORDER", Request, "a piece is missing or comes twice", Got.m_At);
+      report("ORDER", Request, "a piece is missing or comes twice",
+             Got.m_EndedAt);
     if (Seen.m_IsForeign)
-      report("MIXED", Request, "events of another request", Got.m_At);
+      report("MIXED", Request, "events of another request", Got.m_EndedAt);
     if (m_ChecksVersions && Seen.m_IsMixed)
-      report("ORDER", Request, "pieces of two software versions", Got.m_At);
+      report("ORDER", Request, "pieces of two software versions",
+             Got.m_EndedAt);
     if (!Got.m_IsBroken && (Seen.m_Total == 0 || Seen.m_Last != Seen.m_Total))
       report("ORDER", Request,
              fmt::format("looks complete after event {} of {}", Seen.m_Last,
                          Seen.m_Total),
-             Got.m_At);
+             Got.m_EndedAt);
   }
   if (Got.m_IsBroken)
     return;
-  const bool IsOfRun = std::any_of(
-      Request.m_Runs.begin(), Request.m_Runs.end(), [&](const Run &Each) {
-        return Each.m_Stamp == Got.m_Stamp &&
-               (isStream(Request.m_Sent.m_Kind) || Each.m_Body == Got.m_Body);
-      });
+  const bool IsOfRun = std::any_of(Request.m_Runs.begin(), Request.m_Runs.end(),
+                                   [&](const Run &Attempt) {
+                                     return Attempt.m_Stamp == Got.m_Stamp &&
+                                            (isStream(Request.m_Sent.m_Kind) ||
+                                             Attempt.m_Body == Got.m_Body);
+                                   });
   if (!IsOfRun)
     report("MIXED", Request, "a success that no target gave to this request",
-           Got.m_At);
+           Got.m_EndedAt);
 }
 
 void Judge::checkDenied(const Record &Request) {
   const Ending &Got = *Request.m_Ending;
   if (Got.m_Status != NotFound)
     return;
-  const std::uint64_t Least = leastVersion(Request.m_Sent, Got.m_At);
+  const std::uint64_t Least = leastVersion(Request.m_Sent, Got.m_EndedAt);
   const bool IsEverywhere = std::all_of(
-      m_Routes.lower_bound(Least), m_Routes.end(), [&](const auto &Each) {
-        return Each.second.count(Request.m_Sent.m_Route) > 0;
+      m_Routes.lower_bound(Least), m_Routes.end(),
+      [&](const auto &Configuration) {
+        return Configuration.second.count(Request.m_Sent.m_Route) > 0;
       });
   if (IsEverywhere)
     report("CONFIG", Request, "not found, though its route is in force",
-           Got.m_At);
+           Got.m_EndedAt);
 }
 
 void Judge::countDuringCuts(const Record &Request) {
-  const Sent &Asked = Request.m_Sent;
+  const Sent &Call = Request.m_Sent;
   const Ending &Got = *Request.m_Ending;
   // Not found is right for a route that comes and goes.
   if (Got.m_Status == NotFound ||
-      !isInTouch(Asked.m_Entry, Asked.m_At, Got.m_At))
+      !isInTouch(Call.m_Entry, Call.m_SentAt, Got.m_EndedAt))
     return;
   // Some entry was cut off for the contact time before, and still is.
   const auto IsCut = [&](unsigned Entry) {
     const auto Found = m_Disturbances.find({Part::Cut, Entry});
     return Found != m_Disturbances.end() &&
            std::any_of(Found->second.begin(), Found->second.end(),
-                       [&](const auto &Each) {
-                         return Each.first + m_Bounds.m_Contact +
+                       [&](const auto &CutOff) {
+                         return CutOff.first + m_Bounds.m_Contact +
                                         m_Bounds.m_Margin <=
-                                    Asked.m_At &&
-                                Asked.m_At < Each.second;
+                                    Call.m_SentAt &&
+                                Call.m_SentAt < CutOff.second;
                        });
   };
-  const bool IsAtCut = IsCut(Asked.m_Entry);
-  const bool IsAtOther = !IsAtCut && !wasDisturbed(Part::Cut, Asked.m_Entry,
-                                                   Asked.m_At, Asked.m_At);
-  const bool IsAnyCut = std::any_of(
-      m_Disturbances.begin(), m_Disturbances.end(), [&](const auto &Each) {
-        return Each.first.first == Part::Cut && IsCut(Each.first.second);
-      });
+  const bool IsAtCut = IsCut(Call.m_Entry);
+  const bool IsAtOther =
+      !IsAtCut &&
+      !wasDisturbed(Part::Cut, Call.m_Entry, Call.m_SentAt, Call.m_SentAt);
+  const bool IsAnyCut =
+      std::any_of(m_Disturbances.begin(), m_Disturbances.end(),
+                  [&](const auto &Disturbance) {
+                    return Disturbance.first.first == Part::Cut &&
+                           IsCut(Disturbance.first.second);
+                  });
   if (!IsAnyCut || (!IsAtCut && !IsAtOther))
     return;
   const std::uint64_t Served = !Got.m_IsBroken && Got.m_Status == Ok ? 1 : 0;
@@ -365,25 +377,25 @@
     return;
   }
   if (!Got.m_Id.empty() && Got.m_Id != Id)
-    report("MIXED", Request, "answer of " + Got.m_Id, Got.m_At);
+    report("MIXED", Request, "answer of " + Got.m_Id, Got.m_EndedAt);
   if (!isRepeatable(Request.m_Sent.m_Kind) && !Request.m_Runs.empty() &&
       promisesNotRun(Got.m_Status))
     report("REFUSED", Request, fmt::format("{}, and has run", Got.m_Status),
-           Got.m_At);
+           Got.m_EndedAt);
   checkDenied(Request);
 }
 
-void Judge::disturbed(Part What, unsigned Number, TimePoint From,
+void Judge::disturbed(Part Kind, unsigned Number, TimePoint Start,
                       TimePoint Until) {
-  m_Disturbances[{What, Number}].emplace_back(From, Until);
+  m_Disturbances[{Kind, Number}].emplace_back(Start, Until);
 }
 
-void Judge::stopAsked(unsigned Entry, TimePoint At) {
-  m_Stops[Entry].push_back(At);
+void Judge::stopAsked(unsigned Entry, TimePoint Now) {
+  m_Stops[Entry].push_back(Now);
 }
 
-void Judge::leaveAcknowledged(unsigned Target, TimePoint At) {
-  m_Leaves.emplace(Target, At);
+void Judge::leaveAcknowledged(unsigned Target, TimePoint Now) {
+  m_Leaves.emplace(Target, Now);
 }
 
 void Judge::targetStarted(unsigned Target) { m_Leaves.erase(Target); }
@@ -392,31 +404,33 @@
   m_Routes[Version] = Content;
 }
 
-void Judge::routesAcknowledged(std::uint64_t Version, TimePoint At) {
-  m_Acknowledged.emplace(Version, At);
+void Judge::routesAcknowledged(std::uint64_t Version, TimePoint Now) {
+  m_Acknowledged.emplace(Version, Now);
 }
 
-void Judge::processEnded(const std::string &Name, int Status, TimePoint At) {
+void Judge::processEnded(const std::string &Name, int Status, TimePoint Now) {
   m_Violations.push_back(
-      {"ENDED", "", fmt::format("{} ended by itself: {}", Name, Status), At});
+      {"ENDED", "", fmt::format("{} ended by itself: {}", Name, Status), Now});
 }
 
 void Judge::checkService(TimePoint Now) {
-  for (auto &[Entry, Each] : m_Windows) {
-    if (Now - Each.m_From < WindowLength)
+  for (auto &[Entry, Current] : m_Windows) {
+    if (Now - Current.m_Start < WindowLength)
       continue;
-    if (Each.m_Sent >= WindowRequests && Each.m_Served * 2 < Each.m_Sent &&
-        Each.m_From != TimePoint{} && isInTouch(Entry, Each.m_From, Now) &&
-        !wasDisturbed(Part::Cut, Entry, Each.m_From - m_Bounds.m_Contact,
+    if (Current.m_Sent >= WindowRequests &&
+        Current.m_Served * 2 < Current.m_Sent &&
+        Current.m_Start != TimePoint{} &&
+        isInTouch(Entry, Current.m_Start, Now) &&
+        !wasDisturbed(Part::Cut, Entry, Current.m_Start - m_Bounds.m_Contact,
                       Now) &&
-        disturbedTargets(Each.m_From - m_Bounds.m_Contact, Now) <= 1)
+        disturbedTargets(Current.m_Start - m_Bounds.m_Contact, Now) <= 1)
       m_Violations.push_back(
           {"SERVED", "",
            fmt::format("entry {} was sent {} requests in {} ms and served {}",
-                       Entry, Each.m_Sent, inMilliseconds(Now - Each.m_From),
-                       Each.m_Served),
+                       Entry, Current.m_Sent,
+                       inMilliseconds(Now - Current.m_Start), Current.m_Served),
            Now});
-    Each = {0, 0, Now};
+    Current = {0, 0, Now};
   }
 }
 
--- a/tools/fault-soak/src/Judge.h
+++ b/tools/fault-soak/src/Judge.h
@@ -43,7 +43,7 @@
   bool m_OnKeptConnection = false;
   std::uint64_t m_LastEventId = 0;
   std::string m_FirstVersion; ///< Of the stream that is resumed.
-  TimePoint m_At;
+  TimePoint m_SentAt;
   TimePoint m_Deadline;
 };
 
@@ -53,7 +53,7 @@
   std::string m_Service;
   std::string m_Stamp; ///< Signature of the answer.
   std::string m_Body;  ///< Of a call's answer.
-  TimePoint m_At;
+  TimePoint m_BeganAt;
   /// When the target had handed over the whole answer.
   std::optional<TimePoint> m_AnsweredAt;
 };
@@ -63,17 +63,17 @@
   bool m_IsBroken = false;  ///< The connection ended before the answer did.
   bool m_IsTimeout = false; ///< The caller gave up.
   int m_Status = 0;
-  std::string m_Id;    ///< `Request-Id` of the answer.
-  std::string m_Stamp; ///< `Server-Stamp` of the answer.
+  std::string m_Id;    ///< Id of the request that the answer names.
+  std::string m_Stamp; ///< Signature of the answer.
   std::string m_Body;
-  TimePoint m_At;
+  TimePoint m_EndedAt;
 };
 
 struct Violation {
   std::string m_Rule;
   std::string m_Request; ///< Empty if it concerns none.
   std::string m_Text;
-  TimePoint m_At;
+  TimePoint m_SeenAt;
 };
 
 /// Events of a stream's body, as far as they are whole.
@@ -114,19 +114,20 @@
   [[nodiscard]] std::optional<unsigned> entryOf(const std::string &Id) const;
   /// \returns the number of the run among those of the request.
   std::size_t began(const std::string &Id, Run Started);
-  void answered(const std::string &Id, std::size_t Number, TimePoint At);
+  void answered(const std::string &Id, std::size_t Number,
+                TimePoint HandedOver);
   void ended(const std::string &Id, const Ending &Got);
 
   /// \p Until may lie ahead.
-  void disturbed(Part What, unsigned Number, TimePoint From, TimePoint Until);
-  void stopAsked(unsigned Entry, TimePoint At);
+  void disturbed(Part Kind, unsigned Number, TimePoint Start, TimePoint Until);
+  void stopAsked(unsigned Entry, TimePoint Now);
   /// Control has acknowledged that a target drains or is gone.
-  void leaveAcknowledged(unsigned Target, TimePoint At);
+  void leaveAcknowledged(unsigned Target, TimePoint Now);
   /// Another process serves at the target's address.
   void targetStarted(unsigned Target);
   void routesSent(std::uint64_t Version, const Routes &Content);
-  void routesAcknowledged(std::uint64_t Version, TimePoint At);
-  void processEnded(const std::string &Name, int Status, TimePoint At);
+  void routesAcknowledged(std::uint64_t Version, TimePoint Now);
+  void processEnded(const std::string &Name, int Status, TimePoint Now);
   /// Looks whether entries that were in touch, and whose targets were well but
   /// for one, have served half of their requests of late.
   void checkService(TimePoint Now);
@@ -165,20 +166,20 @@
   struct Window {
     std::uint64_t m_Sent = 0;
     std::uint64_t m_Served = 0;
-    TimePoint m_From;
+    TimePoint m_Start;
   };
 
   void report(const std::string &Rule, const Record &Request,
-              const std::string &Text, TimePoint At);
-  [[nodiscard]] bool wasDisturbed(Part What, unsigned Number, TimePoint From,
+              const std::string &Text, TimePoint Now);
+  [[nodiscard]] bool wasDisturbed(Part Kind, unsigned Number, TimePoint Start,
                                   TimePoint Until) const;
   /// Whether the entry was in touch for all of a time and the span before it.
-  [[nodiscard]] bool isInTouch(unsigned Entry, TimePoint From,
+  [[nodiscard]] bool isInTouch(unsigned Entry, TimePoint Start,
                                TimePoint Until) const;
-  [[nodiscard]] std::size_t disturbedTargets(TimePoint From,
+  [[nodiscard]] std::size_t disturbedTargets(TimePoint Start,
                                              TimePoint Until) const;
   [[nodiscard]] std::optional<TimePoint> stopBefore(unsigned Entry,
-                                                    TimePoint At) const;
+                                                    TimePoint Now) const;
   /// Versions of the routes that may decide about a request.
   [[nodiscard]] std::uint64_t leastVersion(const Sent &Request,
                                            TimePoint Until) const;
--- a/tools/fault-soak/src/Links.cpp
+++ b/tools/fault-soak/src/Links.cpp
@@ -16,12 +16,12 @@
 constexpr int EntrySide = 0;
 constexpr int TargetSide = 1;
 
-sockaddr_in toSocketAddress(const http::Address &From) {
-  sockaddr_in Made{};
-  Made.sin_family = AF_INET;
-  Made.sin_port = htons(From.m_Port);
-  inet_pton(AF_INET, From.m_Host.c_str(), &Made.sin_addr);
-  return Made;
+sockaddr_in toSocketAddress(const http::Address &Address) {
+  sockaddr_in Socket{};
+  Socket.sin_family = AF_INET;
+  Socket.sin_port = htons(Address.m_Port);
+  inet_pton(AF_INET, Address.m_Host.c_str(), &Socket.sin_addr);
+  return Socket;
 }
 
 } // namespace
@@ -52,7 +52,7 @@
   http::Address m_Front;
   std::uint16_t m_PeerPort = 0;
   std::optional<unsigned> m_Entry; ///< Known once it has sent something.
-  Flow m_From[2];
+  Flow m_Flows[2];
   bool m_IsDone = false;
 };
 
@@ -66,13 +66,13 @@
 
 Status Links::open(unsigned Target, const http::Address &Front,
                    const http::Address &Back) {
-  auto Made = std::make_unique<Gate>();
-  Made->m_Links = this;
-  Made->m_Target = Target;
-  Made->m_Front = Front;
-  Made->m_Back = Back;
-  const sockaddr_in At = toSocketAddress(Front);
-  Made->m_Listener = evconnlistener_new_bind(
+  auto Added = std::make_unique<Gate>();
+  Added->m_Links = this;
+  Added->m_Target = Target;
+  Added->m_Front = Front;
+  Added->m_Back = Back;
+  const sockaddr_in Bound = toSocketAddress(Front);
+  Added->m_Listener = evconnlistener_new_bind(
       m_Loop,
       [](evconnlistener *, evutil_socket_t Socket, sockaddr *Peer, int,
          void *Context) {
@@ -81,12 +81,12 @@
             *Through, Socket,
             ntohs(reinterpret_cast<sockaddr_in *>(Peer)->sin_port));
       },
-      Made.get(),
+      Added.get(),
       LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, -1,
-      reinterpret_cast<const sockaddr *>(&At), sizeof(At));
-  if (Made->m_Listener == nullptr)
+      reinterpret_cast<const sockaddr *>(&Bound), sizeof(Bound));
+  if (Added->m_Listener == nullptr)
     return Error{"links.open", http::printAddress(Front), "cannot listen"};
-  m_Gates[Target] = std::move(Made);
+  m_Gates[Target] = std::move(Added);
   return std::monostate{};
 }
 
@@ -95,118 +95,120 @@
     evconnlistener_free(Found->second->m_Listener);
     m_Gates.erase(Found);
   }
-  for (const auto &Each : m_Pipes)
-    if (Each->m_Target == Target)
-      resetPipe(*Each);
+  for (const auto &Open : m_Pipes)
+    if (Open->m_Target == Target)
+      resetPipe(*Open);
   sweep();
 }
 
-void Links::accept(Gate &At, int Socket, std::uint16_t PeerPort) {
-  auto Made = std::make_unique<Pipe>();
-  Pipe &On = *Made;
-  On.m_Links = this;
-  On.m_Target = At.m_Target;
-  On.m_Front = At.m_Front;
-  On.m_PeerPort = PeerPort;
+void Links::accept(Gate &Listener, int Socket, std::uint16_t PeerPort) {
+  auto Added = std::make_unique<Pipe>();
+  Pipe &Connection = *Added;
+  Connection.m_Links = this;
+  Connection.m_Target = Listener.m_Target;
+  Connection.m_Front = Listener.m_Front;
+  Connection.m_PeerPort = PeerPort;
   evutil_make_socket_nonblocking(Socket);
-  On.m_From[EntrySide].m_Socket =
+  Connection.m_Flows[EntrySide].m_Socket =
       bufferevent_socket_new(m_Loop, Socket, BEV_OPT_CLOSE_ON_FREE);
-  On.m_From[TargetSide].m_Socket =
+  Connection.m_Flows[TargetSide].m_Socket =
       bufferevent_socket_new(m_Loop, -1, BEV_OPT_CLOSE_ON_FREE);
-  for (Pipe::Flow &Each : On.m_From) {
+  for (Pipe::Flow &Side : Connection.m_Flows) {
     bufferevent_setcb(
-        Each.m_Socket,
-        [](bufferevent *From, void *Context) {
+        Side.m_Socket,
+        [](bufferevent *Peer, void *Context) {
           auto *Through = static_cast<Pipe *>(Context);
           Through->m_Links->read(*Through,
-                                 From == Through->m_From[EntrySide].m_Socket
+                                 Peer == Through->m_Flows[EntrySide].m_Socket
                                      ? EntrySide
                                      : TargetSide);
         },
         nullptr,
-        [](bufferevent *From, short What, void *Context) {
-          if ((What & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0)
+        [](bufferevent *Peer, short Events, void *Context) {
+          if ((Events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0)
             return;
           auto *Through = static_cast<Pipe *>(Context);
           Pipe::Flow &Ended =
-              Through->m_From[From == Through->m_From[EntrySide].m_Socket
-                                  ? EntrySide
-                                  : TargetSide];
+              Through->m_Flows[Peer == Through->m_Flows[EntrySide].m_Socket
+                                   ? EntrySide
+                                   : TargetSide];
           Ended.m_HasEnded = true;
-          Ended.m_WasReset = (What & BEV_EVENT_ERROR) != 0;
+          Ended.m_WasReset = (Events & BEV_EVENT_ERROR) != 0;
         },
-        &On);
-    bufferevent_enable(Each.m_Socket, EV_READ | EV_WRITE);
+        &Connection);
+    bufferevent_enable(Side.m_Socket, EV_READ | EV_WRITE);
   }
-  sockaddr_in Back = toSocketAddress(At.m_Back);
-  bufferevent_socket_connect(On.m_From[TargetSide].m_Socket,
+  sockaddr_in Back = toSocketAddress(Listener.m_Back);
+  bufferevent_socket_connect(Connection.m_Flows[TargetSide].m_Socket,
                              reinterpret_cast<sockaddr *>(&Back), sizeof(Back));
-  m_Pipes.push_back(std::move(Made));
+  m_Pipes.push_back(std::move(Added));
 }
 
-bool Links::isHeld(const Pipe &On, int Side, TimePoint Now) const {
-  if (const auto Found = m_Silent.find(On.m_Target);
+bool Links::isHeld(const Pipe &Connection, int Side, TimePoint Now) const {
+  if (const auto Found = m_Silent.find(Connection.m_Target);
       Found != m_Silent.end() && Now < Found->second)
     return true;
-  if (!On.m_Entry)
+  if (!Connection.m_Entry)
     return false;
-  const auto Found = m_Cuts.find(*On.m_Entry);
+  const auto Found = m_Cuts.find(*Connection.m_Entry);
   return Found != m_Cuts.end() &&
          Now < (Side == EntrySide ? Found->second.m_ToTargetUntil
                                   : Found->second.m_ToEntryUntil);
 }
 
-void Links::read(Pipe &On, int Side) {
+void Links::read(Pipe &Connection, int Side) {
   const TimePoint Now = BootClock::now();
-  Pipe::Flow &From = On.m_From[Side];
-  evbuffer *Bytes = bufferevent_get_input(From.m_Socket);
+  Pipe::Flow &Source = Connection.m_Flows[Side];
+  evbuffer *Bytes = bufferevent_get_input(Source.m_Socket);
   std::string Text(evbuffer_get_length(Bytes), '\0');
   evbuffer_remove(Bytes, Text.data(), Text.size());
-  if (Side == EntrySide && !On.m_Entry)
-    On.m_Entry = m_Find(Text, On.m_Front, On.m_PeerPort);
+  if (Side == EntrySide && !Connection.m_Entry)
+    Connection.m_Entry =
+        m_Find(Text, Connection.m_Front, Connection.m_PeerPort);
   TimePoint DueAt = Now;
-  if (On.m_Entry)
-    if (const auto Found = m_Slow.find({*On.m_Entry, On.m_Target});
+  if (Connection.m_Entry)
+    if (const auto Found =
+            m_Slow.find({*Connection.m_Entry, Connection.m_Target});
         Found != m_Slow.end() && Now < Found->second.m_Until)
       DueAt += Found->second.m_Extra;
-  if (!From.m_Waiting.empty())
-    DueAt = std::max(DueAt, From.m_Waiting.back().m_DueAt);
-  From.m_Waiting.push_back({DueAt, std::move(Text)});
-  flush(On, Side, Now);
+  if (!Source.m_Waiting.empty())
+    DueAt = std::max(DueAt, Source.m_Waiting.back().m_DueAt);
+  Source.m_Waiting.push_back({DueAt, std::move(Text)});
+  flush(Connection, Side, Now);
 }
 
-void Links::flush(Pipe &On, int Side, TimePoint Now) {
-  if (On.m_IsDone || isHeld(On, Side, Now))
+void Links::flush(Pipe &Connection, int Side, TimePoint Now) {
+  if (Connection.m_IsDone || isHeld(Connection, Side, Now))
     return;
-  Pipe::Flow &From = On.m_From[Side];
-  bufferevent *To = On.m_From[1 - Side].m_Socket;
-  while (!From.m_Waiting.empty() && From.m_Waiting.front().m_DueAt <= Now) {
-    const std::string &Bytes = From.m_Waiting.front().m_Bytes;
-    bufferevent_write(To, Bytes.data(), Bytes.size());
-    From.m_Waiting.pop_front();
+  Pipe::Flow &Source = Connection.m_Flows[Side];
+  bufferevent *Sink = Connection.m_Flows[1 - Side].m_Socket;
+  while (!Source.m_Waiting.empty() && Source.m_Waiting.front().m_DueAt <= Now) {
+    const std::string &Bytes = Source.m_Waiting.front().m_Bytes;
+    bufferevent_write(Sink, Bytes.data(), Bytes.size());
+    Source.m_Waiting.pop_front();
   }
-  if (!From.m_HasEnded || !From.m_Waiting.empty())
+  if (!Source.m_HasEnded || !Source.m_Waiting.empty())
     return;
-  if (From.m_WasReset)
-    resetPipe(On);
-  else if (evbuffer_get_length(bufferevent_get_output(To)) == 0)
-    On.m_IsDone = true;
+  if (Source.m_WasReset)
+    resetPipe(Connection);
+  else if (evbuffer_get_length(bufferevent_get_output(Sink)) == 0)
+    Connection.m_IsDone = true;
 }
 
-void Links::resetPipe(Pipe &On) {
+void Links::resetPipe(Pipe &Connection) {
   constexpr linger AtOnce{1, 0};
-  for (const Pipe::Flow &Each : On.m_From)
-    if (const int Socket = bufferevent_getfd(Each.m_Socket); Socket >= 0)
+  for (const Pipe::Flow &Side : Connection.m_Flows)
+    if (const int Socket = bufferevent_getfd(Side.m_Socket); Socket >= 0)
       setsockopt(Socket, SOL_SOCKET, SO_LINGER, &AtOnce, sizeof(AtOnce));
-  On.m_IsDone = true;
+  Connection.m_IsDone = true;
 }
 
 void Links::sweep() {
-  m_Pipes.remove_if([](const std::unique_ptr<Pipe> &Each) {
-    if (!Each->m_IsDone)
+  m_Pipes.remove_if([](const std::unique_ptr<Pipe> &Open) {
+    if (!Open->m_IsDone)
       return false;
-    for (const Pipe::Flow &From : Each->m_From)
-      bufferevent_free(From.m_Socket);
+    for (const Pipe::Flow &Side : Open->m_Flows)
+      bufferevent_free(Side.m_Socket);
     return true;
   });
 }
@@ -229,21 +231,21 @@
 }
 
 void Links::reset(unsigned Entry, unsigned Target) {
-  for (const auto &Each : m_Pipes)
-    if (Each->m_Entry == Entry && Each->m_Target == Target)
-      resetPipe(*Each);
+  for (const auto &Open : m_Pipes)
+    if (Open->m_Entry == Entry && Open->m_Target == Target)
+      resetPipe(*Open);
 }
 
 void Links::resetEntry(unsigned Entry) {
-  for (const auto &Each : m_Pipes)
-    if (Each->m_Entry == Entry)
-      resetPipe(*Each);
+  for (const auto &Open : m_Pipes)
+    if (Open->m_Entry == Entry)
+      resetPipe(*Open);
 }
 
 void Links::turn(TimePoint Now) {
-  for (const auto &Each : m_Pipes)
+  for (const auto &Open : m_Pipes)
     for (const int Side : {EntrySide, TargetSide})
-      flush(*Each, Side, Now);
+      flush(*Open, Side, Now);
   sweep();
 }
 
--- a/tools/fault-soak/src/Links.h
+++ b/tools/fault-soak/src/Links.h
@@ -55,11 +55,12 @@
     TimePoint m_Until;
   };
 
-  void accept(Gate &At, int Socket, std::uint16_t PeerPort);
-  void read(Pipe &On, int Side);
-  void flush(Pipe &On, int Side, TimePoint Now);
-  [[nodiscard]] bool isHeld(const Pipe &On, int Side, TimePoint Now) const;
-  static void resetPipe(Pipe &On);
+  void accept(Gate &Listener, int Socket, std::uint16_t PeerPort);
+  void read(Pipe &Connection, int Side);
+  void flush(Pipe &Connection, int Side, TimePoint Now);
+  [[nodiscard]] bool isHeld(const Pipe &Connection, int Side,
+                            TimePoint Now) const;
+  static void resetPipe(Pipe &Connection);
   void sweep();
 
   event_base *m_Loop;
--- a/tools/fault-soak/src/Main.cpp
+++ b/tools/fault-soak/src/Main.cpp
@@ -40,15 +40,15 @@
       "keep the logs of clean seeds")(
       "logs", po::value(&Wanted.m_Folder)->default_value(Wanted.m_Folder),
       "folder of the logs");
-  po::variables_map Given;
+  po::variables_map Options;
   try {
-    po::store(po::parse_command_line(ArgumentCount, Arguments, Known), Given);
-    po::notify(Given);
+    po::store(po::parse_command_line(ArgumentCount, Arguments, Known), Options);
+    po::notify(Options);
   } catch (const po::error &Wrong) {
     fmt::print(stderr, "wasabivale-fault-soak: {}\n", Wrong.what());
     return 2;
   }
-  if (Given.count("help") > 0) {
+  if (Options.count("help") > 0) {
     std::cout << Known;
     return 0;
   }
--- a/tools/fault-soak/src/Operator.cpp
+++ b/tools/fault-soak/src/Operator.cpp
@@ -1,5 +1,7 @@
 #include "Operator.h"
 
+#include "platform/platform.h"
+
 namespace wasabivale::soak {
 
 using namespace std::chrono_literals;
@@ -10,19 +12,19 @@
 constexpr int TemporaryRedirect = 307;
 constexpr int LongestRedirects = 2;
 
-const char *kindName(Kind What) {
-  switch (What) {
+routes::Kind toRouteKind(Kind Value) {
+  switch (Value) {
   case Kind::Safe:
-    return "safe";
+    return routes::Kind::Safe;
   case Kind::Unsafe:
-    return "unsafe";
+    return routes::Kind::Unsafe;
   default:
-    return "streaming";
+    return routes::Kind::Streaming;
   }
 }
 
-bool isStream(Kind What) {
-  return What == Kind::Stream || What == Kind::Resumable;
+bool isStream(Kind Value) {
+  return Value == Kind::Stream || Value == Kind::Resumable;
 }
 
 } // namespace
@@ -42,66 +44,51 @@
   };
   const bool HasPassing = Variant % 2 == 1;
   Variant /= 2;
-  for (const RouteShape &Each : LastingRoutes)
-    Add(Each);
+  for (const RouteShape &Route : LastingRoutes)
+    Add(Route);
   if (HasPassing)
     Add(PassingRoute);
   return Content;
 }
 
-nlohmann::json configurationOf(std::uint64_t Version, unsigned Variant) {
-  using nlohmann::json;
-  json Made{{"version", Version},
-            {"routes", json::array()},
-            {"services", json::array()},
-            {"limits",
-             {{"max_header_bytes", 16384},
-              {"max_body_bytes", 4194304},
-              {"header_timeout_ms", 3000},
-              {"idle_timeout_ms", 15000}}}};
+routes::Table configurationOf(std::uint64_t Version, unsigned Variant) {
+  constexpr std::uint32_t MaxConnections = 400;
+  routes::Table Table;
+  Table.m_Version = Version;
   for (const char *Name : Services)
-    Made["services"].push_back({{"name", Name},
-                                {"health_path", "/health"},
-                                {"max_connections", 400},
-                                {"protocol", "h1"},
-                                {"tls", false}});
+    Table.m_Services[Name] = {Name, MaxConnections, 0, {}};
+  Table.m_Limits.m_HeaderTimeout = 3s;
+  Table.m_Limits.m_IdleTimeout = 15s;
   const Routes Content = routesOf(Variant);
-  const auto Add = [&](const RouteShape &Route) {
-    const auto Found = Content.find(Route.m_Name);
+  const auto Add = [&](const RouteShape &Shape) {
+    const auto Found = Content.find(Shape.m_Name);
     if (Found == Content.end())
       return;
-    const bool Repeats =
-        Route.m_Kind == Kind::Safe || Route.m_Kind == Kind::Resumable;
-    json Item{{"name", Route.m_Name},
-              {"host", Host},
-              {"path_prefix", std::string("/") + Route.m_Name + "/"},
-              {"kind", kindName(Route.m_Kind)},
-              {"timeout_ms", Route.m_Timeout.count()},
-              {"target_latency_ms", 1000},
-              {"target_gap_ms", 1000},
-              {"priority", 1},
-              {"max_attempts", Repeats ? 3 : 2},
-              {"sticky_sessions", false},
-              {"allow_resume", Route.m_Kind == Kind::Resumable}};
-    if (Found->second.size() == 1) {
-      Item["service"] = *Found->second.begin();
-    } else {
-      Item["split"] = json::array();
-      for (const std::string &Each : Found->second)
-        Item["split"].push_back({{"service", Each}, {"weight", 50}});
-    }
-    Made["routes"].push_back(std::move(Item));
+    routes::Route &Route = Table.m_Routes.emplace_back();
+    Route.m_Name = Shape.m_Name;
+    Route.m_Host = Host;
+    Route.m_PathPrefix = std::string("/") + Shape.m_Name + "/";
+    Route.m_Kind = toRouteKind(Shape.m_Kind);
+    Route.m_Timeout = Shape.m_Timeout;
+    Route.m_Objective = 1s;
+    Route.m_Gap = 1s;
+    Route.m_Rank = 1;
+    Route.m_Resumable = Shape.m_Kind == Kind::Resumable;
+    Route.m_MaxAttempts = Route.isRepeatable() ? 3 : 2;
+    for (const std::string &Service : Found->second)
+      Route.m_Services.push_back({Service, 1});
   };
-  for (const RouteShape &Each : LastingRoutes)
-    Add(Each);
+  for (const RouteShape &Shape : LastingRoutes)
+    Add(Shape);
   Add(PassingRoute);
-  return Made;
+  return Table;
 }
 
 void Operator::change(unsigned Variant) {
   m_Version += 1 + Variant % 4;
   m_Judge.routesSent(m_Version, routesOf(Variant));
-  m_Waiting.push_back({m_Version, configurationOf(m_Version, Variant).dump()});
+  m_Waiting.push_back(
+      {m_Version, platform::printRoutes(configurationOf(m_Version, Variant))});
 }
 
 void Operator::turn(TimePoint Now) {
@@ -109,12 +96,12 @@
     put(m_Control[m_Member], 0);
 }
 
-void Operator::put(const http::Address &To, int Redirects) {
+void Operator::put(const http::Address &Member, int Redirects) {
   m_IsCalling = true;
   http::ClientRequest Out;
-  Out.m_To = To;
+  Out.m_To = Member;
   Out.m_Method = "PUT";
-  Out.m_Path = "/config";
+  Out.m_Path = platform::RoutesPath;
   Out.m_Headers = {{"Content-Type", "application/json"}};
   Out.m_Body = m_Waiting.front().m_Body;
   Out.m_Deadline = BootClock::now() + CallTimeout;
--- a/tools/fault-soak/src/Operator.h
+++ b/tools/fault-soak/src/Operator.h
@@ -6,9 +6,9 @@
 
 #include "Judge.h"
 #include "http/http.h"
+#include "routes/routes.h"
 
 #include <chrono>
-#include <nlohmann/json.hpp>
 
 namespace wasabivale::soak {
 
@@ -35,7 +35,7 @@
 
 /// Services of each route in the configuration that a variant names.
 Routes routesOf(unsigned Variant);
-nlohmann::json configurationOf(std::uint64_t Version, unsigned Variant);
+routes::Table configurationOf(std::uint64_t Version, unsigned Variant);
 
 class Operator {
 public:
@@ -52,7 +52,7 @@
     std::uint64_t m_Version;
     std::string m_Body;
   };
-  void put(const http::Address &To, int Redirects);
+  void put(const http::Address &Member, int Redirects);
 
   event_base *m_Loop;
   Judge &m_Judge;
--- a/tools/fault-soak/src/Processes.cpp
+++ b/tools/fault-soak/src/Processes.cpp
@@ -31,20 +31,20 @@
 
 std::string fillTemplate(std::string Text, const Json &Fields) {
   constexpr std::string_view AsJson = "|json";
-  for (std::size_t At = Text.find("{{"); At != std::string::npos;
-       At = Text.find("{{", At)) {
-    const std::size_t End = Text.find("}}", At);
-    std::string Name = Text.substr(At + 2, End - At - 2);
+  for (std::size_t Start = Text.find("{{"); Start != std::string::npos;
+       Start = Text.find("{{", Start)) {
+    const std::size_t End = Text.find("}}", Start);
+    std::string Name = Text.substr(Start + 2, End - Start - 2);
     const std::size_t Option = Name.find(AsJson);
     const bool IsJson = Option != std::string::npos;
     std::string Pointer = "/" + Name.substr(0, Option);
-    for (char &Each : Pointer)
-      Each = Each == '.' ? '/' : Each;
+    for (char &Letter : Pointer)
+      Letter = Letter == '.' ? '/' : Letter;
     const Json Value = Fields.value(Json::json_pointer(Pointer), Json());
     const std::string Filled =
         !IsJson && Value.is_string() ? Value.get<std::string>() : Value.dump();
-    Text.replace(At, End + 2 - At, Filled);
-    At += Filled.size();
+    Text.replace(Start, End + 2 - Start, Filled);
+    Start += Filled.size();
   }
   return Text;
 }
@@ -116,10 +116,10 @@
   for (std::string Line; std::getline(File, Line);) {
     std::istringstream Words(Line);
     std::string Slot;
-    std::string From;
-    std::string To;
-    Words >> Slot >> From >> To;
-    if (To != Remote || From.substr(From.find(':')) != Local)
+    std::string LocalName;
+    std::string RemoteName;
+    Words >> Slot >> LocalName >> RemoteName;
+    if (RemoteName != Remote || LocalName.substr(LocalName.find(':')) != Local)
       continue;
     constexpr int WordsBetween = 6;
     std::string Skipped;
@@ -136,10 +136,10 @@
   const std::string Wanted = fmt::format("socket:[{}]", Inode);
   std::error_code Failure;
   // A process that ends meanwhile holds nothing.
-  for (const auto &Each : std::filesystem::directory_iterator(
+  for (const auto &Descriptor : std::filesystem::directory_iterator(
            fmt::format("/proc/{}/fd", Process), Failure)) {
     std::error_code Gone;
-    if (std::filesystem::read_symlink(Each.path(), Gone) == Wanted)
+    if (std::filesystem::read_symlink(Descriptor.path(), Gone) == Wanted)
       return true;
   }
   return false;
--- a/tools/fault-soak/src/Schedule.cpp
+++ b/tools/fault-soak/src/Schedule.cpp
@@ -40,9 +40,9 @@
   return static_cast<unsigned>(Random() % Count);
 }
 
-milliseconds pickTime(std::mt19937_64 &Random, Span From) {
-  return milliseconds(From.m_Least +
-                      pick(Random, From.m_Most - From.m_Least + 1));
+milliseconds pickTime(std::mt19937_64 &Random, Span Limits) {
+  return milliseconds(Limits.m_Least +
+                      pick(Random, Limits.m_Most - Limits.m_Least + 1));
 }
 
 bool isOfControl(Fault Kind) {
@@ -92,32 +92,33 @@
   for (milliseconds Now{0}; Now < Size.m_Length;) {
     const Fault Kind = Kinds[pick(Random, static_cast<unsigned>(Kinds.size()))];
     const unsigned Series = 1 + pick(Random, LongestSeries);
-    milliseconds At = Now;
-    for (unsigned I = 0; I < Series && At < Size.m_Length; ++I) {
+    milliseconds Offset = Now;
+    for (unsigned I = 0; I < Series && Offset < Size.m_Length; ++I) {
       const unsigned Machines = isOfControl(Kind)  ? Size.m_Control
                                 : isOfTarget(Kind) ? Size.m_Targets
                                                    : Size.m_Entries;
       Step Next;
-      Next.m_At = At;
-      Next.m_For = pickTime(Random, spanOf(Kind));
+      Next.m_Offset = Offset;
+      Next.m_Length = pickTime(Random, spanOf(Kind));
       Next.m_Fault = Kind;
       Next.m_Machine = pick(Random, Machines);
       Next.m_Peer = pick(Random, Size.m_Targets);
       Next.m_Variant = pick(Random, 1U << 16U);
-      At += pickTime(Random, {20, 900});
+      Offset += pickTime(Random, {20, 900});
       if (isOfControl(Kind)) {
-        if (Next.m_At < ControlFreeAt)
+        if (Next.m_Offset < ControlFreeAt)
           continue;
-        ControlFreeAt = Next.m_At + Next.m_For + ControlRecovery;
+        ControlFreeAt = Next.m_Offset + Next.m_Length + ControlRecovery;
       }
       Steps.push_back(Next);
     }
     // Series overlap: the next may begin before this one has ended.
     Now += pickTime(Random, {100, 1'800});
   }
-  std::stable_sort(
-      Steps.begin(), Steps.end(),
-      [](const Step &One, const Step &Other) { return One.m_At < Other.m_At; });
+  std::stable_sort(Steps.begin(), Steps.end(),
+                   [](const Step &Left, const Step &Right) {
+                     return Left.m_Offset < Right.m_Offset;
+                   });
   return Steps;
 }
 
--- a/tools/fault-soak/src/Schedule.h
+++ b/tools/fault-soak/src/Schedule.h
@@ -1,5 +1,6 @@
 /// \file
-/// Which faults a run injects, and when. Depends on the seed alone.
+/// The faults of a run, drawn from a random number generator only, so that two
+/// runs with the same number inject the same.
 
 #ifndef WASABIVALE_FAULTSOAK_SCHEDULE_H
 #define WASABIVALE_FAULTSOAK_SCHEDULE_H
@@ -32,8 +33,9 @@
 const char *faultName(Fault Kind);
 
 struct Step {
-  std::chrono::milliseconds m_At;  ///< Since the start of the faults.
-  std::chrono::milliseconds m_For; ///< Length of the fault, or until a restart.
+  std::chrono::milliseconds m_Offset; ///< Since the start of the faults.
+  /// Of the fault, or until a restart.
+  std::chrono::milliseconds m_Length;
   Fault m_Fault = Fault::StopEntry;
   unsigned m_Machine = 0; ///< Entry, control member or target.
   unsigned m_Peer = 0;    ///< The target of a link.
--- a/tools/fault-soak/src/Soak.cpp
+++ b/tools/fault-soak/src/Soak.cpp
@@ -6,6 +6,8 @@
 #include "Processes.h"
 #include "Targets.h"
 
+#include "platform/platform.h"
+
 #include <algorithm>
 #include <csignal>
 #include <filesystem>
@@ -50,7 +52,7 @@
     TimePoint m_ResumeAt;
     bool m_IsPaused = false;
     bool m_IsEnding = false; ///< Was asked to stop, or was killed.
-    milliseconds m_DownFor{0};
+    milliseconds m_Downtime{0};
   };
 
   [[nodiscard]] http::Address at(unsigned Kind, unsigned Number,
@@ -62,12 +64,13 @@
   void addMachines();
   bool prepare();
   void turn();
-  void turnMachine(Machine &Each, bool IsEntry, unsigned Number, TimePoint Now);
-  void inject(const Step &What, TimePoint Now);
-  void injectIntoMachine(Machine &Into, bool IsEntry, const Step &What,
+  void turnMachine(Machine &Subject, bool IsEntry, unsigned Number,
+                   TimePoint Now);
+  void inject(const Step &Planned, TimePoint Now);
+  void injectIntoMachine(Machine &Subject, bool IsEntry, const Step &Planned,
                          TimePoint Now);
-  void cutEntry(unsigned Entry, const Step &What, TimePoint Now);
-  void disturbMachine(bool IsEntry, unsigned Number, TimePoint From,
+  void cutEntry(unsigned Entry, const Step &Planned, TimePoint Now);
+  void disturbMachine(bool IsEntry, unsigned Number, TimePoint Start,
                       TimePoint Until);
   void report();
   /// Turns the loop until \p Done or the end of a time.
@@ -91,7 +94,7 @@
   std::ofstream m_Log;
   TimePoint m_StartedAt;
   TimePoint m_TurnedAt;
-  TimePoint m_ChecksFrom = TimePoint::max(); ///< Of `checkService`.
+  TimePoint m_CheckStart = TimePoint::max(); ///< Of `checkService`.
   bool m_IsSending = false;
   std::size_t m_Violations = 0;
   std::uint64_t m_Pauses = 0;
@@ -160,9 +163,9 @@
 std::optional<unsigned> World::findEntry(std::string_view Bytes,
                                          const http::Address &Listener,
                                          std::uint16_t Port) const {
-  constexpr std::string_view Name = "\r\nRequest-Id: ";
-  if (const std::size_t At = Bytes.find(Name); At != Bytes.npos) {
-    const std::string_view Id = Bytes.substr(At + Name.size());
+  const std::string Name = fmt::format("\r\n{}: ", platform::fields::RequestId);
+  if (const std::size_t Start = Bytes.find(Name); Start != Bytes.npos) {
+    const std::string_view Id = Bytes.substr(Start + Name.size());
     return m_Judge.entryOf(std::string(Id.substr(0, Id.find('\r'))));
   }
   const auto Inode = socketInode(Listener, Port);
@@ -206,100 +209,100 @@
 }
 
 void World::addMachines() {
-  const auto Add = [this](std::vector<Machine> &To, const char *Program,
+  const auto Add = [this](std::vector<Machine> &Machines, const char *Program,
                           MachineKind Kind, unsigned Count) {
     for (unsigned I = 0; I < Count; ++I) {
       const std::string Ip = at(Kind, I, 0).m_Host;
       const bool IsControl = Kind == ControlMachine;
       if (IsControl)
         std::filesystem::create_directories(m_Folder + "/data-" + Ip);
-      Machine Made;
-      Made.m_Process =
+      Machine Added;
+      Added.m_Process =
           std::make_unique<Process>(fmt::format("{}-{}", Program, I), Program,
                                     m_Folder, fields(Ip, IsControl));
-      Made.m_StartAt = BootClock::now();
-      To.push_back(std::move(Made));
+      Added.m_StartAt = BootClock::now();
+      Machines.push_back(std::move(Added));
     }
   };
   Add(m_Control, "control", ControlMachine, m_Options.m_Shape.m_Control);
   Add(m_Entries, "entry", EntryMachine, m_Options.m_Shape.m_Entries);
 }
 
-void World::disturbMachine(bool IsEntry, unsigned Number, TimePoint From,
+void World::disturbMachine(bool IsEntry, unsigned Number, TimePoint Start,
                            TimePoint Until) {
   m_Judge.disturbed(IsEntry ? Part::Entry : Part::Core, IsEntry ? Number : 0,
-                    From, Until);
+                    Start, Until);
 }
 
-void World::turnMachine(Machine &Each, bool IsEntry, unsigned Number,
+void World::turnMachine(Machine &Subject, bool IsEntry, unsigned Number,
                         TimePoint Now) {
-  Process &Program = *Each.m_Process;
+  Process &Program = *Subject.m_Process;
   if (!Program.isRunning()) {
-    if (Now < Each.m_StartAt)
+    if (Now < Subject.m_StartAt)
       return;
     Program.start();
     // Set once the system has started for the first time.
     Program.fields()["bootstrap"] = false;
-    Each.m_IsEnding = Each.m_IsPaused = false;
+    Subject.m_IsEnding = Subject.m_IsPaused = false;
     if (IsEntry)
       m_Judge.disturbed(Part::Start, Number, Now, Now);
     else
       m_Judge.disturbed(Part::Core, 0, Now, Now);
     return;
   }
-  if (Each.m_IsPaused && Now >= Each.m_ResumeAt) {
-    Each.m_IsPaused = false;
+  if (Subject.m_IsPaused && Now >= Subject.m_ResumeAt) {
+    Subject.m_IsPaused = false;
     Program.signal(SIGCONT);
     disturbMachine(IsEntry, Number, Now, Now);
   }
-  if (Each.m_IsEnding && Now >= Each.m_KillAt) {
+  if (Subject.m_IsEnding && Now >= Subject.m_KillAt) {
     fmt::print(m_Log, "{} is killed at the end of its grace\n", Program.name());
     Program.signal(SIGKILL);
   }
   if (const auto Status = Program.reap()) {
-    if (!Each.m_IsEnding)
+    if (!Subject.m_IsEnding)
       m_Judge.processEnded(Program.name(), *Status, Now);
-    if (!Each.m_IsEnding)
+    if (!Subject.m_IsEnding)
       disturbMachine(IsEntry, Number, Now, Now);
-    Each.m_StartAt = Now + Each.m_DownFor;
+    Subject.m_StartAt = Now + Subject.m_Downtime;
   }
 }
 
-void World::injectIntoMachine(Machine &Into, bool IsEntry, const Step &What,
-                              TimePoint Now) {
-  Process &Program = *Into.m_Process;
+void World::injectIntoMachine(Machine &Subject, bool IsEntry,
+                              const Step &Planned, TimePoint Now) {
+  Process &Program = *Subject.m_Process;
   if (!Program.isRunning())
     return;
-  switch (What.m_Fault) {
+  switch (Planned.m_Fault) {
   case Fault::StopEntry:
   case Fault::StopControl:
-    if (Into.m_IsEnding)
+    if (Subject.m_IsEnding)
       return;
-    Into.m_IsEnding = true;
-    Into.m_DownFor = What.m_For;
-    Into.m_KillAt = Now + Grace;
+    Subject.m_IsEnding = true;
+    Subject.m_Downtime = Planned.m_Length;
+    Subject.m_KillAt = Now + Grace;
     if (IsEntry) {
-      m_Judge.stopAsked(What.m_Machine, Now);
-      m_Judge.disturbed(Part::Start, What.m_Machine, Now, Now + Grace);
+      m_Judge.stopAsked(Planned.m_Machine, Now);
+      m_Judge.disturbed(Part::Start, Planned.m_Machine, Now, Now + Grace);
     } else {
       m_Judge.disturbed(Part::Core, 0, Now, Now);
     }
     return Program.signal(SIGTERM);
   case Fault::KillEntry:
   case Fault::KillControl:
-    Into.m_IsEnding = true;
-    Into.m_DownFor = What.m_For;
-    Into.m_KillAt = Now + Grace;
-    disturbMachine(IsEntry, What.m_Machine, Now, Now + What.m_For);
+    Subject.m_IsEnding = true;
+    Subject.m_Downtime = Planned.m_Length;
+    Subject.m_KillAt = Now + Grace;
+    disturbMachine(IsEntry, Planned.m_Machine, Now, Now + Planned.m_Length);
     return Program.signal(SIGKILL);
   case Fault::PauseEntry:
   case Fault::PauseControl:
-    Into.m_IsPaused = true;
-    Into.m_ResumeAt = std::max(Into.m_ResumeAt, Now + What.m_For);
-    disturbMachine(IsEntry, What.m_Machine, Now, Into.m_ResumeAt);
+    Subject.m_IsPaused = true;
+    Subject.m_ResumeAt = std::max(Subject.m_ResumeAt, Now + Planned.m_Length);
+    disturbMachine(IsEntry, Planned.m_Machine, Now, Subject.m_ResumeAt);
     return Program.signal(SIGSTOP);
   case Fault::ReloadEntry:
-    Program.fields()["bounds"]["budget_slack"] = 40 + What.m_Variant % 40;
+    Program.fields()["bounds"]["budget_slack"] = 40 + Planned.m_Variant % 40;
     Program.writeSettings();
     return Program.signal(SIGHUP);
   default:
@@ -307,70 +310,71 @@
   }
 }
 
-void World::cutEntry(unsigned Entry, const Step &What, TimePoint Now) {
-  const Cut Direction = static_cast<Cut>(What.m_Variant % 3);
-  m_Links->cut(Entry, Direction, Now + What.m_For);
-  m_Judge.disturbed(Part::Cut, Entry, Now, Now + What.m_For);
+void World::cutEntry(unsigned Entry, const Step &Planned, TimePoint Now) {
+  const Cut Direction = static_cast<Cut>(Planned.m_Variant % 3);
+  m_Links->cut(Entry, Direction, Now + Planned.m_Length);
+  m_Judge.disturbed(Part::Cut, Entry, Now, Now + Planned.m_Length);
 }
 
-void World::inject(const Step &What, TimePoint Now) {
+void World::inject(const Step &Planned, TimePoint Now) {
   fmt::print(
       m_Log, "{} {} machine={} peer={} for_ms={} variant={}\n",
       std::chrono::duration_cast<milliseconds>(Now - m_StartedAt).count(),
-      faultName(What.m_Fault), What.m_Machine, What.m_Peer, What.m_For.count(),
-      What.m_Variant);
+      faultName(Planned.m_Fault), Planned.m_Machine, Planned.m_Peer,
+      Planned.m_Length.count(), Planned.m_Variant);
   m_Log.flush();
-  const TimePoint Until = Now + What.m_For;
-  const unsigned Link = linkNumber(What.m_Machine, What.m_Peer);
-  switch (What.m_Fault) {
+  const TimePoint Until = Now + Planned.m_Length;
+  const unsigned Link = linkNumber(Planned.m_Machine, Planned.m_Peer);
+  switch (Planned.m_Fault) {
   case Fault::StopEntry:
   case Fault::KillEntry:
   case Fault::PauseEntry:
   case Fault::ReloadEntry:
-    return injectIntoMachine(m_Entries[What.m_Machine], true, What, Now);
+    return injectIntoMachine(m_Entries[Planned.m_Machine], true, Planned, Now);
   case Fault::StopControl:
   case Fault::KillControl:
   case Fault::PauseControl:
-    return injectIntoMachine(m_Control[What.m_Machine], false, What, Now);
+    return injectIntoMachine(m_Control[Planned.m_Machine], false, Planned, Now);
   case Fault::DelayLinks: {
-    const milliseconds Extra(20 + What.m_Variant % 300);
+    const milliseconds Extra(20 + Planned.m_Variant % 300);
     m_Judge.disturbed(Part::Link, Link, Now, Until + Extra);
-    return m_Links->delay(What.m_Machine, What.m_Peer, Extra, Until);
+    return m_Links->delay(Planned.m_Machine, Planned.m_Peer, Extra, Until);
   }
   case Fault::ResetLinks:
     m_Judge.disturbed(Part::Link, Link, Now, Now);
-    return m_Links->reset(What.m_Machine, What.m_Peer);
+    return m_Links->reset(Planned.m_Machine, Planned.m_Peer);
   case Fault::SilenceTarget:
-    m_Judge.disturbed(Part::Target, What.m_Machine, Now, Until);
-    return m_Links->silence(What.m_Machine, Until);
+    m_Judge.disturbed(Part::Target, Planned.m_Machine, Now, Until);
+    return m_Links->silence(Planned.m_Machine, Until);
   case Fault::CrashTarget:
-    return m_Targets->crash(What.m_Machine, What.m_For, What.m_Variant % 2 == 0,
-                            false);
+    return m_Targets->crash(Planned.m_Machine, Planned.m_Length,
+                            Planned.m_Variant % 2 == 0, false);
   case Fault::UpgradeTarget:
-    return m_Targets->crash(What.m_Machine, What.m_For, What.m_Variant % 2 == 0,
-                            true);
+    return m_Targets->crash(Planned.m_Machine, Planned.m_Length,
+                            Planned.m_Variant % 2 == 0, true);
   case Fault::LeaveTarget:
-    return m_Targets->leave(What.m_Machine, What.m_For,
-                            What.m_Variant % 4 == 0);
+    return m_Targets->leave(Planned.m_Machine, Planned.m_Length,
+                            Planned.m_Variant % 4 == 0);
   case Fault::ChangeRoutes:
-    return m_Operator->change(What.m_Variant);
+    return m_Operator->change(Planned.m_Variant);
   case Fault::CutEntry:
-    return cutEntry(What.m_Machine, What, Now);
+    return cutEntry(Planned.m_Machine, Planned, Now);
   case Fault::CutHalf:
     for (unsigned I = 0; I < m_Entries.size(); I += 2)
-      cutEntry((I + What.m_Machine) % m_Options.m_Shape.m_Entries, What, Now);
+      cutEntry((I + Planned.m_Machine) % m_Options.m_Shape.m_Entries, Planned,
+               Now);
     return;
   }
 }
 
 void World::report() {
-  for (const Violation &Each : m_Judge.take()) {
+  for (const Violation &Broken : m_Judge.take()) {
     ++m_Violations;
     const std::string Line = fmt::format(
-        "VIOLATION {} seed={} at_ms={} request={} {}", Each.m_Rule, m_Seed,
-        std::chrono::duration_cast<milliseconds>(Each.m_At - m_StartedAt)
+        "VIOLATION {} seed={} at_ms={} request={} {}", Broken.m_Rule, m_Seed,
+        std::chrono::duration_cast<milliseconds>(Broken.m_SeenAt - m_StartedAt)
             .count(),
-        Each.m_Request, Each.m_Text);
+        Broken.m_Request, Broken.m_Text);
     fmt::print("{}\n", Line);
     fmt::print(m_Log, "{}\n", Line);
   }
@@ -392,9 +396,9 @@
   m_Operator->turn(Now);
   m_Balancer->turn(Now);
   if (m_IsSending)
-    for (const auto &Each : m_Callers)
-      Each->turn(Now);
-  if (Now >= m_ChecksFrom)
+    for (const auto &Client : m_Callers)
+      Client->turn(Now);
+  if (Now >= m_CheckStart)
     m_Judge.checkService(Now);
   report();
   if (m_IsDone && m_IsDone())
@@ -427,25 +431,26 @@
   m_IsSending = true;
   // Callers open their connections before the first fault.
   runUntil([] { return false; }, 1s);
-  const TimePoint FaultsFrom = BootClock::now();
-  m_ChecksFrom = FaultsFrom;
+  const TimePoint FaultStart = BootClock::now();
+  m_CheckStart = FaultStart;
   std::size_t Next = 0;
   runUntil(
       [&] {
         const TimePoint Now = BootClock::now();
-        for (; Next < Steps.size() && Now >= FaultsFrom + Steps[Next].m_At;
+        for (; Next < Steps.size() && Now >= FaultStart + Steps[Next].m_Offset;
              ++Next)
           inject(Steps[Next], Now);
         return Next == Steps.size() &&
-               Now >= FaultsFrom + m_Options.m_Shape.m_Length;
+               Now >= FaultStart + m_Options.m_Shape.m_Length;
       },
       m_Options.m_Shape.m_Length + 60s);
   m_IsSending = false;
-  m_ChecksFrom = TimePoint::max();
+  m_CheckStart = TimePoint::max();
   runUntil(
       [&] {
-        return std::none_of(m_Callers.begin(), m_Callers.end(),
-                            [](const auto &Each) { return Each->isWaiting(); });
+        return std::none_of(
+            m_Callers.begin(), m_Callers.end(),
+            [](const auto &Client) { return Client->isWaiting(); });
       },
       SettlePatience);
   m_Judge.checkCuts(BootClock::now());
--- a/tools/fault-soak/src/Soak.h
+++ b/tools/fault-soak/src/Soak.h
@@ -1,5 +1,6 @@
 /// \file
-/// One run: the processes, their callers and targets, and the faults of a seed.
+/// A run of the real programs between stand-ins for callers, targets and the
+/// operator, with the faults of one schedule.
 
 #ifndef WASABIVALE_FAULTSOAK_SOAK_H
 #define WASABIVALE_FAULTSOAK_SOAK_H
@@ -22,8 +23,9 @@
   std::string m_Folder; ///< Of the logs; a folder for each seed is made there.
 };
 
-/// Runs the faults of \p Seed, prints a line for each violation, and keeps the
-/// logs if there was one. \returns how many there were.
+/// Plays one schedule, prints a line for each violation, and keeps the logs if
+/// there was one.
+/// \returns the number of violations.
 std::size_t runSeed(std::uint64_t Seed, const Options &Wanted);
 
 } // namespace wasabivale::soak
--- a/tools/fault-soak/src/Targets.cpp
+++ b/tools/fault-soak/src/Targets.cpp
@@ -1,13 +1,15 @@
 #include "Targets.h"
 
+#include "platform/platform.h"
+
 #include <algorithm>
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 namespace wasabivale::soak {
 
 using namespace std::chrono_literals;
 using std::chrono::milliseconds;
+namespace fields = platform::fields;
 
 namespace {
 
@@ -21,16 +23,15 @@
 /// How long a control member may hold on to a target that has ended.
 constexpr milliseconds RestartSettle{3'000};
 
-std::uint64_t numberField(const http::Request &From, std::string_view Name,
+std::uint64_t numberField(const http::Request &Request, std::string_view Name,
                           std::uint64_t Default) {
-  const std::string Text(http::field(From.m_Fields, Name));
+  const std::string Text(http::field(Request.m_Fields, Name));
   return Text.empty() ? Default : std::strtoull(Text.c_str(), nullptr, 10);
 }
 
-std::int64_t unixMilliseconds() {
-  return std::chrono::duration_cast<milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
+std::chrono::sys_time<milliseconds> systemTime() {
+  return std::chrono::time_point_cast<milliseconds>(
+      std::chrono::system_clock::now());
 }
 
 } // namespace
@@ -39,9 +40,9 @@
                  std::vector<http::Address> Control, std::vector<Place> Places)
     : m_Loop(Loop), m_Links(Network), m_Judge(Observer),
       m_Control(std::move(Control)) {
-  for (Place &Each : Places) {
+  for (Place &Subject : Places) {
     m_Targets.emplace_back();
-    m_Targets.back().m_At = std::move(Each);
+    m_Targets.back().m_Place = std::move(Subject);
   }
 }
 
@@ -56,211 +57,215 @@
 }
 
 bool Targets::start(unsigned Index) {
-  Target &Now = m_Targets[Index];
+  Target &Subject = m_Targets[Index];
   auto Server =
-      http::listen(m_Loop, Now.m_At.m_Back, {},
+      http::listen(m_Loop, Subject.m_Place.m_Back, {},
                    [this, Index](std::shared_ptr<http::Exchange> Request) {
                      take(Index, std::move(Request));
                    });
-  if (failed(Server) ||
-      failed(m_Links.open(Index, Now.m_At.m_Front, Now.m_At.m_Back)))
+  if (failed(Server) || failed(m_Links.open(Index, Subject.m_Place.m_Front,
+                                            Subject.m_Place.m_Back)))
     return false;
-  Now.m_Server = std::move(std::get<std::unique_ptr<http::Server>>(Server));
-  Now.m_State = State::Ready;
-  Now.m_StartedMs = unixMilliseconds();
-  Now.m_Sequence = 0;
-  Now.m_Running = 0;
-  Now.m_IsAcknowledged = false;
-  Now.m_BeatAt = BootClock::now();
-  ++Now.m_Starts;
+  Subject.m_Server = std::move(std::get<std::unique_ptr<http::Server>>(Server));
+  Subject.m_State = State::Ready;
+  Subject.m_StartedAt = systemTime();
+  Subject.m_Sequence = 0;
+  Subject.m_Running = 0;
+  Subject.m_IsAcknowledged = false;
+  Subject.m_BeatAt = BootClock::now();
+  ++Subject.m_Starts;
   m_Judge.targetStarted(Index);
   return true;
 }
 
 void Targets::end(unsigned Index, milliseconds DownFor) {
-  Target &Now = m_Targets[Index];
-  const TimePoint At = BootClock::now();
-  m_Judge.disturbed(Part::Target, Index, At, At + DownFor + RestartSettle);
+  Target &Subject = m_Targets[Index];
+  const TimePoint Now = BootClock::now();
+  m_Judge.disturbed(Part::Target, Index, Now, Now + DownFor + RestartSettle);
   m_Links.close(Index);
   m_Works.remove_if(
-      [Index](const Work &Each) { return Each.m_Target == Index; });
-  Now.m_Server.reset();
-  Now.m_State = State::Down;
-  Now.m_StartAt = At + DownFor;
+      [Index](const Work &Task) { return Task.m_Target == Index; });
+  Subject.m_Server.reset();
+  Subject.m_State = State::Down;
+  Subject.m_StartAt = Now + DownFor;
 }
 
-void Targets::crash(unsigned Index, milliseconds For, bool KeepsId,
+void Targets::crash(unsigned Index, milliseconds Downtime, bool KeepsId,
                     bool Upgrades) {
-  Target &Now = m_Targets[Index];
-  if (Now.m_State == State::Down)
+  Target &Subject = m_Targets[Index];
+  if (Subject.m_State == State::Down)
     return;
-  end(Index, For);
+  end(Index, Downtime);
   if (!KeepsId)
-    Now.m_Id = fmt::format("i-{}-{}", Index, Now.m_Starts);
-  Now.m_Software += Upgrades ? 1 : 0;
+    Subject.m_Id = fmt::format("i-{}-{}", Index, Subject.m_Starts);
+  Subject.m_Software += Upgrades ? 1 : 0;
 }
 
-void Targets::leave(unsigned Index, milliseconds For, bool Silently) {
-  Target &Now = m_Targets[Index];
-  if (Now.m_State != State::Ready)
+void Targets::leave(unsigned Index, milliseconds Downtime, bool Silently) {
+  Target &Subject = m_Targets[Index];
+  if (Subject.m_State != State::Ready)
     return;
-  Now.m_State = Silently ? State::Gone : State::Draining;
-  Now.m_DownFor = For;
-  Now.m_BeatAt = BootClock::now();
-  Now.m_ExitAt = BootClock::now() + UnacknowledgedDrain;
+  Subject.m_State = Silently ? State::Gone : State::Draining;
+  Subject.m_DownFor = Downtime;
+  Subject.m_BeatAt = BootClock::now();
+  Subject.m_ExitAt = BootClock::now() + UnacknowledgedDrain;
 }
 
 void Targets::beat(unsigned Index) {
-  Target &Now = m_Targets[Index];
-  Now.m_IsCalling = true;
-  const State Told = Now.m_State;
-  const unsigned Start = Now.m_Starts;
+  Target &Subject = m_Targets[Index];
+  Subject.m_IsCalling = true;
+  const State Reported = Subject.m_State;
+  const unsigned Start = Subject.m_Starts;
   http::ClientRequest Out;
-  Out.m_To = m_Control[Now.m_Member];
-  Out.m_Method = Told == State::Gone ? "DELETE" : "PUT";
-  Out.m_Path = "/instances/" + Now.m_Id;
+  Out.m_To = m_Control[Subject.m_Member];
+  Out.m_Method = Reported == State::Gone ? "DELETE" : "PUT";
+  Out.m_Path = platform::targetPath({Subject.m_Id});
   Out.m_Headers = {{"Content-Type", "application/json"}};
   Out.m_Deadline = BootClock::now() + BeatTimeout;
-  if (Told != State::Gone)
-    Out.m_Body =
-        nlohmann::json{
-            {"service", Now.m_At.m_Service},
-            {"address", http::printAddress(Now.m_At.m_Front)},
-            {"zone", "zone-a"},
-            {"version", fmt::format("v{}", Now.m_Software)},
-            {"slots", Slots},
-            {"state", Told == State::Draining ? "draining" : "ready"},
-            {"cold_remaining_ms", 0},
-            {"born", Now.m_StartedMs},
-            {"sequence", ++Now.m_Sequence}}
-            .dump();
+  if (Reported != State::Gone) {
+    platform::Beat Beat;
+    Beat.m_Target.m_Kind = targets::Kind::Service;
+    Beat.m_Target.m_Services = {Subject.m_Place.m_Service};
+    Beat.m_Target.m_Address = Subject.m_Place.m_Front;
+    Beat.m_Target.m_Zone = {"zone-a"};
+    Beat.m_Target.m_SoftwareVersion = fmt::format("v{}", Subject.m_Software);
+    Beat.m_Target.m_MaxRunning = Slots;
+    Beat.m_StartedAt = Subject.m_StartedAt;
+    Beat.m_Sequence = ++Subject.m_Sequence;
+    Beat.m_Leaving = Reported == State::Draining;
+    Out.m_Body = platform::printBeat(Beat);
+  }
   http::ClientHandlers Handlers;
-  Handlers.m_OnDone = [this, Index, Told,
+  Handlers.m_OnDone = [this, Index, Reported,
                        Start](const Result<http::Response> &Got) {
-    Target &Asked = m_Targets[Index];
-    Asked.m_IsCalling = false;
-    const TimePoint At = BootClock::now();
+    Target &Caller = m_Targets[Index];
+    Caller.m_IsCalling = false;
+    const TimePoint Now = BootClock::now();
     const bool IsTaken = !failed(Got) && valueOf(Got).m_Status / 100 == 2;
     if (!IsTaken) {
-      Asked.m_Member = (Asked.m_Member + 1) % m_Control.size();
-      Asked.m_BeatAt = At + 50ms;
+      Caller.m_Member = (Caller.m_Member + 1) % m_Control.size();
+      Caller.m_BeatAt = Now + 50ms;
       return;
     }
-    Asked.m_BeatAt = At + BeatInterval;
-    if (Told == State::Ready || Asked.m_Starts != Start ||
-        Asked.m_State != Told || Asked.m_IsAcknowledged)
+    Caller.m_BeatAt = Now + BeatInterval;
+    if (Reported == State::Ready || Caller.m_Starts != Start ||
+        Caller.m_State != Reported || Caller.m_IsAcknowledged)
       return;
-    Asked.m_IsAcknowledged = true;
-    Asked.m_ExitAt = At + DrainTime + 100ms * (Asked.m_Starts * 7 % 20);
-    m_Judge.leaveAcknowledged(Index, At);
+    Caller.m_IsAcknowledged = true;
+    Caller.m_ExitAt = Now + DrainTime + 100ms * (Caller.m_Starts * 7 % 20);
+    m_Judge.leaveAcknowledged(Index, Now);
   };
   http::call(m_Loop, std::move(Out), std::move(Handlers));
 }
 
 void Targets::take(unsigned Index, std::shared_ptr<http::Exchange> Request) {
-  Target &Now = m_Targets[Index];
-  const http::Request &Asked = Request->request();
-  http::Fields Head{{"Instance-Id", Now.m_Id}};
-  if (Now.m_State != State::Ready)
-    Head.emplace_back("Server-Leaving", "1");
-  if (Asked.m_Path == "/health") {
-    Request->relay(Now.m_State == State::Ready ? 200 : 503, Head, "");
+  Target &Subject = m_Targets[Index];
+  const http::Request &Arrived = Request->request();
+  http::Fields Head{{fields::TargetId, Subject.m_Id}};
+  if (Subject.m_State != State::Ready)
+    Head.emplace_back(fields::Leaving, "1");
+  if (Arrived.m_Path == "/health") {
+    Request->relay(Subject.m_State == State::Ready ? 200 : 503, Head, "");
     return;
   }
-  const std::string Id(http::field(Asked.m_Fields, "Request-Id"));
+  const std::string Id(http::field(Arrived.m_Fields, fields::RequestId));
   if (Id.empty()) {
     Request->relay(404, Head, "");
     return;
   }
-  Head.emplace_back("Request-Id", Id);
+  Head.emplace_back(fields::RequestId, Id);
   const std::string_view Expected =
-      http::field(Asked.m_Fields, "Expect-Instance");
-  const bool IsOther = !Expected.empty() && Expected != Now.m_Id;
-  if (IsOther || Now.m_Running >= Slots) {
-    Head.emplace_back("Not-Executed", "1");
+      http::field(Arrived.m_Fields, fields::Target);
+  const bool IsOther = !Expected.empty() && Expected != Subject.m_Id;
+  if (IsOther || Subject.m_Running >= Slots) {
+    Head.emplace_back(fields::NotRun, "1");
     Request->relay(IsOther ? 421 : 503, Head, "");
     return;
   }
-  Work Made;
-  Made.m_Id = Id;
-  Made.m_Target = Index;
-  Made.m_Version = fmt::format("v{}", Now.m_Software);
-  Made.m_Stamp = fmt::format("{}.{}.{}", Now.m_Id, Now.m_StartedMs, Id);
-  Made.m_Body = fmt::format("{} {} {}", Id, Now.m_At.m_Service, Made.m_Version);
-  Made.m_Gap = milliseconds(numberField(Asked, "Soak-Ms", 10));
-  Made.m_Events = numberField(Asked, "Soak-Events", 0);
-  Made.m_IsStream = Made.m_Events > 0;
-  Made.m_NextEvent = numberField(Asked, "Last-Event-Id", 0) + 1;
-  const TimePoint At = BootClock::now();
-  Made.m_NextAt = At + Made.m_Gap;
-  Made.m_Deadline =
-      At + milliseconds(numberField(Asked, "Deadline-Ms", 60'000));
+  Work Task;
+  Task.m_Id = Id;
+  Task.m_Target = Index;
+  Task.m_Version = fmt::format("v{}", Subject.m_Software);
+  Task.m_Stamp =
+      fmt::format("{}.{}.{}", Subject.m_Id,
+                  Subject.m_StartedAt.time_since_epoch().count(), Id);
+  Task.m_Body =
+      fmt::format("{} {} {}", Id, Subject.m_Place.m_Service, Task.m_Version);
+  Task.m_Gap = milliseconds(numberField(Arrived, "Soak-Ms", 10));
+  Task.m_Events = numberField(Arrived, "Soak-Events", 0);
+  Task.m_IsStream = Task.m_Events > 0;
+  Task.m_NextEvent = numberField(Arrived, fields::LastEvent, 0) + 1;
+  const TimePoint Now = BootClock::now();
+  Task.m_NextAt = Now + Task.m_Gap;
+  Task.m_Deadline =
+      Now + milliseconds(numberField(Arrived, fields::Deadline, 60'000));
   Run Started;
   Started.m_Target = Index;
-  Started.m_Service = Now.m_At.m_Service;
-  Started.m_Stamp = Made.m_Stamp;
-  Started.m_Body = Made.m_Body;
-  Started.m_At = At;
-  Made.m_Run = m_Judge.began(Id, std::move(Started));
-  Head.emplace_back("Server-Stamp", Made.m_Stamp);
-  if (Made.m_IsStream) {
+  Started.m_Service = Subject.m_Place.m_Service;
+  Started.m_Stamp = Task.m_Stamp;
+  Started.m_Body = Task.m_Body;
+  Started.m_BeganAt = Now;
+  Task.m_Run = m_Judge.began(Id, std::move(Started));
+  Head.emplace_back(fields::Signature, Task.m_Stamp);
+  if (Task.m_IsStream) {
     Head.emplace_back("Content-Type", "text/event-stream");
     Request->startRelay(200, Head);
   }
-  Made.m_Exchange = std::move(Request);
-  ++Now.m_Running;
-  m_Works.push_back(std::move(Made));
+  Task.m_Exchange = std::move(Request);
+  ++Subject.m_Running;
+  m_Works.push_back(std::move(Task));
 }
 
-bool Targets::advance(Work &On, TimePoint Now) {
-  if (On.m_Exchange->isGone())
+bool Targets::advance(Work &Task, TimePoint Now) {
+  if (Task.m_Exchange->isGone())
     return true;
-  if (Now < On.m_NextAt)
+  if (Now < Task.m_NextAt)
     return false;
-  http::Fields Head{{"Request-Id", On.m_Id},
-                    {"Server-Stamp", On.m_Stamp},
-                    {"Instance-Id", m_Targets[On.m_Target].m_Id}};
-  if (m_Targets[On.m_Target].m_State != State::Ready)
-    Head.emplace_back("Server-Leaving", "1");
-  if (!On.m_IsStream) {
-    const bool IsLate = Now > On.m_Deadline;
-    On.m_Exchange->relay(IsLate ? 504 : 200, Head, IsLate ? "" : On.m_Body);
-    m_Judge.answered(On.m_Id, On.m_Run, Now);
+  http::Fields Head{{fields::RequestId, Task.m_Id},
+                    {fields::Signature, Task.m_Stamp},
+                    {fields::TargetId, m_Targets[Task.m_Target].m_Id}};
+  if (m_Targets[Task.m_Target].m_State != State::Ready)
+    Head.emplace_back(fields::Leaving, "1");
+  if (!Task.m_IsStream) {
+    const bool IsLate = Now > Task.m_Deadline;
+    Task.m_Exchange->relay(IsLate ? 504 : 200, Head, IsLate ? "" : Task.m_Body);
+    m_Judge.answered(Task.m_Id, Task.m_Run, Now);
     return true;
   }
-  if (On.m_NextEvent <= On.m_Events)
-    On.m_Exchange->write(
-        eventText(On.m_NextEvent, On.m_Events, On.m_Id, On.m_Version));
-  ++On.m_NextEvent;
-  On.m_NextAt += On.m_Gap;
-  if (On.m_NextEvent <= On.m_Events)
+  if (Task.m_NextEvent <= Task.m_Events)
+    Task.m_Exchange->write(
+        eventText(Task.m_NextEvent, Task.m_Events, Task.m_Id, Task.m_Version));
+  ++Task.m_NextEvent;
+  Task.m_NextAt += Task.m_Gap;
+  if (Task.m_NextEvent <= Task.m_Events)
     return false;
-  On.m_Exchange->finish();
-  m_Judge.answered(On.m_Id, On.m_Run, Now);
+  Task.m_Exchange->finish();
+  m_Judge.answered(Task.m_Id, Task.m_Run, Now);
   return true;
 }
 
 void Targets::turn(TimePoint Now) {
-  m_Works.remove_if([&](Work &Each) {
-    if (!advance(Each, Now))
+  m_Works.remove_if([&](Work &Task) {
+    if (!advance(Task, Now))
       return false;
-    --m_Targets[Each.m_Target].m_Running;
+    --m_Targets[Task.m_Target].m_Running;
     return true;
   });
   for (unsigned Index = 0; Index < m_Targets.size(); ++Index) {
-    Target &Each = m_Targets[Index];
-    if (Each.m_State == State::Down) {
-      if (Now >= Each.m_StartAt && !start(Index))
-        Each.m_StartAt = Now + 100ms;
+    Target &Subject = m_Targets[Index];
+    if (Subject.m_State == State::Down) {
+      if (Now >= Subject.m_StartAt && !start(Index))
+        Subject.m_StartAt = Now + 100ms;
       continue;
     }
-    if (Each.m_State != State::Ready && Now >= Each.m_ExitAt) {
-      Each.m_Id = fmt::format("i-{}-{}", Index, Each.m_Starts);
-      end(Index, Each.m_DownFor);
+    if (Subject.m_State != State::Ready && Now >= Subject.m_ExitAt) {
+      Subject.m_Id = fmt::format("i-{}-{}", Index, Subject.m_Starts);
+      end(Index, Subject.m_DownFor);
       continue;
     }
-    const bool IsQuiet = Each.m_State == State::Gone && Each.m_IsAcknowledged;
-    if (!Each.m_IsCalling && !IsQuiet && Now >= Each.m_BeatAt)
+    const bool IsQuiet =
+        Subject.m_State == State::Gone && Subject.m_IsAcknowledged;
+    if (!Subject.m_IsCalling && !IsQuiet && Now >= Subject.m_BeatAt)
       beat(Index);
   }
 }
--- a/tools/fault-soak/src/Targets.h
+++ b/tools/fault-soak/src/Targets.h
@@ -26,12 +26,12 @@
 
   /// \returns false when an address can't be listened on.
   bool startAll();
-  /// Ends at once; starts again after \p For, under its id if \p KeepsId.
-  void crash(unsigned Index, std::chrono::milliseconds For, bool KeepsId,
+  /// Ends at once; starts again after \p Downtime, under its id if \p KeepsId.
+  void crash(unsigned Index, std::chrono::milliseconds Downtime, bool KeepsId,
              bool Upgrades);
   /// Drains, ends, and starts again under a new id. \p Silently: says that it
   /// is gone without having said that it drains.
-  void leave(unsigned Index, std::chrono::milliseconds For, bool Silently);
+  void leave(unsigned Index, std::chrono::milliseconds Downtime, bool Silently);
   void turn(TimePoint Now);
   /// Whether a request is at work.
   [[nodiscard]] bool isWorking() const { return !m_Works.empty(); }
@@ -39,11 +39,11 @@
 private:
   enum class State : std::uint8_t { Down, Ready, Draining, Gone };
   struct Target {
-    Place m_At;
+    Place m_Place;
     std::string m_Id;
     unsigned m_Starts = 0;
     unsigned m_Software = 1;
-    std::int64_t m_StartedMs = 0;
+    std::chrono::sys_time<std::chrono::milliseconds> m_StartedAt;
     std::uint64_t m_Sequence = 0;
     State m_State = State::Down;
     std::unique_ptr<http::Server> m_Server;
@@ -77,7 +77,7 @@
   void beat(unsigned Index);
   void take(unsigned Index, std::shared_ptr<http::Exchange> Request);
   /// \returns whether the request is over.
-  bool advance(Work &On, TimePoint Now);
+  bool advance(Work &Task, TimePoint Now);
 
   event_base *m_Loop;
   Links &m_Links;
--- a/tools/fault-soak/tests/JudgeTest.cpp
+++ b/tools/fault-soak/tests/JudgeTest.cpp
@@ -15,24 +15,24 @@
   Judge m_Judge{{}, true};
   Sent m_Sent;
 
-  explicit Story(Kind What) {
+  explicit Story(Kind Value) {
     m_Judge.routesSent(1, {{"book", {"alpha"}}});
     m_Judge.routesAcknowledged(1, Start);
     m_Sent.m_Id = "r-1";
     m_Sent.m_Route = "book";
-    m_Sent.m_Kind = What;
+    m_Sent.m_Kind = Value;
     m_Sent.m_OnKeptConnection = true;
-    m_Sent.m_At = Start + 60s;
-    m_Sent.m_Deadline = m_Sent.m_At + 5s;
+    m_Sent.m_SentAt = Start + 60s;
+    m_Sent.m_Deadline = m_Sent.m_SentAt + 5s;
   }
   void send() { m_Judge.sent(m_Sent); }
   std::size_t run(Duration After, const std::string &Service = "alpha",
                   unsigned Target = 3) {
     return m_Judge.began(
-        "r-1", {Target, Service, "stamp", "body", m_Sent.m_At + After, {}});
+        "r-1", {Target, Service, "stamp", "body", m_Sent.m_SentAt + After, {}});
   }
   void answer(Duration After, std::size_t Number = 0) {
-    m_Judge.answered("r-1", Number, m_Sent.m_At + After);
+    m_Judge.answered("r-1", Number, m_Sent.m_SentAt + After);
   }
   void end(Duration After, int Status, const std::string &Body = "body") {
     Ending Got;
@@ -40,7 +40,7 @@
     Got.m_Id = "r-1";
     Got.m_Stamp = "stamp";
     Got.m_Body = Body;
-    Got.m_At = m_Sent.m_At + After;
+    Got.m_EndedAt = m_Sent.m_SentAt + After;
     m_Judge.ended("r-1", Got);
   }
   void cut(Duration After, const std::string &Body = "") {
@@ -48,13 +48,13 @@
     Got.m_IsBroken = true;
     Got.m_Status = Body.empty() ? 0 : 200;
     Got.m_Body = Body;
-    Got.m_At = m_Sent.m_At + After;
+    Got.m_EndedAt = m_Sent.m_SentAt + After;
     m_Judge.ended("r-1", Got);
   }
   std::string rules() {
     std::string Found;
-    for (const Violation &Each : m_Judge.take())
-      Found += Each.m_Rule + ' ';
+    for (const Violation &Broken : m_Judge.take())
+      Found += Broken.m_Rule + ' ';
     return Found;
   }
 };
@@ -71,228 +71,228 @@
 
 SCENARIO("a request is judged by what its caller and its targets see") {
   GIVEN("a booking, which may run once") {
-    Story On(Kind::Unsafe);
-    On.send();
+    Story Case(Kind::Unsafe);
+    Case.send();
     WHEN("it runs and is answered") {
-      On.run(5ms);
-      On.answer(20ms);
+      Case.run(5ms);
+      Case.answer(20ms);
       THEN("a whole answer is right") {
-        On.end(21ms, 200);
-        CHECK(On.rules().empty());
+        Case.end(21ms, 200);
+        CHECK(Case.rules().empty());
       }
       THEN("another body or status promise is not") {
-        On.end(21ms, 200, "other");
-        CHECK(On.rules() == "MIXED ");
+        Case.end(21ms, 200, "other");
+        CHECK(Case.rules() == "MIXED ");
       }
       THEN("a refusal is not") {
-        On.end(21ms, 503);
-        CHECK(On.rules() == "REFUSED ");
+        Case.end(21ms, 503);
+        CHECK(Case.rules() == "REFUSED ");
       }
       THEN("a closed connection is not") {
-        On.cut(21ms);
-        CHECK(On.rules() == "LOST ");
+        Case.cut(21ms);
+        CHECK(Case.rules() == "LOST ");
       }
       THEN("a second run is not") {
-        On.run(30ms);
-        CHECK(On.rules() == "TWICE ");
+        Case.run(30ms);
+        CHECK(Case.rules() == "TWICE ");
       }
     }
     WHEN("it is refused") {
-      On.end(3ms, 503);
-      CHECK(On.rules().empty());
+      Case.end(3ms, 503);
+      CHECK(Case.rules().empty());
       THEN("it never runs later") {
-        On.run(10ms);
-        CHECK(On.rules() == "REFUSED ");
+        Case.run(10ms);
+        CHECK(Case.rules() == "REFUSED ");
       }
     }
     WHEN("its connection ends while a disturbance excuses it") {
-      On.run(5ms);
+      Case.run(5ms);
       SECTION("the entry was killed") {
-        On.m_Judge.disturbed(Part::Entry, 0, Start + 60s, Start + 61s);
+        Case.m_Judge.disturbed(Part::Entry, 0, Start + 60s, Start + 61s);
       }
       SECTION("the target crashed") {
-        On.m_Judge.disturbed(Part::Target, 3, Start + 60s, Start + 61s);
+        Case.m_Judge.disturbed(Part::Target, 3, Start + 60s, Start + 61s);
       }
       SECTION("the link was reset") {
-        On.m_Judge.disturbed(Part::Link, linkNumber(0, 3), Start + 60s,
-                             Start + 61s);
+        Case.m_Judge.disturbed(Part::Link, linkNumber(0, 3), Start + 60s,
+                               Start + 61s);
       }
-      On.cut(20ms);
-      CHECK(On.rules().empty());
+      Case.cut(20ms);
+      CHECK(Case.rules().empty());
     }
     WHEN("disturbances concern others, or are over") {
-      On.run(5ms);
-      On.m_Judge.disturbed(Part::Entry, 1, Start + 60s, Start + 61s);
-      On.m_Judge.disturbed(Part::Target, 2, Start + 60s, Start + 61s);
-      On.m_Judge.disturbed(Part::Link, linkNumber(3, 0), Start + 60s,
-                           Start + 61s);
-      On.m_Judge.disturbed(Part::Entry, 0, Start + 40s, Start + 50s);
-      On.cut(20ms);
-      CHECK(On.rules() == "LOST ");
+      Case.run(5ms);
+      Case.m_Judge.disturbed(Part::Entry, 1, Start + 60s, Start + 61s);
+      Case.m_Judge.disturbed(Part::Target, 2, Start + 60s, Start + 61s);
+      Case.m_Judge.disturbed(Part::Link, linkNumber(3, 0), Start + 60s,
+                             Start + 61s);
+      Case.m_Judge.disturbed(Part::Entry, 0, Start + 40s, Start + 50s);
+      Case.cut(20ms);
+      CHECK(Case.rules() == "LOST ");
     }
     WHEN("it goes to a service of an older configuration") {
-      On.m_Judge.routesSent(2, {{"book", {"beta"}}});
+      Case.m_Judge.routesSent(2, {{"book", {"beta"}}});
       SECTION("that was replaced long ago") {
-        On.m_Judge.routesAcknowledged(2, Start + 50s);
-        On.run(5ms);
-        CHECK(On.rules() == "CONFIG ");
+        Case.m_Judge.routesAcknowledged(2, Start + 50s);
+        Case.run(5ms);
+        CHECK(Case.rules() == "CONFIG ");
       }
       SECTION("that was replaced just now") {
-        On.m_Judge.routesAcknowledged(2, Start + 59s);
-        On.run(5ms);
-        CHECK(On.rules().empty());
+        Case.m_Judge.routesAcknowledged(2, Start + 59s);
+        Case.run(5ms);
+        CHECK(Case.rules().empty());
       }
       SECTION("that never was") {
-        On.run(5ms, "gamma");
-        CHECK(On.rules() == "ROUTE ");
+        Case.run(5ms, "gamma");
+        CHECK(Case.rules() == "ROUTE ");
       }
     }
     WHEN("its route is not found, though it is in force") {
-      On.end(5ms, 404);
-      CHECK(On.rules() == "CONFIG ");
+      Case.end(5ms, 404);
+      CHECK(Case.rules() == "CONFIG ");
     }
     WHEN("its target has left") {
-      On.m_Judge.leaveAcknowledged(3, Start + 55s);
+      Case.m_Judge.leaveAcknowledged(3, Start + 55s);
       SECTION("and it is sent there all the same") {
-        On.run(5ms);
-        CHECK(On.rules() == "DRAIN ");
+        Case.run(5ms);
+        CHECK(Case.rules() == "DRAIN ");
       }
       SECTION("and another has taken its address") {
-        On.m_Judge.targetStarted(3);
-        On.run(5ms);
-        CHECK(On.rules().empty());
+        Case.m_Judge.targetStarted(3);
+        Case.run(5ms);
+        CHECK(Case.rules().empty());
       }
     }
   }
   GIVEN("requests around the stop of their entry") {
-    Story On(Kind::Unsafe);
+    Story Case(Kind::Unsafe);
     WHEN("one is sent early, and its target works until the end of the grace") {
-      On.m_Judge.stopAsked(0, On.m_Sent.m_At - 2s);
-      On.m_Sent.m_Deadline = On.m_Sent.m_At + 20s;
-      On.send();
-      On.run(5ms);
+      Case.m_Judge.stopAsked(0, Case.m_Sent.m_SentAt - 2s);
+      Case.m_Sent.m_Deadline = Case.m_Sent.m_SentAt + 20s;
+      Case.send();
+      Case.run(5ms);
       SECTION("its end is allowed in the last sixth") {
-        On.cut(5'500ms);
-        CHECK(On.rules().empty());
+        Case.cut(5'500ms);
+        CHECK(Case.rules().empty());
       }
       SECTION("but not before") {
-        On.cut(4s);
-        CHECK(On.rules() == "LOST ");
+        Case.cut(4s);
+        CHECK(Case.rules() == "LOST ");
       }
     }
     WHEN("one is read on a kept connection, and never passed on or answered") {
-      On.m_Judge.stopAsked(0, On.m_Sent.m_At - 2s);
-      On.send();
-      On.cut(1s);
-      CHECK(On.rules() == "LOST ");
+      Case.m_Judge.stopAsked(0, Case.m_Sent.m_SentAt - 2s);
+      Case.send();
+      Case.cut(1s);
+      CHECK(Case.rules() == "LOST ");
     }
   }
   GIVEN("a stream") {
-    Story On(Kind::Stream);
-    On.send();
-    On.run(5ms);
+    Story Case(Kind::Stream);
+    Case.send();
+    Case.run(5ms);
     THEN("all events in order are right") {
-      On.answer(20ms);
-      On.end(21ms, 200, events(1, 4));
-      CHECK(On.rules().empty());
+      Case.answer(20ms);
+      Case.end(21ms, 200, events(1, 4));
+      CHECK(Case.rules().empty());
     }
     THEN("a missing, doubled or foreign event, or another version, is not") {
-      On.answer(20ms);
+      Case.answer(20ms);
       SECTION("missing") {
-        On.end(21ms, 200, events(1, 2) + events(4, 4));
-        CHECK(On.rules() == "ORDER ");
+        Case.end(21ms, 200, events(1, 2) + events(4, 4));
+        CHECK(Case.rules() == "ORDER ");
       }
       SECTION("doubled") {
-        On.end(21ms, 200, events(1, 2) + events(2, 4));
-        CHECK(On.rules() == "ORDER ");
+        Case.end(21ms, 200, events(1, 2) + events(2, 4));
+        CHECK(Case.rules() == "ORDER ");
       }
       SECTION("foreign") {
-        On.end(21ms, 200, events(1, 3) + eventText(4, 4, "r-2", "v1"));
-        CHECK(On.rules() == "MIXED ");
+        Case.end(21ms, 200, events(1, 3) + eventText(4, 4, "r-2", "v1"));
+        CHECK(Case.rules() == "MIXED ");
       }
       SECTION("version") {
-        On.end(21ms, 200, events(1, 3) + events(4, 4, "v2"));
-        CHECK(On.rules() == "ORDER ");
+        Case.end(21ms, 200, events(1, 3) + events(4, 4, "v2"));
+        CHECK(Case.rules() == "ORDER ");
       }
     }
     THEN("an early end that looks complete is not") {
-      On.end(21ms, 200, events(1, 3));
-      CHECK(On.rules() == "ORDER ");
+      Case.end(21ms, 200, events(1, 3));
+      CHECK(Case.rules() == "ORDER ");
     }
     THEN("one that is broken off must not miss events either") {
-      On.m_Judge.disturbed(Part::Target, 3, Start + 60s, Start + 61s);
-      On.cut(21ms, events(1, 1) + events(3, 3));
-      CHECK(On.rules() == "ORDER ");
+      Case.m_Judge.disturbed(Part::Target, 3, Start + 60s, Start + 61s);
+      Case.cut(21ms, events(1, 1) + events(3, 3));
+      CHECK(Case.rules() == "ORDER ");
     }
   }
   GIVEN("an entry that refuses most requests") {
-    Story On(Kind::Safe);
+    Story Case(Kind::Safe);
     int Next = 0;
-    const auto Refuse = [&](TimePoint At) {
+    const auto Refuse = [&](TimePoint Now) {
       for (int I = 0; I < 20; ++I) {
-        On.m_Sent.m_Id = "r-" + std::to_string(++Next);
-        On.m_Sent.m_At = At;
-        On.send();
+        Case.m_Sent.m_Id = "r-" + std::to_string(++Next);
+        Case.m_Sent.m_SentAt = Now;
+        Case.send();
       }
-      On.m_Judge.checkService(At);
+      Case.m_Judge.checkService(Now);
     };
     // The first look opens the entry's window.
     Refuse(Start);
     Refuse(Start + 1s);
-    CHECK(On.rules().empty());
+    CHECK(Case.rules().empty());
     WHEN("nothing is wrong around it") {
       Refuse(Start + 5s);
-      CHECK(On.rules() == "SERVED ");
+      CHECK(Case.rules() == "SERVED ");
     }
     WHEN("one target is away") {
-      On.m_Judge.disturbed(Part::Target, 1, Start, Start + 5s);
+      Case.m_Judge.disturbed(Part::Target, 1, Start, Start + 5s);
       Refuse(Start + 5s);
-      CHECK(On.rules() == "SERVED ");
+      CHECK(Case.rules() == "SERVED ");
     }
     WHEN("two targets are away") {
-      On.m_Judge.disturbed(Part::Target, 1, Start, Start + 5s);
-      On.m_Judge.disturbed(Part::Target, 2, Start, Start + 5s);
+      Case.m_Judge.disturbed(Part::Target, 1, Start, Start + 5s);
+      Case.m_Judge.disturbed(Part::Target, 2, Start, Start + 5s);
       Refuse(Start + 5s);
-      CHECK(On.rules().empty());
+      CHECK(Case.rules().empty());
     }
     WHEN("it is cut off itself") {
-      On.m_Judge.disturbed(Part::Cut, 0, Start + 2s, Start + 3s);
+      Case.m_Judge.disturbed(Part::Cut, 0, Start + 2s, Start + 3s);
       Refuse(Start + 5s);
-      CHECK(On.rules().empty());
+      CHECK(Case.rules().empty());
     }
   }
   GIVEN("an entry that is cut off from all targets, and another") {
-    Story On(Kind::Safe);
-    On.m_Judge.disturbed(Part::Cut, 0, Start, Start + 9s);
+    Story Case(Kind::Safe);
+    Case.m_Judge.disturbed(Part::Cut, 0, Start, Start + 9s);
     int Next = 0;
-    const auto Ask = [&](unsigned Entry, TimePoint At, int Status) {
+    const auto Ask = [&](unsigned Entry, TimePoint Now, int Status) {
       for (int I = 0; I < 40; ++I) {
-        On.m_Sent.m_Id = "r-" + std::to_string(++Next);
-        On.m_Sent.m_Entry = Entry;
-        On.m_Sent.m_At = At;
-        On.send();
+        Case.m_Sent.m_Id = "r-" + std::to_string(++Next);
+        Case.m_Sent.m_Entry = Entry;
+        Case.m_Sent.m_SentAt = Now;
+        Case.send();
         Ending Got;
         Got.m_Status = Status;
-        Got.m_At = At;
-        On.m_Judge.ended(On.m_Sent.m_Id, Got);
+        Got.m_EndedAt = Now;
+        Case.m_Judge.ended(Case.m_Sent.m_Id, Got);
       }
-      (void)On.m_Judge.take();
+      (void)Case.m_Judge.take();
     };
     Ask(1, Start + 5s, 200);
     WHEN("it refuses for longer than it may") {
       Ask(0, Start + 5s, 503);
-      On.m_Judge.checkCuts(Start + 10s);
-      CHECK(On.rules() == "RECOVER ");
+      Case.m_Judge.checkCuts(Start + 10s);
+      CHECK(Case.rules() == "RECOVER ");
     }
     WHEN("it serves by other ways") {
       Ask(0, Start + 5s, 200);
-      On.m_Judge.checkCuts(Start + 10s);
-      CHECK(On.rules().empty());
+      Case.m_Judge.checkCuts(Start + 10s);
+      CHECK(Case.rules().empty());
     }
     WHEN("it refuses only at the beginning") {
       Ask(0, Start + 2s, 503);
-      On.m_Judge.checkCuts(Start + 10s);
-      CHECK(On.rules().empty());
+      Case.m_Judge.checkCuts(Start + 10s);
+      CHECK(Case.rules().empty());
     }
   }
 }
--- a/tools/fault-soak/tests/ScheduleTest.cpp
+++ b/tools/fault-soak/tests/ScheduleTest.cpp
@@ -9,8 +9,9 @@
 namespace {
 
 bool hasFault(const std::vector<Step> &Steps, Fault Kind) {
-  return std::any_of(Steps.begin(), Steps.end(),
-                     [Kind](const Step &Each) { return Each.m_Fault == Kind; });
+  return std::any_of(Steps.begin(), Steps.end(), [Kind](const Step &Planned) {
+    return Planned.m_Fault == Kind;
+  });
 }
 
 } // namespace
@@ -21,10 +22,11 @@
   const std::vector<Step> Steps = makeSchedule(7, Size);
   THEN("the same seed gives the same faults, another seed others") {
     const std::vector<Step> Again = makeSchedule(7, Size);
-    const auto IsSame = [](const Step &One, const Step &Other) {
-      return One.m_At == Other.m_At && One.m_For == Other.m_For &&
-             One.m_Fault == Other.m_Fault && One.m_Machine == Other.m_Machine &&
-             One.m_Variant == Other.m_Variant;
+    const auto IsSame = [](const Step &Left, const Step &Right) {
+      return Left.m_Offset == Right.m_Offset &&
+             Left.m_Length == Right.m_Length && Left.m_Fault == Right.m_Fault &&
+             Left.m_Machine == Right.m_Machine &&
+             Left.m_Variant == Right.m_Variant;
     };
     CHECK(std::equal(Steps.begin(), Steps.end(), Again.begin(), Again.end(),
                      IsSame));
@@ -34,24 +36,24 @@
   }
   THEN("they are in order, within the run, and hit existing machines") {
     CHECK(std::is_sorted(Steps.begin(), Steps.end(),
-                         [](const Step &One, const Step &Other) {
-                           return One.m_At < Other.m_At;
+                         [](const Step &Left, const Step &Right) {
+                           return Left.m_Offset < Right.m_Offset;
                          }));
-    for (const Step &Each : Steps) {
-      CHECK(Each.m_At < Size.m_Length);
-      CHECK(Each.m_Machine < Size.m_Targets);
-      CHECK(Each.m_Peer < Size.m_Targets);
+    for (const Step &Planned : Steps) {
+      CHECK(Planned.m_Offset < Size.m_Length);
+      CHECK(Planned.m_Machine < Size.m_Targets);
+      CHECK(Planned.m_Peer < Size.m_Targets);
     }
   }
   THEN("no two control members are disturbed at a time") {
     std::chrono::milliseconds FreeAt{0};
-    for (const Step &Each : Steps) {
-      if (Each.m_Fault != Fault::StopControl &&
-          Each.m_Fault != Fault::KillControl &&
-          Each.m_Fault != Fault::PauseControl)
+    for (const Step &Planned : Steps) {
+      if (Planned.m_Fault != Fault::StopControl &&
+          Planned.m_Fault != Fault::KillControl &&
+          Planned.m_Fault != Fault::PauseControl)
         continue;
-      CHECK(Each.m_At >= FreeAt);
-      FreeAt = Each.m_At + Each.m_For;
+      CHECK(Planned.m_Offset >= FreeAt);
+      FreeAt = Planned.m_Offset + Planned.m_Length;
     }
   }
   THEN("cuts and upgrades occur only when they are asked for") {
