--- a/apps/control/src/ForwardPeers.cpp
+++ b/apps/control/src/ForwardPeers.cpp
@@ -9,8 +9,8 @@
 /// Identifies what one entry is told; never zero.
 std::uint64_t hashPeers(const std::vector<fleet::ForwardPeer> &Peers) {
   std::uint64_t Hash = 1;
-  for (const fleet::ForwardPeer &Each : Peers)
-    Hash = hashBytes(fmt::format("{} {}", Each.m_Entry.m_Value, Each.m_Address),
+  for (const fleet::ForwardPeer &Peer : Peers)
+    Hash = hashBytes(fmt::format("{} {}", Peer.m_Entry.m_Value, Peer.m_Address),
                      Hash);
   return Hash == 0 ? 1 : Hash;
 }
@@ -27,10 +27,10 @@
   Grant.set_forward_peers_revision(hashPeers(Peers));
   if (Grant.forward_peers_revision() == Report.forward_peers_revision())
     return;
-  for (const fleet::ForwardPeer &Each : Peers) {
+  for (const fleet::ForwardPeer &Peer : Peers) {
     wire::ForwardPeer &Row = *Grant.add_forward_peers();
-    Row.set_entry(Each.m_Entry.m_Value);
-    Row.set_address(Each.m_Address);
+    Row.set_entry(Peer.m_Entry.m_Value);
+    Row.set_address(Peer.m_Address);
   }
 }
 
--- a/apps/control/src/SuspectNotices.cpp
+++ b/apps/control/src/SuspectNotices.cpp
@@ -243,13 +243,13 @@
   }
 }
 
-void fillTrials(const retries::TraitTable &Known,
+void fillTrials(const retries::TraitTable &Traits,
                 const fleet::ObservedState &Observed, const NodeId &Entry,
                 TimePoint LogNow, wire::ControlGrant &Grant) {
   const auto Turn =
       static_cast<std::uint64_t>(LogNow.time_since_epoch() / TrialTurn);
-  const auto MayRun = [](const auto &Each) {
-    return !Each.second.m_TargetsUnreachable;
+  const auto MayRun = [](const auto &Item) {
+    return !Item.second.m_TargetsUnreachable;
   };
   const auto Own = Observed.m_Entries.find(Entry);
   if (Own == Observed.m_Entries.end() || !MayRun(*Own))
@@ -258,13 +258,13 @@
                                         Observed.m_Entries.end(), MayRun);
   const auto Assigned =
       std::max<std::ptrdiff_t>(1, Candidates / EntriesPerTrial);
-  for (const retries::Trait Route : retries::routesOnTrial(Known, LogNow)) {
+  for (const retries::Trait Route : retries::routesOnTrial(Traits, LogNow)) {
     const std::uint64_t Seed = Route ^ Turn;
     const std::uint64_t Score = hashBytes(Entry.m_Value, Seed);
     const auto Before = std::count_if(
         Observed.m_Entries.begin(), Observed.m_Entries.end(),
-        [&](const auto &Each) {
-          return MayRun(Each) && hashBytes(Each.first.m_Value, Seed) > Score;
+        [&](const auto &Item) {
+          return MayRun(Item) && hashBytes(Item.first.m_Value, Seed) > Score;
         });
     if (Before < Assigned)
       Grant.add_trial_routes(Route);
--- a/apps/control/src/SuspectNotices.h
+++ b/apps/control/src/SuspectNotices.h
@@ -65,7 +65,7 @@
 
 /// Permits \p Entry to run requests of routes on trial that are assigned to it:
 /// each to a few of \p Observed at a time, in turn.
-void fillTrials(const retries::TraitTable &Known,
+void fillTrials(const retries::TraitTable &Traits,
                 const fleet::ObservedState &Observed, const NodeId &Entry,
                 TimePoint LogNow, wire::ControlGrant &Grant);
 
--- a/apps/control/tests/SuspectNoticesTest.cpp
+++ b/apps/control/tests/SuspectNoticesTest.cpp
@@ -284,9 +284,9 @@
   const auto Notice = [&](const ReplicatedState &Leader) {
     wire::ControlGrant Answer;
     fillTraits(Leader.m_Fleet.m_Traits, {}, Now, Answer);
-    for (const wire::TraitNotice &Each : Answer.traits())
-      if (Each.trait() == Route)
-        return Each;
+    for (const wire::TraitNotice &Row : Answer.traits())
+      if (Row.trait() == Route)
+        return Row;
     return wire::TraitNotice{};
   };
   fleet::ObservedState Observed;
--- a/apps/entry/src/Arrival.cpp
+++ b/apps/entry/src/Arrival.cpp
@@ -99,7 +99,7 @@
                         std::to_string(By.m_MaxDeadline.count()));
     Left = std::chrono::milliseconds(*Read);
   }
-  To.m_Deadline = To.m_At + Left;
+  To.m_Deadline = To.m_ArrivedAt + Left;
   return std::nullopt;
 }
 
@@ -244,7 +244,7 @@
                                              const ArrivalRules &Rules,
                                              TimePoint Now) {
   Arrival Made;
-  Made.m_At = Now;
+  Made.m_ArrivedAt = Now;
   if (Check Path = readPath(From, Made))
     return *Path;
   if (Check Method = readMethod(From, Made))
--- a/apps/entry/src/Arrival.h
+++ b/apps/entry/src/Arrival.h
@@ -79,7 +79,7 @@
   Api m_Api = Api::Completions;
   CallerId m_Caller;
   unsigned m_Priority = 5;
-  TimePoint m_At;
+  TimePoint m_ArrivedAt;
   TimePoint m_Deadline;
   bool m_NotRepeatable = false;
   std::string m_Key;        ///< `Idempotency-Key` of a not repeatable request.
@@ -106,6 +106,10 @@
   [[nodiscard]] bool isResumable() const {
     return m_Passed ? m_Passed->m_Route.m_Resumable : !isService();
   }
+  /// Whether the caller has part of a stream and asks for the rest.
+  [[nodiscard]] bool isResumed() const {
+    return m_Passed && isResumable() && m_Passed->m_Ask.m_LastEventId > 0;
+  }
   [[nodiscard]] bool isLate(TimePoint Now) const {
     return Now + DeadlineSlack >= m_Deadline;
   }
@@ -128,8 +132,8 @@
 /// it is not well formed or no route leads it anywhere.
 /// \param Forwarded what the forwarding entry tells; unset for a caller's.
 std::variant<Arrival, Rejection>
-readPassed(const http::Request &From, const routes::Index &By,
-           const relay::Dialect &In, MeanPrompts &Means, TimePoint Now,
+readPassed(const http::Request &Request, const routes::Index &Routes,
+           const relay::Dialect &Format, MeanPrompts &Means, TimePoint Now,
            const std::optional<ForwardOrigin> &Forwarded = std::nullopt);
 
 /// Tokens of \p Text by this system's arithmetic.
--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -62,7 +62,8 @@
   const Duration Rest = std::max<Duration>(
       Expected.m_Finish - Expected.m_FirstToken, Duration(0));
   const Duration First = Least - Rest * AnswerCertainty / 100;
-  return Of.m_At + streamPatience(Of.m_Passed->m_Route) + (Least - First);
+  return Of.m_ArrivedAt + streamPatience(Of.m_Passed->m_Route) +
+         (Least - First);
 }
 
 /// Forgets what services have told of others' requests too long ago.
@@ -211,17 +212,17 @@
   const std::size_t Streams = m_Shared.m_Settings.m_Streams;
   if (m_Open.size() >= Streams || m_OpenForwarded >= Streams / ForwardedPart)
     return Refuse(notRun(Refusal::TooManyStreams, "admission"));
-  Arrival &Asked = std::get<Arrival>(Read);
+  Arrival &Request = std::get<Arrival>(Read);
   m_Shared.m_Metrics.m_ForwardsTaken.add();
   events::emit(
       events::Event::ForwardTaken,
-      {{"request", Asked.m_Id},
+      {{"request", Request.m_Id},
        {"entry", valueOf(Origin).m_Entry},
        {"runs", valueOf(Origin).m_Runs},
        {"left_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                       Asked.m_Deadline - Now)
+                       Request.m_Deadline - Now)
                        .count()}});
-  admit(Arrived, std::move(Asked));
+  admit(Arrived, std::move(Request));
 }
 
 http::Response DataPath::refuseMalformed(int HttpStatus) {
@@ -303,8 +304,7 @@
                           Now))
     return Made->refuseUnstarted({Refusal::Stopping, StoppingRetryAfter});
   // Estimates are those of a whole answer; a resumed stream has less to come.
-  const bool IsResumed = For.m_Passed && For.isResumable() &&
-                         For.m_Passed->m_Ask.m_LastEventId > 0;
+  const bool IsResumed = For.isResumed();
   // Of a large prompt the estimate counts others that it goes before.
   if (For.m_Passed && For.m_Stream && !For.m_Passed->isLarge() && !IsResumed) {
     const Duration First =
@@ -487,8 +487,8 @@
 
 void DataPath::refuseWaiting(const std::vector<limits::RefusedTicket> &Refused,
                              TimePoint Now) {
-  for (const limits::RefusedTicket &Each : Refused)
-    limits::abandon(m_Shared.m_Limits, Each.m_Ticket, Now);
+  for (const limits::RefusedTicket &Ticket : Refused)
+    limits::abandon(m_Shared.m_Limits, Ticket.m_Ticket, Now);
   takeRefused(Refused);
 }
 
--- a/apps/entry/src/Entry.cpp
+++ b/apps/entry/src/Entry.cpp
@@ -212,9 +212,9 @@
 
 std::vector<http::Server *> Entry::callerServers() const {
   std::vector<http::Server *> Servers;
-  for (const auto *Each : {&m_Callers, &m_PlainCallers, &m_Forwards})
-    if (*Each != nullptr)
-      Servers.push_back(Each->get());
+  for (const auto *Server : {&m_Callers, &m_PlainCallers, &m_Forwards})
+    if (*Server != nullptr)
+      Servers.push_back(Server->get());
   return Servers;
 }
 
@@ -226,11 +226,11 @@
     m_Requests->endAll();
   }
   if (m_Stop->m_Stage == shutdown::Stage::Closing)
-    for (http::Server *Each : callerServers())
-      Each->closeIdle();
+    for (http::Server *Server : callerServers())
+      Server->closeIdle();
   shutdown::Progress Open{m_Requests->open(), 0, m_Control->openCalls()};
-  for (const http::Server *Each : callerServers())
-    Open.m_Connections += Each->connections();
+  for (const http::Server *Server : callerServers())
+    Open.m_Connections += Server->connections();
   if (!shutdown::advance(*m_Stop, Open, Now))
     return;
   events::emit(
@@ -248,8 +248,8 @@
   if (Next == shutdown::Stage::Refusing)
     m_Requests->stopTaking();
   if (Next == shutdown::Stage::Closing) {
-    for (http::Server *Each : callerServers())
-      Each->stopAccepting();
+    for (http::Server *Server : callerServers())
+      Server->stopAccepting();
     m_Control->reportNow();
   }
   if (Next != shutdown::Stage::Exiting)
--- a/apps/entry/src/FleetView.cpp
+++ b/apps/entry/src/FleetView.cpp
@@ -166,12 +166,13 @@
   std::vector<reach::Candidate> Serving;
   std::set<std::string_view> Addresses;
   for (const auto &[Id, Target] : m_Targets) {
-    const wire::Target &Given = Target.m_Description;
-    if (Given.state() == "serving" && Target.m_Address &&
-        Addresses.insert(Given.address()).second)
-      Serving.push_back({Given.address(),
-                         Given.models().empty() ? "" : Given.models(0),
-                         {Given.zone()}});
+    const wire::Target &Description = Target.m_Description;
+    if (Description.state() == "serving" && Target.m_Address &&
+        Addresses.insert(Description.address()).second)
+      Serving.push_back(
+          {Description.address(),
+           Description.models().empty() ? "" : Description.models(0),
+           {Description.zone()}});
   }
   return Serving;
 }
--- a/apps/entry/src/Forward.cpp
+++ b/apps/entry/src/Forward.cpp
@@ -10,33 +10,33 @@
 
 } // namespace
 
-Forward::Forward(NodeId Peer, const Arrival &Asked, std::uint64_t LastEventId,
+Forward::Forward(NodeId Peer, const Arrival &Request, std::uint64_t LastEventId,
                  std::chrono::nanoseconds Patience, ForwardHandlers Handlers,
                  TimePoint Now)
-    : m_Peer(std::move(Peer)), m_NotRepeatable(Asked.m_NotRepeatable),
-      m_MayStream(Asked.m_Stream), m_Patience(Patience),
+    : m_Peer(std::move(Peer)), m_NotRepeatable(Request.m_NotRepeatable),
+      m_MayStream(Request.m_Stream), m_Patience(Patience),
       m_Handlers(std::move(Handlers)), m_Events(LastEventId),
       m_SilentSince(Now) {}
 
 Forward::~Forward() { cancel(); }
 
 std::shared_ptr<Forward>
-Forward::start(http::Pool &Connections, const ForwardPeers::Peer &To,
-               const http::Request &Caller, const Arrival &Asked,
+Forward::start(http::Pool &Connections, const ForwardPeers::Peer &Receiver,
+               const http::Request &Caller, const Arrival &Request,
                const ForwardOrigin &Origin, std::chrono::nanoseconds Patience,
                ForwardHandlers Handlers, TimePoint Now) {
-  std::shared_ptr<Forward> Made(new Forward(To.m_Entry, Asked,
-                                            Origin.m_LastEventId, Patience,
-                                            std::move(Handlers), Now));
+  std::shared_ptr<Forward> Started(new Forward(Receiver.m_Entry, Request,
+                                               Origin.m_LastEventId, Patience,
+                                               std::move(Handlers), Now));
   http::ClientRequest Out;
-  Out.m_To = To.m_Address;
+  Out.m_To = Receiver.m_Address;
   Out.m_Method = Caller.m_Method;
   Out.m_Path = Caller.m_Target;
   Out.m_Fields = forwardFields(Caller.m_Fields, Origin, Now);
   Out.m_Body = Caller.m_Body;
   Out.m_Deadline = Origin.m_Deadline;
   Out.m_AnswerBytes = MaxAnswerBytes;
-  const std::weak_ptr<Forward> Weak = Made;
+  const std::weak_ptr<Forward> Weak = Started;
   http::ClientHandlers Callbacks;
   Callbacks.m_OnFields = [Weak](int Status, const http::Fields &Fields) {
     if (const auto Self = Weak.lock())
@@ -50,9 +50,9 @@
     if (const auto Self = Weak.lock())
       Self->takeEnd(Ending);
   };
-  Made->m_Call = Connections.call(std::move(Out), std::move(Callbacks),
-                                  !Asked.m_NotRepeatable);
-  return Made;
+  Started->m_Call = Connections.call(std::move(Out), std::move(Callbacks),
+                                     !Request.m_NotRepeatable);
+  return Started;
 }
 
 void Forward::takeHead(int Status, const http::Fields &Fields) {
@@ -88,9 +88,9 @@
   }
   std::vector<relay::Event> Complete;
   const Status Read = m_Events.feed(Bytes, Complete);
-  for (const relay::Event &Each : Complete)
+  for (const relay::Event &Received : Complete)
     if (!m_Ended)
-      m_Handlers.m_OnEvent(Each);
+      m_Handlers.m_OnEvent(Received);
   if (failed(Read) && !m_Ended)
     reject(errorOf(Read));
 }
--- a/apps/entry/src/Forward.h
+++ b/apps/entry/src/Forward.h
@@ -44,8 +44,8 @@
 public:
   /// \param Caller the request as it arrived.
   static std::shared_ptr<Forward>
-  start(http::Pool &Connections, const ForwardPeers::Peer &To,
-        const http::Request &Caller, const Arrival &Asked,
+  start(http::Pool &Connections, const ForwardPeers::Peer &Receiver,
+        const http::Request &Caller, const Arrival &Request,
         const ForwardOrigin &Origin, std::chrono::nanoseconds Patience,
         ForwardHandlers Handlers, TimePoint Now);
   ~Forward();
@@ -65,7 +65,7 @@
   [[nodiscard]] const NodeId &peer() const { return m_Peer; }
 
 private:
-  Forward(NodeId Peer, const Arrival &Asked, std::uint64_t LastEventId,
+  Forward(NodeId Peer, const Arrival &Request, std::uint64_t LastEventId,
           std::chrono::nanoseconds Patience, ForwardHandlers Handlers,
           TimePoint Now);
   void takeHead(int Status, const http::Fields &Fields);
--- a/apps/entry/src/Forwarding.cpp
+++ b/apps/entry/src/Forwarding.cpp
@@ -1,7 +1,6 @@
 #include "Forwarding.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace wasabivale::entry {
 
@@ -15,27 +14,16 @@
 constexpr std::chrono::seconds PeersKept{60};
 constexpr std::chrono::milliseconds UnreachableAvoided{1'000};
 
-template <typename Number>
-std::optional<Number> readNumber(std::string_view Text) {
-  Number Value{};
-  const auto Read =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
-  if (Text.empty() || Read.ec != std::errc() ||
-      Read.ptr != Text.data() + Text.size())
-    return std::nullopt;
-  return Value;
-}
-
-http::Fields withoutForwardFields(const http::Fields &From) {
+http::Fields withoutForwardFields(const http::Fields &Fields) {
   http::Fields Kept;
-  for (const auto &[Name, Value] : From)
+  for (const auto &[Name, Value] : Fields)
     if (!http::isHopByHop(Name) && !isForwardField(Name))
       Kept.emplace_back(Name, Value);
   return Kept;
 }
 
-void add(http::Fields &To, std::string_view Name, std::string Value) {
-  To.emplace_back(std::string(Name), std::move(Value));
+void add(http::Fields &Fields, std::string_view Name, std::string Value) {
+  Fields.emplace_back(std::string(Name), std::move(Value));
 }
 
 bool isAmong(const std::vector<NodeId> &Used, const NodeId &Entry) {
@@ -51,89 +39,90 @@
 
 http::Fields forwardFields(const http::Fields &Caller,
                            const ForwardOrigin &Origin, TimePoint Now) {
-  http::Fields Made = withoutForwardFields(Caller);
+  http::Fields Fields = withoutForwardFields(Caller);
   const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
       std::max<Duration>(Origin.m_Deadline - Now, Duration(0)));
-  add(Made, ForwardEntryField, Origin.m_Entry.m_Value);
-  add(Made, ForwardRunsField, std::to_string(Origin.m_Runs));
-  add(Made, ForwardLeftField, std::to_string(Left.count()));
+  add(Fields, ForwardEntryField, Origin.m_Entry.m_Value);
+  add(Fields, ForwardRunsField, std::to_string(Origin.m_Runs));
+  add(Fields, ForwardLeftField, std::to_string(Left.count()));
   if (Origin.m_LastEventId > 0)
-    add(Made, ForwardLastEventField, std::to_string(Origin.m_LastEventId));
+    add(Fields, ForwardLastEventField, std::to_string(Origin.m_LastEventId));
   if (Origin.m_RequiredVersion)
-    add(Made, ForwardVersionField, *Origin.m_RequiredVersion);
-  return Made;
+    add(Fields, ForwardVersionField, *Origin.m_RequiredVersion);
+  return Fields;
 }
 
 Result<ForwardOrigin> readForwardOrigin(const http::Fields &Request,
                                         TimePoint Now) {
-  ForwardOrigin Made;
-  Made.m_Entry = {std::string(http::field(Request, ForwardEntryField))};
+  ForwardOrigin Origin;
+  Origin.m_Entry = {std::string(http::field(Request, ForwardEntryField))};
   const auto Runs =
-      readNumber<std::uint32_t>(http::field(Request, ForwardRunsField));
+      http::parseNumber<std::uint32_t>(http::field(Request, ForwardRunsField));
   const auto Left =
-      readNumber<std::uint32_t>(http::field(Request, ForwardLeftField));
-  if (Made.m_Entry.empty() || !Runs || !Left)
-    return Error{"forward.request", Made.m_Entry.m_Value,
+      http::parseNumber<std::uint32_t>(http::field(Request, ForwardLeftField));
+  if (Origin.m_Entry.empty() || !Runs || !Left)
+    return Error{"forward.request", Origin.m_Entry.m_Value,
                  "the entry, its runs and the time left are required"};
-  Made.m_Runs = *Runs;
-  Made.m_Deadline = Now + std::chrono::milliseconds(*Left);
+  Origin.m_Runs = *Runs;
+  Origin.m_Deadline = Now + std::chrono::milliseconds(*Left);
   const std::string_view LastEvent =
       http::field(Request, ForwardLastEventField);
-  const auto LastEventId = readNumber<std::uint64_t>(LastEvent);
+  const auto LastEventId = http::parseNumber<std::uint64_t>(LastEvent);
   if (!LastEvent.empty() && !LastEventId)
-    return Error{"forward.request", Made.m_Entry.m_Value,
+    return Error{"forward.request", Origin.m_Entry.m_Value,
                  "the last event is no number"};
-  Made.m_LastEventId = LastEventId.value_or(0);
+  Origin.m_LastEventId = LastEventId.value_or(0);
   for (const auto &[Name, Value] : Request)
     if (http::isSameName(Name, ForwardVersionField))
-      Made.m_RequiredVersion = Value;
-  return Made;
+      Origin.m_RequiredVersion = Value;
+  return Origin;
 }
 
 http::Fields answerForwardFields(const http::Fields &Target,
                                  const std::string &Version) {
-  http::Fields Made = withoutForwardFields(Target);
-  add(Made, ForwardResultField, std::string(AnswerResult));
-  add(Made, ForwardVersionField, Version);
-  return Made;
+  http::Fields Fields = withoutForwardFields(Target);
+  add(Fields, ForwardResultField, std::string(AnswerResult));
+  add(Fields, ForwardVersionField, Version);
+  return Fields;
 }
 
-void replyForwardRejection(http::Exchange &To, const Rejection &Value) {
-  http::Fields With;
-  add(With, ForwardResultField, std::string(outcomeName(Value.m_Outcome)));
-  add(With, ForwardReasonField,
+void replyForwardRejection(http::Exchange &Caller, const Rejection &Value) {
+  http::Fields Fields;
+  add(Fields, ForwardResultField, std::string(outcomeName(Value.m_Outcome)));
+  add(Fields, ForwardReasonField,
       std::to_string(static_cast<std::uint32_t>(Value.m_Reason)));
   const auto RetryAfter =
       std::chrono::ceil<std::chrono::milliseconds>(Value.m_RetryAfter);
   if (RetryAfter.count() > 0)
-    add(With, ForwardRetryField, std::to_string(RetryAfter.count()));
-  To.relay(promisedStatus(Value), With, printRejection(Value));
+    add(Fields, ForwardRetryField, std::to_string(RetryAfter.count()));
+  Caller.relay(promisedStatus(Value), Fields, printRejection(Value));
 }
 
 std::variant<ForwardedAnswer, Rejection, Error>
 readForwardAnswer(const http::Fields &Answer, const std::string &Peer) {
-  const std::string_view Told = http::field(Answer, ForwardResultField);
-  if (Told == AnswerResult)
+  const std::string_view ResultName = http::field(Answer, ForwardResultField);
+  if (ResultName == AnswerResult)
     return ForwardedAnswer{
         withoutForwardFields(Answer),
         std::string(http::field(Answer, ForwardVersionField))};
   const auto Reason =
-      readNumber<std::uint32_t>(http::field(Answer, ForwardReasonField));
-  Rejection Made;
-  Made.m_Step = "forward";
-  Made.m_Peer = Peer;
-  Made.m_Reason = refusalFromNumber(Reason.value_or(0), Refusal::TargetFailed);
+      http::parseNumber<std::uint32_t>(http::field(Answer, ForwardReasonField));
+  Rejection Refused;
+  Refused.m_Step = "forward";
+  Refused.m_Peer = Peer;
+  Refused.m_Reason =
+      refusalFromNumber(Reason.value_or(0), Refusal::TargetFailed);
   // A wait that can't be read is none.
-  Made.m_RetryAfter = std::chrono::milliseconds(
-      readNumber<std::uint32_t>(http::field(Answer, ForwardRetryField))
+  Refused.m_RetryAfter = std::chrono::milliseconds(
+      http::parseNumber<std::uint32_t>(http::field(Answer, ForwardRetryField))
           .value_or(0));
-  if (Told == outcomeName(Outcome::NotRun))
-    Made.m_Outcome = Outcome::NotRun;
-  else if (Told == outcomeName(Outcome::Unknown))
-    Made.m_Outcome = Outcome::Unknown;
+  if (ResultName == outcomeName(Outcome::NotRun))
+    Refused.m_Outcome = Outcome::NotRun;
+  else if (ResultName == outcomeName(Outcome::Unknown))
+    Refused.m_Outcome = Outcome::Unknown;
   else
     return Error{"forward.answer", Peer, "the answer is that of no entry"};
-  return Made;
+  return Refused;
 }
 
 void ForwardPeers::takeGrant(const wire::ControlGrant &Grant, TimePoint Now) {
@@ -144,23 +133,23 @@
     return;
   m_Revision = Grant.forward_peers_revision();
   std::vector<Peer> Named;
-  for (const wire::ForwardPeer &Each : Grant.forward_peers()) {
-    const auto Address = http::parseAddress(Each.address());
+  for (const wire::ForwardPeer &Row : Grant.forward_peers()) {
+    const auto Address = http::parseAddress(Row.address());
     if (failed(Address) || Named.size() == MaxPeers)
       continue;
-    Peer Made{{Each.entry()}, valueOf(Address), {}};
+    Peer Next{{Row.entry()}, valueOf(Address), {}};
     for (const Peer &Former : m_Peers)
-      if (Former.m_Entry == Made.m_Entry)
-        Made.m_AvoidUntil = Former.m_AvoidUntil;
-    Named.push_back(std::move(Made));
+      if (Former.m_Entry == Next.m_Entry)
+        Next.m_AvoidUntil = Former.m_AvoidUntil;
+    Named.push_back(std::move(Next));
   }
   m_Peers = std::move(Named);
 }
 
 bool ForwardPeers::has(const std::vector<NodeId> &Used, TimePoint Now) const {
   return Now < m_ExpiresAt &&
-         std::any_of(m_Peers.begin(), m_Peers.end(), [&](const Peer &Each) {
-           return !isAmong(Used, Each.m_Entry);
+         std::any_of(m_Peers.begin(), m_Peers.end(), [&](const Peer &Known) {
+           return !isAmong(Used, Known.m_Entry);
          });
 }
 
@@ -170,20 +159,20 @@
   std::vector<const Peer *> Reachable;
   std::vector<const Peer *> Others;
   if (Now < m_ExpiresAt)
-    for (const Peer &Each : m_Peers)
-      if (!isAmong(Used, Each.m_Entry))
-        (Each.m_AvoidUntil <= Now ? Reachable : Others).push_back(&Each);
-  const auto &From = Reachable.empty() ? Others : Reachable;
-  if (From.empty())
+    for (const Peer &Known : m_Peers)
+      if (!isAmong(Used, Known.m_Entry))
+        (Known.m_AvoidUntil <= Now ? Reachable : Others).push_back(&Known);
+  const auto &Candidates = Reachable.empty() ? Others : Reachable;
+  if (Candidates.empty())
     return std::nullopt;
-  std::uniform_int_distribution<std::size_t> Index(0, From.size() - 1);
-  return *From[Index(Rng)];
+  std::uniform_int_distribution<std::size_t> Index(0, Candidates.size() - 1);
+  return *Candidates[Index(Rng)];
 }
 
 void ForwardPeers::recordUnreachable(const NodeId &Entry, TimePoint Now) {
-  for (Peer &Each : m_Peers)
-    if (Each.m_Entry == Entry)
-      Each.m_AvoidUntil = Now + UnreachableAvoided;
+  for (Peer &Known : m_Peers)
+    if (Known.m_Entry == Entry)
+      Known.m_AvoidUntil = Now + UnreachableAvoided;
 }
 
 } // namespace wasabivale::entry
--- a/apps/entry/src/Forwarding.h
+++ b/apps/entry/src/Forwarding.h
@@ -70,7 +70,7 @@
 http::Fields answerForwardFields(const http::Fields &Target,
                                  const std::string &Version);
 /// Answers a forwarded request with a refusal.
-void replyForwardRejection(http::Exchange &To, const Rejection &Value);
+void replyForwardRejection(http::Exchange &Caller, const Rejection &Value);
 /// The error says what makes it the answer of no entry.
 std::variant<ForwardedAnswer, Rejection, Error>
 readForwardAnswer(const http::Fields &Answer, const std::string &Peer);
--- a/apps/entry/src/Passed.cpp
+++ b/apps/entry/src/Passed.cpp
@@ -45,57 +45,57 @@
 }
 
 std::variant<Arrival, Rejection>
-readPassed(const http::Request &From, const routes::Index &By,
-           const relay::Dialect &In, MeanPrompts &Means, TimePoint Now,
+readPassed(const http::Request &Request, const routes::Index &Routes,
+           const relay::Dialect &Format, MeanPrompts &Means, TimePoint Now,
            const std::optional<ForwardOrigin> &Forwarded) {
-  if (By.table().m_Version == 0)
+  if (Routes.table().m_Version == 0)
     return notRun(Refusal::NoConfiguration, "routes");
-  auto Read = In.m_ReadRequest(From);
+  auto Read = Format.m_ReadRequest(Request);
   if (const auto *Why = std::get_if<Error>(&Read))
     return notRun(Refusal::MalformedRequest, Why->m_Step, Why->m_Message);
-  auto Made = std::make_shared<Passed>();
-  Made->m_Ask = std::get<relay::CallerRequest>(std::move(Read));
-  std::erase_if(Made->m_Ask.m_Fields,
+  auto Passing = std::make_shared<Passed>();
+  Passing->m_Ask = std::get<relay::CallerRequest>(std::move(Read));
+  std::erase_if(Passing->m_Ask.m_Fields,
                 [](const auto &Field) { return isForwardField(Field.first); });
   // The forwarding entry may have passed on more than its caller brought.
   if (Forwarded)
-    Made->m_Ask.m_LastEventId =
-        std::max(Made->m_Ask.m_LastEventId, Forwarded->m_LastEventId);
-  const relay::CallerRequest &Ask = Made->m_Ask;
-  const routes::Route *Route = By.find(Ask.m_Host, Ask.m_Path);
+    Passing->m_Ask.m_LastEventId =
+        std::max(Passing->m_Ask.m_LastEventId, Forwarded->m_LastEventId);
+  const relay::CallerRequest &Ask = Passing->m_Ask;
+  const routes::Route *Route = Routes.find(Ask.m_Host, Ask.m_Path);
   if (Route == nullptr)
     return notRun(Refusal::UnknownPath, "routes.find");
-  Made->m_Route = *Route;
+  Passing->m_Route = *Route;
   // Its caller has part of the answer, and little of its time is left.
   const bool IsResumed = Route->m_Resumable && Ask.m_LastEventId > 0;
-  Made->m_Urgency =
+  Passing->m_Urgency =
       IsResumed ? 0 : urgencyOf(*Route, Ask.m_PromptTokens, Means);
-  Arrival Asked;
-  Asked.m_Id = {Ask.m_Id};
-  Asked.m_Api = Api::Passed;
-  Asked.m_Caller = {Route->m_Name};
-  Asked.m_Priority =
+  Arrival Result;
+  Result.m_Id = {Ask.m_Id};
+  Result.m_Api = Api::Passed;
+  Result.m_Caller = {Route->m_Name};
+  Result.m_Priority =
       IsResumed ? routing::MaxPriority : priorityOf(Route->m_Rank);
-  Asked.m_At = Now;
-  Asked.m_Deadline = Now + Route->m_Timeout;
+  Result.m_ArrivedAt = Now;
+  Result.m_Deadline = Now + Route->m_Timeout;
   if (Ask.m_CallerTimeout)
-    Asked.m_Deadline =
-        std::min<TimePoint>(Asked.m_Deadline, Now + *Ask.m_CallerTimeout);
+    Result.m_Deadline =
+        std::min<TimePoint>(Result.m_Deadline, Now + *Ask.m_CallerTimeout);
   if (Forwarded)
-    Asked.m_Deadline = std::min(Asked.m_Deadline, Forwarded->m_Deadline);
-  Asked.m_Forwarded = Forwarded;
-  Asked.m_NotRepeatable = !Route->isRepeatable();
+    Result.m_Deadline = std::min(Result.m_Deadline, Forwarded->m_Deadline);
+  Result.m_Forwarded = Forwarded;
+  Result.m_NotRepeatable = !Route->isRepeatable();
   // A resumed stream stays with the service that began it.
   const bool HasFirst = IsResumed && !Ask.m_FirstAttempt.empty();
-  Asked.m_Model = routes::pickService(
+  Result.m_Model = routes::pickService(
       *Route, hashBytes(HasFirst ? Ask.m_FirstAttempt : Ask.m_Id));
-  const auto Service = By.table().m_Services.find(Asked.m_Model);
-  Made->m_ForEngine = Service != By.table().m_Services.end() &&
-                      Service->second.m_KvCapacityTokens > 0;
-  Asked.m_MaxTokens = likelyTokens(Ask);
-  Asked.m_Stream = Route->m_Kind == routes::Kind::Streaming;
-  Asked.m_Passed = std::move(Made);
-  return Asked;
+  const auto Service = Routes.table().m_Services.find(Result.m_Model);
+  Passing->m_ForEngine = Service != Routes.table().m_Services.end() &&
+                         Service->second.m_KvCapacityTokens > 0;
+  Result.m_MaxTokens = likelyTokens(Ask);
+  Result.m_Stream = Route->m_Kind == routes::Kind::Streaming;
+  Result.m_Passed = std::move(Passing);
+  return Result;
 }
 
 } // namespace wasabivale::entry
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -68,12 +68,12 @@
                       const routing::Request &Wanted) {
   return std::any_of(
       Fleet.m_Slots.begin(), Fleet.m_Slots.end(),
-      [&](const routing::Slot &Each) {
-        const std::vector<ModelId> &Models = Each.m_Target.m_Models;
-        return Each.m_Used && Each.m_Current &&
-               Each.m_Target.m_Kind == Wanted.m_Kind &&
-               (Each.m_Health.m_State == routing::HealthState::Ejected ||
-                Each.m_Health.m_State == routing::HealthState::Probing) &&
+      [&](const routing::Slot &Candidate) {
+        const std::vector<ModelId> &Models = Candidate.m_Target.m_Models;
+        return Candidate.m_Used && Candidate.m_Current &&
+               Candidate.m_Target.m_Kind == Wanted.m_Kind &&
+               (Candidate.m_Health.m_State == routing::HealthState::Ejected ||
+                Candidate.m_Health.m_State == routing::HealthState::Probing) &&
                std::find(Models.begin(), Models.end(), Wanted.m_Model) !=
                    Models.end();
       });
@@ -215,7 +215,7 @@
 void Serving::begin(limits::Ticket Id) {
   m_Ticket = Id;
   m_Started = true;
-  m_Shared.m_Metrics.m_QueueWait.record(BootClock::now() - m_Asked.m_At);
+  m_Shared.m_Metrics.m_QueueWait.record(BootClock::now() - m_Asked.m_ArrivedAt);
   if (m_Asked.isKept())
     return reserve();
   enter(Phase::Placing);
@@ -236,11 +236,12 @@
   if (m_Phase == Phase::Ended || m_CallerGone)
     return;
   m_CallerGone = true;
-  events::emit(events::Event::CallerGone,
-               {{"request", m_Asked.m_Id},
-                {"after_ms", milliseconds(BootClock::now() - m_Asked.m_At)},
-                {"tries", m_Tries},
-                {"target", m_LastTarget}});
+  events::emit(
+      events::Event::CallerGone,
+      {{"request", m_Asked.m_Id},
+       {"after_ms", milliseconds(BootClock::now() - m_Asked.m_ArrivedAt)},
+       {"tries", m_Tries},
+       {"target", m_LastTarget}});
   m_Shared.m_Metrics.m_CallersGone.add();
   const TimePoint Now = BootClock::now();
   // The ledger's word must be waited for, and what runs under a key goes on:
@@ -692,11 +693,11 @@
   // As with a target: what may have run must not run again.
   WASABIVALE_INVARIANT(!(m_Asked.m_NotRepeatable && m_MayHaveRun));
   WASABIVALE_INVARIANT(!m_Asked.m_Forwarded);
-  const auto To =
+  const auto Receiver =
       m_Shared.m_ForwardPeers.choose(m_UsedPeers, Now, m_Shared.m_Random);
-  WASABIVALE_INVARIANT(To.has_value());
+  WASABIVALE_INVARIANT(Receiver.has_value());
   enter(Phase::Forwarding);
-  m_UsedPeers.push_back(To->m_Entry);
+  m_UsedPeers.push_back(Receiver->m_Entry);
   ++m_Tries;
   m_SentAt = Now;
   m_LastTarget = {};
@@ -704,7 +705,7 @@
   events::emit(events::Event::RequestForwarded,
                {{"request", m_Asked.m_Id},
                 {"route", m_Asked.m_Caller},
-                {"entry", To->m_Entry},
+                {"entry", Receiver->m_Entry},
                 {"runs", m_Runs},
                 {"offset", m_Offset},
                 {"left_ms", milliseconds(m_Asked.m_Deadline - Now)}});
@@ -735,8 +736,8 @@
       Self->takeForwardEnding(Ending);
   };
   m_Forward = Forward::start(
-      m_Shared.m_PeerConnections, *To, m_Caller->request(), m_Asked, Origin,
-      forwardPatience(m_Asked, m_Shared.m_Settings.m_Patience),
+      m_Shared.m_PeerConnections, *Receiver, m_Caller->request(), m_Asked,
+      Origin, forwardPatience(m_Asked, m_Shared.m_Settings.m_Patience),
       std::move(Handlers), Now);
 }
 
@@ -764,10 +765,10 @@
                     Whole.m_Answer.m_Fields});
   events::emit(events::Event::ForwardCompleted,
                {{"request", m_Asked.m_Id},
-                {"total_ms", milliseconds(Now - m_Asked.m_At)},
+                {"total_ms", milliseconds(Now - m_Asked.m_ArrivedAt)},
                 {"events", m_Offset}});
   EntryMetrics &Metrics = m_Shared.m_Metrics;
-  Metrics.m_Total.record(Now - m_Asked.m_At);
+  Metrics.m_Total.record(Now - m_Asked.m_ArrivedAt);
   (Now <= m_Asked.m_Deadline ? Metrics.m_Completed : Metrics.m_CompletedLate)
       .add();
   m_MayHaveRun = true;
@@ -828,7 +829,7 @@
   if (m_FirstPieceAt == TimePoint())
     m_FirstPieceAt = Now;
   if (m_Offset == m_FirstOffset)
-    Metrics.m_FirstToken.record(Now - m_Asked.m_At);
+    Metrics.m_FirstToken.record(Now - m_Asked.m_ArrivedAt);
   else
     Metrics.m_BetweenTokens.record(Now - m_LastPieceAt);
   m_LastPieceAt = Now;
@@ -993,7 +994,7 @@
                 {"not_run", Facts.m_NotRunProven},
                 {"sent", Facts.m_BytesSent},
                 {"try", m_Tries},
-                {"after_ms", milliseconds(Now - m_Asked.m_At)},
+                {"after_ms", milliseconds(Now - m_Asked.m_ArrivedAt)},
                 {"offset", m_Offset},
                 {"prefill", Ending.m_InPrefill},
                 {"begun", Ending.m_Begun},
@@ -1049,17 +1050,18 @@
                      Ending.m_End.m_Length);
   }
   const bool InTime = Now <= m_Asked.m_Deadline;
-  events::emit(events::Event::RequestCompleted,
-               {{"request", m_Asked.m_Id},
-                {"target", m_LastTarget},
-                {"tries", m_Tries},
-                {"first_ms", milliseconds(m_FirstPieceAt == TimePoint()
-                                              ? Duration(0)
-                                              : m_FirstPieceAt - m_Asked.m_At)},
-                {"total_ms", milliseconds(Now - m_Asked.m_At)},
-                {"events", m_Offset}});
+  events::emit(
+      events::Event::RequestCompleted,
+      {{"request", m_Asked.m_Id},
+       {"target", m_LastTarget},
+       {"tries", m_Tries},
+       {"first_ms", milliseconds(m_FirstPieceAt == TimePoint()
+                                     ? Duration(0)
+                                     : m_FirstPieceAt - m_Asked.m_ArrivedAt)},
+       {"total_ms", milliseconds(Now - m_Asked.m_ArrivedAt)},
+       {"events", m_Offset}});
   EntryMetrics &Metrics = m_Shared.m_Metrics;
-  Metrics.m_Total.record(Now - m_Asked.m_At);
+  Metrics.m_Total.record(Now - m_Asked.m_ArrivedAt);
   if (!m_CallerGone)
     (InTime ? Metrics.m_Completed : Metrics.m_CompletedLate).add();
   if (ModelUse *Use = modelUse()) {
@@ -1136,14 +1138,15 @@
   // run.
   WASABIVALE_INVARIANT(Why.m_Outcome != Outcome::NotRun || !m_MayHaveRun);
   m_Shared.m_Metrics.m_Registry.refusals(Why.m_Reason).add();
-  events::emit(events::Event::RequestRefused,
-               {{"request", m_Asked.m_Id},
-                {"caller", m_Asked.m_Caller},
-                {"reason", refusalInfo(Why.m_Reason).m_Name},
-                {"outcome", outcomeName(Why.m_Outcome)},
-                {"step", Why.m_Step},
-                {"after_ms", milliseconds(BootClock::now() - m_Asked.m_At)},
-                {"retry_after_ms", milliseconds(Why.m_RetryAfter)}});
+  events::emit(
+      events::Event::RequestRefused,
+      {{"request", m_Asked.m_Id},
+       {"caller", m_Asked.m_Caller},
+       {"reason", refusalInfo(Why.m_Reason).m_Name},
+       {"outcome", outcomeName(Why.m_Outcome)},
+       {"step", Why.m_Step},
+       {"after_ms", milliseconds(BootClock::now() - m_Asked.m_ArrivedAt)},
+       {"retry_after_ms", milliseconds(Why.m_RetryAfter)}});
   if (ModelUse *Use = modelUse())
     Use->m_Demand.set_refused(Use->m_Demand.refused() + 1);
   m_Writer->refuse(Why);
--- a/apps/entry/src/StreamVersions.cpp
+++ b/apps/entry/src/StreamVersions.cpp
@@ -3,7 +3,6 @@
 #include "events/events.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace wasabivale::entry {
 
@@ -37,12 +36,12 @@
 void StreamVersions::apply(const wire::FleetUpdate &Update, TimePoint Now) {
   const auto Former = std::exchange(m_Versions, {});
   m_FleetRevision = Update.revision();
-  for (const wire::ServiceVersion &Each : Update.service_versions())
-    m_Versions[Each.service()][Each.software_version()] =
-        Each.remaining_ns() == 0
+  for (const wire::ServiceVersion &Service : Update.service_versions())
+    m_Versions[Service.service()][Service.software_version()] =
+        Service.remaining_ns() == 0
             ? TimePoint::max()
             : Now + std::chrono::nanoseconds(
-                        static_cast<std::int64_t>(Each.remaining_ns()));
+                        static_cast<std::int64_t>(Service.remaining_ns()));
   for (const auto &[Service, Versions] : m_Fleet.softwareVersions())
     for (const std::string &Version : Versions)
       m_Versions[Service][Version] = TimePoint::max();
@@ -265,14 +264,12 @@
   const std::string &Text = valueOf(Reply).result();
   if (Text.empty())
     return {std::nullopt, "not_recorded"};
-  std::uint64_t Hash = 0;
-  const auto Read =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Hash);
-  if (Read.ec != std::errc() || Read.ptr != Text.data() + Text.size())
+  const auto Hash = http::parseNumber<std::uint64_t>(Text);
+  if (!Hash)
     return {std::nullopt, "unreadable"};
   if (const auto Found = m_Versions.find(Service); Found != m_Versions.end())
     for (const auto &[Version, ForgottenAt] : Found->second)
-      if (hashBytes(Version) == Hash)
+      if (hashBytes(Version) == *Hash)
         return {Version, "control"};
   return {std::nullopt, "no_target"};
 }
--- a/apps/entry/src/Try.h
+++ b/apps/entry/src/Try.h
@@ -44,7 +44,7 @@
   std::uint64_t m_Offset = 0;
   /// Whether the caller has part of the stream.
   bool m_HasBegun = false;
-  /// Whether the request was tried before.
+  /// Whether another try of the same request came before.
   bool m_IsRetry = false;
 };
 
--- a/apps/entry/tests/CutOffTest.cpp
+++ b/apps/entry/tests/CutOffTest.cpp
@@ -23,8 +23,8 @@
 
   void cut() {
     m_Held.clear();
-    for (auto &Each : m_Targets)
-      Each.reset();
+    for (auto &Target : m_Targets)
+      Target.reset();
   }
 
   void listenAgain(std::size_t Index) {
@@ -58,8 +58,8 @@
     }
   }
   ~DeafPort() {
-    for (const int Each : m_Sockets)
-      close(Each);
+    for (const int Socket : m_Sockets)
+      close(Socket);
   }
   DeafPort(const DeafPort &) = delete;
   DeafPort &operator=(const DeafPort &) = delete;
@@ -71,81 +71,81 @@
 } // namespace
 
 SCENARIO("an entry whose connections to all targets hang knows it") {
-  Shop On;
+  Shop Fixture;
   std::vector<std::unique_ptr<DeafPort>> Ports;
   for (std::size_t I = 0; I < TargetCount; ++I) {
-    On.addForeign();
+    Fixture.addForeign();
     Ports.push_back(
         std::make_unique<DeafPort>(static_cast<std::uint16_t>(FirstPort + I)));
   }
-  REQUIRE(On.m_Path->takeFleet(On.m_Fleet));
-  const auto IsCut = [&] { return On.m_Path->context().m_Reach.isCut(); };
+  REQUIRE(Fixture.m_Path->takeFleet(Fixture.m_Fleet));
+  const auto IsCut = [&] { return Fixture.m_Path->context().m_Reach.isCut(); };
   const TimePoint CutAt = BootClock::now();
-  std::vector<std::shared_ptr<Answered>> Asked;
+  std::vector<std::shared_ptr<Answered>> Exchanges;
   while (!IsCut() && BootClock::now() - CutAt < 5s) {
-    Asked.push_back(On.start("GET", "/stock/7"));
-    On.m_Loop.turnFor(100ms);
+    Exchanges.push_back(Fixture.start("GET", "/stock/7"));
+    Fixture.m_Loop.turnFor(100ms);
   }
   CHECK(IsCut());
   // Sound targets may all be silent for shorter than this.
   CHECK(BootClock::now() - CutAt > 1500ms);
   CHECK(BootClock::now() - CutAt < 2500ms);
-  CHECK(On.m_Path->context().m_Traits.crashes() == 0);
+  CHECK(Fixture.m_Path->context().m_Traits.crashes() == 0);
 }
 
 SCENARIO("an entry cut from all targets neither blames requests nor stays "
          "ready") {
-  CutShop On;
-  const auto IsCut = [&] { return On.m_Path->context().m_Reach.isCut(); };
+  CutShop Fixture;
+  const auto IsCut = [&] { return Fixture.m_Path->context().m_Reach.isCut(); };
   const auto Report = [&] {
-    wire::EntryReport Told;
-    On.m_Path->fillReport(Told);
-    return Told;
+    wire::EntryReport Message;
+    Fixture.m_Path->fillReport(Message);
+    return Message;
   };
   GIVEN("requests that wait at each target") {
     std::vector<std::shared_ptr<Answered>> Waiting;
     for (std::size_t I = 0; I < 2 * TargetCount; ++I)
-      Waiting.push_back(On.start("GET", "/stock/7"));
+      Waiting.push_back(Fixture.start("GET", "/stock/7"));
     const auto HaveEnded = [&] {
       return std::all_of(Waiting.begin(), Waiting.end(),
-                         [](const auto &Each) { return Each->m_Ended; });
+                         [](const auto &Target) { return Target->m_Ended; });
     };
-    REQUIRE(
-        On.m_Loop.until([&] { return On.m_Seen.size() == Waiting.size(); }));
+    REQUIRE(Fixture.m_Loop.until(
+        [&] { return Fixture.m_Seen.size() == Waiting.size(); }));
     WHEN("all connections end, and new ones are refused") {
-      On.cut();
+      Fixture.cut();
       const TimePoint CutAt = BootClock::now();
       THEN("it is not ready within 1.5 s, and no target counts as crashed") {
-        On.m_Loop.until([&] {
-          return !On.m_Entry->notReady().empty() &&
-                 On.m_Entry->notReady() != "no routes yet";
+        Fixture.m_Loop.until([&] {
+          return !Fixture.m_Entry->notReady().empty() &&
+                 Fixture.m_Entry->notReady() != "no routes yet";
         });
-        CHECK(On.m_Entry->notReady() == "no target can be reached");
+        CHECK(Fixture.m_Entry->notReady() == "no target can be reached");
         CHECK(BootClock::now() - CutAt < 1500ms);
-        CHECK(On.m_Loop.until(HaveEnded));
-        CHECK(On.m_Path->context().m_Traits.crashes() == 0);
+        CHECK(Fixture.m_Loop.until(HaveEnded));
+        CHECK(Fixture.m_Path->context().m_Traits.crashes() == 0);
         CHECK(Report().targets_unreachable());
-        CHECK(http::field(On.ask("GET", "/stock/7").m_Fields, "connection") ==
-              "close");
+        CHECK(http::field(Fixture.ask("GET", "/stock/7").m_Fields,
+                          "connection") == "close");
         AND_WHEN("targets listen again") {
           for (std::size_t I = 0; I < TargetCount; ++I)
-            On.listenAgain(I);
+            Fixture.listenAgain(I);
           THEN("it is ready again, and no target is avoided") {
-            CHECK(On.m_Loop.until([&] { return !IsCut(); }));
-            CHECK(On.m_Entry->notReady() != "no target can be reached");
+            CHECK(Fixture.m_Loop.until([&] { return !IsCut(); }));
+            CHECK(Fixture.m_Entry->notReady() != "no target can be reached");
             CHECK_FALSE(Report().targets_unreachable());
             for (std::size_t I = 0; I < TargetCount; ++I)
-              CHECK(On.ask("GET", "/stock/7").m_Status == 200);
+              CHECK(Fixture.ask("GET", "/stock/7").m_Status == 200);
           }
         }
       }
     }
     WHEN("one of the targets ends") {
-      On.m_Held.clear();
-      On.m_Targets[0].reset();
+      Fixture.m_Held.clear();
+      Fixture.m_Targets[0].reset();
       THEN("it counts as crashed, and the entry serves on") {
-        CHECK(On.m_Loop.until(
-            [&] { return On.m_Path->context().m_Traits.crashes() == 1; }));
+        CHECK(Fixture.m_Loop.until(
+            [&] { return Fixture.m_Path->context().m_Traits.crashes() == 1; }));
         CHECK_FALSE(IsCut());
       }
     }
--- a/apps/entry/tests/ForwardTest.cpp
+++ b/apps/entry/tests/ForwardTest.cpp
@@ -54,9 +54,9 @@
   static std::uint64_t Revision = 0;
   wire::ControlGrant Grant;
   for (const std::uint16_t Port : Ports) {
-    wire::ForwardPeer &Each = *Grant.add_forward_peers();
-    Each.set_entry(fmt::format("entry-at-{}", Port));
-    Each.set_address(fmt::format("127.0.0.1:{}", Port));
+    wire::ForwardPeer &Peer = *Grant.add_forward_peers();
+    Peer.set_entry(fmt::format("entry-at-{}", Port));
+    Peer.set_address(fmt::format("127.0.0.1:{}", Port));
   }
   Grant.set_forward_peers_revision(++Revision);
   Entry.takeGrant(Grant, BootClock::now() + std::chrono::seconds(2));
@@ -133,10 +133,10 @@
       THEN("all are answered") {
         REQUIRE(Around.m_Loop.until([&] {
           return std::all_of(All.begin(), All.end(),
-                             [](const auto &Each) { return Each->m_Ended; });
+                             [](const auto &Call) { return Call->m_Ended; });
         }));
-        for (const auto &Each : All)
-          CHECK(Each->m_Status == 200);
+        for (const auto &Call : All)
+          CHECK(Call->m_Status == 200);
         CHECK(Around.m_Seen.size() == 50);
       }
     }
@@ -219,8 +219,8 @@
         REQUIRE(Breaks.m_Seen.size() == 1);
         REQUIRE(AlsoBreaks.m_Seen.size() == 1);
         std::multiset<std::string> Runs;
-        for (const FakePeer *Each : {&Breaks, &AlsoBreaks})
-          Runs.emplace(http::field(Each->m_Seen[0].m_Fields, ForwardRunsField));
+        for (const FakePeer *Peer : {&Breaks, &AlsoBreaks})
+          Runs.emplace(http::field(Peer->m_Seen[0].m_Fields, ForwardRunsField));
         CHECK(Runs == std::multiset<std::string>{"0", "1"});
       }
     }
--- a/apps/entry/tests/PassedTest.cpp
+++ b/apps/entry/tests/PassedTest.cpp
@@ -288,34 +288,35 @@
 }
 
 SCENARIO("requests of a paused route do not reach targets") {
-  Shop On;
-  On.open({On.crashesOn(0, "bad"), answers(200, "ok"), answers(200, "ok")});
+  Shop Fixture;
+  Fixture.open(
+      {Fixture.crashesOn(0, "bad"), answers(200, "ok"), answers(200, "ok")});
   // One of the targets crashes, so that the route's trait is reported.
-  for (int I = 0; I < 20 && On.m_Crashes == 0; ++I)
-    On.ask("GET", fmt::format("/stock/bad-{}", I), {{"Parts", "bad"}});
-  REQUIRE(On.m_Crashes == 1);
+  for (int I = 0; I < 20 && Fixture.m_Crashes == 0; ++I)
+    Fixture.ask("GET", fmt::format("/stock/bad-{}", I), {{"Parts", "bad"}});
+  REQUIRE(Fixture.m_Crashes == 1);
   wire::EntryReport Report;
-  On.m_Path->fillReport(Report);
+  Fixture.m_Path->fillReport(Report);
   REQUIRE(Report.trait_crashes_size() == 1);
   wire::TraitNotice Route;
   Route.set_trait(Report.trait_crashes(0).waiting(0).route());
   Route.set_crashes(1);
   Route.set_trial_runs(2);
-  const std::size_t Before = On.m_Seen.size();
+  const std::size_t Before = Fixture.m_Seen.size();
   GIVEN("a pause that control has told") {
     Route.set_paused_ns(3'000'000'000);
     wire::TraitsUpdate Update;
     *Update.add_routes() = Route;
-    On.m_Path->applyTraits(Update);
+    Fixture.m_Path->applyTraits(Update);
     THEN("they are refused, have not run, and may come back after it") {
-      const Answered Got = On.ask("GET", "/stock/2");
+      const Answered Got = Fixture.ask("GET", "/stock/2");
       CHECK(Got.m_Status == 503);
       CHECK(std::stod(std::string(http::field(Got.m_Fields, "retry-after"))) >
             2.0);
-      CHECK(On.m_Seen.size() == Before);
+      CHECK(Fixture.m_Seen.size() == Before);
     }
     THEN("requests of other routes are served") {
-      CHECK(On.ask("POST", "/book/2").m_Status == 200);
+      CHECK(Fixture.ask("POST", "/book/2").m_Status == 200);
     }
   }
   GIVEN("a trial after it") {
@@ -323,45 +324,45 @@
     Grant.set_traits_revision(5);
     *Grant.add_traits() = Route;
     WHEN("this entry has no permission") {
-      On.m_Path->takeGrant(Grant, BootClock::now() + 1s);
+      Fixture.m_Path->takeGrant(Grant, BootClock::now() + 1s);
       THEN("they are refused") {
-        CHECK(On.ask("GET", "/stock/2").m_Status == 503);
-        CHECK(On.m_Seen.size() == Before);
+        CHECK(Fixture.ask("GET", "/stock/2").m_Status == 503);
+        CHECK(Fixture.m_Seen.size() == Before);
       }
     }
     WHEN("it has permission") {
       Grant.add_trial_routes(Route.trait());
-      On.m_Path->takeGrant(Grant, BootClock::now() + 1s);
+      Fixture.m_Path->takeGrant(Grant, BootClock::now() + 1s);
       THEN("they run one at a time") {
-        const auto First = On.start("GET", "/stock/2");
-        const auto Second = On.start("GET", "/stock/3");
-        REQUIRE(On.m_Loop.until([&] { return Second->m_Ended; }));
-        REQUIRE(On.m_Loop.until([&] { return First->m_Ended; }));
+        const auto First = Fixture.start("GET", "/stock/2");
+        const auto Second = Fixture.start("GET", "/stock/3");
+        REQUIRE(Fixture.m_Loop.until([&] { return Second->m_Ended; }));
+        REQUIRE(Fixture.m_Loop.until([&] { return First->m_Ended; }));
         CHECK(First->m_Status + Second->m_Status == 200 + 503);
-        CHECK(On.m_Seen.size() == Before + 1);
-        CHECK(On.ask("GET", "/stock/4").m_Status == 200);
+        CHECK(Fixture.m_Seen.size() == Before + 1);
+        CHECK(Fixture.ask("GET", "/stock/4").m_Status == 200);
       }
     }
   }
 }
 
 SCENARIO("a resumed stream does not go on at another service of its route") {
-  Shop On;
-  On.add(streams(3, true));
-  On.add(streams(3, true)).set_models(0, "desk-2");
-  wire::RouteTable &Table = *On.m_Fleet.mutable_routes();
+  Shop Fixture;
+  Fixture.add(streams(3, true));
+  Fixture.add(streams(3, true)).set_models(0, "desk-2");
+  wire::RouteTable &Table = *Fixture.m_Fleet.mutable_routes();
   Table.add_services()->set_name("desk-2");
-  for (wire::Route &Each : *Table.mutable_routes())
-    if (Each.name() == "note") {
-      wire::ServiceShare &Other = *Each.add_services();
+  for (wire::Route &Changed : *Table.mutable_routes())
+    if (Changed.name() == "note") {
+      wire::ServiceShare &Other = *Changed.add_services();
       Other.set_service("desk-2");
       Other.set_weight(1);
     }
-  On.warmUp();
-  On.grant();
+  Fixture.warmUp();
+  Fixture.grant();
   const auto TargetOf = [&](const http::Fields &Fields) {
-    CHECK(On.ask("POST", "/note/7", Fields).m_Status == 200);
-    return std::string(http::field(On.m_Seen.back().m_Fields, "only"));
+    CHECK(Fixture.ask("POST", "/note/7", Fields).m_Status == 200);
+    return std::string(http::field(Fixture.m_Seen.back().m_Fields, "only"));
   };
   std::set<std::string> Began;
   for (int I = 0; I < 12; ++I) {
@@ -369,26 +370,26 @@
     const std::string Target = TargetOf({{"Attempt", First}});
     Began.insert(Target);
     CHECK(TargetOf({{"Attempt", fmt::format("again-{}", I)},
-                    {"Resumes", First},
+                    {"First-Attempt", First},
                     {"Seen", "1"}}) == Target);
   }
   CHECK(Began.size() == 2);
 }
 
 SCENARIO("a resumed stream is sent although a whole answer would be late") {
-  Shop On;
-  On.addEngine("decode", streams(3, true));
-  On.warmUp();
-  On.grant();
+  Shop Fixture;
+  Fixture.addEngine("decode", streams(3, true));
+  Fixture.warmUp();
+  Fixture.grant();
   const std::string Large =
       "200000"; // Tokens, longer to read than its caller waits.
-  CHECK(On.ask("POST", "/oracle/7", {{"Prompt", Large}}).m_Status == 503);
-  CHECK(On.m_Seen.empty());
-  const Answered Resumed = On.ask("POST", "/oracle/7",
-                                  {{"Prompt", Large},
-                                   {"Attempt", "r-2"},
-                                   {"Resumes", "r-1"},
-                                   {"Seen", "1"}});
+  CHECK(Fixture.ask("POST", "/oracle/7", {{"Prompt", Large}}).m_Status == 503);
+  CHECK(Fixture.m_Seen.empty());
+  const Answered Resumed = Fixture.ask("POST", "/oracle/7",
+                                       {{"Prompt", Large},
+                                        {"Attempt", "r-2"},
+                                        {"First-Attempt", "r-1"},
+                                        {"Seen", "1"}});
   CHECK(Resumed.m_Status == 200);
   CHECK(Resumed.m_Body == eventText(2) + eventText(3));
 }
@@ -568,15 +569,15 @@
   const routes::Index Routes(Table);
   MeanPrompts Means;
   const auto Read = [&](const std::string &Path, const std::string &Seen) {
-    http::Request From;
-    From.m_Method = "POST";
-    From.m_Path = Path;
-    From.m_Target = Path;
-    From.m_Fields = {{"Host", "shop.example"}, {"Attempt", "r-1"}};
+    http::Request Incoming;
+    Incoming.m_Method = "POST";
+    Incoming.m_Path = Path;
+    Incoming.m_Target = Path;
+    Incoming.m_Fields = {{"Host", "shop.example"}, {"Attempt", "r-1"}};
     if (!Seen.empty())
-      From.m_Fields.emplace_back("Seen", Seen);
+      Incoming.m_Fields.emplace_back("Seen", Seen);
     return std::get<Arrival>(
-        readPassed(From, Routes, Plain, Means, BootClock::now()));
+        readPassed(Incoming, Routes, Plain, Means, BootClock::now()));
   };
   const Arrival New = Read("/note/7", "");
   const Arrival Resumed = Read("/note/7", "3");
--- a/apps/entry/tests/Shop.cpp
+++ b/apps/entry/tests/Shop.cpp
@@ -7,45 +7,48 @@
 
 namespace {
 
-std::variant<relay::CallerRequest, Error> readAsk(const http::Request &From) {
-  relay::CallerRequest Made;
-  Made.m_Id = http::field(From.m_Fields, "Attempt");
-  Made.m_Method = From.m_Method;
-  Made.m_Target = From.m_Target;
-  Made.m_Path = From.m_Path;
-  Made.m_Host = http::field(From.m_Fields, "Host");
-  Made.m_Body = From.m_Body;
-  const std::string Waits(http::field(From.m_Fields, "Waits-S"));
-  Made.m_CallerTimeout = Waits.empty() ? std::chrono::milliseconds(1500)
-                                       : std::chrono::seconds(std::stoi(Waits));
-  const std::string Seen(http::field(From.m_Fields, "Seen"));
-  Made.m_LastEventId = Seen.empty() ? 0 : std::stoull(Seen);
-  Made.m_FirstAttempt = http::field(From.m_Fields, "Resumes");
-  const std::string Prompt(http::field(From.m_Fields, "Prompt"));
+std::variant<relay::CallerRequest, Error>
+readAsk(const http::Request &Request) {
+  relay::CallerRequest Result;
+  Result.m_Id = http::field(Request.m_Fields, "Attempt");
+  Result.m_Method = Request.m_Method;
+  Result.m_Target = Request.m_Target;
+  Result.m_Path = Request.m_Path;
+  Result.m_Host = http::field(Request.m_Fields, "Host");
+  Result.m_Body = Request.m_Body;
+  const std::string Waits(http::field(Request.m_Fields, "Waits-S"));
+  Result.m_CallerTimeout = Waits.empty()
+                               ? std::chrono::milliseconds(1500)
+                               : std::chrono::seconds(std::stoi(Waits));
+  const std::string Seen(http::field(Request.m_Fields, "Seen"));
+  Result.m_LastEventId = Seen.empty() ? 0 : std::stoull(Seen);
+  Result.m_FirstAttempt = http::field(Request.m_Fields, "First-Attempt");
+  const std::string Prompt(http::field(Request.m_Fields, "Prompt"));
   if (!Prompt.empty()) {
-    Made.m_Model = "m";
-    Made.m_PromptTokens = static_cast<std::uint32_t>(std::stoul(Prompt));
-    Made.m_MaxTokens = 10;
+    Result.m_Model = "m";
+    Result.m_PromptTokens = static_cast<std::uint32_t>(std::stoul(Prompt));
+    Result.m_MaxTokens = 10;
   }
-  std::stringstream Parts(std::string(http::field(From.m_Fields, "Parts")));
+  std::stringstream Parts(std::string(http::field(Request.m_Fields, "Parts")));
   for (std::string Part; std::getline(Parts, Part, '+');)
-    Made.m_PromptParts.push_back({hashBytes(Part), 100});
-  Made.m_Fields = {{"Attempt", Made.m_Id},
-                   {"Parts", std::string(http::field(From.m_Fields, "Parts"))}};
-  return Made;
-}
-
-http::Fields requestFields(const relay::CallerRequest &Of,
-                           const relay::TryOptions &With, TimePoint) {
-  http::Fields Made = Of.m_Fields;
-  Made.emplace_back("Only", With.m_Target.m_Value);
-  if (With.m_LastEventId > 0)
-    Made.emplace_back("Seen", std::to_string(With.m_LastEventId));
-  if (With.m_PrefillOnly)
-    Made.emplace_back("Prefill-Only", "1");
-  if (!With.m_KvSource.empty())
-    Made.emplace_back("Kv", With.m_KvSource);
-  return Made;
+    Result.m_PromptParts.push_back({hashBytes(Part), 100});
+  Result.m_Fields = {
+      {"Attempt", Result.m_Id},
+      {"Parts", std::string(http::field(Request.m_Fields, "Parts"))}};
+  return Result;
+}
+
+http::Fields requestFields(const relay::CallerRequest &Request,
+                           const relay::TryOptions &Options, TimePoint) {
+  http::Fields Fields = Request.m_Fields;
+  Fields.emplace_back("Only", Options.m_Target.m_Value);
+  if (Options.m_LastEventId > 0)
+    Fields.emplace_back("Seen", std::to_string(Options.m_LastEventId));
+  if (Options.m_PrefillOnly)
+    Fields.emplace_back("Prefill-Only", "1");
+  if (!Options.m_KvSource.empty())
+    Fields.emplace_back("Kv", Options.m_KvSource);
+  return Fields;
 }
 
 Result<relay::PrefillResult> readPrefilled(std::string_view Body) {
@@ -56,23 +59,23 @@
   return {"DELETE", "/kept/" + Handle};
 }
 
-relay::ResponseInfo readAnswer(int Status, const http::Fields &Of) {
-  relay::ResponseInfo Made;
-  Made.m_NotRun = !http::field(Of, "Not-Run").empty();
-  Made.m_WrongTarget = Status == 421;
-  Made.m_Signed = !http::field(Of, "Signed").empty();
-  Made.m_Id = http::field(Of, "Attempt");
-  const std::string Limit(http::field(Of, "Limit"));
+relay::ResponseInfo readAnswer(int Status, const http::Fields &Fields) {
+  relay::ResponseInfo Result;
+  Result.m_NotRun = !http::field(Fields, "Not-Run").empty();
+  Result.m_WrongTarget = Status == 421;
+  Result.m_Signed = !http::field(Fields, "Signed").empty();
+  Result.m_Id = http::field(Fields, "Attempt");
+  const std::string Limit(http::field(Fields, "Limit"));
   if (!Limit.empty())
-    Made.m_RequestsPerSecond = std::stod(Limit);
-  Made.m_Leaving = !http::field(Of, "Leaving").empty();
-  const std::string Rest(http::field(Of, "Rest-Ms"));
+    Result.m_RequestsPerSecond = std::stod(Limit);
+  Result.m_Leaving = !http::field(Fields, "Leaving").empty();
+  const std::string Rest(http::field(Fields, "Rest-Ms"));
   if (!Rest.empty())
-    Made.m_RestFor = std::chrono::milliseconds(std::stoi(Rest));
-  const std::string Load(http::field(Of, "Load"));
+    Result.m_RestFor = std::chrono::milliseconds(std::stoi(Rest));
+  const std::string Load(http::field(Fields, "Load"));
   if (!Load.empty())
-    Made.m_Load = {static_cast<std::uint32_t>(std::stoul(Load)), 0, 6};
-  return Made;
+    Result.m_Load = {static_cast<std::uint32_t>(std::stoul(Load)), 0, 6};
+  return Result;
 }
 
 } // namespace
@@ -119,19 +122,19 @@
 
 wire::Route route(const std::string &Name, const std::string &Kind,
                   const std::string &Service, bool Resumable) {
-  wire::Route Made;
-  Made.set_name(Name);
-  Made.set_host("shop.example");
-  Made.set_path_prefix("/" + Name + "/");
-  Made.set_kind(Kind);
-  Made.set_timeout_ns(2'000'000'000);
-  Made.set_objective_ns(100'000'000);
-  Made.set_gap_ns(50'000'000);
-  Made.set_max_attempts(2);
-  Made.set_resumable(Resumable);
-  Made.add_services()->set_service(Service);
-  Made.mutable_services(0)->set_weight(1);
-  return Made;
+  wire::Route Result;
+  Result.set_name(Name);
+  Result.set_host("shop.example");
+  Result.set_path_prefix("/" + Name + "/");
+  Result.set_kind(Kind);
+  Result.set_timeout_ns(2'000'000'000);
+  Result.set_objective_ns(100'000'000);
+  Result.set_gap_ns(50'000'000);
+  Result.set_max_attempts(2);
+  Result.set_resumable(Resumable);
+  Result.add_services()->set_service(Service);
+  Result.mutable_services(0)->set_weight(1);
+  return Result;
 }
 
 Shop::Shop() {
--- a/apps/entry/tests/Shop.h
+++ b/apps/entry/tests/Shop.h
@@ -70,8 +70,8 @@
 
   /// Each target plays its script for every request.
   void open(const std::vector<Play> &Scripts) {
-    for (const Play &Each : Scripts)
-      add(Each);
+    for (const Play &Behavior : Scripts)
+      add(Behavior);
     REQUIRE(m_Path->takeFleet(m_Fleet));
     grant();
   }
@@ -86,39 +86,39 @@
   }
 
   /// Adds a target to what the entry will hear next.
-  wire::Target &add(const Play &Each) {
+  wire::Target &add(const Play &Behavior) {
     const auto Port = static_cast<std::uint16_t>(FirstPort + m_Targets.size());
     auto Listening =
         http::listen(m_Loop.m_Base, {"127.0.0.1", Port}, http::ServerLimits{},
-                     [this, Each](const Exchange &Arrived) {
+                     [this, Behavior](const Exchange &Arrived) {
                        m_Seen.push_back(Arrived->request());
                        m_Held.push_back(Arrived);
-                       Each(Arrived);
+                       Behavior(Arrived);
                      });
     REQUIRE_FALSE(failed(Listening));
     m_Targets.push_back(std::move(valueOf(Listening)));
-    wire::Target &Told = *m_Fleet.add_targets();
-    Told.set_id(fmt::format("i-{}", Port));
-    Told.set_incarnation("1");
-    Told.set_address(fmt::format("127.0.0.1:{}", Port));
-    Told.set_kind("service");
-    Told.add_models("desk");
-    Told.set_state("serving");
-    Told.set_generation(1);
-    Told.set_max_running(8);
-    Told.set_self_managed(true);
-    return Told;
+    wire::Target &Added = *m_Fleet.add_targets();
+    Added.set_id(fmt::format("i-{}", Port));
+    Added.set_incarnation("1");
+    Added.set_address(fmt::format("127.0.0.1:{}", Port));
+    Added.set_kind("service");
+    Added.add_models("desk");
+    Added.set_state("serving");
+    Added.set_generation(1);
+    Added.set_max_running(8);
+    Added.set_self_managed(true);
+    return Added;
   }
 
   /// Adds a target that something else listens for.
   wire::Target &addForeign() {
-    wire::Target &Told = add([](const Exchange &) {});
+    wire::Target &Added = add([](const Exchange &) {});
     m_Targets.back().reset();
-    return Told;
+    return Added;
   }
 
   /// Adds an engine, and the route to engines before the first one.
-  wire::Target &addEngine(const std::string &Role, const Play &Each) {
+  wire::Target &addEngine(const std::string &Role, const Play &Behavior) {
     wire::RouteTable &Table = *m_Fleet.mutable_routes();
     if (Table.services_size() == 1) {
       *Table.add_routes() = route("oracle", "streaming", "llm", true);
@@ -126,11 +126,11 @@
       Engines.set_name("llm");
       Engines.set_kv_capacity_tokens(500'000);
     }
-    wire::Target &Told = add(Each);
-    Told.set_kind("engine");
-    Told.set_models(0, "llm");
-    Told.set_role(Role);
-    return Told;
+    wire::Target &Added = add(Behavior);
+    Added.set_kind("engine");
+    Added.set_models(0, "llm");
+    Added.set_role(Role);
+    return Added;
   }
 
   /// Tells the entry of the targets, and waits until they count as warm.
@@ -156,8 +156,8 @@
 
   [[nodiscard]] int seen(const std::string &Field) const {
     int Count = 0;
-    for (const http::Request &Each : m_Seen)
-      Count += http::field(Each.m_Fields, Field).empty() ? 0 : 1;
+    for (const http::Request &Request : m_Seen)
+      Count += http::field(Request.m_Fields, Field).empty() ? 0 : 1;
     return Count;
   }
 
@@ -184,9 +184,9 @@
     Handlers.m_OnChunk = [Got](std::string_view Piece) {
       Got->m_Body += Piece;
     };
-    Handlers.m_OnDone = [Got](const Result<http::Response> &Told) {
-      if (!failed(Told))
-        Got->m_Status = valueOf(Told).m_Status;
+    Handlers.m_OnDone = [Got](const Result<http::Response> &Answer) {
+      if (!failed(Answer))
+        Got->m_Status = valueOf(Answer).m_Status;
       Got->m_Ended = true;
     };
     (void)http::call(m_Loop.m_Base, std::move(Out), std::move(Handlers));
--- a/apps/entry/tests/StopTest.cpp
+++ b/apps/entry/tests/StopTest.cpp
@@ -66,9 +66,9 @@
   /// Requests that a target ran and whose callers did not get its answer.
   [[nodiscard]] int cut() const {
     int Count = 0;
-    for (const http::Request &Each : m_Around.m_Seen)
-      if (const auto Found =
-              m_Sent.find(std::string(http::field(Each.m_Fields, "attempt")));
+    for (const http::Request &Request : m_Around.m_Seen)
+      if (const auto Found = m_Sent.find(
+              std::string(http::field(Request.m_Fields, "attempt")));
           Found != m_Sent.end())
         Count += Found->second->m_Status == 200 ? 0 : 1;
     return Count;
@@ -128,63 +128,63 @@
 } // namespace
 
 SCENARIO("a request is not cut by the end of the process that took it") {
-  Shop On;
-  On.m_Settings.m_StopLag = 150ms;
-  On.m_Settings.m_StopPatience = 600ms;
+  Shop Fixture;
+  Fixture.m_Settings.m_StopLag = 150ms;
+  Fixture.m_Settings.m_StopPatience = 600ms;
   GIVEN("callers that go on using open connections") {
-    On.m_Settings.m_StopLag = 1s;
-    On.m_Settings.m_StopPatience = 3s;
-    On.open({answersAfter(On, 40ms, "booked")});
-    Callers Around(On, 40);
+    Fixture.m_Settings.m_StopLag = 1s;
+    Fixture.m_Settings.m_StopPatience = 3s;
+    Fixture.open({answersAfter(Fixture, 40ms, "booked")});
+    Callers Around(Fixture, 40);
     WHEN("the process stops while they send") {
-      stop(On);
+      stop(Fixture);
       const TimePoint GiveUpAt = BootClock::now() + 20s;
-      while (On.m_Entry != nullptr && BootClock::now() < GiveUpAt) {
+      while (Fixture.m_Entry != nullptr && BootClock::now() < GiveUpAt) {
         if (Around.idle() > 0)
           Around.send();
-        On.m_Loop.turnFor(50ms);
+        Fixture.m_Loop.turnFor(50ms);
       }
-      REQUIRE(On.m_Entry == nullptr);
-      On.m_Loop.turnFor(100ms);
+      REQUIRE(Fixture.m_Entry == nullptr);
+      Fixture.m_Loop.turnFor(100ms);
       THEN("whatever reached a target is answered") {
-        CHECK(On.m_Seen.size() > 2);
+        CHECK(Fixture.m_Seen.size() > 2);
         CHECK(Around.cut() == 0);
       }
     }
   }
   GIVEN("an engine that streams for longer than the process has") {
-    On.m_Settings.m_StopLag = 200ms;
-    On.addEngine("decode", streams(1, false));
-    On.warmUp();
+    Fixture.m_Settings.m_StopLag = 200ms;
+    Fixture.addEngine("decode", streams(1, false));
+    Fixture.warmUp();
     WHEN("a stream arrives while the balancer may still send callers") {
-      stop(On);
-      On.m_Loop.turnFor(50ms);
-      const auto Got = On.start("POST", "/oracle/7", {{"Waits-S", "60"}});
-      REQUIRE(On.m_Loop.until([&] { return Got->m_Ended; }));
+      stop(Fixture);
+      Fixture.m_Loop.turnFor(50ms);
+      const auto Got = Fixture.start("POST", "/oracle/7", {{"Waits-S", "60"}});
+      REQUIRE(Fixture.m_Loop.until([&] { return Got->m_Ended; }));
       THEN("it is refused at once, and has not run") {
         CHECK(Got->m_Status == 503);
-        CHECK(On.m_Seen.empty());
+        CHECK(Fixture.m_Seen.empty());
       }
-      REQUIRE(On.m_Loop.until([&] { return On.m_Entry == nullptr; }));
+      REQUIRE(Fixture.m_Loop.until([&] { return Fixture.m_Entry == nullptr; }));
     }
   }
   GIVEN("an answer that its caller takes its time to read") {
-    On.m_Settings.m_StopPatience = 8s;
+    Fixture.m_Settings.m_StopPatience = 8s;
     const std::string Body(3U << 20U, 'x');
-    On.open({answers(200, Body)});
+    Fixture.open({answers(200, Body)});
     const SlowReader Caller("POST /book/7 HTTP/1.1\r\nHost: shop.example\r\n"
                             "Attempt: r-1\r\nContent-Length: 0\r\n\r\n");
-    REQUIRE(On.m_Loop.until([&] { return !On.m_Seen.empty(); }));
+    REQUIRE(Fixture.m_Loop.until([&] { return !Fixture.m_Seen.empty(); }));
     WHEN("the process stops meanwhile") {
-      stop(On);
-      On.m_Loop.turnFor(500ms);
+      stop(Fixture);
+      Fixture.m_Loop.turnFor(500ms);
       std::string Got;
-      REQUIRE(On.m_Loop.until([&] { return Caller.readMore(Got); }));
+      REQUIRE(Fixture.m_Loop.until([&] { return Caller.readMore(Got); }));
       THEN("the caller gets all of it") {
         CHECK(Got.rfind("HTTP/1.1 200", 0) == 0);
         CHECK(Got.size() > Body.size());
       }
-      REQUIRE(On.m_Loop.until([&] { return On.m_Entry == nullptr; }));
+      REQUIRE(Fixture.m_Loop.until([&] { return Fixture.m_Entry == nullptr; }));
     }
   }
 }
--- a/apps/entry/tests/StreamVersionsTest.cpp
+++ b/apps/entry/tests/StreamVersionsTest.cpp
@@ -106,10 +106,10 @@
   }
 
   void drain(const std::string &Version) {
-    for (wire::Target &Each : *m_Shop.m_Fleet.mutable_targets())
-      if (Each.software_version() == Version) {
-        Each.set_state("draining");
-        Each.set_generation(Each.generation() + 1);
+    for (wire::Target &Target : *m_Shop.m_Fleet.mutable_targets())
+      if (Target.software_version() == Version) {
+        Target.set_state("draining");
+        Target.set_generation(Target.generation() + 1);
       }
     m_Shop.m_Fleet.set_revision(m_Shop.m_Fleet.revision() + 1);
     REQUIRE(m_Shop.m_Path->takeFleet(m_Shop.m_Fleet));
@@ -128,7 +128,7 @@
                       {{"Prompt", "300"},
                        {"Attempt", Attempt},
                        {"Seen", "3"},
-                       {"Resumes", First},
+                       {"First-Attempt", First},
                        {"Waits-S", "4"}});
   }
 };
@@ -137,110 +137,112 @@
 
 SCENARIO("a stream that its caller resumes does not go on at another software "
          "version") {
-  TwoVersions On;
+  TwoVersions Fixture;
   constexpr int Streams = 3;
   GIVEN("streams that broke off when the entry's process ended") {
-    On.m_Control.m_IsReachable = false;
+    Fixture.m_Control.m_IsReachable = false;
     for (int I = 0; I < Streams; ++I)
-      (void)On.begin(fmt::format("a-{}", I));
-    On.restart();
+      (void)Fixture.begin(fmt::format("a-{}", I));
+    Fixture.restart();
     THEN("an entry that can't learn the version refuses what it can't run") {
       for (int I = 0; I < Streams; ++I) {
         const Answered Got =
-            On.resume(fmt::format("b-{}", I), fmt::format("a-{}", I));
+            Fixture.resume(fmt::format("b-{}", I), fmt::format("a-{}", I));
         CHECK(Got.m_Status == 503);
         CHECK(http::field(Got.m_Fields, "wasabivale-outcome") == "not_run");
         CHECK_FALSE(http::field(Got.m_Fields, "retry-after").empty());
       }
-      CHECK(On.m_Ran.empty());
+      CHECK(Fixture.m_Ran.empty());
     }
     THEN("streams that control has no record of are refused") {
-      On.m_Control.m_IsReachable = true;
-      CHECK(On.resume("b-1", "a-1").m_Status == 503);
-      CHECK(On.resume("b-2", "").m_Status == 503);
-      CHECK(On.m_Ran.empty());
+      Fixture.m_Control.m_IsReachable = true;
+      CHECK(Fixture.resume("b-1", "a-1").m_Status == 503);
+      CHECK(Fixture.resume("b-2", "").m_Status == 503);
+      CHECK(Fixture.m_Ran.empty());
     }
   }
   GIVEN("streams whose versions control was told") {
     for (int I = 0; I < Streams; ++I)
-      (void)On.begin(fmt::format("a-{}", I));
-    const std::vector<std::string> Began = On.m_Ran;
-    REQUIRE(On.m_Shop.m_Loop.until([&] {
-      return On.m_Control.m_State.m_StreamVersions.m_Begun.size() == Streams;
+      (void)Fixture.begin(fmt::format("a-{}", I));
+    const std::vector<std::string> Began = Fixture.m_Ran;
+    REQUIRE(Fixture.m_Shop.m_Loop.until([&] {
+      return Fixture.m_Control.m_State.m_StreamVersions.m_Begun.size() ==
+             Streams;
     }));
-    On.restart();
+    Fixture.restart();
     THEN(
         "each goes on at the version that began it, and may be resumed again") {
       for (const char *Attempt : {"b", "c"})
         for (int I = 0; I < Streams; ++I) {
-          On.m_Ran.clear();
-          CHECK(On.resume(fmt::format("{}-{}", Attempt, I),
-                          fmt::format("a-{}", I))
+          Fixture.m_Ran.clear();
+          CHECK(Fixture
+                    .resume(fmt::format("{}-{}", Attempt, I),
+                            fmt::format("a-{}", I))
                     .m_Status == 200);
-          REQUIRE(On.m_Ran.size() == 1);
-          CHECK(On.m_Ran[0] == Began[I]);
+          REQUIRE(Fixture.m_Ran.size() == 1);
+          CHECK(Fixture.m_Ran[0] == Began[I]);
         }
     }
     THEN("an entry that is cut from control refuses them") {
-      On.m_Control.m_IsReachable = false;
-      CHECK(On.resume("b-1", "a-1").m_Status == 503);
-      CHECK(On.m_Ran.empty());
+      Fixture.m_Control.m_IsReachable = false;
+      CHECK(Fixture.resume("b-1", "a-1").m_Status == 503);
+      CHECK(Fixture.m_Ran.empty());
     }
   }
 }
 
 SCENARIO(
     "streams that began before the second version of their service appeared") {
-  TwoVersions On({"v1", "v1"});
-  (void)On.begin("a-1");
-  CHECK(On.m_Control.m_Commands.empty());
-  On.add("v2");
-  On.m_Shop.m_Fleet.set_revision(2);
-  REQUIRE(On.m_Shop.m_Path->takeFleet(On.m_Shop.m_Fleet));
-  REQUIRE(On.m_Shop.m_Loop.until([&] {
-    return On.m_Control.m_State.m_StreamVersions.m_Begun.size() == 1;
+  TwoVersions Fixture({"v1", "v1"});
+  (void)Fixture.begin("a-1");
+  CHECK(Fixture.m_Control.m_Commands.empty());
+  Fixture.add("v2");
+  Fixture.m_Shop.m_Fleet.set_revision(2);
+  REQUIRE(Fixture.m_Shop.m_Path->takeFleet(Fixture.m_Shop.m_Fleet));
+  REQUIRE(Fixture.m_Shop.m_Loop.until([&] {
+    return Fixture.m_Control.m_State.m_StreamVersions.m_Begun.size() == 1;
   }));
-  On.restart();
-  CHECK(On.resume("b-1", "a-1").m_Status == 200);
-  CHECK(On.m_Ran == std::vector<std::string>{"v1"});
+  Fixture.restart();
+  CHECK(Fixture.resume("b-1", "a-1").m_Status == 200);
+  CHECK(Fixture.m_Ran == std::vector<std::string>{"v1"});
 }
 
 SCENARIO("streams of a service that has one version") {
-  TwoVersions On({"v1", "v1"});
-  (void)On.begin("a-1");
-  On.restart();
+  TwoVersions Fixture({"v1", "v1"});
+  (void)Fixture.begin("a-1");
+  Fixture.restart();
   THEN("they go on without a question while control confirms the fleet") {
-    On.m_Shop.grant();
-    CHECK(On.resume("b-1", "a-1").m_Status == 200);
-    CHECK(On.m_Control.m_Commands.empty());
+    Fixture.m_Shop.grant();
+    CHECK(Fixture.resume("b-1", "a-1").m_Status == 200);
+    CHECK(Fixture.m_Control.m_Commands.empty());
   }
   THEN("control is asked when it has not confirmed the fleet lately") {
-    CHECK(On.resume("b-1", "a-1").m_Status == 200);
-    CHECK(On.m_Control.m_Commands.size() == 1);
+    CHECK(Fixture.resume("b-1", "a-1").m_Status == 200);
+    CHECK(Fixture.m_Control.m_Commands.size() == 1);
   }
 }
 
 SCENARIO("a stream without events begins at another version only when its "
          "record is withdrawn") {
-  TwoVersions On({"v1", "v2"});
-  On.m_DrainsFirst = true;
+  TwoVersions Fixture({"v1", "v2"});
+  Fixture.m_DrainsFirst = true;
   GIVEN("control that answers") {
-    (void)On.m_Shop.ask("POST", "/oracle/7",
-                        {{"Prompt", "300"}, {"Attempt", "a-1"}});
+    (void)Fixture.m_Shop.ask("POST", "/oracle/7",
+                             {{"Prompt", "300"}, {"Attempt", "a-1"}});
     THEN("its version is not known from then on") {
-      REQUIRE(On.m_Ran.size() >= 2);
-      CHECK(On.m_Ran[0] != On.m_Ran[1]);
-      const auto &Begun = On.m_Control.m_State.m_StreamVersions.m_Begun;
+      REQUIRE(Fixture.m_Ran.size() >= 2);
+      CHECK(Fixture.m_Ran[0] != Fixture.m_Ran[1]);
+      const auto &Begun = Fixture.m_Control.m_State.m_StreamVersions.m_Begun;
       REQUIRE(Begun.count(hashBytes("a-1")) == 1);
       CHECK(Begun.at(hashBytes("a-1")).m_Version == 0);
     }
   }
   GIVEN("control that can't be reached") {
-    On.m_Control.m_IsReachable = false;
-    const Answered Got = On.m_Shop.ask("POST", "/oracle/7",
-                                       {{"Prompt", "300"}, {"Attempt", "a-1"}});
+    Fixture.m_Control.m_IsReachable = false;
+    const Answered Got = Fixture.m_Shop.ask(
+        "POST", "/oracle/7", {{"Prompt", "300"}, {"Attempt", "a-1"}});
     THEN("it does not begin there") {
-      CHECK(On.m_Ran.size() == 1);
+      CHECK(Fixture.m_Ran.size() == 1);
       CHECK(Got.m_Status == 503);
     }
   }
--- a/apps/entry/tests/TargetAnswersTest.cpp
+++ b/apps/entry/tests/TargetAnswersTest.cpp
@@ -27,9 +27,9 @@
 }
 
 /// Every byte that a caller of a stream receives, heads and framing included.
-std::string askRaw(Shop &On, const std::string &Path) {
+std::string askRaw(Shop &Fixture, const std::string &Path) {
   bufferevent *Caller =
-      bufferevent_socket_new(On.m_Loop.m_Base, -1, BEV_OPT_CLOSE_ON_FREE);
+      bufferevent_socket_new(Fixture.m_Loop.m_Base, -1, BEV_OPT_CLOSE_ON_FREE);
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
   Address.sin_port = htons(EntryPort);
@@ -37,8 +37,8 @@
   bool IsClosed = false;
   bufferevent_setcb(
       Caller, nullptr, nullptr,
-      [](bufferevent *, short What, void *Closed) {
-        if ((What & BEV_EVENT_CONNECTED) == 0)
+      [](bufferevent *, short Events, void *Closed) {
+        if ((Events & BEV_EVENT_CONNECTED) == 0)
           *static_cast<bool *>(Closed) = true;
       },
       &IsClosed);
@@ -50,7 +50,7 @@
                               "Attempt: r-1\r\nConnection: close\r\n"
                               "Content-Length: 0\r\n\r\n";
   bufferevent_write(Caller, Request.data(), Request.size());
-  CHECK(On.m_Loop.until([&] { return IsClosed; }));
+  CHECK(Fixture.m_Loop.until([&] { return IsClosed; }));
   evbuffer *Input = bufferevent_get_input(Caller);
   std::string Bytes(evbuffer_get_length(Input), '\0');
   evbuffer_remove(Input, Bytes.data(), Bytes.size());
@@ -64,16 +64,16 @@
   for (const bool IsSigned : {true, false})
     for (const int Status : {200, 204, 400, 404, 409, 429, 500, 503}) {
       INFO(Status << (IsSigned ? " signed" : " unsigned"));
-      Shop On;
+      Shop Fixture;
       // Fresh runs stall after two events; resumed ones get the error.
       const Play Target = [&](const Exchange &Arrived) {
         if (http::field(Arrived->request().m_Fields, "seen").empty())
           return streams(2, false)(Arrived);
         errors(Status, IsSigned)(Arrived);
       };
-      On.open({Target, Target});
-      const std::string Got = askRaw(On, "/note/7");
-      CHECK(On.m_Seen.size() >= 2);
+      Fixture.open({Target, Target});
+      const std::string Got = askRaw(Fixture, "/note/7");
+      CHECK(Fixture.m_Seen.size() >= 2);
       CHECK(Got.find(eventText(2)) != Got.npos);
       CHECK(Got.rfind("HTTP/1.1") == 0);
       CHECK(Got.find("the target has failed") == Got.npos);
@@ -87,15 +87,15 @@
        {"HTTP/1.1 503 Full\r\nNot-Run: 1\r\n\r\n",
         "{\"error\": {\"code\": 1}}\n\n", "upstream failed\n\n"}) {
     INFO(Text);
-    Shop On;
-    On.open({[&](const Exchange &Arrived) {
+    Shop Fixture;
+    Fixture.open({[&](const Exchange &Arrived) {
       http::Fields Head = stamped(Arrived);
       Head.emplace_back("Content-Type", "text/event-stream");
       Arrived->startRelay(200, Head);
       Arrived->write(eventText(1) + Text);
       Arrived->finish();
     }});
-    const Answered Got = On.ask("POST", "/advice/7");
+    const Answered Got = Fixture.ask("POST", "/advice/7");
     CHECK(Got.m_Status == 0);
     // The event before it may be lost with the connection.
     CHECK((Got.m_Body.empty() || Got.m_Body == eventText(1)));
@@ -104,33 +104,33 @@
 
 SCENARIO("a status that promises is passed on only with its proof") {
   for (const int Status : {408, 429, 503}) {
-    Shop On;
-    On.open({answers(Status, "busy")});
-    CHECK(On.ask("POST", "/book/7").m_Status == 502);
-    CHECK(On.m_Seen.size() == 1);
+    Shop Fixture;
+    Fixture.open({answers(Status, "busy")});
+    CHECK(Fixture.ask("POST", "/book/7").m_Status == 502);
+    CHECK(Fixture.m_Seen.size() == 1);
   }
 }
 
 SCENARIO("a repeated refusal is no promise about the next request") {
-  Shop On;
+  Shop Fixture;
   // Refuses the first request, and answers every other with that refusal.
   http::Fields First;
-  On.open({[&](const Exchange &Arrived) {
+  Fixture.open({[&](const Exchange &Arrived) {
     if (First.empty())
       First = with(Arrived, "Not-Run", "1");
     Arrived->relay(503, First, "");
   }});
-  (void)On.ask("POST", "/book/7");
-  const std::size_t Before = On.m_Seen.size();
-  const Answered Got = On.ask("POST", "/book/7", {{"Attempt", "r-2"}});
-  REQUIRE(On.m_Seen.size() > Before);
+  (void)Fixture.ask("POST", "/book/7");
+  const std::size_t Before = Fixture.m_Seen.size();
+  const Answered Got = Fixture.ask("POST", "/book/7", {{"Attempt", "r-2"}});
+  REQUIRE(Fixture.m_Seen.size() > Before);
   // The caller is told nothing certain, and it runs at no second target.
-  if (http::field(On.m_Seen.back().m_Fields, "attempt") == "r-2")
+  if (http::field(Fixture.m_Seen.back().m_Fields, "attempt") == "r-2")
     CHECK(Got.m_Status == 502);
 }
 
 SCENARIO("a target whose answer says that it leaves gets no new work") {
-  Shop On;
+  Shop Fixture;
   bool Leaves = true;
   int Status = 200;
   int AtLeaving = 0;
@@ -143,42 +143,42 @@
       Fields.emplace_back("Not-Run", "1");
     Arrived->relay(Status, Fields, "three left");
   };
-  On.add(Leaving);
+  Fixture.add(Leaving);
   GIVEN("it and another") {
-    On.open({answers(200, "two left")});
+    Fixture.open({answers(200, "two left")});
     const auto Flood = [&] {
       for (int I = 0; I < 20; ++I)
-        CHECK(On.ask("GET", "/stock/7").m_Status == 200);
+        CHECK(Fixture.ask("GET", "/stock/7").m_Status == 200);
     };
     Flood();
     CHECK(AtLeaving <= 1);
     AND_WHEN("the fleet still calls it serving, in newer words") {
       const int Before = AtLeaving;
-      On.m_Fleet.mutable_targets(0)->set_generation(2);
-      On.m_Fleet.set_revision(2);
-      On.m_Fleet.mutable_routes()->set_version(2);
-      REQUIRE(On.m_Path->takeFleet(On.m_Fleet));
+      Fixture.m_Fleet.mutable_targets(0)->set_generation(2);
+      Fixture.m_Fleet.set_revision(2);
+      Fixture.m_Fleet.mutable_routes()->set_version(2);
+      REQUIRE(Fixture.m_Path->takeFleet(Fixture.m_Fleet));
       Flood();
       THEN("it stays closed") { CHECK(AtLeaving == Before); }
     }
     AND_WHEN("a new incarnation registers") {
       Leaves = false;
       const int Before = AtLeaving;
-      On.m_Fleet.mutable_targets(0)->set_incarnation("2");
-      On.m_Fleet.set_revision(2);
-      REQUIRE(On.m_Path->takeFleet(On.m_Fleet));
-      On.m_Loop.turnFor(std::chrono::milliseconds(1100));
+      Fixture.m_Fleet.mutable_targets(0)->set_incarnation("2");
+      Fixture.m_Fleet.set_revision(2);
+      REQUIRE(Fixture.m_Path->takeFleet(Fixture.m_Fleet));
+      Fixture.m_Loop.turnFor(std::chrono::milliseconds(1100));
       Flood();
       THEN("it gets work") { CHECK(AtLeaving > Before); }
     }
   }
   GIVEN("it alone, refusing") {
     Status = 503;
-    On.open({});
-    CHECK(On.ask("POST", "/book/7").m_Status == 503);
+    Fixture.open({});
+    CHECK(Fixture.ask("POST", "/book/7").m_Status == 503);
     THEN("nothing reaches it after its refusal") {
       CHECK(AtLeaving == 1);
-      CHECK(On.ask("POST", "/book/7").m_Status == 503);
+      CHECK(Fixture.ask("POST", "/book/7").m_Status == 503);
       CHECK(AtLeaving == 1);
     }
   }
@@ -188,15 +188,15 @@
   const http::Fields LongPrompt = {{"prompt", "30000"}};
   for (const bool Rests : {false, true}) {
     INFO((Rests ? "rests" : "leaves"));
-    Shop On;
+    Shop Fixture;
     bool IsFull = false;
-    On.addEngine("prefill", [&](const Exchange &Arrived) {
+    Fixture.addEngine("prefill", [&](const Exchange &Arrived) {
       if (Arrived->request().m_Method == "POST")
         IsFull = true;
       answers(200, "h1")(Arrived);
     });
     int AtDecode = 0;
-    On.addEngine("decode", [&](const Exchange &Arrived) {
+    Fixture.addEngine("decode", [&](const Exchange &Arrived) {
       ++AtDecode;
       if (Rests)
         return Arrived->relay(
@@ -208,17 +208,17 @@
       Arrived->write(eventText(1));
       Arrived->finish();
     });
-    On.warmUp();
-    (void)On.ask("POST", "/oracle/7", LongPrompt);
+    Fixture.warmUp();
+    (void)Fixture.ask("POST", "/oracle/7", LongPrompt);
     CHECK(AtDecode == 1);
-    const Answered Next = On.ask("POST", "/oracle/8", LongPrompt);
+    const Answered Next = Fixture.ask("POST", "/oracle/8", LongPrompt);
     CHECK(Next.m_Status == 503);
     CHECK(AtDecode == 1);
   }
 }
 
 SCENARIO("a target that asks for a rest gets no request until it ends") {
-  Shop On;
+  Shop Fixture;
   constexpr std::chrono::milliseconds Rest{1000};
   int AtResting = 0;
   bool Refuses = true;
@@ -231,18 +231,18 @@
     Arrived->relay(503, Fields, "");
   };
   GIVEN("it and another") {
-    On.open({Resting, answers(200, "two left")});
+    Fixture.open({Resting, answers(200, "two left")});
     for (int I = 0; I < 30; ++I)
-      CHECK(On.ask("GET", "/stock/7").m_Status == 200);
+      CHECK(Fixture.ask("GET", "/stock/7").m_Status == 200);
     THEN("the other gets all of them") { CHECK(AtResting <= 1); }
   }
   GIVEN("it alone") {
-    On.open({Resting});
+    Fixture.open({Resting});
     const TimePoint Start = BootClock::now();
-    CHECK(On.ask("POST", "/book/7").m_Status == 503);
+    CHECK(Fixture.ask("POST", "/book/7").m_Status == 503);
     THEN("a request is refused at once, until the first target has rested") {
       const TimePoint Sent = BootClock::now();
-      const Answered Got = On.ask("POST", "/book/7");
+      const Answered Got = Fixture.ask("POST", "/book/7");
       CHECK(BootClock::now() - Sent < std::chrono::milliseconds(300));
       CHECK(Got.m_Status == 503);
       CHECK(AtResting == 1);
@@ -253,16 +253,16 @@
     }
     THEN("it is served when the rest is over") {
       Refuses = false;
-      On.m_Loop.turnFor(Rest);
+      Fixture.m_Loop.turnFor(Rest);
       CHECK(BootClock::now() - Start > Rest);
-      CHECK(On.ask("POST", "/book/7").m_Status == 200);
+      CHECK(Fixture.ask("POST", "/book/7").m_Status == 200);
     }
     THEN("a new incarnation does not inherit it") {
       Refuses = false;
-      On.m_Fleet.mutable_targets(0)->set_incarnation("2");
-      On.m_Fleet.set_revision(2);
-      REQUIRE(On.m_Path->takeFleet(On.m_Fleet));
-      CHECK(On.ask("POST", "/book/7").m_Status == 200);
+      Fixture.m_Fleet.mutable_targets(0)->set_incarnation("2");
+      Fixture.m_Fleet.set_revision(2);
+      REQUIRE(Fixture.m_Path->takeFleet(Fixture.m_Fleet));
+      CHECK(Fixture.ask("POST", "/book/7").m_Status == 200);
     }
   }
 }
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -446,7 +446,7 @@
 
 /// Adds the records of \p Report to those of \p To. \returns false, and adds
 /// nothing, if the report is malformed.
-bool append(wire::StreamVersions &To, const wire::StreamVersions &Report);
+bool append(wire::StreamVersions &Batch, const wire::StreamVersions &Report);
 
 wire::Target toWire(const Target &Target);
 
--- a/libs/fleet/src/ForwardPeers.cpp
+++ b/libs/fleet/src/ForwardPeers.cpp
@@ -44,8 +44,8 @@
   if (const auto Own = Observed.m_Entries.find(Entry);
       Own != Observed.m_Entries.end())
     Ranks[Own->second.m_Zone] = 1;
-  for (Candidate &Each : Scored)
-    Each.m_RankInZone = Ranks[Each.m_View->m_Zone]++;
+  for (Candidate &Peer : Scored)
+    Peer.m_RankInZone = Ranks[Peer.m_View->m_Zone]++;
   std::stable_sort(Scored.begin(), Scored.end(),
                    [](const Candidate &Left, const Candidate &Right) {
                      return Left.m_RankInZone < Right.m_RankInZone;
@@ -53,8 +53,8 @@
   Scored.resize(std::min(Scored.size(), MaxForwardPeers));
   std::vector<ForwardPeer> Chosen;
   Chosen.reserve(Scored.size());
-  for (const Candidate &Each : Scored)
-    Chosen.push_back({*Each.m_Entry, Each.m_View->m_ForwardAddress});
+  for (const Candidate &Peer : Scored)
+    Chosen.push_back({*Peer.m_Entry, Peer.m_View->m_ForwardAddress});
   return Chosen;
 }
 
--- a/libs/fleet/src/StreamVersions.cpp
+++ b/libs/fleet/src/StreamVersions.cpp
@@ -113,15 +113,15 @@
   return Only;
 }
 
-bool append(wire::StreamVersions &To, const wire::StreamVersions &Report) {
+bool append(wire::StreamVersions &Batch, const wire::StreamVersions &Report) {
   if (!isWellFormed(Report))
     return false;
-  const auto First = static_cast<std::uint32_t>(To.versions_size());
-  To.mutable_versions()->MergeFrom(Report.versions());
-  To.mutable_streams()->MergeFrom(Report.streams());
+  const auto First = static_cast<std::uint32_t>(Batch.versions_size());
+  Batch.mutable_versions()->MergeFrom(Report.versions());
+  Batch.mutable_streams()->MergeFrom(Report.streams());
   for (const std::uint32_t Index : Report.version_indices())
-    To.add_version_indices(First + Index);
-  To.mutable_released()->MergeFrom(Report.released());
+    Batch.add_version_indices(First + Index);
+  Batch.mutable_released()->MergeFrom(Report.released());
   return true;
 }
 
--- a/libs/fleet/tests/ForwardPeersTest.cpp
+++ b/libs/fleet/tests/ForwardPeersTest.cpp
@@ -40,15 +40,15 @@
       for (std::size_t I = 0; I < 2; ++I)
         Zones.insert(Observed.m_Entries.at(Named()[I].m_Entry).m_Zone);
       CHECK(Zones == std::set<ZoneId>{{"b"}, {"c"}});
-      for (const ForwardPeer &Each : Named())
-        CHECK(Each.m_Entry != Asking);
+      for (const ForwardPeer &Peer : Named())
+        CHECK(Peer.m_Entry != Asking);
     }
     THEN("what all of a zone forward is spread over many entries") {
       std::map<NodeId, int> Uses;
       for (int I = 0; I < 10; ++I)
-        for (const ForwardPeer &Each :
+        for (const ForwardPeer &Peer :
              chooseForwardPeers(Observed, {fmt::format("a-{}", I)}, Start))
-          ++Uses[Each.m_Entry];
+          ++Uses[Peer.m_Entry];
       CHECK(Uses.size() >= 10);
       for (const auto &[Id, Count] : Uses)
         CHECK(Count <= 6);
@@ -59,11 +59,11 @@
       Observed.m_Entries[{Named()[2].m_Entry}].m_ForwardAddress.clear();
       THEN("others are named in their place") {
         REQUIRE(Named().size() == MaxForwardPeers);
-        for (const ForwardPeer &Each : Named()) {
-          const EntryView &View = Observed.m_Entries.at(Each.m_Entry);
+        for (const ForwardPeer &Peer : Named()) {
+          const EntryView &View = Observed.m_Entries.at(Peer.m_Entry);
           CHECK_FALSE(View.m_TargetsUnreachable);
           CHECK(View.m_LeaseUntil > Start);
-          CHECK_FALSE(Each.m_Address.empty());
+          CHECK_FALSE(Peer.m_Address.empty());
         }
       }
     }
@@ -72,8 +72,8 @@
         View.m_TargetsUnreachable = View.m_Zone == ZoneId{"a"};
       THEN("only entries of other zones are named") {
         REQUIRE(Named().size() == MaxForwardPeers);
-        for (const ForwardPeer &Each : Named())
-          CHECK(Observed.m_Entries.at(Each.m_Entry).m_Zone != ZoneId{"a"});
+        for (const ForwardPeer &Peer : Named())
+          CHECK(Observed.m_Entries.at(Peer.m_Entry).m_Zone != ZoneId{"a"});
       }
     }
   }
--- a/libs/fleet/tests/StreamVersionsTest.cpp
+++ b/libs/fleet/tests/StreamVersionsTest.cpp
@@ -76,21 +76,21 @@
 } // namespace
 
 SCENARIO("the versions of a service are known for a while after they left") {
-  Fixture On;
-  On.announce("1", "v1");
-  CHECK(On.find(7) == hashBytes("v1"));
+  Fixture Leader;
+  Leader.announce("1", "v1");
+  CHECK(Leader.find(7) == hashBytes("v1"));
   GIVEN("a target of another version") {
-    On.announce("2", "v2");
-    CHECK_FALSE(On.find(7));
-    CHECK(On.versions() == 2);
+    Leader.announce("2", "v2");
+    CHECK_FALSE(Leader.find(7));
+    CHECK(Leader.versions() == 2);
     WHEN("the last target of the first is lost") {
-      On.pass(std::chrono::seconds(300));
-      CHECK(On.versions() == 2);
-      On.lose("1");
+      Leader.pass(std::chrono::seconds(300));
+      CHECK(Leader.versions() == 2);
+      Leader.lose("1");
       THEN("it counts for the time of a stream") {
-        On.pass(StreamVersionRetention - std::chrono::seconds(1));
-        CHECK_FALSE(On.find(7));
-        const auto Update = updateSince(On.m_State, 0, 0, 0);
+        Leader.pass(StreamVersionRetention - std::chrono::seconds(1));
+        CHECK_FALSE(Leader.find(7));
+        const auto Update = updateSince(Leader.m_State, 0, 0, 0);
         REQUIRE(Update.service_versions_size() == 2);
         CHECK(std::chrono::nanoseconds(
                   Update.service_versions(0).remaining_ns()) ==
@@ -98,94 +98,94 @@
         CHECK(Update.service_versions(1).remaining_ns() == 0);
       }
       THEN("it is forgotten then") {
-        On.pass(StreamVersionRetention + std::chrono::seconds(1));
-        CHECK(On.find(7) == hashBytes("v2"));
-        CHECK(On.versions() == 1);
+        Leader.pass(StreamVersionRetention + std::chrono::seconds(1));
+        CHECK(Leader.find(7) == hashBytes("v2"));
+        CHECK(Leader.versions() == 1);
       }
     }
   }
   GIVEN("the same target, started again with another version") {
-    On.pass(std::chrono::seconds(300));
-    On.announce("1", "v2", 2);
-    THEN("both count") { CHECK(On.versions() == 2); }
+    Leader.pass(std::chrono::seconds(300));
+    Leader.announce("1", "v2", 2);
+    THEN("both count") { CHECK(Leader.versions() == 2); }
   }
 }
 
 SCENARIO("the recorded version of a stream is never another") {
-  Fixture On;
-  On.announce("1", "v1");
-  On.announce("2", "v2");
-  CHECK_FALSE(On.record(7, "v1").m_Refusal);
-  CHECK(On.find(7) == hashBytes("v1"));
-  CHECK_FALSE(On.find(8));
+  Fixture Leader;
+  Leader.announce("1", "v1");
+  Leader.announce("2", "v2");
+  CHECK_FALSE(Leader.record(7, "v1").m_Refusal);
+  CHECK(Leader.find(7) == hashBytes("v1"));
+  CHECK_FALSE(Leader.find(8));
   THEN("a repeated record changes nothing") {
-    On.record(7, "v1");
-    CHECK(On.find(7) == hashBytes("v1"));
-    CHECK(On.m_State.m_StreamVersions.m_Expiries.size() == 1);
+    Leader.record(7, "v1");
+    CHECK(Leader.find(7) == hashBytes("v1"));
+    CHECK(Leader.m_State.m_StreamVersions.m_Expiries.size() == 1);
   }
   THEN("records of two versions make it unknown, in any order") {
-    On.record(7, "v2");
-    CHECK_FALSE(On.find(7));
-    On.record(7, "v1");
-    CHECK_FALSE(On.find(7));
+    Leader.record(7, "v2");
+    CHECK_FALSE(Leader.find(7));
+    Leader.record(7, "v1");
+    CHECK_FALSE(Leader.find(7));
   }
   THEN("a record that arrives after its release does not bring it back") {
-    On.release(7);
-    On.record(7, "v1");
-    CHECK_FALSE(On.find(7));
+    Leader.release(7);
+    Leader.record(7, "v1");
+    CHECK_FALSE(Leader.find(7));
   }
   THEN("it is unknown also when one version is left, if it was released") {
-    On.release(7);
-    On.lose("2");
-    On.pass(std::chrono::seconds(50));
-    CHECK_FALSE(On.find(7));
+    Leader.release(7);
+    Leader.lose("2");
+    Leader.pass(std::chrono::seconds(50));
+    CHECK_FALSE(Leader.find(7));
   }
   THEN("a record that is renewed lasts, and others expire") {
-    On.record(8, "v2");
-    On.pass(std::chrono::seconds(40));
-    On.record(7, "v1");
-    On.pass(std::chrono::seconds(40));
-    CHECK(On.find(7) == hashBytes("v1"));
-    CHECK_FALSE(On.find(8));
-    On.pass(std::chrono::seconds(40));
-    CHECK(On.m_State.m_StreamVersions.m_Begun.empty());
-    CHECK(On.m_State.m_StreamVersions.m_Expiries.empty());
+    Leader.record(8, "v2");
+    Leader.pass(std::chrono::seconds(40));
+    Leader.record(7, "v1");
+    Leader.pass(std::chrono::seconds(40));
+    CHECK(Leader.find(7) == hashBytes("v1"));
+    CHECK_FALSE(Leader.find(8));
+    Leader.pass(std::chrono::seconds(40));
+    CHECK(Leader.m_State.m_StreamVersions.m_Begun.empty());
+    CHECK(Leader.m_State.m_StreamVersions.m_Expiries.empty());
   }
   THEN("a malformed report changes nothing") {
     wire::Command Next;
     Next.mutable_stream_versions()->add_streams(9);
-    CHECK(On.apply(Next).m_Refusal == Refusal::InvalidField);
+    CHECK(Leader.apply(Next).m_Refusal == Refusal::InvalidField);
     Next.mutable_stream_versions()->add_version_indices(0);
-    CHECK(On.apply(Next).m_Refusal == Refusal::InvalidField);
-    wire::StreamVersions To;
-    CHECK_FALSE(append(To, Next.stream_versions()));
-    CHECK(To.streams_size() == 0);
-    CHECK(On.m_State.m_StreamVersions.m_Begun.size() == 1);
+    CHECK(Leader.apply(Next).m_Refusal == Refusal::InvalidField);
+    wire::StreamVersions Copy;
+    CHECK_FALSE(append(Copy, Next.stream_versions()));
+    CHECK(Copy.streams_size() == 0);
+    CHECK(Leader.m_State.m_StreamVersions.m_Begun.size() == 1);
   }
   THEN("a restored member goes on with the same state") {
-    On.record(8, "v2");
-    On.release(9);
-    On.pass(std::chrono::seconds(40));
-    On.record(7, "v1");
-    auto Restored = restore(snapshot(On.m_State));
+    Leader.record(8, "v2");
+    Leader.release(9);
+    Leader.pass(std::chrono::seconds(40));
+    Leader.record(7, "v1");
+    auto Restored = restore(snapshot(Leader.m_State));
     REQUIRE_FALSE(failed(Restored));
-    Fixture Other{valueOf(Restored), On.m_Now};
-    CHECK(snapshot(Other.m_State) == snapshot(On.m_State));
-    for (Fixture *Each : {&On, &Other}) {
-      Each->record(10, "v2");
-      Each->pass(std::chrono::seconds(30));
-      Each->lose("1");
+    Fixture Other{valueOf(Restored), Leader.m_Now};
+    CHECK(snapshot(Other.m_State) == snapshot(Leader.m_State));
+    for (Fixture *Member : {&Leader, &Other}) {
+      Member->record(10, "v2");
+      Member->pass(std::chrono::seconds(30));
+      Member->lose("1");
     }
-    CHECK(snapshot(Other.m_State) == snapshot(On.m_State));
+    CHECK(snapshot(Other.m_State) == snapshot(Leader.m_State));
     CHECK(Other.find(7) == hashBytes("v1"));
     CHECK_FALSE(Other.find(8));
   }
 }
 
 SCENARIO("records of streams are bounded, and the oldest go first") {
-  Fixture On;
-  On.announce("1", "v1");
-  On.announce("2", "v2");
+  Fixture Leader;
+  Leader.announce("1", "v1");
+  Leader.announce("2", "v2");
   wire::Command Next;
   wire::StreamVersions Report;
   Report.add_versions(hashBytes("v1"));
@@ -194,8 +194,8 @@
     Report.add_version_indices(0);
   }
   REQUIRE(append(*Next.mutable_stream_versions(), Report));
-  On.apply(Next);
-  CHECK(On.m_State.m_StreamVersions.m_Begun.size() == MaxBegunStreams);
-  CHECK_FALSE(On.find(5));
-  CHECK(On.find(6) == hashBytes("v1"));
+  Leader.apply(Next);
+  CHECK(Leader.m_State.m_StreamVersions.m_Begun.size() == MaxBegunStreams);
+  CHECK_FALSE(Leader.find(5));
+  CHECK(Leader.find(6) == hashBytes("v1"));
 }
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -18,10 +18,12 @@
 
 #include "base/base.h"
 
+#include <charconv>
 #include <event2/event.h>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,6 +41,18 @@
 
 /// \returns the first value of \p Name in any case, or an empty view.
 std::string_view field(const Fields &In, std::string_view Name);
+/// \returns the decimal number that a field's whole value is, or nothing if it
+/// is anything else or does not fit.
+template <typename Number>
+std::optional<Number> parseNumber(std::string_view Text) {
+  Number Value{};
+  const auto Read =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Text.empty() || Read.ec != std::errc() ||
+      Read.ptr != Text.data() + Text.size())
+    return std::nullopt;
+  return Value;
+}
 /// Whether two names of fields are equal but for the case of letters.
 bool isSameName(std::string_view One, std::string_view Other);
 /// Whether a field concerns one connection only (RFC 9110, 7.6.1), or states
--- a/libs/http/tests/PoolTest.cpp
+++ b/libs/http/tests/PoolTest.cpp
@@ -172,10 +172,10 @@
 }
 
 TEST_CASE("bytes between two requests are not taken for an answer") {
-  Stage On;
-  RawServer Server(On.m_Loop, {Plain, Plain});
-  Pool Through(On.m_Loop, {});
-  CHECK(valueOf(On.ask(Through)).m_Body == "ok");
+  Stage Setting;
+  RawServer Server(Setting.m_Loop, {Plain, Plain});
+  Pool Through(Setting.m_Loop, {});
+  CHECK(valueOf(Setting.ask(Through)).m_Body == "ok");
   REQUIRE(Through.idle() == 1);
   const std::string Stale = "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n";
   // Written past the loop: the client learns of them from its socket only.
@@ -186,7 +186,7 @@
   };
   SECTION("when they arrive before the connection is chosen") {
     WriteStale();
-    CHECK(valueOf(On.ask(Through)).m_Status == 200);
+    CHECK(valueOf(Setting.ask(Through)).m_Status == 200);
     CHECK(Server.m_Accepted == 2);
   }
   SECTION("when they arrive before the request is sent") {
@@ -200,12 +200,12 @@
     ClientHandlers Handlers;
     Handlers.m_OnDone = [&](Result<Response> Ended) {
       Got = std::move(Ended);
-      event_base_loopbreak(On.m_Loop);
+      event_base_loopbreak(Setting.m_Loop);
     };
     const std::size_t SeenBefore = Server.m_Seen.size();
     const auto Call = Through.call(std::move(Out), std::move(Handlers), true);
     WriteStale();
-    event_base_dispatch(On.m_Loop);
+    event_base_dispatch(Setting.m_Loop);
     REQUIRE(Got.has_value());
     // They are read before the request is written, or right after.
     CHECK((Call->hasSent() || failed(*Got)));
@@ -216,12 +216,12 @@
 }
 
 TEST_CASE("an answer that begins within its request ends the connection") {
-  Stage On;
-  RawServer Server(On.m_Loop, {Plain, Plain});
-  Pool Through(On.m_Loop, {});
+  Stage Setting;
+  RawServer Server(Setting.m_Loop, {Plain, Plain});
+  Pool Through(Setting.m_Loop, {});
   // More than the kernel takes at once.
-  CHECK(valueOf(On.ask(Through, std::string(8U << 20U, 'x'), "POST")).m_Body ==
-        "ok");
+  CHECK(valueOf(Setting.ask(Through, std::string(8U << 20U, 'x'), "POST"))
+            .m_Body == "ok");
   CHECK(Through.idle() == 0);
 }
 
@@ -318,8 +318,8 @@
 }
 
 TEST_CASE("a pool tells its observer of connections") {
-  const Stage On;
-  Pool Through(On.m_Loop, {});
+  const Stage Setting;
+  Pool Through(Setting.m_Loop, {});
   int Connected = 0;
   int Received = 0;
   std::vector<TimePoint> Failures;
@@ -332,18 +332,18 @@
   const std::string Answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
   {
     const std::string Short = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n!";
-    RawServer Server(On.m_Loop, {Answer, Answer, Short});
-    (void)On.ask(Through);
+    RawServer Server(Setting.m_Loop, {Answer, Answer, Short});
+    (void)Setting.ask(Through);
     CHECK(Connected == 1);
     CHECK(Received == 1);
     SECTION("a kept one is not new") {
-      (void)On.ask(Through);
+      (void)Setting.ask(Through);
       CHECK(Connected == 1);
       CHECK(Received == 2);
       CHECK(Failures.empty());
       SECTION("and fails when it ends before the answer") {
         const TimePoint Sent = BootClock::now();
-        (void)On.ask(Through);
+        (void)Setting.ask(Through);
         REQUIRE(Failures.size() == 1);
         // Its first bytes were heard.
         CHECK(Failures[0] >= Sent);
@@ -353,7 +353,7 @@
   }
   SECTION("one that is refused fails") {
     Through.forget({"127.0.0.1", Port});
-    CHECK(failed(On.ask(Through)));
+    CHECK(failed(Setting.ask(Through)));
     CHECK(Connected == 1);
     CHECK(Failures.size() == 1);
   }
--- a/libs/reach/include/reach/reach.h
+++ b/libs/reach/include/reach/reach.h
@@ -87,7 +87,7 @@
   TimePoint m_ConnectedAt; ///< Newest new connection.
   TimePoint m_ReceivedAt;  ///< Newest bytes from any target.
   struct Failure {
-    TimePoint m_At; ///< The newest.
+    TimePoint m_FailedAt; ///< The newest.
     TimePoint m_SilentSince;
   };
   /// Failures since the newest connection, by address; each expires.
--- a/libs/reach/src/Reach.cpp
+++ b/libs/reach/src/Reach.cpp
@@ -32,8 +32,8 @@
 }
 
 void expireFailures(State &Entry, TimePoint Now) {
-  std::erase_if(Entry.m_Failures, [&](const auto &Each) {
-    return Now - Each.second.m_At > Entry.m_Settings.m_EvidenceDuration;
+  std::erase_if(Entry.m_Failures, [&](const auto &Item) {
+    return Now - Item.second.m_FailedAt > Entry.m_Settings.m_EvidenceDuration;
   });
 }
 
@@ -49,8 +49,8 @@
 /// It begins with the second target: the first may be silent by itself.
 TimePoint silenceDecides(const State &Entry) {
   std::vector<TimePoint> Since;
-  for (const auto &[Address, Each] : Entry.m_Failures)
-    Since.push_back(Each.m_SilentSince);
+  for (const auto &[Address, Known] : Entry.m_Failures)
+    Since.push_back(Known.m_SilentSince);
   std::sort(Since.begin(), Since.end());
   const TimePoint Second = Since.size() < FewestTargets
                                ? Entry.m_PhaseSince
@@ -86,8 +86,8 @@
 
 /// Records that a target was reached while cut. \returns whether the cut ends.
 bool recordReached(State &Entry, const std::string &Address, TimePoint Now) {
-  std::erase_if(Entry.m_Reached, [&](const auto &Each) {
-    return Now - Each.second > Entry.m_Settings.m_ReturnWindow;
+  std::erase_if(Entry.m_Reached, [&](const auto &Item) {
+    return Now - Item.second > Entry.m_Settings.m_ReturnWindow;
   });
   Entry.m_Reached[Address] = Now;
   const std::size_t Known = std::max<std::size_t>(1, Entry.m_ServingCount);
@@ -108,20 +108,20 @@
   std::map<std::string, std::size_t> ByService;
   std::map<ZoneId, std::size_t> ByZone;
   while (Chosen.size() < Count) {
-    const auto Rank = [&](const Candidate &Each) {
-      const auto Probed = Entry.m_ProbedAt.find(Each.m_Address);
+    const auto Rank = [&](const Candidate &Target) {
+      const auto Probed = Entry.m_ProbedAt.find(Target.m_Address);
       return std::tuple(
           Probed == Entry.m_ProbedAt.end() ? TimePoint::min() : Probed->second,
-          ByService[Each.m_Service], Entry.m_Failures.count(Each.m_Address),
-          ByZone[Each.m_Zone], hashBytes(Each.m_Address, Entry.m_Rounds));
+          ByService[Target.m_Service], Entry.m_Failures.count(Target.m_Address),
+          ByZone[Target.m_Zone], hashBytes(Target.m_Address, Entry.m_Rounds));
     };
     const Candidate *Best = nullptr;
-    for (const Candidate &Each : Serving) {
+    for (const Candidate &Target : Serving) {
       const bool IsTaken = std::find(Chosen.begin(), Chosen.end(),
-                                     Each.m_Address) != Chosen.end() ||
-                           Entry.m_Probing.contains(Each.m_Address);
-      if (!IsTaken && (Best == nullptr || Rank(Each) < Rank(*Best)))
-        Best = &Each;
+                                     Target.m_Address) != Chosen.end() ||
+                           Entry.m_Probing.contains(Target.m_Address);
+      if (!IsTaken && (Best == nullptr || Rank(Target) < Rank(*Best)))
+        Best = &Target;
     }
     if (Best == nullptr)
       break;
@@ -152,8 +152,8 @@
 
 std::size_t countServing(const std::vector<Candidate> &Serving) {
   std::set<std::string_view> Addresses;
-  for (const Candidate &Each : Serving)
-    Addresses.insert(Each.m_Address);
+  for (const Candidate &Target : Serving)
+    Addresses.insert(Target.m_Address);
   return Addresses.size();
 }
 
@@ -224,10 +224,10 @@
     Entry.m_Probing[Address] = Now;
     Entry.m_ProbedAt[Address] = Now;
   }
-  std::erase_if(Entry.m_ProbedAt, [&](const auto &Each) {
+  std::erase_if(Entry.m_ProbedAt, [&](const auto &Item) {
     return std::none_of(
         Serving.begin(), Serving.end(),
-        [&](const Candidate &Known) { return Known.m_Address == Each.first; });
+        [&](const Candidate &Known) { return Known.m_Address == Item.first; });
   });
   return Chosen;
 }
@@ -241,8 +241,8 @@
 }
 
 bool isProbing(const State &Entry) {
-  const auto IsOfPhase = [&](const auto &Each) {
-    return Each.second >= Entry.m_PhaseSince;
+  const auto IsOfPhase = [&](const auto &Item) {
+    return Item.second >= Entry.m_PhaseSince;
   };
   return Entry.m_IsProbingDue ||
          (Entry.m_Phase == Phase::Suspected &&
--- a/libs/reach/tests/ReachTest.cpp
+++ b/libs/reach/tests/ReachTest.cpp
@@ -30,9 +30,9 @@
 /// a kept connection or on a new one.
 class Simulation {
 public:
-  Simulation(std::size_t Targets, std::size_t Services, NetAt What,
+  Simulation(std::size_t Targets, std::size_t Services, NetAt Network,
              std::uint64_t Seed = 1)
-      : m_Net(std::move(What)), m_Random(Seed) {
+      : m_Net(std::move(Network)), m_Random(Seed) {
     for (std::size_t I = 0; I < Targets; ++I)
       m_Serving.push_back({std::to_string(I),
                            std::to_string(I % Services),
@@ -42,10 +42,10 @@
   void runUntil(TimePoint End) {
     if (m_Events.empty())
       at(m_Now, [this] { sendNext(); });
-    while (!m_Events.empty() && m_Events.top().m_At <= End) {
+    while (!m_Events.empty() && m_Events.top().m_DueAt <= End) {
       const Event Next = m_Events.top();
       m_Events.pop();
-      m_Now = Next.m_At;
+      m_Now = Next.m_DueAt;
       Next.m_Do();
     }
     m_Now = End;
@@ -67,11 +67,12 @@
   static constexpr Duration Retransmission = 1s;
 
   struct Event {
-    TimePoint m_At;
+    TimePoint m_DueAt;
     std::uint64_t m_Order;
     std::function<void()> m_Do;
     bool operator<(const Event &Other) const {
-      return std::tie(Other.m_At, Other.m_Order) < std::tie(m_At, m_Order);
+      return std::tie(Other.m_DueAt, Other.m_Order) <
+             std::tie(m_DueAt, m_Order);
     }
   };
 
@@ -176,9 +177,9 @@
   std::optional<TimePoint> m_Wake;
 };
 
-NetAt during(TimePoint From, Duration Length, Net What) {
+NetAt during(TimePoint Begin, Duration Length, Net State) {
   return [=](std::size_t, TimePoint Now) {
-    return Now >= From && Now < From + Length ? What : Net::Sound;
+    return Now >= Begin && Now < Begin + Length ? State : Net::Sound;
   };
 }
 
@@ -203,15 +204,15 @@
       {"a fleet of two, reset", Net::Rejects, 2, 1, 1200ms},
       {"a fleet of two, hang", Net::Drops, 2, 2, 2s},
   };
-  for (const Row &Each : Rows) {
-    INFO(Each.m_Name);
-    Simulation Run(Each.m_Targets, Each.m_Services,
-                   during(FaultAt, 12s, Each.m_Net));
+  for (const Row &Case : Rows) {
+    INFO(Case.m_Name);
+    Simulation Run(Case.m_Targets, Case.m_Services,
+                   during(FaultAt, 12s, Case.m_Net));
     Run.runUntil(FaultAt);
     CHECK_FALSE(Run.m_CutAt);
     Run.runUntil(FaultAt + 12s);
     REQUIRE(Run.m_CutAt);
-    CHECK(*Run.m_CutAt - FaultAt <= Each.m_Within);
+    CHECK(*Run.m_CutAt - FaultAt <= Case.m_Within);
     CHECK_FALSE(Run.m_ReturnAt);
     // About four a second, and those that decided.
     CHECK(Run.m_Probes <= 12 * 4 + 20);
@@ -230,9 +231,9 @@
     NetAt m_Net;
   };
   const auto Some = [](const std::function<bool(std::size_t)> &IsHit,
-                       Net What) {
+                       Net State) {
     return [=](std::size_t Target, TimePoint Now) {
-      return Now >= FaultAt && IsHit(Target) ? What : Net::Sound;
+      return Now >= FaultAt && IsHit(Target) ? State : Net::Sound;
     };
   };
   const Row Rows[] = {
@@ -254,10 +255,10 @@
        during(FaultAt, 1500ms, Net::Drops)},
       {"the only target", 1, 1, during(FaultAt, 10s, Net::Rejects)},
   };
-  for (const Row &Each : Rows)
+  for (const Row &Case : Rows)
     for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
-      INFO(Each.m_Name << ", seed " << Seed);
-      Simulation Run(Each.m_Targets, Each.m_Services, Each.m_Net, Seed);
+      INFO(Case.m_Name << ", seed " << Seed);
+      Simulation Run(Case.m_Targets, Case.m_Services, Case.m_Net, Seed);
       Run.runUntil(FaultAt + 10s);
       CHECK_FALSE(Run.m_CutAt);
       // A suspicion a second at the most.
@@ -266,8 +267,8 @@
 }
 
 SCENARIO("an entry that starts while it is cut learns it as well") {
-  for (const Net What : {Net::Rejects, Net::Drops}) {
-    Simulation Run(20, 3, during(Start, 10s, What));
+  for (const Net State : {Net::Rejects, Net::Drops}) {
+    Simulation Run(20, 3, during(Start, 10s, State));
     Run.m_NewConnections = 1;
     Run.runUntil(Start + 3s);
     REQUIRE(Run.m_CutAt);
@@ -288,8 +289,8 @@
   while (!HasChanged) {
     const auto Probes = takeProbes(Entry, Serving, Now);
     REQUIRE_FALSE(Probes.empty());
-    for (const std::string &Each : Probes)
-      HasChanged = recordProbe(Entry, Each, ProbeResult::Rejected, Now);
+    for (const std::string &Target : Probes)
+      HasChanged = recordProbe(Entry, Target, ProbeResult::Rejected, Now);
     Now += 1ms;
   }
   REQUIRE(isCut(Entry));
@@ -374,7 +375,7 @@
     const Duration Silence = std::chrono::milliseconds(Number(500, 1'500));
     const Net CutForm = Forms[Number(0, 2)];
     const TimePoint CutAt = Start + 25s;
-    const NetAt What = [=](std::size_t Target, TimePoint Now) {
+    const NetAt Network = [=](std::size_t Target, TimePoint Now) {
       if (Now >= CutAt)
         return CutForm;
       if (Now >= AllSilentAt && Now < AllSilentAt + Silence)
@@ -390,7 +391,7 @@
     };
     INFO("seed " << Seed << ", " << Targets << " targets, form "
                  << static_cast<int>(CutForm));
-    Simulation Run(Targets, Services, What, Seed);
+    Simulation Run(Targets, Services, Network, Seed);
     // Three new connections a second at the least.
     Run.m_NewConnections = 0.05 * Number(3, 20);
     Run.runUntil(CutAt);
--- a/libs/relay/tests/RelayTest.cpp
+++ b/libs/relay/tests/RelayTest.cpp
@@ -304,8 +304,8 @@
     REQUIRE(m_Listener != nullptr);
   }
   ~RawTarget() {
-    for (bufferevent *Each : m_Open)
-      bufferevent_free(Each);
+    for (bufferevent *Connection : m_Open)
+      bufferevent_free(Connection);
     evconnlistener_free(m_Listener);
   }
   RawTarget(const RawTarget &) = delete;
@@ -409,35 +409,35 @@
   for (const Row &Case : Rows)
     for (const bool PrefillOnly : {false, true}) {
       INFO(Case.m_Name << (PrefillOnly ? ", prefill" : ""));
-      Sequence On;
-      RawTarget Target(On.m_Loop, {Case.m_First, Case.m_Repeated});
+      Sequence Story;
+      RawTarget Target(Story.m_Loop, {Case.m_First, Case.m_Repeated});
       TryOptions Options;
       Options.m_PrefillOnly = PrefillOnly;
-      (void)On.run("r-1", Options);
-      const TryResult Result = On.run("r-2", Options);
+      (void)Story.run("r-1", Options);
+      const TryResult Result = Story.run("r-2", Options);
       CHECK(Target.m_Connections == 1);
       CHECK(Target.m_Requests == 2);
       CHECK(Result.m_Outcome == TryCompletion::Inconclusive);
       CHECK(Result.m_Response.m_Body.empty());
-      CHECK(On.m_Connections->idle() == 0);
+      CHECK(Story.m_Connections->idle() == 0);
     }
 }
 
 TEST_CASE("a refusal that names the request proves that it has not run") {
-  Sequence On;
+  Sequence Story;
   SECTION("on a kept connection") {
-    RawTarget Target(On.m_Loop, {success("r-1", "a"), refusal("r-2")});
-    (void)On.run("r-1");
-    CHECK(On.run("r-2").m_Outcome == TryCompletion::NotRun);
+    RawTarget Target(Story.m_Loop, {success("r-1", "a"), refusal("r-2")});
+    (void)Story.run("r-1");
+    CHECK(Story.run("r-2").m_Outcome == TryCompletion::NotRun);
     CHECK(Target.m_Connections == 1);
   }
   SECTION("and without a name on one that carried nothing before") {
-    RawTarget Target(On.m_Loop, {refusal("")});
-    CHECK(On.run("r-1").m_Outcome == TryCompletion::NotRun);
+    RawTarget Target(Story.m_Loop, {refusal("")});
+    CHECK(Story.run("r-1").m_Outcome == TryCompletion::NotRun);
   }
   SECTION("but not when another arrives before the request is sent") {
-    RawTarget Target(On.m_Loop, {success("r-1", "a"), success("r-2", "b")});
-    (void)On.run("r-1");
+    RawTarget Target(Story.m_Loop, {success("r-1", "a"), success("r-2", "b")});
+    (void)Story.run("r-1");
     const std::string Stale = refusal("r-1");
     const int Socket = bufferevent_getfd(Target.m_Open.front());
     const auto Written = [&] {
@@ -445,25 +445,25 @@
     };
     SECTION("and the connection has not been chosen") {
       REQUIRE(Written());
-      CHECK(On.run("r-2").m_Outcome == TryCompletion::Complete);
+      CHECK(Story.run("r-2").m_Outcome == TryCompletion::Complete);
       CHECK(Target.m_Connections == 2);
     }
     SECTION("and the connection has been chosen") {
-      On.m_AfterSend = [&] { REQUIRE(Written()); };
-      const TryResult Result = On.run("r-2");
+      Story.m_AfterSend = [&] { REQUIRE(Written()); };
+      const TryResult Result = Story.run("r-2");
       // Nothing was sent, or the fate of what was sent is unknown.
       CHECK(Result.m_Outcome != TryCompletion::Complete);
       CHECK((Result.m_Outcome == TryCompletion::Inconclusive ||
              Target.m_Requests == 1));
-      CHECK(On.m_Connections->idle() == 0);
+      CHECK(Story.m_Connections->idle() == 0);
     }
   }
   SECTION("but not when it repeats what an earlier try was told") {
-    RawTarget Target(On.m_Loop, {refusal("r-1"), success("r-1", "a")});
-    (void)On.run("r-1");
+    RawTarget Target(Story.m_Loop, {refusal("r-1"), success("r-1", "a")});
+    (void)Story.run("r-1");
     TryOptions Again;
     Again.m_FreshConnection = true;
-    CHECK(On.run("r-1", Again).m_Outcome == TryCompletion::Complete);
+    CHECK(Story.run("r-1", Again).m_Outcome == TryCompletion::Complete);
     CHECK(Target.m_Connections == 2);
   }
 }
--- a/libs/retries/src/TraitTable.cpp
+++ b/libs/retries/src/TraitTable.cpp
@@ -143,8 +143,8 @@
 /// Whether a quarantine holds for the request, or did until not long ago.
 bool isEverQuarantined(const TraitTable &Table, const RequestTraits &Request) {
   return std::any_of(Table.m_Quarantines.begin(), Table.m_Quarantines.end(),
-                     [&](const TraitQuarantine &Each) {
-                       return includesAll(Request, Each.m_Traits);
+                     [&](const TraitQuarantine &Quarantine) {
+                       return includesAll(Request, Quarantine.m_Traits);
                      });
 }
 
@@ -159,9 +159,9 @@
     return;
   TraitEvidence &Route = Table.m_Evidence[Request.m_Route];
   const auto Recent = std::count_if(
-      Table.m_Crashes.begin(), Table.m_Crashes.end(), [&](const auto &Each) {
-        return Each.second.m_Routes.contains(Request.m_Route) &&
-               Now - Each.second.m_ReportedAt <=
+      Table.m_Crashes.begin(), Table.m_Crashes.end(), [&](const auto &Item) {
+        return Item.second.m_Routes.contains(Request.m_Route) &&
+               Now - Item.second.m_ReportedAt <=
                    Table.m_Settings.m_RouteCrashWindow;
       });
   // The guilty requests of a route may differ from the first crash on.
--- a/libs/retries/src/TraitTracker.cpp
+++ b/libs/retries/src/TraitTracker.cpp
@@ -40,9 +40,10 @@
 /// this entry has observed.
 const TraitEvidence *findRoute(const TraitTracker &Tracker, Trait Route,
                                TimePoint Now) {
-  if (const auto Told = Tracker.m_Evidence.find(Route);
-      Told != Tracker.m_Evidence.end() && Told->second.m_ExpiresAt > Now)
-    return &Told->second;
+  if (const auto Notified = Tracker.m_Evidence.find(Route);
+      Notified != Tracker.m_Evidence.end() &&
+      Notified->second.m_ExpiresAt > Now)
+    return &Notified->second;
   const auto Own = Tracker.m_Own.m_Evidence.find(Route);
   return Own != Tracker.m_Own.m_Evidence.end() && Own->second.m_ExpiresAt > Now
              ? &Own->second
--- a/libs/retries/tests/TraitsTest.cpp
+++ b/libs/retries/tests/TraitsTest.cpp
@@ -366,7 +366,7 @@
     bool m_IsRepeat = false;
   };
   struct Arrival {
-    TimePoint m_At;
+    TimePoint m_DueAt;
     Job m_Job;
   };
 
@@ -451,22 +451,22 @@
       m_ThirdCrashAt = m_Now;
     m_BackAt[Target] = m_Now + 2s + std::chrono::milliseconds(m_Rng() % 1500);
     const std::string Incarnation = std::to_string(m_Incarnations[Target]++);
-    for (Job Each : m_Jobs) {
-      if (Each.m_Target != Target)
+    for (Job Task : m_Jobs) {
+      if (Task.m_Target != Target)
         continue;
-      Each.m_Request.m_Waited = m_Now - Each.m_SentAt;
-      m_Reports[Each.m_Entry].push_back(recordWaitingAtCrash(
-          m_Trackers[Each.m_Entry], {std::to_string(Target)}, Incarnation,
-          Each.m_Request, m_Now));
-      end(Each, true);
+      Task.m_Request.m_Waited = m_Now - Task.m_SentAt;
+      m_Reports[Task.m_Entry].push_back(recordWaitingAtCrash(
+          m_Trackers[Task.m_Entry], {std::to_string(Target)}, Incarnation,
+          Task.m_Request, m_Now));
+      end(Task, true);
     }
     std::erase_if(m_Jobs,
-                  [&](const Job &Each) { return Each.m_Target == Target; });
+                  [&](const Job &Task) { return Task.m_Target == Target; });
   }
 
   void restart(std::size_t Entry) {
     std::erase_if(m_Jobs,
-                  [&](const Job &Each) { return Each.m_Entry == Entry; });
+                  [&](const Job &Task) { return Task.m_Entry == Entry; });
     m_Trackers[Entry] = {};
     m_Reports[Entry].clear();
     notify(Entry);
@@ -480,30 +480,30 @@
   void step() {
     m_Now += Tick;
     for (std::size_t Target = 0; Target < Targets; ++Target)
-      if (std::any_of(m_Jobs.begin(), m_Jobs.end(), [&](const Job &Each) {
-            return Each.m_Target == Target && Each.m_IsGuilty &&
-                   Each.m_SentAt + TimeToCrash <= m_Now;
+      if (std::any_of(m_Jobs.begin(), m_Jobs.end(), [&](const Job &Task) {
+            return Task.m_Target == Target && Task.m_IsGuilty &&
+                   Task.m_SentAt + TimeToCrash <= m_Now;
           }))
         crash(Target);
     for (std::size_t I = 0; I < m_Jobs.size();) {
-      const Job Each = m_Jobs[I];
-      if (Each.m_IsGuilty || Each.m_SentAt + TimeToAnswer > m_Now) {
+      const Job Task = m_Jobs[I];
+      if (Task.m_IsGuilty || Task.m_SentAt + TimeToAnswer > m_Now) {
         ++I;
         continue;
       }
       m_Jobs.erase(m_Jobs.begin() + static_cast<std::ptrdiff_t>(I));
-      end(Each, false);
+      end(Task, false);
     }
     const std::vector<Arrival> Due = std::exchange(m_Arrivals, {});
-    for (const Arrival &Each : Due)
-      if (Each.m_At > m_Now)
-        m_Arrivals.push_back(Each);
+    for (const Arrival &Next : Due)
+      if (Next.m_DueAt > m_Now)
+        m_Arrivals.push_back(Next);
       else
-        send(Each.m_Job);
+        send(Next.m_Job);
     // Crashes are reported at once, the rest twice a second.
     const bool HasCrash =
         std::any_of(m_Reports.begin(), m_Reports.end(),
-                    [](const auto &Each) { return !Each.empty(); });
+                    [](const auto &Batch) { return !Batch.empty(); });
     if (m_Now.time_since_epoch() % (HasCrash ? Duration(50ms) : 500ms) ==
         Duration(0))
       exchange();
@@ -512,8 +512,8 @@
   /// Reports of entries, and the notices that follow at once.
   void exchange() {
     for (std::size_t I = 0; I < Entries; ++I) {
-      for (const TraitCrash &Each : m_Reports[I])
-        applyTraitCrash(m_Control, Each, m_Now);
+      for (const TraitCrash &Crash : m_Reports[I])
+        applyTraitCrash(m_Control, Crash, m_Now);
       m_Reports[I].clear();
       for (const Trait Value : std::exchange(m_Trackers[I].m_Sound, {}))
         applySoundTrait(m_Control, Value, m_Now);
@@ -570,13 +570,14 @@
       On.step();
     THEN("entries with permission run them, one at a time") {
       int Running = 0;
-      for (TraitTracker &Each : On.m_Trackers) {
-        if (evaluateRoute(Each, Sound, On.m_Now).m_Gate != RouteGate::Trial)
+      for (TraitTracker &Tracker : On.m_Trackers) {
+        if (evaluateRoute(Tracker, Sound, On.m_Now).m_Gate != RouteGate::Trial)
           continue;
         ++Running;
-        startTrial(Each, RouteRun::Route);
-        CHECK(evaluateRoute(Each, Sound, On.m_Now).m_Gate == RouteGate::Closed);
-        endTrial(Each, RouteRun::Route);
+        startTrial(Tracker, RouteRun::Route);
+        CHECK(evaluateRoute(Tracker, Sound, On.m_Now).m_Gate ==
+              RouteGate::Closed);
+        endTrial(Tracker, RouteRun::Route);
       }
       CHECK(Running == 1);
     }
@@ -586,17 +587,19 @@
           On.arrive(false);
         On.step();
       }
-      for (const TraitTracker &Each : On.m_Trackers)
-        CHECK(evaluateRoute(Each, Sound, On.m_Now).m_Gate == RouteGate::Open);
+      for (const TraitTracker &Tracker : On.m_Trackers)
+        CHECK(evaluateRoute(Tracker, Sound, On.m_Now).m_Gate ==
+              RouteGate::Open);
     }
   }
   WHEN("control is away") {
     On.m_Now += 20s;
-    for (TraitTracker &Each : On.m_Trackers)
-      permitTrials(Each, {}, On.m_Now);
+    for (TraitTracker &Tracker : On.m_Trackers)
+      permitTrials(Tracker, {}, On.m_Now);
     THEN("no entry runs them") {
-      for (const TraitTracker &Each : On.m_Trackers)
-        CHECK(evaluateRoute(Each, Sound, On.m_Now).m_Gate == RouteGate::Closed);
+      for (const TraitTracker &Tracker : On.m_Trackers)
+        CHECK(evaluateRoute(Tracker, Sound, On.m_Now).m_Gate ==
+              RouteGate::Closed);
     }
   }
 }
--- a/libs/shutdown/tests/ShutdownTest.cpp
+++ b/libs/shutdown/tests/ShutdownTest.cpp
@@ -36,13 +36,13 @@
       {"another try that would be cut", 6s, 6s, 20ms, 20ms, true, false},
       {"at the very end", 6900ms, 500ms, 1ms, 2ms, false, false},
   };
-  for (const Row &Each : Rows) {
-    INFO(Each.m_Name);
-    const TimePoint Now = StopAt + Each.m_Age;
+  for (const Row &Case : Rows) {
+    INFO(Case.m_Name);
+    const TimePoint Now = StopAt + Case.m_Age;
     CHECK(mayStart(Deadlines,
-                   {Now + Each.m_TimeToDeadline, Now + Each.m_ToFirstByte,
-                    Now + Each.m_ToFinish, Each.m_IsTaken},
-                   Now) == Each.m_MayStart);
+                   {Now + Case.m_TimeToDeadline, Now + Case.m_ToFirstByte,
+                    Now + Case.m_ToFinish, Case.m_IsTaken},
+                   Now) == Case.m_MayStart);
   }
 }
 
