Take a target out of service everywhere once an answer says that it leaves

What callers saw: a target whose answers carry the leaving mark got no new work from the entry that had seen the mark, and went on getting it from the others until its own message reached control, to be refused there or cut at its end.

Cause: the entry closed the target in its own view only. Other entries, and a new leader, never learned of it.

Evidence: the read-through of the change; the new section of TargetAnswersTest had nothing to check before (`EntryReport` had no field).

Change: an entry reports targets that it has closed by their own answers, in every report until the fleet shows that they don't serve or another incarnation registers. The leader proposes the same command as for the target's own message, once for an incarnation; a report on another incarnation does nothing, also when it is committed after the restart. The list is bounded by the fleet.

A report costs nothing more while nothing leaves.

--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -109,7 +109,7 @@
     wire::CallReply Reply = applyPayload(m_State, Payload);
     if (!m_Replica || !m_Replica->isLeader())
       return;
-    sendNewQuarantines();
+    sendNewNotices();
     m_Replies[Index] = std::move(Reply);
     if (m_Replies.size() > MaxReplies)
       m_Replies.erase(m_Replies.begin());
@@ -431,6 +431,8 @@
   for (fleet::Propose &Proposal : control::handleReport(
            m_Notices, Suspicion, Sender, Report, LeaseUntil, LogNow))
     proposeOnce(Proposal.m_Key, std::move(Proposal.m_Command));
+  for (fleet::Propose &Proposal : fleet::proposeLeaves(m_State.m_Fleet, Report))
+    proposeOnce(Proposal.m_Key, std::move(Proposal.m_Command));
   const retries::TraitTable &Traits = m_State.m_Fleet.m_Traits;
   if (auto Proposal = proposeTraits(Traits, Sender, Report))
     proposeOnce(Proposal->m_Key, std::move(Proposal->m_Command));
--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -586,6 +586,7 @@
 void DataPath::fillReport(wire::EntryReport &Report) {
   const TimePoint Now = BootClock::now();
   m_Shared.m_Fleet.fillBarriers(m_Shared.m_Routing, Report);
+  m_Shared.m_Fleet.fillLeaving(m_Shared.m_Routing, Report);
   m_Shared.m_Suspects.fillReport(Report, Now);
   m_Shared.m_Traits.fillReport(Report, Now);
   m_Shared.m_RateLimits.fillReport(Report);
--- a/apps/entry/src/FleetView.cpp
+++ b/apps/entry/src/FleetView.cpp
@@ -191,4 +191,17 @@
   }
 }
 
+void FleetView::fillLeaving(const routing::State &Routing,
+                            wire::EntryReport &Report) const {
+  for (const auto &[Id, Target] : m_Targets) {
+    const std::string &Incarnation = Target.m_Description.incarnation();
+    if (Target.m_Description.state() != "serving" ||
+        !routing::isClosed(Routing, {Id, Incarnation}))
+      continue;
+    wire::LeavingTarget &Leaving = *Report.add_leaving_targets();
+    Leaving.set_target(Id.m_Value);
+    Leaving.set_incarnation(Incarnation);
+  }
+}
+
 } // namespace wasabivale::entry
--- a/apps/entry/src/FleetView.h
+++ b/apps/entry/src/FleetView.h
@@ -62,6 +62,11 @@
   void fillBarriers(const routing::State &Routing,
                     wire::EntryReport &Report) const;
 
+  /// Reports targets that are closed by their own answers, and serve as far as
+  /// control knows.
+  void fillLeaving(const routing::State &Routing,
+                   wire::EntryReport &Report) const;
+
 private:
   void remove(const TargetId &Id, routing::State &Routing, TimePoint Now);
 
--- a/apps/entry/tests/TargetAnswersTest.cpp
+++ b/apps/entry/tests/TargetAnswersTest.cpp
@@ -152,6 +152,26 @@
     };
     Flood();
     CHECK(AtLeaving <= 1);
+    const auto Reported = [&] {
+      wire::EntryReport Report;
+      Fixture.m_Path->fillReport(Report);
+      return std::vector<wire::LeavingTarget>(Report.leaving_targets().begin(),
+                                              Report.leaving_targets().end());
+    };
+    THEN("control is told until the fleet shows it") {
+      REQUIRE(AtLeaving == 1);
+      for (int I = 0; I < 2; ++I) {
+        REQUIRE(Reported().size() == 1);
+        CHECK(Reported().front().target() == Fixture.m_Fleet.targets(0).id());
+        CHECK(Reported().front().incarnation() ==
+              Fixture.m_Fleet.targets(0).incarnation());
+      }
+      Fixture.m_Fleet.mutable_targets(0)->set_state("leaving");
+      Fixture.m_Fleet.mutable_targets(0)->set_generation(2);
+      Fixture.m_Fleet.set_revision(2);
+      REQUIRE(Fixture.m_Path->takeFleet(Fixture.m_Fleet));
+      CHECK(Reported().empty());
+    }
     AND_WHEN("the fleet still calls it serving, in newer words") {
       const int Before = AtLeaving;
       Fixture.m_Fleet.mutable_targets(0)->set_generation(2);
@@ -169,7 +189,10 @@
       REQUIRE(Fixture.m_Path->takeFleet(Fixture.m_Fleet));
       Fixture.m_Loop.turnFor(std::chrono::milliseconds(1100));
       Flood();
-      THEN("it gets work") { CHECK(AtLeaving > Before); }
+      THEN("it gets work, and control is told nothing") {
+        CHECK(AtLeaving > Before);
+        CHECK(Reported().empty());
+      }
     }
   }
   GIVEN("it alone, refusing") {
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -621,6 +621,11 @@
                                const ObservedState &Observed, TimePoint Now,
                                const ActionSettings &Settings);
 
+/// Takes out of service what an entry reports as leaving: all entries then know
+/// before the target tells control itself.
+std::vector<Propose> proposeLeaves(const State &Fleet,
+                                   const wire::EntryReport &Report);
+
 } // namespace wasabivale::fleet
 
 #endif // WASABIVALE_FLEET_FLEET_H
--- a/libs/fleet/src/DueActions.cpp
+++ b/libs/fleet/src/DueActions.cpp
@@ -198,4 +198,25 @@
   return Actions.take();
 }
 
+std::vector<Propose> proposeLeaves(const State &Fleet,
+                                   const wire::EntryReport &Report) {
+  std::vector<Propose> Proposals;
+  for (const wire::LeavingTarget &Leaving : Report.leaving_targets()) {
+    const Target *Known = findTarget(Fleet.m_Targets, {Leaving.target()});
+    if (Known == nullptr || Known->m_LeaveRequested ||
+        Known->m_Incarnation != Leaving.incarnation() ||
+        Known->m_State == TargetState::Lost ||
+        Known->m_State == TargetState::Withdrawn)
+      continue;
+    Propose Next;
+    Next.m_Key =
+        fmt::format("leave/{}/{}", Leaving.target(), Leaving.incarnation());
+    wire::LeaveTarget &Order = *Next.m_Command.mutable_leave_target();
+    Order.set_target(Leaving.target());
+    Order.set_incarnation(Leaving.incarnation());
+    Proposals.push_back(std::move(Next));
+  }
+  return Proposals;
+}
+
 } // namespace wasabivale::fleet
--- a/libs/fleet/tests/SelfManagedTest.cpp
+++ b/libs/fleet/tests/SelfManagedTest.cpp
@@ -87,6 +87,34 @@
       CHECK(Fleet.state("i-1") == TargetState::Serving);
     }
   }
+  SECTION("an entry reports that its answers say it leaves") {
+    const auto Due = [&](const std::string &Incarnation,
+                         const std::string &Id = "i-1") {
+      wire::EntryReport Report;
+      Report.add_leaving_targets()->set_target(Id);
+      Report.mutable_leaving_targets(0)->set_incarnation(Incarnation);
+      return proposeLeaves(Fleet.m_State, Report);
+    };
+    SECTION("it is closed for all entries, and a later report does nothing") {
+      const std::vector<Propose> Proposals = Due("i-1@100");
+      REQUIRE(Proposals.size() == 1);
+      CHECK(Proposals.front().m_Key == Due("i-1@100").front().m_Key);
+      CHECK_FALSE(Fleet.apply(Proposals.front().m_Command).m_Refusal);
+      CHECK(Fleet.state("i-1") == TargetState::Leaving);
+      CHECK(Due("i-1@100").empty());
+    }
+    SECTION("a report on another incarnation or target does nothing") {
+      CHECK(Due("i-1@99").empty());
+      CHECK(Due("i-1@100", "i-2").empty());
+    }
+    SECTION("a report does not end the next incarnation") {
+      const std::vector<Propose> Late = Due("i-1@100");
+      REQUIRE_FALSE(Fleet.announce("i-1", 200).m_Refusal);
+      REQUIRE(Late.size() == 1);
+      CHECK(Fleet.apply(Late.front().m_Command).m_Refusal);
+      CHECK(Fleet.state("i-1") == TargetState::Serving);
+    }
+  }
   SECTION("a later start at its address replaces it") {
     REQUIRE_FALSE(Fleet.announce("i-2", 150).m_Refusal);
     CHECK(Fleet.state("i-1") == TargetState::Lost);
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -526,6 +526,9 @@
 /// \returns whether it was open.
 bool closeTarget(State &Fleet, const Leg &TargetLeg, TimePoint Now);
 
+/// Whether `closeTarget` has closed this incarnation.
+bool isClosed(const State &Fleet, const Leg &TargetLeg);
+
 /// Sends no request to the incarnation of a leg until \p Until, or later if it
 /// has asked for that before. Does nothing for an earlier incarnation.
 void restTarget(State &Fleet, const Leg &TargetLeg, TimePoint Until,
--- a/libs/routing/src/Fleet.cpp
+++ b/libs/routing/src/Fleet.cpp
@@ -236,6 +236,15 @@
   return true;
 }
 
+bool isClosed(const State &Fleet, const Leg &TargetLeg) {
+  const auto Found = Fleet.m_ByTarget.find(TargetLeg.m_Target);
+  if (Found == Fleet.m_ByTarget.end())
+    return false;
+  const Slot &Current = Fleet.m_Slots[Found->second];
+  return Current.m_Leaving &&
+         Current.m_Target.m_Incarnation == TargetLeg.m_Incarnation;
+}
+
 void restTarget(State &Fleet, const Leg &TargetLeg, TimePoint Until,
                 TimePoint Now) {
   std::erase_if(Fleet.m_Resting, [&](SlotIndex Index) {
