Queue the record of a stream once while control is away

Callers saw nothing yet. While control could not be reached, the record of an open stream was queued again by each repeat and by each failed message, so that the queue could hold several of one stream: bounded by time, not by streams.

Cause: the queue did not know what it held. Evidence: the read-through of the change. Change: a row tells whether it is queued, so that the queue is as bounded as the table (65,536 streams).

Measured: all 36 tests pass. The repeat comes after 25 s, so no test waits for it.

--- a/apps/entry/src/StreamVersions.cpp
+++ b/apps/entry/src/StreamVersions.cpp
@@ -128,10 +128,15 @@
 void StreamVersions::report(StreamKey Stream, Row &Record, TimePoint Now) {
   Record.m_IsReported = true;
   Record.m_NextReport = Now + RepeatInterval;
-  m_Unsent.push_back(Stream);
+  queue(Stream, Record);
   sendSoon(Now);
 }
 
+void StreamVersions::queue(StreamKey Stream, Row &Record) {
+  if (!std::exchange(Record.m_IsQueued, true))
+    m_Unsent.push_back(Stream);
+}
+
 void StreamVersions::sendSoon(TimePoint Now) {
   if (m_SendTimer != nullptr || m_Unsent.empty())
     return;
@@ -155,7 +160,10 @@
   m_Unsent.erase(m_Unsent.begin(), Last);
   std::erase_if(Streams, [&](StreamKey Stream) {
     const auto Found = m_Streams.find(Stream);
-    return Found == m_Streams.end() || Found->second.m_IsReleased;
+    if (Found == m_Streams.end())
+      return true;
+    Found->second.m_IsQueued = false;
+    return Found->second.m_IsReleased;
   });
   for (const StreamKey Stream : Streams) {
     const std::string &Version = m_Streams.at(Stream).m_Version;
@@ -187,8 +195,8 @@
                 {"message", failed(Reply) ? errorOf(Reply).m_Message
                                           : valueOf(Reply).message()}});
   for (const StreamKey Stream : Streams)
-    if (m_Streams.count(Stream) != 0)
-      m_Unsent.push_back(Stream);
+    if (const auto Found = m_Streams.find(Stream); Found != m_Streams.end())
+      queue(Stream, Found->second);
   sendSoon(BootClock::now());
 }
 
--- a/apps/entry/src/StreamVersions.h
+++ b/apps/entry/src/StreamVersions.h
@@ -64,6 +64,7 @@
     std::string m_Version;
     bool m_IsOpen = true;
     bool m_IsReported = false;
+    bool m_IsQueued = false; ///< In `m_Unsent`.
     bool m_IsReleased = false;
     TimePoint m_ExpiresAt; ///< Once it is not open any longer.
     TimePoint m_NextReport;
@@ -74,6 +75,7 @@
   [[nodiscard]] std::vector<std::string>
   currentVersions(const std::string &Service, TimePoint Now) const;
   void report(StreamKey Stream, Row &Record, TimePoint Now);
+  void queue(StreamKey Stream, Row &Record);
   void sendSoon(TimePoint Now);
   void sendReports();
   void takeReply(const std::vector<StreamKey> &Streams,
