Count only trial runs for a route on trial, and push every pause

What callers saw: requests of a route that crashes targets could be let back a little early, and a pause could reach entries half a second late, with up to one more request to a target in that time (the rule on retries allows three).

Cause: any request of the route that completed while a trial was under way spoke for the route, also one sent before the pause; a trial run in a report without an answer was reported again, and counted twice if the report had arrived; a pause that began while the quarantine of its request was in force went out with the next grant only, as just new quarantines were pushed.

Evidence: the read-through of the change; the new checks fail without it.

Change: `recordSound` is told whether the request holds the trial; reports of trials are not repeated (a lost one costs one more run); the leader pushes new pauses as it pushes new quarantines, `takeNewNotices`.

--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -572,10 +572,10 @@
       sendMembers(Name, Known, Members);
 }
 
-void Control::sendNewQuarantines() {
+void Control::sendNewNotices() {
   const auto Update =
-      takeNewQuarantines(m_State.m_Fleet.m_Traits, m_NotifiedQuarantines,
-                         fleet::suspicionTime(logNow(BootClock::now())));
+      takeNewNotices(m_State.m_Fleet.m_Traits, m_NotifiedTraits,
+                     fleet::suspicionTime(logNow(BootClock::now())));
   if (!Update)
     return;
   for (const auto &[Entry, Known] : m_Sent) {
--- a/apps/control/src/Control.h
+++ b/apps/control/src/Control.h
@@ -99,7 +99,7 @@
                    const std::vector<NodeId> &Members);
   void sendChanges();
   /// Notifies all entries of quarantines that the last command started.
-  void sendNewQuarantines();
+  void sendNewNotices();
 
   void handleLeadershipGained();
   void handleLeadershipLost();
@@ -144,7 +144,7 @@
   RolePlanner m_Roles;
   Shares m_Shares;
   SuspectNotices m_Notices;
-  NotifiedQuarantines m_NotifiedQuarantines;
+  NotifiedTraits m_NotifiedTraits;
   TargetRates m_TargetRates;
   std::map<NodeId, SentRevisions> m_Sent;
   std::map<consensus::Index, wire::CallReply> m_Replies;
--- a/apps/control/src/SuspectNotices.cpp
+++ b/apps/control/src/SuspectNotices.cpp
@@ -175,20 +175,29 @@
 }
 
 std::optional<wire::TraitsUpdate>
-takeNewQuarantines(const retries::TraitTable &Known,
-                   NotifiedQuarantines &Notified, TimePoint LogNow) {
+takeNewNotices(const retries::TraitTable &Known, NotifiedTraits &Notified,
+               TimePoint LogNow) {
   wire::TraitsUpdate Update;
-  NotifiedQuarantines Current;
+  NotifiedTraits Current;
   for (const retries::TraitQuarantine &Each : Known.m_Quarantines) {
     if (Each.m_EndsAt <= LogNow)
       continue;
-    Current[Each.m_Traits] = Each.m_EndsAt;
-    const auto Found = Notified.find(Each.m_Traits);
-    if (Found == Notified.end() || Found->second != Each.m_EndsAt)
+    Current.m_Quarantines[Each.m_Traits] = Each.m_EndsAt;
+    const auto Found = Notified.m_Quarantines.find(Each.m_Traits);
+    if (Found == Notified.m_Quarantines.end() || Found->second != Each.m_EndsAt)
       write(*Update.add_quarantines(), Each, LogNow);
   }
+  bool HasPause = false;
+  for (const auto &[Value, Evidence] : Known.m_Evidence) {
+    if (!retries::isRoute(Evidence) || Evidence.m_PausedUntil <= LogNow)
+      continue;
+    Current.m_Pauses[Value] = Evidence.m_PausedUntil;
+    const auto Found = Notified.m_Pauses.find(Value);
+    HasPause = HasPause || Found == Notified.m_Pauses.end() ||
+               Found->second != Evidence.m_PausedUntil;
+  }
   Notified = std::move(Current);
-  if (Update.quarantines().empty())
+  if (Update.quarantines().empty() && !HasPause)
     return std::nullopt;
   for (const auto &[Value, Evidence] : Known.m_Evidence)
     if (retries::isRoute(Evidence))
--- a/apps/control/src/SuspectNotices.h
+++ b/apps/control/src/SuspectNotices.h
@@ -49,14 +49,18 @@
                                             const NodeId &Entry,
                                             const wire::EntryReport &Report);
 
-/// Ends of the quarantines of which entries have been notified, by traits.
-using NotifiedQuarantines = std::map<retries::TraitSet, TimePoint>;
+/// Ends of the quarantines and of the pauses of routes of which entries have
+/// been notified.
+struct NotifiedTraits {
+  std::map<retries::TraitSet, TimePoint> m_Quarantines;
+  std::map<retries::Trait, TimePoint> m_Pauses;
+};
 
-/// \returns the notice of quarantines that are not in \p Notified, which it
-/// adds, or nothing.
+/// \returns the notice of quarantines and pauses that are not in \p Notified,
+/// which it adds, or nothing.
 std::optional<wire::TraitsUpdate>
-takeNewQuarantines(const retries::TraitTable &Known,
-                   NotifiedQuarantines &Notified, TimePoint LogNow);
+takeNewNotices(const retries::TraitTable &Known, NotifiedTraits &Notified,
+               TimePoint LogNow);
 
 /// Fills in the traits for the entry that sent \p Report, unless it knows them.
 void fillTraits(const retries::TraitTable &Known,
--- a/apps/control/tests/SuspectNoticesTest.cpp
+++ b/apps/control/tests/SuspectNoticesTest.cpp
@@ -278,6 +278,10 @@
     Row.mutable_waiting(0)->set_route(Route);
     Commit(std::move(Report));
   };
+  NotifiedTraits Notified;
+  const auto NewNotice = [&] {
+    return takeNewNotices(State.m_Fleet.m_Traits, Notified, Now);
+  };
   Crash("t-1", 1);
   Crash("t-2", 1);
   Crash("t-3", 2);
@@ -309,6 +313,19 @@
     CHECK(Notice(valueOf(Restored)).SerializeAsString() ==
           Notice(State).SerializeAsString());
   }
+  THEN("entries are told at once, and again when a later crash renews it") {
+    REQUIRE(NewNotice());
+    CHECK_FALSE(NewNotice());
+    // A request that is quarantined already, and was under way.
+    Now += 6s;
+    (void)NewNotice();
+    Crash("t-4", 1);
+    const auto Renewed = NewNotice();
+    REQUIRE(Renewed);
+    CHECK(Renewed->quarantines().empty());
+    REQUIRE(Renewed->routes_size() == 1);
+    CHECK(Renewed->routes(0).paused_ns() > 0);
+  }
   THEN("no entry runs its requests during the pause") {
     CHECK(Permitted().empty());
   }
--- a/apps/entry/src/CrashTraits.cpp
+++ b/apps/entry/src/CrashTraits.cpp
@@ -155,7 +155,7 @@
        Sent != m_SoundSent.end() && Sent->first <= Grant.renewal();
        Sent = m_SoundSent.erase(Sent))
     if (Sent->first < Grant.renewal())
-      m_Tracker.m_Sound.insert(Sent->second.begin(), Sent->second.end());
+      retries::reportSoundAgain(m_Tracker, Sent->second);
   if (Grant.traits_revision() != 0)
     std::erase_if(m_Reports, [](Report &Each) {
       return ++Each.m_Grants >= GrantsToForget;
--- a/apps/entry/src/CrashTraits.h
+++ b/apps/entry/src/CrashTraits.h
@@ -43,8 +43,9 @@
     retries::startTrial(m_Tracker, Route);
   }
   void endTrial(retries::Trait Route) { retries::endTrial(m_Tracker, Route); }
-  void recordSound(const retries::RequestTraits &Request, TimePoint Now) {
-    retries::recordSound(m_Tracker, Request, Now);
+  void recordSound(const retries::RequestTraits &Request, TimePoint Now,
+                   bool HoldsTrial) {
+    retries::recordSound(m_Tracker, Request, Now, HoldsTrial);
   }
 
   /// Finds out whether a target's process ended while the request waited there.
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -1077,7 +1077,7 @@
   }
   retries::recordSuccess(m_Shared.m_Retries, lineOf(m_Asked), m_LastTarget);
   if (m_Asked.m_Passed)
-    m_Shared.m_Traits.recordSound(m_Traits, Now);
+    m_Shared.m_Traits.recordSound(m_Traits, Now, m_InTrial);
   m_MayHaveRun = true;
   if (m_KeyGranted) {
     KeptAnswer Kept = m_Writer->kept();
--- a/libs/retries/include/retries/retries.h
+++ b/libs/retries/include/retries/retries.h
@@ -564,9 +564,14 @@
 bool mayRetryAfterCrash(const TraitTracker &Tracker,
                         const RequestTraits &Request);
 
-/// Records that a request ran to its end.
+/// Records that a request ran to its end. Only the one on trial, which started
+/// after the pause, speaks for its route.
 void recordSound(TraitTracker &Tracker, const RequestTraits &Request,
-                 TimePoint Now);
+                 TimePoint Now, bool HoldsTrial = false);
+
+/// Reports again what was in a report that may have been lost. Routes are left
+/// out: control counts the runs of their trials.
+void reportSoundAgain(TraitTracker &Tracker, const std::set<Trait> &Sent);
 
 /// Records that a request waited at a target whose process crashed. \returns
 /// the report for control, without parts that were sound just now.
--- a/libs/retries/src/TraitTracker.cpp
+++ b/libs/retries/src/TraitTracker.cpp
@@ -117,10 +117,10 @@
 }
 
 void recordSound(TraitTracker &Tracker, const RequestTraits &Request,
-                 TimePoint Now) {
+                 TimePoint Now, bool HoldsTrial) {
   recordSoundTrait(Tracker, Request.m_Content, Now);
   rememberSound(Tracker, Request.m_Content, Now);
-  if (Tracker.m_InTrial.contains(Request.m_Route))
+  if (HoldsTrial)
     recordSoundTrait(Tracker, Request.m_Route, Now);
   for (const Trait Part : Request.m_Parts) {
     recordSoundTrait(Tracker, Part, Now);
@@ -128,6 +128,14 @@
   }
 }
 
+void reportSoundAgain(TraitTracker &Tracker, const std::set<Trait> &Sent) {
+  for (const Trait Value : Sent) {
+    const auto Known = Tracker.m_Evidence.find(Value);
+    if (Known == Tracker.m_Evidence.end() || !isRoute(Known->second))
+      Tracker.m_Sound.insert(Value);
+  }
+}
+
 TraitCrash recordWaitingAtCrash(TraitTracker &Tracker, const TargetId &Target,
                                 const std::string &Incarnation,
                                 const RequestTraits &Request, TimePoint Now) {
--- a/libs/retries/tests/TraitsTest.cpp
+++ b/libs/retries/tests/TraitsTest.cpp
@@ -434,7 +434,7 @@
   void end(const Job &Ended, bool Crashed) {
     TraitTracker &Tracker = m_Trackers[Ended.m_Entry];
     if (!Crashed) {
-      recordSound(Tracker, Ended.m_Request, m_Now);
+      recordSound(Tracker, Ended.m_Request, m_Now, Ended.m_InTrial);
       m_SoundServed += 1;
     } else if (!Ended.m_IsRepeat) {
       Job Again = Ended;
@@ -537,68 +537,83 @@
   const auto Seed = GENERATE(range(std::uint64_t(1), std::uint64_t(21)));
   const unsigned GuiltyPercent = GENERATE(5U, 30U);
   const bool EntriesRestart = GENERATE(false, true);
-  RouteRun On(Seed);
+  RouteRun Run(Seed);
   constexpr auto Length = 45s;
-  const TimePoint GuiltyUntil = On.m_Now + 30s;
-  while (On.m_Now < TimePoint(1000s) + Length) {
-    if (On.m_Rng() % 10 == 0)
-      On.arrive(On.m_Now < GuiltyUntil && On.m_Rng() % 100 < GuiltyPercent);
-    if (EntriesRestart && On.m_Rng() % 300 == 0)
-      On.restart(On.m_Rng() % RouteRun::Entries);
-    On.step();
+  const TimePoint GuiltyUntil = Run.m_Now + 30s;
+  while (Run.m_Now < TimePoint(1000s) + Length) {
+    if (Run.m_Rng() % 10 == 0)
+      Run.arrive(Run.m_Now < GuiltyUntil && Run.m_Rng() % 100 < GuiltyPercent);
+    if (EntriesRestart && Run.m_Rng() % 300 == 0)
+      Run.restart(Run.m_Rng() % RouteRun::Entries);
+    Run.step();
   }
   INFO("seed " << Seed << ", guilty " << GuiltyPercent << "%, restarts "
-               << EntriesRestart << ", crashes " << On.m_Crashes
-               << ", sound requests served " << On.m_SoundServed << " of "
-               << On.m_Sound);
-  CHECK(On.m_SentLate <= 3);
+               << EntriesRestart << ", crashes " << Run.m_Crashes
+               << ", sound requests served " << Run.m_SoundServed << " of "
+               << Run.m_Sound);
+  CHECK(Run.m_SentLate <= 3);
 }
 
 SCENARIO("a route on trial is served again once its requests complete") {
-  RouteRun On(1);
+  RouteRun Run(1);
   for (int I = 0; I < 400; ++I) {
     if (I % 10 == 0)
-      On.arrive(true);
-    On.step();
+      Run.arrive(true);
+    Run.step();
   }
-  REQUIRE_FALSE(routesOnTrial(On.m_Control, On.m_Now + 1h).empty());
+  REQUIRE_FALSE(routesOnTrial(Run.m_Control, Run.m_Now + 1h).empty());
   const RequestTraits Sound{1, {}, false, RouteRun::Route};
   WHEN("its pause is over and its requests are sound") {
-    while (routesOnTrial(On.m_Control, On.m_Now).empty())
-      On.step();
+    while (routesOnTrial(Run.m_Control, Run.m_Now).empty())
+      Run.step();
     for (int I = 0; I < 50; ++I)
-      On.step();
+      Run.step();
     THEN("entries with permission run them, one at a time") {
       int Running = 0;
-      for (TraitTracker &Tracker : On.m_Trackers) {
-        if (evaluateRoute(Tracker, Sound, On.m_Now).m_Gate != RouteGate::Trial)
+      for (TraitTracker &Tracker : Run.m_Trackers) {
+        if (evaluateRoute(Tracker, Sound, Run.m_Now).m_Gate != RouteGate::Trial)
           continue;
         ++Running;
         startTrial(Tracker, RouteRun::Route);
-        CHECK(evaluateRoute(Tracker, Sound, On.m_Now).m_Gate ==
+        CHECK(evaluateRoute(Tracker, Sound, Run.m_Now).m_Gate ==
               RouteGate::Closed);
         endTrial(Tracker, RouteRun::Route);
       }
       CHECK(Running == 1);
     }
+    THEN("a request that was sent before the pause does not count") {
+      TraitTracker &Tracker = Run.m_Trackers[0];
+      Tracker.m_Sound.clear();
+      permitTrials(Tracker, {RouteRun::Route}, Run.m_Now + 1s);
+      startTrial(Tracker, RouteRun::Route);
+      recordSound(Tracker, {2, {}, false, RouteRun::Route}, Run.m_Now);
+      CHECK(Tracker.m_Sound.count(RouteRun::Route) == 0);
+      recordSound(Tracker, Sound, Run.m_Now, true);
+      CHECK(Tracker.m_Sound.count(RouteRun::Route) == 1);
+      AND_THEN("a completed run is not reported twice") {
+        const std::set<Trait> Sent = std::exchange(Tracker.m_Sound, {});
+        reportSoundAgain(Tracker, Sent);
+        CHECK(Tracker.m_Sound.count(RouteRun::Route) == 0);
+      }
+    }
     THEN("all entries run them after some have completed") {
       for (int I = 0; I < 3000; ++I) {
         if (I % 10 == 0)
-          On.arrive(false);
-        On.step();
+          Run.arrive(false);
+        Run.step();
       }
-      for (const TraitTracker &Tracker : On.m_Trackers)
-        CHECK(evaluateRoute(Tracker, Sound, On.m_Now).m_Gate ==
+      for (const TraitTracker &Tracker : Run.m_Trackers)
+        CHECK(evaluateRoute(Tracker, Sound, Run.m_Now).m_Gate ==
               RouteGate::Open);
     }
   }
   WHEN("control is away") {
-    On.m_Now += 20s;
-    for (TraitTracker &Tracker : On.m_Trackers)
-      permitTrials(Tracker, {}, On.m_Now);
+    Run.m_Now += 20s;
+    for (TraitTracker &Tracker : Run.m_Trackers)
+      permitTrials(Tracker, {}, Run.m_Now);
     THEN("no entry runs them") {
-      for (const TraitTracker &Tracker : On.m_Trackers)
-        CHECK(evaluateRoute(Tracker, Sound, On.m_Now).m_Gate ==
+      for (const TraitTracker &Tracker : Run.m_Trackers)
+        CHECK(evaluateRoute(Tracker, Sound, Run.m_Now).m_Gate ==
               RouteGate::Closed);
     }
   }
