Ask control for the version of every stream that this entry doesn't remember

Cause: `StreamVersions::find` took the only version of a service that the entry knew for that of the stream, up to 1 s after the sending of a report that a grant had confirmed. In that second another version can register, begin a stream through other entries and break, while this entry is cut off, frozen, or its fleet update is merely on its way. The belief was bounded by its own age instead of by the arrival of the request.

Evidence: the new test failed on the former code: with a grant just confirmed, v2 registers at control, a stream begins there, and its caller comes back here: status 200 at v1, whether or not control had a record of it (200 == 503, and a run at v1). With control away it was 200 as well.

Change: an entry remembers, or asks. The question leaves after the request arrived, which is after the stream began; a leader that answers holds its lease, so that it has applied every commit before the question (`consensus::leaseEnd` needs a committed record of the term, `Replica::isLeader` that it is applied). Grants are of no use to this any longer. The test that streams of one version go on without a question expected the fault; it now expects the question, and a refusal with `not_run` when control is away. Three other scenarios resume streams without any control; one that answers now stands in for it.

A resume that was answered from the grant now costs a question of 172 bytes and an answer of 112 (encoded envelopes with names of usual length), one round trip to the leader.

--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -578,7 +578,6 @@
           std::chrono::nanoseconds(static_cast<std::int64_t>(Grant.lease_ns())),
       Now);
   m_Shared.m_RateLimits.takeGrant(Grant, Now);
-  m_Shared.m_StreamVersions.takeGrant(Grant, LeaseEnd);
   m_Shared.m_ForwardPeers.takeGrant(Grant, Now);
   pumpSoon();
 }
--- a/apps/entry/src/StreamVersions.cpp
+++ b/apps/entry/src/StreamVersions.cpp
@@ -19,9 +19,6 @@
 constexpr std::chrono::seconds Retention{60};
 constexpr std::size_t MaxStreams = 65'536;
 constexpr std::chrono::seconds SweepInterval{1};
-/// Age of a grant up to which no target of a version that isn't known here can
-/// have begun a stream that breaks off and comes back.
-constexpr std::chrono::milliseconds GrantAge{1'000};
 
 } // namespace
 
@@ -35,7 +32,6 @@
 
 void StreamVersions::apply(const wire::FleetUpdate &Update, TimePoint Now) {
   const auto Former = std::exchange(m_Versions, {});
-  m_FleetRevision = Update.revision();
   for (const wire::ServiceVersion &Service : Update.service_versions())
     m_Versions[Service.service()][Service.software_version()] =
         Service.remaining_ns() == 0
@@ -58,16 +54,6 @@
       report(Stream, Record, Now);
 }
 
-void StreamVersions::takeGrant(const wire::ControlGrant &Grant,
-                               TimePoint LeaseEnd) {
-  if (Grant.fleet_revision() > m_FleetRevision)
-    return;
-  const TimePoint SentAt =
-      LeaseEnd -
-      std::chrono::nanoseconds(static_cast<std::int64_t>(Grant.lease_ns()));
-  m_ConfirmedUntil = std::max<TimePoint>(m_ConfirmedUntil, SentAt + GrantAge);
-}
-
 std::vector<std::string>
 StreamVersions::currentVersions(const std::string &Service,
                                 TimePoint Now) const {
@@ -239,13 +225,10 @@
 void StreamVersions::find(const std::string &Service,
                           std::optional<StreamKey> Stream, TimePoint Deadline,
                           std::function<void(const Finding &)> Done) {
-  const TimePoint Now = BootClock::now();
   if (Stream)
     if (const auto Found = m_Streams.find(*Stream); Found != m_Streams.end())
       return Done({Found->second.m_Version, "own_memory"});
-  const std::vector<std::string> Versions = currentVersions(Service, Now);
-  if (Now < m_ConfirmedUntil && Versions.size() == 1)
-    return Done({Versions.front(), "only_version"});
+  // What this entry knows of the fleet may be older than the stream.
   if (!m_Control)
     return Done({std::nullopt, "no_control"});
   wire::Command Command;
--- a/apps/entry/src/StreamVersions.h
+++ b/apps/entry/src/StreamVersions.h
@@ -37,7 +37,6 @@
 
   /// Call after the fleet has applied \p Update.
   void apply(const wire::FleetUpdate &Update, TimePoint Now);
-  void takeGrant(const wire::ControlGrant &Grant, TimePoint LeaseEnd);
 
   /// A try of a stream is sent to a target of \p Version.
   void recordSent(StreamKey Stream, const std::string &Service,
@@ -91,9 +90,6 @@
   std::unordered_map<StreamKey, Row> m_Streams;
   /// When each version of a service is forgotten.
   std::map<std::string, std::map<std::string, TimePoint>> m_Versions;
-  std::uint64_t m_FleetRevision = 0;
-  /// Until then the versions are as control has confirmed them.
-  TimePoint m_ConfirmedUntil;
   std::vector<StreamKey> m_Unsent;
   TimePoint m_NextSend;
   std::unique_ptr<http::Timer> m_SendTimer;
--- a/apps/entry/tests/ForwardTest.cpp
+++ b/apps/entry/tests/ForwardTest.cpp
@@ -161,6 +161,7 @@
       CHECK(Around.m_Seen.size() == 1);
     }
     THEN("a caller that has a part of the stream gets the rest") {
+      answerVersion(*Around.m_Path);
       const Answered Got = Around.ask("POST", "/note/7", {{"Seen", "2"}});
       CHECK(Got.m_Status == 200);
       CHECK(Got.m_Body == events(3, 4));
--- a/apps/entry/tests/PassedTest.cpp
+++ b/apps/entry/tests/PassedTest.cpp
@@ -152,6 +152,7 @@
       CHECK(Order(Got.m_Body) == "123");
     }
     THEN("a caller that has some goes on behind them") {
+      answerVersion(*On.m_Path);
       CHECK(Order(On.ask("POST", "/note/7", {{"Seen", "2"}}).m_Body) == "3");
     }
   }
@@ -359,7 +360,7 @@
       Other.set_weight(1);
     }
   Fixture.warmUp();
-  Fixture.grant();
+  answerVersion(*Fixture.m_Path);
   const auto TargetOf = [&](const http::Fields &Fields) {
     CHECK(Fixture.ask("POST", "/note/7", Fields).m_Status == 200);
     return std::string(http::field(Fixture.m_Seen.back().m_Fields, "only"));
@@ -380,7 +381,7 @@
   Shop Fixture;
   Fixture.addEngine("decode", streams(3, true));
   Fixture.warmUp();
-  Fixture.grant();
+  answerVersion(*Fixture.m_Path);
   const std::string Large =
       "200000"; // Tokens, longer to read than its caller waits.
   CHECK(Fixture.ask("POST", "/oracle/7", {{"Prompt", Large}}).m_Status == 503);
--- a/apps/entry/tests/Shop.cpp
+++ b/apps/entry/tests/Shop.cpp
@@ -137,6 +137,17 @@
   return Result;
 }
 
+void answerVersion(DataPath &Entry, const std::string &Version) {
+  Entry.streamVersions().setControl(
+      [Version](const wire::Command &Command, TimePoint,
+                const LedgerClient::OnReply &Done) {
+        wire::CallReply Reply;
+        if (Command.stream_versions().has_look_up())
+          Reply.set_result(std::to_string(hashBytes(Version)));
+        Done(Reply);
+      });
+}
+
 Shop::Shop() {
   events::setMinimumLevel(events::Level::Error);
   m_Settings.m_Id = {"entry-1"};
--- a/apps/entry/tests/Shop.h
+++ b/apps/entry/tests/Shop.h
@@ -38,6 +38,9 @@
 wire::Route route(const std::string &Name, const std::string &Kind,
                   const std::string &Service, bool Resumable = false);
 
+/// Control answers \p Entry that each service has one version, \p Version.
+void answerVersion(DataPath &Entry, const std::string &Version = "");
+
 struct Answered {
   int m_Status = 0; ///< Zero: the connection ended without a whole answer.
   http::Fields m_Fields;
--- a/apps/entry/tests/StreamVersionsTest.cpp
+++ b/apps/entry/tests/StreamVersionsTest.cpp
@@ -50,6 +50,16 @@
     *Command.mutable_announce_target()->mutable_target() = Target;
     CHECK(answer(Command).refusal() == 0);
   }
+
+  /// Another entry records a stream.
+  void record(const std::string &Attempt, const std::string &Version) {
+    wire::Command Command;
+    wire::StreamVersions &Report = *Command.mutable_stream_versions();
+    Report.add_versions(hashBytes(Version));
+    Report.add_streams(hashBytes(Attempt));
+    Report.add_version_indices(0);
+    CHECK(answer(Command).refusal() == 0);
+  }
 };
 
 /// Engines of two software versions, whose fresh runs break off after three
@@ -105,6 +115,15 @@
     m_Control.announce(Target);
   }
 
+  /// A target that this entry has not heard of.
+  [[nodiscard]] wire::Target foreignTarget(const std::string &Version) const {
+    wire::Target Target = m_Shop.m_Fleet.targets(0);
+    Target.set_id("i-other");
+    Target.set_address("127.0.0.1:1");
+    Target.set_software_version(Version);
+    return Target;
+  }
+
   void drain(const std::string &Version) {
     for (wire::Target &Target : *m_Shop.m_Fleet.mutable_targets())
       if (Target.software_version() == Version) {
@@ -211,15 +230,45 @@
   TwoVersions Fixture({"v1", "v1"});
   (void)Fixture.begin("a-1");
   Fixture.restart();
-  THEN("they go on without a question while control confirms the fleet") {
+  THEN("control is asked, also when it has just confirmed the fleet") {
     Fixture.m_Shop.grant();
-    CHECK(Fixture.resume("b-1", "a-1").m_Status == 200);
-    CHECK(Fixture.m_Control.m_Commands.empty());
-  }
-  THEN("control is asked when it has not confirmed the fleet lately") {
     CHECK(Fixture.resume("b-1", "a-1").m_Status == 200);
     CHECK(Fixture.m_Control.m_Commands.size() == 1);
   }
+  THEN("they are refused while control is away") {
+    Fixture.m_Shop.grant();
+    Fixture.m_Control.m_IsReachable = false;
+    CHECK(Fixture.resume("b-1", "a-1").m_Status == 503);
+    CHECK(Fixture.m_Ran.empty());
+  }
+}
+
+SCENARIO("a stream that began elsewhere at a version this entry has not heard "
+         "of does not go on at the one that it knows") {
+  TwoVersions Fixture({"v1", "v1"});
+  GIVEN("an entry whose fleet control has just confirmed") {
+    Fixture.m_Shop.grant();
+    WHEN("another version registers, and a stream begins there and breaks") {
+      Fixture.m_Control.announce(Fixture.foreignTarget("v2"));
+      THEN("it is refused while no entry has recorded it") {
+        CHECK(Fixture.resume("b-1", "a-1").m_Status == 503);
+        CHECK(Fixture.m_Ran.empty());
+      }
+      THEN("it is refused when control knows its version") {
+        Fixture.m_Control.record("a-1", "v2");
+        CHECK(Fixture.resume("b-1", "a-1").m_Status == 503);
+        CHECK(Fixture.m_Ran.empty());
+      }
+      THEN("it goes on at its version once this entry has heard of that") {
+        Fixture.m_Control.record("a-1", "v2");
+        Fixture.add("v2");
+        Fixture.m_Shop.m_Fleet.set_revision(2);
+        Fixture.m_Shop.warmUp();
+        CHECK(Fixture.resume("b-1", "a-1").m_Status == 200);
+        CHECK(Fixture.m_Ran == std::vector<std::string>{"v2"});
+      }
+    }
+  }
 }
 
 SCENARIO("a stream without events begins at another version only when its "
