Tell versions of two services apart though their names are equal

What callers saw: a resumed stream whose route had moved to another service, by a change of the configuration, went on there as soon as the versions of both had the same name (ORDER).

Cause: an entry compared the version that it remembered, or that control had recorded, by its name alone. `StreamVersions::find` took its own row without looking at the service, records held the hash of the name, and a forwarded request named the version without its service, though the routes of two entries may differ for a time.

Change: rows count for their service only; records hold the hash of service and name; the field `Wasabivale-Forward-Service` names the service of the required version, and a peer whose routes lead elsewhere refuses with `not_run`. A record by the name alone, of an entry of the build before, and the only version of a service that the leader answers are still read. An entry of the build before doesn't find the new hashes and refuses, which is safe.

A record is as long as before.

--- a/apps/entry/src/Forwarding.cpp
+++ b/apps/entry/src/Forwarding.cpp
@@ -49,6 +49,8 @@
     add(Fields, ForwardLastEventField, std::to_string(Origin.m_LastEventId));
   if (Origin.m_RequiredVersion)
     add(Fields, ForwardVersionField, *Origin.m_RequiredVersion);
+  if (!Origin.m_Service.empty())
+    add(Fields, ForwardServiceField, Origin.m_Service);
   return Fields;
 }
 
@@ -75,6 +77,7 @@
   for (const auto &[Name, Value] : Request)
     if (http::isSameName(Name, ForwardVersionField))
       Origin.m_RequiredVersion = Value;
+  Origin.m_Service = http::field(Request, ForwardServiceField);
   return Origin;
 }
 
--- a/apps/entry/src/Forwarding.h
+++ b/apps/entry/src/Forwarding.h
@@ -31,6 +31,9 @@
 /// Of a request: required; of an answer: that of its target.
 inline constexpr std::string_view ForwardVersionField =
     "Wasabivale-Forward-Version";
+/// Service of the required version.
+inline constexpr std::string_view ForwardServiceField =
+    "Wasabivale-Forward-Service";
 // Of its answer.
 /// `answer`: a target's; `not_run`, `unknown`: a refusal with that outcome.
 inline constexpr std::string_view ForwardResultField =
@@ -51,6 +54,7 @@
   std::uint64_t m_LastEventId = 0; ///< Last event that the caller has.
   /// Software version that generated the events so far.
   std::optional<std::string> m_RequiredVersion;
+  std::string m_Service; ///< Of the required version; empty: not told.
 };
 
 /// The fields of a forwarded request: the caller's as they were sent, without
--- a/apps/entry/src/Passed.cpp
+++ b/apps/entry/src/Passed.cpp
@@ -89,6 +89,11 @@
   const bool HasFirst = IsResumed && !Ask.m_FirstAttempt.empty();
   Result.m_Model = routes::pickService(
       *Route, hashBytes(HasFirst ? Ask.m_FirstAttempt : Ask.m_Id));
+  // Routes of the forwarding entry may be older or newer than these.
+  if (Forwarded && !Forwarded->m_Service.empty() &&
+      Forwarded->m_Service != Result.m_Model)
+    return notRun(Refusal::NoTarget, "forward.service",
+                  "the stream is one of another service");
   const auto Service = Routes.table().m_Services.find(Result.m_Model);
   Passing->m_ForEngine = Service != Routes.table().m_Services.end() &&
                          Service->second.m_KvCapacityTokens > 0;
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -333,7 +333,7 @@
   Wanted.m_RequiredVersion = m_StreamVersion;
   if (!Wanted.m_RequiredVersion && isRecorded())
     Wanted.m_RequiredVersion =
-        m_Shared.m_StreamVersions.reportedVersion(m_Stream);
+        m_Shared.m_StreamVersions.reportedVersion(m_Stream, m_Asked.m_Model);
   return Wanted;
 }
 
@@ -717,8 +717,12 @@
   Origin.m_RequiredVersion = m_StreamVersion;
   if (!m_StreamVersion && isRecorded())
     Origin.m_RequiredVersion =
-        m_Offset > 0 ? m_Shared.m_StreamVersions.knownVersion(m_Stream)
-                     : m_Shared.m_StreamVersions.reportedVersion(m_Stream);
+        m_Offset > 0
+            ? m_Shared.m_StreamVersions.knownVersion(m_Stream, m_Asked.m_Model)
+            : m_Shared.m_StreamVersions.reportedVersion(m_Stream,
+                                                        m_Asked.m_Model);
+  if (Origin.m_RequiredVersion)
+    Origin.m_Service = m_Asked.m_Model;
   ForwardHandlers Handlers;
   Handlers.m_OnHead = [this](int Status, const ForwardedAnswer &Answer) {
     m_TargetVersion = Answer.m_Version;
--- a/apps/entry/src/StreamVersions.cpp
+++ b/apps/entry/src/StreamVersions.cpp
@@ -20,6 +20,12 @@
 constexpr std::size_t MaxStreams = 65'536;
 constexpr std::chrono::seconds SweepInterval{1};
 
+/// Of the version in its service: equal names in two services are two versions.
+std::uint64_t hashVersion(const std::string &Service,
+                          const std::string &Version) {
+  return hashBytes(Version, hashBytes(Service));
+}
+
 } // namespace
 
 StreamVersions::StreamVersions(event_base *Loop, const FleetView &Fleet,
@@ -95,18 +101,20 @@
 }
 
 std::optional<std::string>
-StreamVersions::reportedVersion(StreamKey Stream) const {
+StreamVersions::reportedVersion(StreamKey Stream,
+                                const std::string &Service) const {
   const auto Found = m_Streams.find(Stream);
-  if (Found == m_Streams.end() || !Found->second.m_IsReported ||
-      Found->second.m_IsReleased)
+  if (Found == m_Streams.end() || Found->second.m_Service != Service ||
+      !Found->second.m_IsReported || Found->second.m_IsReleased)
     return std::nullopt;
   return Found->second.m_Version;
 }
 
 std::optional<std::string>
-StreamVersions::knownVersion(StreamKey Stream) const {
+StreamVersions::knownVersion(StreamKey Stream,
+                             const std::string &Service) const {
   const auto Found = m_Streams.find(Stream);
-  if (Found == m_Streams.end())
+  if (Found == m_Streams.end() || Found->second.m_Service != Service)
     return std::nullopt;
   return Found->second.m_Version;
 }
@@ -138,7 +146,7 @@
   m_NextSend = Now + SendInterval;
   wire::Command Command;
   wire::StreamVersions &Report = *Command.mutable_stream_versions();
-  std::map<std::string, std::uint32_t> Indices;
+  std::map<std::uint64_t, std::uint32_t> Indices;
   const auto Last =
       m_Unsent.begin() + static_cast<std::ptrdiff_t>(
                              std::min(m_Unsent.size(), MaxStreamsOfMessage));
@@ -152,11 +160,13 @@
     return Found->second.m_IsReleased;
   });
   for (const StreamKey Stream : Streams) {
-    const std::string &Version = m_Streams.at(Stream).m_Version;
+    const Row &Record = m_Streams.at(Stream);
+    const std::uint64_t Version =
+        hashVersion(Record.m_Service, Record.m_Version);
     const auto [Index, New] = Indices.try_emplace(
         Version, static_cast<std::uint32_t>(Indices.size()));
     if (New)
-      Report.add_versions(hashBytes(Version));
+      Report.add_versions(Version);
     Report.add_streams(Stream);
     Report.add_version_indices(Index->second);
   }
@@ -227,7 +237,9 @@
                           std::function<void(const Finding &)> Done) {
   if (Stream)
     if (const auto Found = m_Streams.find(*Stream); Found != m_Streams.end())
-      return Done({Found->second.m_Version, "own_memory"});
+      return Found->second.m_Service == Service
+                 ? Done({Found->second.m_Version, "own_memory"})
+                 : Done({std::nullopt, "other_service"});
   // What this entry knows of the fleet may be older than the stream.
   if (!m_Control)
     return Done({std::nullopt, "no_control"});
@@ -260,7 +272,9 @@
     return {std::nullopt, "unreadable"};
   if (const auto Found = m_Versions.find(Service); Found != m_Versions.end())
     for (const auto &[Version, ForgottenAt] : Found->second)
-      if (hashBytes(Version) == *Hash)
+      // Control knows no service of a stream that is recorded by the name
+      // alone, or not at all.
+      if (hashVersion(Service, Version) == *Hash || hashBytes(Version) == *Hash)
         return {Version, "control"};
   return {std::nullopt, "no_target"};
 }
--- a/apps/entry/src/StreamVersions.h
+++ b/apps/entry/src/StreamVersions.h
@@ -44,9 +44,11 @@
   void recordEnded(StreamKey Stream, TimePoint Now);
   /// The version that control was told, to which a stream must keep.
   [[nodiscard]] std::optional<std::string>
-  reportedVersion(StreamKey Stream) const;
-  /// The version that this entry knows a stream to have, or nothing.
-  [[nodiscard]] std::optional<std::string> knownVersion(StreamKey Stream) const;
+  reportedVersion(StreamKey Stream, const std::string &Service) const;
+  /// The version that this entry knows a stream of the service to have, or
+  /// nothing.
+  [[nodiscard]] std::optional<std::string>
+  knownVersion(StreamKey Stream, const std::string &Service) const;
   /// Has control forget the version of a stream that has no event yet. \p Done
   /// is called from a later turn with whether that is committed: from then on
   /// the stream may begin at any version.
--- a/apps/entry/tests/ForwardTest.cpp
+++ b/apps/entry/tests/ForwardTest.cpp
@@ -413,6 +413,41 @@
   }
 }
 
+SCENARIO("a forwarded stream does not go on at another service than the one "
+         "that began it") {
+  Shop Around;
+  Peer Other(Around);
+  Around.add(streams(4, true)).set_software_version("v1");
+  REQUIRE(Other.m_Entry->requests().takeFleet(Around.m_Fleet));
+  const std::string Service = GENERATE("desk", "desk-2");
+  http::ClientRequest Out;
+  Out.m_To = {"127.0.0.1", PeerForwardPort};
+  Out.m_Path = "/note/7";
+  Out.m_Fields = {{"Host", "shop.example"},
+                  {"Attempt", "r-1"},
+                  {std::string(ForwardEntryField), "entry-9"},
+                  {std::string(ForwardRunsField), "1"},
+                  {std::string(ForwardLeftField), "1500"},
+                  {std::string(ForwardLastEventField), "2"},
+                  {std::string(ForwardVersionField), "v1"},
+                  {std::string(ForwardServiceField), Service}};
+  Out.m_Body = "body";
+  Out.m_Deadline = BootClock::now() + std::chrono::seconds(2);
+  int Status = 0;
+  std::string Verdict;
+  http::ClientHandlers Handlers;
+  Handlers.m_OnFields = [&](int, const http::Fields &Fields) {
+    Verdict = http::field(Fields, ForwardResultField);
+  };
+  Handlers.m_OnDone = [&](const Result<http::Response> &Ending) {
+    Status = failed(Ending) ? -1 : valueOf(Ending).m_Status;
+  };
+  (void)http::call(Around.m_Loop.m_Base, std::move(Out), std::move(Handlers));
+  REQUIRE(Around.m_Loop.until([&] { return Status != 0; }));
+  CHECK(Verdict == (Service == "desk" ? "answer" : "not_run"));
+  CHECK(Around.m_Seen.size() == (Service == "desk" ? 1 : 0));
+}
+
 SCENARIO("an entry that stops takes no forwards that it can't finish") {
   CutShop Around([](const Exchange &) {});
   namePeers(*Around.m_Path, {PeerForwardPort});
--- a/apps/entry/tests/StreamVersionsTest.cpp
+++ b/apps/entry/tests/StreamVersionsTest.cpp
@@ -99,7 +99,7 @@
     m_Ran.clear();
   }
 
-  void add(const std::string &Version) {
+  void add(const std::string &Version, const std::string &Service = "llm") {
     wire::Target &Target =
         m_Shop.addEngine("decode", [this, Version](const Exchange &Arrived) {
           m_Ran.push_back(Version);
@@ -112,9 +112,25 @@
           streams(IsResumed ? 6 : 3, IsResumed)(Arrived);
         });
     Target.set_software_version(Version);
+    Target.set_models(0, Service);
     m_Control.announce(Target);
   }
 
+  /// The route of streams leads to \p Service from now on.
+  void moveRoute(const std::string &Service) {
+    wire::RouteTable &Table = *m_Shop.m_Fleet.mutable_routes();
+    wire::RoutedService Moved = Table.services(1);
+    Moved.set_name(Service);
+    *Table.add_services() = Moved;
+    Table.mutable_routes(Table.routes_size() - 1)
+        ->mutable_services(0)
+        ->set_service(Service);
+    Table.set_version(Table.version() + 1);
+    m_Shop.m_Fleet.set_routes_version(Table.version());
+    m_Shop.m_Fleet.set_revision(m_Shop.m_Fleet.revision() + 1);
+    m_Shop.warmUp();
+  }
+
   /// A target that this entry has not heard of.
   [[nodiscard]] wire::Target foreignTarget(const std::string &Version) const {
     wire::Target Target = m_Shop.m_Fleet.targets(0);
@@ -296,3 +312,31 @@
     }
   }
 }
+
+SCENARIO("a stream whose route has moved to another service does not go on at "
+         "an equally named version there") {
+  TwoVersions Fixture;
+  Fixture.add("v1", "llm-2");
+  Fixture.m_Shop.warmUp();
+  for (int I = 0; I < 4; ++I)
+    (void)Fixture.begin(fmt::format("a-{}", I));
+  REQUIRE(Fixture.m_Shop.m_Loop.until([&] {
+    return Fixture.m_Control.m_State.m_StreamVersions.m_Begun.size() == 4;
+  }));
+  const auto Began = Fixture.m_Ran.begin();
+  const auto Of = std::find(Began, Fixture.m_Ran.end(), "v1") - Began;
+  REQUIRE(Of < 4);
+  const std::string First = fmt::format("a-{}", Of);
+  GIVEN("the entry that began it") {
+    Fixture.moveRoute("llm-2");
+    Fixture.m_Ran.clear();
+    CHECK(Fixture.resume("b-1", First).m_Status == 503);
+    CHECK(Fixture.m_Ran.empty());
+  }
+  GIVEN("another entry, which asks control") {
+    Fixture.moveRoute("llm-2");
+    Fixture.restart();
+    CHECK(Fixture.resume("b-1", First).m_Status == 503);
+    CHECK(Fixture.m_Ran.empty());
+  }
+}
