Keep a new leader from dividing limits among the entries it has heard first

What callers saw: nothing yet; read in the code. For up to 500 ms after a change of the leader entries together sent a target up to twice its limit, and each could use the retry budget of several.

Cause: a belief about who is there without its bound. A new leader divided the limits that targets name, and counted entries for the retry budget, by those that had reported in its term: the first was told that it is alone.

Change: until the leases of the former term have ended (2.04 s) an entry that was told rates before keeps those and its number of entries. One that was told none is told them as before; both lists do without a value, which entries read as "not told".

A limit that a target lowers in these 2 s reaches the other entries after them.

--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -453,7 +453,8 @@
   fillGrant(m_Notices, Suspicion, Sender, Report, Now, LogNow, Grant);
   fillTraits(Traits, Report, LogNow, Grant);
   fillTrials(Traits, m_Observed, Sender, LogNow, Grant);
-  fillTargetRates(m_TargetRates, Limits, m_Observed, Sender, Report, Grant);
+  fillTargetRates(m_TargetRates, Limits, m_Observed, Sender, Report, Now,
+                  Grant);
   fillForwardPeers(m_Observed, Sender, Report, Now, Grant);
   // The answer to the next report replaces a lost grant.
   (void)m_Hub->send(Sender, std::move(Answer));
--- a/apps/control/src/Shares.cpp
+++ b/apps/control/src/Shares.cpp
@@ -121,7 +121,10 @@
                  TimePoint LeaseEnd, Duration LongestLease,
                  wire::ControlGrant &Grant) {
   ShareHolder &Holder = holderOf(State, Entry, Now, LongestLease);
-  Grant.set_entries(static_cast<std::uint32_t>(State.m_Table.m_Entries));
+  // A new leader leaves an entry the number that its predecessor told it until
+  // it may know all entries.
+  if (Now >= State.m_GrantsFrom || Report.target_rates_revision() == 0)
+    Grant.set_entries(static_cast<std::uint32_t>(State.m_Table.m_Entries));
   forgetUnmentioned(Holder, Report);
   for (const wire::ShareUse &Use : Report.shares()) {
     const CallerId Caller{Use.caller()};
--- a/apps/control/src/TargetRates.cpp
+++ b/apps/control/src/TargetRates.cpp
@@ -46,8 +46,10 @@
 
 void fillTargetRates(TargetRates &Rates, const limits::TargetLimitTable &Known,
                      const fleet::ObservedState &Observed, const NodeId &Entry,
-                     const wire::EntryReport &Report,
+                     const wire::EntryReport &Report, TimePoint Now,
                      wire::ControlGrant &Grant) {
+  if (Now < Observed.m_CompleteAt && Report.target_rates_revision() != 0)
+    return;
   divide(Rates, Known, Observed);
   const limits::TargetRates Own = limits::ratesOf(Rates.m_Divisions, Entry);
   Grant.set_target_rates_revision(hashRates(Own));
--- a/apps/control/src/TargetRates.h
+++ b/apps/control/src/TargetRates.h
@@ -22,10 +22,11 @@
 proposeTargetLimits(const limits::TargetLimitTable &Known, const NodeId &Entry,
                     const wire::EntryReport &Report, TimePoint LogNow);
 
-/// Fills in the rates of an entry, unless it knows them.
+/// Fills in the rates of an entry, unless it knows them. A new leader leaves an
+/// entry those of its predecessor until it may know all entries.
 void fillTargetRates(TargetRates &Rates, const limits::TargetLimitTable &Known,
                      const fleet::ObservedState &Observed, const NodeId &Entry,
-                     const wire::EntryReport &Report,
+                     const wire::EntryReport &Report, TimePoint Now,
                      wire::ControlGrant &Grant);
 
 } // namespace wasabivale::control
