Let a new leader permit trials of a route only once it may know all entries

What callers saw: nothing yet; read in the code. After a change of the leader more entries than meant ran requests of a route that crashes targets.

Cause: as with the limits of targets: a new leader assigned trials among the entries that had reported in its term, and each of the first was among the few.

Evidence: the new test, 16 entries of which two may run trials, failed on the former code: five were permitted while the entries reported.

Change: no permission until the leases of the former term have ended.

Measured: the scenario passes, with all of wasabivale-control.

--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -452,7 +452,7 @@
   grantShares(m_Shares, Sender, Report, Now, LeaseUntil, MaxEntryLease, Grant);
   fillGrant(m_Notices, Suspicion, Sender, Report, Now, LogNow, Grant);
   fillTraits(Traits, Report, LogNow, Grant);
-  fillTrials(Traits, m_Observed, Sender, LogNow, Grant);
+  fillTrials(Traits, m_Observed, Sender, Now, LogNow, Grant);
   fillTargetRates(m_TargetRates, Limits, m_Observed, Sender, Report, Now,
                   Grant);
   fillForwardPeers(m_Observed, Sender, Report, Now, Grant);
--- a/apps/control/src/SuspectNotices.cpp
+++ b/apps/control/src/SuspectNotices.cpp
@@ -254,7 +254,9 @@
 
 void fillTrials(const retries::TraitTable &Traits,
                 const fleet::ObservedState &Observed, const NodeId &Entry,
-                TimePoint LogNow, wire::ControlGrant &Grant) {
+                TimePoint Now, TimePoint LogNow, wire::ControlGrant &Grant) {
+  if (Now < Observed.m_CompleteAt)
+    return;
   const auto Turn =
       static_cast<std::uint64_t>(LogNow.time_since_epoch() / TrialTurn);
   const auto MayRun = [](const auto &Item) {
--- a/apps/control/src/SuspectNotices.h
+++ b/apps/control/src/SuspectNotices.h
@@ -68,10 +68,11 @@
                 wire::ControlGrant &Grant);
 
 /// Permits \p Entry to run requests of routes on trial that are assigned to it:
-/// each to a few of \p Observed at a time, in turn.
+/// each to a few of \p Observed at a time, in turn. None until a new leader may
+/// know all entries.
 void fillTrials(const retries::TraitTable &Traits,
                 const fleet::ObservedState &Observed, const NodeId &Entry,
-                TimePoint LogNow, wire::ControlGrant &Grant);
+                TimePoint Now, TimePoint LogNow, wire::ControlGrant &Grant);
 
 } // namespace wasabivale::control
 
--- a/apps/control/tests/SuspectNoticesTest.cpp
+++ b/apps/control/tests/SuspectNoticesTest.cpp
@@ -300,7 +300,7 @@
     std::set<std::string> Names;
     for (const auto &[Entry, View] : Observed.m_Entries) {
       wire::ControlGrant Answer;
-      fillTrials(State.m_Fleet.m_Traits, Observed, Entry, Now, Answer);
+      fillTrials(State.m_Fleet.m_Traits, Observed, Entry, Now, Now, Answer);
       if (Answer.trial_routes_size() > 0)
         Names.insert(Entry.m_Value);
     }
@@ -341,6 +341,19 @@
       }
       CHECK(All.size() > 2);
     }
+    THEN("a new leader permits no trials before it may know all entries") {
+      const auto Former = Permitted();
+      constexpr Duration Lease = 2040ms;
+      fleet::startTerm(Observed, State.m_Fleet, Now, Lease);
+      std::set<std::string> All = Former;
+      for (int I = 0; I < 16; ++I) {
+        Observed.m_Entries[{"entry-" + std::to_string(I)}];
+        All.merge(Permitted());
+      }
+      CHECK(All == Former);
+      Now += Lease;
+      CHECK(Permitted().size() == 2);
+    }
     THEN("completed requests end the trial") {
       const std::uint32_t Runs = Notice(State).trial_runs();
       REQUIRE(Runs > 0);
