Play releases in the fault soak: targets are upgraded while an entry stands still

`--versions` drew pauses and upgrades each on its own, so that an entry which is out of step when another version registers was rare. `--releases` adds, every 1.5 to 4 s, a pause of an entry of 0.3 to 1 s, in which several targets restart with another version, and crash when it goes on.

--- a/tools/fault-soak/src/Main.cpp
+++ b/tools/fault-soak/src/Main.cpp
@@ -36,6 +36,8 @@
       "cut entries off from all targets")(
       "versions", po::bool_switch(&Wanted.m_ChecksVersions),
       "upgrade targets, and fail on streams of two versions")(
+      "releases", po::bool_switch(&Wanted.m_Shape.m_Releases),
+      "as --versions, and upgrade targets while an entry is paused")(
       "keep-logs", po::bool_switch(&Wanted.m_KeepsLogs),
       "keep the logs of clean seeds")(
       "logs", po::value(&Wanted.m_Folder)->default_value(Wanted.m_Folder),
@@ -53,6 +55,7 @@
     return 0;
   }
   Wanted.m_Shape.m_Length = std::chrono::seconds(Seconds);
+  Wanted.m_ChecksVersions |= Wanted.m_Shape.m_Releases;
   Wanted.m_Shape.m_Upgrades = Wanted.m_ChecksVersions;
   std::signal(SIGPIPE, SIG_IGN);
   // Another run with the same addresses waits for the end of this one.
--- a/tools/fault-soak/src/Schedule.cpp
+++ b/tools/fault-soak/src/Schedule.cpp
@@ -73,6 +73,39 @@
   return Kinds;
 }
 
+/// Adds the steps of a release: an entry stands still while targets restart
+/// with another software version, and what has begun there breaks when it goes
+/// on.
+void addRelease(std::vector<Step> &Steps, std::mt19937_64 &Random,
+                milliseconds Start, const Shape &Size) {
+  constexpr unsigned LeastUpgraded = 2;
+  constexpr Span Pause{300, 1'000};
+  constexpr Span Downtime{50, 150};
+  constexpr Span CrashBefore{0, 100};
+  const auto Add = [&](milliseconds Offset, Fault Kind, unsigned Machine,
+                       milliseconds Length) {
+    Step Next;
+    Next.m_Offset = Offset;
+    Next.m_Length = Length;
+    Next.m_Fault = Kind;
+    Next.m_Machine = Machine;
+    Next.m_Variant = 1; // A target restarts under another id.
+    if (Offset < Size.m_Length)
+      Steps.push_back(Next);
+  };
+  const milliseconds Length = pickTime(Random, Pause);
+  Add(Start, Fault::PauseEntry, pick(Random, Size.m_Entries), Length);
+  const unsigned Upgraded =
+      LeastUpgraded + pick(Random, std::max(1U, Size.m_Targets / 2));
+  const unsigned First = pick(Random, Size.m_Targets);
+  for (unsigned I = 0; I < Upgraded; ++I) {
+    const unsigned Target = (First + I) % Size.m_Targets;
+    Add(Start, Fault::UpgradeTarget, Target, pickTime(Random, Downtime));
+    Add(Start + Length - pickTime(Random, CrashBefore), Fault::CrashTarget,
+        Target, pickTime(Random, Downtime));
+  }
+}
+
 } // namespace
 
 const char *faultName(Fault Kind) {
@@ -115,6 +148,15 @@
     // Series overlap: the next may begin before this one has ended.
     Now += pickTime(Random, {100, 1'800});
   }
+  if (Size.m_Releases) {
+    // Draws of their own leave the other faults of the seed as they are.
+    constexpr std::uint64_t Stream = 1;
+    std::mt19937_64 Own(Seed * 2 + Stream);
+    constexpr Span Between{1'500, 4'000};
+    for (milliseconds Now = pickTime(Own, Between); Now < Size.m_Length;
+         Now += pickTime(Own, Between))
+      addRelease(Steps, Own, Now, Size);
+  }
   std::stable_sort(Steps.begin(), Steps.end(),
                    [](const Step &Left, const Step &Right) {
                      return Left.m_Offset < Right.m_Offset;
--- a/tools/fault-soak/src/Schedule.h
+++ b/tools/fault-soak/src/Schedule.h
@@ -49,6 +49,9 @@
   unsigned m_Targets = 8;
   bool m_Cuts = false;     ///< `CutEntry` and `CutHalf` occur.
   bool m_Upgrades = false; ///< `UpgradeTarget` occurs.
+  /// Several targets are upgraded while an entry is paused, and crash when it
+  /// goes on.
+  bool m_Releases = false;
 };
 
 /// Series of faults that overlap, in the order of their times. At most one
--- a/tools/fault-soak/tests/ScheduleTest.cpp
+++ b/tools/fault-soak/tests/ScheduleTest.cpp
@@ -65,4 +65,28 @@
     CHECK(hasFault(All, Fault::CutHalf));
     CHECK(hasFault(All, Fault::UpgradeTarget));
   }
+  THEN("a release upgrades targets while an entry is paused") {
+    Size.m_Upgrades = true;
+    const std::vector<Step> Plain = makeSchedule(7, Size);
+    Size.m_Releases = true;
+    const std::vector<Step> All = makeSchedule(7, Size);
+    CHECK(All.size() > Plain.size());
+    CHECK(std::is_sorted(All.begin(), All.end(),
+                         [](const Step &Left, const Step &Right) {
+                           return Left.m_Offset < Right.m_Offset;
+                         }));
+    int UpgradedWhilePaused = 0;
+    for (const Step &Pause : All)
+      for (const Step &Upgrade : All)
+        UpgradedWhilePaused +=
+            Pause.m_Fault == Fault::PauseEntry &&
+                    Upgrade.m_Fault == Fault::UpgradeTarget &&
+                    Upgrade.m_Offset >= Pause.m_Offset &&
+                    Upgrade.m_Offset < Pause.m_Offset + Pause.m_Length
+                ? 1
+                : 0;
+    CHECK(UpgradedWhilePaused > 100);
+    for (const Step &Planned : All)
+      CHECK(Planned.m_Offset < Size.m_Length);
+  }
 }
