--- a/apps/entry/src/StreamVersions.h
+++ b/apps/entry/src/StreamVersions.h
@@ -37,7 +37,6 @@
 
   /// Call after the fleet has applied \p Update.
   void apply(const wire::FleetUpdate &Update, TimePoint Now);
-  void takeGrant(const wire::ControlGrant &Grant, TimePoint LeaseEnd);
 
   /// A try of a stream is sent to a target of \p Version.
   void recordSent(StreamKey Stream, const std::string &Service,
@@ -45,9 +44,11 @@
   void recordEnded(StreamKey Stream, TimePoint Now);
   /// The version that control was told, to which a stream must keep.
   [[nodiscard]] std::optional<std::string>
-  reportedVersion(StreamKey Stream) const;
-  /// The version that this entry knows a stream to have, or nothing.
-  [[nodiscard]] std::optional<std::string> knownVersion(StreamKey Stream) const;
+  reportedVersion(StreamKey Stream, const std::string &Service) const;
+  /// The version that this entry knows a stream of the service to have, or
+  /// nothing.
+  [[nodiscard]] std::optional<std::string>
+  knownVersion(StreamKey Stream, const std::string &Service) const;
   /// Has control forget the version of a stream that has no event yet. \p Done
   /// is called from a later turn with whether that is committed: from then on
   /// the stream may begin at any version.
@@ -91,9 +92,6 @@
   std::unordered_map<StreamKey, Row> m_Streams;
   /// When each version of a service is forgotten.
   std::map<std::string, std::map<std::string, TimePoint>> m_Versions;
-  std::uint64_t m_FleetRevision = 0;
-  /// Until then the versions are as control has confirmed them.
-  TimePoint m_ConfirmedUntil;
   std::vector<StreamKey> m_Unsent;
   TimePoint m_NextSend;
   std::unique_ptr<http::Timer> m_SendTimer;
--- a/apps/entry/tests/StreamVersionsTest.cpp
+++ b/apps/entry/tests/StreamVersionsTest.cpp
@@ -50,6 +50,16 @@
     *Command.mutable_announce_target()->mutable_target() = Target;
     CHECK(answer(Command).refusal() == 0);
   }
+
+  /// Another entry records a stream.
+  void record(const std::string &Attempt, const std::string &Version) {
+    wire::Command Command;
+    wire::StreamVersions &Report = *Command.mutable_stream_versions();
+    Report.add_versions(hashBytes(Version));
+    Report.add_streams(hashBytes(Attempt));
+    Report.add_version_indices(0);
+    CHECK(answer(Command).refusal() == 0);
+  }
 };
 
 /// Engines of two software versions, whose fresh runs break off after three
@@ -89,7 +99,7 @@
     m_Ran.clear();
   }
 
-  void add(const std::string &Version) {
+  void add(const std::string &Version, const std::string &Service = "llm") {
     wire::Target &Target =
         m_Shop.addEngine("decode", [this, Version](const Exchange &Arrived) {
           m_Ran.push_back(Version);
@@ -102,9 +112,34 @@
           streams(IsResumed ? 6 : 3, IsResumed)(Arrived);
         });
     Target.set_software_version(Version);
+    Target.set_models(0, Service);
     m_Control.announce(Target);
   }
 
+  /// The route of streams leads to \p Service from now on.
+  void moveRoute(const std::string &Service) {
+    wire::RouteTable &Table = *m_Shop.m_Fleet.mutable_routes();
+    wire::RoutedService Moved = Table.services(1);
+    Moved.set_name(Service);
+    *Table.add_services() = Moved;
+    Table.mutable_routes(Table.routes_size() - 1)
+        ->mutable_services(0)
+        ->set_service(Service);
+    Table.set_version(Table.version() + 1);
+    m_Shop.m_Fleet.set_routes_version(Table.version());
+    m_Shop.m_Fleet.set_revision(m_Shop.m_Fleet.revision() + 1);
+    m_Shop.warmUp();
+  }
+
+  /// A target that this entry has not heard of.
+  [[nodiscard]] wire::Target foreignTarget(const std::string &Version) const {
+    wire::Target Target = m_Shop.m_Fleet.targets(0);
+    Target.set_id("i-other");
+    Target.set_address("127.0.0.1:1");
+    Target.set_software_version(Version);
+    return Target;
+  }
+
   void drain(const std::string &Version) {
     for (wire::Target &Target : *m_Shop.m_Fleet.mutable_targets())
       if (Target.software_version() == Version) {
@@ -211,15 +246,45 @@
   TwoVersions Fixture({"v1", "v1"});
   (void)Fixture.begin("a-1");
   Fixture.restart();
-  THEN("they go on without a question while control confirms the fleet") {
+  THEN("control is asked, also when it has just confirmed the fleet") {
     Fixture.m_Shop.grant();
-    CHECK(Fixture.resume("b-1", "a-1").m_Status == 200);
-    CHECK(Fixture.m_Control.m_Commands.empty());
-  }
-  THEN("control is asked when it has not confirmed the fleet lately") {
     CHECK(Fixture.resume("b-1", "a-1").m_Status == 200);
     CHECK(Fixture.m_Control.m_Commands.size() == 1);
   }
+  THEN("they are refused while control is away") {
+    Fixture.m_Shop.grant();
+    Fixture.m_Control.m_IsReachable = false;
+    CHECK(Fixture.resume("b-1", "a-1").m_Status == 503);
+    CHECK(Fixture.m_Ran.empty());
+  }
+}
+
+SCENARIO("a stream that began elsewhere at a version this entry has not heard "
+         "of does not go on at the one that it knows") {
+  TwoVersions Fixture({"v1", "v1"});
+  GIVEN("an entry whose fleet control has just confirmed") {
+    Fixture.m_Shop.grant();
+    WHEN("another version registers, and a stream begins there and breaks") {
+      Fixture.m_Control.announce(Fixture.foreignTarget("v2"));
+      THEN("it is refused while no entry has recorded it") {
+        CHECK(Fixture.resume("b-1", "a-1").m_Status == 503);
+        CHECK(Fixture.m_Ran.empty());
+      }
+      THEN("it is refused when control knows its version") {
+        Fixture.m_Control.record("a-1", "v2");
+        CHECK(Fixture.resume("b-1", "a-1").m_Status == 503);
+        CHECK(Fixture.m_Ran.empty());
+      }
+      THEN("it goes on at its version once this entry has heard of that") {
+        Fixture.m_Control.record("a-1", "v2");
+        Fixture.add("v2");
+        Fixture.m_Shop.m_Fleet.set_revision(2);
+        Fixture.m_Shop.warmUp();
+        CHECK(Fixture.resume("b-1", "a-1").m_Status == 200);
+        CHECK(Fixture.m_Ran == std::vector<std::string>{"v2"});
+      }
+    }
+  }
 }
 
 SCENARIO("a stream without events begins at another version only when its "
@@ -247,3 +312,31 @@
     }
   }
 }
+
+SCENARIO("a stream whose route has moved to another service does not go on at "
+         "an equally named version there") {
+  TwoVersions Fixture;
+  Fixture.add("v1", "llm-2");
+  Fixture.m_Shop.warmUp();
+  for (int I = 0; I < 4; ++I)
+    (void)Fixture.begin(fmt::format("a-{}", I));
+  REQUIRE(Fixture.m_Shop.m_Loop.until([&] {
+    return Fixture.m_Control.m_State.m_StreamVersions.m_Begun.size() == 4;
+  }));
+  const auto Began = Fixture.m_Ran.begin();
+  const auto Of = std::find(Began, Fixture.m_Ran.end(), "v1") - Began;
+  REQUIRE(Of < 4);
+  const std::string First = fmt::format("a-{}", Of);
+  GIVEN("the entry that began it") {
+    Fixture.moveRoute("llm-2");
+    Fixture.m_Ran.clear();
+    CHECK(Fixture.resume("b-1", First).m_Status == 503);
+    CHECK(Fixture.m_Ran.empty());
+  }
+  GIVEN("another entry, which asks control") {
+    Fixture.moveRoute("llm-2");
+    Fixture.restart();
+    CHECK(Fixture.resume("b-1", First).m_Status == 503);
+    CHECK(Fixture.m_Ran.empty());
+  }
+}
