Start processes of two builds in the fault soak

An upgrade in place has entries and control members of two builds side by side for minutes. Nothing here could play that: every process of the fault soak was of the build that the soak belongs to.

`--other-build FOLDER` draws one of two builds for each start of a process, from the seed, the process and the number of its start. One start in four has the settings of the build that it is not, because a way back must not depend on the order in which settings and programs change. Stops and kills of entries and control members come more often. `--other-share` is how many of 100 starts are of the other build: 100 plays that build alone. Without the option the faults of a seed are as they were (test).

--- a/tools/fault-soak/src/Main.cpp
+++ b/tools/fault-soak/src/Main.cpp
@@ -18,6 +18,7 @@
   std::uint64_t Seed = 1;
   std::uint64_t Seeds = 1;
   unsigned Seconds = 20;
+  std::string OtherFolder;
   soak::Options Wanted;
   Wanted.m_Folder = std::filesystem::temp_directory_path() / "fault-soak";
   po::options_description Known("wasabivale-fault-soak [OPTIONS]");
@@ -36,8 +37,13 @@
       "cut entries off from all targets")(
       "versions", po::bool_switch(&Wanted.m_ChecksVersions),
       "upgrade targets, and fail on streams of two versions")(
-      "keep-logs", po::bool_switch(&Wanted.m_KeepsLogs),
-      "keep the logs of clean seeds")(
+      "other-build", po::value(&OtherFolder),
+      "checkout of another build, which some of the starts use")(
+      "other-share",
+      po::value(&Wanted.m_OtherShare)->default_value(Wanted.m_OtherShare),
+      "how many of 100 starts do")("keep-logs",
+                                   po::bool_switch(&Wanted.m_KeepsLogs),
+                                   "keep the logs of clean seeds")(
       "logs", po::value(&Wanted.m_Folder)->default_value(Wanted.m_Folder),
       "folder of the logs");
   po::variables_map Options;
@@ -52,6 +58,17 @@
     std::cout << Known;
     return 0;
   }
+  if (!OtherFolder.empty()) {
+    Wanted.m_OtherBuild = soak::findBuild(OtherFolder);
+    Wanted.m_Shape.m_HasTwoBuilds = true;
+    if (!Wanted.m_OtherBuild) {
+      fmt::print(stderr,
+                 "wasabivale-fault-soak: {} has no programs in "
+                 "out/build/bin, target/bin or bin\n",
+                 OtherFolder);
+      return 2;
+    }
+  }
   Wanted.m_Shape.m_Length = std::chrono::seconds(Seconds);
   Wanted.m_Shape.m_Upgrades = Wanted.m_ChecksVersions;
   std::signal(SIGPIPE, SIG_IGN);
--- a/tools/fault-soak/src/Processes.cpp
+++ b/tools/fault-soak/src/Processes.cpp
@@ -20,6 +20,10 @@
   return std::filesystem::read_symlink("/proc/self/exe").parent_path();
 }
 
+std::string programIn(const std::string &Folder, const std::string &Name) {
+  return fmt::format("{}/wasabivale-{}", Folder, Name);
+}
+
 std::string readFile(const std::string &Name) {
   std::ifstream File(Name);
   std::ostringstream Text;
@@ -49,6 +53,21 @@
   return Text;
 }
 
+Build ownBuild() { return {binFolder(), WASABIVALE_SOURCE_DIR "/deploy"}; }
+
+std::optional<Build> findBuild(const std::string &Folder) {
+  const std::string Templates = Folder + "/deploy";
+  for (const char *Place : {"out/build/bin", "target/bin", "bin"}) {
+    const std::string Programs = fmt::format("{}/{}", Folder, Place);
+    if (std::filesystem::exists(programIn(Programs, "entry")) &&
+        std::filesystem::exists(programIn(Programs, "control")))
+      return Build{Programs, std::filesystem::exists(Templates)
+                                 ? Templates
+                                 : ownBuild().m_Templates};
+  }
+  return std::nullopt;
+}
+
 Process::Process(std::string Name, std::string Program, std::string Folder,
                  Json Fields)
     : m_Name(std::move(Name)), m_Program(std::move(Program)),
@@ -63,17 +82,18 @@
 
 void Process::writeSettings() const {
   const std::string Template =
-      fmt::format("{}/deploy/{}.json", WASABIVALE_SOURCE_DIR, m_Program);
+      fmt::format("{}/{}.json", m_Templates, m_Program);
   const std::string File = fmt::format("{}/{}.json", m_Folder, m_Name);
   // A rename, so that no process reads half of it.
   std::ofstream(File + ".new") << fillTemplate(readFile(Template), m_Fields);
   std::filesystem::rename(File + ".new", File);
 }
 
-bool Process::start() {
+bool Process::start(const std::string &Programs, const std::string &Templates) {
+  m_Templates = Templates;
+  ++m_Starts;
   writeSettings();
-  const std::string Path =
-      fmt::format("{}/wasabivale-{}", binFolder(), m_Program);
+  const std::string Path = programIn(Programs, m_Program);
   const std::string Settings = fmt::format("{}/{}.json", m_Folder, m_Name);
   const std::string Log = fmt::format("{}/{}.log", m_Folder, m_Name);
   const pid_t Parent = ::getpid();
--- a/tools/fault-soak/src/Processes.h
+++ b/tools/fault-soak/src/Processes.h
@@ -17,6 +17,18 @@
 /// Fills a template of deploy/ in: `{{a.b}}`, `{{a.0}}` and `{{a|json}}`.
 std::string fillTemplate(std::string Text, const Json &Fields);
 
+/// Where a build of the system has its programs and its settings' templates.
+struct Build {
+  std::string m_Programs;
+  std::string m_Templates;
+};
+
+/// The build that this program belongs to.
+Build ownBuild();
+/// The build in a checkout that was built there, or in a build folder, which
+/// has this build's templates; nothing without programs.
+std::optional<Build> findBuild(const std::string &Folder);
+
 /// A program that is started, stopped and started again with the same settings.
 /// Killed and waited for when it goes out of scope.
 class Process {
@@ -29,7 +41,7 @@
 
   /// Writes the settings anew and starts the program. \returns false when that
   /// failed.
-  bool start();
+  bool start(const std::string &Programs, const std::string &Templates);
   void writeSettings() const;
   void signal(int Number) const;
   /// \returns the exit code, or minus the signal, once it has ended.
@@ -38,6 +50,8 @@
   [[nodiscard]] bool isRunning() const { return m_Pid > 0; }
   [[nodiscard]] pid_t pid() const { return m_Pid; }
   [[nodiscard]] const std::string &name() const { return m_Name; }
+  /// How often it was started.
+  [[nodiscard]] unsigned starts() const { return m_Starts; }
   /// The platform's description of the machine.
   Json &fields() { return m_Fields; }
 
@@ -46,6 +60,8 @@
   std::string m_Program;
   std::string m_Folder;
   Json m_Fields;
+  std::string m_Templates; ///< Of the last start.
+  unsigned m_Starts = 0;
   pid_t m_Pid = 0;
 };
 
--- a/tools/fault-soak/src/Schedule.cpp
+++ b/tools/fault-soak/src/Schedule.cpp
@@ -11,6 +11,8 @@
 /// A control member starts and catches up within this time.
 constexpr milliseconds ControlRecovery{7'000};
 constexpr unsigned LongestSeries = 4;
+/// One start in this many has the settings of the build that it is not.
+constexpr std::uint64_t StartsToOtherSettings = 4;
 
 struct Span {
   unsigned m_Least;
@@ -70,6 +72,9 @@
                  {Fault::CutEntry, Fault::CutHalf, Fault::CutHalf});
   if (Size.m_Upgrades)
     Kinds.insert(Kinds.end(), {Fault::UpgradeTarget, Fault::UpgradeTarget});
+  if (Size.m_HasTwoBuilds)
+    Kinds.insert(Kinds.end(), {Fault::StopEntry, Fault::StopControl,
+                               Fault::StopControl, Fault::KillControl});
   return Kinds;
 }
 
@@ -122,4 +127,14 @@
   return Steps;
 }
 
+Launch drawLaunch(std::uint64_t Seed, std::string_view Process, unsigned Number,
+                  unsigned OtherShare) {
+  constexpr std::uint64_t Percent = 100;
+  std::mt19937_64 Random(hashBytes(Process, Seed) + Number);
+  Launch Drawn;
+  Drawn.m_IsOtherBuild = Random() % Percent < OtherShare;
+  Drawn.m_HasOtherSettings = Random() % StartsToOtherSettings == 0;
+  return Drawn;
+}
+
 } // namespace wasabivale::soak
--- a/tools/fault-soak/src/Schedule.h
+++ b/tools/fault-soak/src/Schedule.h
@@ -7,6 +7,7 @@
 
 #include "base/base.h"
 
+#include <string_view>
 #include <vector>
 
 namespace wasabivale::soak {
@@ -49,8 +50,21 @@
   unsigned m_Targets = 8;
   bool m_Cuts = false;     ///< `CutEntry` and `CutHalf` occur.
   bool m_Upgrades = false; ///< `UpgradeTarget` occurs.
+  /// Processes are stopped and started more often.
+  bool m_HasTwoBuilds = false;
 };
 
+/// What a process is started with, where two builds run side by side.
+struct Launch {
+  bool m_IsOtherBuild = false;
+  bool m_HasOtherSettings = false; ///< Of the build that it is not.
+};
+
+/// Draws what the start \p Number of \p Process uses.
+/// \param OtherShare how many of 100 starts are of the other build.
+Launch drawLaunch(std::uint64_t Seed, std::string_view Process, unsigned Number,
+                  unsigned OtherShare);
+
 /// Series of faults that overlap, in the order of their times. At most one
 /// control member is disturbed at a time.
 std::vector<Step> makeSchedule(std::uint64_t Seed, const Shape &Size);
--- a/tools/fault-soak/src/Soak.cpp
+++ b/tools/fault-soak/src/Soak.cpp
@@ -3,7 +3,6 @@
 #include "Callers.h"
 #include "Links.h"
 #include "Operator.h"
-#include "Processes.h"
 #include "Targets.h"
 
 #include "platform/platform.h"
@@ -64,6 +63,7 @@
   void addMachines();
   bool prepare();
   void turn();
+  void startProgram(Process &Program);
   void turnMachine(Machine &Subject, bool IsEntry, unsigned Number,
                    TimePoint Now);
   void inject(const Step &Planned, TimePoint Now);
@@ -234,13 +234,32 @@
                     Start, Until);
 }
 
+void World::startProgram(Process &Program) {
+  const Build Own = ownBuild();
+  if (!m_Options.m_OtherBuild) {
+    Program.start(Own.m_Programs, Own.m_Templates);
+    return;
+  }
+  const Launch Drawn = drawLaunch(m_Seed, Program.name(), Program.starts(),
+                                  m_Options.m_OtherShare);
+  const Build &Other = *m_Options.m_OtherBuild;
+  const Build &Run = Drawn.m_IsOtherBuild ? Other : Own;
+  const Build &Settings =
+      Drawn.m_IsOtherBuild != Drawn.m_HasOtherSettings ? Other : Own;
+  fmt::print(m_Log, "{} starts build={} settings={}\n", Program.name(),
+             Drawn.m_IsOtherBuild ? "other" : "own",
+             &Settings == &Other ? "other" : "own");
+  m_Log.flush();
+  Program.start(Run.m_Programs, Settings.m_Templates);
+}
+
 void World::turnMachine(Machine &Subject, bool IsEntry, unsigned Number,
                         TimePoint Now) {
   Process &Program = *Subject.m_Process;
   if (!Program.isRunning()) {
     if (Now < Subject.m_StartAt)
       return;
-    Program.start();
+    startProgram(Program);
     // Set once the system has started for the first time.
     Program.fields()["bootstrap"] = false;
     Subject.m_IsEnding = Subject.m_IsPaused = false;
--- a/tools/fault-soak/src/Soak.h
+++ b/tools/fault-soak/src/Soak.h
@@ -6,8 +6,10 @@
 #define WASABIVALE_FAULTSOAK_SOAK_H
 
 #include "Judge.h"
+#include "Processes.h"
 #include "Schedule.h"
 
+#include <optional>
 #include <string>
 
 namespace wasabivale::soak {
@@ -20,6 +22,10 @@
   /// Two software versions in one stream are a violation.
   bool m_ChecksVersions = false;
   bool m_KeepsLogs = false;
+  /// A second build, which some of the starts use.
+  std::optional<Build> m_OtherBuild;
+  /// How many of 100 starts use it.
+  unsigned m_OtherShare = 50;
   std::string m_Folder; ///< Of the logs; a folder for each seed is made there.
 };
 
--- a/tools/fault-soak/tests/ScheduleTest.cpp
+++ b/tools/fault-soak/tests/ScheduleTest.cpp
@@ -56,6 +56,14 @@
       FreeAt = Planned.m_Offset + Planned.m_Length;
     }
   }
+  THEN("two builds add faults, and leave those of a seed without them as they "
+       "were") {
+    Size.m_HasTwoBuilds = true;
+    CHECK(hasFault(makeSchedule(7, Size), Fault::StopControl));
+    Size.m_HasTwoBuilds = false;
+    const std::vector<Step> Again = makeSchedule(7, Size);
+    CHECK(Again.size() == Steps.size());
+  }
   THEN("cuts and upgrades occur only when they are asked for") {
     CHECK(hasFault(Steps, Fault::StopEntry));
     CHECK_FALSE(hasFault(Steps, Fault::CutHalf));
@@ -66,3 +74,40 @@
     CHECK(hasFault(All, Fault::UpgradeTarget));
   }
 }
+
+SCENARIO("each start of a process draws one of two builds") {
+  constexpr unsigned Starts = 400;
+  unsigned Others = 0;
+  unsigned OtherSettings = 0;
+  for (unsigned I = 0; I < Starts; ++I) {
+    const Launch Drawn = drawLaunch(7, "entry-0", I, 50);
+    Others += Drawn.m_IsOtherBuild ? 1 : 0;
+    OtherSettings += Drawn.m_HasOtherSettings ? 1 : 0;
+  }
+  THEN("about half are of the other build, a quarter has other settings") {
+    CHECK(Others > Starts * 2 / 5);
+    CHECK(Others < Starts * 3 / 5);
+    CHECK(OtherSettings > Starts / 6);
+    CHECK(OtherSettings < Starts / 3);
+  }
+  THEN("the same seed, process and start draw the same") {
+    for (unsigned I = 0; I < Starts; ++I)
+      CHECK(drawLaunch(7, "entry-0", I, 50).m_IsOtherBuild ==
+            drawLaunch(7, "entry-0", I, 50).m_IsOtherBuild);
+  }
+  THEN("processes draw independently") {
+    unsigned Differences = 0;
+    for (unsigned I = 0; I < Starts; ++I)
+      Differences += drawLaunch(7, "entry-0", I, 50).m_IsOtherBuild !=
+                             drawLaunch(7, "entry-1", I, 50).m_IsOtherBuild
+                         ? 1
+                         : 0;
+    CHECK(Differences > Starts / 3);
+  }
+  THEN("a share of 0 and of 100 draws one build only") {
+    for (unsigned I = 0; I < Starts; ++I) {
+      CHECK_FALSE(drawLaunch(7, "entry-0", I, 0).m_IsOtherBuild);
+      CHECK(drawLaunch(7, "entry-0", I, 100).m_IsOtherBuild);
+    }
+  }
+}
