Derive the address for forwards, so that older entries read the settings

Callers saw no entry on a machine whose program was older than its settings: during an upgrade, or on the way back, the entry exited at its start.

The platform fills the template in at every start, so the settings may be newer than the program.

An entry that finds control by itself listens for forwards at the port after the hubs', which is in the range of internal ports as before; a named address is still used.

--- a/apps/entry/src/EntrySettings.cpp
+++ b/apps/entry/src/EntrySettings.cpp
@@ -134,6 +134,18 @@
   return std::monostate{};
 }
 
+/// Entries that find control by themselves have internal ports in a row. Their
+/// settings don't name this one, so that versions without it can read them.
+static void deriveForwardListen(EntrySettings &Settings) {
+  constexpr std::uint16_t LastPort = 65'535;
+  if (!Settings.m_Routes || Settings.m_Routes->m_ForwardListen.m_Port != 0 ||
+      Settings.m_HubPort == 0 || Settings.m_HubPort == LastPort)
+    return;
+  Settings.m_Routes->m_ForwardListen = {
+      Settings.m_Routes->m_Listen.m_Host,
+      static_cast<std::uint16_t>(Settings.m_HubPort + 1)};
+}
+
 /// Divides the time between the order to stop and the kill: first the balancer
 /// notices, then running requests finish, and the rest is for closing
 /// connections.
@@ -180,6 +192,7 @@
   if (Document.contains("routes"))
     if (Status Read = readRoutes(Document["routes"], Made); failed(Read))
       return errorOf(Read);
+  deriveForwardListen(Made);
   readRouting(Document.value("routing", Json::object()), Made);
   Made.m_StopLag = std::chrono::milliseconds(
       Document.value("stop_lag_ms", Made.m_StopLag.count()));
--- a/apps/entry/src/EntrySettings.h
+++ b/apps/entry/src/EntrySettings.h
@@ -18,7 +18,9 @@
 struct RouteSettings {
   http::Address m_Listen;
   http::Address m_ReadinessListen;
-  /// Where other entries forward requests to; without a port: nowhere.
+  /// Where other entries forward requests to; without a port: nowhere. If the
+  /// settings don't name it, the port after control's hubs, where
+  /// `EntrySettings::m_HubPort` is known.
   http::Address m_ForwardListen;
   /// Retries for each request of a service, over all entries.
   double m_RetryShare = 0.2;
