Leave unknown settings keys out at the start instead of exiting

Callers see no entry, and the group loses a member, when a program is started with settings that were written for a newer version: the way back from an upgrade then depends on the order in which settings and programs change.

Cause: every schema refuses unknown keys, at the start too.

Change: a program that starts or reloads removes keys that it does not know and logs each with its place and value (event 1013, `setting_ignored`). `--check-config` refuses them as before, so that a slip is still found. Wrong values of known keys are refused everywhere.

Tests of settings, daemon and events pass.

--- a/libs/daemon/include/daemon/daemon.h
+++ b/libs/daemon/include/daemon/daemon.h
@@ -26,11 +26,15 @@
 /// Reads `--help --version --config FILE --check-config`.
 /// \returns the valid settings, or the code with which the program is to end;
 /// whatever the user has to be told has been printed then. Each finding in the
-/// settings is one line on standard error.
+/// settings is one line on standard error. Unknown keys are findings for
+/// `--check-config`; a program that starts logs them and leaves them out.
 std::variant<settings::Json, int>
 readSettings(int ArgumentCount, char **Arguments, const std::string &Program,
              const std::string &Summary, const settings::Json &Schema);
 
+/// Logs keys of a settings file that this version does not know.
+void reportIgnored(const std::vector<settings::Problem> &Ignored);
+
 /// The settings file that `readSettings` took: of `--config`, else of the
 /// variable WASABIVALE_CONFIG; empty when neither is given.
 std::string settingsFile(int ArgumentCount, char **Arguments);
--- a/libs/daemon/src/ReadSettings.cpp
+++ b/libs/daemon/src/ReadSettings.cpp
@@ -43,6 +43,13 @@
   return fmt::format("{}:{}", Member.m_Value, In.m_HubPort);
 }
 
+void reportIgnored(const std::vector<settings::Problem> &Ignored) {
+  for (const settings::Problem &Key : Ignored)
+    events::emit(events::Event::SettingIgnored, {{"file", Key.m_File},
+                                                 {"pointer", Key.m_Pointer},
+                                                 {"value", Key.m_Value}});
+}
+
 static void printProblems(const std::vector<settings::Problem> &Problems) {
   for (const settings::Problem &Finding : Problems) {
     events::emit(events::Event::SettingsInvalid,
@@ -54,9 +61,14 @@
   }
 }
 
+/// Loads the settings. \p IsCheck refuses unknown keys, which are left out
+/// otherwise.
 static std::variant<settings::Json, int>
-loadAndReport(const std::string &File, const settings::Json &Schema) {
-  auto Loaded = settings::load(File, Schema);
+loadAndReport(const std::string &File, const settings::Json &Schema,
+              bool IsCheck) {
+  std::vector<settings::Problem> Ignored;
+  auto Loaded = settings::load(File, Schema, IsCheck ? nullptr : &Ignored);
+  reportIgnored(Ignored);
   if (auto *Problems = std::get_if<std::vector<settings::Problem>>(&Loaded)) {
     printProblems(*Problems);
     return ExitUsage;
@@ -117,9 +129,9 @@
   const auto File = Given.count("config") != 0
                         ? Given["config"].as<std::string>()
                         : std::string(FromEnvironment);
-  auto Loaded = loadAndReport(File, Schema);
-  if (std::holds_alternative<settings::Json>(Loaded) &&
-      Given.count("check-config") != 0) {
+  const bool IsCheck = Given.count("check-config") != 0;
+  auto Loaded = loadAndReport(File, Schema, IsCheck);
+  if (IsCheck && std::holds_alternative<settings::Json>(Loaded)) {
     fmt::print("{}: valid\n", File);
     return ExitOk;
   }
--- a/libs/daemon/src/SettingsWatch.cpp
+++ b/libs/daemon/src/SettingsWatch.cpp
@@ -37,7 +37,9 @@
   if (!Asked && Text == m_FormerText)
     return;
   m_FormerText = Text;
-  const auto Read = settings::parse(Text, m_Schema, m_File);
+  std::vector<settings::Problem> Ignored;
+  const auto Read = settings::parse(Text, m_Schema, m_File, &Ignored);
+  reportIgnored(Ignored);
   if (const auto *Problems =
           std::get_if<std::vector<settings::Problem>>(&Read)) {
     for (const settings::Problem &Each : *Problems)
--- a/libs/settings/src/Settings.cpp
+++ b/libs/settings/src/Settings.cpp
@@ -52,6 +52,57 @@
                   std::move(Expected)}};
 }
 
+/// Follows a reference to a definition of the document's schema.
+const Json &resolve(const Json &Schema, const Json &Root) {
+  const auto Reference = Schema.find("$ref");
+  if (Reference == Schema.end())
+    return Schema;
+  return Root.at(
+      Json::json_pointer(Reference->get_ref<const std::string &>().substr(1)));
+}
+
+/// Removes unknown keys of a value and of what it contains.
+struct UnknownKeyRemoval {
+  const Json &m_Root; ///< Schema of the document.
+  const std::string &m_File;
+  std::vector<Problem> m_Removed;
+
+  void visitObject(Json &Value, const Json &Schema,
+                   const Json::json_pointer &Place) {
+    const Json None = Json::object();
+    const auto Properties = Schema.find("properties");
+    const Json &Known = Properties == Schema.end() ? None : *Properties;
+    const auto Others = Schema.find("additionalProperties");
+    const bool IsClosed = Others != Schema.end() && *Others == false;
+    for (auto It = Value.begin(); It != Value.end();) {
+      const Json::json_pointer Member = Place / It.key();
+      if (const auto Rule = Known.find(It.key()); Rule != Known.end())
+        visit(*It, *Rule, Member);
+      else if (Others != Schema.end() && Others->is_object())
+        visit(*It, *Others, Member);
+      else if (IsClosed) {
+        m_Removed.push_back({m_File, Member.to_string(), shortened(It->dump()),
+                             "a key that this version knows"});
+        It = Value.erase(It);
+        continue;
+      }
+      ++It;
+    }
+  }
+
+  void visit(Json &Value, const Json &Reference,
+             const Json::json_pointer &Place) {
+    const Json &Schema = resolve(Reference, m_Root);
+    if (Value.is_object())
+      return visitObject(Value, Schema, Place);
+    const auto Items = Schema.find("items");
+    if (!Value.is_array() || Items == Schema.end() || !Items->is_object())
+      return;
+    for (std::size_t I = 0; I < Value.size(); ++I)
+      visit(Value[I], *Items, Place / I);
+  }
+};
+
 } // namespace
 
 std::string describe(const Problem &Finding) {
@@ -82,8 +133,17 @@
   return Problems;
 }
 
-std::variant<Json, std::vector<Problem>>
-parse(std::string_view Text, const Json &Schema, const std::string &File) {
+std::vector<Problem> removeUnknownKeys(Json &Document, const Json &Schema,
+                                       const std::string &File) {
+  UnknownKeyRemoval Removal{Schema, File, {}};
+  Removal.visit(Document, Schema, Json::json_pointer());
+  return std::move(Removal.m_Removed);
+}
+
+std::variant<Json, std::vector<Problem>> parse(std::string_view Text,
+                                               const Json &Schema,
+                                               const std::string &File,
+                                               std::vector<Problem> *Ignored) {
   Json Document;
   try {
     Document = Json::parse(Text);
@@ -94,6 +154,8 @@
     // A number that fits no type, for example 1e999.
     return oneProblem(File, "", "(not valid JSON)", Failure.what());
   }
+  if (Ignored != nullptr)
+    *Ignored = removeUnknownKeys(Document, Schema, File);
   auto Problems = check(Document, Schema, File);
   if (!Problems.empty())
     return Problems;
@@ -101,13 +163,14 @@
 }
 
 std::variant<Json, std::vector<Problem>> load(const std::string &File,
-                                              const Json &Schema) {
+                                              const Json &Schema,
+                                              std::vector<Problem> *Ignored) {
   std::ifstream Input(File, std::ios::binary);
   if (!Input)
     return oneProblem(File, "", "(cannot be read)", "a readable JSON file");
   std::ostringstream Text;
   Text << Input.rdbuf();
-  return parse(Text.str(), Schema, File);
+  return parse(Text.str(), Schema, File, Ignored);
 }
 
 } // namespace wasabivale::settings
--- a/libs/settings/tests/SettingsTest.cpp
+++ b/libs/settings/tests/SettingsTest.cpp
@@ -53,6 +53,30 @@
       }
     }
   }
+  GIVEN("settings for a newer version, with keys that this one doesn't know") {
+    const std::string Text = R"({"id": "a", "port": 80, "new": {"x": 1},
+                                 "peers": [{"id": "b"}, {"zone": "z"}]})";
+    THEN("a check refuses them") {
+      CHECK(std::holds_alternative<std::vector<Problem>>(
+          parse(Text, Schema, "f.json")));
+    }
+    THEN("a program that starts leaves them out and names each") {
+      std::vector<Problem> Ignored;
+      const auto Loaded = parse(Text, Schema, "f.json", &Ignored);
+      REQUIRE(std::holds_alternative<Json>(Loaded));
+      CHECK(std::get<Json>(Loaded) == Json::parse(R"({"id": "a", "port": 80,
+                            "peers": [{"id": "b"}, {}]})"));
+      REQUIRE(Ignored.size() == 2);
+      CHECK(Ignored[0].m_Pointer == "/new");
+      CHECK(Ignored[0].m_Value == R"({"x":1})");
+      CHECK(Ignored[1].m_Pointer == "/peers/1/zone");
+    }
+    THEN("a wrong value beside them is still refused") {
+      std::vector<Problem> Ignored;
+      CHECK(std::holds_alternative<std::vector<Problem>>(parse(
+          R"({"id": "a", "port": 0, "new": 1})", Schema, "f.json", &Ignored)));
+    }
+  }
   GIVEN("a file that does not exist") {
     THEN("it is named") {
       const auto Loaded = load("/nonexistent/x.json", Schema);
