--- a/libs/fleet/src/Snapshot.cpp
+++ b/libs/fleet/src/Snapshot.cpp
@@ -378,6 +378,8 @@
     Fleet.m_TargetLimits.m_Limits[Row.address()] = {
         Row.per_second(), suspicionTime(logTime(Row.until_ns()))};
   Fleet.m_StreamVersions = read(Message.stream_versions());
+  if (!Message.has_stream_versions())
+    deriveServedVersions(Fleet);
   Fleet.m_Routes = {Message.routes().table(), Message.routes().source()};
   return Fleet;
 }
--- a/libs/fleet/src/StreamVersions.cpp
+++ b/libs/fleet/src/StreamVersions.cpp
@@ -67,6 +67,16 @@
     dropOldestVersion(Fleet.m_StreamVersions);
 }
 
+void deriveServedVersions(State &Fleet) {
+  auto &LastServed = Fleet.m_StreamVersions.m_LastServed;
+  for (const auto &[Name, Target] : Fleet.m_Targets.m_ById)
+    for (const std::string &Service : Target.m_Models) {
+      LogTime &Served = LastServed[{Service, Target.m_SoftwareVersion}];
+      Served = std::max(Served, Target.m_StateSince);
+    }
+  recordServedVersions(Fleet);
+}
+
 void expireStreamVersions(State &Fleet) {
   StreamVersions &Versions = Fleet.m_StreamVersions;
   const auto IsOld = [&](const auto &Item) {
--- a/libs/fleet/src/StreamVersions.h
+++ b/libs/fleet/src/StreamVersions.h
@@ -20,6 +20,9 @@
 
 void write(wire::StreamVersionsState &Message, const StreamVersions &Versions);
 StreamVersions read(const wire::StreamVersionsState &Message);
+/// Derives the served versions from the targets, for a snapshot of a version
+/// that did not keep them.
+void deriveServedVersions(State &Fleet);
 
 } // namespace wasabivale::fleet
 
--- a/libs/fleet/tests/StreamVersionsTest.cpp
+++ b/libs/fleet/tests/StreamVersionsTest.cpp
@@ -1,5 +1,7 @@
 #include "fleet/fleet.h"
 
+#include "state.pb.h"
+
 #include <catch2/catch.hpp>
 
 using namespace wasabivale;
@@ -182,6 +184,33 @@
   }
 }
 
+// Otherwise a stream of a version that has just left goes on at the next.
+SCENARIO("a snapshot of a member without stream versions hides no version") {
+  Fixture Leader;
+  Leader.announce("1", "v1");
+  Leader.announce("2", "v2");
+  Leader.record(7, "v1");
+  Leader.lose("1");
+  wire::FleetState Former;
+  REQUIRE(Former.ParseFromString(snapshot(Leader.m_State)));
+  Former.clear_stream_versions();
+  auto Restored = restore(Former.SerializeAsString());
+  REQUIRE_FALSE(failed(Restored));
+  Fixture Upgraded{valueOf(Restored), Leader.m_Now};
+  THEN("a version that has left counts for the time of a stream") {
+    CHECK_FALSE(Upgraded.find(7));
+    Upgraded.pass(std::chrono::seconds(50));
+    CHECK(Upgraded.versions() == 2);
+    Upgraded.announce("3", "v2");
+    CHECK_FALSE(Upgraded.find(7));
+  }
+  THEN("it is forgotten then") {
+    Upgraded.pass(StreamVersionRetention + std::chrono::seconds(1));
+    CHECK(Upgraded.find(7) == hashBytes("v2"));
+    CHECK(Upgraded.versions() == 1);
+  }
+}
+
 SCENARIO("records of streams are bounded, and the oldest go first") {
   Fixture Leader;
   Leader.announce("1", "v1");
