Keep versions that an entry has seen when the leader does not tell them

Cause: an older leader's updates have no list of served versions. The entry replaced its list by the versions registered now, took a version that had just left for one that never was, and resumed at the only one left.

Evidence: the test `a version that has left counts without being told` failed: 200 and a run at v2 for a stream that may have begun at v1.

Measured: the test passes, with those beside it in StreamVersionsTest.cpp.

--- a/apps/entry/src/StreamVersions.cpp
+++ b/apps/entry/src/StreamVersions.cpp
@@ -45,6 +45,7 @@
   for (const auto &[Service, Versions] : m_Fleet.softwareVersions())
     for (const std::string &Version : Versions)
       m_Versions[Service][Version] = TimePoint::max();
+  keepFormerVersions(Former, Now);
   for (const auto &[Service, Versions] : m_Versions) {
     const auto Before = Former.find(Service);
     if (Versions.size() > 1 &&
@@ -58,6 +59,18 @@
       report(Stream, Record, Now);
 }
 
+/// A leader of another version may not tell versions that have left.
+void StreamVersions::keepFormerVersions(const ServiceVersions &Former,
+                                        TimePoint Now) {
+  for (const auto &[Service, Versions] : Former)
+    for (const auto &[Version, ForgottenAt] : Versions) {
+      const TimePoint KeptUntil =
+          std::min<TimePoint>(ForgottenAt, Now + Retention);
+      if (Now < KeptUntil)
+        m_Versions[Service].try_emplace(Version, KeptUntil);
+    }
+}
+
 void StreamVersions::takeGrant(const wire::ControlGrant &Grant,
                                TimePoint LeaseEnd) {
   if (Grant.fleet_revision() > m_FleetRevision)
--- a/apps/entry/src/StreamVersions.h
+++ b/apps/entry/src/StreamVersions.h
@@ -70,6 +70,11 @@
     TimePoint m_NextReport;
   };
 
+  /// When each version of a service is forgotten.
+  using ServiceVersions =
+      std::map<std::string, std::map<std::string, TimePoint>>;
+
+  void keepFormerVersions(const ServiceVersions &Former, TimePoint Now);
   [[nodiscard]] bool hasSeveralVersions(const std::string &Service,
                                         TimePoint Now) const;
   [[nodiscard]] std::vector<std::string>
@@ -89,8 +94,7 @@
   EntryMetrics &m_Metrics;
   LedgerClient::Call m_Control;
   std::unordered_map<StreamKey, Row> m_Streams;
-  /// When each version of a service is forgotten.
-  std::map<std::string, std::map<std::string, TimePoint>> m_Versions;
+  ServiceVersions m_Versions;
   std::uint64_t m_FleetRevision = 0;
   /// Until then the versions are as control has confirmed them.
   TimePoint m_ConfirmedUntil;
--- a/apps/entry/tests/StreamVersionsTest.cpp
+++ b/apps/entry/tests/StreamVersionsTest.cpp
@@ -222,6 +222,22 @@
   }
 }
 
+// Control members of a former version tell no versions that have left.
+SCENARIO("a version that has left counts without being told") {
+  TwoVersions Fixture({"v1"});
+  for (wire::Target &Target : *Fixture.m_Shop.m_Fleet.mutable_targets())
+    Target.set_state("lost");
+  Fixture.add("v2");
+  Fixture.m_Shop.m_Fleet.set_revision(2);
+  REQUIRE(Fixture.m_Shop.m_Path->takeFleet(Fixture.m_Shop.m_Fleet));
+  Fixture.m_Shop.grant();
+  Fixture.m_Control.m_IsReachable = false;
+  THEN("a stream that began elsewhere does not go on at the only one left") {
+    CHECK(Fixture.resume("b-1", "a-1").m_Status == 503);
+    CHECK(Fixture.m_Ran.empty());
+  }
+}
+
 SCENARIO("a stream without events begins at another version only when its "
          "record is withdrawn") {
   TwoVersions Fixture({"v1", "v2"});
