--- a/apps/entry/src/StreamVersions.h
+++ b/apps/entry/src/StreamVersions.h
@@ -71,6 +71,11 @@
     TimePoint m_NextReport;
   };
 
+  /// When each version of a service is forgotten.
+  using ServiceVersions =
+      std::map<std::string, std::map<std::string, TimePoint>>;
+
+  void keepFormerVersions(const ServiceVersions &Former, TimePoint Now);
   [[nodiscard]] bool hasSeveralVersions(const std::string &Service,
                                         TimePoint Now) const;
   [[nodiscard]] std::vector<std::string>
@@ -90,8 +95,7 @@
   EntryMetrics &m_Metrics;
   LedgerClient::Call m_Control;
   std::unordered_map<StreamKey, Row> m_Streams;
-  /// When each version of a service is forgotten.
-  std::map<std::string, std::map<std::string, TimePoint>> m_Versions;
+  ServiceVersions m_Versions;
   std::vector<StreamKey> m_Unsent;
   TimePoint m_NextSend;
   std::unique_ptr<http::Timer> m_SendTimer;
