Ignore SIGHUP until the settings can be read again

What callers saw: a process that got SIGHUP in the first milliseconds after its start ended by it; its requests were served by others until it was started again.

Cause: a signal that asks for the settings to be read has the default action, the end of the process, until the event loop handles it.

Change: readSettings, the first call of each program, ignores the signal. The file is read after that, so that nothing newer is missed. What the dynamic linker does before main is not covered; a process can't close that gap itself.

--- a/libs/daemon/include/daemon/daemon.h
+++ b/libs/daemon/include/daemon/daemon.h
@@ -28,6 +28,7 @@
 /// whatever the user has to be told has been printed then. Each finding in the
 /// settings is one line on standard error. Unknown keys are findings for
 /// `--check-config`; a program that starts logs them and leaves them out.
+/// From here on SIGHUP does not end the process.
 std::variant<settings::Json, int>
 readSettings(int ArgumentCount, char **Arguments, const std::string &Program,
              const std::string &Summary, const settings::Json &Schema);
--- a/libs/daemon/src/ReadSettings.cpp
+++ b/libs/daemon/src/ReadSettings.cpp
@@ -3,6 +3,7 @@
 #include "events/events.h"
 
 #include <boost/program_options.hpp>
+#include <csignal>
 #include <fmt/format.h>
 #include <sstream>
 
@@ -94,6 +95,8 @@
 std::variant<settings::Json, int>
 readSettings(int ArgumentCount, char **Arguments, const std::string &Program,
              const std::string &Summary, const settings::Json &Schema) {
+  // The event loop handles it later; the file is read after this.
+  std::signal(SIGHUP, SIG_IGN);
   options::options_description Known("Options");
   auto Add = Known.add_options();
   Add("help,h", "print this text");
