Tell two claims of a target apart by its own word, not by the larger start

What callers saw: one heartbeat of another writer under a target's id, or under another id with its address, with a start in the far future, was answered 200 and committed; from then on all heartbeats of the real target got 409 or 503. A heartbeat with a sequence number far ahead made all later ones count as delayed: `draining` got 200 and the entries went on sending.

Cause: the leader and `apply` order processes by the larger start and messages by the larger sequence number, whoever said them, and nothing ever took a believed claim back. The leader's memory of sequence numbers was unbounded.

Change: `decideClaim` of libs/fleet compares each message with what is registered before anything is proposed. In this order: a later start after 2 s of silence, as before; the id that the process at the disputed address states, asked by a GET of its service's health path; who is heard steadily while the other is silent. A start more than 60 s ahead of the leader's time of day and a sequence number that leaps are refused. `draining` is obeyed in any order, and never acknowledged while its sender is in doubt; one that another writer said is revoked once the process says `ready` steadily and its address confirms it. Records are bounded and expire.

Members of older builds: `apply` is unchanged and gets ordinary announcements; a process that returns has the incarnation `ID@BORN/2` and a start that is not before the one it replaces, which older members accept. An older leader decides as it did.

Open: a leave of another writer is revoked only by the leader that heard it; a DELETE of another writer is obeyed, since it states nothing to check; a registration of a target that doesn't exist, at a free address, is believed until it falls silent.

--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -615,8 +615,10 @@
   repairGroup(Now);
   if (m_RoleOrders)
     m_RoleOrders->tick(m_State.m_Fleet, m_Observed, Now);
-  if (m_RegistryApi)
+  if (m_RegistryApi) {
     m_RegistryApi->answerLeaving(Now);
+    m_RegistryApi->expire(Now);
+  }
   fleet::expireEntries(m_Observed, Now);
   for (const wire::EntryGone &EndedSession : m_Observed.m_EndedSessions) {
     events::emit(events::Event::EntryLost, {{"entry", EndedSession.entry()}});
--- a/apps/control/src/RegistryApi.cpp
+++ b/apps/control/src/RegistryApi.cpp
@@ -11,6 +11,8 @@
 
 /// A leaving target waits 1 s for its answer, then asks another member.
 constexpr std::chrono::milliseconds LeaveTimeout{800};
+/// Services whose health paths are kept.
+constexpr std::size_t MaxHealthPaths = 1'024;
 constexpr int TemporaryRedirect = 307;
 constexpr int Conflict = 409;
 constexpr int Unavailable = 503;
@@ -50,28 +52,28 @@
          Target.m_State != fleet::TargetState::Withdrawn;
 }
 
-/// Whether everything in the message is already committed.
-bool isKnown(const fleet::Target &Known, const wire::Target &Announced) {
-  return Known.m_Incarnation == Announced.incarnation() &&
-         Known.m_Address == Announced.address() &&
-         Known.m_Role == Announced.role() &&
-         Known.m_MaxRunning == Announced.max_running() &&
-         Known.m_SoftwareVersion == Announced.software_version() &&
-         Known.m_State != fleet::TargetState::Lost;
+int statusOf(fleet::ClaimRefusal Reason) {
+  return Reason == fleet::ClaimRefusal::Undecided ? Unavailable : Conflict;
 }
 
 } // namespace
 
 void RegistryApi::startTerm() {
-  m_LastMessages.clear();
+  m_Claims = {};
   m_Control.m_Observed.m_ReceivesTargetReports = true;
 }
 
 void RegistryApi::endTerm() {
+  m_Questions.cancel();
   for (const Leaving &Pending : std::exchange(m_Leaving, {}))
-    refuse(
-        Pending.m_Call, Unavailable,
-        {"registry.leave", Pending.m_Target.m_Value, "no longer the leader"});
+    refuse(Pending.m_Call, Unavailable,
+           {"registry.leave", Pending.m_Targets.front().m_Value,
+            "no longer the leader"});
+}
+
+void RegistryApi::expire(TimePoint Now) {
+  fleet::expireClaims(m_Claims, m_Control.m_Observed, m_Control.m_State.m_Fleet,
+                      Now);
 }
 
 void RegistryApi::answer(const Exchange &Call) {
@@ -133,50 +135,95 @@
 }
 
 void RegistryApi::handle(const Exchange &Call, const platform::Beat &Message) {
-  const targets::Announcement &Announcement = Message.m_Target;
-  LastMessage &Last = m_LastMessages[Announcement.m_Id];
-  if (Last.m_Incarnation == Announcement.m_Incarnation &&
-      Message.m_Sequence <= Last.m_Sequence)
-    return accept(Call); // Delayed in transit; a newer one arrived.
-  const fleet::Target *Known = find(Announcement.m_Id);
-  const bool Same =
-      Known != nullptr && Known->m_Incarnation == Announcement.m_Incarnation;
-  if (!Same && Known != nullptr &&
-      Known->m_StartedMs > static_cast<std::uint64_t>(
-                               Message.m_StartedAt.time_since_epoch().count()))
-    return refuse(Call, Conflict,
-                  {"registry.beat", Announcement.m_Id.m_Value,
-                   "a later process of this target is known"});
-  Last = {Announcement.m_Incarnation, Message.m_Sequence};
-  fleet::recordTargetSeen(m_Control.m_Observed, Announcement.m_Id,
-                          Announcement.m_Incarnation, BootClock::now());
-  if (Message.m_Leaving) {
-    if (!Same)
-      return accept(Call); // No entry knows it.
-    return leave(Call, *Known);
-  }
-  if (Same &&
-      (isKnown(*Known, toWire(Message, m_Control.m_Settings.m_Regions)) ||
-       Known->m_LeaveRequested))
-    return accept(Call);
-  announce(Call, Message);
+  const fleet::Claim Claim{toWire(Message, m_Control.m_Settings.m_Regions),
+                           Message.m_Sequence, Message.m_Leaving};
+  decide(Call, fleet::hearClaim(m_Claims, Claim, BootClock::now()));
+}
+
+void RegistryApi::decide(const Exchange &Call, const fleet::HeardClaim &Heard) {
+  if (!m_Control.holdsLeaderLease())
+    return redirect(Call);
+  const auto TimeOfDay = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  const fleet::ClaimVerdict Verdict = fleet::decideClaim(
+      m_Claims, m_Control.m_State.m_Fleet, m_Control.m_Observed, Heard,
+      BootClock::now(), TimeOfDay);
+  if (const auto *Announced = std::get_if<fleet::AnnounceClaim>(&Verdict))
+    return announce(Call, Heard, Announced->m_Target);
+  if (const auto *Leavers = std::get_if<fleet::LeaveTargets>(&Verdict))
+    return leave(Call, Leavers->m_Targets);
+  if (const auto *Question = std::get_if<fleet::AskAddress>(&Verdict))
+    return ask(Call, Heard, Question->m_Address);
+  if (const auto *Refused = std::get_if<fleet::RefuseClaim>(&Verdict))
+    return refuseClaim(Call, Heard, *Refused);
+  accept(Call);
+}
+
+void RegistryApi::ask(const Exchange &Call, const fleet::HeardClaim &Heard,
+                      const std::string &Address) {
+  const wire::Target &Target = Heard.m_Message.m_Target;
+  const std::string Service = Target.models_size() > 0 ? Target.models(0) : "";
+  const bool IsAsked = m_Questions.ask(
+      Address, healthPath(Service),
+      [this, Call, Heard, Address](const platform::Identity &Answer) {
+        m_Control.m_Registry
+            .counter("wasabivale_target_questions_total",
+                     "Calls that ask a process at a disputed address for its "
+                     "id, by whether it told",
+                     {{"answered", Answer.m_Target.empty() ? "no" : "yes"}})
+            .add();
+        fleet::recordAnswer(
+            m_Claims, Address,
+            {Answer.m_Target, Answer.m_IsServing, BootClock::now()});
+        decide(Call, Heard);
+      });
+  if (!IsAsked)
+    refuseClaim(Call, Heard,
+                {fleet::ClaimRefusal::Undecided,
+                 "too many addresses are being asked for their targets"});
 }
 
-void RegistryApi::announce(const Exchange &Call,
-                           const platform::Beat &Message) {
+void RegistryApi::refuseClaim(const Exchange &Call,
+                              const fleet::HeardClaim &Heard,
+                              const fleet::RefuseClaim &Refused) {
+  const wire::Target &Target = Heard.m_Message.m_Target;
+  events::emit(events::Event::BeatRefused,
+               {{"target", Target.id()},
+                {"incarnation", Target.incarnation()},
+                {"address", Target.address()},
+                {"sequence", Heard.m_Message.m_Sequence},
+                {"message", Refused.m_Message}});
+  refuse(Call, statusOf(Refused.m_Reason),
+         {"registry.beat", Target.id(), Refused.m_Message});
+}
+
+const std::string &RegistryApi::healthPath(const std::string &Service) {
+  const fleet::Routes &Held = m_Control.m_State.m_Fleet.m_Routes;
+  if (m_HealthPaths.size() >= MaxHealthPaths)
+    m_HealthPaths.clear();
+  const auto [Found, IsNew] = m_HealthPaths.try_emplace(Service);
+  HealthPath &Known = Found->second;
+  if (IsNew || Known.m_RoutesVersion != Held.m_Table.version())
+    Known = {Held.m_Table.version(),
+             platform::readHealthPath(Held.m_Source, Service)};
+  return Known.m_Path;
+}
+
+void RegistryApi::announce(const Exchange &Call, const fleet::HeardClaim &Heard,
+                           wire::Target Announcement) {
+  const TargetId Id{Announcement.id()};
+  events::emit(events::Event::TargetAnnounced,
+               {{"target", Id},
+                {"incarnation", Announcement.incarnation()},
+                {"address", Announcement.address()},
+                {"service", Announcement.models(0)},
+                {"role", Announcement.role()},
+                {"sequence", Heard.m_Message.m_Sequence}});
   wire::Command Next;
-  *Next.mutable_announce_target()->mutable_target() =
-      toWire(Message, m_Control.m_Settings.m_Regions);
+  *Next.mutable_announce_target()->mutable_target() = std::move(Announcement);
   Next.set_request_id(randomIdentity());
-  events::emit(events::Event::TargetAnnounced,
-               {{"target", Message.m_Target.m_Id},
-                {"incarnation", Message.m_Target.m_Incarnation},
-                {"address", http::printAddress(Message.m_Target.m_Address)},
-                {"service", Next.announce_target().target().models(0)},
-                {"role", Next.announce_target().target().role()},
-                {"sequence", Message.m_Sequence}});
-  m_Control.propose(std::move(Next), [this, Call, Id = Message.m_Target.m_Id](
-                                         const wire::CallReply &Reply) {
+  m_Control.propose(std::move(Next), [this, Call,
+                                      Id](const wire::CallReply &Reply) {
     if (Reply.refusal() == 0)
       return accept(Call);
     events::emit(events::Event::BeatRefused, {{"target", Id},
@@ -188,53 +235,65 @@
 }
 
 void RegistryApi::handle(const Exchange &Call, const platform::Gone &Message) {
-  const fleet::Target *Known = find(Message.m_Target);
-  if (Known == nullptr)
+  fleet::forgetLeave(m_Claims, Message.m_Target);
+  if (find(Message.m_Target) == nullptr)
     return accept(Call); // No entry sends it work.
-  leave(Call, *Known);
+  leave(Call, {Message.m_Target});
 }
 
-void RegistryApi::leave(const Exchange &Call, const fleet::Target &Known) {
-  if (!isOpen(Known))
-    return waitUntilLeft(Call, Known.m_Id);
+void RegistryApi::leave(const Exchange &Call,
+                        const std::vector<TargetId> &Targets) {
+  const auto Open =
+      std::find_if(Targets.begin(), Targets.end(), [&](const TargetId &Id) {
+        const fleet::Target *Known = find(Id);
+        return Known != nullptr && isOpen(*Known);
+      });
+  if (Open == Targets.end())
+    return waitUntilLeft(Call, Targets);
   wire::Command Next;
-  Next.mutable_leave_target()->set_target(Known.m_Id.m_Value);
-  Next.mutable_leave_target()->set_incarnation(Known.m_Incarnation);
+  Next.mutable_leave_target()->set_target(Open->m_Value);
+  Next.mutable_leave_target()->set_incarnation(find(*Open)->m_Incarnation);
   Next.set_request_id(randomIdentity());
-  m_Control.propose(std::move(Next), [this, Call, Id = Known.m_Id](
+  m_Control.propose(std::move(Next), [this, Call, Targets, Id = *Open](
                                          const wire::CallReply &Reply) {
     if (Reply.refusal() == 0)
-      return waitUntilLeft(Call, Id);
+      return leave(Call, Targets);
     refuse(Call, Unavailable, {"registry.leave", Id.m_Value, Reply.message()});
   });
 }
 
-void RegistryApi::waitUntilLeft(const Exchange &Call, const TargetId &Target) {
+void RegistryApi::waitUntilLeft(const Exchange &Call,
+                                const std::vector<TargetId> &Targets) {
   const TimePoint Now = BootClock::now();
-  m_Leaving.push_back({Call, Target, Now + LeaveTimeout});
+  m_Leaving.push_back({Call, Targets, Now + LeaveTimeout});
   m_Control.sendChanges();
   answerLeaving(Now);
 }
 
+bool RegistryApi::hasLeft(const TargetId &Target, TimePoint Now) const {
+  const fleet::Target *Known = find(Target);
+  return Known == nullptr ||
+         (!isOpen(*Known) &&
+          fleet::isClosedAtAllEntries(m_Control.m_Observed, *Known, Now));
+}
+
 void RegistryApi::answerLeaving(TimePoint Now) {
   std::vector<Leaving> Waiting;
   for (Leaving &Pending : std::exchange(m_Leaving, {})) {
-    const fleet::Target *Known = find(Pending.m_Target);
-    const bool Left =
-        Known == nullptr ||
-        (!isOpen(*Known) &&
-         fleet::isClosedAtAllEntries(m_Control.m_Observed, *Known, Now));
-    if (Left) {
+    const TargetId &First = Pending.m_Targets.front();
+    if (std::all_of(
+            Pending.m_Targets.begin(), Pending.m_Targets.end(),
+            [&](const TargetId &Target) { return hasLeft(Target, Now); })) {
       events::emit(events::Event::TargetLeaving,
-                   {{"target", Pending.m_Target},
+                   {{"target", First},
                     {"entries", m_Control.m_Observed.m_Entries.size()}});
       accept(Pending.m_Call);
     } else if (Now >= Pending.m_AnswerBy) {
       events::emit(events::Event::LeaveNotSettled,
-                   {{"target", Pending.m_Target},
+                   {{"target", First},
                     {"entries", m_Control.m_Observed.m_Entries.size()}});
       refuse(Pending.m_Call, Unavailable,
-             {"registry.leave", Pending.m_Target.m_Value,
+             {"registry.leave", First.m_Value,
               "entries have not all acknowledged it"});
     } else {
       Waiting.push_back(std::move(Pending));
--- a/apps/control/src/RegistryApi.h
+++ b/apps/control/src/RegistryApi.h
@@ -6,6 +6,7 @@
 #define WASABIVALE_CONTROL_REGISTRYAPI_H
 
 #include "Control.h"
+#include "TargetQuestions.h"
 #include "platform/platform.h"
 
 #include <map>
@@ -18,26 +19,29 @@
 /// message is acknowledged once no entry sends it new work.
 class RegistryApi {
 public:
-  explicit RegistryApi(Control &Member) : m_Control(Member) {}
+  explicit RegistryApi(Control &Member)
+      : m_Control(Member), m_Questions(Member.m_Loop) {}
   void answer(const std::shared_ptr<http::Exchange> &Call);
   /// Answers leaving targets to which no entry sends new work.
   void answerLeaving(TimePoint Now);
+  /// Removes what is known of targets that are no longer heard.
+  void expire(TimePoint Now);
   void startTerm();
   void endTerm();
 
 private:
   using Exchange = std::shared_ptr<http::Exchange>;
 
-  /// Newest message of a target that this leader has accepted.
-  struct LastMessage {
-    std::string m_Incarnation;
-    std::uint64_t m_Sequence = 0;
-  };
   struct Leaving {
     Exchange m_Call;
-    TargetId m_Target;
+    std::vector<TargetId> m_Targets;
     TimePoint m_AnswerBy;
   };
+  /// Health path of a service in the routes of this version.
+  struct HealthPath {
+    std::uint64_t m_RoutesVersion = 0;
+    std::string m_Path;
+  };
 
   void redirect(const Exchange &Call);
   void refuse(const Exchange &Call, int Status, const Error &Reason);
@@ -46,14 +50,25 @@
   void handle(const Exchange &Call, const platform::PutRoutes &Message);
   void handle(const Exchange &Call, const platform::ReadRoutes &);
   void handle(const Exchange &Call, const platform::Unreadable &Message);
-  void announce(const Exchange &Call, const platform::Beat &Message);
-  void leave(const Exchange &Call, const fleet::Target &Known);
-  void waitUntilLeft(const Exchange &Call, const TargetId &Target);
+  void decide(const Exchange &Call, const fleet::HeardClaim &Heard);
+  void ask(const Exchange &Call, const fleet::HeardClaim &Heard,
+           const std::string &Address);
+  void refuseClaim(const Exchange &Call, const fleet::HeardClaim &Heard,
+                   const fleet::RefuseClaim &Refused);
+  void announce(const Exchange &Call, const fleet::HeardClaim &Heard,
+                wire::Target Announcement);
+  void leave(const Exchange &Call, const std::vector<TargetId> &Targets);
+  void waitUntilLeft(const Exchange &Call,
+                     const std::vector<TargetId> &Targets);
+  [[nodiscard]] bool hasLeft(const TargetId &Target, TimePoint Now) const;
+  const std::string &healthPath(const std::string &Service);
   void accept(const Exchange &Call) const;
   [[nodiscard]] const fleet::Target *find(const TargetId &Name) const;
 
   Control &m_Control;
-  std::map<TargetId, LastMessage> m_LastMessages;
+  fleet::ClaimRecords m_Claims;
+  TargetQuestions m_Questions;
+  std::map<std::string, HealthPath> m_HealthPaths; ///< By service.
   std::vector<Leaving> m_Leaving;
 };
 
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -588,6 +588,145 @@
 AppliedConfiguration appliedConfiguration(const ObservedState &Observed,
                                           const State &Fleet, TimePoint Now);
 
+// --- Claims of self-managed targets -----------------------------------------
+
+/// A message of a self-managed target claims an id, an address and a start. A
+/// message may come from another writer, so the leader compares it with what is
+/// registered before it proposes anything. What contradicts is decided by, in
+/// this order: a later start after silence, the id that the process at the
+/// address states, and who is heard steadily while the other is silent. All of
+/// this is memory of the leader; the state gets ordinary announcements.
+
+/// Largest lead of a target's clock that is believed without question.
+inline constexpr std::chrono::seconds MaxClockLead{60};
+/// Largest step between two sequence numbers of a process.
+inline constexpr std::uint64_t MaxSequenceStep = 1U << 20U;
+/// A registered process that has been silent for this long yields to a later
+/// start. Several times the interval of messages.
+inline constexpr std::chrono::seconds SilenceOfEnded{2};
+/// Messages, and the time between the first and the last of them, after which a
+/// claimant is heard steadily. A process sends several in this time, and those
+/// that were delayed arrive in a shorter one.
+inline constexpr std::uint32_t SteadyClaimMessages = 3;
+inline constexpr std::chrono::seconds SteadyClaimTime{2};
+/// A longer pause ends a series of messages.
+inline constexpr std::chrono::seconds ClaimPause{5};
+inline constexpr std::size_t MaxClaimRecords = 8'192;
+inline constexpr std::size_t MaxAddressAnswers = 1'024;
+/// Longer than a message may be delayed.
+inline constexpr std::chrono::seconds ClaimRetention{60};
+inline constexpr std::chrono::seconds AddressAnswerValidity{2};
+
+struct Claim {
+  /// As announced; its incarnation is that of the process.
+  wire::Target m_Target;
+  std::uint64_t m_Sequence = 0; ///< Rises with each message of a process.
+  bool m_Leaving = false;
+};
+
+struct ClaimKey {
+  TargetId m_Target;
+  std::string m_Incarnation;
+  std::string m_Address; ///< `ip:port`
+
+  bool operator==(const ClaimKey &) const = default;
+  bool operator<(const ClaimKey &Other) const {
+    return std::tie(m_Target, m_Incarnation, m_Address) <
+           std::tie(Other.m_Target, Other.m_Incarnation, Other.m_Address);
+  }
+};
+
+/// Messages with rising sequence numbers.
+struct ClaimSeries {
+  TimePoint m_Since;
+  TimePoint m_Newest;
+  std::uint64_t m_Sequence = 0;
+  std::uint32_t m_Count = 0;
+};
+
+struct ClaimRecord {
+  TimePoint m_HeardAt;
+  ClaimSeries m_Believed;
+  /// Messages that are late or leap. Once they are steady and the others are
+  /// silent, they are the ones to believe.
+  ClaimSeries m_Other;
+  /// The part of `m_Believed` since a contradicting target was last heard.
+  ClaimSeries m_Unopposed;
+  /// Messages that say `ready`, after one that said `leaving`.
+  std::optional<ClaimSeries> m_Leave;
+  std::string m_AskedAddress;
+  TimePoint m_NextAsk;
+  Duration m_AskInterval{0};
+  bool m_IsDenied = false; ///< By the newest answer of the address.
+};
+
+/// What the process at an address states of itself.
+struct AddressAnswer {
+  TargetId m_Target;        ///< Empty: no readable answer.
+  bool m_IsServing = false; ///< It is healthy and does not leave.
+  TimePoint m_At;
+};
+
+struct ClaimRecords {
+  std::map<ClaimKey, ClaimRecord> m_ByKey;
+  std::map<std::string, AddressAnswer> m_Answers;
+};
+
+enum class ClaimOrder : std::uint8_t { InOrder, Late, Leaping };
+
+struct HeardClaim {
+  Claim m_Message;
+  ClaimOrder m_Order = ClaimOrder::InOrder;
+};
+
+/// Nothing to change.
+struct AcknowledgeClaim {};
+/// Propose this announcement.
+struct AnnounceClaim {
+  wire::Target m_Target;
+};
+/// Acknowledge once no entry sends these new work.
+struct LeaveTargets {
+  std::vector<TargetId> m_Targets;
+};
+/// Ask the process at this address for its id, record the answer and decide
+/// again.
+struct AskAddress {
+  std::string m_Address;
+};
+enum class ClaimRefusal : std::uint8_t {
+  ImplausibleStart, ///< It lies in the future.
+  LeapingSequence,
+  Denied,    ///< The process at the address has another id.
+  Undecided, ///< Another claim is registered and not refuted.
+};
+struct RefuseClaim {
+  ClaimRefusal m_Reason = ClaimRefusal::Undecided;
+  std::string m_Message;
+};
+using ClaimVerdict = std::variant<AcknowledgeClaim, AnnounceClaim, LeaveTargets,
+                                  AskAddress, RefuseClaim>;
+
+/// Records a message; to be called once for each.
+HeardClaim hearClaim(ClaimRecords &Records, const Claim &Message,
+                     TimePoint Now);
+
+/// Decides on a message. \p TimeOfDay is the leader's, since the Unix epoch.
+/// It may be called again for the same message after an answer was recorded.
+ClaimVerdict decideClaim(ClaimRecords &Records, const State &Fleet,
+                         ObservedState &Observed, const HeardClaim &Heard,
+                         TimePoint Now, std::chrono::milliseconds TimeOfDay);
+
+void recordAnswer(ClaimRecords &Records, const std::string &Address,
+                  AddressAnswer Answer);
+
+/// The target has said by other means that it leaves, which is final.
+void forgetLeave(ClaimRecords &Records, const TargetId &Target);
+
+/// Removes what has expired.
+void expireClaims(ClaimRecords &Records, ObservedState &Observed,
+                  const State &Fleet, TimePoint Now);
+
 // --- Actions of the leader ------------------------------------------------
 
 struct ActionSettings {
