Test that a cut answer is never whole to callers, at an entry and forwarded

What callers saw: another operator reports a 200 with an empty or short body, framed as whole, from a target that stopped in its answer's head and closed. It was not seen here.

Evidence: no fault was found. A target and a forwarding peer answer with part of an answer (with a length, in chunks, without a length, HTTP/1.0; a plain answer and a stream) and close or reset the connection; callers never get a whole 200, and no stream ends within an event.

The places are every byte before a close at a target, every third byte before a reset and in a forward. Not covered: a peer process that is killed.

--- a/apps/entry/tests/ForwardTest.cpp
+++ b/apps/entry/tests/ForwardTest.cpp
@@ -1,6 +1,7 @@
 // Requests at an entry that reaches no target, and at the entries that it
 // forwards them to.
 
+#include "CutAnswer.h"
 #include "Forwarding.h"
 #include "Shop.h"
 
@@ -253,6 +254,36 @@
   }
 }
 
+SCENARIO("a forward's answer that is cut anywhere is not whole to callers") {
+  const std::string Fields = "Signed: s-1\r\nAttempt: r-1\r\n" +
+                             std::string(ForwardResultField) + ": answer\r\n";
+  const std::string Streamed = "Content-Type: text/event-stream\r\n" + Fields;
+  struct Row {
+    const char *m_Path;
+    std::string m_Fields;
+    std::string m_Body;
+  };
+  for (const Row &Case : {Row{"/book/7", Fields, "the answer"},
+                          Row{"/advice/7", Streamed, events(1, 2)}})
+    for (const WholeAnswer &Answer : wholeAnswers(Case.m_Fields, Case.m_Body))
+      for (const CutBy Ending : {CutBy::Close, CutBy::Reset}) {
+        // A peer states a length or chunks.
+        if (Answer.m_EndsWithConnection && Ending == CutBy::Close)
+          continue;
+        for (std::size_t Cut = 0; Cut < Answer.m_Bytes.size(); Cut += 3) {
+          INFO(Case.m_Path << " " << Answer.m_Name << " at " << Cut
+                           << (Ending == CutBy::Reset ? ", reset" : ""));
+          CutShop Around(answers(200, "whole"));
+          const CutAnswer Peer(Around.m_Loop.m_Base, FirstFakePort,
+                               Answer.m_Bytes.substr(0, Cut), Ending);
+          namePeers(*Around.m_Path, {FirstFakePort});
+          const Answered Got = Around.ask("POST", Case.m_Path);
+          CHECK(Peer.requests() == 1);
+          CHECK(Got.m_Status != 200);
+        }
+      }
+}
+
 SCENARIO("a peer that refuses a forward has not run it") {
   const Play Refuses = [](const Exchange &Arrived) {
     Arrived->relay(
--- a/apps/entry/tests/TargetAnswersTest.cpp
+++ b/apps/entry/tests/TargetAnswersTest.cpp
@@ -1,5 +1,6 @@
 // What targets answer beside the answer itself, through the whole data path.
 
+#include "CutAnswer.h"
 #include "Shop.h"
 
 #include <catch2/catch.hpp>
@@ -102,6 +103,49 @@
   }
 }
 
+SCENARIO("a target's answer that is cut anywhere is not whole to callers") {
+  const std::string Signed = "Signed: s-1\r\nAttempt: r-1\r\n";
+  const std::string Streamed = "Content-Type: text/event-stream\r\n" + Signed;
+  struct Row {
+    const char *m_Path;
+    std::string m_Fields;
+    std::string m_Body;
+  };
+  for (const Row &Case :
+       {Row{"/book/7", Signed, "the answer"},
+        Row{"/advice/7", Streamed, eventText(1) + eventText(2)}})
+    for (const WholeAnswer &Answer : wholeAnswers(Case.m_Fields, Case.m_Body))
+      for (const CutBy Ending : {CutBy::Close, CutBy::Reset})
+        for (std::size_t Cut = 0; Cut <= Answer.m_Bytes.size();
+             Cut += Ending == CutBy::Reset ? 3 : 1) {
+          const std::string Body =
+              Cut < Answer.m_HeadBytes
+                  ? ""
+                  : Answer.m_Bytes.substr(Answer.m_HeadBytes,
+                                          Cut - Answer.m_HeadBytes);
+          // Where the connection's end is the answer's, a shorter body that
+          // closes in order is whole, but no stream ends within an event.
+          const bool IsStream = Case.m_Fields == Streamed;
+          const bool MayBeWhole =
+              Ending == CutBy::Close && Cut >= Answer.m_HeadBytes &&
+              Answer.m_EndsWithConnection &&
+              (!IsStream || Body.empty() || Body == eventText(1));
+          if (Cut == Answer.m_Bytes.size() || MayBeWhole)
+            continue;
+          INFO(Case.m_Path << " " << Answer.m_Name << " at " << Cut
+                           << (Ending == CutBy::Reset ? ", reset" : ""));
+          Shop Fixture;
+          Fixture.addForeign();
+          const CutAnswer Target(Fixture.m_Loop.m_Base, FirstPort,
+                                 Answer.m_Bytes.substr(0, Cut), Ending);
+          REQUIRE(Fixture.m_Path->takeFleet(Fixture.m_Fleet));
+          Fixture.grant();
+          const Answered Got = Fixture.ask("POST", Case.m_Path);
+          CHECK(Target.requests() >= 1);
+          CHECK(Got.m_Status != 200);
+        }
+}
+
 SCENARIO("a status that promises is passed on only with its proof") {
   for (const int Status : {408, 429, 503}) {
     Shop Fixture;
