Register a process that starts anew at its id and address at once

A target that was started again under its id within 2 s of its last message was refused until these 2 s were over. Entries kept the description of the former process meanwhile, with its software version, to which they resume streams (ORDER), while its requests ran at the new one.

Cause: a later start counted only after 2 s of silence, also where it contradicts nothing: id and address are the same, and no other target can be meant.

Change: a later start at the registered id and address is taken at once, as it was before claims were compared.

--- a/libs/fleet/src/Claims.cpp
+++ b/libs/fleet/src/Claims.cpp
@@ -130,14 +130,20 @@
                                                    : Found->second.m_At;
 }
 
-/// Whether \p Target has ended, as far as its own messages say: it is silent
-/// and the claimant started later. That is not enough to take it out of service
-/// by a message that says `leaving`.
+/// Whether \p Target has ended, as far as messages say: the claimant started
+/// later, and is the same target at the same address, or \p Target is silent.
+/// That is not enough to take it out of service by a message that says
+/// `leaving`.
 bool yields(const Case &Case, const Target &Target) {
-  return Case.m_IsStartPlausible && !Case.m_Message.m_Leaving &&
-         Case.m_Message.m_Target.started_ms() > Target.m_StartedMs &&
-         (isLostOrWithdrawn(Target) ||
-          Case.m_Now - lastHeard(Case, Target) >= SilenceOfEnded);
+  const wire::Target &Announced = Case.m_Message.m_Target;
+  if (!Case.m_IsStartPlausible || Case.m_Message.m_Leaving ||
+      Announced.started_ms() <= Target.m_StartedMs)
+    return false;
+  // Entries must not keep the software version of the former process.
+  const bool IsRestart = Target.m_Id.m_Value == Announced.id() &&
+                         Target.m_Address == Announced.address();
+  return IsRestart || isLostOrWithdrawn(Target) ||
+         Case.m_Now - lastHeard(Case, Target) >= SilenceOfEnded;
 }
 
 /// Whether the claimant has been heard steadily since \p Target was last heard.
