Carry the health check of a service to entries

An entry knows no question that every target answers without running anything, so that nothing tells silent targets from long work. The path of the health check, which the operator's configuration names for each service, now goes with the routes.

Routes that are stored already have none until the next version is put; members of the former version ignore the new field.

--- a/libs/routes/include/routes/routes.h
+++ b/libs/routes/include/routes/routes.h
@@ -70,6 +70,7 @@
   std::uint32_t m_MaxConnections = 0;
   std::uint64_t m_KvCapacityTokens = 0; ///< Zero: not an engine.
   std::chrono::nanoseconds m_HandleTtl{0};
+  std::string m_HealthPath; ///< Of the health check of a target; empty: none.
 
   bool operator==(const Service &) const = default;
 };
--- a/libs/routes/src/Codec.cpp
+++ b/libs/routes/src/Codec.cpp
@@ -60,6 +60,7 @@
     ServiceMessage.set_max_connections(ServiceEntry.m_MaxConnections);
     ServiceMessage.set_kv_capacity_tokens(ServiceEntry.m_KvCapacityTokens);
     ServiceMessage.set_handle_ttl_ns(toNanoseconds(ServiceEntry.m_HandleTtl));
+    ServiceMessage.set_health_path(ServiceEntry.m_HealthPath);
   }
   Message.set_header_bytes(RouteTable.m_Limits.m_HeaderBytes);
   Message.set_body_bytes(RouteTable.m_Limits.m_BodyBytes);
@@ -78,7 +79,8 @@
     RouteTable.m_Services[ServiceMessage.name()] = {
         ServiceMessage.name(), ServiceMessage.max_connections(),
         ServiceMessage.kv_capacity_tokens(),
-        std::chrono::nanoseconds(ServiceMessage.handle_ttl_ns())};
+        std::chrono::nanoseconds(ServiceMessage.handle_ttl_ns()),
+        ServiceMessage.health_path()};
   RouteTable.m_Limits.m_HeaderBytes = Message.header_bytes();
   RouteTable.m_Limits.m_BodyBytes = Message.body_bytes();
   RouteTable.m_Limits.m_HeaderTimeout =
--- a/libs/routes/tests/RoutesTest.cpp
+++ b/libs/routes/tests/RoutesTest.cpp
@@ -21,8 +21,9 @@
 Table makeTable() {
   Table RouteTable;
   RouteTable.m_Version = 3;
-  RouteTable.m_Services["desk"] = {"desk", 96, 0, {}};
-  RouteTable.m_Services["llm"] = {"llm", 360, 500'000, std::chrono::seconds(5)};
+  RouteTable.m_Services["desk"] = {"desk", 96, 0, {}, ""};
+  RouteTable.m_Services["llm"] = {"llm", 360, 500'000, std::chrono::seconds(5),
+                                  "/health"};
   RouteTable.m_Routes = {
       makeRoute("all", "shop.example", "/", {{"desk", 1}}),
       makeRoute("notes", "shop.example", "/notes/", {{"llm", 1}}),
--- a/tools/fault-soak/src/Operator.cpp
+++ b/tools/fault-soak/src/Operator.cpp
@@ -56,7 +56,7 @@
   routes::Table Table;
   Table.m_Version = Version;
   for (const char *Name : Services)
-    Table.m_Services[Name] = {Name, MaxConnections, 0, {}};
+    Table.m_Services[Name] = {Name, MaxConnections, 0, {}, "/health"};
   Table.m_Limits.m_HeaderTimeout = 3s;
   Table.m_Limits.m_IdleTimeout = 15s;
   const Routes Content = routesOf(Variant);
