Detect at an entry that all targets leave its connections silent

What callers saw: requests to an entry whose connections to all targets are made but never answered hung until their deadlines.

Cause: a new connection counted as proof that targets are reached, and probes only connect. Whatever answers the handshake in a target's place hides the partition.

Evidence: 'an entry whose connections to all targets stay silent knows it' failed before (REQUIRE( IsCut() ), not within 8 s).

Change: requests that two targets leave unanswered while no byte arrives from any target for 1 s raise a suspicion. If connections are made meanwhile, the probes ask for the health check, and only bytes from a target end it. Six targets (or all of fewer) that don't answer for 0.5 s, after 1.5 s of silence, are a cut; while it lasts probes ask too. Nothing is asked while any target sends anything.

--- a/apps/entry/src/FleetView.cpp
+++ b/apps/entry/src/FleetView.cpp
@@ -57,7 +57,10 @@
 } // namespace
 
 void FleetView::applyRoutes(const routes::Table &Routes,
-                            routing::State &Routing, TimePoint Now) const {
+                            routing::State &Routing, TimePoint Now) {
+  m_HealthPaths.clear();
+  for (const auto &[Name, Service] : Routes.m_Services)
+    m_HealthPaths[Name] = Service.m_HealthPath;
   for (const auto &[Id, Target] : m_Targets)
     routing::updateTarget(Routing, toRouting(Target, Routes), Now);
 }
@@ -167,12 +170,17 @@
   std::set<std::string_view> Addresses;
   for (const auto &[Id, Target] : m_Targets) {
     const wire::Target &Description = Target.m_Description;
-    if (Description.state() == "serving" && Target.m_Address &&
-        Addresses.insert(Description.address()).second)
-      Serving.push_back(
-          {Description.address(),
-           Description.models().empty() ? "" : Description.models(0),
-           {Description.zone()}});
+    if (Description.state() != "serving" || !Target.m_Address ||
+        !Addresses.insert(Description.address()).second)
+      continue;
+    const std::string Service =
+        Description.models().empty() ? "" : Description.models(0);
+    const auto HealthPath = m_HealthPaths.find(Service);
+    Serving.push_back(
+        {Description.address(),
+         Service,
+         {Description.zone()},
+         HealthPath == m_HealthPaths.end() ? "" : HealthPath->second});
   }
   return Serving;
 }
--- a/apps/entry/src/FleetView.h
+++ b/apps/entry/src/FleetView.h
@@ -31,7 +31,7 @@
              routing::State &Routing, TimePoint Now);
   /// Routes tell what some targets do not say of themselves.
   void applyRoutes(const routes::Table &Routes, routing::State &Routing,
-                   TimePoint Now) const;
+                   TimePoint Now);
 
   /// The target, or null.
   [[nodiscard]] const Known *find(const TargetId &Id) const;
@@ -71,6 +71,7 @@
   void remove(const TargetId &Id, routing::State &Routing, TimePoint Now);
 
   std::map<TargetId, Known> m_Targets;
+  std::map<std::string, std::string> m_HealthPaths; ///< By service.
 };
 
 } // namespace wasabivale::entry
--- a/apps/entry/src/TargetReach.cpp
+++ b/apps/entry/src/TargetReach.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// A timer may fire this much too early: the loop reads its clock once a turn.
+constexpr std::chrono::milliseconds TimerError{50};
+
 std::int64_t milliseconds(Duration Value) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Value).count();
 }
@@ -34,9 +37,10 @@
   http::PoolObserver Observer;
   Observer.m_OnConnected = [this](const http::Address &Target) {
     const reach::Phase Before = phase();
+    const bool Asked = m_State.m_AsksTargets;
     const TimePoint Now = BootClock::now();
     reach::recordConnected(m_State, http::printAddress(Target), Now);
-    if (phase() != Before)
+    if (phase() != Before || m_State.m_AsksTargets != Asked)
       advanceSoon(Now);
   };
   Observer.m_OnFailure = [this](const http::Address &Target,
@@ -49,7 +53,11 @@
   m_Connections.observe(std::move(Observer));
 }
 
-TargetReach::~TargetReach() { m_Connections.observe({}); }
+TargetReach::~TargetReach() {
+  m_Connections.observe({});
+  for (const auto &[Address, Question] : m_Questions)
+    Question->cancel();
+}
 
 void TargetReach::recordFailure(const http::Address &Target,
                                 TimePoint SilentSince) {
@@ -64,8 +72,16 @@
   recordFailure(Target, SilentSince);
 }
 
+void TargetReach::recordWaiting(const http::Address &Target,
+                                TimePoint SilentSince) {
+  const TimePoint Now = BootClock::now();
+  if (reach::recordUnanswered(m_State, http::printAddress(Target), SilentSince,
+                              Now))
+    advanceSoon(Now);
+}
+
 void TargetReach::verify(TimePoint Since, std::function<void(bool)> Done) {
-  if (m_State.m_ConnectedAt >= Since)
+  if (m_State.m_ConnectedAt >= Since && !m_State.m_AsksTargets)
     return Done(true);
   m_Waiting.push_back(std::move(Done));
   reach::requestProbes(m_State);
@@ -73,12 +89,41 @@
 }
 
 void TargetReach::recordProbe(const std::string &Address,
-                              http::ListenerState Found) {
-  m_Probes.erase(Address);
-  reach::recordProbe(m_State, Address, toResult(Found), BootClock::now());
+                              reach::ProbeResult Result) {
+  reach::recordProbe(m_State, Address, Result, BootClock::now());
   advance();
 }
 
+void TargetReach::connect(const std::string &Address, TimePoint Deadline) {
+  // Only addresses that can be read are candidates.
+  m_Probes[Address] = std::make_unique<http::ListenerProbe>(
+      m_Loop, valueOf(http::parseAddress(Address)), Deadline,
+      [this, Address](http::ListenerState Found) {
+        m_Probes.erase(Address);
+        recordProbe(Address, toResult(Found));
+      });
+}
+
+void TargetReach::ask(const std::string &Address, const std::string &Path,
+                      TimePoint Deadline) {
+  http::ClientRequest Out;
+  Out.m_To = valueOf(http::parseAddress(Address));
+  Out.m_Method = "GET";
+  Out.m_Path = Path;
+  Out.m_Deadline = Deadline;
+  http::ClientHandlers Handlers;
+  Handlers.m_OnDone = [this, Address,
+                       Deadline](const Result<http::Response> &Answer) {
+    m_Questions.erase(Address);
+    const bool IsLate = BootClock::now() + TimerError >= Deadline;
+    recordProbe(Address, !failed(Answer) ? reach::ProbeResult::Answered
+                         : IsLate        ? reach::ProbeResult::Silent
+                                         : reach::ProbeResult::Rejected);
+  };
+  m_Questions[Address] =
+      http::call(m_Loop, std::move(Out), std::move(Handlers));
+}
+
 void TargetReach::advanceSoon(TimePoint When) {
   if (m_Next != nullptr && m_NextAt <= When)
     return;
@@ -94,22 +139,28 @@
 void TargetReach::advance() {
   const TimePoint Now = BootClock::now();
   const reach::Phase Before = phase();
+  const std::vector<reach::Candidate> Serving = m_Fleet.serving();
   const std::vector<std::string> Addresses =
-      reach::takeProbes(m_State, m_Fleet.serving(), Now);
+      reach::takeProbes(m_State, Serving, Now);
   if (Before == reach::Phase::Direct && phase() == reach::Phase::Suspected)
     events::emit(events::Event::TargetsProbed,
                  {{"failed", m_State.m_Failures.size()},
+                  {"unanswered", m_State.m_Unanswered.size()},
+                  {"health", m_State.m_AsksTargets},
                   {"serving", m_State.m_ServingCount},
                   {"probes", Addresses.size()}});
+  const TimePoint Deadline = Now + reach::probeTimeout(m_State);
   for (const std::string &Address : Addresses) {
     m_Metrics.m_ReachProbes.add();
-    // Only addresses that can be read are candidates.
-    m_Probes[Address] = std::make_unique<http::ListenerProbe>(
-        m_Loop, valueOf(http::parseAddress(Address)),
-        Now + m_State.m_Settings.m_ProbeTimeout,
-        [this, Address](http::ListenerState Found) {
-          recordProbe(Address, Found);
-        });
+    if (!m_State.m_AsksTargets) {
+      connect(Address, Deadline);
+      continue;
+    }
+    const auto Target = std::find_if(Serving.begin(), Serving.end(),
+                                     [&](const reach::Candidate &Known) {
+                                       return Known.m_Address == Address;
+                                     });
+    ask(Address, Target->m_HealthPath, Deadline);
   }
   logChange(Now);
   if (const auto Next = reach::nextProbesAt(m_State))
--- a/apps/entry/src/TargetReach.h
+++ b/apps/entry/src/TargetReach.h
@@ -35,6 +35,8 @@
 
   /// A request was given up at a target that was silent.
   void recordStalled(const http::Address &Target, TimePoint SilentSince);
+  /// A request that was sent waits at a silent target; again while it does.
+  void recordWaiting(const http::Address &Target, TimePoint SilentSince);
 
   /// Finds out whether a new connection to any target was made after \p Since,
   /// by probes if need be. \p Done gets the answer within one round of probes;
@@ -43,7 +45,11 @@
 
 private:
   void recordFailure(const http::Address &Target, TimePoint SilentSince);
-  void recordProbe(const std::string &Address, http::ListenerState Found);
+  void recordProbe(const std::string &Address, reach::ProbeResult Result);
+  void connect(const std::string &Address, TimePoint Deadline);
+  /// Asks for the target's health check.
+  void ask(const std::string &Address, const std::string &Path,
+           TimePoint Deadline);
   /// Starts the probes that are due and answers who waits for them.
   void advance();
   void advanceSoon(TimePoint When);
@@ -57,6 +63,7 @@
   reach::Phase m_Logged = reach::Phase::Direct;
   TimePoint m_CutAt;
   std::map<std::string, std::unique_ptr<http::ListenerProbe>> m_Probes;
+  std::map<std::string, std::shared_ptr<http::ClientCall>> m_Questions;
   std::vector<std::function<void(bool)>> m_Waiting;
   std::unique_ptr<http::Timer> m_Next;
   TimePoint m_NextAt;
--- a/apps/entry/src/Try.cpp
+++ b/apps/entry/src/Try.cpp
@@ -505,6 +505,8 @@
 void Try::check(TimePoint Now) {
   if (m_Released || m_Paused)
     return;
+  if (m_For.m_Passed && m_Call != nullptr && m_Call->hasSent())
+    m_Tools.m_Reach.recordWaiting(address(), m_SilentSince);
   bool Stalled = false;
   // Given up, a plain request that must not be repeated has no other way.
   if (m_For.m_Passed && m_For.m_NotRepeatable && !m_InPrefill)
--- a/apps/entry/tests/CutOffTest.cpp
+++ b/apps/entry/tests/CutOffTest.cpp
@@ -93,6 +93,57 @@
   CHECK(Fixture.m_Path->context().m_Traits.crashes() == 0);
 }
 
+SCENARIO("an entry whose connections to all targets stay silent knows it") {
+  Shop Fixture;
+  Fixture.m_Fleet.mutable_routes()->mutable_services(0)->set_health_path(
+      "/health");
+  bool IsSilent = false;
+  const auto Answer = [&IsSilent](const Exchange &Arrived) {
+    if (!IsSilent)
+      answers(200, "three left")(Arrived);
+  };
+  Fixture.open(std::vector<Play>(TargetCount, Answer));
+  const auto IsCut = [&] { return Fixture.m_Path->context().m_Reach.isCut(); };
+  CHECK(Fixture.ask("GET", "/stock/7").m_Status == 200);
+  IsSilent = true;
+  const TimePoint SilentAt = BootClock::now();
+  std::vector<std::shared_ptr<Answered>> Exchanges;
+  const auto Send = [&] {
+    Fixture.grant();
+    // May run once only, so that it is not given up before its deadline.
+    Exchanges.push_back(Fixture.start("POST", "/book/7"));
+    Fixture.m_Loop.turnFor(100ms);
+  };
+  WHEN("they are silent for a second") {
+    while (BootClock::now() - SilentAt < 1s)
+      Send();
+    IsSilent = false;
+    THEN("the entry is not cut") {
+      for (int I = 0; I < 20; ++I) {
+        Send();
+        CHECK_FALSE(IsCut());
+      }
+    }
+  }
+  WHEN("they stay silent") {
+    while (!IsCut() && BootClock::now() - SilentAt < 8s)
+      Send();
+    THEN("it is cut, and is not while they answer again") {
+      REQUIRE(IsCut());
+      CHECK(BootClock::now() - SilentAt > 1500ms);
+      CHECK(BootClock::now() - SilentAt < 3s);
+      CHECK(Fixture.m_Path->context().m_Traits.crashes() == 0);
+      const auto IsHealthCheck = [](const http::Request &Request) {
+        return Request.m_Path == "/health";
+      };
+      CHECK(std::count_if(Fixture.m_Seen.begin(), Fixture.m_Seen.end(),
+                          IsHealthCheck) <= 8);
+      IsSilent = false;
+      CHECK(Fixture.m_Loop.until([&] { return !IsCut(); }));
+    }
+  }
+}
+
 SCENARIO("an entry cut from all targets neither blames requests nor stays "
          "ready") {
   CutShop Fixture;
--- a/libs/reach/include/reach/reach.h
+++ b/libs/reach/include/reach/reach.h
@@ -6,8 +6,15 @@
 /// connections to two targets raise a suspicion; probes of others decide. A
 /// probe is a new connection on which nothing is sent. Any new connection that
 /// is made, by a request or a probe, ends the suspicion: one broken target, a
-/// rack or all targets of a service are no partition. What the probes find
-/// decides how soon the entry counts as cut:
+/// rack or all targets of a service are no partition.
+///
+/// Requests that two targets leave unanswered, while no target sends anything
+/// for `m_SilenceToSuspect`, raise a suspicion as well. A connection that is
+/// made during the silence proves nothing. Probes then ask for the health
+/// checks of targets that have one, and only bytes from a target end the
+/// suspicion.
+///
+/// What the probes find decides how soon the entry counts as cut:
 ///
 /// - All are answered by an error, such as a reset: once `m_TargetsToCut`
 ///   different targets have done so. Bytes on kept connections do not count
@@ -47,6 +54,12 @@
   /// smaller fleet.
   std::size_t m_TargetsToCut = 6;
   Duration m_ProbeTimeout = std::chrono::milliseconds(250);
+  /// Of a probe that asks for the health check.
+  Duration m_AnswerTimeout = std::chrono::milliseconds(500);
+  /// Shortest silence of a request that counts as unanswered.
+  Duration m_SilenceToRecord = std::chrono::milliseconds(500);
+  /// Shortest silence of all targets before some are asked.
+  Duration m_SilenceToSuspect = std::chrono::seconds(1);
   Duration m_SilenceToCut = std::chrono::milliseconds(1500);
   /// Shortest time between two suspicions that failures raise.
   Duration m_SuspicionInterval = std::chrono::seconds(1);
@@ -72,10 +85,12 @@
   std::string m_Address; ///< `ip:port`.
   std::string m_Service; ///< Model or service that it serves.
   ZoneId m_Zone;
+  std::string m_HealthPath{}; ///< Empty: it has no health check.
 };
 
 enum class ProbeResult : std::uint8_t {
   Connected,
+  Answered, ///< Bytes arrived, whatever they say.
   Rejected, ///< An error arrived, such as a reset.
   Silent,   ///< No answer in time.
 };
@@ -90,8 +105,11 @@
     TimePoint m_FailedAt; ///< The newest.
     TimePoint m_SilentSince;
   };
-  /// Failures since the newest connection, by address; each expires.
-  std::map<std::string, Failure> m_Failures;
+  using Failures = std::map<std::string, Failure>; ///< By address.
+  Failures m_Failures;   ///< Since the newest connection; each expires.
+  Failures m_Unanswered; ///< Whether connected or not; each expires.
+  /// Whether the probes of this phase ask for the health check.
+  bool m_AsksTargets = false;
   TimePoint m_NextSuspicion;
   bool m_IsProbingDue = false; ///< A suspicion was asked for.
   TimePoint m_NextProbe;
@@ -100,6 +118,7 @@
   std::map<std::string, TimePoint> m_Probing;
   std::map<std::string, TimePoint> m_ProbedAt; ///< Since the phase began.
   std::size_t m_ServingCount = 0;              ///< As of the last probes.
+  std::size_t m_AskableCount = 0; ///< With a health check, as of the same time.
   // While suspected.
   std::set<std::string> m_Failed;   ///< Addresses whose probes failed.
   std::set<std::string> m_Rejected; ///< Those of them that were answered.
@@ -121,16 +140,25 @@
 void recordFailure(State &Entry, const std::string &Address,
                    TimePoint SilentSince, TimePoint Now);
 
+/// Records that a request was sent to \p Address and nothing was heard there
+/// since \p SilentSince; again while it waits. \returns whether `takeProbes` is
+/// due.
+bool recordUnanswered(State &Entry, const std::string &Address,
+                      TimePoint SilentSince, TimePoint Now);
+
 /// Asks for a suspicion without waiting for failures, for a caller that needs
 /// to know. `isProbing` turns false once `takeProbes` and the results of its
 /// probes have decided; only a direct entry is probed for it.
 void requestProbes(State &Entry);
 
 /// Starts a suspicion or the next round of probes if one is due. \returns the
-/// addresses to probe now, each until \p Now + `m_ProbeTimeout`;
-/// `recordProbe` follows for each of them.
+/// addresses to probe now, each until \p Now + `probeTimeout` and by its health
+/// check if `m_AsksTargets`; `recordProbe` follows for each of them.
 std::vector<std::string>
-takeProbes(State &Entry, const std::vector<Candidate> &Serving, TimePoint Now);
+takeProbes(State &Entry, const std::vector<Candidate> &Fleet, TimePoint Now);
+
+/// Of the probes that `takeProbes` has returned last.
+Duration probeTimeout(const State &Entry);
 
 /// When `takeProbes` is due again if nothing else happens.
 std::optional<TimePoint> nextProbesAt(const State &Entry);
--- a/libs/reach/src/Reach.cpp
+++ b/libs/reach/src/Reach.cpp
@@ -1,6 +1,7 @@
 #include "reach/reach.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 
 namespace wasabivale::reach {
@@ -27,14 +28,55 @@
   Entry.m_ProbedAt.clear();
   if (Next != Phase::Direct)
     return;
+  Entry.m_AsksTargets = false;
   Entry.m_Failures.clear();
+  Entry.m_Unanswered.clear();
   Entry.m_NextSuspicion = Now + Entry.m_Settings.m_SuspicionInterval;
 }
 
 void expireFailures(State &Entry, TimePoint Now) {
-  std::erase_if(Entry.m_Failures, [&](const auto &Item) {
+  const auto IsOld = [&](const auto &Item) {
     return Now - Item.second.m_FailedAt > Entry.m_Settings.m_EvidenceDuration;
-  });
+  };
+  std::erase_if(Entry.m_Failures, IsOld);
+  std::erase_if(Entry.m_Unanswered, IsOld);
+}
+
+void recordSilence(State::Failures &Known, const std::string &Address,
+                   TimePoint SilentSince, TimePoint Now) {
+  const auto [Found, IsFirst] =
+      Known.try_emplace(Address, State::Failure{Now, SilentSince});
+  if (!IsFirst)
+    Found->second = {Now, std::min(Found->second.m_SilentSince, SilentSince)};
+}
+
+/// Since when at least two of \p Known have been silent: one may be silent by
+/// itself.
+std::optional<TimePoint> silentSince(const State::Failures &Known) {
+  if (Known.size() < FewestTargets)
+    return std::nullopt;
+  std::vector<TimePoint> Since;
+  for (const auto &[Address, Silent] : Known)
+    Since.push_back(Silent.m_SilentSince);
+  std::sort(Since.begin(), Since.end());
+  return Since[FewestTargets - 1];
+}
+
+/// Since when requests stay unanswered while nothing arrives from any target,
+/// if that is for long enough.
+std::optional<TimePoint> unansweredSince(const State &Entry, TimePoint Now) {
+  const auto Silent = silentSince(Entry.m_Unanswered);
+  if (!Silent)
+    return std::nullopt;
+  const TimePoint Since = std::max(*Silent, Entry.m_ReceivedAt);
+  if (Now - Since < Entry.m_Settings.m_SilenceToSuspect)
+    return std::nullopt;
+  return Since;
+}
+
+bool mayAskTargets(const State &Entry, TimePoint Now) {
+  return Entry.m_AskableCount >= FewestTargets &&
+         unansweredSince(Entry, Now).has_value();
 }
 
 bool isSuspicionDue(const State &Entry, TimePoint Now) {
@@ -42,21 +84,19 @@
     return false;
   return Entry.m_IsProbingDue ||
          (Now >= Entry.m_NextSuspicion &&
-          Entry.m_Failures.size() >= Entry.m_Settings.m_TargetsToSuspect);
+          (mayAskTargets(Entry, Now) ||
+           Entry.m_Failures.size() >= Entry.m_Settings.m_TargetsToSuspect));
 }
 
 /// From when on the silence that a suspicion found has lasted for long enough.
-/// It begins with the second target: the first may be silent by itself.
 TimePoint silenceDecides(const State &Entry) {
-  std::vector<TimePoint> Since;
-  for (const auto &[Address, Known] : Entry.m_Failures)
-    Since.push_back(Known.m_SilentSince);
-  std::sort(Since.begin(), Since.end());
-  const TimePoint Second = Since.size() < FewestTargets
-                               ? Entry.m_PhaseSince
-                               : Since[FewestTargets - 1];
-  return std::max({Second, Entry.m_ConnectedAt, Entry.m_ReceivedAt}) +
-         Entry.m_Settings.m_SilenceToCut;
+  const TimePoint Since =
+      silentSince(Entry.m_AsksTargets ? Entry.m_Unanswered : Entry.m_Failures)
+          .value_or(Entry.m_PhaseSince);
+  const TimePoint Reached =
+      Entry.m_AsksTargets ? Entry.m_ReceivedAt
+                          : std::max(Entry.m_ConnectedAt, Entry.m_ReceivedAt);
+  return std::max(Since, Reached) + Entry.m_Settings.m_SilenceToCut;
 }
 
 std::size_t targetsToCut(const State &Entry) {
@@ -144,7 +184,7 @@
   }
   if (isProbing(Entry))
     return 0;
-  Entry.m_NextProbe = Now + Entry.m_Settings.m_ProbeTimeout;
+  Entry.m_NextProbe = Now + probeTimeout(Entry);
   Entry.m_RoundStart = Now;
   Entry.m_RoundRejected = false;
   return Entry.m_Settings.m_ProbesPerRound;
@@ -157,6 +197,14 @@
   return Addresses.size();
 }
 
+std::vector<Candidate> withHealthCheck(const std::vector<Candidate> &Serving) {
+  std::vector<Candidate> Asked;
+  std::copy_if(
+      Serving.begin(), Serving.end(), std::back_inserter(Asked),
+      [](const Candidate &Target) { return !Target.m_HealthPath.empty(); });
+  return Asked;
+}
+
 } // namespace
 
 std::string_view phaseName(Phase Value) {
@@ -174,8 +222,13 @@
 bool recordConnected(State &Entry, const std::string &Address, TimePoint Now) {
   Entry.m_ConnectedAt = Now;
   Entry.m_Failures.clear();
-  if (Entry.m_Phase == Phase::Suspected)
-    enter(Entry, Phase::Direct, Now);
+  if (Entry.m_AsksTargets)
+    return false;
+  if (Entry.m_Phase == Phase::Suspected) {
+    const bool ProvesNothing = mayAskTargets(Entry, Now);
+    enter(Entry, ProvesNothing ? Phase::Suspected : Phase::Direct, Now);
+    Entry.m_AsksTargets = ProvesNothing;
+  }
   return Entry.m_Phase == Phase::Cut && recordReached(Entry, Address, Now);
 }
 
@@ -183,7 +236,8 @@
   Entry.m_ReceivedAt = Now;
   const bool WaitsForSilence = Entry.m_Phase == Phase::Suspected &&
                                !isProbing(Entry) && Now < Entry.m_NextProbe;
-  if (WaitsForSilence)
+  if (WaitsForSilence ||
+      (Entry.m_Phase == Phase::Suspected && Entry.m_AsksTargets))
     enter(Entry, Phase::Direct, Now);
 }
 
@@ -192,24 +246,45 @@
   if (Entry.m_Phase == Phase::Cut)
     return;
   expireFailures(Entry, Now);
-  const auto [Known, IsFirst] =
-      Entry.m_Failures.try_emplace(Address, State::Failure{Now, SilentSince});
-  if (!IsFirst)
-    Known->second = {Now, std::min(Known->second.m_SilentSince, SilentSince)};
+  recordSilence(Entry.m_Failures, Address, SilentSince, Now);
+  recordSilence(Entry.m_Unanswered, Address, SilentSince, Now);
   // A request that was sent earlier may give up later.
   if (Entry.m_Phase == Phase::Suspected && !isProbing(Entry) &&
       Now < Entry.m_NextProbe)
     Entry.m_NextProbe = std::max(Now, silenceDecides(Entry));
 }
 
+bool recordUnanswered(State &Entry, const std::string &Address,
+                      TimePoint SilentSince, TimePoint Now) {
+  if (Entry.m_Phase == Phase::Cut ||
+      Now - std::max(SilentSince, Entry.m_ReceivedAt) <
+          Entry.m_Settings.m_SilenceToRecord)
+    return false;
+  expireFailures(Entry, Now);
+  recordSilence(Entry.m_Unanswered, Address, SilentSince, Now);
+  return Entry.m_Phase == Phase::Direct && Now >= Entry.m_NextSuspicion &&
+         unansweredSince(Entry, Now).has_value();
+}
+
 void requestProbes(State &Entry) {
   Entry.m_IsProbingDue = Entry.m_Phase == Phase::Direct;
 }
 
+Duration probeTimeout(const State &Entry) {
+  return Entry.m_AsksTargets ? Entry.m_Settings.m_AnswerTimeout
+                             : Entry.m_Settings.m_ProbeTimeout;
+}
+
 std::vector<std::string>
-takeProbes(State &Entry, const std::vector<Candidate> &Serving, TimePoint Now) {
-  Entry.m_ServingCount = countServing(Serving);
+takeProbes(State &Entry, const std::vector<Candidate> &Fleet, TimePoint Now) {
   expireFailures(Entry, Now);
+  const std::vector<Candidate> Askable = withHealthCheck(Fleet);
+  Entry.m_AskableCount = countServing(Askable);
+  if (Entry.m_Phase == Phase::Direct)
+    Entry.m_AsksTargets = mayAskTargets(Entry, Now) &&
+                          Entry.m_ConnectedAt > *unansweredSince(Entry, Now);
+  const std::vector<Candidate> &Serving = Entry.m_AsksTargets ? Askable : Fleet;
+  Entry.m_ServingCount = countServing(Serving);
   // What is left of the fleet can't tell a partition from its own end.
   if (Entry.m_Phase == Phase::Suspected && Entry.m_ServingCount < FewestTargets)
     enter(Entry, Phase::Direct, Now);
@@ -255,6 +330,10 @@
   const auto Open = Entry.m_Probing.extract(Address);
   if (Result == ProbeResult::Connected)
     return recordConnected(Entry, Address, Now);
+  if (Result == ProbeResult::Answered) {
+    recordReceived(Entry, Now);
+    return Entry.m_Phase == Phase::Cut && recordReached(Entry, Address, Now);
+  }
   const bool IsOfPhase = !Open.empty() && Open.mapped() >= Entry.m_PhaseSince;
   if (Entry.m_Phase != Phase::Suspected || !IsOfPhase)
     return false;
