Keep a target that leaves while it is lost out of service

An announcement of the same process that was under way, or came late to a new leader, then put the target back into service. A leave that had been recorded was forgotten as well when its target was lost and announced once more.

Evidence: 'a lost target that has left is not taken back by a late message' failed before, the target served in both cases.

Change: a leave is recorded of a lost target too, in the order of the log, before it is acknowledged; only a later process of the target serves again.

Result: the test passes, and all tests of fleet.

--- a/apps/control/src/RegistryApi.cpp
+++ b/apps/control/src/RegistryApi.cpp
@@ -195,7 +195,8 @@
 }
 
 void RegistryApi::leave(const Exchange &Call, const fleet::Target &Known) {
-  if (!isOpen(Known))
+  // Also of a target that is lost: its next announcement may be under way.
+  if (Known.m_LeaveRequested || Known.m_State == fleet::TargetState::Withdrawn)
     return waitUntilLeft(Call, Known.m_Id);
   wire::Command Next;
   Next.mutable_leave_target()->set_target(Known.m_Id.m_Value);
--- a/libs/fleet/src/Targets.cpp
+++ b/libs/fleet/src/Targets.cpp
@@ -251,7 +251,8 @@
   if (!SameIncarnation && Target->m_SelfManaged &&
       Announcement.started_ms() < Target->m_StartedMs)
     return refuse(Refusal::StaleIncarnation);
-  if (SameIncarnation && Target->m_State != TargetState::Lost) {
+  if (SameIncarnation &&
+      (Target->m_State != TargetState::Lost || Target->m_LeaveRequested)) {
     if (Target->m_SelfManaged && announcementDiffers(*Target, Announcement)) {
       copyAnnouncement(*Target, Announcement);
       markChanged(Fleet.m_Targets, *Target);
@@ -268,9 +269,12 @@
     return refuse(Refusal::UnknownTarget);
   if (Target->m_Incarnation != Request.incarnation())
     return refuse(Refusal::StaleIncarnation);
-  if (Target->m_LeaveRequested || isLostOrWithdrawn(*Target))
+  if (Target->m_LeaveRequested || Target->m_State == TargetState::Withdrawn)
     return accept();
   Target->m_LeaveRequested = true;
+  // A late announcement must not bring it back.
+  if (Target->m_State == TargetState::Lost)
+    return accept();
   if (orderUnderWay(Fleet.m_Orders, Target->m_Id) != nullptr)
     return accept(); // It leaves after the order has ended.
   failStep(Fleet, *Target, "the target is leaving");
--- a/libs/fleet/tests/SelfManagedTest.cpp
+++ b/libs/fleet/tests/SelfManagedTest.cpp
@@ -197,6 +197,37 @@
   }
 }
 
+TEST_CASE("a lost target that has left is not taken back by a late message") {
+  SelfManagedFixture Fleet;
+  REQUIRE_FALSE(Fleet.announce("i-1", 100).m_Refusal);
+  wire::Command Lost;
+  Lost.mutable_lose_target()->set_target("i-1");
+  Lost.mutable_lose_target()->set_incarnation("i-1@100");
+  REQUIRE_FALSE(Fleet.apply(Lost).m_Refusal);
+  REQUIRE(Fleet.state("i-1") == TargetState::Lost);
+  SECTION("a target that was only silent serves again") {
+    REQUIRE_FALSE(Fleet.announce("i-1", 100).m_Refusal);
+    CHECK(Fleet.state("i-1") == TargetState::Serving);
+  }
+  SECTION("one that leaves while it is lost serves no more") {
+    REQUIRE_FALSE(Fleet.leave("i-1", 100).m_Refusal);
+    CHECK(Fleet.state("i-1") == TargetState::Lost);
+    CHECK_FALSE(Fleet.announce("i-1", 100).m_Refusal);
+    CHECK(Fleet.state("i-1") == TargetState::Lost);
+    SECTION("a later process of it does") {
+      REQUIRE_FALSE(Fleet.announce("i-1", 200).m_Refusal);
+      CHECK(Fleet.state("i-1") == TargetState::Serving);
+    }
+  }
+  SECTION("nor does one that has left before it was lost") {
+    REQUIRE_FALSE(Fleet.announce("i-1", 100).m_Refusal);
+    REQUIRE_FALSE(Fleet.leave("i-1", 100).m_Refusal);
+    REQUIRE_FALSE(Fleet.apply(Lost).m_Refusal);
+    CHECK_FALSE(Fleet.announce("i-1", 100).m_Refusal);
+    CHECK(Fleet.state("i-1") == TargetState::Lost);
+  }
+}
+
 TEST_CASE("a silent target is lost unless most targets are silent") {
   SelfManagedFixture Fleet;
   ObservedState Observed;
