Count requests during cuts only while another entry could be compared

Cause: the rule compares callers of entries that are cut with those of the others meanwhile. There was no other entry in touch to compare with, nor one to forward to.

Change: a request at an entry that is cut counts only if some entry is not cut when it is sent, and in touch until its end: the condition under which requests count as those of the others. Requests sent before and after count as ever (tests: 'it refuses while the other is cut off too, and after', 'it refuses while the other stops, and long before').

--- a/tools/fault-soak/src/Judge.cpp
+++ b/tools/fault-soak/src/Judge.cpp
@@ -144,6 +144,7 @@
   ++m_Counts.m_Sent;
   ++m_Windows[Request.m_Entry].m_Sent;
   m_Requests[Request.m_Id].m_Sent = Request;
+  m_Entries.insert(Request.m_Entry);
 }
 
 std::optional<unsigned> Judge::entryOf(const std::string &Id) const {
@@ -326,9 +327,15 @@
                        });
   };
   const bool IsAtCut = IsCut(Call.m_Entry);
-  const bool IsAtOther =
-      !IsAtCut &&
-      !wasDisturbed(Part::Cut, Call.m_Entry, Call.m_SentAt, Call.m_SentAt);
+  const auto IsOther = [&](unsigned Entry) {
+    return !IsCut(Entry) &&
+           !wasDisturbed(Part::Cut, Entry, Call.m_SentAt, Call.m_SentAt) &&
+           isInTouch(Entry, Call.m_SentAt, Got.m_EndedAt);
+  };
+  const bool IsAtOther = IsOther(Call.m_Entry);
+  // The rule compares with others in touch at the time.
+  if (std::none_of(m_Entries.begin(), m_Entries.end(), IsOther))
+    return;
   const bool IsAnyCut =
       std::any_of(m_Disturbances.begin(), m_Disturbances.end(),
                   [&](const auto &Disturbance) {
--- a/tools/fault-soak/src/Judge.h
+++ b/tools/fault-soak/src/Judge.h
@@ -194,6 +194,7 @@
   bool m_ChecksVersions;
   Counts m_Counts;
   std::map<std::string, Record> m_Requests;
+  std::set<unsigned> m_Entries; ///< Those that requests were sent to.
   std::map<std::pair<Part, unsigned>,
            std::vector<std::pair<TimePoint, TimePoint>>>
       m_Disturbances;
--- a/tools/fault-soak/tests/JudgeTest.cpp
+++ b/tools/fault-soak/tests/JudgeTest.cpp
@@ -289,6 +289,24 @@
       Case.m_Judge.checkCuts(Start + 10s);
       CHECK(Case.rules().empty());
     }
+    WHEN("it refuses while the other is cut off too, and after") {
+      Case.m_Judge.disturbed(Part::Cut, 1, Start + 5500ms, Start + 7s);
+      Ask(0, Start + 6s, 503);
+      Case.m_Judge.checkCuts(Start + 10s);
+      CHECK(Case.rules().empty());
+      Ask(0, Start + 8s, 503);
+      Case.m_Judge.checkCuts(Start + 10s);
+      CHECK(Case.rules() == "RECOVER ");
+    }
+    WHEN("it refuses while the other stops, and long before") {
+      Case.m_Judge.disturbed(Part::Start, 1, Start + 8s, Start + 9s);
+      Ask(0, Start + 8500ms, 503);
+      Case.m_Judge.checkCuts(Start + 10s);
+      CHECK(Case.rules().empty());
+      Ask(0, Start + 6s, 503);
+      Case.m_Judge.checkCuts(Start + 10s);
+      CHECK(Case.rules() == "RECOVER ");
+    }
     WHEN("it refuses only at the beginning") {
       Ask(0, Start + 2s, 503);
       Case.m_Judge.checkCuts(Start + 10s);
