--- a/apps/entry/tests/ServingTest.cpp
+++ b/apps/entry/tests/ServingTest.cpp
@@ -124,10 +124,14 @@
   World.m_Script = {Act::Flood};
   const auto Call = World.send(streamed(500), true); // 8 MB
   auto &Paused = World.m_Registry.gauge("wasabivale_entry_paused_streams", "");
-  REQUIRE(World.m_Loop.until([&] {
+  const bool HasPaused = World.m_Loop.until([&] {
     World.m_Path->updateGauges();
     return Paused.m_Value > 0;
-  }));
+  });
+  INFO("given up " << World.refusals(Refusal::ReaderTooSlow) << ", ended "
+                   << Call->m_Ended << ", received " << Call->m_Body.size()
+                   << ", open " << World.m_Path->open());
+  REQUIRE(HasPaused);
   WHEN("it reads on in time") {
     Call->m_Call->resume();
     THEN("it gets all of it") {
