--- a/apps/control/src/RegistryApi.cpp
+++ b/apps/control/src/RegistryApi.cpp
@@ -243,23 +243,35 @@
 
 void RegistryApi::leave(const Exchange &Call,
                         const std::vector<TargetId> &Targets) {
-  const auto Open =
-      std::find_if(Targets.begin(), Targets.end(), [&](const TargetId &Id) {
-        const fleet::Target *Known = find(Id);
-        return Known != nullptr && isOpen(*Known);
-      });
-  if (Open == Targets.end())
+  std::vector<wire::Command> Commands;
+  for (const TargetId &Id : Targets)
+    if (const fleet::Target *Known = find(Id))
+      for (wire::Command &Next :
+           fleet::leaveCommands(m_Control.m_State.m_Fleet, *Known))
+        Commands.push_back(std::move(Next));
+  if (Commands.empty())
     return waitUntilLeft(Call, Targets);
-  wire::Command Next;
-  Next.mutable_leave_target()->set_target(Open->m_Value);
-  Next.mutable_leave_target()->set_incarnation(find(*Open)->m_Incarnation);
-  Next.set_request_id(randomIdentity());
-  m_Control.propose(std::move(Next), [this, Call, Targets, Id = *Open](
-                                         const wire::CallReply &Reply) {
-    if (Reply.refusal() == 0)
-      return leave(Call, Targets);
-    refuse(Call, Unavailable, {"registry.leave", Id.m_Value, Reply.message()});
-  });
+  struct Progress {
+    std::size_t m_Pending = 0;
+    std::string m_Failure;
+  };
+  const auto Committing = std::make_shared<Progress>();
+  Committing->m_Pending = Commands.size();
+  for (wire::Command &Next : Commands) {
+    Next.set_request_id(randomIdentity());
+    m_Control.propose(std::move(Next), [this, Call, Targets, Committing](
+                                           const wire::CallReply &Reply) {
+      if (Reply.refusal() != 0)
+        Committing->m_Failure = Reply.message();
+      if (--Committing->m_Pending > 0)
+        return;
+      if (Committing->m_Failure.empty())
+        return waitUntilLeft(Call, Targets);
+      refuse(
+          Call, Unavailable,
+          {"registry.leave", Targets.front().m_Value, Committing->m_Failure});
+    });
+  }
 }
 
 void RegistryApi::waitUntilLeft(const Exchange &Call,
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -720,6 +720,13 @@
 void recordAnswer(ClaimRecords &Records, const std::string &Address,
                   AddressAnswer Answer);
 
+/// What to commit, in this order, so that a target gets no new work until a
+/// later process of it registers; empty if that holds. A lost target is
+/// announced once more before it leaves: a leave of a lost one leaves no trace
+/// in the state, and a late announcement would bring it back.
+std::vector<wire::Command> leaveCommands(const State &Fleet,
+                                         const Target &Leaving);
+
 /// The target has said by other means that it leaves, which is final.
 void forgetLeave(ClaimRecords &Records, const TargetId &Target);
 
--- a/libs/fleet/src/Targets.cpp
+++ b/libs/fleet/src/Targets.cpp
@@ -278,6 +278,25 @@
   return accept();
 }
 
+std::vector<wire::Command> leaveCommands(const State &Fleet,
+                                         const Target &Leaving) {
+  const bool IsLost = Leaving.m_State == TargetState::Lost;
+  const bool IsReplaced =
+      IsLost && findAddressHolder(Fleet.m_Targets, Leaving.m_Address,
+                                  Leaving.m_Id) != nullptr;
+  if (Leaving.m_LeaveRequested || IsReplaced ||
+      Leaving.m_State == TargetState::Withdrawn)
+    return {};
+  std::vector<wire::Command> Commands;
+  if (IsLost)
+    *Commands.emplace_back().mutable_announce_target()->mutable_target() =
+        toWire(Leaving);
+  wire::LeaveTarget &Leave = *Commands.emplace_back().mutable_leave_target();
+  Leave.set_target(Leaving.m_Id.m_Value);
+  Leave.set_incarnation(Leaving.m_Incarnation);
+  return Commands;
+}
+
 Reply handleHold(State &Fleet, const wire::HoldTarget &Request) {
   Target *Target = findTarget(Fleet.m_Targets, {Request.target()});
   if (Target == nullptr)
--- a/libs/fleet/tests/ClaimsTest.cpp
+++ b/libs/fleet/tests/ClaimsTest.cpp
@@ -359,6 +359,57 @@
   }
 }
 
+TEST_CASE("a lost target that has left is not taken back by a late message") {
+  Leader Leader;
+  RealTarget Real{Leader};
+  REQUIRE(Real.beatUntilServed() == 1);
+  const auto Lose = [&] {
+    wire::Command Lost;
+    Lost.mutable_lose_target()->set_target("i-1");
+    Lost.mutable_lose_target()->set_incarnation("i-1@" +
+                                                std::to_string(Real.m_Born));
+    REQUIRE_FALSE(Leader.commit(Lost).m_Refusal);
+  };
+  const auto Leave = [&] {
+    for (const wire::Command &Next : leaveCommands(
+             Leader.m_State, Leader.m_State.m_Targets.m_ById.at({"i-1"})))
+      REQUIRE_FALSE(Leader.commit(Next).m_Refusal);
+  };
+  SECTION("one that was only silent serves again") {
+    Lose();
+    CHECK(Real.say());
+    CHECK(Leader.serves("i-1"));
+  }
+  SECTION("one that leaves while it is lost serves no more") {
+    Lose();
+    Leave();
+    CHECK_FALSE(Leader.serves("i-1"));
+    const bool IsNewLeader = GENERATE(false, true);
+    if (IsNewLeader)
+      Leader.changeLeader();
+    CHECK(Real.say());
+    CHECK_FALSE(Leader.serves("i-1"));
+    SECTION("a later process of it does") {
+      Real.m_Born = Leader.unixMilliseconds() + 1;
+      Real.m_Sequence = 0;
+      CHECK(Real.say());
+      CHECK(Leader.serves("i-1"));
+    }
+  }
+  SECTION("nor does one that has left before it was lost") {
+    Leave();
+    Lose();
+    CHECK(Real.say());
+    CHECK_FALSE(Leader.serves("i-1"));
+  }
+  SECTION("its leave takes no address from a target that has it now") {
+    Lose();
+    REQUIRE(Leader.hear("i-2", Real.m_Born + 1, 1));
+    Leave();
+    CHECK(Leader.serves("i-2"));
+  }
+}
+
 TEST_CASE("memory of claims is bounded and expires") {
   Leader Leader;
   for (std::uint64_t Count = 0; Count < MaxClaimRecords + 10; ++Count) {
