Trust an entry's own memory of a stream only if it passed an event on

What callers saw: nothing yet; found by the review. A stream that began at one version through another entry could go on at a second version here (ORDER).

An entry that forwards, or a caller that comes again under the same first attempt, may have begun the stream elsewhere since.

Change: a row answers for a stream only once an event of it went through this entry at that version; else control is asked, which knows of both records, or refuses.

Evidence: the scenario 'a try without events does not tell the version of a stream that began elsewhere' passes; it was not run on the former code, where the row was returned before control was asked.

--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -837,6 +837,8 @@
   else
     Metrics.m_BetweenTokens.record(Now - m_LastPieceAt);
   m_LastPieceAt = Now;
+  if (isRecorded() && m_Offset == m_FirstOffset)
+    m_Shared.m_StreamVersions.recordEvent(m_Stream);
   m_StreamVersion = m_TargetVersion;
   m_Offset = Piece.m_Offset + Piece.m_Tokens;
   Metrics.m_Tokens.add(Piece.m_Tokens);
--- a/apps/entry/src/StreamVersions.cpp
+++ b/apps/entry/src/StreamVersions.cpp
@@ -97,6 +97,8 @@
   if (Found == m_Streams.end() && m_Streams.size() >= MaxStreams)
     return;
   Row &Record = Found == m_Streams.end() ? m_Streams[Stream] : Found->second;
+  Record.m_HasEvent = Record.m_HasEvent && Record.m_Service == Service &&
+                      Record.m_Version == Version;
   Record.m_Service = Service;
   Record.m_Version = Version;
   Record.m_IsOpen = true;
@@ -105,6 +107,11 @@
     report(Stream, Record, Now);
 }
 
+void StreamVersions::recordEvent(StreamKey Stream) {
+  if (const auto Found = m_Streams.find(Stream); Found != m_Streams.end())
+    Found->second.m_HasEvent = true;
+}
+
 void StreamVersions::recordEnded(StreamKey Stream, TimePoint Now) {
   const auto Found = m_Streams.find(Stream);
   if (Found == m_Streams.end())
@@ -249,7 +256,9 @@
                           std::optional<StreamKey> Stream, TimePoint Deadline,
                           std::function<void(const Finding &)> Done) {
   if (Stream)
-    if (const auto Found = m_Streams.find(*Stream); Found != m_Streams.end())
+    // A try without an event may have been followed by one elsewhere.
+    if (const auto Found = m_Streams.find(*Stream);
+        Found != m_Streams.end() && Found->second.m_HasEvent)
       return Found->second.m_Service == Service
                  ? Done({Found->second.m_Version, "own_memory"})
                  : Done({std::nullopt, "other_service"});
--- a/apps/entry/src/StreamVersions.h
+++ b/apps/entry/src/StreamVersions.h
@@ -41,6 +41,8 @@
   /// A try of a stream is sent to a target of \p Version.
   void recordSent(StreamKey Stream, const std::string &Service,
                   const std::string &Version, TimePoint Now);
+  /// The first event of a stream from the target of the newest try arrived.
+  void recordEvent(StreamKey Stream);
   void recordEnded(StreamKey Stream, TimePoint Now);
   /// The version that control was told, to which a stream must keep.
   [[nodiscard]] std::optional<std::string>
@@ -64,6 +66,7 @@
     std::string m_Service;
     std::string m_Version;
     bool m_IsOpen = true;
+    bool m_HasEvent = false; ///< From this entry, at this version.
     bool m_IsReported = false;
     bool m_IsQueued = false; ///< In `m_Unsent`.
     bool m_IsReleased = false;
--- a/apps/entry/tests/StreamVersionsTest.cpp
+++ b/apps/entry/tests/StreamVersionsTest.cpp
@@ -329,6 +329,29 @@
   }
 }
 
+SCENARIO("a try without events does not tell the version of a stream that "
+         "began elsewhere") {
+  TwoVersions Fixture;
+  GIVEN("an entry with such a try at one version") {
+    Fixture.m_Shop.m_Path->streamVersions().recordSent(
+        hashBytes(std::string_view("a-1")), "llm", "v1", BootClock::now());
+    WHEN("the stream has begun at another version through another entry") {
+      Fixture.m_Control.record("a-1", "v2");
+      THEN("it goes on at that version") {
+        CHECK(Fixture.resume("b-1", "a-1").m_Status == 200);
+        CHECK(Fixture.m_Ran == std::vector<std::string>{"v2"});
+      }
+    }
+    WHEN("control does not answer") {
+      Fixture.m_Control.m_IsReachable = false;
+      THEN("it is refused") {
+        CHECK(Fixture.resume("b-1", "a-1").m_Status == 503);
+        CHECK(Fixture.m_Ran.empty());
+      }
+    }
+  }
+}
+
 SCENARIO("a stream whose route has moved to another service does not go on at "
          "an equally named version there") {
   TwoVersions Fixture;
