Keep a question that fails at once from being used after its end

What callers saw: nothing yet; found by the review. One heartbeat with a start in the future and an address to which no connection can be made could end the leader's process.

Cause: a call that can't connect ends before it is returned; its entry in the table of open questions was erased, and the reference to it written to.

Change: the call is stored only where the question is still open.

The former code was not run under a sanitizer.

--- a/apps/control/src/TargetQuestions.cpp
+++ b/apps/control/src/TargetQuestions.cpp
@@ -40,9 +40,11 @@
     for (const OnAnswer &Waiting : Ended.m_Waiting)
       Waiting(Answer);
   };
-  Question &Next = m_Open[Address];
-  Next.m_Waiting.push_back(std::move(Done));
-  Next.m_Call = http::call(m_Loop, std::move(Request), std::move(Handlers));
+  m_Open[Address].m_Waiting.push_back(std::move(Done));
+  auto Call = http::call(m_Loop, std::move(Request), std::move(Handlers));
+  // A call that can't connect may have ended already.
+  if (const auto Open = m_Open.find(Address); Open != m_Open.end())
+    Open->second.m_Call = std::move(Call);
   return true;
 }
 
--- a/apps/control/src/TargetQuestions.h
+++ b/apps/control/src/TargetQuestions.h
@@ -25,8 +25,8 @@
   TargetQuestions(const TargetQuestions &) = delete;
   TargetQuestions &operator=(const TargetQuestions &) = delete;
 
-  /// Calls \p Done once, from the loop, with an empty id if there is no
-  /// readable answer in time.
+  /// Calls \p Done once, with an empty id if there is no readable answer in
+  /// time; from within if the call fails at once.
   /// \returns false, and does nothing, if too many questions are open.
   bool ask(const std::string &Address, const std::string &HealthPath,
            OnAnswer Done);
