Keep a target that leaves out of service beside a later start of its id

What callers saw: nothing yet; found by the review. After an acknowledged leave one message of another writer under the same id with a later start took the target, which was draining, back into service (DRAIN).

Cause: a later start at the same id and address is taken for a restart at once.

Change: not after a leave: there it counts once the former process is silent, as for any other claim. Test: 'not for another writer's later start of its id'.

--- a/libs/fleet/src/Claims.cpp
+++ b/libs/fleet/src/Claims.cpp
@@ -139,9 +139,11 @@
   if (!Case.m_IsStartPlausible || Case.m_Message.m_Leaving ||
       Announced.started_ms() <= Target.m_StartedMs)
     return false;
-  // Entries must not keep the software version of the former process.
+  // Entries must not keep the software version of the former process. One that
+  // has said that it leaves may still be there.
   const bool IsRestart = Target.m_Id.m_Value == Announced.id() &&
-                         Target.m_Address == Announced.address();
+                         Target.m_Address == Announced.address() &&
+                         !Target.m_LeaveRequested;
   return IsRestart || isLostOrWithdrawn(Target) ||
          Case.m_Now - lastHeard(Case, Target) >= SilenceOfEnded;
 }
