Judge a leave only after the announcements before it

What callers saw: nothing yet; found by the review. A leave that arrived while an announcement of its target was being committed was acknowledged at once, as that of a target that no entry knows; then the announcement put the target into service (DRAIN).

Cause: the leave was judged by the applied state, which the proposal under way was about to change.

Change: while an announcement of a target is proposed and not decided, its leave gets 503, and the target asks again. Counted for each target, until the decision.

Evidence: 'a leave behind an announcement that is not committed yet is not acknowledged' passes (503, then 200); it was not run on the former code, whose answer to the leave of an unknown target is 200.

--- a/apps/control/src/RegistryApi.cpp
+++ b/apps/control/src/RegistryApi.cpp
@@ -143,6 +143,9 @@
 void RegistryApi::decide(const Exchange &Call, const fleet::HeardClaim &Heard) {
   if (!m_Control.holdsLeaderLease())
     return redirect(Call);
+  const TargetId Target{Heard.m_Message.m_Target.id()};
+  if (Heard.m_Message.m_Leaving && isAnnouncing(Target))
+    return refuseUnsettled(Call, Target);
   const auto TimeOfDay = std::chrono::duration_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now().time_since_epoch());
   const fleet::ClaimVerdict Verdict = fleet::decideClaim(
@@ -222,8 +225,11 @@
   wire::Command Next;
   *Next.mutable_announce_target()->mutable_target() = std::move(Announcement);
   Next.set_request_id(randomIdentity());
+  ++m_Announcing[Id];
   m_Control.propose(std::move(Next), [this, Call,
                                       Id](const wire::CallReply &Reply) {
+    if (--m_Announcing[Id] == 0)
+      m_Announcing.erase(Id);
     if (Reply.refusal() == 0)
       return accept(Call);
     events::emit(events::Event::BeatRefused, {{"target", Id},
@@ -234,7 +240,20 @@
   });
 }
 
+bool RegistryApi::isAnnouncing(const TargetId &Target) const {
+  return m_Announcing.count(Target) > 0;
+}
+
+void RegistryApi::refuseUnsettled(const Exchange &Call,
+                                  const TargetId &Target) {
+  refuse(Call, Unavailable,
+         {"registry.leave", Target.m_Value,
+          "an announcement of it is not committed yet"});
+}
+
 void RegistryApi::handle(const Exchange &Call, const platform::Gone &Message) {
+  if (isAnnouncing(Message.m_Target))
+    return refuseUnsettled(Call, Message.m_Target);
   fleet::forgetLeave(m_Claims, Message.m_Target);
   if (find(Message.m_Target) == nullptr)
     return accept(Call); // No entry sends it work.
--- a/apps/control/src/RegistryApi.h
+++ b/apps/control/src/RegistryApi.h
@@ -60,6 +60,10 @@
   void leave(const Exchange &Call, const std::vector<TargetId> &Targets);
   void waitUntilLeft(const Exchange &Call,
                      const std::vector<TargetId> &Targets);
+  /// Whether an announcement of the target is proposed and not decided: a leave
+  /// must not be judged by the state before it.
+  [[nodiscard]] bool isAnnouncing(const TargetId &Target) const;
+  void refuseUnsettled(const Exchange &Call, const TargetId &Target);
   [[nodiscard]] bool hasLeft(const TargetId &Target, TimePoint Now) const;
   const std::string &healthPath(const std::string &Service);
   void accept(const Exchange &Call) const;
@@ -70,6 +74,8 @@
   TargetQuestions m_Questions;
   std::map<std::string, HealthPath> m_HealthPaths; ///< By service.
   std::vector<Leaving> m_Leaving;
+  /// Proposals under way, by target.
+  std::map<TargetId, unsigned> m_Announcing;
 };
 
 } // namespace wasabivale::control
--- a/apps/control/tests/RegistryTest.cpp
+++ b/apps/control/tests/RegistryTest.cpp
@@ -89,10 +89,12 @@
     std::filesystem::remove_all(m_Folder);
   }
 
-  /// \returns the status of the answer, or zero.
-  int call(const std::string &Method, const std::string &Path,
-           const std::string &Body) {
-    std::optional<int> Status;
+  using Status = std::shared_ptr<std::optional<int>>;
+
+  /// \returns where the status of the answer, or zero, will be.
+  Status send(const std::string &Method, const std::string &Path,
+              const std::string &Body) {
+    auto Result = std::make_shared<std::optional<int>>();
     http::ClientRequest Request;
     Request.m_To = *m_Settings.m_RegistryListen;
     Request.m_Method = Method;
@@ -100,12 +102,17 @@
     Request.m_Body = Body;
     Request.m_Deadline = BootClock::now() + 2s;
     http::ClientHandlers Handlers;
-    Handlers.m_OnDone = [&](const Result<http::Response> &Response) {
-      Status = failed(Response) ? 0 : valueOf(Response).m_Status;
-    };
+    Handlers.m_OnDone =
+        [Result](const wasabivale::Result<http::Response> &Got) {
+          *Result = failed(Got) ? 0 : valueOf(Got).m_Status;
+        };
     http::call(m_Loop.m_Base, std::move(Request), std::move(Handlers));
-    m_Loop.until([&] { return Status.has_value(); });
-    return Status.value_or(0);
+    return Result;
+  }
+
+  [[nodiscard]] int wait(const Status &Sent) const {
+    m_Loop.until([&] { return Sent->has_value(); });
+    return Sent->value_or(0);
   }
 };
 
@@ -133,10 +140,15 @@
 
   int say(const std::string &Id, std::uint64_t Born, std::uint64_t Sequence,
           bool Leaving = false) {
+    return m_Cluster.wait(send(Id, Born, Sequence, Leaving, m_Address));
+  }
+  Cluster::Status send(const std::string &Id, std::uint64_t Born,
+                       std::uint64_t Sequence, bool Leaving,
+                       const http::Address &Address) {
     platform::Beat Beat;
     Beat.m_Target.m_Kind = targets::Kind::Service;
     Beat.m_Target.m_Services = {"book"};
-    Beat.m_Target.m_Address = m_Address;
+    Beat.m_Target.m_Address = Address;
     Beat.m_Target.m_Zone = {"zone"};
     Beat.m_Target.m_SoftwareVersion = "v1";
     Beat.m_Target.m_MaxRunning = 8;
@@ -144,7 +156,7 @@
         std::chrono::milliseconds(Born));
     Beat.m_Sequence = Sequence;
     Beat.m_Leaving = Leaving;
-    return m_Cluster.call("PUT", platform::targetPath({Id}),
+    return m_Cluster.send("PUT", platform::targetPath({Id}),
                           platform::printBeat(Beat));
   }
   int beat(bool Leaving = false) {
@@ -197,3 +209,29 @@
     CHECK(Real.beatUntil(200, 5s) == 200);
   }
 }
+
+TEST_CASE("a leave behind an announcement that is not committed yet is not "
+          "acknowledged") {
+  Cluster Cluster;
+  Process Other(Cluster, "i-2");
+  REQUIRE(Other.beatUntil(200, 5s) == 200);
+  Process Real(Cluster, "i-1");
+  const auto Ready = Real.send("i-1", Real.m_Born, 1, false, Real.m_Address);
+  const auto Leaving = Real.send("i-1", Real.m_Born, 2, true, Real.m_Address);
+  CHECK(Cluster.wait(Leaving) == 503);
+  CHECK(Cluster.wait(Ready) == 200);
+  // The leases of the former term have to end first.
+  Cluster.m_Loop.until([] { return false; }, 2500ms);
+  CHECK(Real.say("i-1", Real.m_Born, 3, true) == 200);
+}
+
+TEST_CASE("a claim for an address that can't be asked does not end the "
+          "process") {
+  Cluster Cluster;
+  Process Real(Cluster, "i-1");
+  REQUIRE(Real.beatUntil(200, 5s) == 200);
+  const http::Address Unreachable{"255.255.255.255", 80};
+  CHECK(Cluster.wait(Real.send("i-2", FarFuture, 1, false, Unreachable)) !=
+        200);
+  CHECK(Real.beat() == 200);
+}
