Name locals and parameters of the joined parts for what they hold

Readers met At, Of, Asked and Told as whole names, and a constant declared twice, which the linter refused.

--- a/apps/control/tests/SuspectNoticesTest.cpp
+++ b/apps/control/tests/SuspectNoticesTest.cpp
@@ -343,7 +343,6 @@
     }
     THEN("a new leader permits no trials before it may know all entries") {
       const auto Former = Permitted();
-      constexpr Duration Lease = 2040ms;
       fleet::startTerm(Observed, State.m_Fleet, Now, Lease);
       std::set<std::string> All = Former;
       for (int I = 0; I < 16; ++I) {
--- a/apps/control/tests/TargetRatesTest.cpp
+++ b/apps/control/tests/TargetRatesTest.cpp
@@ -22,8 +22,8 @@
   TargetRates m_Rates;
   Shares m_Shares;
   TimePoint m_Now{1000s};
-  std::map<NodeId, wire::ControlGrant> m_Told;
-  std::map<NodeId, std::uint32_t> m_NumberTold;
+  std::map<NodeId, wire::ControlGrant> m_Grants;
+  std::map<NodeId, std::uint32_t> m_EntryCounts;
 
   Fixture() {
     limits::applyTargetLimit(m_Known, "10.0.0.1:80", PerSecond, m_Now);
@@ -38,16 +38,16 @@
   void report(int Number) {
     const NodeId Entry{fmt::format("entry-{}", Number)};
     wire::EntryReport Report;
-    Report.set_target_rates_revision(m_Told[Entry].target_rates_revision());
+    Report.set_target_rates_revision(m_Grants[Entry].target_rates_revision());
     fleet::recordEntryReport(m_Observed, Entry, Number + 1, Report, m_Now,
                              m_Now + Lease);
     wire::ControlGrant Grant;
     grantShares(m_Shares, Entry, Report, m_Now, m_Now + Lease, Lease, Grant);
     fillTargetRates(m_Rates, m_Known, m_Observed, Entry, Report, m_Now, Grant);
     if (Grant.target_rates_size() > 0)
-      m_Told[Entry] = Grant;
+      m_Grants[Entry] = Grant;
     if (Grant.entries() > 0)
-      m_NumberTold[Entry] = Grant.entries();
+      m_EntryCounts[Entry] = Grant.entries();
   }
 
   void reportAll() {
@@ -58,7 +58,7 @@
 
   [[nodiscard]] double used() const {
     double Sum = 0;
-    for (const auto &[Entry, Grant] : m_Told)
+    for (const auto &[Entry, Grant] : m_Grants)
       for (const wire::TargetRate &Rate : Grant.target_rates())
         Sum += Rate.share();
     return Sum;
@@ -80,7 +80,7 @@
       CHECK(Leader.used() <= PerSecond);
     }
     THEN("each keeps to the number of entries that it was told before") {
-      for (const auto &[Entry, Number] : Leader.m_NumberTold)
+      for (const auto &[Entry, Number] : Leader.m_EntryCounts)
         CHECK(Number == Entries);
     }
   }
@@ -91,11 +91,11 @@
         Leader.report(I);
     }
     THEN("the others share its part once its lease has ended") {
-      Leader.m_Told.erase({"entry-0"});
-      Leader.m_NumberTold.erase({"entry-0"});
+      Leader.m_Grants.erase({"entry-0"});
+      Leader.m_EntryCounts.erase({"entry-0"});
       CHECK(Leader.used() > 0.9 * PerSecond);
       CHECK(Leader.used() <= PerSecond);
-      for (const auto &[Entry, Number] : Leader.m_NumberTold)
+      for (const auto &[Entry, Number] : Leader.m_EntryCounts)
         CHECK(Number == Entries - 1);
     }
   }
--- a/apps/entry/src/TargetReach.cpp
+++ b/apps/entry/src/TargetReach.cpp
@@ -37,10 +37,10 @@
   http::PoolObserver Observer;
   Observer.m_OnConnected = [this](const http::Address &Target) {
     const reach::Phase Before = phase();
-    const bool Asked = m_State.m_AsksTargets;
+    const bool WasAsking = m_State.m_AsksTargets;
     const TimePoint Now = BootClock::now();
     reach::recordConnected(m_State, http::printAddress(Target), Now);
-    if (phase() != Before || m_State.m_AsksTargets != Asked)
+    if (phase() != Before || m_State.m_AsksTargets != WasAsking)
       advanceSoon(Now);
   };
   Observer.m_OnFailure = [this](const http::Address &Target,
--- a/apps/entry/tests/StreamVersionsTest.cpp
+++ b/apps/entry/tests/StreamVersionsTest.cpp
@@ -363,9 +363,9 @@
     return Fixture.m_Control.m_State.m_StreamVersions.m_Begun.size() == 4;
   }));
   const auto Began = Fixture.m_Ran.begin();
-  const auto Of = std::find(Began, Fixture.m_Ran.end(), "v1") - Began;
-  REQUIRE(Of < 4);
-  const std::string First = fmt::format("a-{}", Of);
+  const auto Index = std::find(Began, Fixture.m_Ran.end(), "v1") - Began;
+  REQUIRE(Index < 4);
+  const std::string First = fmt::format("a-{}", Index);
   GIVEN("the entry that began it") {
     Fixture.moveRoute("llm-2");
     Fixture.m_Ran.clear();
--- a/libs/fleet/tests/ClaimsTest.cpp
+++ b/libs/fleet/tests/ClaimsTest.cpp
@@ -49,11 +49,11 @@
 
   /// \returns whether the message was acknowledged.
   bool hear(const std::string &Id, std::uint64_t Born, std::uint64_t Sequence,
-            bool Leaving = false, const std::string &At = Address) {
+            bool Leaving = false, const std::string &Endpoint = Address) {
     Claim Message;
     Message.m_Target.set_id(Id);
     Message.m_Target.set_incarnation(Id + '@' + std::to_string(Born));
-    Message.m_Target.set_address(At);
+    Message.m_Target.set_address(Endpoint);
     Message.m_Target.set_kind("service");
     Message.m_Target.add_models("book");
     Message.m_Target.set_started_ms(Born);
@@ -118,15 +118,17 @@
   }
 
   /// Whether entries send this id work at this address.
-  bool serves(const std::string &Id, const std::string &At = Address) const {
+  bool serves(const std::string &Id,
+              const std::string &Endpoint = Address) const {
     const auto Found = m_State.m_Targets.m_ById.find({Id});
     return Found != m_State.m_Targets.m_ById.end() &&
            Found->second.m_State == TargetState::Serving &&
-           Found->second.m_Address == At;
+           Found->second.m_Address == Endpoint;
   }
-  bool isAddressServed(const std::string &At = Address) const {
+  bool isAddressServed(const std::string &Endpoint = Address) const {
     for (const auto &[Id, Target] : m_State.m_Targets.m_ById)
-      if (Target.m_State == TargetState::Serving && Target.m_Address == At)
+      if (Target.m_State == TargetState::Serving &&
+          Target.m_Address == Endpoint)
         return true;
     return false;
   }
--- a/libs/reach/src/Reach.cpp
+++ b/libs/reach/src/Reach.cpp
@@ -198,11 +198,11 @@
 }
 
 std::vector<Candidate> withHealthCheck(const std::vector<Candidate> &Serving) {
-  std::vector<Candidate> Asked;
+  std::vector<Candidate> Askable;
   std::copy_if(
-      Serving.begin(), Serving.end(), std::back_inserter(Asked),
+      Serving.begin(), Serving.end(), std::back_inserter(Askable),
       [](const Candidate &Target) { return !Target.m_HealthPath.empty(); });
-  return Asked;
+  return Askable;
 }
 
 } // namespace
