--- a/libs/reach/tests/ReachTest.cpp
+++ b/libs/reach/tests/ReachTest.cpp
@@ -325,7 +325,7 @@
     Run.runUntil(Start + 60s);
     CHECK_FALSE(Run.m_CutAt);
     // A suspicion a second at the most, of two rounds of three.
-    CHECK(Run.m_Probes <= 6U * 60U);
+    CHECK(Run.m_Probes <= 360);
   }
 }
 
