Check how processes end in the fault soak, and play overlapping stops

A process that was asked to stop could end by a crash, a failed invariant or the SIGKILL at the end of its grace, and the soak did not look at its status.

Not run: under sanitizers, whose build did not finish on the busy machine, and with another build.

--- a/tools/fault-soak/src/Judge.cpp
+++ b/tools/fault-soak/src/Judge.cpp
@@ -1,6 +1,7 @@
 #include "Judge.h"
 
 #include <algorithm>
+#include <csignal>
 #include <fmt/format.h>
 #include <sstream>
 
@@ -415,9 +416,40 @@
   m_Acknowledged.emplace(Version, Now);
 }
 
-void Judge::processEnded(const std::string &Name, int Status, TimePoint Now) {
+void Judge::processEnded(const ProcessEnd &Ended, TimePoint Now) {
+  const auto Report = [&](std::string_view How) {
+    m_Violations.push_back(
+        {"ENDED", "",
+         Ended.m_Status < 0
+             ? fmt::format("{} {}: signal {}", Ended.m_Name, How,
+                           -Ended.m_Status)
+             : fmt::format("{} {}: code {}", Ended.m_Name, How, Ended.m_Status),
+         Now});
+  };
+  const bool IsKill = Ended.m_Status == -SIGKILL;
+  if (IsKill && Ended.m_WasKilled)
+    return;
+  if (!Ended.m_StopAskedAt)
+    return Report("ended by itself");
+  if (Ended.m_Status == 0)
+    return;
+  if (IsKill && Ended.m_IsOverGrace) {
+    if (!Ended.m_WasPausedInStop)
+      Report("did not stop within its grace");
+    return;
+  }
+  // The signal came before there was a handler; nothing was taken yet.
+  if (Ended.m_Status == -SIGTERM &&
+      *Ended.m_StopAskedAt <
+          Ended.m_StartedAt + m_Bounds.m_Start + m_Bounds.m_Margin)
+    return;
+  Report("failed while it stopped");
+}
+
+void Judge::sanitizerReported(const std::string &Name, const std::string &Line,
+                              TimePoint Now) {
   m_Violations.push_back(
-      {"ENDED", "", fmt::format("{} ended by itself: {}", Name, Status), Now});
+      {"SANITIZER", "", fmt::format("{}: {}", Name, Line), Now});
 }
 
 void Judge::checkService(TimePoint Now) {
--- a/tools/fault-soak/src/Judge.h
+++ b/tools/fault-soak/src/Judge.h
@@ -76,6 +76,17 @@
   TimePoint m_SeenAt;
 };
 
+/// The end of a process of the system.
+struct ProcessEnd {
+  std::string m_Name;
+  int m_Status = 0; ///< Exit code, or minus the signal.
+  TimePoint m_StartedAt;
+  std::optional<TimePoint> m_StopAskedAt; ///< Of its first SIGTERM.
+  bool m_WasKilled = false;               ///< By a fault, with SIGKILL.
+  bool m_IsOverGrace = false;             ///< Killed at the end of its grace.
+  bool m_WasPausedInStop = false; ///< Stood still for a part of its grace.
+};
+
 /// Events of a stream's body, as far as they are whole.
 struct Events {
   std::uint64_t m_Last = 0; ///< Last id, or the id that it goes on from.
@@ -97,6 +108,8 @@
   std::chrono::milliseconds m_Apply{2'000};
   std::chrono::milliseconds m_Drain{2'000};
   std::chrono::milliseconds m_Grace{8'000};
+  /// A process has its signal handlers within this time.
+  std::chrono::milliseconds m_Start{1'000};
   /// What the machine's scheduling may add to any of these.
   std::chrono::milliseconds m_Margin{400};
 };
@@ -127,7 +140,10 @@
   void targetStarted(unsigned Target);
   void routesSent(std::uint64_t Version, const Routes &Content);
   void routesAcknowledged(std::uint64_t Version, TimePoint Now);
-  void processEnded(const std::string &Name, int Status, TimePoint Now);
+  void processEnded(const ProcessEnd &Ended, TimePoint Now);
+  /// A sanitizer has written \p Line to the log of a process.
+  void sanitizerReported(const std::string &Name, const std::string &Line,
+                         TimePoint Now);
   /// Looks whether entries that were in touch, and whose targets were well but
   /// for one, have served half of their requests of late.
   void checkService(TimePoint Now);
--- a/tools/fault-soak/src/Main.cpp
+++ b/tools/fault-soak/src/Main.cpp
@@ -39,6 +39,8 @@
       "upgrade targets, and fail on streams of two versions")(
       "releases", po::bool_switch(&Wanted.m_Shape.m_Releases),
       "as --versions, and upgrade targets while an entry is paused")(
+      "stops", po::bool_switch(&Wanted.m_Shape.m_Stops),
+      "only stop entries one after the other, beside reloads and changes")(
       "other-build", po::value(&OtherFolder),
       "checkout of another build, which some of the starts use")(
       "other-share",
--- a/tools/fault-soak/src/Processes.cpp
+++ b/tools/fault-soak/src/Processes.cpp
@@ -95,7 +95,7 @@
   writeSettings();
   const std::string Path = programIn(Programs, m_Program);
   const std::string Settings = fmt::format("{}/{}.json", m_Folder, m_Name);
-  const std::string Log = fmt::format("{}/{}.log", m_Folder, m_Name);
+  const std::string Log = logFile();
   const pid_t Parent = ::getpid();
   m_Pid = ::fork();
   if (m_Pid != 0)
@@ -112,6 +112,10 @@
   ::_exit(127);
 }
 
+std::string Process::logFile() const {
+  return fmt::format("{}/{}.log", m_Folder, m_Name);
+}
+
 void Process::signal(int Number) const {
   if (m_Pid > 0)
     ::kill(m_Pid, Number);
@@ -125,6 +129,16 @@
   return WIFEXITED(State) ? WEXITSTATUS(State) : -WTERMSIG(State);
 }
 
+std::optional<std::string> findSanitizerReport(std::istream &Log) {
+  constexpr std::string_view Marks[] = {
+      "ERROR: AddressSanitizer", "ERROR: LeakSanitizer", "runtime error: "};
+  for (std::string Line; std::getline(Log, Line);)
+    for (const std::string_view Mark : Marks)
+      if (Line.find(Mark) != std::string::npos)
+        return Line;
+  return std::nullopt;
+}
+
 std::optional<std::uint64_t> socketInode(const http::Address &Peer,
                                          std::uint16_t Port) {
   in_addr Host{};
--- a/tools/fault-soak/src/Processes.h
+++ b/tools/fault-soak/src/Processes.h
@@ -6,6 +6,7 @@
 
 #include "http/http.h"
 
+#include <istream>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <sys/types.h>
@@ -52,6 +53,7 @@
   [[nodiscard]] const std::string &name() const { return m_Name; }
   /// How often it was started.
   [[nodiscard]] unsigned starts() const { return m_Starts; }
+  [[nodiscard]] std::string logFile() const;
   /// The platform's description of the machine.
   Json &fields() { return m_Fields; }
 
@@ -65,6 +67,9 @@
   pid_t m_Pid = 0;
 };
 
+/// The first line of a log that a sanitizer wrote.
+std::optional<std::string> findSanitizerReport(std::istream &Log);
+
 /// Inodes of the TCP sockets whose peer listens on an address, by their port.
 std::optional<std::uint64_t> socketInode(const http::Address &Peer,
                                          std::uint16_t Port);
--- a/tools/fault-soak/src/Schedule.cpp
+++ b/tools/fault-soak/src/Schedule.cpp
@@ -111,6 +111,35 @@
   }
 }
 
+/// Adds stops of one entry after the other. They overlap: an entry is asked to
+/// stop while others still answer or have just started again.
+void addStops(std::vector<Step> &Steps, std::mt19937_64 &Random,
+              const Shape &Size) {
+  constexpr Span Between{250, 1'250};
+  constexpr Span Downtime{50, 600};
+  constexpr Span InStop{0, 4'000};
+  const auto Add = [&](milliseconds Offset, Fault Kind, unsigned Machine,
+                       milliseconds Length) {
+    Step Next;
+    Next.m_Offset = Offset;
+    Next.m_Length = Length;
+    Next.m_Fault = Kind;
+    Next.m_Machine = Machine;
+    Next.m_Variant = pick(Random, 1U << 16U);
+    if (Offset < Size.m_Length)
+      Steps.push_back(Next);
+  };
+  unsigned Entry = pick(Random, Size.m_Entries);
+  for (milliseconds Now{0}; Now < Size.m_Length;
+       Now += pickTime(Random, Between)) {
+    Add(Now, Fault::StopEntry, Entry, pickTime(Random, Downtime));
+    Add(Now + pickTime(Random, InStop), Fault::StopAgain, Entry, {});
+    Add(Now + pickTime(Random, InStop), Fault::ReloadEntry, Entry, {});
+    Add(Now + pickTime(Random, InStop), Fault::ChangeRoutes, 0, {});
+    Entry = (Entry + 1) % Size.m_Entries;
+  }
+}
+
 } // namespace
 
 const char *faultName(Fault Kind) {
@@ -118,7 +147,8 @@
       "stop-entry",    "kill-entry",   "pause-entry",    "reload-entry",
       "delay-links",   "reset-links",  "silence-target", "crash-target",
       "leave-target",  "stop-control", "kill-control",   "pause-control",
-      "change-routes", "cut-entry",    "cut-half",       "upgrade-target"};
+      "change-routes", "cut-entry",    "cut-half",       "upgrade-target",
+      "stop-again"};
   return Names[static_cast<std::size_t>(Kind)];
 }
 
@@ -126,8 +156,10 @@
   std::mt19937_64 Random(Seed);
   const std::vector<Fault> Kinds = kinds(Size);
   std::vector<Step> Steps;
+  if (Size.m_Stops)
+    addStops(Steps, Random, Size);
   milliseconds ControlFreeAt{0};
-  for (milliseconds Now{0}; Now < Size.m_Length;) {
+  for (milliseconds Now{0}; Now < Size.m_Length && !Size.m_Stops;) {
     const Fault Kind = Kinds[pick(Random, static_cast<unsigned>(Kinds.size()))];
     const unsigned Series = 1 + pick(Random, LongestSeries);
     milliseconds Offset = Now;
--- a/tools/fault-soak/src/Schedule.h
+++ b/tools/fault-soak/src/Schedule.h
@@ -29,6 +29,7 @@
   CutEntry,      ///< An entry loses all targets, one way or both.
   CutHalf,       ///< Half of the entries do.
   UpgradeTarget, ///< A target restarts with another software version.
+  StopAgain,     ///< Another SIGTERM for an entry that stops already.
 };
 
 const char *faultName(Fault Kind);
@@ -53,6 +54,10 @@
   /// Several targets are upgraded while an entry is paused, and crash when it
   /// goes on.
   bool m_Releases = false;
+  /// Entries are stopped one after the other and start again at once, beside
+  /// reloads and changes of the configuration; no other faults are drawn, as
+  /// they excuse what they touch.
+  bool m_Stops = false;
   /// Processes are stopped and started more often.
   bool m_HasTwoBuilds = false;
 };
--- a/tools/fault-soak/src/Soak.cpp
+++ b/tools/fault-soak/src/Soak.cpp
@@ -51,6 +51,8 @@
     TimePoint m_ResumeAt;
     bool m_IsPaused = false;
     bool m_IsEnding = false; ///< Was asked to stop, or was killed.
+    /// Of the process that runs; its name and status are not set yet.
+    ProcessEnd m_End;
     milliseconds m_Downtime{0};
   };
 
@@ -73,6 +75,8 @@
   void disturbMachine(bool IsEntry, unsigned Number, TimePoint Start,
                       TimePoint Until);
   void report();
+  /// Reports what sanitizers wrote to the logs.
+  void checkLogs(TimePoint Now);
   /// Turns the loop until \p Done or the end of a time.
   bool runUntil(const std::function<bool()> &Done, milliseconds Longest);
 
@@ -263,6 +267,8 @@
     // Set once the system has started for the first time.
     Program.fields()["bootstrap"] = false;
     Subject.m_IsEnding = Subject.m_IsPaused = false;
+    Subject.m_End = ProcessEnd{};
+    Subject.m_End.m_StartedAt = Now;
     if (IsEntry)
       m_Judge.disturbed(Part::Start, Number, Now, Now);
     else
@@ -276,11 +282,13 @@
   }
   if (Subject.m_IsEnding && Now >= Subject.m_KillAt) {
     fmt::print(m_Log, "{} is killed at the end of its grace\n", Program.name());
+    Subject.m_End.m_IsOverGrace = true;
     Program.signal(SIGKILL);
   }
   if (const auto Status = Program.reap()) {
-    if (!Subject.m_IsEnding)
-      m_Judge.processEnded(Program.name(), *Status, Now);
+    Subject.m_End.m_Name = Program.name();
+    Subject.m_End.m_Status = *Status;
+    m_Judge.processEnded(Subject.m_End, Now);
     if (!Subject.m_IsEnding)
       disturbMachine(IsEntry, Number, Now, Now);
     Subject.m_StartAt = Now + Subject.m_Downtime;
@@ -300,6 +308,8 @@
     Subject.m_IsEnding = true;
     Subject.m_Downtime = Planned.m_Length;
     Subject.m_KillAt = Now + Grace;
+    Subject.m_End.m_StopAskedAt = Now;
+    Subject.m_End.m_WasPausedInStop = Subject.m_IsPaused;
     if (IsEntry) {
       m_Judge.stopAsked(Planned.m_Machine, Now);
       m_Judge.disturbed(Part::Start, Planned.m_Machine, Now, Now + Grace);
@@ -312,11 +322,13 @@
     Subject.m_IsEnding = true;
     Subject.m_Downtime = Planned.m_Length;
     Subject.m_KillAt = Now + Grace;
+    Subject.m_End.m_WasKilled = true;
     disturbMachine(IsEntry, Planned.m_Machine, Now, Now + Planned.m_Length);
     return Program.signal(SIGKILL);
   case Fault::PauseEntry:
   case Fault::PauseControl:
     Subject.m_IsPaused = true;
+    Subject.m_End.m_WasPausedInStop |= Subject.m_End.m_StopAskedAt.has_value();
     Subject.m_ResumeAt = std::max(Subject.m_ResumeAt, Now + Planned.m_Length);
     disturbMachine(IsEntry, Planned.m_Machine, Now, Subject.m_ResumeAt);
     return Program.signal(SIGSTOP);
@@ -324,6 +336,10 @@
     Program.fields()["bounds"]["budget_slack"] = 40 + Planned.m_Variant % 40;
     Program.writeSettings();
     return Program.signal(SIGHUP);
+  case Fault::StopAgain:
+    if (Subject.m_End.m_StopAskedAt && !Subject.m_End.m_WasKilled)
+      Program.signal(SIGTERM);
+    return;
   default:
     return;
   }
@@ -349,6 +365,7 @@
   case Fault::KillEntry:
   case Fault::PauseEntry:
   case Fault::ReloadEntry:
+  case Fault::StopAgain:
     return injectIntoMachine(m_Entries[Planned.m_Machine], true, Planned, Now);
   case Fault::StopControl:
   case Fault::KillControl:
@@ -399,6 +416,15 @@
   }
 }
 
+void World::checkLogs(TimePoint Now) {
+  for (const auto *Machines : {&m_Control, &m_Entries})
+    for (const Machine &Subject : *Machines) {
+      std::ifstream Log(Subject.m_Process->logFile());
+      if (const auto Line = findSanitizerReport(Log))
+        m_Judge.sanitizerReported(Subject.m_Process->name(), *Line, Now);
+    }
+}
+
 void World::turn() {
   const TimePoint Now = BootClock::now();
   if (Now - m_TurnedAt > LongestPause) {
@@ -473,6 +499,7 @@
       },
       SettlePatience);
   m_Judge.checkCuts(BootClock::now());
+  checkLogs(BootClock::now());
   report();
   const Judge::Counts &Seen = m_Judge.counts();
   fmt::print("seed={} faults={} sent={} served={} refused={} failed={} "
--- a/tools/fault-soak/tests/JudgeTest.cpp
+++ b/tools/fault-soak/tests/JudgeTest.cpp
@@ -1,6 +1,7 @@
 #include "Judge.h"
 
 #include <catch2/catch.hpp>
+#include <csignal>
 
 using namespace wasabivale;
 using namespace wasabivale::soak;
@@ -314,3 +315,70 @@
     }
   }
 }
+
+SCENARIO("a process that was asked to stop exits with code 0 in its grace") {
+  Story Case(Kind::Safe);
+  ProcessEnd Ended;
+  Ended.m_Name = "entry-0";
+  Ended.m_StartedAt = Start;
+  const auto RulesOf = [&](int Status) {
+    Ended.m_Status = Status;
+    Case.m_Judge.processEnded(Ended, Start + 30s);
+    return Case.rules();
+  };
+  GIVEN("a process that nobody asked to stop") {
+    THEN("any end is a violation") {
+      CHECK(RulesOf(0) == "ENDED ");
+      CHECK(RulesOf(1) == "ENDED ");
+      CHECK(RulesOf(-SIGSEGV) == "ENDED ");
+      CHECK(RulesOf(-SIGKILL) == "ENDED ");
+    }
+  }
+  GIVEN("a process that a fault has killed") {
+    Ended.m_WasKilled = true;
+    CHECK(RulesOf(-SIGKILL).empty());
+    THEN("it has not ended another way before") {
+      CHECK(RulesOf(-SIGABRT) == "ENDED ");
+      CHECK(RulesOf(0) == "ENDED ");
+    }
+  }
+  GIVEN("a process that was asked to stop") {
+    Ended.m_StopAskedAt = Start + 20s;
+    CHECK(RulesOf(0).empty());
+    THEN("another code or signal is a violation") {
+      CHECK(RulesOf(1) == "ENDED ");
+      CHECK(RulesOf(-SIGABRT) == "ENDED ");
+      CHECK(RulesOf(-SIGTERM) == "ENDED ");
+      CHECK(RulesOf(-SIGKILL) == "ENDED ");
+    }
+    WHEN("a fault kills it meanwhile") {
+      Ended.m_WasKilled = true;
+      CHECK(RulesOf(-SIGKILL).empty());
+      CHECK(RulesOf(0).empty());
+      CHECK(RulesOf(-SIGABRT) == "ENDED ");
+    }
+    WHEN("its grace is over") {
+      Ended.m_IsOverGrace = true;
+      CHECK(RulesOf(-SIGKILL) == "ENDED ");
+      AND_WHEN("it stood still for a part of it") {
+        Ended.m_WasPausedInStop = true;
+        CHECK(RulesOf(-SIGKILL).empty());
+        CHECK(RulesOf(-SIGSEGV) == "ENDED ");
+      }
+    }
+  }
+  GIVEN("a process that was asked to stop as it started") {
+    Ended.m_StopAskedAt = Start + 20ms;
+    THEN("the signal may end it before it has a handler") {
+      CHECK(RulesOf(-SIGTERM).empty());
+      CHECK(RulesOf(-SIGABRT) == "ENDED ");
+      CHECK(RulesOf(2) == "ENDED ");
+    }
+  }
+}
+
+SCENARIO("what a sanitizer writes to a log is a violation") {
+  Story Case(Kind::Safe);
+  Case.m_Judge.sanitizerReported("entry-0", "runtime error: overflow", Start);
+  CHECK(Case.rules() == "SANITIZER ");
+}
--- a/tools/fault-soak/tests/ScheduleTest.cpp
+++ b/tools/fault-soak/tests/ScheduleTest.cpp
@@ -68,6 +68,7 @@
     CHECK(hasFault(Steps, Fault::StopEntry));
     CHECK_FALSE(hasFault(Steps, Fault::CutHalf));
     CHECK_FALSE(hasFault(Steps, Fault::UpgradeTarget));
+    CHECK_FALSE(hasFault(Steps, Fault::StopAgain));
     Size.m_Cuts = Size.m_Upgrades = true;
     const std::vector<Step> All = makeSchedule(7, Size);
     CHECK(hasFault(All, Fault::CutHalf));
@@ -97,6 +98,32 @@
     for (const Step &Planned : All)
       CHECK(Planned.m_Offset < Size.m_Length);
   }
+  THEN("a run of stops has only stops, reloads and changes, and the stops "
+       "overlap") {
+    Size.m_Stops = true;
+    const std::vector<Step> All = makeSchedule(7, Size);
+    constexpr std::chrono::milliseconds LeastStop{2'800};
+    int Overlapping = 0;
+    const Step *Former = nullptr;
+    for (const Step &Planned : All) {
+      CHECK(Planned.m_Offset < Size.m_Length);
+      CHECK((Planned.m_Fault == Fault::StopEntry ||
+             Planned.m_Fault == Fault::StopAgain ||
+             Planned.m_Fault == Fault::ReloadEntry ||
+             Planned.m_Fault == Fault::ChangeRoutes));
+      if (Planned.m_Fault != Fault::StopEntry)
+        continue;
+      Overlapping += Former != nullptr &&
+                             Former->m_Machine != Planned.m_Machine &&
+                             Planned.m_Offset < Former->m_Offset + LeastStop
+                         ? 1
+                         : 0;
+      Former = &Planned;
+    }
+    constexpr int StopsInRun = 300;
+    CHECK(Overlapping > StopsInRun);
+    CHECK(hasFault(All, Fault::StopAgain));
+  }
 }
 
 SCENARIO("each start of a process draws one of two builds") {
