Keep the exit code of a process that gets SIGTERM again as it ends

The end of the event loop gave SIGTERM and SIGINT back to their default handlers, so that a further signal between the last event and the return of main ended the process by that signal instead of with code 0. Nothing was open any more; no caller is known to have lost a request to it. Both signals are ignored from then on, and blocked while the handlers change.

Test: "a second SIGTERM does not change the exit code of a process that stops in order" failed before (the child ended by the signal), and passes now, with the other tests of the library.

--- a/libs/daemon/src/EventLoop.cpp
+++ b/libs/daemon/src/EventLoop.cpp
@@ -35,9 +35,22 @@
 
 EventLoop::~EventLoop() {
   m_Watch.reset();
+  // Freeing an event restores the former handler, which would end the process
+  // with another code than its own.
+  sigset_t Stops;
+  sigset_t Former;
+  sigemptyset(&Stops);
+  sigaddset(&Stops, SIGTERM);
+  sigaddset(&Stops, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &Stops, &Former);
   event_free(m_Reload);
   event_free(m_Interrupt);
   event_free(m_Terminate);
+  if (m_Stopping) {
+    std::signal(SIGTERM, SIG_IGN);
+    std::signal(SIGINT, SIG_IGN);
+  }
+  pthread_sigmask(SIG_SETMASK, &Former, nullptr);
   event_base_free(m_Base);
 }
 
--- /dev/null
+++ b/libs/daemon/tests/EventLoopTest.cpp
@@ -0,0 +1,30 @@
+// Signals around the end of a process.
+
+#include "daemon/daemon.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <sys/wait.h>
+#include <unistd.h>
+
+using namespace wasabivale;
+
+SCENARIO("a second SIGTERM does not change the exit code of a process that "
+         "stops in order") {
+  const pid_t Child = ::fork();
+  if (Child == 0) {
+    std::signal(SIGTERM, SIG_DFL);
+    {
+      daemon::EventLoop Loop;
+      Loop.onStop([&Loop] { Loop.end(); });
+      (void)::raise(SIGTERM);
+      Loop.run();
+    }
+    (void)::raise(SIGTERM);
+    ::_exit(daemon::ExitOk);
+  }
+  int Status = -1;
+  (void)::waitpid(Child, &Status, 0);
+  CHECK(WIFEXITED(Status));
+  CHECK(WEXITSTATUS(Status) == daemon::ExitOk);
+}
