Sync what a store reads when it opens a folder

A process that is killed, or whose disk fails, between a write and its sync leaves records in the cache of the operating system. Opened again, the member read them, counted them as its own and acknowledged them to the leader without a sync; a power failure then took a record that a quorum had acknowledged. A vote whose folder was not synced after the rename was read in the same way.

The test plays a power failure after opening, with files behind a write cache.

--- a/libs/store/src/Store.cpp
+++ b/libs/store/src/Store.cpp
@@ -465,13 +465,15 @@
   m_Segments.push_back(std::move(NewSegment));
   if (m_Segments.back().m_Size == 0)
     return removeNewest();
-  if (valueOf(Bytes).size() == Content.m_ValidBytes)
+  if (!Newest)
     return std::monostate{};
   if (Status Done = reopenNewest(); failed(Done))
     return Done;
-  if (Status Done = m_Files->truncate(m_File, Content.m_ValidBytes);
-      failed(Done))
-    return withPath(errorOf(Done), Path);
+  if (valueOf(Bytes).size() > Content.m_ValidBytes)
+    if (Status Done = m_Files->truncate(m_File, Content.m_ValidBytes);
+        failed(Done))
+      return withPath(errorOf(Done), Path);
+  // A process that was killed before its sync leaves records in the cache only.
   return syncFile(m_File, Path);
 }
 
@@ -577,6 +579,8 @@
     Done = State->readSnapshot(valueOf(Names));
   if (!failed(Done))
     Done = State->readSegments(valueOf(Names));
+  if (!failed(Done))
+    Done = State->syncFolder();
   if (failed(Done))
     return errorOf(Done);
   return std::unique_ptr<Store>(new Store(std::move(State)));
--- a/libs/store/tests/StoreTest.cpp
+++ b/libs/store/tests/StoreTest.cpp
@@ -9,6 +9,7 @@
 
 using namespace wasabivale;
 using namespace wasabivale::consensus;
+using store::CachedFiles;
 using store::Fault;
 using store::FaultyFiles;
 using store::Store;
@@ -247,6 +248,49 @@
   }
 }
 
+SCENARIO("data read at open is not lost in a power failure") {
+  TempFolder Folder;
+  CachedFiles Files;
+  REQUIRE(!failed(Store::format(Files, Folder.m_Path, "test", {"c1"})));
+  const auto Open = [&] {
+    // Files that were restored have other inodes.
+    auto Disk = Store::open(Files, Folder.m_Path, "test", {"c1"},
+                            store::CopyGuard::None);
+    if (failed(Disk))
+      FAIL(describe(errorOf(Disk)));
+    return std::move(valueOf(Disk));
+  };
+  auto Disk = Open();
+  Persist First = records(1, 3);
+  First.m_HardState = HardState{1, {"c1"}};
+  save(*Disk, First);
+  const auto CheckAllIsKept = [&](std::size_t Records) {
+    const PersistedState Read = Open()->takeLoaded();
+    CHECK(Read.m_Records.size() == Records);
+    Files.losePower(Folder.m_Path);
+    const PersistedState Kept = Open()->takeLoaded();
+    CHECK(Kept.m_HardState == Read.m_HardState);
+    CHECK(Kept.m_Records == Read.m_Records);
+  };
+
+  WHEN("the process was killed between a write and its sync") {
+    Disk.reset();
+    TempFolder Other;
+    save(*openFresh(Other), records(1, 6));
+    writeFile(Folder.firstLog(), readFile(Other.firstLog()));
+    THEN("the records that were not synced are synced") { CheckAllIsKept(6); }
+  }
+  WHEN("the folder was not synced after a vote was renamed") {
+    Persist Vote;
+    Vote.m_HardState = HardState{2, {"c2"}};
+    Files.m_Disk.m_Fault = Fault::SyncFolder;
+    REQUIRE(failed(Disk->write(Vote)));
+    Files.m_Disk.m_Fault = Fault::None;
+    Disk.reset();
+    THEN("the vote is kept") { CheckAllIsKept(3); }
+  }
+}
+
 TEST_CASE("corruption is truncated at the tail and refused elsewhere") {
   TempFolder Folder;
   save(*openFresh(Folder), records(1, 3));
