Drop records whose sync has failed

After a failed sync Linux takes the written bytes for clean. The member opened its data again, read the records from the cache, synced the file, which succeeded without writing them, and acknowledged them to the leader. A power failure then took records that a quorum had acknowledged, and left a hole of zeros in the log.

A store that fails now cuts its newest log file to what was last synced. Records after that were never acknowledged, so the leader sends them again.

The tests play a sync that fails once, an open and a power failure, with and without a conflict that was cut before.

--- a/libs/store/src/Store.cpp
+++ b/libs/store/src/Store.cpp
@@ -42,6 +42,7 @@
   consensus::Index m_First = 0;
   std::vector<std::uint64_t> m_Offsets;
   std::uint64_t m_Size = 0;
+  std::uint64_t m_SyncedSize = 0;
 
   [[nodiscard]] consensus::Index next() const {
     return m_First + m_Offsets.size();
@@ -112,13 +113,25 @@
   Status write(const consensus::Persist &Changes);
   Status sync();
 
+  void dropUnsynced();
   Status recordFailure(Status Done);
 };
 
+/// Removes the records that were not synced, none of which was acknowledged.
+/// After a failed sync they would be read from the cache at the next open, and
+/// a later sync would succeed without writing them.
+void Store::Impl::dropUnsynced() {
+  // An error here is ignored: the store has failed already.
+  if (m_File >= 0)
+    (void)m_Files->truncate(m_File, m_Segments.back().m_SyncedSize);
+}
+
 /// Records a failure, which makes the store unusable.
 Status Store::Impl::recordFailure(Status Done) {
-  if (failed(Done))
-    m_Failure = errorOf(Done);
+  if (!failed(Done))
+    return Done;
+  m_Failure = errorOf(Done);
+  dropUnsynced();
   return Done;
 }
 
@@ -251,6 +264,7 @@
       FirstIndex > Newest.m_First ? FirstIndex - Newest.m_First : 0;
   Newest.m_Size = Newest.m_Offsets[KeptRecords];
   Newest.m_Offsets.resize(KeptRecords);
+  Newest.m_SyncedSize = std::min(Newest.m_SyncedSize, Newest.m_Size);
   m_Dirty = true;
   if (Status Done = m_Files->truncate(m_File, Newest.m_Size); failed(Done))
     return withPath(errorOf(Done), Newest.m_Path);
@@ -271,6 +285,7 @@
     return Done;
   if (Status Done = syncFile(m_File, NewSegment.m_Path); failed(Done))
     return Done;
+  m_Segments.back().m_SyncedSize = NewSegment.m_Size;
   return syncFolder();
 }
 
@@ -342,6 +357,7 @@
   if (Status Done = syncFile(m_File, m_Segments.back().m_Path); failed(Done))
     return Done;
   m_Dirty = false;
+  m_Segments.back().m_SyncedSize = m_Segments.back().m_Size;
   return std::monostate{};
 }
 
@@ -452,6 +468,7 @@
   NewSegment.m_First = parseIndex(Name, SegmentPrefix);
   NewSegment.m_Offsets = std::move(Content.m_Offsets);
   NewSegment.m_Size = Content.m_ValidBytes;
+  NewSegment.m_SyncedSize = NewSegment.m_Size;
   const bool MatchesName =
       Content.m_Records.empty() ||
       Content.m_Records.front().m_Index == NewSegment.m_First;
--- a/libs/store/tests/StoreTest.cpp
+++ b/libs/store/tests/StoreTest.cpp
@@ -289,6 +289,30 @@
     Disk.reset();
     THEN("the vote is kept") { CheckAllIsKept(3); }
   }
+  WHEN("a sync failed, which the next sync of the file does not repeat") {
+    REQUIRE(!failed(Disk->write(records(4, 6))));
+    Files.m_Disk.m_Fault = Fault::Sync;
+    REQUIRE(failed(Disk->sync()));
+    Files.m_Disk.m_Fault = Fault::None;
+    Disk.reset();
+    THEN("the records are removed, and written again") {
+      CheckAllIsKept(3);
+      Disk = Open();
+      save(*Disk, records(4, 6));
+      Disk.reset();
+      CheckAllIsKept(6);
+    }
+  }
+  WHEN("a sync failed after a conflict was removed") {
+    Persist Conflict = records(2, 4, 2);
+    Conflict.m_TruncateFrom = 2;
+    REQUIRE(!failed(Disk->write(Conflict)));
+    Files.m_Disk.m_Fault = Fault::Sync;
+    REQUIRE(failed(Disk->sync()));
+    Files.m_Disk.m_Fault = Fault::None;
+    Disk.reset();
+    THEN("only the record before the conflict is left") { CheckAllIsKept(1); }
+  }
 }
 
 TEST_CASE("corruption is truncated at the tail and refused elsewhere") {
