Compare digests of the replicated state between members

What operators saw: members of two builds, or one with a fault, could apply the same log to different states; nothing showed it until a new leader answered from its own.

Change: at log indices that are a multiple of 256 a replica asks its owner for a digest of the state. A follower adds its newest one to consensus messages to the leader, as a new optional field of ConsensusMessage that older builds ignore.

--- a/libs/replication/include/replication/replication.h
+++ b/libs/replication/include/replication/replication.h
@@ -49,6 +49,11 @@
   /// A snapshot is taken after this many records or bytes of applied payloads.
   std::uint64_t m_SnapshotRecords = 20'000;
   std::size_t m_SnapshotBytes = 32U << 20U;
+  /// A digest of the state is taken at each log index that is a multiple of
+  /// this; the same on all members.
+  std::uint64_t m_DigestRecords = 256;
+  /// Of what `m_TakeDigest` covers. Only digests of one format are compared.
+  std::uint32_t m_DigestFormat = 1;
   store::Files *m_Files = nullptr; ///< Null: the file system.
 };
 
@@ -60,6 +65,11 @@
   std::function<void(consensus::Index, const std::string &Payload)> m_Apply;
   /// \returns the state after the last applied record.
   std::function<std::string()> m_TakeSnapshot;
+  /// \returns a digest of the state after the record at \p Position, equal on
+  /// members with equal states, or nothing if this index is left out; members
+  /// with equal states leave out the same. Optional.
+  std::function<std::optional<std::uint64_t>(consensus::Index Position)>
+      m_TakeDigest;
   /// Replaces the whole state; also called by `open`.
   std::function<Status(const std::string &State)> m_Install;
   /// This member is leader and has applied everything committed before.
--- a/libs/replication/local/include/replication_local/replication_local.h
+++ b/libs/replication/local/include/replication_local/replication_local.h
@@ -20,6 +20,7 @@
   consensus::Timing m_Timing;
   consensus::Limits m_Limits;
   std::uint64_t m_SnapshotRecords = 20'000;
+  std::uint64_t m_DigestRecords = 256;
 };
 
 /// One member; its state is the list of applied payloads.
@@ -31,6 +32,7 @@
   std::unique_ptr<wire::Hub> m_Hub;
   std::unique_ptr<Replica> m_Replica; ///< Null while it is stopped.
   std::vector<std::string> m_Applied;
+  bool m_TakesDigests = true;      ///< False: like a build that has none.
   store::Files *m_Files = nullptr; ///< Null: the file system.
   std::vector<Error> m_Failures;   ///< Reported by `m_OnFailure`.
 };
--- a/libs/replication/local/src/LocalCluster.cpp
+++ b/libs/replication/local/src/LocalCluster.cpp
@@ -58,6 +58,10 @@
     Member.m_Applied.push_back(Payload);
   };
   Callbacks.m_TakeSnapshot = [&Member] { return joinLines(Member.m_Applied); };
+  if (Member.m_TakesDigests)
+    Callbacks.m_TakeDigest = [&Member](consensus::Index) {
+      return hashBytes(joinLines(Member.m_Applied));
+    };
   Callbacks.m_Install = [&Member](const std::string &Bytes) -> Status {
     Member.m_Applied = splitLines(Bytes);
     return std::monostate{};
@@ -98,6 +102,7 @@
   Settings.m_Timing = m_Options.m_Timing;
   Settings.m_Limits = m_Options.m_Limits;
   Settings.m_SnapshotRecords = m_Options.m_SnapshotRecords;
+  Settings.m_DigestRecords = m_Options.m_DigestRecords;
   auto Opened = Replica::open(m_Loop, *Member.m_Hub, m_Registry, Settings,
                               callbacks(Member));
   if (failed(Opened))
--- a/libs/replication/src/Replica.cpp
+++ b/libs/replication/src/Replica.cpp
@@ -1,4 +1,5 @@
 #include "Formation.h"
+#include "StateDigests.h"
 #include "events/events.h"
 #include "replication/replication.h"
 
@@ -49,6 +50,7 @@
   bool m_HasStalled = false;
   consensus::Index m_SnapshotIndex = 0;
   std::size_t m_BytesSinceSnapshot = 0;
+  StateDigests m_Digests;
   std::map<NodeId, std::string> m_ReportedDisks;
   struct Newcomer {
     std::string m_Incarnation;
@@ -78,6 +80,11 @@
   void apply(const consensus::Record &Record);
   void announceLeadership();
   void takeSnapshot();
+  void takeDigest(consensus::Index Position);
+  void attachDigest(const NodeId &Receiver,
+                    wire::ConsensusMessage &Message) const;
+  void compareDigest(const NodeId &Sender,
+                     const wire::ConsensusMessage &Message);
   void fail(const Error &Failure);
   /// Completes all pending proposals with \p Reason.
   void rejectPending(Verdict Reason);
@@ -236,13 +243,17 @@
                  {{"term", m_State.m_HardState.m_Term}});
     m_Callbacks.m_OnLeadershipLost();
   }
-  for (const consensus::Message &Message : Requested.m_Messages)
-    send(Message.m_To, consensus::toWire(Message));
+  for (const consensus::Message &Message : Requested.m_Messages) {
+    wire::ConsensusMessage Wire = consensus::toWire(Message);
+    attachDigest(Message.m_To, Wire);
+    send(Message.m_To, std::move(Wire));
+  }
 }
 
 void Replica::Impl::install(const consensus::Snapshot &Snapshot) {
   m_SnapshotIndex = Snapshot.m_Index;
   m_BytesSinceSnapshot = 0;
+  forgetOwn(m_Digests);
   m_Formed = true;
   events::emit(events::Event::SnapshotInstalled, {{"index", Snapshot.m_Index}});
   if (const Status Installed = m_Callbacks.m_Install(Snapshot.m_Data);
@@ -255,8 +266,12 @@
   m_BytesSinceSnapshot += Record.m_Payload.size();
   if (Record.m_Kind == consensus::RecordKind::Command)
     m_Callbacks.m_Apply(Record.m_Index, Record.m_Payload);
-  if (Record.m_Kind == consensus::RecordKind::Membership)
+  if (Record.m_Kind == consensus::RecordKind::Membership) {
     events::emit(events::Event::MembershipChanged, {{"index", Record.m_Index}});
+    keepMembers(m_Digests, m_State.m_Membership);
+  }
+  if (Record.m_Index % m_Options.m_DigestRecords == 0)
+    takeDigest(Record.m_Index);
 }
 
 /// Announces leadership once all records of earlier terms are applied.
@@ -286,6 +301,49 @@
                {{"index", Position}, {"bytes", Taken.m_Data.size()}});
 }
 
+void Replica::Impl::takeDigest(consensus::Index Position) {
+  if (!m_Callbacks.m_TakeDigest)
+    return;
+  if (const auto Value = m_Callbacks.m_TakeDigest(Position))
+    recordOwn(m_Digests, {Position, m_Options.m_DigestFormat, *Value});
+}
+
+/// Adds the newest digest to messages to the leader.
+void Replica::Impl::attachDigest(const NodeId &Receiver,
+                                 wire::ConsensusMessage &Message) const {
+  if (m_Digests.m_Own.empty() || Receiver != m_State.m_Leader)
+    return;
+  const StateDigest &Newest = m_Digests.m_Own.back();
+  wire::StateDigest &Wire = *Message.mutable_state_digest();
+  Wire.set_index(Newest.m_Index);
+  Wire.set_format(Newest.m_Format);
+  Wire.set_value(Newest.m_Value);
+}
+
+void Replica::Impl::compareDigest(const NodeId &Sender,
+                                  const wire::ConsensusMessage &Message) {
+  const consensus::Member *Member =
+      consensus::findMember(m_State.m_Membership, Sender);
+  if (!Message.has_state_digest() ||
+      m_State.m_Role != consensus::Role::Leader || Member == nullptr ||
+      Member->m_Incarnation != Message.disk_incarnation())
+    return;
+  const wire::StateDigest &Wire = Message.state_digest();
+  const DigestComparison Result =
+      compare(m_Digests, Sender, {Wire.index(), Wire.format(), Wire.value()});
+  if (Result == DigestComparison::Skipped)
+    return;
+  const bool IsEqual = Result == DigestComparison::Equal;
+  m_Registry
+      ->counter("wasabivale_state_digests_total",
+                "Digests of other members' states, compared by the leader",
+                {{"result", IsEqual ? "equal" : "different"}})
+      .add();
+  if (!IsEqual)
+    events::emit(events::Event::StateDiverged,
+                 {{"member", Sender}, {"index", Wire.index()}});
+}
+
 void Replica::Impl::fail(const Error &Failure) {
   if (m_HasFailed)
     return;
@@ -511,6 +569,7 @@
         .add();
     return;
   }
+  Self.compareDigest(Sender, Message);
   Self.m_Inbox.emplace_back(consensus::Receive{std::move(valueOf(Decoded))});
   Self.scheduleProcessing();
 }
--- a/libs/replication/tests/ReplicaTest.cpp
+++ b/libs/replication/tests/ReplicaTest.cpp
@@ -30,6 +30,8 @@
 /// Local cluster whose timeouts are reached only by a failing test.
 struct Cluster : LocalCluster {
   explicit Cluster(int Count) : LocalCluster(fastOptions(Count)) {}
+  explicit Cluster(replication::LocalClusterOptions Options)
+      : LocalCluster(std::move(Options)) {}
 
   bool waitFor(const std::function<bool()> &Condition) const {
     return runUntil(Condition, 60s);
@@ -233,3 +235,60 @@
     }
   }
 }
+
+SCENARIO("a member whose state differs from the leader's does not stay "
+         "unnoticed") {
+  replication::LocalClusterOptions Options = fastOptions(3);
+  Options.m_DigestRecords = 32;
+  Cluster Members(Options);
+  std::vector<std::string> Acknowledged;
+  const auto Count = [&](const char *Result) {
+    return Members.registry()
+        .counter("wasabivale_state_digests_total", "", {{"result", Result}})
+        .m_Value;
+  };
+  const auto OtherThan = [&](const LocalMember *Leader) -> LocalMember & {
+    return Members.members()[Leader == &Members.members()[0] ? 1 : 0];
+  };
+
+  GIVEN("three members with equal states") {
+    REQUIRE(!failed(Members.startAll()));
+    REQUIRE(Members.commit(300, Acknowledged));
+    REQUIRE(Members.allHaveApplied(Acknowledged));
+    REQUIRE(Members.waitFor([&] { return Count("equal") >= 2; }));
+    CHECK(Count("different") == 0);
+    WHEN("a follower applies a record differently") {
+      OtherThan(Members.leader()).m_Applied.back() += "x";
+      REQUIRE(Members.commit(100, Acknowledged));
+      THEN("the leader counts a difference") {
+        CHECK(Members.waitFor([&] { return Count("different") > 0; }));
+      }
+    }
+    WHEN("a follower restarts and applies its log again") {
+      LocalMember &Follower = OtherThan(Members.leader());
+      Cluster::stop(Follower);
+      REQUIRE(!failed(Members.start(Follower)));
+      REQUIRE(Members.allHaveApplied(Acknowledged));
+      const std::uint64_t Before = Count("equal");
+      REQUIRE(Members.commit(100, Acknowledged));
+      THEN("the states of both followers are compared and equal") {
+        CHECK(Members.waitFor([&] { return Count("equal") >= Before + 2; }));
+        CHECK(Count("different") == 0);
+      }
+    }
+  }
+  GIVEN("two members of a build without digests, of different states") {
+    for (std::size_t Number = 0; Number < 2; ++Number)
+      Members.members()[Number].m_TakesDigests = false;
+    REQUIRE(!failed(Members.startAll()));
+    REQUIRE(Members.commit(20, Acknowledged));
+    REQUIRE(Members.allHaveApplied(Acknowledged));
+    OtherThan(Members.leader()).m_Applied.back() += "x";
+    REQUIRE(Members.commit(300, Acknowledged));
+    REQUIRE(Members.allHaveApplied(Acknowledged));
+    THEN("nothing is compared") {
+      CHECK(Count("equal") == 0);
+      CHECK(Count("different") == 0);
+    }
+  }
+}
