Report that a failed member does not lead, and play full disks in turn

What operators saw: `wasabivale_consensus_leading` stayed 1 on a leader whose disk had failed, until its data were open again, beside the 1 of its successor. The replica updated its metrics at the end of a turn only, and a failure ends the turn early. It now updates them when it fails.

A new test of the replica fills five disks in turn, or fails their syncs and renames, for 20 to 1500 ms each, the leader's in half of the cases, with pauses of 0 to 300 ms and reopening after 200 ms, while proposals go on. Afterwards all proposals are answered, all members have all committed records, and each member leads and commits when it is asked to. The page of the store says what a failure removes.

--- a/libs/replication/src/Replica.cpp
+++ b/libs/replication/src/Replica.cpp
@@ -292,6 +292,7 @@
   m_HasFailed = true;
   events::emitError(events::Event::StoreFailed, Failure);
   m_LeadershipAnnounced = false;
+  updateMetrics();
   rejectPending(Verdict::Lost);
   m_Callbacks.m_OnFailure(Failure);
 }
--- a/libs/replication/tests/ReplicaTest.cpp
+++ b/libs/replication/tests/ReplicaTest.cpp
@@ -2,9 +2,11 @@
 #include "store_faults/store_faults.h"
 
 #include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fmt/format.h>
+#include <map>
 
 using namespace wasabivale;
 using namespace std::chrono_literals;
@@ -219,6 +221,150 @@
   }
 }
 
+SCENARIO("a failed member does not report that it leads") {
+  store::FaultyFiles Disk;
+  Cluster Members(1);
+  Members.members().front().m_Files = &Disk;
+  REQUIRE(!failed(Members.startAll()));
+  std::vector<std::string> Acknowledged;
+  REQUIRE(Members.commit(5, Acknowledged));
+  const metrics::Gauge &Leading = Members.registry().gauge(
+      "wasabivale_consensus_leading", "1 on the leader");
+  REQUIRE(Members.waitFor([&] { return Leading.m_Value == 1; }));
+  WHEN("its disk is full") {
+    Disk.m_Fault = store::Fault::Full;
+    LocalMember &Broken = Members.members().front();
+    Broken.m_Replica->propose("doubtful", [](const Decision &) {});
+    REQUIRE(Members.waitFor([&] { return !Broken.m_Failures.empty(); }));
+    THEN("the metric of the leader is 0") { CHECK(Leading.m_Value == 0); }
+  }
+}
+
+namespace {
+
+/// Starts each member again some time after its disk has failed, as the
+/// process does.
+struct ReopeningCluster : Cluster {
+  std::vector<store::FaultyFiles> m_Disks;
+  std::map<NodeId, TimePoint> m_ReopenAt;
+
+  explicit ReopeningCluster(int Count)
+      : Cluster(Count), m_Disks(static_cast<std::size_t>(Count)) {
+    for (std::size_t Number = 0; Number < m_Disks.size(); ++Number)
+      members()[Number].m_Files = &m_Disks[Number];
+  }
+
+  ~ReopeningCluster() {
+    for (LocalMember &Member : members())
+      stop(Member);
+  }
+  ReopeningCluster(const ReopeningCluster &) = delete;
+  ReopeningCluster &operator=(const ReopeningCluster &) = delete;
+
+  store::FaultyFiles &diskOf(const LocalMember &Member) {
+    return m_Disks[static_cast<std::size_t>(&Member - members().data())];
+  }
+
+  void reopenFailed() {
+    constexpr Duration Pause = 200ms;
+    const TimePoint Now = BootClock::now();
+    for (LocalMember &Member : members()) {
+      if (Member.m_Replica && !Member.m_Failures.empty()) {
+        stop(Member);
+        Member.m_Failures.clear();
+        m_ReopenAt[Member.m_Id] = Now + Pause;
+      } else if (!Member.m_Replica && Now >= m_ReopenAt[Member.m_Id]) {
+        if (failed(start(Member))) {
+          stop(Member);
+          m_ReopenAt[Member.m_Id] = Now + Pause;
+        }
+      }
+    }
+  }
+
+  /// Proposes a payload at the leader every few ms until \p Until.
+  void proposeUntil(TimePoint Until) {
+    constexpr Duration Interval = 5ms;
+    TimePoint Next;
+    (void)runUntil(
+        [&] {
+          reopenFailed();
+          LocalMember *Leader = leader();
+          const TimePoint Now = BootClock::now();
+          if (Leader != nullptr && Now >= Next) {
+            Next = Now + Interval;
+            proposeAt(*Leader);
+          }
+          return Now >= Until;
+        },
+        60s);
+  }
+
+  void proposeAt(LocalMember &Leader) {
+    const std::string Payload = std::to_string(++m_Proposed);
+    ++m_Unanswered;
+    Leader.m_Replica->propose(Payload, [&, Payload](const Decision &Decided) {
+      --m_Unanswered;
+      if (Decided.m_Verdict == Verdict::Committed)
+        m_Committed.push_back(Payload);
+    });
+  }
+
+  std::vector<std::string> m_Committed;
+  std::size_t m_Proposed = 0;
+  std::size_t m_Unanswered = 0;
+};
+
+} // namespace
+
+TEST_CASE("a group whose disks were full in turn commits again") {
+  const auto Seed = GENERATE(range(1, 3));
+  INFO("seed " << Seed);
+  Random Rng(static_cast<Random::result_type>(Seed));
+  const auto Draw = [&](int Least, int Most) {
+    return std::chrono::milliseconds(
+        std::uniform_int_distribution<int>(Least, Most)(Rng));
+  };
+  constexpr std::array Faults = {
+      store::Fault::Full, store::Fault::ShortThenFull, store::Fault::Sync,
+      store::Fault::Rename, store::Fault::SyncFolder};
+  ReopeningCluster Group(5);
+  REQUIRE(!failed(Group.startAll()));
+  REQUIRE(Group.waitFor([&] { return Group.leader() != nullptr; }));
+  constexpr std::size_t Rounds = 10;
+  for (std::size_t Round = 0; Round < Rounds; ++Round) {
+    LocalMember *Leader = Group.leader();
+    const bool HitsLeader = Leader != nullptr && Rng() % 2 == 0;
+    LocalMember &Hit =
+        HitsLeader ? *Leader : Group.members()[Round % Group.m_Disks.size()];
+    store::FaultyFiles &Disk = Group.diskOf(Hit);
+    Disk.m_WasShort = false;
+    Disk.m_Fault = Faults[Rng() % Faults.size()];
+    Group.proposeUntil(BootClock::now() + Draw(20, 1500));
+    Disk.m_Fault = store::Fault::None;
+    Group.proposeUntil(BootClock::now() + Draw(0, 300));
+  }
+  const std::size_t Before = Group.m_Committed.size();
+  Group.proposeUntil(BootClock::now() + 3s);
+  CHECK(Group.m_Committed.size() > Before + 50);
+  for (LocalMember &Member : Group.members())
+    CHECK(Group.waitFor([&] {
+      Group.reopenFailed();
+      return Member.m_Replica && Group.m_Unanswered == 0 &&
+             isSubset(Group.m_Committed, Member.m_Applied);
+    }));
+  // Each member leads, and commits, when it is asked to.
+  for (LocalMember &Member : Group.members()) {
+    REQUIRE(Group.waitFor([&] { return Group.leader() != nullptr; }));
+    if (Group.leader() != &Member)
+      Group.leader()->m_Replica->transferLeadership(Member.m_Id);
+    CHECK(Group.waitFor([&] { return Group.leader() == &Member; }));
+    const std::size_t Led = Group.m_Committed.size();
+    Group.proposeUntil(BootClock::now() + 200ms);
+    CHECK(Group.m_Committed.size() > Led);
+  }
+}
+
 SCENARIO("a single listed member forms the cluster immediately") {
   Cluster Members(1);
   REQUIRE(!failed(Members.startAll()));
--- a/libs/store/include/store/store.h
+++ b/libs/store/include/store/store.h
@@ -14,8 +14,10 @@
 /// All files have checksums (XXH3). Handling of failures:
 ///
 /// - A failed write, sync or rename, or a full disk, fails the store
-///   permanently: every later call returns that error, and the process must
-///   end. Bytes that a failed sync may have lost never count as durable.
+///   permanently: every later call returns that error, and the folder must be
+///   opened again. Bytes that a failed sync may have lost never count as
+///   durable: records that were not synced are removed at the failure, and what
+///   is read at open is synced.
 /// - A short write is continued; if the rest fails, the rule above applies.
 /// - An incomplete or zero-filled tail of the newest log file is truncated at
 ///   open: it is a write that was never acknowledged.
