Give up no request because a sound target is silent for a second or two

Callers of safe routes got 502 when all targets of their service sent nothing for a second; streams and safe requests at one silent target ran twice, and the target was ejected.

Cause: a try was given up after two objectives or five gaps, 500 ms at least, as stalled; two such tries ejected the target.

Now that silence only makes other targets preferred (at a cost of 1 s, until the next byte).

--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -224,6 +224,10 @@
   std::uint32_t m_FailuresToEject = 3;
   /// Cost of each failure since the last success.
   Duration m_FailureCost = std::chrono::milliseconds(200);
+  /// Cost of a target that has sent nothing of late while requests wait there.
+  Duration m_SilenceCost = std::chrono::seconds(1);
+  /// How long a silence counts that is not recorded again.
+  Duration m_SilenceDuration = std::chrono::seconds(1);
   /// Factor by which a target is slower than the model's other targets.
   double m_SlownessToEject = 3.0;
   /// Responses required before slowness is evaluated.
@@ -336,6 +340,8 @@
   double m_PrefillBusy = 0; ///< Mean fraction of reports with pending prefill.
   TimePoint m_FullUntil;
   std::optional<RateLimit> m_RateLimit;
+  TimePoint m_SilentSince;  ///< Only while `m_SilentAt` is recent.
+  TimePoint m_SilentAt;     ///< When it was last recorded as silent.
   bool m_Leaving = false;   ///< Its answers say so; holds until it is removed.
   TimePoint m_RestingUntil; ///< It asked for no requests until then.
   std::vector<WorkSample> m_History; ///< Bounded; oldest first.
@@ -534,6 +540,19 @@
 void restTarget(State &Fleet, const Leg &TargetLeg, TimePoint Until,
                 TimePoint Now);
 
+/// Records that a request waits at the incarnation of a leg, which has sent
+/// nothing since \p Since although it was expected to. Other targets are
+/// preferred until it is heard.
+void recordSilence(State &Fleet, const Leg &TargetLeg, TimePoint Since,
+                   TimePoint Now);
+
+/// Records that bytes arrived from the incarnation of a leg.
+void recordHeard(State &Fleet, const Leg &TargetLeg);
+
+/// How long the incarnation of a leg has been silent, over all requests that
+/// `recordSilence` was called for.
+Duration silenceOf(const State &Fleet, const Leg &TargetLeg, TimePoint Now);
+
 /// Capacity for new work at a model's targets that is available to this entry.
 struct Capacity {
   std::uint32_t m_FreeSlots = 0; ///< Requests that this entry may start now.
--- a/libs/routing/src/Estimates.cpp
+++ b/libs/routing/src/Estimates.cpp
@@ -149,8 +149,11 @@
 }
 
 double failurePenaltySeconds(const TargetView &View) {
-  return View.m_Slot.m_Health.m_FailurePoints *
-         seconds(View.m_Options.m_FailureCost);
+  const double Silence = isSilent(View.m_Options, View.m_Slot, View.m_Now)
+                             ? seconds(View.m_Options.m_SilenceCost)
+                             : 0;
+  return Silence + View.m_Slot.m_Health.m_FailurePoints *
+                       seconds(View.m_Options.m_FailureCost);
 }
 
 CostEstimate estimateService(const TargetView &View, const Request &Req) {
--- a/libs/routing/src/Fleet.cpp
+++ b/libs/routing/src/Fleet.cpp
@@ -236,6 +236,33 @@
   return true;
 }
 
+void recordSilence(State &Fleet, const Leg &TargetLeg, TimePoint Since,
+                   TimePoint Now) {
+  Slot *TargetSlot = findIncarnation(Fleet, TargetLeg);
+  if (TargetSlot == nullptr)
+    return;
+  TargetSlot->m_SilentSince = isSilent(Fleet.m_Settings, *TargetSlot, Now)
+                                  ? std::min(TargetSlot->m_SilentSince, Since)
+                                  : Since;
+  TargetSlot->m_SilentAt = Now;
+}
+
+void recordHeard(State &Fleet, const Leg &TargetLeg) {
+  if (Slot *TargetSlot = findIncarnation(Fleet, TargetLeg))
+    TargetSlot->m_SilentAt = {};
+}
+
+Duration silenceOf(const State &Fleet, const Leg &TargetLeg, TimePoint Now) {
+  const auto Found = Fleet.m_ByTarget.find(TargetLeg.m_Target);
+  if (Found == Fleet.m_ByTarget.end())
+    return {};
+  const Slot &TargetSlot = Fleet.m_Slots[Found->second];
+  if (TargetSlot.m_Target.m_Incarnation != TargetLeg.m_Incarnation ||
+      !isSilent(Fleet.m_Settings, TargetSlot, Now))
+    return {};
+  return Now - TargetSlot.m_SilentSince;
+}
+
 bool isClosed(const State &Fleet, const Leg &TargetLeg) {
   const auto Found = Fleet.m_ByTarget.find(TargetLeg.m_Target);
   if (Found == Fleet.m_ByTarget.end())
--- a/libs/routing/src/Health.cpp
+++ b/libs/routing/src/Health.cpp
@@ -154,6 +154,11 @@
 
 } // namespace
 
+bool isSilent(const Settings &Options, const Slot &TargetSlot, TimePoint Now) {
+  return TargetSlot.m_SilentAt != TimePoint() &&
+         Now - TargetSlot.m_SilentAt <= Options.m_SilenceDuration;
+}
+
 double warmFraction(const Settings &Options, const Slot &TargetSlot,
                     TimePoint Now) {
   if (TargetSlot.m_Health.m_State != HealthState::Warming)
--- a/libs/routing/src/Internal.h
+++ b/libs/routing/src/Internal.h
@@ -97,6 +97,9 @@
 void clearCachedPrefixes(State &Fleet, SlotIndex Index);
 
 // Health.cpp
+/// Whether requests wait at the target for longer than expected, and nothing
+/// has come from it meanwhile.
+bool isSilent(const Settings &Options, const Slot &TargetSlot, TimePoint Now);
 double warmFraction(const Settings &Options, const Slot &TargetSlot,
                     TimePoint Now);
 /// Observed duration, and the nominal duration at a target that performs as
