Count no entry as cut while all targets are silent for two seconds

An entry turned callers away when all sound targets were silent for 2 s and it asked for their health checks: probes that began 1.5 s after the last byte were decisive 0.5 s later.

Probes that ask are decisive from 1.75 s on, since an answer may take longer than a connection by the difference of their time-outs; the cut comes at 2.25 s at the earliest. The bounds of the tests of reach (2.5 s) and of the entry (3 s) for targets that are dark for good stay as they are.

Waiting for the whole answer time-out (2.5 s) was tried and broke the bound of 2.5 s in test-reach.

--- a/apps/entry/tests/SilentTargetTest.cpp
+++ b/apps/entry/tests/SilentTargetTest.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr std::size_t TargetCount = 4;
-constexpr std::chrono::milliseconds Silences[] = {500ms, 1000ms, 1500ms};
+constexpr std::chrono::milliseconds Silences[] = {500ms, 1000ms, 1500ms,
+                                                  2000ms};
 
 /// Targets that send no byte while they are silent. Their kernels acknowledge.
 struct SilentShop : Shop {
--- a/libs/reach/src/Reach.cpp
+++ b/libs/reach/src/Reach.cpp
@@ -96,7 +96,12 @@
   const TimePoint Reached =
       Entry.m_AsksTargets ? Entry.m_ReceivedAt
                           : std::max(Entry.m_ConnectedAt, Entry.m_ReceivedAt);
-  return std::max(Since, Reached) + Entry.m_Settings.m_SilenceToCut;
+  const Settings &Options = Entry.m_Settings;
+  // An answer may take this much longer than a connection.
+  const Duration Answer = Entry.m_AsksTargets
+                              ? Options.m_AnswerTimeout - Options.m_ProbeTimeout
+                              : Duration(0);
+  return std::max(Since, Reached) + Options.m_SilenceToCut + Answer;
 }
 
 std::size_t targetsToCut(const State &Entry) {
