Test that a stopping entry answers what waits in its queue

Hypothesis for a lost request late in the grace: the stages go on because the count of open requests misses one. The test sends 40 requests at once to a target that runs fewer, and stops the entry while they wait: each is answered or refused. It passes on the code before; the hypothesis does not hold.

--- a/apps/entry/tests/StopTest.cpp
+++ b/apps/entry/tests/StopTest.cpp
@@ -74,6 +74,17 @@
     return Count;
   }
 
+  /// Requests that ended with another status than these.
+  [[nodiscard]] int endedOtherwise(int Status, int OtherStatus) const {
+    int Count = 0;
+    for (const auto &[Id, Each] : m_Sent)
+      Count += Each->m_Ended && Each->m_Status != Status &&
+                       Each->m_Status != OtherStatus
+                   ? 1
+                   : 0;
+    return Count;
+  }
+
 private:
   Shop &m_Around;
   http::Pool m_Pool;
@@ -152,6 +163,27 @@
       }
     }
   }
+  GIVEN("more requests than the target runs at once") {
+    constexpr int Requests = 40;
+    Fixture.m_Settings.m_StopLag = 200ms;
+    Fixture.m_Settings.m_StopPatience = 8s;
+    Fixture.open({answersAfter(Fixture, 150ms, "booked")});
+    Callers Around(Fixture, Requests);
+    for (int I = 0; I < Requests; ++I)
+      Around.send();
+    REQUIRE(Fixture.m_Loop.until([&] { return !Fixture.m_Seen.empty(); }));
+    REQUIRE(Fixture.m_Seen.size() < Requests);
+    WHEN("the process stops while they wait for their turn") {
+      stop(Fixture);
+      REQUIRE(Fixture.m_Loop.until([&] { return Fixture.m_Entry == nullptr; }));
+      Fixture.m_Loop.turnFor(100ms);
+      THEN("each is answered or refused before the process ends") {
+        CHECK(Around.open() == 0);
+        CHECK(Around.endedOtherwise(200, 503) == 0);
+        CHECK(Around.cut() == 0);
+      }
+    }
+  }
   GIVEN("an engine that streams for longer than the process has") {
     Fixture.m_Settings.m_StopLag = 200ms;
     Fixture.addEngine("decode", streams(1, false));
