--- a/apps/control/src/StateMachine.cpp
+++ b/apps/control/src/StateMachine.cpp
@@ -3,6 +3,7 @@
 #include "state.pb.h"
 
 #include <algorithm>
+#include <bit>
 
 namespace wasabivale::control {
 
@@ -36,6 +37,16 @@
   ledger::setLimits(State.m_Ledger, New);
 }
 
+/// Numbers of digests from one that is taken to the next; a power of two, so
+/// that states of different sizes have some in common.
+std::uint64_t digestStride(const ReplicatedState &State) {
+  constexpr std::size_t ItemsPerStep = 4'096;
+  constexpr std::size_t MaxStride = 64;
+  const std::size_t Items =
+      State.m_Fleet.m_StreamVersions.m_Begun.size() + State.m_Ledger.m_Keys;
+  return std::min(std::bit_ceil(1 + Items / ItemsPerStep), MaxStride);
+}
+
 void fill(wire::CallReply &Message, const fleet::Reply &Reply) {
   if (Reply.m_Refusal)
     Message.set_refusal(static_cast<std::uint32_t>(*Reply.m_Refusal));
@@ -94,6 +105,16 @@
   return Snapshot.SerializeAsString();
 }
 
+std::optional<std::uint64_t> takeDigest(const ReplicatedState &State,
+                                        std::uint64_t Number) {
+  const std::uint64_t Stride = digestStride(State);
+  if (Number % Stride != 0)
+    return std::nullopt;
+  const std::uint64_t Fleet = hashBytes(fleet::snapshot(State.m_Fleet));
+  const std::size_t Shard = Number / Stride % ledger::ShardCount;
+  return hashBytes(ledger::shardSnapshot(State.m_Ledger, Shard), Fleet);
+}
+
 Result<ReplicatedState> fromSnapshot(const std::string &Bytes) {
   wire::ControlState Snapshot;
   if (!Snapshot.ParseFromString(Bytes))
--- a/apps/control/src/StateMachine.h
+++ b/apps/control/src/StateMachine.h
@@ -22,6 +22,12 @@
 std::string takeSnapshot(const ReplicatedState &State);
 Result<ReplicatedState> fromSnapshot(const std::string &Bytes);
 
+/// \returns a digest of the fleet and of one shard of the ledger. Successive
+/// values of \p Number select the shards in turn, so that a large ledger stops
+/// no member for long. A large state leaves out numbers, at most 63 of 64.
+std::optional<std::uint64_t> takeDigest(const ReplicatedState &State,
+                                        std::uint64_t Number);
+
 /// Newest log time that the state knows.
 LogTime newestLogTime(const ReplicatedState &State);
 
--- a/libs/ledger/include/ledger/ledger.h
+++ b/libs/ledger/include/ledger/ledger.h
@@ -149,6 +149,10 @@
 
 /// Serializes the whole state; equal states give equal bytes.
 std::string snapshot(const State &Ledger);
+
+/// Serializes what \p ShardIndex holds and what all shards share.
+std::string shardSnapshot(const State &Ledger, std::size_t ShardIndex);
+
 Result<State> restore(std::string_view Bytes);
 
 } // namespace wasabivale::ledger
--- a/libs/ledger/src/Snapshot.cpp
+++ b/libs/ledger/src/Snapshot.cpp
@@ -36,18 +36,33 @@
   return Value;
 }
 
-} // namespace
-
-std::string snapshot(const State &Ledger) {
-  wire::LedgerState Message;
+void writeShared(wire::LedgerState &Message, const State &Ledger) {
   Message.set_maximum_keys(Ledger.m_Limits.m_Keys);
   Message.set_maximum_bytes(Ledger.m_Limits.m_Bytes);
   Message.set_maximum_answer_bytes(Ledger.m_Limits.m_AnswerBytes);
   Message.set_retention_ns(nanosecondsOf(Ledger.m_Limits.m_Retention));
   Message.set_log_time_ns(nanosecondsOf(Ledger.m_Now));
+}
+
+void write(wire::LedgerState &Message, const Shard &KeyShard) {
+  for (const auto &[Id, Value] : KeyShard.m_Records)
+    write(*Message.add_entries(), Id, Value);
+}
+
+} // namespace
+
+std::string snapshot(const State &Ledger) {
+  wire::LedgerState Message;
+  writeShared(Message, Ledger);
   for (const Shard &KeyShard : Ledger.m_Shards)
-    for (const auto &[Id, Value] : KeyShard.m_Records)
-      write(*Message.add_entries(), Id, Value);
+    write(Message, KeyShard);
+  return Message.SerializeAsString();
+}
+
+std::string shardSnapshot(const State &Ledger, std::size_t ShardIndex) {
+  wire::LedgerState Message;
+  writeShared(Message, Ledger);
+  write(Message, Ledger.m_Shards.at(ShardIndex));
   return Message.SerializeAsString();
 }
 
