Fail the fault soak on states that differ

Evidence: test-wasabivale-fault-soak passes; its new scenario has no counterpart before, as the judge knew no such rule.

--- a/tools/fault-soak/src/Judge.cpp
+++ b/tools/fault-soak/src/Judge.cpp
@@ -415,6 +415,10 @@
   m_Acknowledged.emplace(Version, Now);
 }
 
+void Judge::stateDiverged(const std::string &LogLine, TimePoint Now) {
+  m_Violations.push_back({"STATE", "", LogLine, Now});
+}
+
 void Judge::processEnded(const std::string &Name, int Status, TimePoint Now) {
   m_Violations.push_back(
       {"ENDED", "", fmt::format("{} ended by itself: {}", Name, Status), Now});
--- a/tools/fault-soak/src/Judge.h
+++ b/tools/fault-soak/src/Judge.h
@@ -127,6 +127,8 @@
   void targetStarted(unsigned Target);
   void routesSent(std::uint64_t Version, const Routes &Content);
   void routesAcknowledged(std::uint64_t Version, TimePoint Now);
+  /// A line in the log of a control member says that states differ.
+  void stateDiverged(const std::string &LogLine, TimePoint Now);
   void processEnded(const std::string &Name, int Status, TimePoint Now);
   /// Looks whether entries that were in touch, and whose targets were well but
   /// for one, have served half of their requests of late.
--- a/tools/fault-soak/src/Soak.cpp
+++ b/tools/fault-soak/src/Soak.cpp
@@ -73,6 +73,8 @@
   void disturbMachine(bool IsEntry, unsigned Number, TimePoint Start,
                       TimePoint Until);
   void report();
+  /// Looks for differences of state in the logs of control members.
+  void checkStates(TimePoint Now);
   /// Turns the loop until \p Done or the end of a time.
   bool runUntil(const std::function<bool()> &Done, milliseconds Longest);
 
@@ -399,6 +401,16 @@
   }
 }
 
+void World::checkStates(TimePoint Now) {
+  for (const Machine &Member : m_Control) {
+    std::ifstream Log(
+        fmt::format("{}/{}.log", m_Folder, Member.m_Process->name()));
+    for (std::string Line; std::getline(Log, Line);)
+      if (Line.find(" state_diverged ") != std::string::npos)
+        m_Judge.stateDiverged(Line, Now);
+  }
+}
+
 void World::turn() {
   const TimePoint Now = BootClock::now();
   if (Now - m_TurnedAt > LongestPause) {
@@ -473,6 +485,7 @@
       },
       SettlePatience);
   m_Judge.checkCuts(BootClock::now());
+  checkStates(BootClock::now());
   report();
   const Judge::Counts &Seen = m_Judge.counts();
   fmt::print("seed={} faults={} sent={} served={} refused={} failed={} "
--- a/tools/fault-soak/tests/JudgeTest.cpp
+++ b/tools/fault-soak/tests/JudgeTest.cpp
@@ -314,3 +314,9 @@
     }
   }
 }
+
+SCENARIO("members of control whose states differ are a violation") {
+  Story Case(Kind::Safe);
+  Case.m_Judge.stateDiverged("error 6012 state_diverged member=c2", Start);
+  CHECK(Case.rules() == "STATE ");
+}
