--- a/tools/fault-soak/src/Judge.cpp
+++ b/tools/fault-soak/src/Judge.cpp
@@ -416,6 +416,10 @@
   m_Acknowledged.emplace(Version, Now);
 }
 
+void Judge::stateDiverged(const std::string &LogLine, TimePoint Now) {
+  m_Violations.push_back({"STATE", "", LogLine, Now});
+}
+
 void Judge::processEnded(const ProcessEnd &Ended, TimePoint Now) {
   const auto Report = [&](std::string_view How) {
     m_Violations.push_back(
--- a/tools/fault-soak/src/Judge.h
+++ b/tools/fault-soak/src/Judge.h
@@ -144,6 +144,8 @@
   /// A sanitizer has written \p Line to the log of a process.
   void sanitizerReported(const std::string &Name, const std::string &Line,
                          TimePoint Now);
+  /// A line in the log of a control member says that states differ.
+  void stateDiverged(const std::string &LogLine, TimePoint Now);
   /// Looks whether entries that were in touch, and whose targets were well but
   /// for one, have served half of their requests of late.
   void checkService(TimePoint Now);
--- a/tools/fault-soak/src/Soak.cpp
+++ b/tools/fault-soak/src/Soak.cpp
@@ -77,6 +77,8 @@
   void report();
   /// Reports what sanitizers wrote to the logs.
   void checkLogs(TimePoint Now);
+  /// Looks for differences of state in the logs of control members.
+  void checkStates(TimePoint Now);
   /// Turns the loop until \p Done or the end of a time.
   bool runUntil(const std::function<bool()> &Done, milliseconds Longest);
 
@@ -425,6 +427,15 @@
     }
 }
 
+void World::checkStates(TimePoint Now) {
+  for (const Machine &Member : m_Control) {
+    std::ifstream Log(Member.m_Process->logFile());
+    for (std::string Line; std::getline(Log, Line);)
+      if (Line.find(" state_diverged ") != std::string::npos)
+        m_Judge.stateDiverged(Line, Now);
+  }
+}
+
 void World::turn() {
   const TimePoint Now = BootClock::now();
   if (Now - m_TurnedAt > LongestPause) {
@@ -500,6 +511,7 @@
       SettlePatience);
   m_Judge.checkCuts(BootClock::now());
   checkLogs(BootClock::now());
+  checkStates(BootClock::now());
   report();
   const Judge::Counts &Seen = m_Judge.counts();
   fmt::print("seed={} faults={} sent={} served={} refused={} failed={} "
--- a/tools/fault-soak/tests/JudgeTest.cpp
+++ b/tools/fault-soak/tests/JudgeTest.cpp
@@ -382,3 +382,9 @@
   Case.m_Judge.sanitizerReported("entry-0", "runtime error: overflow", Start);
   CHECK(Case.rules() == "SANITIZER ");
 }
+
+SCENARIO("members of control whose states differ are a violation") {
+  Story Case(Kind::Safe);
+  Case.m_Judge.stateDiverged("error 6012 state_diverged member=c2", Start);
+  CHECK(Case.rules() == "STATE ");
+}
