Take requests during a stop by their deadlines alone

What callers saw: in a planned stop of one entry, in calm, requests that came after SIGTERM were taken and passed on, and cut at the end of the grace, also those that must not be repeated; their callers don't know whether they ran.

Cause: while the balancer could still send callers (up to 2.8 s after SIGTERM), mayStart took a request whose deadline lies behind the last answer if four times its estimate lies before. A target that is slower than it was makes the estimate wrong. A request that waited in the queue was judged likewise, so that one that must not be repeated could start late in the grace.

Change: a new request is taken only if its deadline, at which the entry answers, lies before the last answer. An estimate with its margin is left to requests that were taken before and may be repeated. Others that wait are refused at once and have not run. The row "its deadline is after, its estimate well before" of ShutdownTest.cpp stated the fault as wanted and now asserts the opposite; the row on the margin moved to a request that was taken before.

--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -455,12 +455,14 @@
 
 void DataPath::refuseWaitingForStop(TimePoint Now) {
   std::vector<limits::RefusedTicket> Refused;
-  for (const auto &[Ticket, Waiting] : m_Waiting)
+  for (const auto &[Ticket, Waiting] : m_Waiting) {
+    const Arrival &Request = Waiting->arrival();
     // Its target, and with it an estimate, is not known before it starts.
-    if (!shutdown::mayStart(*m_Shared.m_StopSchedule,
-                            {Waiting->arrival().m_Deadline, Now, Now, true},
-                            Now))
+    if (!shutdown::mayStart(
+            *m_Shared.m_StopSchedule,
+            {Request.m_Deadline, Now, Now, !Request.m_NotRepeatable}, Now))
       Refused.push_back({Ticket, {Refusal::Stopping, StoppingRetryAfter}});
+  }
   refuseWaiting(Refused, Now);
 }
 
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -558,10 +558,10 @@
   // What its caller has seen the beginning of goes on.
   if (!m_Shared.m_StopSchedule || m_Writer->hasPassed())
     return true;
-  return shutdown::mayStart(
-      *m_Shared.m_StopSchedule,
-      {m_Asked.m_Deadline, Expected.m_FirstToken, Expected.m_Finish, true},
-      Now);
+  return shutdown::mayStart(*m_Shared.m_StopSchedule,
+                            {m_Asked.m_Deadline, Expected.m_FirstToken,
+                             Expected.m_Finish, !m_Asked.m_NotRepeatable},
+                            Now);
 }
 
 void Serving::send(routing::Choice Where, TimePoint Now) {
@@ -663,9 +663,10 @@
   if (MaxRuns != 0 && m_Runs >= MaxRuns)
     return false;
   if (m_Shared.m_StopSchedule && !m_Writer->hasPassed() &&
-      !shutdown::mayStart(
-          *m_Shared.m_StopSchedule,
-          {m_Asked.m_Deadline, Now, m_Asked.m_Deadline, m_Started}, Now))
+      !shutdown::mayStart(*m_Shared.m_StopSchedule,
+                          {m_Asked.m_Deadline, Now, m_Asked.m_Deadline,
+                           m_Started && !m_Asked.m_NotRepeatable},
+                          Now))
     return false;
   return m_Shared.m_ForwardPeers.has(m_UsedPeers, Now);
 }
--- a/apps/entry/tests/StopTest.cpp
+++ b/apps/entry/tests/StopTest.cpp
@@ -189,4 +189,72 @@
   }
 }
 
+SCENARIO("a request is not taken late in the grace on an estimate alone") {
+  Shop Fixture;
+  Fixture.m_Settings.m_StopLag = 400ms;
+  Fixture.m_Settings.m_StopPatience = 1200ms;
+  // Targets answer the first request at once, and hold the others.
+  const auto HoldsAfterFirst = [&Fixture](const Play &First) {
+    return [&Fixture, First](const Exchange &Request) {
+      if (Fixture.m_Seen.size() == 1)
+        First(Request);
+    };
+  };
+  // Requests of four seconds end with their route, two seconds after them.
+  const http::Fields Patient = {{"Waits-S", "4"}};
+  const auto IsRefusedAtOnce = [&Fixture](const Answered &Got) {
+    return Got.m_Status == 503 &&
+           http::field(Got.m_Fields, OutcomeHeader) == "not_run" &&
+           !http::field(Got.m_Fields, "retry-after").empty() &&
+           Fixture.m_Seen.size() == 1;
+  };
+  GIVEN("a target that is slower than it was") {
+    Fixture.open({HoldsAfterFirst(answers(200, "booked"))});
+    REQUIRE(Fixture.ask("POST", "/book/7", Patient).m_Status == 200);
+    WHEN("calls arrive while the balancer may still send callers") {
+      stop(Fixture);
+      Fixture.m_Loop.turnFor(50ms);
+      THEN("one that must not be repeated is refused at once") {
+        const TimePoint SentAt = BootClock::now();
+        CHECK(IsRefusedAtOnce(Fixture.ask("POST", "/book/7", Patient)));
+        CHECK(BootClock::now() - SentAt < 300ms);
+      }
+      THEN("one that may be repeated is refused at once") {
+        CHECK(IsRefusedAtOnce(Fixture.ask("GET", "/stock/7", Patient)));
+      }
+    }
+  }
+  GIVEN("an engine that is slower than it was") {
+    Fixture.addEngine("decode", HoldsAfterFirst(streams(1, true)));
+    Fixture.warmUp();
+    Fixture.grant();
+    REQUIRE(Fixture.ask("POST", "/oracle/7", Patient).m_Status == 200);
+    WHEN("a stream arrives while the balancer may still send callers") {
+      stop(Fixture);
+      Fixture.m_Loop.turnFor(50ms);
+      THEN("it is refused at once") {
+        CHECK(IsRefusedAtOnce(Fixture.ask("POST", "/oracle/7", Patient)));
+      }
+    }
+  }
+  GIVEN("a call that must not be repeated and waits for a target") {
+    wire::Target &Full = Fixture.add([](const Exchange &) {});
+    Full.set_max_running(1);
+    Fixture.open({});
+    const auto Running = Fixture.start("POST", "/book/7", {{"Waits-S", "1"}});
+    REQUIRE(Fixture.m_Loop.until([&] { return Fixture.m_Seen.size() == 1; }));
+    const auto Waiting = Fixture.start("POST", "/book/7", Patient);
+    Fixture.m_Loop.turnFor(50ms);
+    REQUIRE_FALSE(Waiting->m_Ended);
+    WHEN("the process stops") {
+      stop(Fixture);
+      Fixture.m_Loop.turnFor(200ms);
+      THEN("it is refused without waiting any longer") {
+        REQUIRE(Waiting->m_Ended);
+        CHECK(IsRefusedAtOnce(*Waiting));
+      }
+    }
+  }
+}
+
 } // namespace wasabivale::entry::test
--- a/libs/shutdown/include/shutdown/shutdown.h
+++ b/libs/shutdown/include/shutdown/shutdown.h
@@ -36,14 +36,14 @@
   TimePoint m_Deadline;
   TimePoint m_FirstByteAt; ///< Expected.
   TimePoint m_FinishAt;    ///< Expected.
-  /// Taken before: another try of it, or the end of its wait.
+  /// Taken before and may run again: another try of it, or the end of its wait.
   bool m_IsTaken = false;
 };
 
 /// Whether a request may start: its answer is complete before the process
 /// exits. Only its deadline is certain. An estimate with a margin will do for
-/// one that was taken before, and while the balancer may send its caller here
-/// again.
+/// one that was taken before; the callers of others go elsewhere sooner if they
+/// are refused at once.
 bool mayStart(const Schedule &Deadlines, const Work &Request, TimePoint Now);
 
 enum class Stage : std::uint8_t {
--- a/libs/shutdown/src/Shutdown.cpp
+++ b/libs/shutdown/src/Shutdown.cpp
@@ -34,7 +34,7 @@
 bool mayStart(const Schedule &Deadlines, const Work &Request, TimePoint Now) {
   if (Request.m_Deadline <= Deadlines.m_AnswerBy)
     return true;
-  if (Now >= Deadlines.m_BalancedUntil && !Request.m_IsTaken)
+  if (!Request.m_IsTaken)
     return false;
   const Duration First =
       std::max<Duration>(Request.m_FirstByteAt - Now, Duration(0));
--- a/libs/shutdown/tests/ShutdownTest.cpp
+++ b/libs/shutdown/tests/ShutdownTest.cpp
@@ -26,8 +26,11 @@
   const Row Rows[] = {
       {"its deadline is before", 0s, 6s, 5s, 6s, false, true},
       {"its deadline is after, its estimate well before", 0s, 8s, 200ms, 700ms,
-       false, true},
-      {"its estimate may be short by a factor", 0s, 8s, 2s, 3s, false, false},
+       false, false},
+      {"its deadline is after, and it runs for no time", 0s, 8s, 0s, 0s, false,
+       false},
+      {"taken before, and its estimate may be short by a factor", 0s, 8s, 2s,
+       3s, true, false},
       {"balanced elsewhere, and its deadline is before", 5s, 1s, 20ms, 20ms,
        false, true},
       {"balanced elsewhere, and only its estimate is before", 3s, 6s, 20ms,
