Write the newest log file anew when a store opens

What callers saw: nothing yet; found by the review. A member is killed between a write and its sync, starts again while its disk fails, and opens its data a second later: it acknowledged records that a power loss then took.

Cause: the first open reads the records from the cache and fails to sync them. Linux then takes the pages for clean, so the sync of the second open succeeds without writing them. The same holds if the cut of dropUnsynced fails.

Change: open replaces the newest log file by what it has read (temporary file, sync, rename, sync of the folder), and syncs the folder before it removes anything. On a full disk open fails until there is room, as an append would.

Evidence: the new section of "data read at open is not lost in a power failure" failed before (3 of 6 records kept).

--- a/libs/store/src/Store.cpp
+++ b/libs/store/src/Store.cpp
@@ -484,20 +484,19 @@
     return removeNewest();
   if (!Newest)
     return std::monostate{};
-  if (Status Done = reopenNewest(); failed(Done))
+  // What was read may be in the cache only, after a sync that failed or was
+  // never made, and another sync may succeed without writing it.
+  if (Status Done =
+          replaceFile(Name, valueOf(Bytes).substr(0, Content.m_ValidBytes));
+      failed(Done))
     return Done;
-  if (valueOf(Bytes).size() > Content.m_ValidBytes)
-    if (Status Done = m_Files->truncate(m_File, Content.m_ValidBytes);
-        failed(Done))
-      return withPath(errorOf(Done), Path);
-  // A process that was killed before its sync leaves records in the cache only.
-  return syncFile(m_File, Path);
+  return reopenNewest();
 }
 
 Status Store::Impl::readSegments(const std::vector<std::string> &Names) {
   std::vector<std::string> Segments;
   for (const std::string &Name : Names)
-    if (startsWith(Name, SegmentPrefix))
+    if (startsWith(Name, SegmentPrefix) && !endsWith(Name, TemporarySuffix))
       Segments.push_back(Name);
   std::sort(Segments.begin(), Segments.end());
   for (const std::string &Name : Segments)
@@ -586,6 +585,10 @@
     return errorOf(Lock);
   State->m_Lock = valueOf(Lock);
   Status Done = State->readIdentity(Cluster, Member, Guard);
+  // A rename that is in the cache only must not be lost after the removal of
+  // the file that it replaced.
+  if (!failed(Done))
+    Done = State->syncFolder();
   if (!failed(Done))
     Done = State->readVote();
   if (!failed(Done))
@@ -596,8 +599,6 @@
     Done = State->readSnapshot(valueOf(Names));
   if (!failed(Done))
     Done = State->readSegments(valueOf(Names));
-  if (!failed(Done))
-    Done = State->syncFolder();
   if (failed(Done))
     return errorOf(Done);
   return std::unique_ptr<Store>(new Store(std::move(State)));
--- a/libs/store/tests/StoreTest.cpp
+++ b/libs/store/tests/StoreTest.cpp
@@ -280,6 +280,20 @@
     writeFile(Folder.firstLog(), readFile(Other.firstLog()));
     THEN("the records that were not synced are synced") { CheckAllIsKept(6); }
   }
+  WHEN(
+      "the process was killed before a sync, and the next open fails to sync") {
+    Disk.reset();
+    TempFolder Other;
+    save(*openFresh(Other), records(1, 6));
+    writeFile(Folder.firstLog(), readFile(Other.firstLog()));
+    Files.m_Disk.m_Fault = Fault::Sync;
+    REQUIRE(failed(Store::open(Files, Folder.m_Path, "test", {"c1"},
+                               store::CopyGuard::None)));
+    Files.m_Disk.m_Fault = Fault::None;
+    THEN("the records are written again before they count") {
+      CheckAllIsKept(6);
+    }
+  }
   WHEN("the folder was not synced after a vote was renamed") {
     Persist Vote;
     Vote.m_HardState = HardState{2, {"c2"}};
