Count a target's silence over all tries since it was last heard

What callers would have seen: a target that accepts requests and never answers was not ejected by calls with short time-outs; about every 2 s some of them waited 500 ms for it.

Cause: the cost of a silence keeps requests away for a second, after which the silence was forgotten, so that it never came to 2.5 s. It also counted from before bytes had last arrived, and a probe of an ejected target that got no answer ended without evidence.

Change: a silence is kept until bytes arrive, or for 10 s without another try; a try counts from the time when bytes last arrived; a probe counts as before.

Evidence: "short tries do not hide that a target never answers" failed before (500 ms for 2 s and for 3.5 s; 2 s for 1 s).

--- a/apps/entry/src/Try.cpp
+++ b/apps/entry/src/Try.cpp
@@ -278,7 +278,7 @@
 
 void Try::takeResponse(const relay::ResponseInfo &Info) {
   const TimePoint Now = BootClock::now();
-  routing::recordHeard(m_Tools.m_Routing, leg());
+  routing::recordHeard(m_Tools.m_Routing, leg(), Now);
   if ((Info.m_Signed || Info.m_RequestsPerSecond) && m_Handlers.m_OnRateLimit)
     m_Handlers.m_OnRateLimit(address(), Info.m_RequestsPerSecond);
   if (Info.m_Leaving && routing::closeTarget(m_Tools.m_Routing, leg(), Now))
@@ -418,7 +418,7 @@
     return;
   const TimePoint Now = BootClock::now();
   m_SilentSince = Now;
-  routing::recordHeard(m_Tools.m_Routing, leg());
+  routing::recordHeard(m_Tools.m_Routing, leg(), Now);
   const auto &Id = m_Plan.m_Choice.m_Try;
   if (m_Tokens == 0)
     routing::recordFirstToken(m_Tools.m_Routing, Id, Now);
@@ -544,7 +544,8 @@
     if (Now - m_SilentSince <= SoundSilence &&
         Now <= lastChance(m_For, m_SilentSince))
       return;
-    if (MayBeSound)
+    // A target on probation has to answer.
+    if (MayBeSound && !m_Plan.m_Choice.m_Probe)
       Evidence = TryOutcome::Cancelled;
   }
   const auto Self = shared_from_this();
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -226,8 +226,10 @@
   Duration m_FailureCost = std::chrono::milliseconds(200);
   /// Cost of a target that has sent nothing of late while requests wait there.
   Duration m_SilenceCost = std::chrono::seconds(1);
-  /// How long a silence counts that is not recorded again.
-  Duration m_SilenceDuration = std::chrono::seconds(1);
+  /// How long after a silence was recorded it has that cost.
+  Duration m_SilenceCostDuration = std::chrono::seconds(1);
+  /// How long a silence that is not recorded again is taken to go on.
+  Duration m_SilenceRetention = std::chrono::seconds(10);
   /// Factor by which a target is slower than the model's other targets.
   double m_SlownessToEject = 3.0;
   /// Responses required before slowness is evaluated.
@@ -340,8 +342,9 @@
   double m_PrefillBusy = 0; ///< Mean fraction of reports with pending prefill.
   TimePoint m_FullUntil;
   std::optional<RateLimit> m_RateLimit;
-  TimePoint m_SilentSince;  ///< Only while `m_SilentAt` is recent.
+  TimePoint m_SilentSince;  ///< Only while `m_SilentAt` is set.
   TimePoint m_SilentAt;     ///< When it was last recorded as silent.
+  TimePoint m_HeardAt;      ///< When bytes last arrived from it.
   bool m_Leaving = false;   ///< Its answers say so; holds until it is removed.
   TimePoint m_RestingUntil; ///< It asked for no requests until then.
   std::vector<WorkSample> m_History; ///< Bounded; oldest first.
@@ -547,10 +550,10 @@
                    TimePoint Now);
 
 /// Records that bytes arrived from the incarnation of a leg.
-void recordHeard(State &Fleet, const Leg &TargetLeg);
+void recordHeard(State &Fleet, const Leg &TargetLeg, TimePoint Now);
 
-/// How long the incarnation of a leg has been silent, over all requests that
-/// `recordSilence` was called for.
+/// How long the incarnation of a leg has been silent: over all requests that
+/// `recordSilence` was called for since bytes last arrived from it.
 Duration silenceOf(const State &Fleet, const Leg &TargetLeg, TimePoint Now);
 
 /// Capacity for new work at a model's targets that is available to this entry.
--- a/libs/routing/src/Fleet.cpp
+++ b/libs/routing/src/Fleet.cpp
@@ -241,15 +241,19 @@
   Slot *TargetSlot = findIncarnation(Fleet, TargetLeg);
   if (TargetSlot == nullptr)
     return;
-  TargetSlot->m_SilentSince = isSilent(Fleet.m_Settings, *TargetSlot, Now)
-                                  ? std::min(TargetSlot->m_SilentSince, Since)
-                                  : Since;
+  const TimePoint Start = std::max(Since, TargetSlot->m_HeardAt);
+  TargetSlot->m_SilentSince =
+      hasKnownSilence(Fleet.m_Settings, *TargetSlot, Now)
+          ? std::min(TargetSlot->m_SilentSince, Start)
+          : Start;
   TargetSlot->m_SilentAt = Now;
 }
 
-void recordHeard(State &Fleet, const Leg &TargetLeg) {
-  if (Slot *TargetSlot = findIncarnation(Fleet, TargetLeg))
+void recordHeard(State &Fleet, const Leg &TargetLeg, TimePoint Now) {
+  if (Slot *TargetSlot = findIncarnation(Fleet, TargetLeg)) {
+    TargetSlot->m_HeardAt = Now;
     TargetSlot->m_SilentAt = {};
+  }
 }
 
 Duration silenceOf(const State &Fleet, const Leg &TargetLeg, TimePoint Now) {
@@ -258,7 +262,7 @@
     return {};
   const Slot &TargetSlot = Fleet.m_Slots[Found->second];
   if (TargetSlot.m_Target.m_Incarnation != TargetLeg.m_Incarnation ||
-      !isSilent(Fleet.m_Settings, TargetSlot, Now))
+      !hasKnownSilence(Fleet.m_Settings, TargetSlot, Now))
     return {};
   return Now - TargetSlot.m_SilentSince;
 }
--- a/libs/routing/src/Health.cpp
+++ b/libs/routing/src/Health.cpp
@@ -156,7 +156,13 @@
 
 bool isSilent(const Settings &Options, const Slot &TargetSlot, TimePoint Now) {
   return TargetSlot.m_SilentAt != TimePoint() &&
-         Now - TargetSlot.m_SilentAt <= Options.m_SilenceDuration;
+         Now - TargetSlot.m_SilentAt <= Options.m_SilenceCostDuration;
+}
+
+bool hasKnownSilence(const Settings &Options, const Slot &TargetSlot,
+                     TimePoint Now) {
+  return TargetSlot.m_SilentAt != TimePoint() &&
+         Now - TargetSlot.m_SilentAt <= Options.m_SilenceRetention;
 }
 
 double warmFraction(const Settings &Options, const Slot &TargetSlot,
--- a/libs/routing/src/Internal.h
+++ b/libs/routing/src/Internal.h
@@ -100,6 +100,9 @@
 /// Whether requests wait at the target for longer than expected, and nothing
 /// has come from it meanwhile.
 bool isSilent(const Settings &Options, const Slot &TargetSlot, TimePoint Now);
+/// Whether a silence was recorded that may still go on.
+bool hasKnownSilence(const Settings &Options, const Slot &TargetSlot,
+                     TimePoint Now);
 double warmFraction(const Settings &Options, const Slot &TargetSlot,
                     TimePoint Now);
 /// Observed duration, and the nominal duration at a target that performs as
--- a/libs/routing/tests/HealthTest.cpp
+++ b/libs/routing/tests/HealthTest.cpp
@@ -20,6 +20,36 @@
 
 } // namespace
 
+SCENARIO("short tries do not hide that a target never answers") {
+  State Fleet = makeFleet(2);
+  const Leg Silent{Suspect, "first", 0};
+  GIVEN("a target that is given up after 500 ms, each 1.5 s") {
+    recordSilence(Fleet, Silent, at(0s), at(500ms));
+    recordSilence(Fleet, Silent, at(1500ms), at(2s));
+    CHECK(silenceOf(Fleet, Silent, at(2s)) == 2s);
+    recordSilence(Fleet, Silent, at(3s), at(3500ms));
+    CHECK(silenceOf(Fleet, Silent, at(3500ms)) == 3500ms);
+    WHEN("bytes arrive from it") {
+      recordHeard(Fleet, Silent, at(4s));
+      CHECK(silenceOf(Fleet, Silent, at(4s)) == 0s);
+      THEN("a try that began before counts from then on only") {
+        recordSilence(Fleet, Silent, at(3s), at(5s));
+        CHECK(silenceOf(Fleet, Silent, at(5s)) == 1s);
+      }
+    }
+    WHEN("no request has waited there for a while") {
+      THEN("the silence is forgotten") {
+        CHECK(silenceOf(Fleet, Silent, at(14s)) == 0s);
+        recordSilence(Fleet, Silent, at(14s), at(14500ms));
+        CHECK(silenceOf(Fleet, Silent, at(14500ms)) == 500ms);
+      }
+    }
+    THEN("another incarnation is not silent") {
+      CHECK(silenceOf(Fleet, {Suspect, "second", 0}, at(3500ms)) == 0s);
+    }
+  }
+}
+
 SCENARIO("targets are ejected according to their failures") {
   struct Row {
     const char *m_Name;
