Name a member of the silent targets' test as members are named

What callers saw: nothing. Cause: clang-tidy refuses the name of a member in SilentTargetTest.cpp; lint had not finished in its author's worktree. Evidence: the lint of the whole script. Change: the name.

--- a/apps/entry/tests/SilentTargetTest.cpp
+++ b/apps/entry/tests/SilentTargetTest.cpp
@@ -61,8 +61,8 @@
 
   void ask(int Count, bool IsStream) {
     for (int I = 0; I < Count; ++I)
-      m_Answers.push_back(IsStream ? start("POST", "/note/7", Patient)
-                                   : start("GET", "/stock/7", Patient));
+      m_Answers.push_back(IsStream ? start("POST", "/note/7", m_Patient)
+                                   : start("GET", "/stock/7", m_Patient));
   }
 
   void turn(std::chrono::milliseconds Time) {
@@ -102,7 +102,7 @@
     CHECK_FALSE(State.m_Reach.isCut());
   }
 
-  const http::Fields Patient = {{"Waits-S", "4"}};
+  const http::Fields m_Patient = {{"Waits-S", "4"}};
 };
 
 } // namespace
