Read what streams and transfers of an engine are like from the routes

Transfers were taken to last 2 ms for 1,024 tokens; the configuration's figures give 0.25 and 0.9 ms.

The routes now keep the tokens of an event, the KV bytes of a token and the rate of an engine's link. They only improve estimates: a missing or odd value makes no configuration invalid.

--- a/libs/routes/include/routes/routes.h
+++ b/libs/routes/include/routes/routes.h
@@ -71,6 +71,11 @@
   std::uint64_t m_KvCapacityTokens = 0; ///< Zero: not an engine.
   std::chrono::nanoseconds m_HandleTtl{0};
   std::string m_HealthPath; ///< Of the health check of a target; empty: none.
+  /// Output tokens in one event of a stream; zero: not reported.
+  std::uint32_t m_TokensPerEvent = 0;
+  std::uint64_t m_KvBytesPerToken = 0; ///< Zero: not reported.
+  /// Bits per second at which one engine sends KV memory; zero: not reported.
+  std::uint64_t m_KvLinkRate = 0;
 
   bool operator==(const Service &) const = default;
 };
--- a/libs/routes/src/Codec.cpp
+++ b/libs/routes/src/Codec.cpp
@@ -61,6 +61,9 @@
     ServiceMessage.set_kv_capacity_tokens(ServiceEntry.m_KvCapacityTokens);
     ServiceMessage.set_handle_ttl_ns(toNanoseconds(ServiceEntry.m_HandleTtl));
     ServiceMessage.set_health_path(ServiceEntry.m_HealthPath);
+    ServiceMessage.set_tokens_per_event(ServiceEntry.m_TokensPerEvent);
+    ServiceMessage.set_kv_bytes_per_token(ServiceEntry.m_KvBytesPerToken);
+    ServiceMessage.set_kv_link_bits_per_second(ServiceEntry.m_KvLinkRate);
   }
   Message.set_header_bytes(RouteTable.m_Limits.m_HeaderBytes);
   Message.set_body_bytes(RouteTable.m_Limits.m_BodyBytes);
@@ -77,10 +80,14 @@
     RouteTable.m_Routes.push_back(fromWire(RouteMessage));
   for (const wire::RoutedService &ServiceMessage : Message.services())
     RouteTable.m_Services[ServiceMessage.name()] = {
-        ServiceMessage.name(), ServiceMessage.max_connections(),
+        ServiceMessage.name(),
+        ServiceMessage.max_connections(),
         ServiceMessage.kv_capacity_tokens(),
         std::chrono::nanoseconds(ServiceMessage.handle_ttl_ns()),
-        ServiceMessage.health_path()};
+        ServiceMessage.health_path(),
+        ServiceMessage.tokens_per_event(),
+        ServiceMessage.kv_bytes_per_token(),
+        ServiceMessage.kv_link_bits_per_second()};
   RouteTable.m_Limits.m_HeaderBytes = Message.header_bytes();
   RouteTable.m_Limits.m_BodyBytes = Message.body_bytes();
   RouteTable.m_Limits.m_HeaderTimeout =
