Hold a request with a rough estimate to the time that it takes at least

Admission corrects expected service times by the mean of observed over expected. Entries gave it a part of the estimate on purpose, since the length of an answer is known at the median only, and the correction took that back.

An admission request may now name its least time, which alone decides what misses the deadline; the expected time still counts for the queue.

--- a/libs/limits/include/limits/limits.h
+++ b/libs/limits/include/limits/limits.h
@@ -96,7 +96,11 @@
   std::uint32_t m_OutputTokens = 0; ///< Expected; corrected by `finish`.
   TimePoint m_Deadline;
   Duration m_ServiceTime{}; ///< Routing's estimate from start to end.
-  Capacity m_Capacity;      ///< Current capacity of its model.
+  /// Time from start to end that is almost certain, where the estimate is
+  /// rough; it alone decides what misses the deadline. Unset: the service time,
+  /// as corrected by the times of other requests.
+  std::optional<Duration> m_MinServiceTime;
+  Capacity m_Capacity; ///< Current capacity of its model.
 };
 
 /// The request may start now and counts as running from now on.
@@ -204,6 +208,7 @@
   TimePoint m_Deadline;
   QueuePosition m_Position; ///< Valid while the request waits.
   Duration m_ServiceTime{};
+  std::optional<Duration> m_MinServiceTime;
 };
 
 /// Resources that a caller requested and used since the last `takeUsage`.
--- a/libs/limits/src/Admission.cpp
+++ b/libs/limits/src/Admission.cpp
@@ -107,9 +107,10 @@
   Active.m_ArrivedAt = Now;
   Active.m_Deadline = Request.m_Deadline;
   Active.m_ServiceTime = Request.m_ServiceTime;
-  const double Service =
-      seconds(Request.m_ServiceTime) * biasOf(Entry, Request.m_Model);
-  Active.m_LatestStart = Request.m_Deadline - fromSeconds(Service);
+  Active.m_MinServiceTime = Request.m_MinServiceTime;
+  Active.m_LatestStart =
+      Request.m_Deadline -
+      fromSeconds(decidingSeconds(Request, biasOf(Entry, Request.m_Model)));
   Entry.m_Active.emplace(Id, Active);
   charge(Entry.m_Callers[Index], 1, Request.m_PromptTokens,
          Request.m_OutputTokens);
@@ -125,7 +126,7 @@
                   CallerIndex Index, const AdmissionRequest &Request,
                   bool StartNow, TimePoint Now) {
   Forecast Result;
-  Result.m_Service = seconds(Request.m_ServiceTime) * Queue.m_Bias;
+  Result.m_Service = decidingSeconds(Request, Queue.m_Bias);
   if (!StartNow)
     Result.m_Wait = expectedWait(Entry, Queue, Index, Request, Now);
   return Result;
--- a/libs/limits/src/Internal.h
+++ b/libs/limits/src/Internal.h
@@ -23,6 +23,12 @@
       std::chrono::duration<double>(std::clamp(Value, -Day, Day)));
 }
 
+/// Seconds from start to end by which a request is held to its deadline.
+inline double decidingSeconds(const AdmissionRequest &Request, double Bias) {
+  return Request.m_MinServiceTime ? seconds(*Request.m_MinServiceTime)
+                                  : seconds(Request.m_ServiceTime) * Bias;
+}
+
 // Shares.cpp
 /// Concurrent requests that the caller's share allows at this entry.
 std::uint32_t concurrencyShare(const CallerState &Caller);
--- a/libs/limits/src/Queue.cpp
+++ b/libs/limits/src/Queue.cpp
@@ -129,7 +129,9 @@
   if (Request.m_Deadline <= Now)
     return {Refusal::DeadlinePassed, {}};
   // The queued work must shrink by the time that this request is short of.
-  const Duration Overrun = Now + Request.m_ServiceTime - Request.m_Deadline;
+  const Duration Overrun =
+      Now + Request.m_MinServiceTime.value_or(Request.m_ServiceTime) -
+      Request.m_Deadline;
   return {Refusal::CannotMeetDeadline,
           std::max(Overrun, fromSeconds(Queue.m_Work > 0 ? 1 : 0.1))};
 }
@@ -309,9 +311,9 @@
   const CallerState &Caller = Entry.m_Callers[Index];
   const double Slots = std::max(1.0, Request.m_Capacity.m_Slots);
   const double Service = seconds(Request.m_ServiceTime);
+  const double Deciding = decidingSeconds(Request, Queue.m_Bias);
   const CallerFlow &Flow = Queue.m_Flows.at(Index);
-  const TimePoint LatestStart =
-      Request.m_Deadline - fromSeconds(Service * Queue.m_Bias);
+  const TimePoint LatestStart = Request.m_Deadline - fromSeconds(Deciding);
   const double OwnWork =
       ownWorkAhead(Entry, Flow,
                    rankOf(Entry, LatestStart,
--- a/libs/limits/tests/AdmissionTest.cpp
+++ b/libs/limits/tests/AdmissionTest.cpp
@@ -207,3 +207,30 @@
   }
   verify(Entry);
 }
+
+SCENARIO("a rough estimate alone refuses no request") {
+  State Entry = entryOf(1);
+  GIVEN("requests that take four times as long as estimated") {
+    TimePoint Now = at(0s);
+    for (int I = 0; I < 100; ++I) {
+      const Decision Started = admit(Entry, arrival(0, AllSlotsFree), Now);
+      Now += 4s;
+      finish(Entry, std::get<Admitted>(Started.m_Verdict).m_Ticket, {}, Now);
+    }
+    AdmissionRequest Long = arrival(0, AllSlotsFree);
+    Long.m_ServiceTime = 3s;
+    Long.m_Deadline = Now + 10s;
+    THEN("one whose corrected estimate misses its deadline is refused") {
+      CHECK(std::holds_alternative<Refused>(admit(Entry, Long, Now).m_Verdict));
+    }
+    THEN("it is admitted if the time that it takes at least is known to do") {
+      Long.m_MinServiceTime = 1s;
+      CHECK(
+          std::holds_alternative<Admitted>(admit(Entry, Long, Now).m_Verdict));
+    }
+    THEN("it is refused if not even that does") {
+      Long.m_MinServiceTime = 11s;
+      CHECK(std::holds_alternative<Refused>(admit(Entry, Long, Now).m_Verdict));
+    }
+  }
+}
