Place prompts by learned speeds, handoff times and objectives

- The factor of learned speeds has wide bounds and applies to affinity and interference too.
- The time from the end of a prefill to the first token is learned for each engine; transfers to another zone count twice.
- A split holds no decoding place while it is in prefill, here and in what other entries are told.
- A prompt that is expected to miss its objective yields to those that can meet theirs; large ones do not.
Such requests are no evidence of a slow engine.

--- a/apps/entry/src/Arrival.h
+++ b/apps/entry/src/Arrival.h
@@ -44,7 +44,8 @@
   Passed, ///< A plain request, passed on unread by its route.
 };
 
-/// Urgencies that one rank has, the last of them left free.
+/// Urgencies that one rank has: large prompts, others, and those that are
+/// expected to miss their objective and so yield to the ones that can meet it.
 inline constexpr std::uint32_t UrgenciesOfRank = 3;
 
 /// A plain request with the route that it came by.
@@ -55,13 +56,22 @@
   /// Urgency at the target, zero first: the route's rank, and within it what
   /// takes long by itself before the rest.
   std::uint32_t m_Urgency = 0;
+  std::uint32_t m_TokensPerEvent = 1;
 
   /// Whether it goes before others of its rank.
   [[nodiscard]] bool isLarge() const {
     return m_Urgency % UrgenciesOfRank == 0;
   }
+  /// Urgency of a request that is expected to miss its objective.
+  [[nodiscard]] std::uint32_t lateUrgency() const {
+    return m_Route.m_Rank * UrgenciesOfRank + UrgenciesOfRank - 1;
+  }
 };
 
+/// Output tokens of a plain request's stream after \p Events events. The first
+/// event carries the first token, so that it does not wait for others.
+std::uint64_t outputTokens(const Passed &Request, std::uint64_t Events);
+
 /// How long a caller waits for an event of a stream, the first one too, before
 /// it leaves: what callers of this route are promised, several times over.
 std::chrono::nanoseconds streamPatience(const routes::Route &By);
--- a/apps/entry/src/Context.h
+++ b/apps/entry/src/Context.h
@@ -32,12 +32,19 @@
 /// Demand of one model since the last report, and what its answers are like.
 struct ModelUse {
   wire::ModelDemand m_Demand;
-  /// Mean of generated tokens over those that were asked for.
-  double m_OutputShare = 1;
+  /// Output tokens of recent answers, and those that were expected of them.
+  double m_OutputTokens = 0;
+  double m_ExpectedTokens = 0;
   /// Started requests that have no target yet: they will take free slots.
   std::uint32_t m_Unplaced = 0;
 };
 
+/// Output tokens of recent answers over those that were expected of them.
+inline double outputShare(const ModelUse &Use) {
+  return Use.m_ExpectedTokens > 0 ? Use.m_OutputTokens / Use.m_ExpectedTokens
+                                  : 1;
+}
+
 struct Context {
   Context(event_base *Loop, const EntrySettings &Settings,
           EntryMetrics &Metrics, LedgerClient &Ledger)
--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -22,12 +22,15 @@
 constexpr std::chrono::milliseconds PlainWarmUp{1'000};
 /// A prompt is read in some hundred ms and streams for as long, one of dozens
 /// at its engine: memory for the streams of four that read is a third of one.
-constexpr double StreamersForPrefill = 0.25;
+constexpr double StreamersForPrefill = 1;
 /// Parts of an estimate, in percent, that must still miss the deadline before a
 /// plain request is refused for it: times to a first token are within about a
 /// third, and the length of an answer is known at the median only.
 constexpr int FirstEventCertainty = 90;
 constexpr int FirstTokenCertainty = 50;
+/// Requests that come later and can meet their objective go before one that
+/// can't.
+constexpr int LateFirstCertainty = 100;
 constexpr int AnswerCertainty = 20;
 /// A plain service's load is told with its answers: what it said this long ago
 /// has ended since, and nothing more would be heard if nothing were sent.
@@ -77,12 +80,13 @@
 }
 
 /// Time that a plain request takes at least, as far as its estimate is sure.
-Duration leastTime(const routing::Estimate &Of, TimePoint From) {
+Duration leastTime(const routing::Estimate &Of, TimePoint From,
+                   int FirstCertainty) {
   const Duration First =
       std::max<Duration>(Of.m_FirstToken - From, Duration(0));
   const Duration Rest =
       std::max<Duration>(Of.m_Finish - Of.m_FirstToken, Duration(0));
-  return First * FirstTokenCertainty / 100 + Rest * AnswerCertainty / 100;
+  return First * FirstCertainty / 100 + Rest * AnswerCertainty / 100;
 }
 
 } // namespace
@@ -288,10 +292,17 @@
     return;
   if (For.m_Forwarded && Made->reachesNoTarget())
     return Made->refuseUnstarted({Refusal::NoTarget, Duration(0)});
-  const routing::Request Wanted =
-      describeForRouting(For, blocksOf(For), Use ? Use->m_OutputShare : 1);
-  const auto Expected =
+  routing::Request Wanted =
+      describeForRouting(For, blocksOf(For), Use ? outputShare(*Use) : 1);
+  auto Expected =
       routing::estimate(m_Shared.m_Routing, Wanted, Now, m_Shared.m_Random);
+  const bool IsLate =
+      !failed(Expected) && isExpectedLate(For, valueOf(Expected));
+  if (IsLate) {
+    Wanted.m_Priority = routingPriority(For.m_Passed->lateUrgency());
+    Expected =
+        routing::estimate(m_Shared.m_Routing, Wanted, Now, m_Shared.m_Random);
+  }
   if (failed(Expected) && Made->forwardUnstarted(true))
     return;
   if (failed(Expected))
@@ -309,7 +320,7 @@
   if (For.m_Passed && For.m_Stream && !For.m_Passed->isLarge() && !IsResumed) {
     const Duration First =
         std::max<Duration>(valueOf(Expected).m_FirstToken - Now, Duration(0)) *
-        FirstEventCertainty / 100;
+        (IsLate ? LateFirstCertainty : FirstEventCertainty) / 100;
     const Duration Patience = streamPatience(For.m_Passed->m_Route);
     if (First > Patience)
       return Made->refuseUnstarted(
@@ -329,12 +340,14 @@
   Ask.m_ServiceTime =
       std::max<Duration>(valueOf(Expected).m_Finish - From, Duration(0));
   if (For.m_Passed)
-    Ask.m_ServiceTime = leastTime(valueOf(Expected), From);
+    Ask.m_MinServiceTime =
+        leastTime(valueOf(Expected), From,
+                  IsLate ? LateFirstCertainty : FirstTokenCertainty);
   if (IsResumed)
-    Ask.m_ServiceTime = Duration(0);
+    Ask.m_MinServiceTime = Ask.m_ServiceTime = Duration(0);
   else if (For.m_Passed && For.m_Stream)
     Ask.m_Deadline = std::min(
-        Ask.m_Deadline, lastEnd(For, valueOf(Expected), Ask.m_ServiceTime));
+        Ask.m_Deadline, lastEnd(For, valueOf(Expected), *Ask.m_MinServiceTime));
   if (m_Shared.m_StopSchedule)
     Ask.m_Deadline =
         std::min(Ask.m_Deadline, m_Shared.m_StopSchedule->m_AnswerBy);
@@ -598,10 +611,16 @@
   if (Routes && Routes->m_ForwardListen.m_Port != 0 && !m_Shared.m_StopSchedule)
     Report.set_forward_address(http::printAddress(Routes->m_ForwardListen));
   for (auto &[Name, Use] : m_Shared.m_Models) {
+    const std::uint32_t Streams =
+        routing::streamsInProgress(m_Shared.m_Routing, {Name});
     if (Use.m_Demand.requests() == 0 && Use.m_Demand.output_tokens() == 0 &&
-        Use.m_Demand.refused() == 0)
+        Use.m_Demand.refused() == 0 && Streams == 0)
       continue;
     Use.m_Demand.set_model(Name);
+    Use.m_Demand.set_streams(Streams);
+    if (const auto Rate =
+            routing::observedPrefillRate(m_Shared.m_Routing, {Name}))
+      Use.m_Demand.set_prefill_rate(*Rate);
     *Report.add_demand() = std::exchange(Use.m_Demand, {});
   }
   for (const limits::Usage &One : limits::takeUsage(m_Shared.m_Limits)) {
--- a/apps/entry/src/FleetView.cpp
+++ b/apps/entry/src/FleetView.cpp
@@ -17,6 +17,17 @@
   return routing::Role::Mixed;
 }
 
+/// Zero if the service does not state what it takes.
+Duration transferPerBlock(const routes::Service &Service) {
+  if (Service.m_KvLinkRate == 0)
+    return Duration(0);
+  constexpr double BitsPerByte = 8;
+  const double Bits = static_cast<double>(Service.m_KvBytesPerToken) *
+                      BitsPerByte * routing::BlockTokens;
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+      Bits / static_cast<double>(Service.m_KvLinkRate)));
+}
+
 routing::Target toRouting(const FleetView::Known &From,
                           const routes::Table &Routes) {
   const wire::Target &Given = From.m_Description;
@@ -45,11 +56,14 @@
   Made.m_KvBlocks = static_cast<std::uint32_t>(Given.kv_blocks());
   Made.m_SoftwareVersion = Given.software_version();
   Made.m_MaxRunning = std::max(1U, Given.max_running());
-  if (Made.m_KvBlocks == 0 && Given.models_size() > 0)
+  if (Given.models_size() > 0)
     if (const auto Service = Routes.m_Services.find(Given.models(0));
-        Service != Routes.m_Services.end())
-      Made.m_KvBlocks = static_cast<std::uint32_t>(
-          Service->second.m_KvCapacityTokens / routing::BlockTokens);
+        Service != Routes.m_Services.end()) {
+      if (Made.m_KvBlocks == 0)
+        Made.m_KvBlocks = static_cast<std::uint32_t>(
+            Service->second.m_KvCapacityTokens / routing::BlockTokens);
+      Made.m_KvTransferPerBlock = transferPerBlock(Service->second);
+    }
   Made.m_Serving = Given.state() == "serving" && From.m_Address.has_value();
   return Made;
 }
--- a/apps/entry/src/Passed.cpp
+++ b/apps/entry/src/Passed.cpp
@@ -15,7 +15,7 @@
 
 /// What is likely to be generated: half of the most, without a guess. A guess
 /// is right at the median only, so it is no bound.
-std::uint64_t likelyTokens(const relay::CallerRequest &Of) {
+std::uint32_t likelyTokens(const relay::CallerRequest &Of) {
   if (Of.m_ExpectedTokens == 0)
     return std::max(1U, Of.m_MaxTokens / 2);
   return Of.m_MaxTokens == 0 ? Of.m_ExpectedTokens
@@ -24,6 +24,10 @@
 
 } // namespace
 
+std::uint64_t outputTokens(const Passed &Request, std::uint64_t Events) {
+  return Events == 0 ? 0 : 1 + (Events - 1) * Request.m_TokensPerEvent;
+}
+
 std::chrono::nanoseconds streamPatience(const routes::Route &By) {
   // As callers of streams are told to behave (docs/INTERFACES.md).
   constexpr std::chrono::seconds Least{2};
@@ -97,7 +101,11 @@
   const auto Service = Routes.table().m_Services.find(Result.m_Model);
   Passing->m_ForEngine = Service != Routes.table().m_Services.end() &&
                          Service->second.m_KvCapacityTokens > 0;
-  Result.m_MaxTokens = likelyTokens(Ask);
+  if (Passing->m_ForEngine)
+    Passing->m_TokensPerEvent = std::max(1U, Service->second.m_TokensPerEvent);
+  Result.m_MaxTokens = outputTokens(
+      *Passing, (likelyTokens(Ask) + Passing->m_TokensPerEvent - 1) /
+                    Passing->m_TokensPerEvent);
   Result.m_Stream = Route->m_Kind == routes::Kind::Streaming;
   Result.m_Passed = std::move(Passing);
   return Result;
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -20,8 +20,8 @@
 /// Longest wait for control's word on the version of a stream; covers the
 /// election of a leader.
 constexpr std::chrono::milliseconds VersionPatience{1500};
-/// Weight of the newest answer in a model's mean share of output.
-constexpr double OutputShareStep = 0.05;
+/// Part of the former answers' weight that a further answer leaves to them.
+constexpr double OutputDecay = 0.95;
 /// Targets that a request could not be sent to, one after the other, before the
 /// fault is taken for this entry's own.
 constexpr std::size_t UnreachedTargets = 2;
@@ -104,7 +104,8 @@
   Made.m_Kind =
       Asked.isService() ? routing::Kind::Service : routing::Kind::Engine;
   Made.m_Model = {Asked.m_Model};
-  Made.m_Priority = Asked.m_Priority;
+  Made.m_Priority = Asked.m_Passed ? routingPriority(Asked.m_Passed->m_Urgency)
+                                   : Asked.m_Priority;
   if (!Asked.isService()) {
     Made.m_PromptTokens = promptTokensOf(Asked);
     Made.m_ExpectedOutputTokens =
@@ -120,6 +121,20 @@
   return Made;
 }
 
+unsigned routingPriority(std::uint32_t Urgency) {
+  return routing::MaxPriority - std::min(Urgency, routing::MaxPriority);
+}
+
+bool isExpectedLate(const Arrival &Request, const routing::Estimate &Expected) {
+  // Large prompts would hardly be served if they yielded whenever they are
+  // late.
+  return Request.m_Passed && Request.m_Stream && !Request.isService() &&
+         !Request.isResumed() && !Request.m_Passed->isLarge() &&
+         Request.m_Passed->m_Route.m_Objective > Duration(0) &&
+         Expected.m_FirstToken >
+             Request.m_ArrivedAt + Request.m_Passed->m_Route.m_Objective;
+}
+
 Duration untilRateAdmits(const Context &Shared, const routing::Request &Wanted,
                          TimePoint Now) {
   // None of the limited targets is this entry's to use; others have them.
@@ -325,7 +340,7 @@
 routing::Request Serving::routingRequest() const {
   const auto Use = m_Shared.m_Models.find(m_Asked.m_Model);
   const double Share =
-      Use == m_Shared.m_Models.end() ? 1.0 : Use->second.m_OutputShare;
+      Use == m_Shared.m_Models.end() ? 1.0 : outputShare(Use->second);
   routing::Request Wanted = describeForRouting(m_Asked, m_Blocks, Share);
   Wanted.m_Avoid = m_Avoid;
   if (m_Offset > m_FirstOffset)
@@ -536,6 +551,16 @@
   if (failed(Where))
     return giveUp(Refusal::NoTarget, outcomeSoFar(), errorOf(Where),
                   untilRateAdmits(m_Shared, Wanted, Now));
+  if (m_Offset == 0 && isExpectedLate(m_Asked, valueOf(Where).m_Estimate)) {
+    routing::recordEnded(m_Shared.m_Routing, valueOf(Where).m_Try,
+                         TryOutcome::NotSent, Now);
+    Wanted.m_Priority = routingPriority(m_Asked.m_Passed->lateUrgency());
+    Wanted.m_Yields = true;
+    Where = routing::choose(m_Shared.m_Routing, Wanted, Now, m_Shared.m_Random);
+    WASABIVALE_INVARIANT(!failed(Where));
+  }
+  m_Urgency =
+      routing::MaxPriority - std::min(Wanted.m_Priority, routing::MaxPriority);
   if (!mayStartBeforeStop(valueOf(Where).m_Estimate, Now)) {
     routing::recordEnded(m_Shared.m_Routing, valueOf(Where).m_Try,
                          TryOutcome::NotSent, Now);
@@ -617,6 +642,7 @@
   const routing::Estimate Expected = Where.m_Estimate;
   Plan.m_Choice = std::move(Where);
   Plan.m_StreamId = m_StreamId;
+  Plan.m_Urgency = m_Urgency;
   Plan.m_Offset = m_Offset;
   Plan.m_HasBegun = m_Writer->hasPassed();
   Plan.m_IsRetry = m_Tries > 1;
@@ -1072,11 +1098,16 @@
   if (!m_CallerGone)
     (InTime ? Metrics.m_Completed : Metrics.m_CompletedLate).add();
   if (ModelUse *Use = modelUse()) {
-    const double Share = static_cast<double>(Ending.m_End.m_Length) /
-                         static_cast<double>(m_Asked.m_MaxTokens);
-    Use->m_OutputShare += OutputShareStep * (Share - Use->m_OutputShare);
+    const std::uint64_t Tokens =
+        m_Asked.m_Passed
+            ? outputTokens(*m_Asked.m_Passed, Ending.m_End.m_Length)
+            : Ending.m_End.m_Length;
+    Use->m_OutputTokens =
+        Use->m_OutputTokens * OutputDecay + static_cast<double>(Tokens);
+    Use->m_ExpectedTokens = Use->m_ExpectedTokens * OutputDecay +
+                            static_cast<double>(m_Asked.m_MaxTokens);
     wire::ModelDemand &Demand = Use->m_Demand;
-    Demand.set_output_tokens(Demand.output_tokens() + Ending.m_End.m_Length);
+    Demand.set_output_tokens(Demand.output_tokens() + Tokens);
     Demand.set_cached_prompt_tokens(Demand.cached_prompt_tokens() +
                                     Ending.m_End.m_CachedBlocks *
                                         routing::BlockTokens);
--- a/apps/entry/src/Serving.h
+++ b/apps/entry/src/Serving.h
@@ -170,7 +170,8 @@
   std::optional<targets::ServiceAnswer> m_Failing;
   std::uint32_t m_Tries = 0;
   Duration m_ServiceTime{0};
-  TimePoint m_SentAt; ///< Of the last try.
+  std::uint32_t m_Urgency = 0; ///< At the target, of the current try.
+  TimePoint m_SentAt;          ///< Of the last try.
   std::unique_ptr<http::Timer> m_Wake;
   TimePoint m_LastPieceAt;
   TimePoint m_FirstPieceAt; ///< The epoch: none yet.
@@ -182,6 +183,14 @@
                                     const std::vector<std::uint64_t> &Blocks,
                                     double OutputShare);
 
+/// Priority of an urgency in routing's terms, where the highest goes first.
+unsigned routingPriority(std::uint32_t Urgency);
+
+/// Whether a stream is expected to miss the objective of its route. It then
+/// goes behind those that can still meet theirs: in a burst an engine that
+/// takes prompts in order of arrival meets the objective of none.
+bool isExpectedLate(const Arrival &Request, const routing::Estimate &Expected);
+
 /// Time until rate limits admit a request that no target may get now.
 Duration untilRateAdmits(const Context &Shared, const routing::Request &Wanted,
                          TimePoint Now);
--- a/apps/entry/src/Try.cpp
+++ b/apps/entry/src/Try.cpp
@@ -229,7 +229,7 @@
   relay::TryOptions With;
   With.m_Target = leg().m_Target;
   With.m_Deadline = m_For.m_Deadline;
-  With.m_Urgency = What->m_Urgency;
+  With.m_Urgency = m_Plan.m_Urgency;
   With.m_LastEventId = m_Plan.m_Offset;
   With.m_PrefillOnly = PrefillOnly;
   With.m_EventsOnly = m_Plan.m_HasBegun && !PrefillOnly;
@@ -422,7 +422,9 @@
   const auto &Id = m_Plan.m_Choice.m_Try;
   if (m_Tokens == 0)
     routing::recordFirstToken(m_Tools.m_Routing, Id, Now);
-  m_Tokens += Piece.m_Tokens;
+  const std::uint64_t PerPiece =
+      m_For.m_Passed && m_Tokens > 0 ? m_For.m_Passed->m_TokensPerEvent : 1;
+  m_Tokens += Piece.m_Tokens * PerPiece;
   routing::recordProgress(m_Tools.m_Routing, Id,
                           static_cast<std::uint32_t>(m_Tokens), Now);
   m_Handlers.m_OnPiece(Piece);
--- a/apps/entry/src/Try.h
+++ b/apps/entry/src/Try.h
@@ -41,6 +41,7 @@
   /// An engine that keeps the shared part of the prompt.
   std::optional<http::Address> m_FetchFrom;
   std::string m_StreamId;
+  std::uint32_t m_Urgency = 0; ///< Of a plain request; zero goes first.
   std::uint64_t m_Offset = 0;
   /// Whether the caller has part of the stream.
   bool m_HasBegun = false;
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -67,6 +67,8 @@
   double m_PrefillTokensPerSecond = 20000;
   double m_DecodeTokensPerSecond = 50; ///< Rate of a single stream.
   std::uint32_t m_KvBlocks = 0;        ///< Zero: unlimited.
+  /// Time to send one block of KV memory to another engine; zero: not known.
+  Duration m_KvTransferPerBlock{};
   std::uint32_t m_MaxRunning = 1;
   bool m_Serving = false;        ///< False while draining, leaving or lost.
   std::string m_SoftwareVersion; ///< Versions have no order.
@@ -87,7 +89,7 @@
 /// Work at an engine: of this entry, or of all other entries combined.
 struct EngineWork {
   TargetId m_Target;
-  std::uint32_t m_Requests = 0; ///< Requests in flight.
+  std::uint32_t m_Requests = 0; ///< Without `Work::m_Incoming`.
   /// Prompt tokens that are not yet prefilled, by priority in descending order;
   /// trailing zeros are omitted.
   std::vector<std::uint64_t> m_PromptTokens;
@@ -130,6 +132,9 @@
   std::optional<std::string> m_RequiredVersion;
   /// False for requests that must not be sent to an unhealthy target.
   bool m_MayProbe = true;
+  /// True for requests that later ones may overtake. That one takes longer than
+  /// expected says nothing about its target.
+  bool m_Yields = false;
   /// False when prefill and decode must run on the same engine.
   bool m_MaySplit = true;
   /// True when `m_Blocks` covers exactly the shared part of the prompt and
@@ -204,6 +209,7 @@
   /// Weight of the delay that a prefill causes for each running stream.
   double m_InterferenceWeight = 0.1;
   Duration m_KvTransferSetup = std::chrono::milliseconds(10);
+  /// Of engines that do not state it.
   Duration m_KvTransferPerBlock = std::chrono::milliseconds(2);
   /// Limit on the prefill backlog of each engine. Beyond it, prompts wait at
   /// the entry, where they can still be ordered fairly or shed.
@@ -211,12 +217,18 @@
   /// Value of placing a prefix where the next request of its bucket will look
   /// for it, as a fraction of the time to prefill it.
   double m_AffinityWeight = 0.5;
+  /// Factors by which a transfer takes longer to another zone, and to another
+  /// region.
+  double m_OtherZoneTransferFactor = 2;
+  double m_OtherRegionTransferFactor = 10;
   /// Decode-only engines per engine in role prefill. On an engine that does
   /// both, requests prefilled elsewhere wait behind its pending prefills. Zero:
   /// every decoding engine also prefills.
   double m_DecodeOnlyPerPrefill = 0;
-  /// Value of running all streams of one prefix on the same engine.
-  Duration m_DecodeAffinityValue = std::chrono::milliseconds(40);
+  /// Value of running all streams of one prefix on the same engine, as a
+  /// multiple of the time to transfer the prefix there. Transfers of an engine
+  /// run one after another, so each delays those behind it as well.
+  double m_DecodeAffinityWeight = 3;
   /// Random candidates in addition to those with prefix affinity.
   std::uint32_t m_Samples = 2;
   double m_MaxEjectedShare = 1.0 / 3.0;
@@ -266,11 +278,15 @@
   TimePoint m_WarmUpStart;
   Slowness m_FirstTokenSlowness; ///< Of first tokens, and of service calls.
   Slowness m_TokenSlowness;      ///< Of the tokens after the first.
+  Slowness m_HandoffSlowness;    ///< Of KV memory received for decoding.
 };
 
 /// Own work at a target: tries sent by this entry that have not ended.
 struct Work {
   std::uint32_t m_Requests = 0;
+  /// Of the requests, those that are still in prefill at another engine. They
+  /// hold no place here yet.
+  std::uint32_t m_Incoming = 0;
   std::uint32_t m_Decoding = 0;
   std::uint64_t m_PromptTokens = 0; ///< Not yet prefilled.
   std::uint64_t m_KvBlocks = 0;
@@ -384,6 +400,8 @@
   std::vector<Partition> m_Partitions;
   /// Engines in role decode that never prefill; sorted by index.
   std::vector<SlotIndex> m_DecodeOnly;
+  /// The other engines in role decode.
+  std::vector<SlotIndex> m_DecodeAndPrefill;
   /// Slots that have a shared prefix cached, most recent last.
   std::unordered_map<std::uint32_t, std::vector<SlotIndex>> m_PrefixHolders;
   std::size_t m_NextRoundRobin = 0;   ///< Round-robin position.
@@ -391,7 +409,7 @@
   /// Means over the responses of all targets of a role.
   std::array<Slowness, 3> m_FirstTokenSlowness;
   std::array<Slowness, 3> m_TokenSlowness;
-  Slowness m_SplitSlowness;         ///< Of first tokens of split requests.
+  Slowness m_HandoffSlowness;       ///< Mean over all engines that decode.
   double m_MeanPromptTokens = 1000; ///< Uncached prompt tokens per request.
   double m_MeanSeconds = 0.5;       ///< Mean time from start to end.
 };
@@ -415,14 +433,17 @@
   /// Nominal time from start to first token, or to the end of a service call.
   Duration m_ExpectedFirstToken{};
   Duration m_ExpectedTokenInterval{}; ///< Per token after the first.
-  /// From start to first token of a split request.
-  Duration m_ExpectedSplitFirstToken{};
+  /// Of a split request: nominal time from the end of its prefill to its first
+  /// token.
+  Duration m_ExpectedHandoff{};
+  TimePoint m_PrefilledAt;
   TimePoint m_FirstTokenAt;
   std::uint32_t m_Tokens = 0; ///< Output tokens received.
   bool m_Started = false;
   bool m_Split = false;
   bool m_Decoding = false;
   bool m_Probe = false;
+  bool m_Yields = false; ///< As of the request.
 };
 
 /// Monotonic counters for metrics.
@@ -476,6 +497,16 @@
 /// entries.
 std::vector<EngineWork> ownWork(const State &Fleet);
 
+/// Returns the requests of this entry for a model that decode, or that have
+/// been prefilled elsewhere and wait for their transfer.
+std::uint32_t streamsInProgress(const State &Fleet, const ModelId &Model);
+
+/// Returns the prompt tokens that an engine in role prefill processes per
+/// second, by the observed times of prefills; nothing until enough of them are
+/// known.
+std::optional<double> observedPrefillRate(const State &Fleet,
+                                          const ModelId &Model);
+
 /// Applies the combined work of all other entries as just received from them;
 /// an engine without a row has none. Takes precedence over estimates from load
 /// reports until it expires.
--- a/libs/routing/src/Choose.cpp
+++ b/libs/routing/src/Choose.cpp
@@ -133,7 +133,8 @@
   Proposal.m_Prefill = Search.m_PrefillSlot;
   Proposal.m_CostEstimate =
       estimateDecode(Search.m_Fleet, Search.m_Pool, TargetSlot,
-                     Search.m_Request, Search.m_Prefill, Search.m_Now);
+                     Search.slot(*Search.m_PrefillSlot), Search.m_Request,
+                     Search.m_Prefill, Search.m_Now);
   Proposal.m_CostEstimate.m_Cost -= AffinityValue;
   keepCheaper(Search.m_Best, Proposal);
 }
@@ -204,7 +205,9 @@
   if (!isEligible(TargetSlot) || !isWithinLoadBound(Search, TargetSlot))
     return;
   const double AffinityValue =
-      IsHome ? affinityValue(Search.m_Fleet, TargetSlot, Search.m_Request) : 0;
+      IsHome ? affinityValue(Search.m_Fleet, Search.m_Pool, TargetSlot,
+                             Search.m_Request)
+             : 0;
   if (TargetSlot.m_Target.m_Role == Role::Mixed)
     considerWhole(Search, Index, AffinityValue);
   if (AllowSplit)
@@ -258,7 +261,7 @@
     return considerByRole(Search, *Search.m_Holder, 0, AllowSplit);
   if (Search.m_PrefixHome)
     considerByRole(Search, *Search.m_PrefixHome,
-                   affinityValue(Search.m_Fleet,
+                   affinityValue(Search.m_Fleet, Search.m_Pool,
                                  Search.slot(*Search.m_PrefixHome),
                                  Search.m_Request),
                    AllowSplit);
@@ -290,8 +293,7 @@
   considerSamples(Search, Search.m_Pool.m_InZone, Samples, considerWhole);
   considerSamples(Search, Search.m_Pool.m_InRegion, 1, considerWhole);
   considerSamples(Search, slotsWithRole(Search, Role::Mixed), 1, considerWhole);
-  considerSamples(Search, slotsWithRole(Search, Role::Decode), 1,
-                  considerWhole);
+  considerSamples(Search, Search.m_Pool.m_DecodeAndPrefill, 1, considerWhole);
   considerSamples(Search, slotsWithRole(Search, Role::Prefill), 1,
                   considerWhole);
 }
@@ -308,12 +310,13 @@
     return;
   if (Search.m_DecodeHome)
     considerDecode(Search, *Search.m_DecodeHome,
-                   seconds(Search.m_Fleet.m_Settings.m_DecodeAffinityValue));
-  const auto &DecodeOnly = Search.m_Pool.m_DecodeOnly;
-  considerSamples(Search,
-                  DecodeOnly.empty() ? slotsWithRole(Search, DecodeRole)
-                                     : DecodeOnly,
-                  Samples, considerDecode);
+                   decodeAffinityValue(Search.m_Fleet,
+                                       Search.slot(*Search.m_DecodeHome),
+                                       Search.m_Request));
+  considerSamples(Search, Search.m_Pool.m_DecodeOnly, Samples, considerDecode);
+  if (!Search.m_Best || !Search.m_Best->m_Prefill)
+    considerSamples(Search, slotsWithRole(Search, DecodeRole), Samples,
+                    considerDecode);
 }
 
 bool maySplit(const TargetSearch &Search) {
--- a/libs/routing/src/Estimates.cpp
+++ b/libs/routing/src/Estimates.cpp
@@ -118,6 +118,14 @@
   return 1 / (PrefillBusy / PrefillStep + (1 - PrefillBusy) / StepTime);
 }
 
+double transferSeconds(const Settings &Options, const Target &Engine,
+                       double Blocks) {
+  const Duration PerBlock = Engine.m_KvTransferPerBlock > Duration(0)
+                                ? Engine.m_KvTransferPerBlock
+                                : Options.m_KvTransferPerBlock;
+  return Blocks * seconds(PerBlock);
+}
+
 /// Returns the time in seconds to fetch the shared prefix from the engine that
 /// has it cached.
 double fetchSeconds(const TargetView &View, const Request &Req) {
@@ -125,8 +133,8 @@
       hasPrefix(View.m_Slot, prefixHash(Req.m_Blocks)))
     return 0;
   return seconds(View.m_Options.m_KvTransferSetup) +
-         static_cast<double>(Req.m_Blocks.size()) *
-             seconds(View.m_Options.m_KvTransferPerBlock);
+         transferSeconds(View.m_Options, View.m_Target,
+                         static_cast<double>(Req.m_Blocks.size()));
 }
 
 double uncachedTokens(const TargetView &View, const Request &Req,
@@ -145,7 +153,7 @@
 /// decoding streams.
 double interferenceSeconds(const TargetView &View, double Tokens) {
   return View.m_Load.m_Decoding * dedicatedPrefillSeconds(View, Tokens) *
-         View.m_Options.m_InterferenceWeight;
+         View.m_FirstTokenFactor * View.m_Options.m_InterferenceWeight;
 }
 
 double failurePenaltySeconds(const TargetView &View) {
@@ -199,15 +207,23 @@
   return Cost;
 }
 
-/// Returns the number of split requests of other entries that are still in
-/// prefill, per decoding engine.
-double incomingSplitsPerEngine(const Pool &TargetPool) {
-  const std::size_t Engines =
-      TargetPool.m_ByRole[roleIndex(Role::Mixed)].size() +
-      TargetPool.m_ByRole[roleIndex(Role::Decode)].size();
-  const PoolTotals &Prefill = TargetPool.m_Totals[roleIndex(Role::Prefill)];
-  return static_cast<double>(Prefill.m_PeerWork.m_Requests) /
-         static_cast<double>(std::max<std::size_t>(1, Engines));
+/// Returns the nominal time in seconds to transfer what the engine lacks of a
+/// prompt that was prefilled at \p PrefillSlot.
+double handoffSeconds(const TargetView &View, const Slot &PrefillSlot,
+                      const Request &Req) {
+  const Target &Source = PrefillSlot.m_Target;
+  double Distance = 1;
+  if (Source.m_Region != View.m_Target.m_Region)
+    Distance = View.m_Options.m_OtherRegionTransferFactor;
+  else if (Source.m_Zone != View.m_Target.m_Zone)
+    Distance = View.m_Options.m_OtherZoneTransferFactor;
+  const auto Cached = hasPrefix(View.m_Slot, prefixHash(Req.m_Blocks))
+                          ? static_cast<double>(Req.m_Blocks.size())
+                          : 0;
+  const double Blocks = static_cast<double>(kvBlocksNeeded(Req)) - Cached;
+  return seconds(View.m_Options.m_KvTransferSetup) +
+         Distance * transferSeconds(View.m_Options, View.m_Target,
+                                    std::max(0.0, Blocks));
 }
 
 /// Adds the decode phase at \p View, starting after \p First seconds.
@@ -230,11 +246,19 @@
   return (Tokens + BlockTokens - 1) / BlockTokens;
 }
 
-double affinityValue(const State &Fleet, const Slot &TargetSlot,
-                     const Request &Req) {
+double affinityValue(const State &Fleet, const Pool &TargetPool,
+                     const Slot &TargetSlot, const Request &Req) {
   const double Tokens = static_cast<double>(Req.m_Blocks.size()) * BlockTokens;
   return Fleet.m_Settings.m_AffinityWeight * Tokens /
-         std::max(1.0, TargetSlot.m_Target.m_PrefillTokensPerSecond);
+         std::max(1.0, TargetSlot.m_Target.m_PrefillTokensPerSecond) *
+         roleSlowness(TargetPool, TargetSlot.m_Target.m_Role);
+}
+
+double decodeAffinityValue(const State &Fleet, const Slot &TargetSlot,
+                           const Request &Req) {
+  return Fleet.m_Settings.m_DecodeAffinityWeight *
+         transferSeconds(Fleet.m_Settings, TargetSlot.m_Target,
+                         static_cast<double>(Req.m_Blocks.size()));
 }
 
 CostEstimate estimatePrefill(const State &Fleet, const Pool &TargetPool,
@@ -258,26 +282,28 @@
 }
 
 CostEstimate estimateDecode(const State &Fleet, const Pool &TargetPool,
-                            const Slot &TargetSlot, const Request &Req,
-                            const CostEstimate &Prefill, TimePoint Now) {
+                            const Slot &TargetSlot, const Slot &PrefillSlot,
+                            const Request &Req, const CostEstimate &Prefill,
+                            TimePoint Now) {
   TargetView View = makeView(Fleet, TargetPool, TargetSlot, Now);
-  View.m_Load.m_Requests += incomingSplitsPerEngine(TargetPool);
-  const std::uint64_t Blocks = kvBlocksNeeded(Req);
-  const double Transfer = seconds(View.m_Options.m_KvTransferSetup) +
-                          static_cast<double>(Blocks) *
-                              seconds(View.m_Options.m_KvTransferPerBlock);
+  const double Nominal = handoffSeconds(View, PrefillSlot, Req);
   const double Prefilled = seconds(Prefill.m_Estimate.m_FirstToken - Now);
   // Requests prefilled elsewhere wait behind the prefill backlog of this
   // engine.
   const double PrefillBacklog =
-      prefillSeconds(View, tokensAhead(View, Req.m_Priority));
-  const double Nominal = std::max(
-      {Prefilled + Transfer, slotWaitSeconds(View, Blocks), PrefillBacklog});
-  const double First = Nominal * splitSlowness(TargetPool);
+      prefillSeconds(View, tokensAhead(View, Req.m_Priority)) *
+      View.m_FirstTokenFactor;
+  const double First =
+      std::max({Prefilled, slotWaitSeconds(View, kvBlocksNeeded(Req)),
+                PrefillBacklog}) +
+      Nominal * handoffSlowness(TargetPool, TargetSlot);
   CostEstimate Cost = Prefill;
-  Cost.m_NominalSplitFirstToken = fromSeconds(Nominal);
-  Cost.m_Cost +=
-      First - Prefilled + networkSeconds(View) + failurePenaltySeconds(View);
+  Cost.m_NominalHandoff = fromSeconds(Nominal);
+  // Transfers to one engine run one after another, and half of those that are
+  // due come before this one.
+  const double Incoming = TargetSlot.m_Own.m_Incoming / 2.0 * Nominal;
+  Cost.m_Cost += First - Prefilled + Incoming + networkSeconds(View) +
+                 failurePenaltySeconds(View);
   addDecodePhase(Cost, View, Req, First);
   return Cost;
 }
--- a/libs/routing/src/Fleet.cpp
+++ b/libs/routing/src/Fleet.cpp
@@ -145,6 +145,7 @@
       [&](SlotIndex Left, SlotIndex Right) {
         return Fleet.m_Slots[Left].m_Hash < Fleet.m_Slots[Right].m_Hash;
       });
+  TargetPool.m_DecodeAndPrefill.assign(End, TargetPool.m_DecodeOnly.end());
   TargetPool.m_DecodeOnly.erase(End, TargetPool.m_DecodeOnly.end());
   std::sort(TargetPool.m_DecodeOnly.begin(), TargetPool.m_DecodeOnly.end());
 }
--- a/libs/routing/src/Health.cpp
+++ b/libs/routing/src/Health.cpp
@@ -12,17 +12,18 @@
 /// pool.
 constexpr double TargetAlpha = 0.1;
 constexpr double PoolAlpha = 0.02;
-/// Responses required before a slowness is trusted, and the bounds of its
-/// factor.
+/// Responses required before a slowness is trusted.
 constexpr std::uint32_t MinTrustedSamples = 4;
-constexpr double MinSlowness = 0.5;
-constexpr double MaxSlowness = 20;
+/// Bounds of the factor of a slowness. Engines that state no rates differ from
+/// the assumed ones by an order of magnitude.
+constexpr double MinSlowness = 0.02;
+constexpr double MaxSlowness = 50;
 /// Bounds of ln(observed / expected), so that a single response cannot
 /// dominate.
-constexpr double MinLogRatio = -2;
-constexpr double MaxLogRatio = 3;
+constexpr double MinLogRatio = -4;
+constexpr double MaxLogRatio = 4;
 /// Shorter times are dominated by noise.
-constexpr Duration MinMeasurableTime = std::chrono::milliseconds(5);
+constexpr Duration MinMeasurableTime = std::chrono::milliseconds(2);
 /// Minimum fraction of a target's capacity that is open during warm-up.
 constexpr double MinWarmUpFraction = 0.05;
 constexpr std::uint32_t MaxEjectionDoublings = 6;
@@ -190,12 +191,17 @@
              TargetPool.m_TokenSlowness[RoleIndex], Time, Now);
 }
 
-void recordSplitTime(Pool &TargetPool, const Timing &Time) {
-  updateMean(TargetPool.m_SplitSlowness, logRatio(Time), PoolAlpha);
+void recordHandoffTime(State &Fleet, SlotIndex Index, Pool &TargetPool,
+                       const Timing &Time) {
+  const double LogRatio = logRatio(Time);
+  updateMean(Fleet.m_Slots[Index].m_Health.m_HandoffSlowness, LogRatio,
+             TargetAlpha);
+  updateMean(TargetPool.m_HandoffSlowness, LogRatio, PoolAlpha);
 }
 
-double splitSlowness(const Pool &TargetPool) {
-  return slownessFactor(TargetPool.m_SplitSlowness, TargetPool.m_SplitSlowness);
+double handoffSlowness(const Pool &TargetPool, const Slot &TargetSlot) {
+  return slownessFactor(TargetSlot.m_Health.m_HandoffSlowness,
+                        TargetPool.m_HandoffSlowness);
 }
 
 double firstTokenSlowness(const Pool &TargetPool, const Slot &TargetSlot) {
@@ -209,6 +215,11 @@
   return slownessFactor(Mean, Mean);
 }
 
+bool isSlownessKnown(const Pool &TargetPool, Role TargetRole) {
+  return TargetPool.m_FirstTokenSlowness[roleIndex(TargetRole)].m_Samples >=
+         MinTrustedSamples;
+}
+
 double tokenSlowness(const Pool &TargetPool, const Slot &TargetSlot) {
   return slownessFactor(
       TargetSlot.m_Health.m_TokenSlowness,
--- a/libs/routing/src/Internal.h
+++ b/libs/routing/src/Internal.h
@@ -77,6 +77,11 @@
 Load estimateLoad(const State &Fleet, const Pool &TargetPool,
                   const Slot &TargetSlot, TimePoint Now);
 
+/// Own requests that hold or wait for a place at the target.
+inline std::uint32_t ownPresent(const Slot &TargetSlot) {
+  return TargetSlot.m_Own.m_Requests - TargetSlot.m_Own.m_Incoming;
+}
+
 // Hints.cpp
 bool hasBlock(const CacheHints &Hints, std::uint64_t Block);
 void addBlock(const Settings &Options, Slot &TargetSlot, std::uint64_t Block);
@@ -121,8 +126,14 @@
 double tokenSlowness(const Pool &TargetPool, const Slot &TargetSlot);
 /// Returns the factor for first tokens over all engines of a role.
 double roleSlowness(const Pool &TargetPool, Role TargetRole);
-void recordSplitTime(Pool &TargetPool, const Timing &Time);
-double splitSlowness(const Pool &TargetPool);
+/// Whether enough responses are recorded for `roleSlowness`.
+bool isSlownessKnown(const Pool &TargetPool, Role TargetRole);
+/// Records the time from the end of a prefill elsewhere to the first token.
+void recordHandoffTime(State &Fleet, SlotIndex Index, Pool &TargetPool,
+                       const Timing &Time);
+/// Returns the factor for that time at an engine. Transfers to an engine run
+/// one after another, so it tells how many wait there.
+double handoffSlowness(const Pool &TargetPool, const Slot &TargetSlot);
 void recordSuccess(State &Fleet, SlotIndex Index, bool Probe, TimePoint Now);
 void recordFailure(State &Fleet, SlotIndex Index, TryOutcome Outcome,
                    bool Probe, TimePoint Now);
@@ -141,8 +152,8 @@
   /// as advertised.
   Duration m_NominalFirstToken{};
   Duration m_NominalTokenInterval{};
-  /// To the first token of a split request.
-  Duration m_NominalSplitFirstToken{};
+  /// Of a split request: from the end of its prefill to its first token.
+  Duration m_NominalHandoff{};
 };
 /// Estimates a whole request. \p Holder has the shared prefix cached and other
 /// engines fetch it from there; null: each engine uses only the blocks that it
@@ -155,15 +166,20 @@
 CostEstimate estimatePrefill(const State &Fleet, const Pool &TargetPool,
                              const Slot &TargetSlot, const Request &Req,
                              const Slot *Holder, TimePoint Now);
-/// Estimates the decode leg of a split; \p Prefill is the estimate of its
-/// prefill leg.
+/// Estimates the decode leg of a split that is prefilled at \p PrefillSlot;
+/// \p Prefill is the estimate of its prefill leg.
 CostEstimate estimateDecode(const State &Fleet, const Pool &TargetPool,
-                            const Slot &TargetSlot, const Request &Req,
-                            const CostEstimate &Prefill, TimePoint Now);
+                            const Slot &TargetSlot, const Slot &PrefillSlot,
+                            const Request &Req, const CostEstimate &Prefill,
+                            TimePoint Now);
 /// Returns the value, in seconds, of placing the prompt's prefix at its
 /// preferred target.
-double affinityValue(const State &Fleet, const Slot &TargetSlot,
-                     const Request &Req);
+double affinityValue(const State &Fleet, const Pool &TargetPool,
+                     const Slot &TargetSlot, const Request &Req);
+/// Returns the value, in seconds, of decoding at the engine where the other
+/// streams of the prompt's prefix decode.
+double decodeAffinityValue(const State &Fleet, const Slot &TargetSlot,
+                           const Request &Req);
 std::uint64_t kvBlocksNeeded(const Request &Req);
 
 // RateLimits.cpp
--- a/libs/routing/src/Tries.cpp
+++ b/libs/routing/src/Tries.cpp
@@ -63,6 +63,9 @@
   removePrompt(Fleet.m_Slots[Index], Attempt);
   removeRequest(Fleet, Index, Attempt.m_PrefillGeneration, Now);
   Attempt.m_Prefill.reset();
+  WASABIVALE_INVARIANT(Fleet.m_Slots[Attempt.m_Run].m_Own.m_Incoming > 0);
+  --Fleet.m_Slots[Attempt.m_Run].m_Own.m_Incoming;
+  updateTotals(Fleet, Attempt.m_Run);
   updateTotals(Fleet, Index);
   freeIfUnused(Fleet, Index);
 }
@@ -87,14 +90,24 @@
   updateTotals(Fleet, Attempt.m_Run);
 }
 
-void recordFirstTokenLatency(State &Fleet, const Try &Attempt, TimePoint Now) {
+/// Time that the current leg of a try has taken to its first token, or to the
+/// end of its prefill.
+Timing legTiming(const Try &Attempt, TimePoint Now) {
+  if (Attempt.m_Split && !Attempt.m_Prefill)
+    return {Now - Attempt.m_PrefilledAt, Attempt.m_ExpectedHandoff};
+  return {Now - Attempt.m_StartedAt, Attempt.m_ExpectedFirstToken};
+}
+
+void recordLegTime(State &Fleet, const Try &Attempt, TimePoint Now) {
+  const Timing Time = legTiming(Attempt, Now);
+  if (Attempt.m_Yields && Time.m_Observed > Time.m_Expected)
+    return;
   Pool &TargetPool = getPool(Fleet, Attempt.m_Kind, Attempt.m_Model);
-  const Duration Elapsed = Now - Attempt.m_StartedAt;
-  if (Attempt.m_Split)
-    recordSplitTime(TargetPool, {Elapsed, Attempt.m_ExpectedSplitFirstToken});
+  if (Attempt.m_Split && !Attempt.m_Prefill)
+    recordHandoffTime(Fleet, Attempt.m_Run, TargetPool, Time);
   else
-    recordFirstTokenTime(Fleet, Attempt.m_Run, TargetPool,
-                         {Elapsed, Attempt.m_ExpectedFirstToken}, Now);
+    recordFirstTokenTime(Fleet, Attempt.m_Prefill.value_or(Attempt.m_Run),
+                         TargetPool, Time, Now);
 }
 
 /// Times of cancelled tries count as evidence too; otherwise only the fast ones
@@ -114,8 +127,9 @@
   }
   if (!Attempt.m_Decoding) {
     // The elapsed time is a lower bound.
-    if (!Completed && Attempt.m_Started && Total > Attempt.m_ExpectedFirstToken)
-      recordFirstTokenLatency(Fleet, Attempt, Now);
+    const Timing Time = legTiming(Attempt, Now);
+    if (!Completed && Attempt.m_Started && Time.m_Observed > Time.m_Expected)
+      recordLegTime(Fleet, Attempt, Now);
     return;
   }
   if (Attempt.m_Tokens < 2)
@@ -209,21 +223,23 @@
     Attempt.m_PrefixBlocks = static_cast<std::uint32_t>(Req.m_Blocks.size());
   }
   Attempt.m_ExpectedFirstToken = Selection.m_CostEstimate.m_NominalFirstToken;
-  Attempt.m_ExpectedSplitFirstToken =
-      Selection.m_CostEstimate.m_NominalSplitFirstToken;
+  Attempt.m_ExpectedHandoff = Selection.m_CostEstimate.m_NominalHandoff;
   Attempt.m_ExpectedTokenInterval =
       Selection.m_CostEstimate.m_NominalTokenInterval;
   Attempt.m_StartedAt = Now;
   Attempt.m_ProgressAt = Now;
   Attempt.m_Probe = Selection.m_Probe;
+  Attempt.m_Yields = Req.m_Yields;
 
   takeRateToken(Run, Now);
   if (Attempt.m_Prefill)
     takeRateToken(Prefill, Now);
   addRequest(Fleet, Attempt.m_Run, Attempt.m_RunGeneration, Now);
   Run.m_Own.m_KvBlocks += Attempt.m_KvBlocks;
-  if (Attempt.m_Prefill)
+  if (Attempt.m_Prefill) {
     addRequest(Fleet, PrefillSlot, Attempt.m_PrefillGeneration, Now);
+    ++Run.m_Own.m_Incoming;
+  }
   addPrompt(Prefill, Attempt);
   TargetPool.m_MeanPromptTokens +=
       MeanAlpha * (Attempt.m_PromptTokens - TargetPool.m_MeanPromptTokens);
@@ -265,14 +281,15 @@
   Pool &TargetPool = getPool(Fleet, Attempt.m_Kind, Attempt.m_Model);
   const SlotIndex Index = *Attempt.m_Prefill;
   Attempt.m_ProgressAt = Now;
+  Attempt.m_PrefilledAt = Now;
   endPrefillLeg(Fleet, Attempt, Now);
   if (!Fleet.m_Slots[Index].m_Used)
     return;
   recordCachedPrefix(Fleet, Index, Attempt, Now);
   recordSuccess(Fleet, Index, false, Now);
-  recordFirstTokenTime(
-      Fleet, Index, TargetPool,
-      {Now - Attempt.m_StartedAt, Attempt.m_ExpectedFirstToken}, Now);
+  const Timing Time{Now - Attempt.m_StartedAt, Attempt.m_ExpectedFirstToken};
+  if (!Attempt.m_Yields || Time.m_Observed <= Time.m_Expected)
+    recordFirstTokenTime(Fleet, Index, TargetPool, Time, Now);
 }
 
 void recordFirstToken(State &Fleet, TryId Id, TimePoint Now) {
@@ -282,14 +299,16 @@
   Attempt.m_ProgressAt = Now;
   Attempt.m_FirstTokenAt = Now;
   Attempt.m_Tokens = std::max(Attempt.m_Tokens, 1U);
-  if (Attempt.m_Prefill)
+  if (Attempt.m_Prefill) {
+    Attempt.m_PrefilledAt = Now;
     endPrefillLeg(Fleet, Attempt, Now);
+  }
   removePrompt(Fleet.m_Slots[Attempt.m_Run], Attempt);
   // The prefix transferred for decoding stays cached here as well.
   recordCachedPrefix(Fleet, Attempt.m_Run, Attempt, Now);
   startDecoding(Fleet, Attempt);
   if (Attempt.m_Kind == Kind::Engine)
-    recordFirstTokenLatency(Fleet, Attempt, Now);
+    recordLegTime(Fleet, Attempt, Now);
 }
 
 void recordProgress(State &Fleet, TryId Id, std::uint32_t Tokens,
--- a/libs/routing/src/Verify.cpp
+++ b/libs/routing/src/Verify.cpp
@@ -15,12 +15,14 @@
     RunWork.m_Decoding += Attempt.m_Decoding ? 1 : 0;
     Sums[Attempt.m_Prefill.value_or(Attempt.m_Run)].m_PromptTokens +=
         Attempt.m_PromptTokens;
+    RunWork.m_Incoming += Attempt.m_Prefill ? 1 : 0;
     if (Attempt.m_Prefill)
       ++Sums[*Attempt.m_Prefill].m_Requests;
   }
   for (std::size_t I = 0; I < Sums.size(); ++I) {
     const Slot &TargetSlot = Fleet.m_Slots[I];
     WASABIVALE_INVARIANT(TargetSlot.m_Own.m_Requests == Sums[I].m_Requests);
+    WASABIVALE_INVARIANT(TargetSlot.m_Own.m_Incoming == Sums[I].m_Incoming);
     WASABIVALE_INVARIANT(TargetSlot.m_Own.m_Decoding == Sums[I].m_Decoding);
     WASABIVALE_INVARIANT(TargetSlot.m_Own.m_PromptTokens ==
                          Sums[I].m_PromptTokens);
--- a/libs/routing/src/Work.cpp
+++ b/libs/routing/src/Work.cpp
@@ -37,10 +37,10 @@
     return {};
   const std::uint64_t Max = TargetSlot.m_Target.m_MaxRunning;
   const std::uint64_t Busy =
-      TargetSlot.m_Own.m_Requests + TargetSlot.m_PeerWork.m_Requests;
+      ownPresent(TargetSlot) + TargetSlot.m_PeerWork.m_Requests;
   const auto Rate =
       static_cast<std::uint64_t>(TargetSlot.m_Target.m_PrefillTokensPerSecond);
-  return {saturatingSubtract(Max, Busy),   Max,  TargetSlot.m_Own.m_Requests,
+  return {saturatingSubtract(Max, Busy),   Max,  ownPresent(TargetSlot),
           TargetSlot.m_Own.m_PromptTokens, Rate, TargetSlot.m_PeerWork};
 }
 
@@ -130,12 +130,13 @@
   const double Weight = remainingFraction(Age, TargetPool.m_MeanSeconds);
   const double Backlog =
       static_cast<double>(TargetSlot.m_PeerWork.m_PromptTokens) /
-      std::max(1.0, TargetSlot.m_Target.m_PrefillTokensPerSecond);
+      std::max(1.0, TargetSlot.m_Target.m_PrefillTokensPerSecond) *
+      roleSlowness(TargetPool, TargetSlot.m_Target.m_Role);
   const PeerWork &Peers = TargetSlot.m_PeerWork;
   const double Requests =
       blend(Peers.m_Requests, Sum.m_Requests, Count, Weight);
   Load CurrentLoad;
-  CurrentLoad.m_Requests = TargetSlot.m_Own.m_Requests + Requests;
+  CurrentLoad.m_Requests = ownPresent(TargetSlot) + Requests;
   CurrentLoad.m_Decoding =
       TargetSlot.m_Own.m_Decoding + Requests * PeerDecodingFraction;
   CurrentLoad.m_PeerPromptTokens =
@@ -208,9 +209,9 @@
   for (const Slot &TargetSlot : Fleet.m_Slots) {
     if (!TargetSlot.m_Used || !TargetSlot.m_Current ||
         TargetSlot.m_Target.m_Kind != Kind::Engine ||
-        TargetSlot.m_Own.m_Requests == 0)
+        ownPresent(TargetSlot) == 0)
       continue;
-    EngineWork Row{TargetSlot.m_Target.m_Id, TargetSlot.m_Own.m_Requests, {}};
+    EngineWork Row{TargetSlot.m_Target.m_Id, ownPresent(TargetSlot), {}};
     Row.m_PromptTokens.assign(TargetSlot.m_PromptByPriority.rbegin(),
                               TargetSlot.m_PromptByPriority.rend());
     while (!Row.m_PromptTokens.empty() && Row.m_PromptTokens.back() == 0)
@@ -220,6 +221,30 @@
   return Rows;
 }
 
+std::uint32_t streamsInProgress(const State &Fleet, const ModelId &Model) {
+  return static_cast<std::uint32_t>(std::count_if(
+      Fleet.m_Tries.begin(), Fleet.m_Tries.end(), [&](const auto &Item) {
+        const Try &Attempt = Item.second;
+        return Attempt.m_Kind == Kind::Engine && Attempt.m_Model == Model &&
+               (Attempt.m_Decoding || (Attempt.m_Split && !Attempt.m_Prefill));
+      }));
+}
+
+std::optional<double> observedPrefillRate(const State &Fleet,
+                                          const ModelId &Model) {
+  const auto &Pools = Fleet.m_Pools[static_cast<std::size_t>(Kind::Engine)];
+  const auto Found = Pools.find(Model);
+  if (Found == Pools.end())
+    return std::nullopt;
+  const Pool &TargetPool = Found->second;
+  const auto &Prefilling = TargetPool.m_ByRole[roleIndex(Role::Prefill)];
+  if (Prefilling.empty() || !isSlownessKnown(TargetPool, Role::Prefill))
+    return std::nullopt;
+  const double Stated =
+      Fleet.m_Slots[Prefilling.front()].m_Target.m_PrefillTokensPerSecond;
+  return Stated / roleSlowness(TargetPool, Role::Prefill);
+}
+
 void applyPeerWork(State &Fleet, const std::vector<EngineWork> &PeerRows,
                    TimePoint Now) {
   std::unordered_map<TargetId, const EngineWork *> ByTarget;
@@ -303,14 +328,7 @@
 PoolTotals decodeTotals(const Pool &TargetPool) {
   PoolTotals Sum = TargetPool.m_Totals[roleIndex(Role::Mixed)];
   add(Sum, TargetPool.m_Totals[roleIndex(Role::Decode)]);
-  const PoolTotals &Prefill = TargetPool.m_Totals[roleIndex(Role::Prefill)];
-  if (Sum.m_Max == 0)
-    return Prefill;
-  // Splits of other entries that are still in prefill will soon need a decode
-  // place, which no report of a decoding engine shows yet.
-  Sum.m_PeerWork.m_Requests += Prefill.m_PeerWork.m_Requests;
-  Sum.m_Free = saturatingSubtract(Sum.m_Free, Prefill.m_PeerWork.m_Requests);
-  return Sum;
+  return Sum.m_Max == 0 ? TargetPool.m_Totals[roleIndex(Role::Prefill)] : Sum;
 }
 
 /// Free places at targets of the model that rest.
