Share out roles by the streams, transfers and speeds that entries see

The leader took each request for a stream of 1.5 s, while these last 0.05 s.

Entries report the streams in progress and the observed rate of prefills; the leader sums the first and takes the median of the second. Idle engines change first; none changes in the first five seconds of traffic, and a short dip of streams takes none from decoding. Reports without streams are of older builds and count as before.

--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -427,7 +427,7 @@
   m_Observed.m_Entries[Sender].m_Zone = {Message.zone()};
   control::handleReport(m_Roles, Report);
   if (m_RoleOrders)
-    m_RoleOrders->handleReport(Report);
+    m_RoleOrders->handleReport(Sender, Report, Now);
   for (fleet::Propose &Proposal : control::handleReport(
            m_Notices, Suspicion, Sender, Report, LeaseUntil, LogNow))
     proposeOnce(Proposal.m_Key, std::move(Proposal.m_Command));
@@ -615,7 +615,7 @@
   const TimePoint Now = BootClock::now();
   repairGroup(Now);
   if (m_RoleOrders)
-    m_RoleOrders->tick(m_State.m_Fleet, m_Observed, Now);
+    m_RoleOrders->tick(m_State.m_Fleet, m_Observed, m_SharedWork, Now);
   if (m_RegistryApi) {
     m_RegistryApi->answerLeaving(Now);
     m_RegistryApi->expire(Now);
--- a/apps/control/src/RoleOrders.cpp
+++ b/apps/control/src/RoleOrders.cpp
@@ -3,6 +3,8 @@
 #include "events/events.h"
 #include "platform/platform.h"
 
+#include <algorithm>
+
 namespace wasabivale::control {
 
 namespace {
@@ -10,6 +12,16 @@
 constexpr std::chrono::milliseconds EvaluationInterval{1000};
 /// Weight of the last second in the smoothed load.
 constexpr double LoadAlpha = 0.4;
+/// Lifetime of an entry's streams without a further report.
+constexpr std::chrono::milliseconds EntryLoadTimeout{2000};
+/// Assumed duration of a stream where entries do not report their streams.
+constexpr std::chrono::milliseconds UncountedStreamDuration{1500};
+/// Part of the largest number of streams that remains after an evaluation:
+/// engines do not leave decoding in a short dip.
+constexpr double StreamPeakDecay = 0.9;
+/// Evaluations with traffic before the first change: the smoothed load has not
+/// settled yet.
+constexpr std::uint32_t MinEvaluations = 5;
 /// Evaluations in a row that must call for a change.
 constexpr std::uint32_t AgreeingEvaluations = 2;
 /// The last order of a former leader may still be in progress, and two leaders
@@ -33,6 +45,23 @@
   return std::chrono::duration<double>(Span).count();
 }
 
+std::uint32_t requestsAt(const fleet::SharedWork &Work, const TargetId &Id) {
+  const auto Found = Work.m_Sums.find(Id);
+  return Found == Work.m_Sums.end() ? 0 : Found->second.m_Requests;
+}
+
+/// Time that an engine's link needs for the KV memory of one token; zero if the
+/// service does not state it.
+double transferSecondsPerToken(const wire::RouteTable &Routes,
+                               const std::string &Name) {
+  constexpr double BitsPerByte = 8;
+  for (const wire::RoutedService &Service : Routes.services())
+    if (Service.name() == Name && Service.kv_link_bits_per_second() > 0)
+      return static_cast<double>(Service.kv_bytes_per_token()) * BitsPerByte /
+             static_cast<double>(Service.kv_link_bits_per_second());
+  return 0;
+}
+
 } // namespace
 
 RoleOrders::RoleOrders(event_base *Loop, metrics::Registry &Registry,
@@ -59,24 +88,71 @@
   m_Open.clear();
 }
 
-void RoleOrders::handleReport(const wire::EntryReport &Report) {
+void RoleOrders::handleReport(const NodeId &Entry,
+                              const wire::EntryReport &Report, TimePoint Now) {
+  for (auto &[Name, Current] : m_Services)
+    Current.m_ByEntry.erase(Entry);
   for (const wire::ModelDemand &Demand : Report.demand()) {
     Service &Current = m_Services[Demand.model()];
     Current.m_Requests += static_cast<double>(Demand.requests());
     Current.m_PromptTokens += static_cast<double>(Demand.prompt_tokens());
+    if (!Demand.has_streams()) {
+      Current.m_UncountedRequests += static_cast<double>(Demand.requests());
+      continue;
+    }
+    EntryLoad &Load = Current.m_ByEntry[Entry];
+    Load.m_Streams = Demand.streams();
+    if (Demand.has_prefill_rate() && Demand.prefill_rate() > 0)
+      Load.m_PrefillRate = Demand.prefill_rate();
+    Load.m_At = Now;
   }
 }
 
+void RoleOrders::updateLoad(Service &Current, double Elapsed, TimePoint Now) {
+  std::erase_if(Current.m_ByEntry, [Now](const auto &Item) {
+    return Now - Item.second.m_At > EntryLoadTimeout;
+  });
+  double Streams = std::exchange(Current.m_UncountedRequests, 0) / Elapsed *
+                   seconds(UncountedStreamDuration);
+  std::vector<double> Rates;
+  for (const auto &[Entry, Load] : Current.m_ByEntry) {
+    Streams += Load.m_Streams;
+    if (Load.m_PrefillRate)
+      Rates.push_back(*Load.m_PrefillRate);
+  }
+  const auto Smooth = [](double &Mean, double Value) {
+    Mean += LoadAlpha * (Value - Mean);
+  };
+  Smooth(Current.m_Load.m_RequestsPerSecond,
+         std::exchange(Current.m_Requests, 0) / Elapsed);
+  Smooth(Current.m_Load.m_PromptTokensPerSecond,
+         std::exchange(Current.m_PromptTokens, 0) / Elapsed);
+  Smooth(Current.m_MeanStreams, Streams);
+  Current.m_Load.m_Streams = std::max(
+      Current.m_MeanStreams, Current.m_Load.m_Streams * StreamPeakDecay);
+  if (Current.m_Load.m_RequestsPerSecond > 0)
+    ++Current.m_Evaluations;
+  if (Rates.empty())
+    return;
+  // The median: few entries that err do not move it.
+  const auto Middle =
+      Rates.begin() + static_cast<std::ptrdiff_t>(Rates.size() / 2);
+  std::nth_element(Rates.begin(), Middle, Rates.end());
+  Current.m_Load.m_PrefillTokenRate = *Middle;
+}
+
 void RoleOrders::tick(const fleet::State &Known,
-                      const fleet::ObservedState &Observed, TimePoint Now) {
+                      const fleet::ObservedState &Observed,
+                      const fleet::SharedWork &Work, TimePoint Now) {
   if (Now < m_OrdersStartAt)
     return;
   advance(Known, Observed, Now);
   if (Now - m_EvaluatedAt >= EvaluationInterval)
-    evaluate(Known, Now);
+    evaluate(Known, Work, Now);
 }
 
-void RoleOrders::evaluate(const fleet::State &Known, TimePoint Now) {
+void RoleOrders::evaluate(const fleet::State &Known,
+                          const fleet::SharedWork &Work, TimePoint Now) {
   const double Passed = seconds(Now - m_EvaluatedAt);
   m_EvaluatedAt = Now;
   for (const auto &[Id, Target] : Known.m_Targets.m_ById)
@@ -84,11 +160,10 @@
       for (const std::string &Name : Target.m_Models)
         m_Services.try_emplace(Name);
   for (auto &[Name, Current] : m_Services) {
-    const auto Smooth = [&](double &Mean, double &Count) {
-      Mean += LoadAlpha * (std::exchange(Count, 0) / Passed - Mean);
-    };
-    Smooth(Current.m_Load.m_RequestsPerSecond, Current.m_Requests);
-    Smooth(Current.m_Load.m_PromptTokensPerSecond, Current.m_PromptTokens);
+    updateLoad(Current, Passed, Now);
+    Current.m_Load.m_TransferLoad =
+        Current.m_Load.m_PromptTokensPerSecond *
+        transferSecondsPerToken(Known.m_Routes.m_Table, Name);
     Current.m_Load.m_NoTrafficYet = Known.m_Targets.m_HoldCount == 0 &&
                                     Current.m_Load.m_RequestsPerSecond <= 0;
     std::vector<roles::SplitEngine> Engines;
@@ -107,14 +182,16 @@
                          Open == m_Open.end() ? *Role : Open->second.m_NewRole,
                          Open != m_Open.end(),
                          Pause != m_NotBefore.end() && Now < Pause->second,
-                         Target.m_MaxRunning});
+                         Target.m_MaxRunning, requestsAt(Work, Id)});
     }
     if (Engines.empty())
       continue;
     const auto Changes =
         roles::planRoleChanges(Engines, Current.m_Load, roles::SplitSettings{});
     Current.m_ChangeStreak = Changes.empty() ? 0 : Current.m_ChangeStreak + 1;
-    if (Current.m_ChangeStreak < AgreeingEvaluations)
+    const bool Settled = Current.m_Load.m_NoTrafficYet ||
+                         Current.m_Evaluations >= MinEvaluations;
+    if (Current.m_ChangeStreak < AgreeingEvaluations || !Settled)
       continue;
     for (const auto &[Id, Role] : Changes)
       begin(Known.m_Targets.m_ById.at(Id), Role, Now);
--- a/apps/control/src/RoleOrders.h
+++ b/apps/control/src/RoleOrders.h
@@ -34,11 +34,13 @@
   /// progress.
   void startTerm(std::uint64_t Term, bool MayHaveOrders, TimePoint Now);
   void endTerm();
-  /// Adds up the demand that an entry reports.
-  void handleReport(const wire::EntryReport &Report);
+  /// Adds up the demand that an entry reports, and takes over its streams.
+  void handleReport(const NodeId &Entry, const wire::EntryReport &Report,
+                    TimePoint Now);
   /// Does what is due. To be called at least every few hundred milliseconds.
+  /// \param Work of the entries at engines.
   void tick(const fleet::State &Known, const fleet::ObservedState &Observed,
-            TimePoint Now);
+            const fleet::SharedWork &Work, TimePoint Now);
 
 private:
   struct Change {
@@ -49,15 +51,28 @@
     bool m_Ended = false;
     std::shared_ptr<http::ClientCall> m_Call;
   };
+  /// What an entry last reported of a service.
+  struct EntryLoad {
+    std::uint32_t m_Streams = 0;
+    std::optional<double> m_PrefillRate;
+    TimePoint m_At;
+  };
   struct Service {
     roles::ServiceLoad m_Load;
     double m_Requests = 0; ///< Since the last evaluation.
     double m_PromptTokens = 0;
+    /// Requests of entries that do not report their streams.
+    double m_UncountedRequests = 0;
+    std::map<NodeId, EntryLoad> m_ByEntry;
+    double m_MeanStreams = 0;
+    std::uint32_t m_Evaluations = 0; ///< With traffic.
     /// Consecutive evaluations with a due change.
     std::uint32_t m_ChangeStreak = 0;
   };
 
-  void evaluate(const fleet::State &Known, TimePoint Now);
+  void evaluate(const fleet::State &Known, const fleet::SharedWork &Work,
+                TimePoint Now);
+  static void updateLoad(Service &Current, double Elapsed, TimePoint Now);
   void begin(const fleet::Target &Target, roles::Role NewRole, TimePoint Now);
   void advance(const fleet::State &Known, const fleet::ObservedState &Observed,
                TimePoint Now);
--- a/libs/roles/include/roles/roles.h
+++ b/libs/roles/include/roles/roles.h
@@ -179,6 +179,13 @@
 struct ServiceLoad {
   double m_RequestsPerSecond = 0;
   double m_PromptTokensPerSecond = 0; ///< Including cached tokens.
+  double m_Streams = 0;               ///< Decoding at the same time.
+  /// Tokens per second that an engine in role prefill processes; zero: not
+  /// known.
+  double m_PrefillTokenRate = 0;
+  /// Engines that the transfers of all prompts to decoding engines would keep
+  /// busy, if no prompt were cached there.
+  double m_TransferLoad = 0;
   /// No request has arrived and no role has been changed yet, so a change
   /// disturbs nothing.
   bool m_NoTrafficYet = false;
@@ -188,16 +195,21 @@
   /// Share of engines that prefill before the load is known. An engine prefills
   /// prompts one after another but decodes dozens of streams at once.
   double m_InitialPrefillShare = 0.65;
-  /// Time that a stream occupies its slot, and the factor by which slots are
-  /// overprovisioned: arrivals are bursty, and an engine may be lost.
-  Duration m_StreamDuration = std::chrono::milliseconds(1500);
+  /// Factor by which slots are overprovisioned: arrivals are bursty, and an
+  /// engine may be lost.
   double m_SlotHeadroomFactor = 2;
   std::uint32_t m_MinDecoders = 2; ///< Tolerates the loss of one.
-  /// Tokens per second that an engine in role prefill processes, and the share
-  /// of a prompt that is not cached.
+  /// Smallest share of engines that decode: several may restart, change their
+  /// role or fail at the same time.
+  double m_MinDecoderShare = 0.25;
+  /// Assumed `ServiceLoad::m_PrefillTokenRate` while it is not known.
   double m_PrefillTokenRate = 25'000;
-  double m_UncachedPromptShare = 0.6;
+  double m_UncachedPromptShare = 0.6;   ///< Of prompt tokens.
   double m_MaxPrefillUtilisation = 0.5; ///< Answers become late above it.
+  /// Share of the transfer load that remains with prefixes cached by the
+  /// decoding engines, and how busy their links may be.
+  double m_UncachedTransferShare = 0.7;
+  double m_MaxLinkUtilisation = 0.5;
   /// Share of all engines that may change at the same time.
   double m_MaxChangingShare = 0.25;
   /// Share of the needed decoders below which engines return to decoding. The
@@ -211,6 +223,8 @@
   bool m_Changing = false;
   bool m_CoolingDown = false; ///< Changed recently; keeps its role for now.
   std::uint32_t m_StreamSlots = 1; ///< Concurrent requests.
+  /// Requests in progress, which delay a change; the idlest change first.
+  std::uint32_t m_Running = 0;
 };
 
 /// \returns the engines to change now with their new roles. For fleets that
--- a/libs/roles/src/Split.cpp
+++ b/libs/roles/src/Split.cpp
@@ -16,21 +16,26 @@
   for (const SplitEngine &Candidate : Engines)
     Slots += Candidate.m_StreamSlots;
   const double SlotsPerEngine = Slots / static_cast<double>(Engines.size());
-  const double Streams =
-      Load.m_RequestsPerSecond *
-      std::chrono::duration<double>(Settings.m_StreamDuration).count();
-  const double Needed =
-      std::ceil(Streams * Settings.m_SlotHeadroomFactor / SlotsPerEngine);
-  return std::max(Settings.m_MinDecoders, static_cast<std::uint32_t>(Needed));
+  const double Needed = std::ceil(
+      Load.m_Streams * Settings.m_SlotHeadroomFactor / SlotsPerEngine);
+  const double ForTransfers =
+      std::ceil(Load.m_TransferLoad * Settings.m_UncachedTransferShare /
+                Settings.m_MaxLinkUtilisation);
+  const double ForLosses = std::ceil(Settings.m_MinDecoderShare *
+                                     static_cast<double>(Engines.size()));
+  return std::max(
+      Settings.m_MinDecoders,
+      static_cast<std::uint32_t>(std::max({Needed, ForTransfers, ForLosses})));
 }
 
 std::uint32_t prefillersNeeded(const ServiceLoad &Load,
                                const SplitSettings &Settings) {
   const double UncachedTokens =
       Load.m_PromptTokensPerSecond * Settings.m_UncachedPromptShare;
+  const double Rate = Load.m_PrefillTokenRate > 0 ? Load.m_PrefillTokenRate
+                                                  : Settings.m_PrefillTokenRate;
   return static_cast<std::uint32_t>(
-      std::ceil(UncachedTokens / (Settings.m_PrefillTokenRate *
-                                  Settings.m_MaxPrefillUtilisation)));
+      std::ceil(UncachedTokens / (Rate * Settings.m_MaxPrefillUtilisation)));
 }
 
 std::vector<std::pair<TargetId, Role>>
@@ -86,7 +91,12 @@
     return Changes;
   std::uint32_t Remaining =
       ToPrefill ? Prefillers - Prefilling : Decoders - (Count - Prefilling);
-  for (const SplitEngine &Candidate : Engines) {
+  std::vector<SplitEngine> IdlestFirst = Engines;
+  std::stable_sort(IdlestFirst.begin(), IdlestFirst.end(),
+                   [](const SplitEngine &Left, const SplitEngine &Right) {
+                     return Left.m_Running < Right.m_Running;
+                   });
+  for (const SplitEngine &Candidate : IdlestFirst) {
     if (Remaining == 0 || Changing >= MaxChanging)
       break;
     const bool Eligible = !Candidate.m_Changing && !Candidate.m_CoolingDown &&
--- a/libs/roles/tests/SplitTest.cpp
+++ b/libs/roles/tests/SplitTest.cpp
@@ -20,12 +20,13 @@
   return Engines;
 }
 
-const ServiceLoad Heavy{80, 600'000};
+const ServiceLoad Heavy{80, 600'000, 120};
 
 } // namespace
 
 TEST_CASE("the number of decoders follows the streams") {
-  const SplitSettings Rules;
+  SplitSettings Rules;
+  Rules.m_MinDecoderShare = 0;
   SECTION("the other engines prefill when prompts require it") {
     const auto Changes = planRoleChanges(engines(6, 12), Heavy, Rules);
     REQUIRE_FALSE(Changes.empty());
@@ -62,7 +63,7 @@
       CHECK(To == Role::Decode);
   }
   SECTION("low load causes no change") {
-    CHECK(planRoleChanges(engines(6, 12), {5, 20'000}, Rules).empty());
+    CHECK(planRoleChanges(engines(6, 12), {5, 20'000, 7.5}, Rules).empty());
     CHECK(planRoleChanges(engines(6, 12), {}, Rules).empty());
   }
   SECTION("before the first request, two thirds are moved to prefill at once") {
@@ -84,6 +85,50 @@
       CHECK(planRoleChanges(Engines, BeforeTraffic, Rules).empty());
     }
   }
+  SECTION("a burst of prompts with short answers moves no engine to decoding") {
+    // 690 requests a second whose streams last 80 ms each.
+    const ServiceLoad ShortAnswers{690, 6'300'000, 55, 330'000};
+    for (const auto &[Id, To] :
+         planRoleChanges(engines(7, 5), ShortAnswers, Rules))
+      CHECK(To == Role::Prefill);
+  }
+  SECTION("engines that prefill fast need no others") {
+    const ServiceLoad Fast{205, 1'900'000, 90, 330'000};
+    CHECK(planRoleChanges(engines(7, 5), Fast, Rules).empty());
+    const ServiceLoad Unknown{205, 1'900'000, 90};
+    CHECK_FALSE(planRoleChanges(engines(7, 5), Unknown, Rules).empty());
+  }
+  SECTION("some engines decode however few streams there are") {
+    // Restarts, crashes and changes may take several at the same time.
+    const ServiceLoad FewStreams{80, 2'000'000, 10};
+    auto Fleet = engines(10, 8);
+    std::size_t Decoders = 8;
+    for (int Round = 0; Round < 10; ++Round)
+      for (const auto &[Id, To] : planRoleChanges(Fleet, FewStreams, {})) {
+        REQUIRE(To == Role::Prefill);
+        --Decoders;
+        for (SplitEngine &Member : Fleet)
+          if (Member.m_Id == Id)
+            Member.m_Role = To;
+      }
+    CHECK(Decoders == 5);
+  }
+  SECTION("the idlest engines change") {
+    auto Fleet = engines(6, 12);
+    for (std::size_t I = 0; I < Fleet.size(); ++I)
+      Fleet[I].m_Running = I < 14 ? 40 : 2;
+    for (const auto &[Id, To] : planRoleChanges(Fleet, Heavy, Rules))
+      CHECK(Id.m_Value >= "i-114");
+  }
+  SECTION("transfers need engines as well as streams do") {
+    // Each link carries a second's transfers in a third of it.
+    const ServiceLoad Transfers{690, 6'300'000, 20, 330'000, 2.5};
+    CHECK(planRoleChanges(engines(14, 4), Transfers, Rules).empty());
+    for (const auto &[Id, To] :
+         planRoleChanges(engines(16, 2), Transfers, Rules))
+      CHECK(To == Role::Decode);
+    CHECK_FALSE(planRoleChanges(engines(16, 2), Transfers, Rules).empty());
+  }
   SECTION("a fleet of two keeps both decoders") {
     CHECK(planRoleChanges(engines(0, 2), Heavy, Rules).empty());
   }
@@ -94,7 +139,7 @@
   for (const double Requests : {1.0, 20.0, 80.0, 300.0, 2000.0})
     for (int Prefill = 0; Prefill <= 18; ++Prefill) {
       auto Fleet = engines(Prefill, 18 - Prefill);
-      const ServiceLoad Load{Requests, Requests * 7000};
+      const ServiceLoad Load{Requests, Requests * 7000, Requests * 1.5};
       int Rounds = 0;
       for (auto Changes = planRoleChanges(Fleet, Load, {}); !Changes.empty();
            Changes = planRoleChanges(Fleet, Load, {})) {
