Decide whether a stream is late before its target is chosen

A late stream gave its choice back and chose again with less urgency; where targets name request limits, the first choice had taken the only token, so the second found no target.

An estimate, which reserves nothing, now decides before the one choice. A test of the entry's own is still to be written.

--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -531,7 +531,20 @@
   return Next ? *Next - Now : Duration(0);
 }
 
+void Serving::yieldIfLate(routing::Request &Wanted, TimePoint Now) {
+  if (!m_Asked.m_Passed || !m_Asked.m_Stream || m_Offset > 0)
+    return;
+  // Nothing is reserved: a target's rate limit admits one choice only.
+  const auto Expected =
+      routing::estimate(m_Shared.m_Routing, Wanted, Now, m_Shared.m_Random);
+  if (failed(Expected) || !isExpectedLate(m_Asked, valueOf(Expected)))
+    return;
+  Wanted.m_Priority = routingPriority(m_Asked.m_Passed->lateUrgency());
+  Wanted.m_Yields = true;
+}
+
 void Serving::placeAt(routing::Request Wanted, TimePoint Now) {
+  yieldIfLate(Wanted, Now);
   auto Where =
       routing::choose(m_Shared.m_Routing, Wanted, Now, m_Shared.m_Random);
   // A gate requires the target of copies in flight only if it can be had.
@@ -551,14 +564,6 @@
   if (failed(Where))
     return giveUp(Refusal::NoTarget, outcomeSoFar(), errorOf(Where),
                   untilRateAdmits(m_Shared, Wanted, Now));
-  if (m_Offset == 0 && isExpectedLate(m_Asked, valueOf(Where).m_Estimate)) {
-    routing::recordEnded(m_Shared.m_Routing, valueOf(Where).m_Try,
-                         TryOutcome::NotSent, Now);
-    Wanted.m_Priority = routingPriority(m_Asked.m_Passed->lateUrgency());
-    Wanted.m_Yields = true;
-    Where = routing::choose(m_Shared.m_Routing, Wanted, Now, m_Shared.m_Random);
-    WASABIVALE_INVARIANT(!failed(Where));
-  }
   m_Urgency =
       routing::MaxPriority - std::min(Wanted.m_Priority, routing::MaxPriority);
   if (!mayStartBeforeStop(valueOf(Where).m_Estimate, Now)) {
--- a/apps/entry/src/Serving.h
+++ b/apps/entry/src/Serving.h
@@ -75,6 +75,8 @@
   void reserve();
   void takeKey(const KeyAnswer &Answer);
   void place();
+  /// Lowers the priority of a stream that is expected to miss its objective.
+  void yieldIfLate(routing::Request &Wanted, TimePoint Now);
   void placeAt(routing::Request Wanted, TimePoint Now);
   /// Whether the answer is a stream that its caller may resume elsewhere.
   [[nodiscard]] bool isRecorded() const;
