Return a rate token with a choice that was not sent

Cause: a choice takes the token of a target's rate limit, which holds one, and an end as not sent did not return it.

A try keeps which targets have counted it, and returns the tokens when it ends unsent.

--- a/apps/control/src/RoleOrders.cpp
+++ b/apps/control/src/RoleOrders.cpp
@@ -4,6 +4,7 @@
 #include "platform/platform.h"
 
 #include <algorithm>
+#include <set>
 
 namespace wasabivale::control {
 
@@ -14,6 +15,8 @@
 constexpr double LoadAlpha = 0.4;
 /// Lifetime of an entry's streams without a further report.
 constexpr std::chrono::milliseconds EntryLoadTimeout{2000};
+/// Lifetime of the observed rate of prefills without a further report.
+constexpr std::chrono::seconds PrefillRateTimeout{30};
 /// Assumed duration of a stream where entries do not report their streams.
 constexpr std::chrono::milliseconds UncountedStreamDuration{1500};
 /// Part of the largest number of streams that remains after an evaluation:
@@ -93,7 +96,11 @@
   for (auto &[Name, Current] : m_Services)
     Current.m_ByEntry.erase(Entry);
   for (const wire::ModelDemand &Demand : Report.demand()) {
-    Service &Current = m_Services[Demand.model()];
+    // `evaluate` adds the services of registered engines.
+    const auto Found = m_Services.find(Demand.model());
+    if (Found == m_Services.end())
+      continue;
+    Service &Current = Found->second;
     Current.m_Requests += static_cast<double>(Demand.requests());
     Current.m_PromptTokens += static_cast<double>(Demand.prompt_tokens());
     if (!Demand.has_streams()) {
@@ -104,13 +111,13 @@
     Load.m_Streams = Demand.streams();
     if (Demand.has_prefill_rate() && Demand.prefill_rate() > 0)
       Load.m_PrefillRate = Demand.prefill_rate();
-    Load.m_At = Now;
+    Load.m_ReportTime = Now;
   }
 }
 
 void RoleOrders::updateLoad(Service &Current, double Elapsed, TimePoint Now) {
   std::erase_if(Current.m_ByEntry, [Now](const auto &Item) {
-    return Now - Item.second.m_At > EntryLoadTimeout;
+    return Now - Item.second.m_ReportTime > EntryLoadTimeout;
   });
   double Streams = std::exchange(Current.m_UncountedRequests, 0) / Elapsed *
                    seconds(UncountedStreamDuration);
@@ -132,8 +139,12 @@
       Current.m_MeanStreams, Current.m_Load.m_Streams * StreamPeakDecay);
   if (Current.m_Load.m_RequestsPerSecond > 0)
     ++Current.m_Evaluations;
-  if (Rates.empty())
+  if (Rates.empty()) {
+    if (Now - Current.m_PrefillRateTime > PrefillRateTimeout)
+      Current.m_Load.m_PrefillTokenRate = 0;
     return;
+  }
+  Current.m_PrefillRateTime = Now;
   // The median: few entries that err do not move it.
   const auto Middle =
       Rates.begin() + static_cast<std::ptrdiff_t>(Rates.size() / 2);
@@ -155,10 +166,17 @@
                           const fleet::SharedWork &Work, TimePoint Now) {
   const double Passed = seconds(Now - m_EvaluatedAt);
   m_EvaluatedAt = Now;
+  std::set<std::string> Registered;
   for (const auto &[Id, Target] : Known.m_Targets.m_ById)
     if (Target.m_IsEngine && Target.m_SelfManaged)
-      for (const std::string &Name : Target.m_Models)
-        m_Services.try_emplace(Name);
+      Registered.insert(Target.m_Models.begin(), Target.m_Models.end());
+  std::erase_if(m_Services, [&](const auto &Item) {
+    return Registered.count(Item.first) == 0;
+  });
+  for (const std::string &Name : Registered)
+    m_Services.try_emplace(Name);
+  std::erase_if(m_NotBefore,
+                [Now](const auto &Item) { return Item.second <= Now; });
   for (auto &[Name, Current] : m_Services) {
     updateLoad(Current, Passed, Now);
     Current.m_Load.m_TransferLoad =
--- a/apps/control/src/RoleOrders.h
+++ b/apps/control/src/RoleOrders.h
@@ -55,7 +55,7 @@
   struct EntryLoad {
     std::uint32_t m_Streams = 0;
     std::optional<double> m_PrefillRate;
-    TimePoint m_At;
+    TimePoint m_ReportTime;
   };
   struct Service {
     roles::ServiceLoad m_Load;
@@ -64,6 +64,7 @@
     /// Requests of entries that do not report their streams.
     double m_UncountedRequests = 0;
     std::map<NodeId, EntryLoad> m_ByEntry;
+    TimePoint m_PrefillRateTime; ///< Last report of a rate.
     double m_MeanStreams = 0;
     std::uint32_t m_Evaluations = 0; ///< With traffic.
     /// Consecutive evaluations with a due change.
--- a/apps/control/tests/RoleOrdersTest.cpp
+++ b/apps/control/tests/RoleOrdersTest.cpp
@@ -57,6 +57,11 @@
     }
     m_Orders.startTerm(2, false, m_Now);
   }
+  /// A leader that has had \p Load for a while.
+  explicit Leader(const EntryLoad &Load) : Leader() {
+    play(10s, Load);
+    m_Held.clear();
+  }
   ~Leader() {
     m_Orders.endTerm();
     event_base_free(m_Loop);
@@ -89,6 +94,9 @@
   }
 };
 
+/// 300 streams at once, which need all five engines that decode.
+constexpr EntryLoad ManyStreams{8, 40'000, 50, 330'000.0};
+
 /// 690 requests a second with prompts of 9,000 tokens; streams last 80 ms.
 constexpr EntryLoad PromptBurst{58, 522'000, 9, 330'000.0};
 
@@ -120,11 +128,7 @@
 }
 
 SCENARIO("a short dip takes no engine from decoding") {
-  Leader Known;
-  // 300 streams need all five engines.
-  const EntryLoad Streams{8, 40'000, 50, 330'000.0};
-  Known.play(10s, Streams);
-  Known.m_Held.clear();
+  Leader Known(ManyStreams);
   WHEN("streams are few for two seconds while prompts come") {
     Known.play(2s, PromptBurst);
     THEN("the engines that decode stay") {
@@ -134,10 +138,7 @@
 }
 
 SCENARIO("streams of an entry that is gone do not count for ever") {
-  Leader Known;
-  const EntryLoad Streams{8, 40'000, 50, 330'000.0};
-  Known.play(10s, Streams);
-  Known.m_Held.clear();
+  Leader Known(ManyStreams);
   WHEN("all entries but one are gone, and prompts come to that one") {
     const EntryLoad One{300, 3'000'000, 4, 330'000.0};
     Known.play(40s, One, 1);
--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -20,17 +20,18 @@
 /// Targets that manage themselves come into service warm; what is new gets no
 /// rush of work before the first answers tell how it does.
 constexpr std::chrono::milliseconds PlainWarmUp{1'000};
-/// A prompt is read in some hundred ms and streams for as long, one of dozens
-/// at its engine: memory for the streams of four that read is a third of one.
+/// Engines that only stream, for each that only reads, as long as one of the
+/// others is left: between two tokens of a stream a piece of a prompt takes
+/// several times as long as the tokens do.
 constexpr double StreamersForPrefill = 1;
 /// Parts of an estimate, in percent, that must still miss the deadline before a
-/// plain request is refused for it: times to a first token are within about a
-/// third, and the length of an answer is known at the median only.
+/// plain request is refused for it: the length of an answer is known at the
+/// median only.
 constexpr int FirstEventCertainty = 90;
 constexpr int FirstTokenCertainty = 50;
-/// Requests that come later and can meet their objective go before one that
-/// can't.
-constexpr int LateFirstCertainty = 100;
+/// As above, of a request that is expected to miss its objective: those that
+/// come later and can meet theirs go before it.
+constexpr int LateFirstCertainty = 150;
 constexpr int AnswerCertainty = 20;
 /// A plain service's load is told with its answers: what it said this long ago
 /// has ended since, and nothing more would be heard if nothing were sent.
@@ -80,12 +81,12 @@
 }
 
 /// Time that a plain request takes at least, as far as its estimate is sure.
-Duration leastTime(const routing::Estimate &Of, TimePoint From,
+Duration leastTime(const routing::Estimate &Expected, TimePoint Start,
                    int FirstCertainty) {
   const Duration First =
-      std::max<Duration>(Of.m_FirstToken - From, Duration(0));
-  const Duration Rest =
-      std::max<Duration>(Of.m_Finish - Of.m_FirstToken, Duration(0));
+      std::max<Duration>(Expected.m_FirstToken - Start, Duration(0));
+  const Duration Rest = std::max<Duration>(
+      Expected.m_Finish - Expected.m_FirstToken, Duration(0));
   return First * FirstCertainty / 100 + Rest * AnswerCertainty / 100;
 }
 
--- a/apps/entry/src/EntryMetrics.cpp
+++ b/apps/entry/src/EntryMetrics.cpp
@@ -59,6 +59,12 @@
                                "From arrival to the start")),
       m_LedgerBegin(In.histogram("wasabivale_entry_ledger_begin_seconds",
                                  "Until the ledger has granted a key")),
+      m_FirstTokenLater(
+          In.histogram("wasabivale_entry_first_token_later_seconds",
+                       "By how much a first token came after its estimate")),
+      m_FirstTokenSooner(
+          In.histogram("wasabivale_entry_first_token_sooner_seconds",
+                       "By how much a first token came before its estimate")),
       m_Open(In.gauge("wasabivale_entry_open_requests",
                       "Requests that are not answered yet")),
       m_Queued(In.gauge("wasabivale_entry_queued_requests",
--- a/apps/entry/src/EntryMetrics.h
+++ b/apps/entry/src/EntryMetrics.h
@@ -48,6 +48,8 @@
   metrics::Histogram &m_Total;
   metrics::Histogram &m_QueueWait;
   metrics::Histogram &m_LedgerBegin;
+  metrics::Histogram &m_FirstTokenLater;
+  metrics::Histogram &m_FirstTokenSooner;
   metrics::Gauge &m_Open;
   metrics::Gauge &m_Queued;
   metrics::Gauge &m_Running;
--- a/apps/entry/src/Passed.cpp
+++ b/apps/entry/src/Passed.cpp
@@ -15,11 +15,12 @@
 
 /// What is likely to be generated: half of the most, without a guess. A guess
 /// is right at the median only, so it is no bound.
-std::uint32_t likelyTokens(const relay::CallerRequest &Of) {
-  if (Of.m_ExpectedTokens == 0)
-    return std::max(1U, Of.m_MaxTokens / 2);
-  return Of.m_MaxTokens == 0 ? Of.m_ExpectedTokens
-                             : std::min(Of.m_ExpectedTokens, Of.m_MaxTokens);
+std::uint32_t likelyTokens(const relay::CallerRequest &Request) {
+  if (Request.m_ExpectedTokens == 0)
+    return std::max(1U, Request.m_MaxTokens / 2);
+  return Request.m_MaxTokens == 0
+             ? Request.m_ExpectedTokens
+             : std::min(Request.m_ExpectedTokens, Request.m_MaxTokens);
 }
 
 } // namespace
--- a/apps/entry/src/Try.cpp
+++ b/apps/entry/src/Try.cpp
@@ -420,8 +420,10 @@
   m_SilentSince = Now;
   routing::recordHeard(m_Tools.m_Routing, leg(), Now);
   const auto &Id = m_Plan.m_Choice.m_Try;
-  if (m_Tokens == 0)
+  if (m_Tokens == 0) {
     routing::recordFirstToken(m_Tools.m_Routing, Id, Now);
+    recordEstimateError(Now);
+  }
   const std::uint64_t PerPiece =
       m_For.m_Passed && m_Tokens > 0 ? m_For.m_Passed->m_TokensPerEvent : 1;
   m_Tokens += Piece.m_Tokens * PerPiece;
@@ -430,6 +432,14 @@
   m_Handlers.m_OnPiece(Piece);
 }
 
+void Try::recordEstimateError(TimePoint Now) {
+  const Duration Later = Now - m_Plan.m_Choice.m_Estimate.m_FirstToken;
+  if (Later >= Duration(0))
+    m_Tools.m_Metrics.m_FirstTokenLater.record(Later);
+  else
+    m_Tools.m_Metrics.m_FirstTokenSooner.record(-Later);
+}
+
 void Try::takeRun(const targets::RunEnding &Ending) {
   m_Tools.m_Metrics.m_DuplicatePieces.add(Ending.m_Duplicates);
   if (Ending.m_Result != targets::RunResult::Whole) {
--- a/apps/entry/src/Try.h
+++ b/apps/entry/src/Try.h
@@ -122,6 +122,8 @@
   void freeKv();
   void takePrefilled(const targets::RunEnding &Ending);
   void takePiece(const targets::StreamPiece &Piece);
+  /// Holds the estimate of the first token against its outcome.
+  void recordEstimateError(TimePoint Now);
   void takeRun(const targets::RunEnding &Ending);
   void takeAnswer(const targets::CallEnding &Ending);
   [[nodiscard]] targets::RunRequest runRequest() const;
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -10,7 +10,7 @@
 /// immediately, so that choices made before the first byte is sent already
 /// account for each other. `recordStarted`, `recordFirstToken` and
 /// `recordProgress` follow as the try runs, and exactly one `recordEnded`, also
-/// for a try that was never sent.
+/// for a try that was never sent, which leaves nothing behind.
 
 #ifndef WASABIVALE_ROUTING_ROUTING_H
 #define WASABIVALE_ROUTING_ROUTING_H
@@ -436,7 +436,7 @@
   /// Of a split request: nominal time from the end of its prefill to its first
   /// token.
   Duration m_ExpectedHandoff{};
-  TimePoint m_PrefilledAt;
+  TimePoint m_PrefillEnd;
   TimePoint m_FirstTokenAt;
   std::uint32_t m_Tokens = 0; ///< Output tokens received.
   bool m_Started = false;
@@ -444,6 +444,8 @@
   bool m_Decoding = false;
   bool m_Probe = false;
   bool m_Yields = false; ///< As of the request.
+  /// Targets whose rate limit has counted this try.
+  std::vector<SlotIndex> m_CountedBy;
 };
 
 /// Monotonic counters for metrics.
--- a/libs/routing/src/Health.cpp
+++ b/libs/routing/src/Health.cpp
@@ -125,6 +125,16 @@
   Mean.m_LogRatio += Weight * (LogRatio - Mean.m_LogRatio);
 }
 
+/// Updates the mean so that times above it count less. Waiting that no report
+/// has shown yet makes first tokens late, never early, and is not a property of
+/// the engine.
+void updateLowMean(Slowness &Mean, double LogRatio, double Alpha) {
+  /// Weight of a longer time beside that of a shorter one.
+  constexpr double LongerWeight = 0.3;
+  updateMean(Mean, LogRatio,
+             LogRatio > Mean.m_LogRatio ? Alpha * LongerWeight : Alpha);
+}
+
 double logRatio(const Timing &Time) {
   const double Ratio = seconds(std::max(Time.m_Observed, MinMeasurableTime)) /
                        seconds(std::max(Time.m_Expected, MinMeasurableTime));
@@ -134,12 +144,13 @@
 /// Records a time as evidence about a target relative to its peers of the same
 /// role.
 void recordTime(State &Fleet, SlotIndex Index, Slowness &Own, Slowness &Peers,
-                const Timing &Time, TimePoint Now) {
+                const Timing &Time, TimePoint Now,
+                void (*Update)(Slowness &, double, double) = updateMean) {
   if (!isEligible(Fleet.m_Slots[Index]))
     return;
   const double LogRatio = logRatio(Time);
-  updateMean(Own, LogRatio, TargetAlpha);
-  updateMean(Peers, LogRatio, PoolAlpha);
+  Update(Own, LogRatio, TargetAlpha);
+  Update(Peers, LogRatio, PoolAlpha);
   const Settings &Options = Fleet.m_Settings;
   if (Own.m_Samples >= Options.m_SlownessSamples &&
       Own.m_LogRatio - Peers.m_LogRatio > std::log(Options.m_SlownessToEject))
@@ -180,7 +191,9 @@
   Slot &TargetSlot = Fleet.m_Slots[Index];
   const std::size_t RoleIndex = roleIndex(TargetSlot.m_Target.m_Role);
   recordTime(Fleet, Index, TargetSlot.m_Health.m_FirstTokenSlowness,
-             TargetPool.m_FirstTokenSlowness[RoleIndex], Time, Now);
+             TargetPool.m_FirstTokenSlowness[RoleIndex], Time, Now,
+             TargetSlot.m_Target.m_Kind == Kind::Engine ? updateLowMean
+                                                        : updateMean);
 }
 
 void recordTokenInterval(State &Fleet, SlotIndex Index, Pool &TargetPool,
--- a/libs/routing/src/Internal.h
+++ b/libs/routing/src/Internal.h
@@ -185,7 +185,11 @@
 // RateLimits.cpp
 /// Whether the target's rate limit and rest admit a request of this entry now.
 bool admitsNow(const Slot &TargetSlot, TimePoint Now);
-void takeRateToken(Slot &TargetSlot, TimePoint Now);
+/// Counts a request against the target's rate limit. \returns whether it has
+/// one.
+bool takeRateToken(Slot &TargetSlot, TimePoint Now);
+/// Takes the count of a request back that was not sent.
+void returnRateToken(Slot &TargetSlot, TimePoint Now);
 
 // Choose.cpp
 struct Candidate {
--- a/libs/routing/src/RateLimits.cpp
+++ b/libs/routing/src/RateLimits.cpp
@@ -44,11 +44,19 @@
           tokensAt(*TargetSlot.m_RateLimit, Now) >= MaxTokens);
 }
 
-void takeRateToken(Slot &TargetSlot, TimePoint Now) {
+bool takeRateToken(Slot &TargetSlot, TimePoint Now) {
   if (!TargetSlot.m_RateLimit)
-    return;
+    return false;
   fill(*TargetSlot.m_RateLimit, Now);
   TargetSlot.m_RateLimit->m_Tokens -= MaxTokens;
+  return true;
+}
+
+void returnRateToken(Slot &TargetSlot, TimePoint Now) {
+  if (!TargetSlot.m_RateLimit)
+    return;
+  TargetSlot.m_RateLimit->m_Tokens += MaxTokens;
+  fill(*TargetSlot.m_RateLimit, Now);
 }
 
 /// When the slot admits a request, or nothing if it never will.
--- a/libs/routing/src/Tries.cpp
+++ b/libs/routing/src/Tries.cpp
@@ -94,7 +94,7 @@
 /// end of its prefill.
 Timing legTiming(const Try &Attempt, TimePoint Now) {
   if (Attempt.m_Split && !Attempt.m_Prefill)
-    return {Now - Attempt.m_PrefilledAt, Attempt.m_ExpectedHandoff};
+    return {Now - Attempt.m_PrefillEnd, Attempt.m_ExpectedHandoff};
   return {Now - Attempt.m_StartedAt, Attempt.m_ExpectedFirstToken};
 }
 
@@ -231,9 +231,10 @@
   Attempt.m_Probe = Selection.m_Probe;
   Attempt.m_Yields = Req.m_Yields;
 
-  takeRateToken(Run, Now);
-  if (Attempt.m_Prefill)
-    takeRateToken(Prefill, Now);
+  if (takeRateToken(Run, Now))
+    Attempt.m_CountedBy.push_back(Attempt.m_Run);
+  if (Attempt.m_Prefill && takeRateToken(Prefill, Now))
+    Attempt.m_CountedBy.push_back(PrefillSlot);
   addRequest(Fleet, Attempt.m_Run, Attempt.m_RunGeneration, Now);
   Run.m_Own.m_KvBlocks += Attempt.m_KvBlocks;
   if (Attempt.m_Prefill) {
@@ -281,7 +282,7 @@
   Pool &TargetPool = getPool(Fleet, Attempt.m_Kind, Attempt.m_Model);
   const SlotIndex Index = *Attempt.m_Prefill;
   Attempt.m_ProgressAt = Now;
-  Attempt.m_PrefilledAt = Now;
+  Attempt.m_PrefillEnd = Now;
   endPrefillLeg(Fleet, Attempt, Now);
   if (!Fleet.m_Slots[Index].m_Used)
     return;
@@ -300,7 +301,7 @@
   Attempt.m_FirstTokenAt = Now;
   Attempt.m_Tokens = std::max(Attempt.m_Tokens, 1U);
   if (Attempt.m_Prefill) {
-    Attempt.m_PrefilledAt = Now;
+    Attempt.m_PrefillEnd = Now;
     endPrefillLeg(Fleet, Attempt, Now);
   }
   removePrompt(Fleet.m_Slots[Attempt.m_Run], Attempt);
@@ -326,6 +327,9 @@
   Fleet.m_Tries.erase(Found);
   const bool FailsPrefill = FailedAtPrefill && Attempt.m_Prefill.has_value();
   const SlotIndex Index = FailsPrefill ? *Attempt.m_Prefill : Attempt.m_Run;
+  if (Outcome == TryOutcome::NotSent && !Attempt.m_Started)
+    for (const SlotIndex Counted : Attempt.m_CountedBy)
+      returnRateToken(Fleet.m_Slots[Counted], Now);
   // Evidence must be recorded before the release, which may free the slot of a
   // previous incarnation.
   recordEvidence(Fleet, Attempt, Index, Outcome, Now);
--- a/libs/routing/tests/RateLimitTest.cpp
+++ b/libs/routing/tests/RateLimitTest.cpp
@@ -43,6 +43,26 @@
       CHECK_FALSE(Send(at(1s)).empty());
       CHECK(Send(at(1s)).empty());
     }
+    THEN("a choice that is given back leaves its token") {
+      for (int I = 0; I < 10; ++I) {
+        const auto Where = choose(Fleet, makeRequest(), at(1s), Rng);
+        REQUIRE_FALSE(failed(Where));
+        recordEnded(Fleet, valueOf(Where).m_Try, TryOutcome::NotSent, at(1s));
+      }
+      int Sent = 0;
+      while (!Send(at(1s)).empty())
+        ++Sent;
+      CHECK(Sent == 3);
+    }
+    THEN("a request that was sent uses its token however it ends") {
+      for (int I = 0; I < 3; ++I) {
+        const auto Where = choose(Fleet, makeRequest(), at(1s), Rng);
+        REQUIRE_FALSE(failed(Where));
+        recordStarted(Fleet, valueOf(Where).m_Try, at(1s));
+        recordEnded(Fleet, valueOf(Where).m_Try, TryOutcome::NotSent, at(1s));
+      }
+      CHECK(Send(at(1s)).empty());
+    }
     THEN("a limit that ends admits requests at once") {
       limitRate(Fleet, {"engine-1"}, std::nullopt, at(100ms));
       CHECK(Next(at(100ms)) == at(100ms));
