Compare the entries that limits were divided among without a copy

The leader copied the names of all entries for each report of one, to find that they are those of before.

--- a/apps/control/src/TargetRates.cpp
+++ b/apps/control/src/TargetRates.cpp
@@ -1,5 +1,6 @@
 #include "TargetRates.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace wasabivale::control {
@@ -17,15 +18,19 @@
 
 void divide(TargetRates &Rates, const limits::TargetLimitTable &Known,
             const fleet::ObservedState &Observed) {
-  std::vector<NodeId> Entries;
-  Entries.reserve(Observed.m_Entries.size());
-  for (const auto &[Entry, View] : Observed.m_Entries)
-    Entries.push_back(Entry);
-  if (Rates.m_Revision == Known.m_Revision && Rates.m_Entries == Entries)
+  const bool IsSame =
+      std::equal(Rates.m_Entries.begin(), Rates.m_Entries.end(),
+                 Observed.m_Entries.begin(), Observed.m_Entries.end(),
+                 [](const NodeId &Divided, const auto &Item) {
+                   return Divided == Item.first;
+                 });
+  if (Rates.m_Revision == Known.m_Revision && IsSame)
     return;
-  Rates.m_Divisions = limits::divideTargetLimits(Known, Entries);
+  Rates.m_Entries.clear();
+  for (const auto &[Entry, View] : Observed.m_Entries)
+    Rates.m_Entries.push_back(Entry);
+  Rates.m_Divisions = limits::divideTargetLimits(Known, Rates.m_Entries);
   Rates.m_Revision = Known.m_Revision;
-  Rates.m_Entries = std::move(Entries);
 }
 
 } // namespace
