Build an update of the fleet once for all entries that lack it

By reading, three costs grew as entries x targets: each change was built for each entry from all targets; each leave was sent to all entries by itself; and each report of an entry looked through all leaves under way at all entries.

Entries at the same revisions now get one built update, for a tick at most, since it carries times that are left. Leaves are sent together at the next tick (50 ms) and looked at once a tick.

--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -458,8 +458,6 @@
   fillForwardPeers(m_Observed, Sender, Report, Now, Grant);
   // The answer to the next report replaces a lost grant.
   (void)m_Hub->send(Sender, std::move(Answer));
-  if (m_RegistryApi)
-    m_RegistryApi->answerLeaving(Now);
 }
 
 void Control::handleWork(const NodeId &Sender, const wire::WorkNotice &Notice) {
@@ -536,9 +534,9 @@
   const fleet::State &Fleet = m_State.m_Fleet;
   wire::Envelope Message;
   Message.set_term(m_Replica->term());
-  *Message.mutable_fleet_update() =
-      fleet::updateSince(Fleet, Known.m_FleetRevision,
-                         Known.m_ConfigurationRevision, Known.m_RoutesVersion);
+  *Message.mutable_fleet_update() = m_FleetUpdates.since(
+      Fleet, Known.m_FleetRevision, Known.m_ConfigurationRevision,
+      Known.m_RoutesVersion);
   if (failed(m_Hub->send(Entry, std::move(Message))))
     return; // The next grant names the newer revision; the entry then asks.
   Known.m_FleetRevision = Fleet.m_Targets.m_Revision;
@@ -559,6 +557,7 @@
 }
 
 void Control::sendChanges() {
+  m_FleetUpdates.clear();
   const fleet::State &Fleet = m_State.m_Fleet;
   for (auto &[Name, Known] : m_Sent)
     if (Known.m_FleetRevision != Fleet.m_Targets.m_Revision ||
--- a/apps/control/src/Control.h
+++ b/apps/control/src/Control.h
@@ -8,6 +8,7 @@
 
 #include "ControlSettings.h"
 #include "Executor.h"
+#include "FleetUpdates.h"
 #include "RoleOrders.h"
 #include "RolePlanner.h"
 #include "Shares.h"
@@ -147,6 +148,7 @@
   NotifiedTraits m_NotifiedTraits;
   TargetRates m_TargetRates;
   std::map<NodeId, SentRevisions> m_Sent;
+  FleetUpdates m_FleetUpdates;
   std::map<consensus::Index, wire::CallReply> m_Replies;
   std::set<std::string> m_PendingProposals;
   /// Records of begun streams that wait to be proposed together.
--- a/apps/control/src/RegistryApi.cpp
+++ b/apps/control/src/RegistryApi.cpp
@@ -295,10 +295,10 @@
 
 void RegistryApi::waitUntilLeft(const Exchange &Call,
                                 const std::vector<TargetId> &Targets) {
-  const TimePoint Now = BootClock::now();
-  m_Leaving.push_back({Call, Targets, Now + LeaveTimeout});
-  m_Control.sendChanges();
-  answerLeaving(Now);
+  // The next tick notifies all entries of all leaves together, and each tick
+  // looks for the entries that have acknowledged: the work of a leave grows
+  // with the entries, and so does the number of their reports.
+  m_Leaving.push_back({Call, Targets, BootClock::now() + LeaveTimeout});
 }
 
 bool RegistryApi::hasLeft(const TargetId &Target, TimePoint Now) const {
