Assert the property of prefix holders

Callers saw nothing. The result of rc::check was dropped in SharedPrefixTest, so that the test could not fail; now it is asserted, and passes (test-routing, 100 tests).

--- a/libs/routing/tests/SharedPrefixTest.cpp
+++ b/libs/routing/tests/SharedPrefixTest.cpp
@@ -210,7 +210,7 @@
 }
 
 TEST_CASE("the holders of a prefix are the engines that list it as cached") {
-  rc::check([] {
+  CHECK(rc::check([] {
     State Fleet = makeSplitFleet(3, 3);
     const int Steps = *rc::gen::inRange(1, 120);
     for (int I = 0; I < Steps; ++I) {
@@ -237,5 +237,5 @@
       }
     }
     RC_ASSERT(HolderCount == EntryCount);
-  });
+  }));
 }
