Lengthen only the wait of late requests, not their own prefill

Callers saw 503 for a prompt that an idle engine would have read in time: of a request that was expected to miss its objective the whole time to the first token counted by half more, its own prefill included, so that 1.5 s of reading alone went beyond a patience of 2 s.

Cause: LateFirstCertainty stands for requests that come later and go first; they lengthen the wait before the prefill, not the prefill.

Now the factor applies to the part before the expected start.

--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -29,9 +29,9 @@
 /// median only.
 constexpr int FirstEventCertainty = 90;
 constexpr int FirstTokenCertainty = 50;
-/// As above, of a request that is expected to miss its objective: those that
-/// come later and can meet theirs go before it.
-constexpr int LateFirstCertainty = 150;
+/// As above, of the time that a request which is expected to miss its objective
+/// waits: those that come later and can meet theirs go before it.
+constexpr int LateWaitCertainty = 150;
 constexpr int AnswerCertainty = 20;
 /// A plain service's load is told with its answers: what it said this long ago
 /// has ended since, and nothing more would be heard if nothing were sent.
@@ -80,14 +80,23 @@
                          {0, 0, std::nullopt, std::nullopt}, Now);
 }
 
+/// Time from \p Start to a request's first token of which \p Certainty percent
+/// count, and of the wait before it \p WaitCertainty percent.
+Duration firstTokenTime(const routing::Estimate &Expected, TimePoint Start,
+                        int WaitCertainty, int Certainty) {
+  const TimePoint Begin = std::max(Expected.m_Start, Start);
+  return (Begin - Start) * WaitCertainty / 100 +
+         std::max<Duration>(Expected.m_FirstToken - Begin, Duration(0)) *
+             Certainty / 100;
+}
+
 /// Time that a plain request takes at least, as far as its estimate is sure.
 Duration leastTime(const routing::Estimate &Expected, TimePoint Start,
-                   int FirstCertainty) {
-  const Duration First =
-      std::max<Duration>(Expected.m_FirstToken - Start, Duration(0));
+                   int WaitCertainty) {
   const Duration Rest = std::max<Duration>(
       Expected.m_Finish - Expected.m_FirstToken, Duration(0));
-  return First * FirstCertainty / 100 + Rest * AnswerCertainty / 100;
+  return firstTokenTime(Expected, Start, WaitCertainty, FirstTokenCertainty) +
+         Rest * AnswerCertainty / 100;
 }
 
 } // namespace
@@ -319,9 +328,9 @@
   const bool IsResumed = For.isResumed();
   // Of a large prompt the estimate counts others that it goes before.
   if (For.m_Passed && For.m_Stream && !For.m_Passed->isLarge() && !IsResumed) {
-    const Duration First =
-        std::max<Duration>(valueOf(Expected).m_FirstToken - Now, Duration(0)) *
-        (IsLate ? LateFirstCertainty : FirstEventCertainty) / 100;
+    const Duration First = firstTokenTime(
+        valueOf(Expected), Now,
+        IsLate ? LateWaitCertainty : FirstEventCertainty, FirstEventCertainty);
     const Duration Patience = streamPatience(For.m_Passed->m_Route);
     if (First > Patience)
       return Made->refuseUnstarted(
@@ -343,7 +352,7 @@
   if (For.m_Passed)
     Ask.m_MinServiceTime =
         leastTime(valueOf(Expected), From,
-                  IsLate ? LateFirstCertainty : FirstTokenCertainty);
+                  IsLate ? LateWaitCertainty : FirstTokenCertainty);
   if (IsResumed)
     Ask.m_MinServiceTime = Ask.m_ServiceTime = Duration(0);
   else if (For.m_Passed && For.m_Stream)
