Measure the exchange of work at 30, 100 and 300 entries

Nobody saw a change. ./build.sh bench decisions had no figure of the leader. New rows: one exchange of work with 240 engines, by rows for each entry and by the digest.

--- a/tools/decision-bench/src/Benches.h
+++ b/tools/decision-bench/src/Benches.h
@@ -13,6 +13,7 @@
 std::vector<Row> benchRouting();
 std::vector<Row> benchLimits();
 std::vector<Row> benchRetries();
+std::vector<Row> benchFleet();
 
 /// Adds the rows of a cost: time, and instructions where they are known.
 void addCost(std::vector<Row> &Rows, const std::string &Name,
--- a/tools/decision-bench/src/Main.cpp
+++ b/tools/decision-bench/src/Main.cpp
@@ -16,7 +16,8 @@
 
 std::vector<Row> runAll() {
   std::vector<Row> All;
-  for (const auto &Bench : {benchRouting, benchLimits, benchRetries}) {
+  for (const auto &Bench :
+       {benchRouting, benchLimits, benchRetries, benchFleet}) {
     const std::vector<Row> Rows = Bench();
     All.insert(All.end(), Rows.begin(), Rows.end());
   }
