Draw the holder of a prefix at random, and prefill where it is cached

Cause: each entry considered the most recent holder of a prefix only.

Now two random holders that may prefill are considered, and what is fetched comes from a random holder, in the zone of the prefilling engine if one is there. The search is built with default members: an initializer by position had turned a flag into a slot when a member was added.

Evidence: SharedPrefixTest "requests of many entries do not crowd the latest holder of a prefix" failed before.

--- a/libs/routing/src/Choose.cpp
+++ b/libs/routing/src/Choose.cpp
@@ -29,16 +29,19 @@
   const Request &m_Request;
   TimePoint m_Now;
   Random &m_Rng;
-  std::optional<Candidate> m_Best;
+  std::optional<Candidate> m_Best = std::nullopt;
   /// Best among the targets that are still warming up.
-  std::optional<Candidate> m_BestWarming;
-  std::optional<SlotIndex> m_PrefillSlot;
-  CostEstimate m_Prefill;
-  std::optional<SlotIndex> m_Holder; ///< Has the shared prefix cached.
+  std::optional<Candidate> m_BestWarming = std::nullopt;
+  std::optional<SlotIndex> m_PrefillSlot = std::nullopt;
+  CostEstimate m_Prefill = {};
+  /// Engines that have the shared prefix cached.
+  std::vector<SlotIndex> m_Holders = {};
+  /// One of them, for estimates.
+  std::optional<SlotIndex> m_Holder = std::nullopt;
   /// Preferred engine to prefill a prefix that is cached nowhere.
-  std::optional<SlotIndex> m_PrefixHome;
+  std::optional<SlotIndex> m_PrefixHome = std::nullopt;
   /// Preferred engine to decode streams of the prefix.
-  std::optional<SlotIndex> m_DecodeHome;
+  std::optional<SlotIndex> m_DecodeHome = std::nullopt;
   /// Whether decode-only engines are considered as well.
   bool m_IncludesDecodeOnly = false;
 
@@ -221,8 +224,11 @@
   if (!Search.m_Request.m_FetchesPrefix || Search.m_Request.m_Blocks.empty())
     return;
   const std::uint64_t LastBlock = Search.m_Request.m_Blocks.back();
-  Search.m_Holder = findPrefixHolder(Search.m_Fleet, Search.m_Pool,
-                                     prefixHash(Search.m_Request.m_Blocks));
+  Search.m_Holders = findPrefixHolders(Search.m_Fleet, Search.m_Pool,
+                                       prefixHash(Search.m_Request.m_Blocks));
+  if (!Search.m_Holders.empty())
+    Search.m_Holder =
+        Search.m_Holders[randomIndex(Search.m_Rng, Search.m_Holders.size())];
   if (!Search.m_Pool.m_Partitions.empty()) {
     const Partition &Bucket = getPartition(Search.m_Pool, LastBlock);
     for (std::size_t I = 0; I < Bucket.m_Count && !Search.m_PrefixHome; ++I)
@@ -252,19 +258,56 @@
     considerPrefill(Search, Index, AffinityValue);
 }
 
-/// Considers the engine that has the prefix cached; if there is none, the
-/// engine that should prefill it, with the value of doing so.
+/// Considers two engines that have the prefix cached and may prefill the rest
+/// of the prompt. They are drawn at random: all entries know the same holders,
+/// and would crowd the latest one. If there are none, considers the engine that
+/// should prefill the prefix, with the value of doing so if it is cached
+/// nowhere.
 void considerPrefixHomes(TargetSearch &Search, bool AllowSplit) {
+  constexpr std::uint32_t HoldersConsidered = 2;
   if (Search.m_DecodeHome && !isDecodeOnly(Search, *Search.m_DecodeHome))
     considerWhole(Search, *Search.m_DecodeHome, 0);
-  if (Search.m_Holder)
-    return considerByRole(Search, *Search.m_Holder, 0, AllowSplit);
-  if (Search.m_PrefixHome)
-    considerByRole(Search, *Search.m_PrefixHome,
-                   affinityValue(Search.m_Fleet, Search.m_Pool,
-                                 Search.slot(*Search.m_PrefixHome),
-                                 Search.m_Request),
-                   AllowSplit);
+  std::vector<SlotIndex> Prefilling = Search.m_Holders;
+  std::erase_if(Prefilling, [&](SlotIndex Index) {
+    return Search.slot(Index).m_Target.m_Role == Role::Decode &&
+           isDecodeOnly(Search, Index);
+  });
+  if (!Prefilling.empty())
+    return considerSamples(
+        Search, Prefilling, HoldersConsidered,
+        [&](TargetSearch &, SlotIndex Index, double AffinityValue) {
+          considerByRole(Search, Index, AffinityValue, AllowSplit);
+        });
+  if (!Search.m_PrefixHome)
+    return;
+  const double Value =
+      Search.m_Holder
+          ? 0
+          : affinityValue(Search.m_Fleet, Search.m_Pool,
+                          Search.slot(*Search.m_PrefixHome), Search.m_Request);
+  considerByRole(Search, *Search.m_PrefixHome, Value, AllowSplit);
+}
+
+/// Returns the engine to fetch the prefix from: a random one of those that have
+/// it cached, in the zone of the prefilling engine if there is one. Without
+/// any, the preferred engine may have it because of an entry that could not
+/// announce it.
+std::optional<SlotIndex> fetchSource(TargetSearch &Search, SlotIndex Prefill) {
+  std::vector<SlotIndex> Sources = Search.m_Holders;
+  if (Sources.empty() && Search.m_PrefixHome)
+    Sources.push_back(*Search.m_PrefixHome);
+  std::erase_if(Sources, [&](SlotIndex Index) {
+    return Index == Prefill || !haveSameVersion(Search, Index, Prefill);
+  });
+  const ZoneId &Zone = Search.slot(Prefill).m_Target.m_Zone;
+  const auto IsFar = [&](SlotIndex Index) {
+    return Search.slot(Index).m_Target.m_Zone != Zone;
+  };
+  if (!std::all_of(Sources.begin(), Sources.end(), IsFar))
+    std::erase_if(Sources, IsFar);
+  if (Sources.empty())
+    return std::nullopt;
+  return Sources[randomIndex(Search.m_Rng, Sources.size())];
 }
 
 /// Considers two of the targets that share the bucket, and the next one in
@@ -346,17 +389,12 @@
     considerAllTargets(Search);
   std::optional<Candidate> Best =
       Search.m_Best ? Search.m_Best : Search.m_BestWarming;
-  // The preferred engine may have the prefix cached because of an entry that
-  // could not announce it.
-  const auto Source = Search.m_Holder ? Search.m_Holder : Search.m_PrefixHome;
-  if (Best && Source) {
-    const SlotIndex PrefillEngine = Best->m_Prefill.value_or(Best->m_Run);
-    if (PrefillEngine != *Source &&
-        haveSameVersion(Search, PrefillEngine, *Source) &&
-        !hasPrefix(Search.slot(PrefillEngine),
-                   prefixHash(Search.m_Request.m_Blocks)))
-      Best->m_FetchFrom = Source;
-  }
+  if (!Best || Search.m_Request.m_Blocks.empty())
+    return Best;
+  const SlotIndex PrefillEngine = Best->m_Prefill.value_or(Best->m_Run);
+  if (!hasPrefix(Search.slot(PrefillEngine),
+                 prefixHash(Search.m_Request.m_Blocks)))
+    Best->m_FetchFrom = fetchSource(Search, PrefillEngine);
   return Best;
 }
 
@@ -475,8 +513,7 @@
 std::optional<Candidate> selectCandidate(State &Fleet, Pool &TargetPool,
                                          const Request &Req, TimePoint Now,
                                          Random &Rng, bool MayProbe) {
-  TargetSearch Search{Fleet, TargetPool, Req, Now, Rng, {},   {},
-                      {},    {},         {},  {},  {},  false};
+  TargetSearch Search{Fleet, TargetPool, Req, Now, Rng};
   if (Req.m_RequiredTarget)
     return selectRequiredTarget(Search);
   if (!Fleet.m_Settings.m_PrefillRunsWhole)
--- a/libs/routing/src/Internal.h
+++ b/libs/routing/src/Internal.h
@@ -90,10 +90,11 @@
 
 // SharedPrefixes.cpp
 bool hasPrefix(const Slot &TargetSlot, std::uint32_t Prefix);
-/// Returns the eligible engine that most recently cached the prefix.
-std::optional<SlotIndex> findPrefixHolder(const State &Fleet,
-                                          const Pool &TargetPool,
-                                          std::uint32_t Prefix);
+/// Returns eligible engines that have the prefix cached, the most recent first;
+/// bounded.
+std::vector<SlotIndex> findPrefixHolders(const State &Fleet,
+                                         const Pool &TargetPool,
+                                         std::uint32_t Prefix);
 /// Records that the engine of this slot has prefilled or fetched the prompt of
 /// a try.
 void recordCachedPrefix(State &Fleet, SlotIndex Index, const Try &Attempt,
--- a/libs/routing/src/SharedPrefixes.cpp
+++ b/libs/routing/src/SharedPrefixes.cpp
@@ -10,6 +10,9 @@
 
 /// Maximum number of pending updates; the oldest are dropped first.
 constexpr std::size_t MaxPendingUpdates = 256;
+/// Holders of a prefix that are considered; the engines that used it last are
+/// the least likely to have evicted it.
+constexpr std::size_t MaxHolders = 16;
 
 double prefixCapacity(const State &Fleet, const Slot &TargetSlot) {
   return Fleet.m_Settings.m_PrefixCacheShare * TargetSlot.m_Target.m_KvBlocks;
@@ -78,17 +81,18 @@
       [&](const CachedPrefixEntry &Entry) { return Entry.m_Prefix == Prefix; });
 }
 
-std::optional<SlotIndex> findPrefixHolder(const State &Fleet,
-                                          const Pool &TargetPool,
-                                          std::uint32_t Prefix) {
+std::vector<SlotIndex> findPrefixHolders(const State &Fleet,
+                                         const Pool &TargetPool,
+                                         std::uint32_t Prefix) {
+  std::vector<SlotIndex> Holders;
   const auto Found = TargetPool.m_PrefixHolders.find(Prefix);
   if (Found == TargetPool.m_PrefixHolders.end())
-    return std::nullopt;
-  for (auto Holder = Found->second.rbegin(); Holder != Found->second.rend();
-       ++Holder)
+    return Holders;
+  for (auto Holder = Found->second.rbegin();
+       Holder != Found->second.rend() && Holders.size() < MaxHolders; ++Holder)
     if (isEligible(Fleet.m_Slots[*Holder]))
-      return *Holder;
-  return std::nullopt;
+      Holders.push_back(*Holder);
+  return Holders;
 }
 
 void recordCachedPrefix(State &Fleet, SlotIndex Index, const Try &Attempt,
--- a/libs/routing/tests/SharedPrefixTest.cpp
+++ b/libs/routing/tests/SharedPrefixTest.cpp
@@ -239,3 +239,47 @@
     RC_ASSERT(HolderCount == EntryCount);
   }));
 }
+
+SCENARIO(
+    "requests of many entries do not crowd the latest holder of a prefix") {
+  GIVEN(
+      "a prefix that three of six prefilling engines and a decoding one hold") {
+    std::vector<State> Entries;
+    for (int I = 0; I < 60; ++I) {
+      Entries.push_back(makeSplitFleet(6, 4));
+      std::vector<CachedPrefix> Known;
+      for (const int Holder : {0, 1, 2, 9})
+        Known.push_back(
+            {makeEngine(Holder).m_Id, prefixHash(makeBlocks(7, 12)), 12});
+      applyPrefixUpdates(Entries.back(), Known);
+    }
+    WHEN("each sends one request before it hears of the others") {
+      std::map<TargetId, int> Prefills;
+      std::map<TargetId, int> Fetches;
+      for (std::size_t I = 0; I < Entries.size(); ++I) {
+        Random Rng(I + 1);
+        const Choice Decision =
+            valueOf(choose(Entries[I], makeSharedRequest(7), at(0s), Rng));
+        ++Prefills[prefillTarget(Decision)];
+        if (Decision.m_FetchFrom)
+          ++Fetches[Decision.m_FetchFrom->m_Target];
+      }
+      THEN("no engine prefills for more than half of them") {
+        for (const auto &[Engine, Count] : Prefills)
+          CHECK(Count <= 30);
+      }
+      THEN("most are prefilled where the prefix is cached") {
+        CHECK(Prefills[makeEngine(0).m_Id] + Prefills[makeEngine(1).m_Id] +
+                  Prefills[makeEngine(2).m_Id] >=
+              30);
+      }
+      THEN("what is fetched comes from several engines") {
+        int All = 0;
+        for (const auto &[Engine, Count] : Fetches)
+          All += Count;
+        for (const auto &[Engine, Count] : Fetches)
+          CHECK(Count <= std::max(3, All * 2 / 3));
+      }
+    }
+  }
+}
