--- a/libs/routing/tests/SplitTest.cpp
+++ b/libs/routing/tests/SplitTest.cpp
@@ -105,6 +105,29 @@
   }
 }
 
+SCENARIO("waiting that no report shows is not taken for a low speed") {
+  Random Rng(17);
+  State Fleet = makeZonedFleet();
+  const Request Short = makeRequest(1000, 1);
+  const Request Long = makeRequest(17'000, 1);
+  GIVEN("prompts that wait for 200 ms and are then read at 50 tokens a ms") {
+    // Most prompts are short, and would set the speed of the long ones.
+    for (int I = 0; I < 200; ++I)
+      if (I % 5 == 0)
+        runSplit(Fleet, Long, 540ms, 6ms, at(I * 1s), Rng);
+      else
+        runSplit(Fleet, Short, 220ms, 6ms, at(I * 1s), Rng);
+    THEN("both are estimated within a quarter") {
+      const double ShortTime = firstTokenSeconds(Fleet, Short, at(300s), Rng);
+      const double LongTime = firstTokenSeconds(Fleet, Long, at(300s), Rng);
+      CHECK(ShortTime > 0.226 * 0.75);
+      CHECK(ShortTime < 0.226 * 1.25);
+      CHECK(LongTime > 0.546 * 0.75);
+      CHECK(LongTime < 0.546 * 1.25);
+    }
+  }
+}
+
 SCENARIO("a prompt in prefill holds no place where it will be decoded") {
   Random Rng(13);
   State Fleet = makeZonedFleet();
