--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -269,17 +269,6 @@
   std::uint32_t m_Samples = 0;
 };
 
-/// Decayed sums over responses for a line of observed over expected times, in
-/// seconds.
-struct TimeFit {
-  double m_Weight = 0;
-  double m_Expected = 0;
-  double m_Observed = 0;
-  double m_ExpectedSquare = 0;
-  double m_Product = 0;
-  std::uint32_t m_Samples = 0;
-};
-
 /// Health of a target, derived from the results of its tries.
 struct Health {
   HealthState m_State = HealthState::Healthy;
@@ -419,7 +408,6 @@
   std::array<PoolTotals, 3> m_Totals; ///< Totals over `m_ByRole`.
   /// Means over the responses of all targets of a role.
   std::array<Slowness, 3> m_FirstTokenSlowness;
-  std::array<TimeFit, 3> m_FirstTokenFit; ///< Of engines, by role.
   std::array<Slowness, 3> m_TokenSlowness;
   Slowness m_HandoffSlowness;       ///< Mean over all engines that decode.
   double m_MeanPromptTokens = 1000; ///< Uncached prompt tokens per request.
--- a/libs/routing/src/Estimates.cpp
+++ b/libs/routing/src/Estimates.cpp
@@ -15,7 +15,7 @@
   const Slot &m_Slot;
   const Target &m_Target;
   Load m_Load;
-  TimeLine m_FirstToken; ///< Of nominal times to a first token.
+  double m_FirstTokenFactor = 1; ///< Slowness factor of first tokens.
   double m_TokenFactor = 1;
   TimePoint m_Now;
   const Slot *m_Holder = nullptr; ///< Has the shared prefix cached.
@@ -28,7 +28,7 @@
           TargetSlot,
           TargetSlot.m_Target,
           estimateLoad(Fleet, TargetPool, TargetSlot, Now),
-          firstTokenLine(TargetPool, TargetSlot),
+          firstTokenSlowness(TargetPool, TargetSlot),
           tokenSlowness(TargetPool, TargetSlot),
           Now,
           nullptr};
@@ -153,7 +153,7 @@
 /// decoding streams.
 double interferenceSeconds(const TargetView &View, double Tokens) {
   return View.m_Load.m_Decoding * dedicatedPrefillSeconds(View, Tokens) *
-         View.m_FirstToken.m_Slope * View.m_Options.m_InterferenceWeight;
+         View.m_FirstTokenFactor * View.m_Options.m_InterferenceWeight;
 }
 
 double failurePenaltySeconds(const TargetView &View) {
@@ -172,15 +172,15 @@
       View.m_Load.m_Requests / std::max<double>(1, View.m_Target.m_MaxRunning);
   CostEstimate Cost;
   Cost.m_Estimate.m_Start =
-      View.m_Now + fromSeconds(NetworkDelay + Wait * View.m_FirstToken.m_Slope);
+      View.m_Now + fromSeconds(NetworkDelay + Wait * View.m_FirstTokenFactor);
   Cost.m_Estimate.m_Finish =
       View.m_Now +
-      fromSeconds(NetworkDelay + Nominal * View.m_FirstToken.m_Slope);
+      fromSeconds(NetworkDelay + Nominal * View.m_FirstTokenFactor);
   Cost.m_Estimate.m_FirstToken = Cost.m_Estimate.m_Finish;
   Cost.m_NominalFirstToken = fromSeconds(NetworkDelay + Nominal);
   Cost.m_Cost = NetworkDelay +
                 (Nominal + Utilization * View.m_Pool.m_MeanSeconds) *
-                    View.m_FirstToken.m_Slope +
+                    View.m_FirstTokenFactor +
                 failurePenaltySeconds(View);
   return Cost;
 }
@@ -195,11 +195,10 @@
       prefillSeconds(View, Tokens) + fetchSeconds(View, Req);
   const double Wait = slotWaitSeconds(View, kvBlocksNeeded(Req)) +
                       prefillSeconds(View, TokensAhead);
-  const double First = NetworkDelay + View.m_FirstToken.m_Offset +
-                       (Wait + OwnPrefill) * View.m_FirstToken.m_Slope;
+  const double First =
+      NetworkDelay + (Wait + OwnPrefill) * View.m_FirstTokenFactor;
   Cost.m_Estimate.m_Start =
-      View.m_Now + fromSeconds(NetworkDelay + View.m_FirstToken.m_Offset +
-                               Wait * View.m_FirstToken.m_Slope);
+      View.m_Now + fromSeconds(NetworkDelay + Wait * View.m_FirstTokenFactor);
   Cost.m_Estimate.m_FirstToken = View.m_Now + fromSeconds(First);
   Cost.m_Estimate.m_Finish = Cost.m_Estimate.m_FirstToken;
   Cost.m_NominalFirstToken = fromSeconds(NetworkDelay + Wait + OwnPrefill);
@@ -293,7 +292,7 @@
   // engine.
   const double PrefillBacklog =
       prefillSeconds(View, tokensAhead(View, Req.m_Priority)) *
-      View.m_FirstToken.m_Slope;
+      View.m_FirstTokenFactor;
   const double First =
       std::max({Prefilled, slotWaitSeconds(View, kvBlocksNeeded(Req)),
                 PrefillBacklog}) +
--- a/libs/routing/src/Health.cpp
+++ b/libs/routing/src/Health.cpp
@@ -22,9 +22,6 @@
 /// dominate.
 constexpr double MinLogRatio = -4;
 constexpr double MaxLogRatio = 4;
-/// Weight of a time that is longer than the mean beside that of a shorter one,
-/// where waiting makes times longer.
-constexpr double LongerWeight = 0.3;
 /// Shorter times are dominated by noise.
 constexpr Duration MinMeasurableTime = std::chrono::milliseconds(2);
 /// Minimum fraction of a target's capacity that is open during warm-up.
@@ -132,14 +129,12 @@
 /// has shown yet makes first tokens late, never early, and is not a property of
 /// the engine.
 void updateLowMean(Slowness &Mean, double LogRatio, double Alpha) {
+  /// Weight of a longer time beside that of a shorter one.
+  constexpr double LongerWeight = 0.3;
   updateMean(Mean, LogRatio,
              LogRatio > Mean.m_LogRatio ? Alpha * LongerWeight : Alpha);
 }
 
-/// Adds a response to a fit. Longer times than the fit expects count less, as
-/// in `updateLowMean`.
-void updateFit(TimeFit &Fit, const Timing &Time);
-
 double logRatio(const Timing &Time) {
   const double Ratio = seconds(std::max(Time.m_Observed, MinMeasurableTime)) /
                        seconds(std::max(Time.m_Expected, MinMeasurableTime));
@@ -162,46 +157,6 @@
     eject(Fleet, Index, Now);
 }
 
-/// Line of a fit; through the origin while the expected times hardly differ.
-TimeLine lineOf(const TimeFit &Fit) {
-  /// Deviation of expected times, as a fraction of their mean, that is taken
-  /// for granted beside the observed one.
-  constexpr double Shrinkage = 0.2;
-  if (Fit.m_Samples < MinTrustedSamples || Fit.m_Weight <= 0)
-    return {};
-  const double MeanExpected = Fit.m_Expected / Fit.m_Weight;
-  const double MeanObserved = Fit.m_Observed / Fit.m_Weight;
-  const double Ratio =
-      std::clamp(MeanObserved / MeanExpected, MinSlowness, MaxSlowness);
-  const double Prior = Shrinkage * Shrinkage * MeanExpected * MeanExpected;
-  const double Variance =
-      Fit.m_ExpectedSquare / Fit.m_Weight - MeanExpected * MeanExpected;
-  const double Covariance =
-      Fit.m_Product / Fit.m_Weight - MeanExpected * MeanObserved;
-  const double Slope = std::clamp((Covariance + Prior * Ratio) /
-                                      (std::max(0.0, Variance) + Prior),
-                                  MinSlowness, Ratio);
-  return {std::max(0.0, MeanObserved - Slope * MeanExpected), Slope};
-}
-
-void updateFit(TimeFit &Fit, const Timing &Time) {
-  const double Expected = seconds(std::max(Time.m_Expected, MinMeasurableTime));
-  const double Observed = Expected * std::exp(logRatio(Time));
-  const TimeLine Line = lineOf(Fit);
-  const bool IsLonger = Observed > Line.m_Offset + Line.m_Slope * Expected;
-  const double Weight =
-      IsLonger && Fit.m_Samples >= MinTrustedSamples ? LongerWeight : 1;
-  for (double *Sum : {&Fit.m_Weight, &Fit.m_Expected, &Fit.m_Observed,
-                      &Fit.m_ExpectedSquare, &Fit.m_Product})
-    *Sum *= 1 - PoolAlpha * Weight;
-  Fit.m_Weight += Weight;
-  Fit.m_Expected += Weight * Expected;
-  Fit.m_Observed += Weight * Observed;
-  Fit.m_ExpectedSquare += Weight * Expected * Expected;
-  Fit.m_Product += Weight * Expected * Observed;
-  ++Fit.m_Samples;
-}
-
 double slownessFactor(const Slowness &Own, const Slowness &Peers) {
   const Slowness &Source = Own.m_Samples >= MinTrustedSamples ? Own : Peers;
   if (Source.m_Samples < MinTrustedSamples)
@@ -235,8 +190,6 @@
                           const Timing &Time, TimePoint Now) {
   Slot &TargetSlot = Fleet.m_Slots[Index];
   const std::size_t RoleIndex = roleIndex(TargetSlot.m_Target.m_Role);
-  if (TargetSlot.m_Target.m_Kind == Kind::Engine && isEligible(TargetSlot))
-    updateFit(TargetPool.m_FirstTokenFit[RoleIndex], Time);
   recordTime(Fleet, Index, TargetSlot.m_Health.m_FirstTokenSlowness,
              TargetPool.m_FirstTokenSlowness[RoleIndex], Time, Now,
              TargetSlot.m_Target.m_Kind == Kind::Engine ? updateLowMean
@@ -264,23 +217,15 @@
                         TargetPool.m_HandoffSlowness);
 }
 
-TimeLine firstTokenLine(const Pool &TargetPool, const Slot &TargetSlot) {
-  const std::size_t Role = roleIndex(TargetSlot.m_Target.m_Role);
-  const Slowness &Own = TargetSlot.m_Health.m_FirstTokenSlowness;
-  const Slowness &Peers = TargetPool.m_FirstTokenSlowness[Role];
-  if (TargetSlot.m_Target.m_Kind == Kind::Service)
-    return {0, slownessFactor(Own, Peers)};
-  const TimeLine Line = lineOf(TargetPool.m_FirstTokenFit[Role]);
-  const double Relative =
-      Own.m_Samples >= MinTrustedSamples && Peers.m_Samples >= MinTrustedSamples
-          ? std::clamp(std::exp(Own.m_LogRatio - Peers.m_LogRatio), MinSlowness,
-                       MaxSlowness)
-          : 1;
-  return {Line.m_Offset * Relative, Line.m_Slope * Relative};
+double firstTokenSlowness(const Pool &TargetPool, const Slot &TargetSlot) {
+  return slownessFactor(
+      TargetSlot.m_Health.m_FirstTokenSlowness,
+      TargetPool.m_FirstTokenSlowness[roleIndex(TargetSlot.m_Target.m_Role)]);
 }
 
 double roleSlowness(const Pool &TargetPool, Role TargetRole) {
-  return lineOf(TargetPool.m_FirstTokenFit[roleIndex(TargetRole)]).m_Slope;
+  const Slowness &Mean = TargetPool.m_FirstTokenSlowness[roleIndex(TargetRole)];
+  return slownessFactor(Mean, Mean);
 }
 
 bool isSlownessKnown(const Pool &TargetPool, Role TargetRole) {
--- a/libs/routing/src/Internal.h
+++ b/libs/routing/src/Internal.h
@@ -121,17 +121,9 @@
                           const Timing &Time, TimePoint Now);
 void recordTokenInterval(State &Fleet, SlotIndex Index, Pool &TargetPool,
                          const Timing &Time, TimePoint Now);
-/// Time to a first token as a function of its nominal time.
-struct TimeLine {
-  /// Seconds that pass whatever the prompt's length: waiting that no report
-  /// shows.
-  double m_Offset = 0;
-  double m_Slope = 1;
-};
-/// Returns the time to apply to nominal times to a first token, according to
-/// recorded responses.
-TimeLine firstTokenLine(const Pool &TargetPool, const Slot &TargetSlot);
-/// Returns the factor to apply to the nominal time between two tokens.
+/// Return the factors to apply to nominal times, according to recorded
+/// responses.
+double firstTokenSlowness(const Pool &TargetPool, const Slot &TargetSlot);
 double tokenSlowness(const Pool &TargetPool, const Slot &TargetSlot);
 /// Returns the factor for first tokens over all engines of a role.
 double roleSlowness(const Pool &TargetPool, Role TargetRole);
--- a/libs/workdigest/src/Prefixes.cpp
+++ b/libs/workdigest/src/Prefixes.cpp
@@ -40,6 +40,7 @@
       Message.blocks_size() != Message.target_size())
     return malformed("arrays of different length");
   std::vector<Prefix> Result;
+  Result.reserve(static_cast<std::size_t>(Message.target_size()));
   for (int I = 0; I < Message.target_size(); ++I)
     Result.push_back({Message.target(I), Message.prefix(I), Message.blocks(I)});
   return Result;
