--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -14,8 +14,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds TickInterval{50};
-/// Entries that are sent updates in one tick. A whole fleet of 250 targets is
-/// 40 KB and takes some 0.3 ms to encode and encrypt.
+/// Entries that are sent updates in one tick, so that a tick stays short. Each
+/// may need the whole fleet.
 constexpr std::size_t MaxUpdatesPerTick = 75;
 /// How long an entry may serve without a grant from the leader.
 constexpr std::chrono::milliseconds EntryLease{2000};
