--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -200,10 +200,9 @@
                 << To << std::endl;
       return 0;
     }
+    std::cout << "operator: call " << Calls << " to " << To << ": status "
+              << Got.m_Status << std::endl;
     std::this_thread::sleep_for(std::chrono::milliseconds(500));
-    if (Calls % 20 == 1)
-      std::cout << "operator: call " << Calls << " to " << To << ": status "
-                << Got.m_Status << std::endl;
   }
   std::cout << "operator: never acknowledged" << std::endl;
   return 1;
