Log each close of a connection, each lost caller and each end of a process

Four causes are possible, and the logs could not tell them apart: a close of our own, an end other than by the stages, and an event loop that returned by itself left no line.

- connection_closed: reason, age, number of requests, whether an answer was due, unread and unsent bytes, stage and age of the process.
Closes by an idle peer are left out.
- caller_gone: how that was noticed, the age of the connection, and what is left of a stop.
- process_stopped: reason, age, stage, open requests. process_crashed: a signal or an exception, with age and stage, to standard error.
- loop_interrupted: the event loop returned although nothing had ended it.
It is entered again, as its return ended the process in order, with all requests that were open.

Two facts of the HTTP server are read again before it acts on them: a reported hangup (hangup_not_confirmed if the connection is open), and the exchange that a connection is released from, which must be its present one.

No loss has been reproduced.

--- a/apps/control/src/Main.cpp
+++ b/apps/control/src/Main.cpp
@@ -43,6 +43,7 @@
   std::optional<TimePoint> CloseBy;
   Loop.onStop([&] {
     Stopping = true;
+    daemon::noteStage("stopping");
     events::emit(events::Event::ProcessStopping, {{"id", Settings.m_Id}});
     if (Member.now() != nullptr)
       Member.now()->prepareStop();
@@ -73,9 +74,17 @@
       });
   events::emit(events::Event::ProcessStarted,
                {{"id", Settings.m_Id}, {"listen", Settings.m_Listen}});
-  Loop.run();
-  events::emit(events::Event::ProcessStopped, {{"id", Settings.m_Id}});
-  return daemon::ExitOk;
+  daemon::noteStage("running");
+  const Status Ended = Loop.run();
+  events::emit(
+      events::Event::ProcessStopped,
+      {{"id", Settings.m_Id},
+       {"reason", failed(Ended) ? describe(errorOf(Ended)) : "stop"},
+       {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                      daemon::processAge())
+                      .count()},
+       {"stage", daemon::currentStage()}});
+  return failed(Ended) ? daemon::ExitFailed : daemon::ExitOk;
 }
 
 int main(int ArgumentCount, char **Arguments) {
--- a/apps/entry/src/Entry.cpp
+++ b/apps/entry/src/Entry.cpp
@@ -1,5 +1,6 @@
 #include "Entry.h"
 
+#include "daemon/daemon.h"
 #include "events/events.h"
 
 namespace wasabivale::entry {
@@ -34,6 +35,29 @@
       m_TargetsApi(controlCall(), m_Requests->fleet(), m_Requests->routing(),
                    Registry) {}
 
+void Entry::logCloses(http::Server &Server, std::string_view Listener) {
+  Server.onConnectionClosed([Listener](const http::ClosedConnection &Ended) {
+    if (Ended.m_Reason == http::CloseReason::PeerClosed && !Ended.m_IsAnswerDue)
+      return;
+    using std::chrono::milliseconds;
+    const auto Age = BootClock::now() - Ended.m_AcceptedAt;
+    events::emit(
+        events::Event::ConnectionClosed,
+        {{"listener", Listener},
+         {"peer", Ended.m_Peer},
+         {"reason", http::closeReasonName(Ended.m_Reason)},
+         {"age_ms", std::chrono::duration_cast<milliseconds>(Age).count()},
+         {"requests", Ended.m_Requests},
+         {"answer_due", Ended.m_IsAnswerDue},
+         {"unread", Ended.m_HasUnread},
+         {"unsent", Ended.m_UnsentBytes},
+         {"stage", daemon::currentStage()},
+         {"process_age_ms",
+          std::chrono::duration_cast<milliseconds>(daemon::processAge())
+              .count()}});
+  });
+}
+
 Entry::~Entry() {
   // Nothing may call back into what is already gone.
   m_Forwards.reset();
@@ -109,6 +133,7 @@
   if (failed(Callers))
     return errorOf(Callers);
   m_PlainCallers = std::move(valueOf(Callers));
+  logCloses(*m_PlainCallers, "plain");
   return std::monostate{};
 }
 
@@ -123,6 +148,7 @@
   if (failed(Forwards))
     return errorOf(Forwards);
   m_Forwards = std::move(valueOf(Forwards));
+  logCloses(*m_Forwards, "forwards");
   return std::monostate{};
 }
 
@@ -154,6 +180,7 @@
   if (failed(Callers))
     return errorOf(Callers);
   m_Callers = std::move(valueOf(Callers));
+  logCloses(*m_Callers, "callers");
   return std::monostate{};
 }
 
@@ -210,6 +237,7 @@
                            shutdown::Stage::Answering,
                            {}};
   m_OnStopped = std::move(Done);
+  daemon::noteStage(shutdown::stageName(m_Stop->m_Stage));
   m_Requests->startStopping(m_Stop->m_Deadlines);
   m_StopTimer = std::make_unique<http::Timer>(m_Loop, StopLook, true,
                                               [this] { advanceStop(); });
@@ -250,6 +278,7 @@
 }
 
 void Entry::enterStage(shutdown::Stage Next) {
+  daemon::noteStage(shutdown::stageName(Next));
   if (Next == shutdown::Stage::Refusing)
     m_Requests->stopTaking();
   if (Next == shutdown::Stage::Closing) {
--- a/apps/entry/src/Main.cpp
+++ b/apps/entry/src/Main.cpp
@@ -51,9 +51,18 @@
   events::emit(events::Event::ProcessStarted,
                {{"id", Settings.m_Id},
                 {"callers", http::printAddress(Settings.m_CallersListen)}});
-  Loop.run();
-  events::emit(events::Event::ProcessStopped, {{"id", Settings.m_Id}});
-  return daemon::ExitOk;
+  daemon::noteStage("serving");
+  const Status Ended = Loop.run();
+  events::emit(
+      events::Event::ProcessStopped,
+      {{"id", Settings.m_Id},
+       {"reason", failed(Ended) ? describe(errorOf(Ended)) : "stop"},
+       {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                      daemon::processAge())
+                      .count()},
+       {"stage", daemon::currentStage()},
+       {"open", valueOf(Entry)->requests().open()}});
+  return failed(Ended) ? daemon::ExitFailed : daemon::ExitOk;
 }
 
 int main(int ArgumentCount, char **Arguments) {
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -256,7 +256,15 @@
       {{"request", m_Asked.m_Id},
        {"after_ms", milliseconds(BootClock::now() - m_Asked.m_ArrivedAt)},
        {"tries", m_Tries},
-       {"target", m_LastTarget}});
+       {"target", m_LastTarget},
+       {"reason", m_Caller->goneReason()},
+       {"connection_age_ms",
+        milliseconds(BootClock::now() - m_Caller->acceptedAt())},
+       {"stop_in_ms",
+        m_Shared.m_StopSchedule
+            ? fmt::to_string(milliseconds(m_Shared.m_StopSchedule->m_ExitBy -
+                                          BootClock::now()))
+            : std::string()}});
   m_Shared.m_Metrics.m_CallersGone.add();
   const TimePoint Now = BootClock::now();
   // The ledger's word must be waited for, and what runs under a key goes on:
--- a/libs/daemon/include/daemon/daemon.h
+++ b/libs/daemon/include/daemon/daemon.h
@@ -79,8 +79,10 @@
   void onPause(std::function<void(Duration)> Handler) {
     m_OnPause = std::move(Handler);
   }
-  /// Turns until `end`.
-  void run();
+  /// Turns until `end`: an error of the loop itself is logged, and does not end
+  /// the process while requests are open. \returns an error if the loop fails
+  /// again and again.
+  Status run();
   void end();
 
 private:
@@ -94,11 +96,22 @@
   std::unique_ptr<http::Timer> m_Watch;
   TimePoint m_LastTurn;
   bool m_Stopping = false;
+  bool m_HasEnded = false;
   std::function<void()> m_OnStop;
   std::function<void()> m_OnReload;
   std::function<void(Duration)> m_OnPause;
 };
 
+/// From here on a crash writes one line with its reason, the age of the process
+/// and its stage to standard error. `readSettings` calls it.
+void reportCrashes();
+/// Names what the process does now, for that line.
+/// \param Stage is kept: a text that lasts as long as the process.
+void noteStage(std::string_view Stage);
+[[nodiscard]] std::string_view currentStage();
+/// Time since `reportCrashes`.
+[[nodiscard]] Duration processAge();
+
 /// Reads a settings file again on SIGHUP, and when its text has changed without
 /// one. Settings that are not valid change nothing.
 class SettingsWatch {
--- a/libs/daemon/src/EventLoop.cpp
+++ b/libs/daemon/src/EventLoop.cpp
@@ -2,13 +2,17 @@
 
 #include "events/events.h"
 
+#include <cerrno>
 #include <csignal>
+#include <cstring>
 
 namespace wasabivale::daemon {
 
 namespace {
 
 constexpr std::chrono::milliseconds WatchInterval{100};
+/// Errors of the loop after which the process ends.
+constexpr int MaxInterruptions = 100;
 
 } // namespace
 
@@ -79,8 +83,29 @@
     m_OnPause(Gap);
 }
 
-void EventLoop::run() { event_base_dispatch(m_Base); }
+Status EventLoop::run() {
+  m_HasEnded = false;
+  for (int Interruptions = 1;; ++Interruptions) {
+    const int Code = event_base_dispatch(m_Base);
+    const int SystemError = errno;
+    if (m_HasEnded)
+      return std::monostate{};
+    events::emit(
+        events::Event::LoopInterrupted,
+        {{"code", Code},
+         {"error", std::strerror(SystemError)},
+         {"age_ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(processAge())
+              .count()},
+         {"stage", currentStage()}});
+    if (Interruptions == MaxInterruptions)
+      return Error{"loop.run", "", "the event loop fails again and again"};
+  }
+}
 
-void EventLoop::end() { event_base_loopbreak(m_Base); }
+void EventLoop::end() {
+  m_HasEnded = true;
+  event_base_loopbreak(m_Base);
+}
 
 } // namespace wasabivale::daemon
--- a/libs/daemon/src/ReadSettings.cpp
+++ b/libs/daemon/src/ReadSettings.cpp
@@ -95,6 +95,7 @@
 std::variant<settings::Json, int>
 readSettings(int ArgumentCount, char **Arguments, const std::string &Program,
              const std::string &Summary, const settings::Json &Schema) {
+  reportCrashes();
   // The event loop handles it later; the file is read after this.
   std::signal(SIGHUP, SIG_IGN);
   options::options_description Known("Options");
--- a/libs/daemon/tests/EventLoopTest.cpp
+++ b/libs/daemon/tests/EventLoopTest.cpp
@@ -9,6 +9,19 @@
 
 using namespace wasabivale;
 
+SCENARIO("a loop that is interrupted goes on until the process ends it") {
+  daemon::EventLoop Loop;
+  bool HasGoneOn = false;
+  const http::Timer Interrupt(Loop.base(), std::chrono::milliseconds(1), false,
+                              [&] { event_base_loopbreak(Loop.base()); });
+  const http::Timer End(Loop.base(), std::chrono::milliseconds(50), false, [&] {
+    HasGoneOn = true;
+    Loop.end();
+  });
+  CHECK_FALSE(failed(Loop.run()));
+  CHECK(HasGoneOn);
+}
+
 SCENARIO("a second SIGTERM does not change the exit code of a process that "
          "stops in order") {
   const pid_t Child = ::fork();
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -126,6 +126,11 @@
   /// Bytes written here that the caller's connection has not taken yet.
   [[nodiscard]] virtual std::size_t pendingBytes() const = 0;
   [[nodiscard]] virtual bool isGone() const = 0;
+  /// How that was found out: `hangup`, or the name of a `CloseReason`. Empty
+  /// while the caller is there.
+  [[nodiscard]] virtual std::string_view goneReason() const = 0;
+  /// When the caller's connection was accepted.
+  [[nodiscard]] virtual TimePoint acceptedAt() const = 0;
   /// Called once when the caller's connection ends before the answer did.
   virtual void onGone(std::function<void()> Callback) = 0;
 };
@@ -148,6 +153,32 @@
 /// it.
 using ErrorPage = std::function<Response(int Status)>;
 
+/// Why a connection to a server ended.
+enum class CloseReason : std::uint8_t {
+  PeerClosed,  ///< The peer closed or reset it.
+  Answered,    ///< Its last answer is written, and one side asked to close.
+  Idle,        ///< `Server::closeIdle`.
+  Silent,      ///< Nothing moved for `ServerLimits::m_Silence`.
+  SlowSender,  ///< A request took longer than `ServerLimits::m_FirstRequest`.
+  TooMany,     ///< There were more than `ServerLimits::m_Connections`.
+  Dropped,     ///< An exchange was given up before its answer was whole.
+  Protocol,    ///< What was received is not HTTP, or is too large.
+  ServerEnded, ///< The server was destroyed.
+};
+
+/// Name of a reason in log lines, in lower case.
+std::string_view closeReasonName(CloseReason Value);
+
+struct ClosedConnection {
+  CloseReason m_Reason = CloseReason::PeerClosed;
+  std::string m_Peer; ///< IP address; empty if it is not known.
+  TimePoint m_AcceptedAt;
+  std::size_t m_Requests = 0;    ///< Received whole on it.
+  bool m_IsAnswerDue = false;    ///< The last of them has no whole answer.
+  bool m_HasUnread = false;      ///< Bytes of the peer were not read.
+  std::size_t m_UnsentBytes = 0; ///< Of answers.
+};
+
 class Server {
 public:
   virtual ~Server() = default;
@@ -162,6 +193,10 @@
   /// Closes the connections on which nothing is under way: no request is being
   /// received or answered, and no byte waits to be read or written.
   virtual void closeIdle() = 0;
+  /// \p Callback hears of each connection that ends, just before it is closed,
+  /// and must not use the server.
+  virtual void onConnectionClosed(
+      std::function<void(const ClosedConnection &)> Callback) = 0;
 };
 
 /// Listens on \p At. \p Loop must outlive the server. Exchanges that outlive
--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -1,8 +1,11 @@
 #include "ErrorPages.h"
 #include "Headers.h"
+#include "events/events.h"
 
+#include <cerrno>
 #include <cstring>
 #include <event2/bufferevent.h>
+#include <optional>
 #include <sys/socket.h>
 #include <unordered_map>
 #include <utility>
@@ -68,17 +71,53 @@
               MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+enum class PeerState : std::uint8_t { Open, Closed, Unknown };
+
+/// Whether the peer has closed its side of a connection, or it has failed. Not
+/// known while unread bytes come first.
+PeerState peerState(evutil_socket_t Socket) {
+  char Byte = 0;
+  const ssize_t Count =
+      recv(Socket, &Byte, sizeof(Byte), MSG_PEEK | MSG_DONTWAIT);
+  if (Count > 0)
+    return PeerState::Unknown;
+  const bool IsOpen =
+      Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+  return IsOpen ? PeerState::Open : PeerState::Closed;
+}
+
+class ServerExchange;
+
+/// A caller's connection, known from its accept to its close.
+struct Connection {
+  TimePoint m_AcceptedAt;
+  /// When bytes were last received, or an answer was handed to it.
+  TimePoint m_MovedAt;
+  std::size_t m_Requests = 0;
+  ServerExchange *m_Current = nullptr;
+  /// Whether what is being written comes from an exchange.
+  bool m_Answering = false;
+  /// Set before the server closes it.
+  std::optional<CloseReason> m_Closing;
+  std::unique_ptr<ErrorPages> m_Pages;
+  /// Arrival of the first byte of a request that is not whole yet.
+  TimePoint m_FirstByte = TimePoint::max();
+  std::size_t m_Received = 0; ///< Bytes of that request so far.
+};
+
 /// An exchange owns its evhttp request until it is answered. evhttp keeps a
 /// request whose connection broke until it is answered, so that every path
 /// below answers exactly once.
 class ServerExchange final : public Exchange {
 public:
-  ServerExchange(event_base *Loop, evhttp_request *Raw)
-      : m_Raw(Raw), m_Request(toRequest(Raw)) {
-    evhttp_connection *Connection = evhttp_request_get_connection(Raw);
+  ServerExchange(event_base *Loop, evhttp_request *Raw,
+                 const std::shared_ptr<Connection> &Arrival)
+      : m_Raw(Raw), m_Connection(Arrival), m_AcceptedAt(Arrival->m_AcceptedAt),
+        m_Request(toRequest(Raw)) {
     // evhttp does not read while a request is being answered, and would not
     // notice that the caller has gone until a write fails.
-    bufferevent *Buffer = evhttp_connection_get_bufferevent(Connection);
+    bufferevent *Buffer =
+        evhttp_connection_get_bufferevent(evhttp_request_get_connection(Raw));
     m_Hangup =
         event_new(Loop, bufferevent_getfd(Buffer), EV_CLOSED, onHangup, this);
     event_add(m_Hangup, nullptr);
@@ -160,14 +199,16 @@
   void abort() override {
     if (m_Raw == nullptr)
       return;
+    if (const auto Known = m_Connection.lock())
+      Known->m_Closing = CloseReason::Dropped;
     evhttp_request *Raw = release();
-    evhttp_connection *Connection = evhttp_request_get_connection(Raw);
-    if (Connection == nullptr) {
+    evhttp_connection *Closing = evhttp_request_get_connection(Raw);
+    if (Closing == nullptr) {
       evhttp_request_free(Raw);
       return;
     }
     // The connection takes the request with it.
-    evhttp_connection_free(Connection);
+    evhttp_connection_free(Closing);
   }
 
   [[nodiscard]] std::size_t pendingBytes() const override {
@@ -181,16 +222,21 @@
   }
 
   [[nodiscard]] bool isGone() const override { return m_Gone; }
+  [[nodiscard]] std::string_view goneReason() const override {
+    return m_GoneReason;
+  }
+  [[nodiscard]] TimePoint acceptedAt() const override { return m_AcceptedAt; }
 
   void onGone(std::function<void()> Callback) override {
     m_OnGone = std::move(Callback);
   }
 
-  /// Called by the connection when it ends before the answer did.
-  void noteGone() {
+  /// The connection has ended, or its caller has left, before the answer did.
+  void noteGone(std::string_view Reason) {
     if (m_Gone || m_Raw == nullptr)
       return;
     m_Gone = true;
+    m_GoneReason = Reason;
     if (m_Hangup != nullptr) {
       event_free(m_Hangup);
       m_Hangup = nullptr;
@@ -199,25 +245,13 @@
       Callback();
   }
 
-  /// Called just before the request is answered or given up.
-  void onReleased(std::function<void()> Callback) {
-    m_OnReleased = std::move(Callback);
-  }
-
-  /// Called when the whole answer has been handed to the connection.
-  void onAnswered(std::function<void()> Callback) {
-    m_OnAnswered = std::move(Callback);
-  }
-
-  void forgetServer() {
-    m_OnReleased = nullptr;
-    m_OnAnswered = nullptr;
-  }
+  /// The connection is no longer the server's.
+  void forgetConnection() { m_Connection.reset(); }
 
   /// The server ends and takes the request with it.
   void detach() {
-    forgetServer();
-    noteGone();
+    forgetConnection();
+    noteGone(closeReasonName(CloseReason::ServerEnded));
     if (m_Raw != nullptr)
       release();
   }
@@ -229,33 +263,47 @@
       closeAfter();
   }
 
+  /// The whole answer has been handed to the connection.
   void noteAnswered() {
-    if (m_OnAnswered)
-      m_OnAnswered();
+    if (const auto Known = m_Connection.lock()) {
+      Known->m_Answering = false;
+      Known->m_MovedAt = BootClock::now();
+    }
   }
 
+  /// Called just before the request is answered or given up.
   evhttp_request *release() {
     if (m_Hangup != nullptr) {
       event_free(m_Hangup);
       m_Hangup = nullptr;
     }
-    if (m_OnReleased)
-      m_OnReleased();
+    if (const auto Known = m_Connection.lock();
+        Known != nullptr && Known->m_Current == this)
+      Known->m_Current = nullptr;
     return std::exchange(m_Raw, nullptr);
   }
 
-  static void onHangup(evutil_socket_t, short, void *Argument) {
-    static_cast<ServerExchange *>(Argument)->noteGone();
+  void takeHangup(evutil_socket_t Socket) {
+    if (peerState(Socket) != PeerState::Open)
+      return noteGone("hangup");
+    events::emit(events::Event::HangupNotConfirmed,
+                 {{"peer", m_Request.m_PeerAddress}});
+    event_add(m_Hangup, nullptr);
+  }
+
+  static void onHangup(evutil_socket_t Socket, short, void *Argument) {
+    static_cast<ServerExchange *>(Argument)->takeHangup(Socket);
   }
 
   evhttp_request *m_Raw;
+  std::weak_ptr<Connection> m_Connection;
+  TimePoint m_AcceptedAt;
   event *m_Hangup = nullptr;
   Request m_Request;
   bool m_Gone = false;
+  std::string_view m_GoneReason;
   bool m_ClosesAfterLast = false;
   std::function<void()> m_OnGone;
-  std::function<void()> m_OnReleased;
-  std::function<void()> m_OnAnswered;
 };
 
 timeval toTimeval(std::chrono::milliseconds Value) {
@@ -263,17 +311,6 @@
           static_cast<suseconds_t>(Value.count() % 1000 * 1000)};
 }
 
-/// A caller's connection, known from its accept to its close.
-struct Connection {
-  ServerExchange *m_Current = nullptr;
-  /// Whether what is being written comes from an exchange.
-  bool m_Answering = false;
-  std::unique_ptr<ErrorPages> m_Pages;
-  /// Arrival of the first byte of a request that is not whole yet.
-  TimePoint m_FirstByte = TimePoint::max();
-  std::size_t m_Received = 0; ///< Bytes of that request so far.
-};
-
 constexpr std::chrono::milliseconds SweepInterval{250};
 
 class ServerState final : public Server {
@@ -285,9 +322,12 @@
         m_Sweep(Loop, SweepInterval, true, [this] { closeSlowSenders(); }) {}
 
   ~ServerState() override {
-    for (const auto &[Raw, Known] : std::exchange(m_Open, {}))
+    for (const auto &[Raw, Known] : std::exchange(m_Open, {})) {
+      Known->m_Closing = CloseReason::ServerEnded;
+      report(Raw, *Known);
       if (Known->m_Current != nullptr)
         Known->m_Current->detach();
+    }
     if (m_Http != nullptr)
       evhttp_free(m_Http);
   }
@@ -331,7 +371,12 @@
       if (isIdle(Raw, *Known))
         Idle.push_back(Raw);
     for (evhttp_connection *Raw : Idle)
-      evhttp_connection_free(Raw);
+      close(Raw, CloseReason::Idle);
+  }
+
+  void onConnectionClosed(
+      std::function<void(const ClosedConnection &)> Callback) override {
+    m_OnConnectionClosed = std::move(Callback);
   }
 
 private:
@@ -344,6 +389,47 @@
            !hasUnread(Raw);
   }
 
+  /// \pre The connection is open.
+  void close(evhttp_connection *Raw, CloseReason Reason) {
+    m_Open.at(Raw)->m_Closing = Reason;
+    evhttp_connection_free(Raw);
+  }
+
+  [[nodiscard]] CloseReason closeReason(evhttp_connection *Raw,
+                                        const Connection &Known) const {
+    if (Known.m_Closing)
+      return *Known.m_Closing;
+    const evutil_socket_t Socket =
+        bufferevent_getfd(evhttp_connection_get_bufferevent(Raw));
+    if (peerState(Socket) == PeerState::Closed)
+      return CloseReason::PeerClosed;
+    if (BootClock::now() - Known.m_MovedAt >= m_Limits.m_Silence)
+      return CloseReason::Silent;
+    const bool IsAnswered = Known.m_Requests > 0 &&
+                            Known.m_Current == nullptr &&
+                            Known.m_FirstByte == TimePoint::max();
+    return IsAnswered ? CloseReason::Answered : CloseReason::Protocol;
+  }
+
+  void report(evhttp_connection *Raw, const Connection &Known) const {
+    if (!m_OnConnectionClosed)
+      return;
+    ClosedConnection Ended;
+    Ended.m_Reason = closeReason(Raw, Known);
+    char *Host = nullptr;
+    ev_uint16_t Port = 0;
+    evhttp_connection_get_peer(Raw, &Host, &Port);
+    Ended.m_Peer = Host == nullptr ? "" : Host;
+    Ended.m_AcceptedAt = Known.m_AcceptedAt;
+    Ended.m_Requests = Known.m_Requests;
+    Ended.m_IsAnswerDue =
+        Known.m_Current != nullptr || Known.m_Closing == CloseReason::Dropped;
+    Ended.m_HasUnread = hasUnread(Raw);
+    Ended.m_UnsentBytes = evbuffer_get_length(
+        bufferevent_get_output(evhttp_connection_get_bufferevent(Raw)));
+    m_OnConnectionClosed(Ended);
+  }
+
   struct Accepted {
     ServerState *m_Owner;
     bufferevent *m_Buffer;
@@ -364,14 +450,25 @@
     const std::unique_ptr<Accepted> Made(static_cast<Accepted *>(Argument));
     void *Owner = nullptr;
     bufferevent_getcb(Made->m_Buffer, nullptr, nullptr, nullptr, &Owner);
-    if (Owner != nullptr)
-      Made->m_Owner->adopt(static_cast<evhttp_connection *>(Owner),
-                           Made->m_Buffer);
+    if (Owner == nullptr)
+      return;
+    auto *Raw = static_cast<evhttp_connection *>(Owner);
+    ServerState &Self = *Made->m_Owner;
+    Self.adopt(Raw);
+    if (Self.m_Open.size() <= Self.m_Limits.m_Connections)
+      return;
+    ++Self.m_Refused;
+    Self.close(Raw, CloseReason::TooMany);
   }
 
-  void adopt(evhttp_connection *Raw, bufferevent *Buffer) {
+  /// \returns what is known of a connection, from now on if it is new.
+  std::shared_ptr<Connection> adopt(evhttp_connection *Raw) {
     auto &Known = m_Open[Raw];
-    Known = std::make_unique<Connection>();
+    if (Known != nullptr)
+      return Known;
+    bufferevent *Buffer = evhttp_connection_get_bufferevent(Raw);
+    Known = std::make_shared<Connection>();
+    Known->m_AcceptedAt = Known->m_MovedAt = BootClock::now();
     evhttp_connection_set_closecb(Raw, onClosed, this);
     evbuffer_add_cb(bufferevent_get_input(Buffer), onInput, Known.get());
     if (m_OnMalformed)
@@ -381,10 +478,7 @@
             return malformed(*Here, Status);
           },
           [Here = Known.get()] { return Here->m_Answering; });
-    if (m_Open.size() <= m_Limits.m_Connections)
-      return;
-    ++m_Refused;
-    evhttp_connection_free(Raw);
+    return Known;
   }
 
   Response malformed(const Connection &By, int Status) const {
@@ -401,9 +495,11 @@
     auto &Known = *static_cast<Connection *>(Argument);
     if (Known.m_Current == nullptr)
       Known.m_Received += Info->n_added;
-    if (Info->n_added > 0 && Known.m_Current == nullptr &&
-        Known.m_FirstByte == TimePoint::max())
-      Known.m_FirstByte = BootClock::now();
+    if (Info->n_added == 0)
+      return;
+    Known.m_MovedAt = BootClock::now();
+    if (Known.m_Current == nullptr && Known.m_FirstByte == TimePoint::max())
+      Known.m_FirstByte = Known.m_MovedAt;
   }
 
   static void onClosed(evhttp_connection *Raw, void *Argument) {
@@ -411,35 +507,30 @@
     const auto Found = Self.m_Open.find(Raw);
     if (Found == Self.m_Open.end())
       return;
-    ServerExchange *Current = Found->second->m_Current;
+    const std::shared_ptr<Connection> Known = Found->second;
+    Self.report(Raw, *Known);
     Self.m_Open.erase(Found);
+    // It watches a buffer that ends with the connection.
+    Known->m_Pages.reset();
+    ServerExchange *Current = Known->m_Current;
     if (Current == nullptr)
       return;
+    const CloseReason Reason = Self.closeReason(Raw, *Known);
     // It may outlive the server, which no longer knows of it.
-    Current->forgetServer();
-    Current->noteGone();
+    Current->forgetConnection();
+    Current->noteGone(closeReasonName(Reason));
   }
 
   static void onRequest(evhttp_request *Raw, void *Argument) {
     auto &Self = *static_cast<ServerState *>(Argument);
-    evhttp_connection *Key = evhttp_request_get_connection(Raw);
-    auto Made = std::make_shared<ServerExchange>(Self.m_Loop, Raw);
-    if (const auto Found = Self.m_Open.find(Key); Found != Self.m_Open.end()) {
-      Found->second->m_Current = Made.get();
-      Found->second->m_FirstByte = TimePoint::max();
-      Found->second->m_Received = 0;
-      Found->second->m_Answering = true;
-      Made->onAnswered([&Self, Key] {
-        if (const auto Still = Self.m_Open.find(Key);
-            Still != Self.m_Open.end())
-          Still->second->m_Answering = false;
-      });
-      Made->onReleased([&Self, Key] {
-        if (const auto Still = Self.m_Open.find(Key);
-            Still != Self.m_Open.end())
-          Still->second->m_Current = nullptr;
-      });
-    }
+    const std::shared_ptr<Connection> Known =
+        Self.adopt(evhttp_request_get_connection(Raw));
+    auto Made = std::make_shared<ServerExchange>(Self.m_Loop, Raw, Known);
+    Known->m_Current = Made.get();
+    Known->m_FirstByte = TimePoint::max();
+    Known->m_Received = 0;
+    Known->m_Answering = true;
+    ++Known->m_Requests;
     if (isAmbiguous(Made->request().m_Method, Made->request().m_Fields))
       return Self.refuseAmbiguous(*Made);
     Self.m_OnRequest(std::move(Made));
@@ -463,7 +554,7 @@
         Slow.push_back(Raw);
     for (evhttp_connection *Raw : Slow) {
       ++m_SlowSenders;
-      evhttp_connection_free(Raw);
+      close(Raw, CloseReason::SlowSender);
     }
   }
 
@@ -473,7 +564,8 @@
   ErrorPage m_OnMalformed;
   evhttp *m_Http = nullptr;
   evhttp_bound_socket *m_Socket = nullptr;
-  std::unordered_map<evhttp_connection *, std::unique_ptr<Connection>> m_Open;
+  std::unordered_map<evhttp_connection *, std::shared_ptr<Connection>> m_Open;
+  std::function<void(const ClosedConnection &)> m_OnConnectionClosed;
   std::uint64_t m_Refused = 0;
   std::uint64_t m_SlowSenders = 0;
   Timer m_Sweep;
@@ -481,6 +573,30 @@
 
 } // namespace
 
+std::string_view closeReasonName(CloseReason Value) {
+  switch (Value) {
+  case CloseReason::PeerClosed:
+    return "peer_closed";
+  case CloseReason::Answered:
+    return "answered";
+  case CloseReason::Idle:
+    return "idle";
+  case CloseReason::Silent:
+    return "silent";
+  case CloseReason::SlowSender:
+    return "slow_sender";
+  case CloseReason::TooMany:
+    return "too_many";
+  case CloseReason::Dropped:
+    return "dropped";
+  case CloseReason::Protocol:
+    return "protocol";
+  case CloseReason::ServerEnded:
+    return "server_ended";
+  }
+  return "";
+}
+
 Result<std::unique_ptr<Server>> listen(event_base *Loop, const Address &At,
                                        const ServerLimits &Limits,
                                        Handler OnRequest,
--- a/libs/http/tests/HttpTest.cpp
+++ b/libs/http/tests/HttpTest.cpp
@@ -322,3 +322,91 @@
   }
   ::close(Peer);
 }
+
+SCENARIO("a server says why a connection ended") {
+  Loop Loop;
+  std::vector<std::shared_ptr<http::Exchange>> Open;
+  std::vector<http::ClosedConnection> Closed;
+  http::ServerLimits Limits;
+  Limits.m_FirstRequest = 300ms;
+  Limits.m_Connections = 2;
+  auto Server = http::listen(Loop.m_Base, At, Limits,
+                             [&](std::shared_ptr<http::Exchange> Arrived) {
+                               Open.push_back(std::move(Arrived));
+                             });
+  REQUIRE(!failed(Server));
+  valueOf(Server)->onConnectionClosed(
+      [&](const http::ClosedConnection &Ended) { Closed.push_back(Ended); });
+  const int Peer = connectRaw();
+  const auto Send = [&](const std::string &Bytes) {
+    REQUIRE(::send(Peer, Bytes.data(), Bytes.size(), 0) ==
+            static_cast<ssize_t>(Bytes.size()));
+  };
+  const auto Ends = [&](http::CloseReason Reason, bool IsAnswerDue) {
+    REQUIRE(Loop.turnUntil([&] { return !Closed.empty(); }));
+    CHECK(Closed[0].m_Reason == Reason);
+    CHECK(Closed[0].m_IsAnswerDue == IsAnswerDue);
+    CHECK(Closed[0].m_Peer == "127.0.0.1");
+  };
+  REQUIRE(Loop.turnUntil([&] { return valueOf(Server)->connections() == 1; }));
+  GIVEN("no request") {
+    THEN("the server closes it as idle") {
+      valueOf(Server)->closeIdle();
+      Ends(http::CloseReason::Idle, false);
+    }
+    THEN("the peer closes it") {
+      ::close(Peer);
+      Ends(http::CloseReason::PeerClosed, false);
+    }
+    THEN("the server ends") {
+      valueOf(Server).reset();
+      Ends(http::CloseReason::ServerEnded, false);
+    }
+    THEN("others are too many") {
+      const int Second = connectRaw();
+      const int Third = connectRaw();
+      Ends(http::CloseReason::TooMany, false);
+      ::close(Second);
+      ::close(Third);
+    }
+  }
+  GIVEN("a request that doesn't go on") {
+    Send("GET /a HTTP/1.1\r\n");
+    THEN("its sender is too slow") {
+      Ends(http::CloseReason::SlowSender, false);
+    }
+  }
+  GIVEN("bytes that are no request") {
+    Send("what is this?\r\n\r\n");
+    THEN("they are named as the reason") {
+      Ends(http::CloseReason::Protocol, false);
+    }
+  }
+  GIVEN("a request that is being answered") {
+    Send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(Loop.turnUntil([&] { return Open.size() == 1; }));
+    THEN("an exchange that is dropped is told from one that is answered") {
+      Open.clear();
+      Ends(http::CloseReason::Dropped, true);
+    }
+    THEN("an answer may end the connection") {
+      Open[0]->closeAfterLast();
+      Open[0]->reply(200, {}, "first");
+      Ends(http::CloseReason::Answered, false);
+      CHECK(Closed[0].m_Requests == 1);
+    }
+    THEN("its caller leaves, and the exchange tells how that was noticed") {
+      bool IsGone = false;
+      Open[0]->onGone([&] { IsGone = true; });
+      ::close(Peer);
+      REQUIRE(Loop.turnUntil([&] { return IsGone; }));
+      CHECK(Open[0]->goneReason() == "hangup");
+    }
+    THEN("the server ends before it") {
+      valueOf(Server).reset();
+      Ends(http::CloseReason::ServerEnded, true);
+      CHECK(Open[0]->goneReason() == "server_ended");
+    }
+  }
+  ::close(Peer);
+}
