Open a store after every power loss, and tell damage from an unwritten part

Callers saw: after a power loss control members never opened their store again ("records are missing"); with three of five in that state nothing was acknowledged any more, and the configuration could not be read back.

Cause: the store took states that a power loss may leave for damage, all of one class, as changes of names and files since their last sync are kept or lost each on its own. A truncation that was not durable before the next record could leave new records among old ones. An unfinished log file that was removed at open could come back and make the last write of the log beside it look like damage. Zeros within the last write were refused.

Removals go newest first with a sync of the folder where the order matters, truncations are synced at once, a short write of records is cut back and repeated, and no more than 1 MiB of a log is unsynced. An invalid record is an incomplete write only if a part visibly wasn't written and no record 1 MiB further on proves that it was synced. The format is the same. Compaction takes no sync of the folder.

--- a/libs/store/include/store/store.h
+++ b/libs/store/include/store/store.h
@@ -18,9 +18,14 @@
 ///   opened again. Bytes that a failed sync may have lost never count as
 ///   durable: records that were not synced are removed at the failure, and what
 ///   is read at open is synced.
-/// - A short write is continued; if the rest fails, the rule above applies.
-/// - An incomplete or zero-filled tail of the newest log file is truncated at
-///   open: it is a write that was never acknowledged.
+/// - A short write is continued, or repeated in a log file; if that fails, the
+///   rule above applies.
+/// - The last write to the newest log file is truncated at open if a power loss
+///   left it incomplete: cut, or with zeros in place of what was not written.
+///   It was never acknowledged.
+/// - Log files that the snapshot covers are ignored and removed at open,
+/// whether
+///   all of them are there or not.
 /// - Any other corruption is an error at open that names file and offset.
 /// - A folder of another cluster or member is an error, and so is one whose
 ///   identity file was copied or restored from a backup (its inode differs):
@@ -82,6 +87,14 @@
   None,  ///< For file systems whose inodes change with each mount.
 };
 
+/// Sizes in bytes; the defaults are for all but tests.
+struct FileSizes {
+  /// A longer log file is followed by a new one.
+  std::size_t m_SegmentBytes = SegmentBytes;
+  /// Longest unsynced part of a log file, unless a single record is longer.
+  std::size_t m_UnsyncedBytes = 1U << 20U;
+};
+
 class Store {
 public:
   /// Whether \p Folder is missing or contains only files of an interrupted
@@ -97,7 +110,8 @@
   /// copied, corrupted.
   static Result<std::unique_ptr<Store>>
   open(Files &FileOps, const std::string &Folder, const std::string &Cluster,
-       const NodeId &Member, CopyGuard Guard = CopyGuard::Inode);
+       const NodeId &Member, CopyGuard Guard = CopyGuard::Inode,
+       FileSizes Sizes = {});
   ~Store();
   Store(const Store &) = delete;
   Store &operator=(const Store &) = delete;
--- a/libs/store/src/Codec.cpp
+++ b/libs/store/src/Codec.cpp
@@ -67,35 +67,111 @@
                      [](char Byte) { return Byte == '\0'; });
 }
 
+/// Unit in which a disk writes or does not write.
+constexpr std::size_t SectorBytes = 512;
+
+/// Start of a record as far as it can be read.
+struct RecordFront {
+  bool m_HeaderIsValid = false;
+  std::uint64_t m_PayloadBytes = 0;
+
+  [[nodiscard]] std::size_t size() const {
+    return RecordHeaderBytes + m_PayloadBytes + NumberBytes;
+  }
+};
+
+bool isValidHeader(std::string_view Bytes) {
+  if (Bytes.size() < RecordHeaderBytes)
+    return false;
+  Reader Checksum{Bytes.substr(RecordFieldBytes, NumberBytes)};
+  return Checksum.readNumber() ==
+         hashBytes(Bytes.substr(0, RecordFieldBytes), HeaderSeed);
+}
+
+/// Whether a number was written up to some byte only, with zeros behind.
+bool isCutNumber(std::string_view Bytes, std::uint64_t Number) {
+  std::string Whole;
+  appendNumber(Whole, Number);
+  const std::size_t Zeros =
+      NumberBytes - (Bytes.find_last_not_of('\0') + 1); // npos + 1 is 0.
+  return Zeros > 0 && Whole.compare(0, NumberBytes - Zeros, Bytes, 0,
+                                    NumberBytes - Zeros) == 0;
+}
+
+/// Whether a record begins in \p Bytes at \p From or later.
+bool hasRecordFrom(std::string_view Bytes, std::size_t From) {
+  constexpr std::size_t KindOffset = NumberBytes;
+  for (; From + RecordHeaderBytes <= Bytes.size(); ++From) {
+    // The kind is a small number.
+    const bool MayBeRecord = isZero(Bytes.substr(From + KindOffset + 1, 7));
+    if (MayBeRecord && isValidHeader(Bytes.substr(From)))
+      return true;
+  }
+  return false;
+}
+
+/// Whether a part of the file from byte \p Start on, at which an invalid record
+/// begins, was not written, and reads as zeros: the end of the file, a sector,
+/// or the part of the first sector that the write would have filled.
+bool hasUnwrittenPart(std::string_view File, std::size_t Start,
+                      const RecordFront &Front) {
+  const std::string_view Bytes = File.substr(Start);
+  if (isZero(Bytes.substr(Bytes.size() - std::min(Bytes.size(), NumberBytes))))
+    return true;
+  if (Front.m_HeaderIsValid && Front.size() <= Bytes.size() &&
+      isZero(Bytes.substr(Front.size()))) {
+    const std::string_view Payload =
+        Bytes.substr(RecordHeaderBytes, Front.m_PayloadBytes);
+    if (isCutNumber(Bytes.substr(Front.size() - NumberBytes, NumberBytes),
+                    hashBytes(Payload, PayloadSeed)))
+      return true;
+  }
+  const std::size_t FirstBoundary =
+      (Start + SectorBytes - 1) / SectorBytes * SectorBytes;
+  const std::string_view First =
+      File.substr(Start, std::min(FirstBoundary - Start, RecordHeaderBytes));
+  if (!Front.m_HeaderIsValid && !First.empty() && isZero(First))
+    return true;
+  for (std::size_t Sector = FirstBoundary; Sector + SectorBytes <= File.size();
+       Sector += SectorBytes)
+    if (isZero(File.substr(Sector, SectorBytes)))
+      return true;
+  return false;
+}
+
+/// Whether the invalid record at byte \p Start may be part of a write that a
+/// power loss interrupted, which had at most \p UnsyncedBytes.
+bool isIncompleteWrite(std::string_view File, std::size_t Start,
+                       const RecordFront &Front, std::size_t UnsyncedBytes) {
+  return UnsyncedBytes > 0 && hasUnwrittenPart(File, Start, Front) &&
+         !hasRecordFrom(File, Start + UnsyncedBytes);
+}
+
 enum class RecordStatus : std::uint8_t { Valid, Torn, Corrupt };
 
 /// Decodes the record at the front of \p Bytes.
 RecordStatus decodeRecord(std::string_view Bytes, consensus::Record &Record,
-                          std::size_t &RecordBytes) {
-  if (Bytes.size() < RecordHeaderBytes)
+                          RecordFront &Front) {
+  if (Bytes.size() < RecordFront{}.size())
     return RecordStatus::Torn;
   Reader Header{Bytes};
   const std::uint64_t Size = Header.readNumber();
   const std::uint64_t Kind = Header.readNumber();
   Record.m_Index = Header.readNumber();
   Record.m_Term = Header.readNumber();
-  if (Header.readNumber() !=
-      hashBytes(Bytes.substr(0, RecordFieldBytes), HeaderSeed))
-    return isZero(Bytes) ? RecordStatus::Torn : RecordStatus::Corrupt;
+  if (!isValidHeader(Bytes))
+    return RecordStatus::Corrupt;
   if (Size > LargestPayloadBytes || Kind > 2)
     return RecordStatus::Corrupt;
-  if (Bytes.size() < RecordHeaderBytes + Size + NumberBytes)
+  Front = {true, Size};
+  if (Bytes.size() < Front.size())
     return RecordStatus::Torn;
   const std::string_view Payload = Bytes.substr(RecordHeaderBytes, Size);
   Reader Trailer{Bytes.substr(RecordHeaderBytes + Size)};
-  if (Trailer.readNumber() != hashBytes(Payload, PayloadSeed)) {
-    // Blocks that were not written before a crash read as zeros up to the end.
-    return isZero(Bytes.substr(RecordHeaderBytes)) ? RecordStatus::Torn
-                                                   : RecordStatus::Corrupt;
-  }
+  if (Trailer.readNumber() != hashBytes(Payload, PayloadSeed))
+    return RecordStatus::Corrupt;
   Record.m_Kind = static_cast<consensus::RecordKind>(Kind);
   Record.m_Payload = Payload;
-  RecordBytes = RecordHeaderBytes + Size + NumberBytes;
   return RecordStatus::Valid;
 }
 
@@ -196,25 +272,26 @@
   return Bytes;
 }
 
-Result<SegmentContent> decodeSegment(const std::string &Bytes, bool MayBeTorn,
+Result<SegmentContent> decodeSegment(const std::string &Bytes,
+                                     std::size_t UnsyncedBytes,
                                      const std::string &Path) {
   SegmentContent Content;
   const std::string_view All = Bytes;
   if (All.substr(0, SegmentHeader.size()) != SegmentHeader) {
-    const bool Unfinished =
-        All.size() <= SegmentHeader.size() &&
-        (isZero(All) || SegmentHeader.substr(0, All.size()) == All);
-    if (MayBeTorn && Unfinished)
+    if (UnsyncedBytes > 0 && isUnfinishedSegment(Bytes))
       return Content;
     return corruptionError(Path, 0, "not a log file of this version");
   }
   Content.m_ValidBytes = SegmentHeader.size();
   while (Content.m_ValidBytes < All.size()) {
     consensus::Record Record;
-    std::size_t RecordBytes = 0;
+    RecordFront Front;
     const RecordStatus State =
-        decodeRecord(All.substr(Content.m_ValidBytes), Record, RecordBytes);
-    if (State == RecordStatus::Torn && MayBeTorn)
+        decodeRecord(All.substr(Content.m_ValidBytes), Record, Front);
+    if (State == RecordStatus::Torn && UnsyncedBytes > 0)
+      return Content;
+    if (State == RecordStatus::Corrupt &&
+        isIncompleteWrite(All, Content.m_ValidBytes, Front, UnsyncedBytes))
       return Content;
     if (State != RecordStatus::Valid)
       return corruptionError(Path, Content.m_ValidBytes,
@@ -228,9 +305,18 @@
       return corruptionError(Path, Content.m_ValidBytes, "records are missing");
     Content.m_Offsets.push_back(Content.m_ValidBytes);
     Content.m_Records.push_back(std::move(Record));
-    Content.m_ValidBytes += RecordBytes;
+    Content.m_ValidBytes += Front.size();
   }
   return Content;
 }
 
+bool isUnfinishedSegment(std::string_view Bytes) {
+  if (Bytes.size() > SegmentHeader.size() || Bytes == SegmentHeader)
+    return false;
+  for (std::size_t Byte = 0; Byte < Bytes.size(); ++Byte)
+    if (Bytes[Byte] != '\0' && Bytes[Byte] != SegmentHeader[Byte])
+      return false;
+  return true;
+}
+
 } // namespace wasabivale::store
--- a/libs/store/src/Codec.h
+++ b/libs/store/src/Codec.h
@@ -43,10 +43,16 @@
   std::uint64_t m_ValidBytes = 0; ///< Later bytes were never acknowledged.
 };
 
-/// Decodes a log file. \p MayBeTorn is true for the newest file, whose tail may
-/// be a write that a crash interrupted. Any other corruption is an error that
+/// Whether a log file has no whole header, as a power loss interrupted its
+/// creation.
+bool isUnfinishedSegment(std::string_view Bytes);
+
+/// Decodes a log file. The last write to the newest file may be incomplete
+/// after a power loss; it has at most \p UnsyncedBytes, or is a single record.
+/// Zero allows no incomplete write. Any other corruption is an error that
 /// contains the file and the offset.
-Result<SegmentContent> decodeSegment(const std::string &Bytes, bool MayBeTorn,
+Result<SegmentContent> decodeSegment(const std::string &Bytes,
+                                     std::size_t UnsyncedBytes,
                                      const std::string &Path);
 
 } // namespace wasabivale::store
--- a/libs/store/src/Store.cpp
+++ b/libs/store/src/Store.cpp
@@ -55,6 +55,7 @@
   Files *m_Files = nullptr;
   std::string m_Folder;
   Identity m_Identity;
+  FileSizes m_Sizes;
   consensus::PersistedState m_Loaded;
   std::string m_Promise;
   std::uint64_t m_TruncatedBytes = 0;
@@ -86,8 +87,14 @@
   Status readPromise(const std::vector<std::string> &Names);
   Status readSnapshot(const std::vector<std::string> &Names);
   Status readSegments(const std::vector<std::string> &Names);
-  Status readSegment(const std::string &Name, bool Newest);
-  Status reconcileLogWithSnapshot();
+  Status readChain(const std::vector<std::string> &Names,
+                   const std::string &NewestName);
+  Result<SegmentContent> readSegment(const std::string &Name, bool MayBeTorn);
+  Result<bool> conflictsBefore(const std::string &Name);
+  bool conflictsWithSnapshot(const std::vector<consensus::Record> &Records);
+  Status removeUnfinished(std::vector<std::string> &Names);
+  Status dropReadLog(const std::vector<std::string> &Names);
+  Status rewriteNewest();
   Status removeTemporaries(const std::vector<std::string> &Names);
 
   // Writing
@@ -105,6 +112,7 @@
   Status compact(consensus::Index LastIndex);
   Status truncate(consensus::Index FirstIndex);
   Status append(const consensus::Record &Record);
+  Status writePending();
   Status flush();
   Status startSegment(consensus::Index First);
   Status reopenNewest();
@@ -213,16 +221,25 @@
   return std::monostate{};
 }
 
-/// Removes the newest files first, so that a crash leaves no gap.
+/// Removes the newest files first. The removal of a file above the snapshot is
+/// durable before that of the file in front of it, which shows at open that the
+/// log is to be dropped. The creation of the next log file syncs the rest.
 Status Store::Impl::removeLog() {
   m_Pending.clear();
   m_Dirty = false;
-  while (!m_Segments.empty())
+  while (!m_Segments.empty()) {
+    const bool IsAboveSnapshot = m_Segments.back().m_First > m_SnapshotIndex;
     if (Status Done = removeNewest(); failed(Done))
       return Done;
-  return syncFolder();
+    if (IsAboveSnapshot && !m_Segments.empty())
+      if (Status Done = syncFolder(); failed(Done))
+        return Done;
+  }
+  return std::monostate{};
 }
 
+/// Removes log files that the durable snapshot covers. The folder is not
+/// synced, as any of them may come back: `open` ignores what is covered.
 Status Store::Impl::compact(consensus::Index LastIndex) {
   while (m_Segments.size() > 1 && m_Segments.front().next() <= LastIndex + 1) {
     if (Status Done = m_Files->remove(m_Segments.front().m_Path); failed(Done))
@@ -243,19 +260,20 @@
 }
 
 Status Store::Impl::truncate(consensus::Index FirstIndex) {
+  if (m_Segments.empty() || m_Segments.back().next() <= FirstIndex)
+    return std::monostate{};
   if (Status Done = flush(); failed(Done))
     return Done;
-  bool Removed = false;
+  // The removal of a file must be durable before the file in front of it is
+  // removed or truncated, or the log has a gap when only the later one is back.
   while (m_Segments.size() > 1 && m_Segments.back().m_First >= FirstIndex) {
     if (Status Done = removeNewest(); failed(Done))
       return Done;
-    Removed = true;
-  }
-  // The removal of later files must be durable before this file is truncated.
-  if (Removed)
+    m_Dirty = false;
     if (Status Done = syncFolder(); failed(Done))
       return Done;
-  if (m_Segments.empty() || m_Segments.back().next() <= FirstIndex)
+  }
+  if (m_Segments.back().next() <= FirstIndex)
     return std::monostate{};
   if (Status Done = reopenNewest(); failed(Done))
     return Done;
@@ -265,9 +283,13 @@
   Newest.m_Size = Newest.m_Offsets[KeptRecords];
   Newest.m_Offsets.resize(KeptRecords);
   Newest.m_SyncedSize = std::min(Newest.m_SyncedSize, Newest.m_Size);
-  m_Dirty = true;
   if (Status Done = m_Files->truncate(m_File, Newest.m_Size); failed(Done))
     return withPath(errorOf(Done), Newest.m_Path);
+  // Otherwise new records could be found among old ones after a power loss.
+  if (Status Done = syncFile(m_File, Newest.m_Path); failed(Done))
+    return Done;
+  m_Dirty = false;
+  Newest.m_SyncedSize = Newest.m_Size;
   return std::monostate{};
 }
 
@@ -290,7 +312,8 @@
 }
 
 Status Store::Impl::append(const consensus::Record &Record) {
-  if (!m_Segments.empty() && m_Segments.back().m_Size > SegmentBytes) {
+  if (!m_Segments.empty() &&
+      m_Segments.back().m_Size > m_Sizes.m_SegmentBytes) {
     if (Status Done = sync(); failed(Done))
       return Done;
     if (Status Done = startSegment(Record.m_Index); failed(Done))
@@ -305,19 +328,41 @@
                  fmt::format("record {} does not follow {}", Record.m_Index,
                              Newest.next() - 1)};
   const std::string Bytes = encodeRecord(Record);
+  if (m_Pending.size() + Bytes.size() > m_Sizes.m_UnsyncedBytes)
+    if (Status Done = sync(); failed(Done))
+      return Done;
   Newest.m_Offsets.push_back(Newest.m_Size);
   Newest.m_Size += Bytes.size();
   m_Pending += Bytes;
   return std::monostate{};
 }
 
+/// Writes all pending records in one write, so that a power loss leaves no
+/// later record of another write behind a missing one. A short write is cut
+/// back and repeated.
+Status Store::Impl::writePending() {
+  constexpr int MostWrites = 3;
+  const Segment &Newest = m_Segments.back();
+  for (int Count = 0; Count < MostWrites; ++Count) {
+    const Result<std::size_t> Written = m_Files->write(m_File, m_Pending);
+    if (failed(Written))
+      return withPath(errorOf(Written), Newest.m_Path);
+    if (valueOf(Written) == m_Pending.size())
+      return std::monostate{};
+    if (Status Done =
+            m_Files->truncate(m_File, Newest.m_Size - m_Pending.size());
+        failed(Done))
+      return withPath(errorOf(Done), Newest.m_Path);
+  }
+  return Error{"store.write", Newest.m_Path, "the write was short each time"};
+}
+
 Status Store::Impl::flush() {
   if (m_Pending.empty())
     return std::monostate{};
   if (Status Done = reopenNewest(); failed(Done))
     return Done;
-  if (Status Done = writeAll(m_File, m_Pending, m_Segments.back().m_Path);
-      failed(Done))
+  if (Status Done = writePending(); failed(Done))
     return Done;
   m_Pending.clear();
   m_Dirty = true;
@@ -454,80 +499,153 @@
   return std::monostate{};
 }
 
-Status Store::Impl::readSegment(const std::string &Name, bool Newest) {
+Result<SegmentContent> Store::Impl::readSegment(const std::string &Name,
+                                                bool MayBeTorn) {
   const std::string Path = path(Name);
   const Result<std::string> Bytes = m_Files->read(Path);
   if (failed(Bytes))
     return errorOf(Bytes);
-  auto Decoded = decodeSegment(valueOf(Bytes), Newest, Path);
+  auto Decoded = decodeSegment(valueOf(Bytes),
+                               MayBeTorn ? m_Sizes.m_UnsyncedBytes : 0, Path);
   if (failed(Decoded))
-    return errorOf(Decoded);
-  SegmentContent &Content = valueOf(Decoded);
-  Segment NewSegment;
-  NewSegment.m_Path = Path;
-  NewSegment.m_First = parseIndex(Name, SegmentPrefix);
-  NewSegment.m_Offsets = std::move(Content.m_Offsets);
-  NewSegment.m_Size = Content.m_ValidBytes;
-  NewSegment.m_SyncedSize = NewSegment.m_Size;
-  const bool MatchesName =
-      Content.m_Records.empty() ||
-      Content.m_Records.front().m_Index == NewSegment.m_First;
-  const bool IsContiguous =
-      m_Segments.empty() || m_Segments.back().next() == NewSegment.m_First;
-  if (!MatchesName || !IsContiguous)
+    return Decoded;
+  const SegmentContent &Content = valueOf(Decoded);
+  if (!Content.m_Records.empty() &&
+      Content.m_Records.front().m_Index != parseIndex(Name, SegmentPrefix))
     return Error{"store.open", Path, "damaged at byte 0: records are missing"};
-  for (consensus::Record &Record : Content.m_Records)
-    m_Loaded.m_Records.push_back(std::move(Record));
-  m_TruncatedBytes += valueOf(Bytes).size() - Content.m_ValidBytes;
-  m_Segments.push_back(std::move(NewSegment));
-  if (m_Segments.back().m_Size == 0)
-    return removeNewest();
-  if (!Newest)
+  if (MayBeTorn)
+    m_TruncatedBytes += valueOf(Bytes).size() - Content.m_ValidBytes;
+  return Decoded;
+}
+
+/// Removes the newest log file if a power loss interrupted its creation. No
+/// record was written to it.
+Status Store::Impl::removeUnfinished(std::vector<std::string> &Names) {
+  if (Names.empty())
     return std::monostate{};
-  // What was read may be in the cache only, after a sync that failed or was
-  // never made, and another sync may succeed without writing it.
-  if (Status Done =
-          replaceFile(Name, valueOf(Bytes).substr(0, Content.m_ValidBytes));
+  const Result<std::string> Bytes = m_Files->read(path(Names.back()));
+  if (failed(Bytes))
+    return errorOf(Bytes);
+  if (!isUnfinishedSegment(valueOf(Bytes)))
+    return std::monostate{};
+  m_TruncatedBytes += valueOf(Bytes).size();
+  if (Status Done = m_Files->remove(path(Names.back())); failed(Done))
+    return Done;
+  Names.pop_back();
+  return std::monostate{};
+}
+
+/// Whether the log has another record than the snapshot at its index. The log
+/// is then to be dropped: a power loss came between storing the leader's
+/// snapshot and removing the log.
+bool Store::Impl::conflictsWithSnapshot(
+    const std::vector<consensus::Record> &Records) {
+  return std::any_of(Records.begin(), Records.end(),
+                     [&](const consensus::Record &Record) {
+                       return Record.m_Index == m_SnapshotIndex &&
+                              Record.m_Term != m_Loaded.m_Snapshot->m_Term;
+                     });
+}
+
+Result<bool> Store::Impl::conflictsBefore(const std::string &Name) {
+  const auto Content = readSegment(Name, false);
+  if (failed(Content))
+    return errorOf(Content);
+  return conflictsWithSnapshot(valueOf(Content).m_Records);
+}
+
+Status Store::Impl::dropReadLog(const std::vector<std::string> &Names) {
+  m_Loaded.m_Records.clear();
+  m_Segments.clear();
+  for (const std::string &Name : Names) {
+    Segment Dropped;
+    Dropped.m_Path = path(Name);
+    Dropped.m_First = parseIndex(Name, SegmentPrefix);
+    m_Segments.push_back(std::move(Dropped));
+  }
+  return removeLog();
+}
+
+/// Reads the log files \p Names, which must follow each other.
+Status Store::Impl::readChain(const std::vector<std::string> &Names,
+                              const std::string &NewestName) {
+  for (const std::string &Name : Names) {
+    auto Read = readSegment(Name, Name == NewestName);
+    if (failed(Read))
+      return errorOf(Read);
+    SegmentContent &Content = valueOf(Read);
+    Segment NewSegment;
+    NewSegment.m_Path = path(Name);
+    NewSegment.m_First = parseIndex(Name, SegmentPrefix);
+    NewSegment.m_Offsets = std::move(Content.m_Offsets);
+    NewSegment.m_Size = Content.m_ValidBytes;
+    NewSegment.m_SyncedSize = NewSegment.m_Size;
+    if (!m_Segments.empty() && m_Segments.back().next() != NewSegment.m_First)
+      return Error{"store.open", NewSegment.m_Path,
+                   "damaged at byte 0: records are missing"};
+    for (consensus::Record &Record : Content.m_Records)
+      m_Loaded.m_Records.push_back(std::move(Record));
+    m_Segments.push_back(std::move(NewSegment));
+    if (conflictsWithSnapshot(m_Loaded.m_Records))
+      return std::monostate{};
+  }
+  return std::monostate{};
+}
+
+/// What was read may be in the cache only, after a sync that failed or was
+/// never made, and another sync may succeed without writing it. The sync of the
+/// folder also keeps the files away that were removed at open.
+Status Store::Impl::rewriteNewest() {
+  const Segment &Newest = m_Segments.back();
+  const Result<std::string> Bytes = m_Files->read(Newest.m_Path);
+  if (failed(Bytes))
+    return errorOf(Bytes);
+  if (Status Done = replaceFile(fileName(SegmentPrefix, Newest.m_First),
+                                valueOf(Bytes).substr(0, Newest.m_Size));
       failed(Done))
     return Done;
   return reopenNewest();
 }
 
+/// Reads the log from the last file that begins at the snapshot or before it.
+/// All earlier files are covered by the snapshot, whether complete or not, and
+/// are removed.
 Status Store::Impl::readSegments(const std::vector<std::string> &Names) {
-  std::vector<std::string> Segments;
+  std::vector<std::string> Logs;
   for (const std::string &Name : Names)
     if (startsWith(Name, SegmentPrefix) && !endsWith(Name, TemporarySuffix))
-      Segments.push_back(Name);
-  std::sort(Segments.begin(), Segments.end());
-  for (const std::string &Name : Segments)
-    if (Status Done = readSegment(Name, Name == Segments.back()); failed(Done))
-      return Done;
-  return reconcileLogWithSnapshot();
-}
-
-/// Removes a log that does not reach the snapshot or disagrees with it. This
-/// happens if a crash occurred between storing a leader's snapshot and
-/// replacing the log.
-Status Store::Impl::reconcileLogWithSnapshot() {
-  const std::vector<consensus::Record> &Records = m_Loaded.m_Records;
-  const consensus::Index SnapshotIndex = m_SnapshotIndex;
-  if (Records.empty()) {
-    const bool Matches =
-        m_Segments.empty() || m_Segments.back().m_First == SnapshotIndex + 1;
-    return Matches ? Status{} : removeLog();
-  }
-  if (Records.front().m_Index > SnapshotIndex + 1)
-    return Error{"store.open", m_Segments.front().m_Path,
-                 "damaged at byte 0: records before it are missing"};
-  if (SnapshotIndex == 0 || Records.front().m_Index == SnapshotIndex + 1)
-    return std::monostate{};
-  const bool ReachesSnapshot = Records.back().m_Index >= SnapshotIndex;
-  if (ReachesSnapshot &&
-      Records[SnapshotIndex - Records.front().m_Index].m_Term ==
-          m_Loaded.m_Snapshot->m_Term)
+      Logs.push_back(Name);
+  std::sort(Logs.begin(), Logs.end());
+  const std::string NewestName = Logs.empty() ? "" : Logs.back();
+  if (Status Done = removeUnfinished(Logs); failed(Done))
+    return Done;
+  if (Logs.empty())
     return std::monostate{};
-  m_Loaded.m_Records.clear();
-  return removeLog();
+  const auto IsAboveSnapshot = [&](const std::string &Name) {
+    return parseIndex(Name, SegmentPrefix) > m_SnapshotIndex + 1;
+  };
+  const auto End = std::find_if(Logs.begin(), Logs.end(), IsAboveSnapshot);
+  if (End == Logs.begin())
+    return Error{"store.open", path(Logs.front()),
+                 "damaged at byte 0: records before it are missing"};
+  const auto Start = std::prev(End);
+  if (Start != Logs.begin() &&
+      parseIndex(*Start, SegmentPrefix) == m_SnapshotIndex + 1) {
+    const Result<bool> Conflicts = conflictsBefore(*std::prev(Start));
+    if (failed(Conflicts))
+      return errorOf(Conflicts);
+    if (valueOf(Conflicts))
+      return dropReadLog(Logs);
+  }
+  if (Status Done = readChain({Start, Logs.end()}, NewestName); failed(Done))
+    return Done;
+  if (conflictsWithSnapshot(m_Loaded.m_Records) ||
+      m_Segments.back().next() <= m_SnapshotIndex)
+    return dropReadLog(Logs);
+  for (auto Covered = Logs.begin(); Covered != Start; ++Covered)
+    if (Status Done = m_Files->remove(path(*Covered)); failed(Done))
+      return Done;
+  return rewriteNewest();
 }
 
 // --- Public ---------------------------------------------------------------
@@ -571,10 +689,13 @@
 
 Store::~Store() = default;
 
-Result<std::unique_ptr<Store>>
-Store::open(Files &FileOps, const std::string &Folder,
-            const std::string &Cluster, const NodeId &Member, CopyGuard Guard) {
+Result<std::unique_ptr<Store>> Store::open(Files &FileOps,
+                                           const std::string &Folder,
+                                           const std::string &Cluster,
+                                           const NodeId &Member,
+                                           CopyGuard Guard, FileSizes Sizes) {
   auto State = std::make_unique<Impl>();
+  State->m_Sizes = Sizes;
   State->m_Files = &FileOps;
   State->m_Folder = Folder;
   const auto Names = FileOps.list(Folder);
--- a/libs/store/tests/StoreTest.cpp
+++ b/libs/store/tests/StoreTest.cpp
@@ -1,6 +1,7 @@
 #include "store/store.h"
 #include "store_faults/store_faults.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fmt/format.h>
@@ -167,6 +168,25 @@
       CHECK(Data.m_Records.front().m_Index <= 5);
       CHECK(Data.m_Records.back() == record(6, 2));
     }
+    THEN("a gap that the snapshot covers is ignored, and one above is told") {
+      Persist Snap;
+      Snap.m_Snapshot = std::make_shared<Snapshot>(Snapshot{7, 1, {}, ""});
+      save(*Disk, Snap);
+      Disk.reset();
+      std::vector<std::string> Logs;
+      for (const auto &Entry :
+           std::filesystem::directory_iterator(Folder.m_Path))
+        if (Entry.path().filename().string().find("log-") == 0)
+          Logs.push_back(Entry.path().string());
+      std::sort(Logs.begin(), Logs.end());
+      REQUIRE(Logs.size() == 4);
+      std::filesystem::remove(Logs[1]);
+      CHECK(open(Folder)->takeLoaded().m_Records.back().m_Index == 8);
+      CHECK_FALSE(std::filesystem::exists(Logs[0]));
+      std::filesystem::remove(Folder.file("snapshot-00000000000000000007"));
+      CHECK(errorAtOpen(Folder).find("records before it are missing") !=
+            std::string::npos);
+    }
   }
 }
 
