Play stops of an entry in simulated time

The program of the tests now defines clock_gettime and epoll_wait: within the life of a SimulatedClock a wait without events ends at once and moves the clock of this thread on. Sockets are the kernel's, and ZeroMQ's threads keep real time.

--- /dev/null
+++ b/apps/entry/tests/SimulatedClock.cpp
@@ -0,0 +1,65 @@
+#include "SimulatedClock.h"
+
+#include <catch2/catch.hpp>
+#include <ctime>
+#include <optional>
+#include <sys/epoll.h>
+#include <sys/syscall.h>
+#include <unistd.h>
+
+namespace wasabivale::entry::test {
+
+namespace {
+
+thread_local std::optional<std::chrono::nanoseconds> SimulatedTime;
+
+int realTime(clockid_t Clock, timespec *Time) {
+  return static_cast<int>(syscall(SYS_clock_gettime, Clock, Time));
+}
+
+int realWait(int Epoll, epoll_event *Events, int Count, int Milliseconds) {
+  constexpr std::size_t SignalSetBytes = 8;
+  return static_cast<int>(syscall(SYS_epoll_pwait, Epoll, Events, Count,
+                                  Milliseconds, nullptr, SignalSetBytes));
+}
+
+} // namespace
+
+SimulatedClock::SimulatedClock() {
+  REQUIRE_FALSE(SimulatedTime);
+  timespec Now{};
+  realTime(CLOCK_BOOTTIME, &Now);
+  SimulatedTime =
+      std::chrono::seconds(Now.tv_sec) + std::chrono::nanoseconds(Now.tv_nsec);
+}
+
+SimulatedClock::~SimulatedClock() { SimulatedTime.reset(); }
+
+void SimulatedClock::skip(Duration Length) { *SimulatedTime += Length; }
+
+} // namespace wasabivale::entry::test
+
+// The definitions of the program go before those of the C library.
+extern "C" {
+
+int clock_gettime(clockid_t Clock, timespec *Time) noexcept {
+  using namespace wasabivale::entry::test;
+  if (!SimulatedTime)
+    return realTime(Clock, Time);
+  const auto Seconds =
+      std::chrono::duration_cast<std::chrono::seconds>(*SimulatedTime);
+  Time->tv_sec = Seconds.count();
+  Time->tv_nsec = (*SimulatedTime - Seconds).count();
+  return 0;
+}
+
+int epoll_wait(int Epoll, epoll_event *Events, int Count, int Milliseconds) {
+  using namespace wasabivale::entry::test;
+  if (!SimulatedTime)
+    return realWait(Epoll, Events, Count, Milliseconds);
+  const int Ready = realWait(Epoll, Events, Count, 0);
+  if (Ready == 0 && Milliseconds > 0)
+    *SimulatedTime += std::chrono::milliseconds(Milliseconds);
+  return Ready;
+}
+}
