Notice a caller that resets its connection

A caller that reset its connection while its request ran was not noticed: its target went on to work for it, and the event loop turned without rest until the request ended.

libevent 2.1.12 reports EPOLLERR and EPOLLHUP as readable and writable only, so that an event that waits for EV_CLOSED alone hears nothing while epoll reports the error again and again.

An exchange now also waits for its connection to become readable, and asks poll for its state, which tells a close and a reset from bytes that wait. Once bytes wait, it looks every 100 ms, as an event for them would come again and again. A close behind unread bytes is told as one.

--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -97,7 +97,8 @@
 /// One request that waits for its answer. Exactly one of `reply` and
 /// `startStream` ... `finish` answers it; dropping the last reference without
 /// an answer closes the connection. After the caller has gone every call is
-/// harmless and does nothing.
+/// harmless; a whole answer is still sent, since a caller that only stopped
+/// sending may read it.
 class Exchange {
 public:
   virtual ~Exchange() = default;
@@ -126,7 +127,8 @@
   /// Bytes written here that the caller's connection has not taken yet.
   [[nodiscard]] virtual std::size_t pendingBytes() const = 0;
   [[nodiscard]] virtual bool isGone() const = 0;
-  /// How that was found out: `hangup`, or the name of a `CloseReason`. Empty
+  /// How that was found out: `hangup` (it has closed its connection, or at
+  /// least stopped sending), `reset`, or the name of a `CloseReason`. Empty
   /// while the caller is there.
   [[nodiscard]] virtual std::string_view goneReason() const = 0;
   /// When the caller's connection was accepted.
--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -2,10 +2,10 @@
 #include "Headers.h"
 #include "events/events.h"
 
-#include <cerrno>
 #include <cstring>
 #include <event2/bufferevent.h>
 #include <optional>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unordered_map>
 #include <utility>
@@ -71,21 +71,30 @@
               MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-enum class PeerState : std::uint8_t { Open, Closed, Unknown };
+enum class PeerState : std::uint8_t {
+  Open,
+  Closed, ///< It has closed at least its sending side, and may still read.
+  Lost,   ///< Reset, or failed.
+};
 
-/// Whether the peer has closed its side of a connection, or it has failed. Not
-/// known while unread bytes come first.
+/// Bytes of the peer that wait unread make no difference.
 PeerState peerState(evutil_socket_t Socket) {
-  char Byte = 0;
-  const ssize_t Count =
-      recv(Socket, &Byte, sizeof(Byte), MSG_PEEK | MSG_DONTWAIT);
-  if (Count > 0)
-    return PeerState::Unknown;
-  const bool IsOpen =
-      Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
-  return IsOpen ? PeerState::Open : PeerState::Closed;
+  pollfd Asked{Socket, POLLRDHUP, 0};
+  if (poll(&Asked, 1, 0) <= 0)
+    return PeerState::Open;
+  if ((Asked.revents & (POLLERR | POLLHUP | POLLNVAL)) != 0)
+    return PeerState::Lost;
+  return (Asked.revents & POLLRDHUP) != 0 ? PeerState::Closed : PeerState::Open;
+}
+
+timeval toTimeval(std::chrono::milliseconds Value) {
+  return {Value.count() / 1000,
+          static_cast<suseconds_t>(Value.count() % 1000 * 1000)};
 }
 
+/// Between two looks for a caller that has left with bytes unread.
+constexpr std::chrono::milliseconds LookInterval{100};
+
 class ServerExchange;
 
 /// A caller's connection, known from its accept to its close.
@@ -118,8 +127,10 @@
     // notice that the caller has gone until a write fails.
     bufferevent *Buffer =
         evhttp_connection_get_bufferevent(evhttp_request_get_connection(Raw));
-    m_Hangup =
-        event_new(Loop, bufferevent_getfd(Buffer), EV_CLOSED, onHangup, this);
+    m_Socket = bufferevent_getfd(Buffer);
+    // libevent reports a reset as readable and never as closed.
+    m_Hangup = event_new(Loop, m_Socket, EV_CLOSED | EV_READ, onHangup, this);
+    m_Look = evtimer_new(Loop, onLook, this);
     event_add(m_Hangup, nullptr);
   }
 
@@ -237,10 +248,7 @@
       return;
     m_Gone = true;
     m_GoneReason = Reason;
-    if (m_Hangup != nullptr) {
-      event_free(m_Hangup);
-      m_Hangup = nullptr;
-    }
+    stopWatching();
     if (auto Callback = std::exchange(m_OnGone, nullptr))
       Callback();
   }
@@ -273,32 +281,51 @@
 
   /// Called just before the request is answered or given up.
   evhttp_request *release() {
-    if (m_Hangup != nullptr) {
-      event_free(m_Hangup);
-      m_Hangup = nullptr;
-    }
+    stopWatching();
     if (const auto Known = m_Connection.lock();
         Known != nullptr && Known->m_Current == this)
       Known->m_Current = nullptr;
     return std::exchange(m_Raw, nullptr);
   }
 
-  void takeHangup(evutil_socket_t Socket) {
-    if (peerState(Socket) != PeerState::Open)
+  void stopWatching() {
+    for (event **One : {&m_Hangup, &m_Look})
+      if (*One != nullptr)
+        event_free(std::exchange(*One, nullptr));
+  }
+
+  /// \param IsClose the kernel has reported a close.
+  void look(bool IsClose) {
+    switch (peerState(m_Socket)) {
+    case PeerState::Closed:
       return noteGone("hangup");
-    events::emit(events::Event::HangupNotConfirmed,
-                 {{"peer", m_Request.m_PeerAddress}});
-    event_add(m_Hangup, nullptr);
+    case PeerState::Lost:
+      return noteGone("reset");
+    case PeerState::Open:
+      break;
+    }
+    if (IsClose)
+      events::emit(events::Event::HangupNotConfirmed,
+                   {{"peer", m_Request.m_PeerAddress}});
+    // An event for bytes that wait would come again and again.
+    const timeval Interval = toTimeval(LookInterval);
+    event_add(m_Look, &Interval);
   }
 
-  static void onHangup(evutil_socket_t Socket, short, void *Argument) {
-    static_cast<ServerExchange *>(Argument)->takeHangup(Socket);
+  static void onHangup(evutil_socket_t, short What, void *Argument) {
+    static_cast<ServerExchange *>(Argument)->look((What & EV_CLOSED) != 0);
+  }
+
+  static void onLook(evutil_socket_t, short, void *Argument) {
+    static_cast<ServerExchange *>(Argument)->look(false);
   }
 
   evhttp_request *m_Raw;
   std::weak_ptr<Connection> m_Connection;
   TimePoint m_AcceptedAt;
+  evutil_socket_t m_Socket = -1;
   event *m_Hangup = nullptr;
+  event *m_Look = nullptr; ///< Once bytes of the peer wait.
   Request m_Request;
   bool m_Gone = false;
   std::string_view m_GoneReason;
@@ -306,11 +333,6 @@
   std::function<void()> m_OnGone;
 };
 
-timeval toTimeval(std::chrono::milliseconds Value) {
-  return {Value.count() / 1000,
-          static_cast<suseconds_t>(Value.count() % 1000 * 1000)};
-}
-
 constexpr std::chrono::milliseconds SweepInterval{250};
 
 class ServerState final : public Server {
@@ -401,7 +423,7 @@
       return *Known.m_Closing;
     const evutil_socket_t Socket =
         bufferevent_getfd(evhttp_connection_get_bufferevent(Raw));
-    if (peerState(Socket) == PeerState::Closed)
+    if (peerState(Socket) != PeerState::Open)
       return CloseReason::PeerClosed;
     if (BootClock::now() - Known.m_MovedAt >= m_Limits.m_Silence)
       return CloseReason::Silent;
