Write the whole answer to a caller that has stopped sending

A caller that had shut down its sending side and still read its connection lost the rest of any answer that did not fit the socket's buffer: of 8 MiB it received 16 KB.

evhttp reads while it writes an answer, and ends the connection when it reads the caller's end. Pieces of a stream were left out for such a caller and the stream was ended in order, so that a cut stream looked whole.

The server stops reading while it writes, and evhttp reads on once the answer is written. A stream of which a piece was not written is broken off. The new test fails before the change and passes with it.

--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -71,6 +71,11 @@
               MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+bool hasUnsent(evhttp_connection *Raw) {
+  bufferevent *Buffer = evhttp_connection_get_bufferevent(Raw);
+  return evbuffer_get_length(bufferevent_get_output(Buffer)) > 0;
+}
+
 enum class PeerState : std::uint8_t {
   Open,
   Closed, ///< It has closed at least its sending side, and may still read.
@@ -162,6 +167,7 @@
     addFields(evhttp_request_get_output_headers(m_Raw), With);
     decideClose();
     evhttp_send_reply_start(m_Raw, Status, nullptr);
+    stopReading(evhttp_request_get_connection(m_Raw));
   }
 
   void closeAfterLast() override { m_ClosesAfterLast = true; }
@@ -177,7 +183,9 @@
     evbuffer *Buffer = evbuffer_new();
     evbuffer_add(Buffer, Body.data(), Body.size());
     evhttp_request *Raw = release();
+    evhttp_connection *Connection = evhttp_request_get_connection(Raw);
     evhttp_send_reply(Raw, Status, nullptr, Buffer);
+    stopReading(Connection);
     evbuffer_free(Buffer);
     noteAnswered();
   }
@@ -188,22 +196,35 @@
     addHeaders(evhttp_request_get_output_headers(m_Raw), With);
     decideClose();
     evhttp_send_reply_start(m_Raw, Status, nullptr);
+    stopReading(evhttp_request_get_connection(m_Raw));
   }
 
   void write(std::string_view Piece) override {
-    if (m_Raw == nullptr || m_Gone || Piece.empty())
+    if (m_Raw == nullptr || Piece.empty())
+      return;
+    if (m_Gone) {
+      m_IsCut = true;
       return;
+    }
     evbuffer *Buffer = evbuffer_new();
     evbuffer_add(Buffer, Piece.data(), Piece.size());
     evhttp_send_reply_chunk(m_Raw, Buffer);
+    stopReading(evhttp_request_get_connection(m_Raw));
     evbuffer_free(Buffer);
   }
 
   void finish() override {
     if (m_Raw == nullptr)
       return;
+    // The end would make what was written look whole.
+    if (m_IsCut)
+      return abort();
     evhttp_request *Raw = release();
+    evhttp_connection *Connection = evhttp_request_get_connection(Raw);
     evhttp_send_reply_end(Raw);
+    // With nothing left to write the connection reads on already, or has ended.
+    if (!m_Connection.expired() && hasUnsent(Connection))
+      stopReading(Connection);
     noteAnswered();
   }
 
@@ -271,6 +292,15 @@
       closeAfter();
   }
 
+  /// evhttp reads while it writes, and ends the connection when it reads the
+  /// end of a caller that still takes its answer. It reads on once the answer
+  /// is written.
+  static void stopReading(evhttp_connection *Connection) {
+    if (Connection != nullptr)
+      bufferevent_disable(evhttp_connection_get_bufferevent(Connection),
+                          EV_READ);
+  }
+
   /// The whole answer has been handed to the connection.
   void noteAnswered() {
     if (const auto Known = m_Connection.lock()) {
@@ -329,6 +359,7 @@
   Request m_Request;
   bool m_Gone = false;
   std::string_view m_GoneReason;
+  bool m_IsCut = false; ///< Pieces were not written.
   bool m_ClosesAfterLast = false;
   std::function<void()> m_OnGone;
 };
@@ -405,10 +436,8 @@
   static bool isIdle(evhttp_connection *Raw, const Connection &Known) {
     if (Known.m_Current != nullptr || Known.m_FirstByte != TimePoint::max())
       return false;
-    bufferevent *Buffer = evhttp_connection_get_bufferevent(Raw);
     // Unread bytes would be lost, and reset the connection.
-    return evbuffer_get_length(bufferevent_get_output(Buffer)) == 0 &&
-           !hasUnread(Raw);
+    return !hasUnsent(Raw) && !hasUnread(Raw);
   }
 
   /// \pre The connection is open.
--- a/libs/http/tests/CallerGoneTest.cpp
+++ b/libs/http/tests/CallerGoneTest.cpp
@@ -158,3 +158,30 @@
     }
   }
 }
+
+SCENARIO("a caller that only stops sending still gets its whole answer") {
+  Served Served;
+  Caller Peer;
+  Peer.send(Request);
+  REQUIRE(Served.has(1));
+  Peer.shutDown();
+  REQUIRE(Served.m_Loop.turnUntil([&] { return Served.m_Open[0]->isGone(); }));
+  for (const std::size_t Length : {std::size_t{5}, std::size_t{8} << 20U}) {
+    DYNAMIC_SECTION(Length << " bytes") {
+      Served.m_Open[0]->reply(200, {}, std::string(Length, 'x'));
+      Served.m_Loop.turnUntil([&] { return !Peer.read(); });
+      const std::size_t Body = Peer.m_Got.find("\r\n\r\n");
+      REQUIRE(Body != Peer.m_Got.npos);
+      CHECK(Peer.m_Got.size() - Body - 4 == Length);
+    }
+  }
+  GIVEN("a stream of which pieces were not written") {
+    Served.m_Open[0]->startStream(200, {});
+    Served.m_Open[0]->write("piece");
+    Served.m_Open[0]->finish();
+    THEN("it does not look whole") {
+      Served.m_Loop.turnUntil([&] { return !Peer.read(); });
+      CHECK(Peer.m_Got.find("0\r\n\r\n") == Peer.m_Got.npos);
+    }
+  }
+}
