Answer a caller that only seems to have left

A caller whose connection was taken for closed lost its answer, although its request had reached a target and the target answered: the entry closed the connection without a word.

A close and the end of the sending side look alike, and the exchange was dropped for both. A call that must not be repeated was cancelled after it had been sent, which saves nothing, as it runs all the same.

A call that must not be repeated and has been sent now runs to its end, and its answer is written. One that may be repeated goes on for 250 ms after a close, and ends at once after a reset, as streams do and requests that another entry has forwarded. Whoever still reads is told `caller_left`: not run (503) if nothing was sent, unknown (502) otherwise.

--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -22,6 +22,9 @@
 constexpr std::chrono::milliseconds VersionPatience{1500};
 /// Part of the former answers' weight that a further answer leaves to them.
 constexpr double OutputDecay = 0.95;
+/// Longest work for a caller that seems to have left, on a call that may be
+/// repeated: a closed connection may still be read from.
+constexpr std::chrono::milliseconds LeavePatience{250};
 /// Targets that a request could not be sent to, one after the other, before the
 /// fault is taken for this entry's own.
 constexpr std::size_t UnreachedTargets = 2;
@@ -277,12 +280,45 @@
       m_Try->resume(Now);
     return;
   }
+  if (!outlivesCaller())
+    leave();
+}
+
+bool Serving::outlivesCaller() {
+  const bool IsSent = (m_Try != nullptr && m_Try->hasSent()) ||
+                      (m_Forward != nullptr && m_Forward->hasSent());
+  const std::string_view Reason = m_Caller->goneReason();
+  if (m_Asked.m_Stream || !IsSent ||
+      Reason == http::closeReasonName(http::CloseReason::ServerEnded))
+    return false;
+  // Ended, it would have run all the same, and nobody could repeat it. Its
+  // deadline ends it.
+  if (m_Asked.m_NotRepeatable)
+    return true;
+  // The entry that has forwarded a request has waited already.
+  if (m_Asked.m_Forwarded || Reason != "hangup")
+    return false;
+  m_Leave = std::make_unique<http::Timer>(
+      m_Shared.m_Loop, LeavePatience, false, [Weak = weak_from_this()] {
+        const auto Self = Weak.lock();
+        if (Self != nullptr && Self->m_Phase != Phase::Ended)
+          Self->leave();
+      });
+  return true;
+}
+
+void Serving::leave() {
   if (m_Phase == Phase::Queued)
-    limits::abandon(m_Shared.m_Limits, m_Ticket, Now);
-  if (m_KeyGranted)
-    m_Shared.m_Ledger.release(m_Asked);
+    limits::abandon(m_Shared.m_Limits, m_Ticket, BootClock::now());
   if (m_Try != nullptr || m_Forward != nullptr)
     m_MayHaveRun = true;
+  if (m_KeyGranted)
+    m_Shared.m_Ledger.release(m_Asked);
+  Rejection Told;
+  Told.m_Reason = Refusal::CallerLeft;
+  Told.m_Outcome = outcomeSoFar();
+  Told.m_Step = "caller.gone";
+  m_Writer->refuse(Told);
   end();
 }
 
@@ -315,10 +351,7 @@
   case KeyVerdict::Granted:
     m_KeyGranted = true;
     enter(Phase::Placing);
-    if (!m_CallerGone)
-      return place();
-    m_Shared.m_Ledger.release(m_Asked);
-    return end();
+    return m_CallerGone ? leave() : place();
   case KeyVerdict::Stored:
     m_Writer->pass(Answer.m_Stored);
     return end();
@@ -813,8 +846,9 @@
                 {"events", m_Offset}});
   EntryMetrics &Metrics = m_Shared.m_Metrics;
   Metrics.m_Total.record(Now - m_Asked.m_ArrivedAt);
-  (Now <= m_Asked.m_Deadline ? Metrics.m_Completed : Metrics.m_CompletedLate)
-      .add();
+  if (!m_CallerGone)
+    (Now <= m_Asked.m_Deadline ? Metrics.m_Completed : Metrics.m_CompletedLate)
+        .add();
   m_MayHaveRun = true;
   end();
 }
@@ -1060,11 +1094,8 @@
     return giveUp(Late ? Refusal::TargetTimeout : Stop->m_Reason,
                   Stop->m_Outcome, Ending.m_Error, untilAdmitted(Now));
   }
-  if (m_CallerGone) {
-    if (m_KeyGranted)
-      m_Shared.m_Ledger.release(m_Asked);
-    return end();
-  }
+  if (m_CallerGone)
+    return leave();
   if (m_Phase != Phase::Placing)
     enter(Phase::Placing);
   if (const auto *Resume = std::get_if<retries::ResumeAt>(&Next)) {
@@ -1217,6 +1248,7 @@
   const bool InService = m_Phase == Phase::Running;
   enter(Phase::Ended);
   m_Wake.reset();
+  m_Leave.reset();
   endTry(TryOutcome::Cancelled, Now);
   if (std::exchange(m_InTrial, false))
     m_Shared.m_Traits.endTrial(m_Traits.m_Route);
--- a/apps/entry/src/Serving.h
+++ b/apps/entry/src/Serving.h
@@ -72,6 +72,10 @@
 private:
   void enter(Phase Next);
   void takeGone();
+  /// Whether the caller's leaving does not end the request yet.
+  [[nodiscard]] bool outlivesCaller();
+  /// Ends the request of a caller that has left; one that still reads is told.
+  void leave();
   void reserve();
   void takeKey(const KeyAnswer &Answer);
   void place();
@@ -175,6 +179,7 @@
   std::uint32_t m_Urgency = 0; ///< At the target, of the current try.
   TimePoint m_SentAt;          ///< Of the last try.
   std::unique_ptr<http::Timer> m_Wake;
+  std::unique_ptr<http::Timer> m_Leave; ///< Set once the caller has left.
   TimePoint m_LastPieceAt;
   TimePoint m_FirstPieceAt; ///< The epoch: none yet.
   TimePoint m_PausedSince;
--- a/apps/entry/src/Try.h
+++ b/apps/entry/src/Try.h
@@ -97,6 +97,10 @@
   void pause();
   void resume(TimePoint Now);
   [[nodiscard]] bool isPaused() const { return m_Paused; }
+  /// Whether the target may have a part of the request.
+  [[nodiscard]] bool hasSent() const {
+    return m_Sent || (m_Call != nullptr && m_Call->hasSent());
+  }
   [[nodiscard]] const TargetId &target() const {
     return m_Plan.m_Choice.m_Run.m_Target;
   }
