Look for requests once more before a process that stops ends

Callers saw connections closed before their answer 4.3 to 4.8 s after a SIGTERM, while a target ran the request. The stages of a stop went by one count of requests, that of the data path, and the step from the last stage to the end of the process looked at nothing: a request that this count had lost would be cut without a line.

What is under way is now counted where it arises, in places that do not know of each other: requests taken, exchanges that a connection waits for, calls to targets and other entries, open connections, calls to control. Entry::progress() gathers them.

Evidence: the rows of ShutdownTest for exchanges and passed-on calls cannot be stated with the former counts, and mayEnd is new. This does not show what lost the two requests: it holds whichever count lost them.

--- a/apps/entry/src/DataPath.h
+++ b/apps/entry/src/DataPath.h
@@ -60,6 +60,12 @@
   void stopTaking() { m_RefusesAll = true; }
   /// Requests that are not answered yet.
   [[nodiscard]] std::size_t open() const { return m_Open.size(); }
+  /// Calls to targets and other entries that have not ended, whether or not a
+  /// request that is open here has made them.
+  [[nodiscard]] std::size_t passedOn() const {
+    return m_Shared.m_Connections.underWay() +
+           m_Shared.m_PeerConnections.underWay();
+  }
   /// Ends every request, for a process whose patience is over.
   void endAll();
 
--- a/apps/entry/src/Entry.cpp
+++ b/apps/entry/src/Entry.cpp
@@ -239,6 +239,10 @@
   m_OnStopped = std::move(Done);
   daemon::noteStage(shutdown::stageName(m_Stop->m_Stage));
   m_Requests->startStopping(m_Stop->m_Deadlines);
+  watchStop();
+}
+
+void Entry::watchStop() {
   m_StopTimer = std::make_unique<http::Timer>(m_Loop, StopLook, true,
                                               [this] { advanceStop(); });
 }
@@ -251,6 +255,18 @@
   return Servers;
 }
 
+shutdown::Progress Entry::progress() const {
+  shutdown::Progress Open;
+  Open.m_OpenRequests = m_Requests->open();
+  Open.m_PassedOn = m_Requests->passedOn();
+  Open.m_ControlCalls = m_Control->openCalls();
+  for (const http::Server *Server : callerServers()) {
+    Open.m_Connections += Server->connections();
+    Open.m_Exchanges += Server->exchanges();
+  }
+  return Open;
+}
+
 void Entry::advanceStop() {
   const TimePoint Now = BootClock::now();
   if (shutdown::mustCut(*m_Stop, Now) && m_Requests->open() > 0) {
@@ -261,9 +277,7 @@
   if (m_Stop->m_Stage == shutdown::Stage::Closing)
     for (http::Server *Server : callerServers())
       Server->closeIdle();
-  shutdown::Progress Open{m_Requests->open(), 0, m_Control->openCalls()};
-  for (const http::Server *Server : callerServers())
-    Open.m_Connections += Server->connections();
+  const shutdown::Progress Open = progress();
   if (!shutdown::advance(*m_Stop, Open, Now))
     return;
   events::emit(
@@ -271,6 +285,8 @@
       {{"stage", shutdown::stageName(m_Stop->m_Stage)},
        {"open", Open.m_OpenRequests},
        {"connections", Open.m_Connections},
+       {"exchanges", Open.m_Exchanges},
+       {"passed_on", Open.m_PassedOn},
        {"left_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
                        m_Stop->m_Deadlines.m_ExitBy - Now)
                        .count()}});
@@ -290,11 +306,30 @@
     return;
   m_Control->sendLastReport();
   // Not from here: the end of the process takes the timer with it.
-  m_StopTimer =
-      std::make_unique<http::Timer>(m_Loop, LastReportDelay, false, [this] {
-        if (const auto Done = std::exchange(m_OnStopped, nullptr))
-          Done();
-      });
+  m_StopTimer = std::make_unique<http::Timer>(m_Loop, LastReportDelay, false,
+                                              [this] { endUnlessOpen(); });
+}
+
+void Entry::endUnlessOpen() {
+  const TimePoint Now = BootClock::now();
+  const shutdown::Progress Open = progress();
+  if (shutdown::mayEnd(*m_Stop, Open, Now)) {
+    if (const auto Done = std::exchange(m_OnStopped, nullptr))
+      Done();
+    return;
+  }
+  events::emit(
+      events::Event::EndDelayed,
+      {{"open", Open.m_OpenRequests},
+       {"connections", Open.m_Connections},
+       {"exchanges", Open.m_Exchanges},
+       {"passed_on", Open.m_PassedOn},
+       {"control_calls", Open.m_ControlCalls},
+       {"left_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                       m_Stop->m_Deadlines.m_ExitBy - Now)
+                       .count()}});
+  daemon::noteStage(shutdown::stageName(m_Stop->m_Stage));
+  watchStop();
 }
 
 } // namespace wasabivale::entry
--- a/apps/entry/src/Entry.h
+++ b/apps/entry/src/Entry.h
@@ -38,6 +38,8 @@
   /// Brings gauges up to date.
   void updateGauges();
   [[nodiscard]] DataPath &requests() { return *m_Requests; }
+  /// All that is under way. Whatever ends the process asks this one place.
+  [[nodiscard]] shutdown::Progress progress() const;
 
 private:
   Entry(event_base *Loop, const EntrySettings &Settings,
@@ -46,8 +48,11 @@
   Status listenToForwards();
   Status openControl();
   Status listenToAll();
+  void watchStop();
   void advanceStop();
   void enterStage(shutdown::Stage Next);
+  /// Looks for requests a last time; nothing else ends a process that stops.
+  void endUnlessOpen();
   [[nodiscard]] std::vector<http::Server *> callerServers() const;
   void fillReport(wire::EntryReport &Report);
   void reportSoon();
--- a/apps/entry/src/Main.cpp
+++ b/apps/entry/src/Main.cpp
@@ -53,6 +53,7 @@
                 {"callers", http::printAddress(Settings.m_CallersListen)}});
   daemon::noteStage("serving");
   const Status Ended = Loop.run();
+  const shutdown::Progress Open = valueOf(Entry)->progress();
   events::emit(
       events::Event::ProcessStopped,
       {{"id", Settings.m_Id},
@@ -61,7 +62,10 @@
                       daemon::processAge())
                       .count()},
        {"stage", daemon::currentStage()},
-       {"open", valueOf(Entry)->requests().open()}});
+       {"open", Open.m_OpenRequests},
+       {"connections", Open.m_Connections},
+       {"exchanges", Open.m_Exchanges},
+       {"passed_on", Open.m_PassedOn}});
   return failed(Ended) ? daemon::ExitFailed : daemon::ExitOk;
 }
 
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -184,6 +184,8 @@
   virtual ~Server() = default;
   /// Connections that are open now.
   [[nodiscard]] virtual std::size_t connections() const = 0;
+  /// Requests received whole on them whose answer has not been handed over.
+  [[nodiscard]] virtual std::size_t exchanges() const = 0;
   /// Connections closed for being over `m_Connections` or too slow to send a
   /// request.
   [[nodiscard]] virtual std::uint64_t refusedConnections() const = 0;
@@ -314,6 +316,8 @@
   void forget(const Address &Server);
   [[nodiscard]] std::size_t idle() const;
   [[nodiscard]] std::uint64_t opened() const;
+  /// Calls that have not ended.
+  [[nodiscard]] std::size_t underWay() const;
 
   struct State; ///< Shared with the calls under way.
 
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -60,6 +60,8 @@
 
   void start(std::shared_ptr<ClientCallState> Self) {
     m_Self = std::move(Self);
+    if (m_Pool != nullptr)
+      ++m_Pool->m_UnderWay;
     const std::optional<evhttp_cmd_type> Method = methodOf(m_What.m_Method);
     if (!Method)
       return failSoon();
@@ -319,6 +321,8 @@
     if (m_Ended)
       return;
     m_Ended = true;
+    if (m_Pool != nullptr)
+      --m_Pool->m_UnderWay;
     unwatch();
     if (m_Pool != nullptr && m_IsWhole && !m_IsEarly && m_Connection != nullptr)
       m_Pool->giveBack(std::exchange(m_Connection, nullptr), m_What.m_To,
--- a/libs/http/src/Pool.cpp
+++ b/libs/http/src/Pool.cpp
@@ -209,4 +209,6 @@
 
 std::uint64_t Pool::opened() const { return m_State->m_Opened; }
 
+std::size_t Pool::underWay() const { return m_State->m_UnderWay; }
+
 } // namespace wasabivale::http
--- a/libs/http/src/Pool.h
+++ b/libs/http/src/Pool.h
@@ -50,6 +50,7 @@
   std::vector<evhttp_connection *> m_Closing;
   event *m_Close = nullptr; ///< Frees them in a turn of its own.
   std::uint64_t m_Opened = 0;
+  std::size_t m_UnderWay = 0; ///< Calls that have not ended.
   PoolObserver m_Observer;
   std::unique_ptr<Timer> m_Sweep;
 
--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -2,6 +2,7 @@
 #include "Headers.h"
 #include "events/events.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <event2/bufferevent.h>
@@ -354,6 +355,12 @@
   [[nodiscard]] std::size_t connections() const override {
     return m_Open.size();
   }
+  [[nodiscard]] std::size_t exchanges() const override {
+    return static_cast<std::size_t>(
+        std::count_if(m_Open.begin(), m_Open.end(), [](const auto &Each) {
+          return Each.second->m_Current != nullptr;
+        }));
+  }
   [[nodiscard]] std::uint64_t refusedConnections() const override {
     return m_Refused;
   }
--- a/libs/shutdown/include/shutdown/shutdown.h
+++ b/libs/shutdown/include/shutdown/shutdown.h
@@ -56,12 +56,19 @@
 /// Name of a stage in log lines, in lower case.
 std::string_view stageName(Stage Value);
 
+/// What is under way, each number counted where it arises: a request that one
+/// count has lost is in another.
 struct Progress {
-  std::size_t m_OpenRequests = 0; ///< Not answered yet.
+  std::size_t m_OpenRequests = 0; ///< Taken, not answered yet.
   std::size_t m_Connections = 0;  ///< Of callers, open.
   std::size_t m_ControlCalls = 0; ///< Sent to control, not answered yet.
+  std::size_t m_Exchanges = 0;    ///< Received whole, not answered yet.
+  std::size_t m_PassedOn = 0;     ///< Calls to targets and other entries.
 };
 
+/// Whether no request waits for its answer by any of the counts.
+bool isAllAnswered(const Progress &Open);
+
 /// A process that was asked to stop.
 struct State {
   Schedule m_Deadlines;
@@ -73,6 +80,10 @@
 /// a stage has answered is written. \returns whether the stage has changed.
 bool advance(State &Process, const Progress &Open, TimePoint Now);
 
+/// The last look of a process in `Stage::Exiting`, just before it ends.
+/// \returns whether it may end; otherwise it is back in `Stage::Closing`.
+bool mayEnd(State &Process, const Progress &Open, TimePoint Now);
+
 /// Whether what is still open must be ended now.
 bool mustCut(const State &Process, TimePoint Now);
 
--- a/libs/shutdown/src/Shutdown.cpp
+++ b/libs/shutdown/src/Shutdown.cpp
@@ -19,6 +19,11 @@
 /// were on their way are refused rather than cut.
 constexpr std::chrono::milliseconds RefusalTime{100};
 
+bool isNothingOpen(const Progress &Open) {
+  return isAllAnswered(Open) && Open.m_Connections == 0 &&
+         Open.m_ControlCalls == 0;
+}
+
 } // namespace
 
 Schedule makeSchedule(TimePoint StopAt, Duration BalancerLag,
@@ -58,9 +63,14 @@
   return "";
 }
 
+bool isAllAnswered(const Progress &Open) {
+  return Open.m_OpenRequests == 0 && Open.m_Exchanges == 0 &&
+         Open.m_PassedOn == 0;
+}
+
 bool advance(State &Process, const Progress &Open, TimePoint Now) {
   const Schedule &Deadlines = Process.m_Deadlines;
-  const bool AllAnswered = Open.m_OpenRequests == 0;
+  const bool AllAnswered = isAllAnswered(Open);
   switch (Process.m_Stage) {
   case Stage::Answering:
     if (Now < Deadlines.m_AnswerBy &&
@@ -76,8 +86,7 @@
     Process.m_Stage = Stage::Closing;
     return true;
   case Stage::Closing:
-    if (Now < Deadlines.m_ExitBy &&
-        (Open.m_Connections > 0 || Open.m_ControlCalls > 0))
+    if (Now < Deadlines.m_ExitBy && !isNothingOpen(Open))
       return false;
     Process.m_Stage = Stage::Exiting;
     return true;
@@ -87,6 +96,13 @@
   return false;
 }
 
+bool mayEnd(State &Process, const Progress &Open, TimePoint Now) {
+  if (Now >= Process.m_Deadlines.m_ExitBy || isNothingOpen(Open))
+    return true;
+  Process.m_Stage = Stage::Closing;
+  return false;
+}
+
 bool mustCut(const State &Process, TimePoint Now) {
   return Now >= Process.m_Deadlines.m_CutAt;
 }
--- a/libs/shutdown/tests/ShutdownTest.cpp
+++ b/libs/shutdown/tests/ShutdownTest.cpp
@@ -69,6 +69,47 @@
       }
     }
   }
+  GIVEN("a request that one count has lost") {
+    struct Row {
+      const char *m_Name;
+      Progress m_Open;
+    };
+    const Row Rows[] = {
+        {"it is taken", {.m_OpenRequests = 1}},
+        {"its caller's connection waits for the answer", {.m_Exchanges = 1}},
+        {"a target has it", {.m_PassedOn = 1}},
+    };
+    for (const Row &Case : Rows) {
+      INFO(Case.m_Name);
+      State Waiting{Deadlines, Stage::Answering, {}};
+      THEN(std::string("another count keeps the process answering: ") +
+           Case.m_Name) {
+        CHECK_FALSE(advance(Waiting, Case.m_Open, StopAt + 3200ms));
+        Waiting.m_Stage = Stage::Refusing;
+        CHECK_FALSE(advance(Waiting, Case.m_Open, StopAt + 3400ms));
+        Waiting.m_Stage = Stage::Closing;
+        CHECK_FALSE(advance(Waiting, Case.m_Open, StopAt + 3500ms));
+      }
+      THEN(std::string("the last look finds it and waits: ") + Case.m_Name) {
+        Waiting.m_Stage = Stage::Exiting;
+        CHECK_FALSE(mayEnd(Waiting, Case.m_Open, StopAt + 3600ms));
+        CHECK(Waiting.m_Stage == Stage::Closing);
+        AND_THEN("it ends once that is answered, or at its time") {
+          REQUIRE(advance(Waiting, {}, StopAt + 3700ms));
+          CHECK(mayEnd(Waiting, {}, StopAt + 3730ms));
+          CHECK(mayEnd(Waiting, Case.m_Open, Deadlines.m_ExitBy));
+        }
+      }
+    }
+  }
+  GIVEN("a process that is about to end") {
+    State Ending{Deadlines, Stage::Exiting, {}};
+    THEN("an open connection or a call to control is waited for") {
+      CHECK_FALSE(mayEnd(Ending, {.m_Connections = 1}, StopAt + 3600ms));
+      CHECK_FALSE(mayEnd(Ending, {.m_ControlCalls = 1}, StopAt + 3600ms));
+      CHECK(mayEnd(Ending, {}, StopAt + 3600ms));
+    }
+  }
   GIVEN("a request that does not end") {
     REQUIRE(advance(Stopping, {1, 1}, Deadlines.m_AnswerBy));
     CHECK_FALSE(mustCut(Stopping, Deadlines.m_AnswerBy));
