Count only errors of the loop that follow at once towards its end

A loop that returned by itself a hundred times in the life of a process ended the process, with whatever was under way, however long it had turned between them. Only errors without 5 ms of turning between them count now.

--- a/libs/daemon/src/EventLoop.cpp
+++ b/libs/daemon/src/EventLoop.cpp
@@ -11,8 +11,10 @@
 namespace {
 
 constexpr std::chrono::milliseconds WatchInterval{100};
-/// Errors of the loop after which the process ends.
+/// Errors of the loop in turn after which the process ends. One that comes
+/// after the loop has turned for this long is the first of its kind.
 constexpr int MaxInterruptions = 100;
+constexpr std::chrono::milliseconds TurnsAgain{5};
 
 } // namespace
 
@@ -86,6 +88,7 @@
 Status EventLoop::run() {
   m_HasEnded = false;
   for (int Interruptions = 1;; ++Interruptions) {
+    const TimePoint Entered = BootClock::now();
     const int Code = event_base_dispatch(m_Base);
     const int SystemError = errno;
     if (m_HasEnded)
@@ -98,6 +101,8 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(processAge())
               .count()},
          {"stage", currentStage()}});
+    if (BootClock::now() - Entered >= TurnsAgain)
+      Interruptions = 1;
     if (Interruptions == MaxInterruptions)
       return Error{"loop.run", "", "the event loop fails again and again"};
   }
--- a/libs/daemon/tests/EventLoopTest.cpp
+++ b/libs/daemon/tests/EventLoopTest.cpp
@@ -22,6 +22,20 @@
   CHECK(HasGoneOn);
 }
 
+SCENARIO("interruptions of a loop that turns between them never add up to the "
+         "end of the process") {
+  daemon::EventLoop Loop;
+  int Interruptions = 0;
+  const http::Timer Interrupt(Loop.base(), std::chrono::milliseconds(10), true,
+                              [&] {
+                                if (++Interruptions == 120)
+                                  return Loop.end();
+                                event_base_loopbreak(Loop.base());
+                              });
+  CHECK_FALSE(failed(Loop.run()));
+  CHECK(Interruptions == 120);
+}
+
 SCENARIO("a second SIGTERM does not change the exit code of a process that "
          "stops in order") {
   const pid_t Child = ::fork();
