Play stops with requests in pieces, pauses and a restart

The orders around a stop told nothing of requests that were read whole and got nothing, and ended with the process. Each order now reads the log of its entry: a connection that the entry closed with an answer due is a violation, and so is a last look that finds something. Requests also come in two pieces on connections of their own, targets may run only two at once, the process stands still for up to 150 ms, and in half of the orders a new process at the same address gets requests in its first second.

The simulated clock never goes back from one test to the next: the bound of the log's volume counts by it.

--- a/apps/entry/tests/SimulatedClock.cpp
+++ b/apps/entry/tests/SimulatedClock.cpp
@@ -1,5 +1,6 @@
 #include "SimulatedClock.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <ctime>
 #include <optional>
@@ -12,6 +13,8 @@
 namespace {
 
 thread_local std::optional<std::chrono::nanoseconds> SimulatedTime;
+/// Where the clock before this one ended: time never goes back.
+thread_local std::chrono::nanoseconds LastTime{0};
 
 int realTime(clockid_t Clock, timespec *Time) {
   return static_cast<int>(syscall(SYS_clock_gettime, Clock, Time));
@@ -29,11 +32,15 @@
   REQUIRE_FALSE(SimulatedTime);
   timespec Now{};
   realTime(CLOCK_BOOTTIME, &Now);
-  SimulatedTime =
-      std::chrono::seconds(Now.tv_sec) + std::chrono::nanoseconds(Now.tv_nsec);
+  SimulatedTime = std::max<std::chrono::nanoseconds>(
+      LastTime,
+      std::chrono::seconds(Now.tv_sec) + std::chrono::nanoseconds(Now.tv_nsec));
 }
 
-SimulatedClock::~SimulatedClock() { SimulatedTime.reset(); }
+SimulatedClock::~SimulatedClock() {
+  LastTime = *SimulatedTime;
+  SimulatedTime.reset();
+}
 
 void SimulatedClock::skip(Duration Length) { *SimulatedTime += Length; }
 
--- a/apps/entry/tests/StopOrdersTest.cpp
+++ b/apps/entry/tests/StopOrdersTest.cpp
@@ -5,7 +5,15 @@
 #include "SimulatedClock.h"
 #include "daemon/daemon.h"
 
+#include <algorithm>
+#include <array>
+#include <cerrno>
 #include <cstdlib>
+#include <netinet/in.h>
+#include <sstream>
+#include <sys/mman.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace wasabivale::entry::test {
 
@@ -34,8 +42,96 @@
   std::mt19937_64 m_Random;
 };
 
+/// Takes the log lines of the process while it lives.
+class LogCapture {
+public:
+  LogCapture() : m_Former(dup(STDOUT_FILENO)), m_File(memfd_create("log", 0)) {
+    fflush(stdout);
+    dup2(m_File, STDOUT_FILENO);
+    events::setMinimumLevel(events::Level::Info);
+  }
+  ~LogCapture() {
+    events::setMinimumLevel(events::Level::Error);
+    dup2(m_Former, STDOUT_FILENO);
+    close(m_Former);
+    close(m_File);
+  }
+  LogCapture(const LogCapture &) = delete;
+  LogCapture &operator=(const LogCapture &) = delete;
+
+  [[nodiscard]] std::vector<std::string> lines(std::string_view Of) const {
+    std::string Text(static_cast<std::size_t>(lseek(m_File, 0, SEEK_END)), ' ');
+    (void)!pread(m_File, Text.data(), Text.size(), 0);
+    std::vector<std::string> Found;
+    std::stringstream All(Text);
+    for (std::string Line; std::getline(All, Line);)
+      if (Line.find(Of) != std::string::npos)
+        Found.push_back(Line);
+    return Found;
+  }
+
+private:
+  int m_Former;
+  int m_File;
+};
+
+/// A caller that sends one request in two pieces.
+class PieceSender {
+public:
+  PieceSender(const std::string &Id, const std::string &Path)
+      : m_Socket(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)),
+        m_Request(fmt::format("POST {} HTTP/1.1\r\nHost: shop.example\r\n"
+                              "Attempt: {}\r\nWaits-S: 1\r\n"
+                              "Content-Length: 4\r\n\r\nbody",
+                              Path, Id)) {
+    sockaddr_in To{};
+    To.sin_family = AF_INET;
+    To.sin_port = htons(EntryPort);
+    To.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    (void)connect(m_Socket, reinterpret_cast<sockaddr *>(&To), sizeof(To));
+  }
+  ~PieceSender() { close(m_Socket); }
+  PieceSender(const PieceSender &) = delete;
+  PieceSender &operator=(const PieceSender &) = delete;
+
+  /// Sends the bytes up to \p End as soon as the kernel takes them.
+  void sendUpTo(std::size_t End) {
+    m_End = End;
+    flush();
+  }
+  /// \returns the status, 0 if the connection ended without one, or nothing
+  /// while it waits.
+  std::optional<int> look() {
+    flush();
+    std::array<char, 4096> Bytes{};
+    const ssize_t Count =
+        recv(m_Socket, Bytes.data(), Bytes.size(), MSG_DONTWAIT);
+    if (Count > 0)
+      return std::atoi(Bytes.data() + std::string_view("HTTP/1.1 ").size());
+    if (Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+      return std::nullopt;
+    return 0;
+  }
+  [[nodiscard]] std::size_t size() const { return m_Request.size(); }
+
+private:
+  void flush() {
+    if (m_Sent == m_End)
+      return;
+    const ssize_t Count = ::send(m_Socket, m_Request.data() + m_Sent,
+                                 m_End - m_Sent, MSG_NOSIGNAL);
+    m_Sent += static_cast<std::size_t>(std::max<ssize_t>(Count, 0));
+  }
+
+  int m_Socket;
+  std::string m_Request;
+  std::size_t m_Sent = 0;
+  std::size_t m_End = 0;
+};
+
 struct Sent {
   bool m_IsKept = false; ///< On a connection that was open before.
+  bool m_IsInPieces = false;
   TimePoint m_At;
   bool m_Ended = false;
   int m_Status = 0;
@@ -48,7 +144,9 @@
   std::size_t m_SentLate = 0; ///< After the balancer has taken the entry out.
   std::size_t m_Ran = 0;
   std::size_t m_Refused = 0;
-  std::size_t m_Crossed = 0; ///< Neither run nor answered.
+  std::size_t m_Crossed = 0; ///< Neither read, nor run, nor answered.
+  std::size_t m_InPieces = 0;
+  std::size_t m_Restarts = 0;
   std::vector<std::string> m_Violations;
 };
 
@@ -67,6 +165,13 @@
         std::chrono::nanoseconds(KillAfter).count());
     m_Shop.open(m_Scripts);
     m_Shop.m_Fleet.mutable_targets(0)->set_max_running(64);
+    if (m_Draw.oneIn(3)) {
+      for (wire::Target &Each : *m_Shop.m_Fleet.mutable_targets())
+        Each.set_max_running(2);
+      m_Shop.m_Fleet.set_revision(m_Shop.m_Fleet.revision() + 1);
+      REQUIRE(m_Shop.m_Path->takeFleet(m_Shop.m_Fleet));
+      m_Shop.grant();
+    }
     m_Pool = std::make_unique<http::Pool>(m_Shop.m_Loop.m_Base,
                                           http::PoolSettings{});
     openConnections();
@@ -77,12 +182,22 @@
     while (m_Shop.m_Entry != nullptr &&
            BootClock::now() < m_StopAt + KillAfter + milliseconds(500)) {
       followStage();
+      lookAtPieces();
       m_Shop.m_Loop.turnFor(milliseconds(1));
     }
     if (m_Shop.m_Entry != nullptr)
       violate("the process has not ended in time");
+    else if (m_Draw.oneIn(2))
+      restart();
     m_Shop.m_Loop.turnFor(milliseconds(1'000));
+    // The kernel's connections need real time, of which little has passed.
+    for (int Looks = 0; Looks < 500 && isAnyOpen(); ++Looks) {
+      usleep(1'000);
+      m_Shop.m_Loop.turnFor(milliseconds(1));
+      lookAtPieces();
+    }
     judge();
+    m_Pieces.clear();
     m_Timers.clear();
     m_Pool.reset();
     return std::move(m_Found);
@@ -162,6 +277,68 @@
                [this] { sendShort(); });
   }
 
+  /// Sends a request on a connection of its own in two pieces.
+  void sendInPieces() {
+    if (m_Shop.m_Entry == nullptr)
+      return;
+    const std::string Id = "r-" + std::to_string(m_Next++);
+    m_Work[Id] = m_Draw.time(milliseconds(1), milliseconds(45));
+    auto Result = std::make_shared<Sent>();
+    Result->m_At = BootClock::now();
+    Result->m_Stage = daemon::currentStage();
+    Result->m_IsInPieces = true;
+    auto Caller = std::make_shared<PieceSender>(
+        Id, m_Draw.oneIn(2) ? "/stock/7" : "/book/7");
+    m_Sent[Id] = Result;
+    m_Pieces.emplace_back(Caller, Result);
+    ++m_Found.m_InPieces;
+    const std::size_t First = m_Draw.between(1, Caller->size() - 1);
+    const TimePoint Now = BootClock::now();
+    const milliseconds Gap = m_Draw.time(milliseconds(0), milliseconds(150));
+    schedule(Now + milliseconds(1), [=] { Caller->sendUpTo(First); });
+    schedule(Now + milliseconds(1) + Gap,
+             [=] { Caller->sendUpTo(Caller->size()); });
+  }
+
+  [[nodiscard]] bool isAnyOpen() const {
+    return std::any_of(m_Sent.begin(), m_Sent.end(),
+                       [](const auto &Each) { return !Each.second->m_Ended; });
+  }
+
+  void lookAtPieces() {
+    for (const auto &[Caller, Result] : m_Pieces)
+      if (const auto Status = Result->m_Ended ? std::nullopt : Caller->look()) {
+        Result->m_Ended = true;
+        Result->m_Status = *Status;
+      }
+  }
+
+  /// A new process at the same address, with requests in its first second.
+  void restart() {
+    ++m_Found.m_Restarts;
+    m_Shop.m_Loop.turnFor(m_Draw.time(milliseconds(0), milliseconds(600)));
+    auto Opened = Entry::open(m_Shop.m_Loop.m_Base, m_Shop.m_Settings,
+                              m_Shop.m_Registry, &Plain);
+    REQUIRE_FALSE(failed(Opened));
+    m_Shop.m_Entry = std::move(valueOf(Opened));
+    m_Shop.m_Path = &m_Shop.m_Entry->requests();
+    m_IsStopping = false;
+    daemon::noteStage("serving");
+    const TimePoint Start = BootClock::now();
+    schedule(Start + m_Draw.time(milliseconds(0), milliseconds(300)), [this] {
+      REQUIRE(m_Shop.m_Path->takeFleet(m_Shop.m_Fleet));
+      m_Shop.grant();
+    });
+    for (std::uint64_t I = m_Draw.between(2, 8); I > 0; --I)
+      schedule(Start + m_Draw.time(milliseconds(0), milliseconds(1'000)),
+               [this] { m_Draw.oneIn(3) ? sendInPieces() : sendShort(); });
+    const TimePoint End = Start + milliseconds(2'500);
+    while (BootClock::now() < End) {
+      lookAtPieces();
+      m_Shop.m_Loop.turnFor(milliseconds(5));
+    }
+  }
+
   /// Sends around each stage as it begins.
   void followStage() {
     if (m_Stage == daemon::currentStage())
@@ -170,13 +347,20 @@
     for (std::uint64_t I = m_Draw.between(0, 3); I > 0; --I)
       schedule(BootClock::now() +
                    m_Draw.time(milliseconds(0), milliseconds(130)),
-               [this] { sendShort(); });
+               [this] { m_Draw.oneIn(4) ? sendInPieces() : sendShort(); });
   }
 
   void scheduleChanges() {
     for (std::uint64_t I = m_Draw.between(0, 4); I > 0; --I)
       schedule(m_StopAt + m_Draw.time(milliseconds(0), milliseconds(7'000)),
                [this] { change(); });
+    // The process stands still, and its timers are late.
+    for (std::uint64_t I = m_Draw.between(0, 2); I > 0; --I)
+      schedule(m_StopAt + m_Draw.time(milliseconds(0), milliseconds(6'500)),
+               [this] {
+                 SimulatedClock::skip(
+                     m_Draw.time(milliseconds(1), milliseconds(150)));
+               });
   }
 
   void change() {
@@ -218,12 +402,20 @@
   }
 
   void judge() {
+    for (const std::string &Line : m_Log.lines(" connection_closed "))
+      if (Line.find("answer_due=true") != std::string::npos &&
+          Line.find("reason=peer_closed") == std::string::npos)
+        violate(Line);
+    for (const std::string &Line : m_Log.lines(" end_delayed "))
+      violate(Line);
     for (const auto &[Id, Each] : m_Sent) {
       const auto Since =
           std::chrono::duration_cast<milliseconds>(Each->m_At - m_StopAt);
-      const std::string Text =
-          fmt::format("{} sent {} ms after the stop in stage {}: status {}", Id,
-                      Since.count(), Each->m_Stage, Each->m_Status);
+      const std::string Text = fmt::format(
+          "{}{} sent {} ms after the stop in stage {}: status {}, runs "
+          "{}, of {} ms",
+          Id, Each->m_IsInPieces ? " in pieces" : "", Since.count(),
+          Each->m_Stage, Each->m_Status, m_Runs[Id], m_Work[Id].count());
       ++m_Found.m_Sent;
       m_Found.m_SentLate += Since > StopLag ? 1 : 0;
       const int Runs = m_Runs.count(Id) != 0 ? m_Runs[Id] : 0;
@@ -247,6 +439,9 @@
   Draw m_Draw;
   std::uint64_t m_Seed;
   Shop m_Shop;
+  LogCapture m_Log; ///< After the shop, which sets the level.
+  std::vector<std::pair<std::shared_ptr<PieceSender>, std::shared_ptr<Sent>>>
+      m_Pieces;
   std::vector<Play> m_Scripts;
   std::unique_ptr<http::Pool> m_Pool;
   TimePoint m_StopAt;
@@ -280,12 +475,15 @@
     All.m_Ran += One.m_Ran;
     All.m_Refused += One.m_Refused;
     All.m_Crossed += One.m_Crossed;
+    All.m_InPieces += One.m_InPieces;
+    All.m_Restarts += One.m_Restarts;
     for (const std::string &Text : One.m_Violations)
       All.m_Violations.push_back(Text);
   }
-  INFO(fmt::format("orders {} sent {} late {} ran {} refused {} crossed {}",
+  INFO(fmt::format("orders {} sent {} late {} ran {} refused {} crossed {} in "
+                   "pieces {} restarts {}",
                    Count, All.m_Sent, All.m_SentLate, All.m_Ran, All.m_Refused,
-                   All.m_Crossed));
+                   All.m_Crossed, All.m_InPieces, All.m_Restarts));
   for (const std::string &Text : All.m_Violations)
     UNSCOPED_INFO(Text);
   CHECK(All.m_Violations.empty());
