Count a request that the end of a process leaves unread as a violation

An order around a stop took a request that was sent and got nothing for one that had crossed with the close of its connection. A connection that the end of the process, or the close of idle ones, takes with bytes that nobody read is a violation now.

--- a/apps/entry/tests/StopOrdersTest.cpp
+++ b/apps/entry/tests/StopOrdersTest.cpp
@@ -406,6 +406,10 @@
       if (Line.find("answer_due=true") != std::string::npos &&
           Line.find("reason=peer_closed") == std::string::npos)
         violate(Line);
+      else if (Line.find("unread=true") != std::string::npos &&
+               (Line.find("reason=server_ended") != std::string::npos ||
+                Line.find("reason=idle") != std::string::npos))
+        violate(Line);
     for (const std::string &Line : m_Log.lines(" end_delayed "))
       violate(Line);
     for (const auto &[Id, Each] : m_Sent) {
