Take plain requests a turn after the first routes, and be ready with it

What an entry needs to take a request was decided in two places: by the routes that it has applied, and for readiness by the version that its link to control has noted. No lost request is known to come from this.

--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -54,6 +54,8 @@
           std::max(1.0, By.m_Running * Share)};
 }
 
+Rejection starting() { return notRun(Refusal::NoConfiguration, "start"); }
+
 Rejection stopping() {
   Rejection Why = notRun(Refusal::Stopping, "stop");
   Why.m_RetryAfter = StoppingRetryAfter;
@@ -185,6 +187,8 @@
   const TimePoint Now = BootClock::now();
   if (m_Shared.m_StopSchedule || sendsCallersAway())
     Arrived->closeAfterLast();
+  if (!m_TakesRequests)
+    return refusePassed(*Arrived, {}, starting());
   auto Read = readPassed(Arrived->request(), m_Shared.m_Routes,
                          *m_Shared.m_Dialect, m_Shared.m_MeanPrompts, Now);
   if (const auto *Why = std::get_if<Rejection>(&Read))
@@ -212,6 +216,8 @@
                   {"peer", Arrived->request().m_PeerAddress}});
     replyForwardRejection(*Arrived, Why);
   };
+  if (!m_TakesRequests)
+    return Refuse(starting());
   const auto Origin = readForwardOrigin(Arrived->request().m_Fields, Now);
   if (failed(Origin))
     return Refuse(notRun(Refusal::MalformedRequest, errorOf(Origin).m_Step,
@@ -546,10 +552,22 @@
   events::emit(
       events::Event::FleetApplied,
       {{"revision", Update.revision()}, {"targets", m_Shared.m_Fleet.size()}});
+  takeRequestsSoon();
   pumpSoon();
   return true;
 }
 
+void DataPath::takeRequestsSoon() {
+  if (m_TakesRequests || m_Opening != nullptr ||
+      m_Shared.m_Routes.table().m_Version == 0)
+    return;
+  m_Opening = std::make_unique<http::Timer>(
+      m_Shared.m_Loop, std::chrono::milliseconds(0), false, [this] {
+        m_TakesRequests = true;
+        m_Opening.reset();
+      });
+}
+
 void DataPath::applyRoutes(const wire::RouteTable &Given, TimePoint Now) {
   m_Shared.m_Routes = routes::Index(routes::fromWire(Given));
   const routes::Table &Table = m_Shared.m_Routes.table();
--- a/apps/entry/src/DataPath.h
+++ b/apps/entry/src/DataPath.h
@@ -69,6 +69,9 @@
   [[nodiscard]] StreamVersions &streamVersions() {
     return m_Shared.m_StreamVersions;
   }
+  /// Whether plain requests are taken yet: the first routes and targets have
+  /// been applied, and a turn of the loop has passed. Readiness follows it.
+  [[nodiscard]] bool takesRequests() const { return m_TakesRequests; }
   /// Whether callers had better come to another entry, since this one reaches
   /// no target.
   [[nodiscard]] bool sendsCallersAway() const;
@@ -79,6 +82,7 @@
               const Rejection &Why);
   void refusePassed(http::Exchange &Arrived, const RequestId &Id,
                     const Rejection &Why);
+  void takeRequestsSoon();
   void applyRoutes(const wire::RouteTable &Given, TimePoint Now);
   void answerModels(http::Exchange &Arrived);
   void admit(const std::shared_ptr<http::Exchange> &Arrived, Arrival Asked);
@@ -102,6 +106,7 @@
 
   Context m_Shared;
   workdigest::SentNotices m_SentNotices;
+  bool m_TakesRequests = false;
   bool m_RefusesAll = false;
   std::size_t m_OpenForwarded = 0; ///< Of other entries.
   std::unordered_map<Serving *, std::shared_ptr<Serving>> m_Open;
@@ -112,6 +117,7 @@
   bool m_HadLease = false;
   std::unique_ptr<http::Timer> m_Sweep;
   std::unique_ptr<http::Timer> m_Pump;
+  std::unique_ptr<http::Timer> m_Opening; ///< Until requests are taken.
 };
 
 } // namespace wasabivale::entry
--- a/apps/entry/src/Entry.cpp
+++ b/apps/entry/src/Entry.cpp
@@ -190,7 +190,7 @@
   if (m_Requests->sendsCallersAway())
     return "no target can be reached";
   if (m_Settings.m_Routes)
-    return m_Control->routesVersion() == 0 ? "no routes yet" : "";
+    return m_Requests->takesRequests() ? "" : "no routes yet";
   if (!m_Control->holdsLease(BootClock::now()))
     return "no lease from control";
   return "";
