Refuse requests of a route without services instead of ending the process

A route without any service ended the entry that a request for it reached, and with it all requests that were open there: pickService holds that the list is not empty. Control refuses such a table, and the entry trusted it; control of another version may send one.

The new scenario of StartTest.cpp ended by SIGABRT on the former code. The entry now answers 503 with Retry-After, as the request has not run, and serves its other routes.

--- a/apps/entry/src/Passed.cpp
+++ b/apps/entry/src/Passed.cpp
@@ -70,6 +70,9 @@
   const routes::Route *Route = Routes.find(Ask.m_Host, Ask.m_Path);
   if (Route == nullptr)
     return notRun(Refusal::UnknownPath, "routes.find");
+  // Control of another version may send it.
+  if (Route->m_Services.empty())
+    return notRun(Refusal::NoTarget, "routes.services");
   Passing->m_Route = *Route;
   // Its caller has part of the answer, and little of its time is left.
   const bool IsResumed = Route->m_Resumable && Ask.m_LastEventId > 0;
--- a/apps/entry/tests/StartTest.cpp
+++ b/apps/entry/tests/StartTest.cpp
@@ -30,4 +30,14 @@
   }
 }
 
+SCENARIO("a route without a service refuses its requests and ends no process") {
+  Shop At;
+  At.m_Fleet.mutable_routes()->mutable_routes(0)->clear_services();
+  At.open({answers(200, "done")});
+  const Answered Got = At.ask("GET", "/stock/7");
+  CHECK(Got.m_Status == 503);
+  CHECK_FALSE(http::field(Got.m_Fields, "Retry-After").empty());
+  CHECK(At.ask("GET", "/book/7").m_Status == 200);
+}
+
 } // namespace wasabivale::entry::test
