Press entries late in their stops, and new processes, in the fault soak

LOST also covers a kept connection that ends without an answer where nobody has asked the entry to stop.

--- a/tools/fault-soak/src/Judge.cpp
+++ b/tools/fault-soak/src/Judge.cpp
@@ -155,6 +155,25 @@
   return Found->second.m_Sent.m_Entry;
 }
 
+void Judge::countWhen(const Sent &Request, TimePoint BeganAt) {
+  constexpr std::chrono::milliseconds LateFrom{3'500};
+  constexpr std::chrono::milliseconds LateTo{6'000};
+  constexpr std::chrono::milliseconds Young{1'000};
+  const auto Start = m_Starts.find(Request.m_Entry);
+  const bool IsYoung = Start != m_Starts.end() &&
+                       Request.m_SentAt >= Start->second &&
+                       Request.m_SentAt < Start->second + Young;
+  m_Counts.m_RunsAtStart += IsYoung ? 1 : 0;
+  const auto Stop = stopBefore(Request.m_Entry, BeganAt);
+  if (!Stop || Request.m_SentAt <= *Stop)
+    return;
+  ++m_Counts.m_RunsWhileStopping;
+  const bool IsOfNext = Start != m_Starts.end() && Start->second > *Stop;
+  const Duration After = Request.m_SentAt - *Stop;
+  m_Counts.m_RunsLate +=
+      !IsOfNext && After >= LateFrom && After < LateTo ? 1 : 0;
+}
+
 std::size_t Judge::began(const std::string &Id, Run Started) {
   ++m_Counts.m_Runs;
   const auto Found = m_Requests.find(Id);
@@ -165,9 +184,7 @@
     return 0;
   }
   Record &Request = Found->second;
-  if (const auto Stop = stopBefore(Request.m_Sent.m_Entry, Started.m_BeganAt);
-      Stop && Request.m_Sent.m_SentAt > *Stop)
-    ++m_Counts.m_RunsWhileStopping;
+  countWhen(Request.m_Sent, Started.m_BeganAt);
   Request.m_Runs.push_back(std::move(Started));
   const Run &Newest = Request.m_Runs.back();
   const bool IsOnce = !isRepeatable(Request.m_Sent.m_Kind);
@@ -241,8 +258,9 @@
       wasDisturbed(Part::Observer, 0, Call.m_SentAt, EndAt))
     return;
   if (Request.m_Runs.empty()) {
-    if (Stop && Call.m_OnKeptConnection && EndAt - Call.m_SentAt > ReadSlack)
-      report("LOST", Request, "read, not passed on and not answered", EndAt);
+    // Without a SIGTERM, an entry closes no connection that is in use.
+    if (Call.m_OnKeptConnection && (!Stop || EndAt - Call.m_SentAt > ReadSlack))
+      report("LOST", Request, "not passed on and not answered", EndAt);
     return;
   }
   for (const Run &Attempt : Request.m_Runs)
@@ -402,6 +420,8 @@
   m_Stops[Entry].push_back(Now);
 }
 
+void Judge::started(unsigned Entry, TimePoint Now) { m_Starts[Entry] = Now; }
+
 void Judge::leaveAcknowledged(unsigned Target, TimePoint Now) {
   m_Leaves.emplace(Target, Now);
 }
--- a/tools/fault-soak/src/Judge.h
+++ b/tools/fault-soak/src/Judge.h
@@ -134,6 +134,8 @@
   /// \p Until may lie ahead.
   void disturbed(Part Kind, unsigned Number, TimePoint Start, TimePoint Until);
   void stopAsked(unsigned Entry, TimePoint Now);
+  /// A process of the entry was started.
+  void started(unsigned Entry, TimePoint Now);
   /// Control has acknowledged that a target drains or is gone.
   void leaveAcknowledged(unsigned Target, TimePoint Now);
   /// Another process serves at the target's address.
@@ -166,6 +168,10 @@
     std::uint64_t m_Runs = 0;
     /// Runs of requests that were sent to an entry after its SIGTERM.
     std::uint64_t m_RunsWhileStopping = 0;
+    /// Of those, runs of requests sent 3.5 to 6 s after it.
+    std::uint64_t m_RunsLate = 0;
+    /// Runs of requests sent in the first second of a process.
+    std::uint64_t m_RunsAtStart = 0;
     /// Requests to entries that were cut off for a while, and to the others at
     /// that time.
     std::uint64_t m_SentAtCut = 0;
@@ -201,6 +207,7 @@
   /// Versions of the routes that may decide about a request.
   [[nodiscard]] std::uint64_t leastVersion(const Sent &Request,
                                            TimePoint Until) const;
+  void countWhen(const Sent &Request, TimePoint BeganAt);
   void checkRoute(const Record &Request, const Run &Started);
   void checkDrain(const Record &Request, const Run &Started);
   void checkLost(const Record &Request);
@@ -217,6 +224,7 @@
            std::vector<std::pair<TimePoint, TimePoint>>>
       m_Disturbances;
   std::map<unsigned, std::vector<TimePoint>> m_Stops;
+  std::map<unsigned, TimePoint> m_Starts; ///< Of the last processes.
   std::map<unsigned, TimePoint> m_Leaves;
   std::map<std::uint64_t, Routes> m_Routes;
   std::map<std::uint64_t, TimePoint> m_Acknowledged;
--- a/tools/fault-soak/src/Main.cpp
+++ b/tools/fault-soak/src/Main.cpp
@@ -41,8 +41,10 @@
       "as --versions, and upgrade targets while an entry is paused")(
       "stops", po::bool_switch(&Wanted.m_Shape.m_Stops),
       "only stop entries one after the other, beside reloads and changes")(
-      "other-build", po::value(&OtherFolder),
-      "checkout of another build, which some of the starts use")(
+      "late", po::bool_switch(&Wanted.m_Shape.m_Late),
+      "as --stops, and press entries 3.5 to 6 s after their SIGTERM and new "
+      "processes")("other-build", po::value(&OtherFolder),
+                   "checkout of another build, which some of the starts use")(
       "other-share",
       po::value(&Wanted.m_OtherShare)->default_value(Wanted.m_OtherShare),
       "how many of 100 starts do")("keep-logs",
@@ -73,6 +75,7 @@
       return 2;
     }
   }
+  Wanted.m_Shape.m_Stops |= Wanted.m_Shape.m_Late;
   Wanted.m_Shape.m_Length = std::chrono::seconds(Seconds);
   Wanted.m_ChecksVersions |= Wanted.m_Shape.m_Releases;
   Wanted.m_Shape.m_Upgrades = Wanted.m_ChecksVersions;
--- a/tools/fault-soak/src/Schedule.cpp
+++ b/tools/fault-soak/src/Schedule.cpp
@@ -117,7 +117,7 @@
               const Shape &Size) {
   constexpr Span Between{250, 1'250};
   constexpr Span Downtime{50, 600};
-  constexpr Span InStop{0, 4'000};
+  const Span InStop = Size.m_Late ? Span{2'500, 7'000} : Span{0, 4'000};
   const auto Add = [&](milliseconds Offset, Fault Kind, unsigned Machine,
                        milliseconds Length) {
     Step Next;
--- a/tools/fault-soak/src/Schedule.h
+++ b/tools/fault-soak/src/Schedule.h
@@ -58,6 +58,9 @@
   /// reloads and changes of the configuration; no other faults are drawn, as
   /// they excuse what they touch.
   bool m_Stops = false;
+  /// With `m_Stops`: reloads, changes and further SIGTERMs come late in a stop
+  /// and as the next process starts.
+  bool m_Late = false;
   /// Processes are stopped and started more often.
   bool m_HasTwoBuilds = false;
 };
--- a/tools/fault-soak/src/Soak.cpp
+++ b/tools/fault-soak/src/Soak.cpp
@@ -1,6 +1,7 @@
 #include "Soak.h"
 
 #include "Callers.h"
+#include "LateCallers.h"
 #include "Links.h"
 #include "Operator.h"
 #include "Targets.h"
@@ -95,6 +96,7 @@
   std::unique_ptr<Operator> m_Operator;
   std::unique_ptr<Balancer> m_Balancer;
   std::vector<std::unique_ptr<Caller>> m_Callers;
+  std::vector<std::vector<std::unique_ptr<LateCaller>>> m_LateCallers;
   std::unique_ptr<http::Timer> m_Turn;
   std::function<bool()> m_IsDone;
   std::ofstream m_Log;
@@ -145,6 +147,14 @@
   for (unsigned I = 0; I < Callers; ++I)
     m_Callers.push_back(std::make_unique<Caller>(m_Loop, m_Judge, *m_Balancer,
                                                  m_Fronts, I, m_Seed));
+  for (unsigned Entry = 0;
+       m_Options.m_Shape.m_Late && Entry < m_Options.m_Shape.m_Entries;
+       ++Entry) {
+    auto &Late = m_LateCallers.emplace_back();
+    for (unsigned I = 0; I < m_Options.m_LateCallersOfEntry; ++I)
+      Late.push_back(std::make_unique<LateCaller>(
+          m_Loop, m_Judge, m_Fronts[Entry], Entry, I, m_Seed));
+  }
   m_Turn = std::make_unique<http::Timer>(m_Loop, TurnInterval, true,
                                          [this] { turn(); });
 }
@@ -158,6 +168,7 @@
   event_base_loopexit(m_Loop, &Tick);
   event_base_dispatch(m_Loop);
   m_Callers.clear();
+  m_LateCallers.clear();
   m_Targets.reset();
   m_Links.reset();
   m_Operator.reset();
@@ -271,9 +282,10 @@
     Subject.m_IsEnding = Subject.m_IsPaused = false;
     Subject.m_End = ProcessEnd{};
     Subject.m_End.m_StartedAt = Now;
-    if (IsEntry)
+    if (IsEntry) {
       m_Judge.disturbed(Part::Start, Number, Now, Now);
-    else
+      m_Judge.started(Number, Now);
+    } else
       m_Judge.disturbed(Part::Core, 0, Now, Now);
     return;
   }
@@ -314,6 +326,9 @@
     Subject.m_End.m_WasPausedInStop = Subject.m_IsPaused;
     if (IsEntry) {
       m_Judge.stopAsked(Planned.m_Machine, Now);
+      if (m_Options.m_Shape.m_Late)
+        for (const auto &Client : m_LateCallers[Planned.m_Machine])
+          Client->stopAsked(Now);
       m_Judge.disturbed(Part::Start, Planned.m_Machine, Now, Now + Grace);
     } else {
       m_Judge.disturbed(Part::Core, 0, Now, Now);
@@ -451,9 +466,13 @@
   m_Targets->turn(Now);
   m_Operator->turn(Now);
   m_Balancer->turn(Now);
-  if (m_IsSending)
+  if (m_IsSending) {
     for (const auto &Client : m_Callers)
       Client->turn(Now);
+    for (const auto &Callers : m_LateCallers)
+      for (const auto &Client : Callers)
+        Client->turn(Now);
+  }
   if (Now >= m_CheckStart)
     m_Judge.checkService(Now);
   report();
@@ -504,9 +523,15 @@
   m_CheckStart = TimePoint::max();
   runUntil(
       [&] {
-        return std::none_of(
-            m_Callers.begin(), m_Callers.end(),
-            [](const auto &Client) { return Client->isWaiting(); });
+        const auto IsWaiting = [](const auto &Client) {
+          return Client->isWaiting();
+        };
+        return std::none_of(m_Callers.begin(), m_Callers.end(), IsWaiting) &&
+               std::none_of(m_LateCallers.begin(), m_LateCallers.end(),
+                            [&](const auto &Callers) {
+                              return std::any_of(Callers.begin(), Callers.end(),
+                                                 IsWaiting);
+                            });
       },
       SettlePatience);
   m_Judge.checkCuts(BootClock::now());
@@ -515,13 +540,14 @@
   report();
   const Judge::Counts &Seen = m_Judge.counts();
   fmt::print("seed={} faults={} sent={} served={} refused={} failed={} "
-             "broken={} runs={} runs_while_stopping={} served_at_cut={}/{} "
+             "broken={} runs={} runs_while_stopping={} runs_late={} "
+             "runs_at_start={} served_at_cut={}/{} "
              "served_at_others={}/{} pauses={} violations={}\n",
              m_Seed, Steps.size(), Seen.m_Sent, Seen.m_Served, Seen.m_Refused,
              Seen.m_Failed, Seen.m_Broken, Seen.m_Runs,
-             Seen.m_RunsWhileStopping, Seen.m_ServedAtCut, Seen.m_SentAtCut,
-             Seen.m_ServedAtOthers, Seen.m_SentAtOthers, m_Pauses,
-             m_Violations);
+             Seen.m_RunsWhileStopping, Seen.m_RunsLate, Seen.m_RunsAtStart,
+             Seen.m_ServedAtCut, Seen.m_SentAtCut, Seen.m_ServedAtOthers,
+             Seen.m_SentAtOthers, m_Pauses, m_Violations);
   std::fflush(stdout);
   return m_Violations;
 }
--- a/tools/fault-soak/tests/JudgeTest.cpp
+++ b/tools/fault-soak/tests/JudgeTest.cpp
@@ -188,6 +188,27 @@
       CHECK(Case.rules() == "LOST ");
     }
   }
+  GIVEN("requests to an entry that nobody has asked to stop") {
+    Story Case(Kind::Safe);
+    WHEN("a connection in use ends at once, without an answer") {
+      Case.send();
+      Case.cut(5ms);
+      CHECK(Case.rules() == "LOST ");
+    }
+    WHEN("its entry was killed") {
+      Case.m_Judge.disturbed(Part::Entry, 0, Case.m_Sent.m_SentAt,
+                             Case.m_Sent.m_SentAt);
+      Case.send();
+      Case.cut(5ms);
+      CHECK(Case.rules().empty());
+    }
+    WHEN("the connection was new") {
+      Case.m_Sent.m_OnKeptConnection = false;
+      Case.send();
+      Case.cut(5ms);
+      CHECK(Case.rules().empty());
+    }
+  }
   GIVEN("a stream") {
     Story Case(Kind::Stream);
     Case.send();
--- a/tools/fault-soak/tests/ScheduleTest.cpp
+++ b/tools/fault-soak/tests/ScheduleTest.cpp
@@ -1,4 +1,5 @@
 #include "Schedule.h"
+#include "LateCallers.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -126,6 +127,49 @@
   }
 }
 
+SCENARIO("late stops are pressed late, and beside reloads and changes") {
+  constexpr std::chrono::milliseconds LateFrom{2'500};
+  Shape Size;
+  Size.m_Length = std::chrono::minutes(5);
+  Size.m_Stops = Size.m_Late = true;
+  const std::vector<Step> Steps = makeSchedule(7, Size);
+  THEN("an entry's first reload comes late after its first SIGTERM") {
+    for (unsigned Entry = 0; Entry < Size.m_Entries; ++Entry) {
+      const auto First = [&](Fault Kind) {
+        return std::find_if(Steps.begin(), Steps.end(),
+                            [&](const Step &Planned) {
+                              return Planned.m_Fault == Kind &&
+                                     Planned.m_Machine == Entry;
+                            })
+            ->m_Offset;
+      };
+      CHECK(First(Fault::ReloadEntry) >= First(Fault::StopEntry) + LateFrom);
+      CHECK(First(Fault::StopAgain) >= First(Fault::StopEntry) + LateFrom);
+    }
+  }
+  THEN("its late callers press it from 4.2 s after the SIGTERM on at the "
+       "latest, until its next process has run for a while") {
+    constexpr std::chrono::milliseconds Closest{16};
+    constexpr std::chrono::milliseconds PressedAt{4'200};
+    constexpr std::chrono::milliseconds PressedUntil{7'700};
+    constexpr std::chrono::milliseconds CalmAt{8'700};
+    for (std::uint64_t Seed = 0; Seed < 50; ++Seed) {
+      LatePace Pace(Seed);
+      const TimePoint Stop{std::chrono::hours(1)};
+      CHECK(Pace.next(Stop, true) > Stop + Closest);
+      Pace.stopAsked(Stop);
+      const auto Gap = [&](std::chrono::milliseconds After, bool IsOpen) {
+        return Pace.next(Stop + After, IsOpen) - Stop - After;
+      };
+      CHECK(Gap(std::chrono::seconds(1), true) > Closest);
+      CHECK(Gap(std::chrono::seconds(3), false) <= Closest);
+      CHECK(Gap(PressedAt, true) <= Closest);
+      CHECK(Gap(PressedUntil, true) <= Closest);
+      CHECK(Gap(CalmAt, false) > Closest);
+    }
+  }
+}
+
 SCENARIO("each start of a process draws one of two builds") {
   constexpr unsigned Starts = 400;
   unsigned Others = 0;
