--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -22,8 +22,8 @@
 constexpr std::chrono::milliseconds VersionPatience{1500};
 /// Part of the former answers' weight that a further answer leaves to them.
 constexpr double OutputDecay = 0.95;
-/// Longest work for a caller that seems to have left, on a call that may be
-/// repeated: a closed connection may still be read from.
+/// Longest work for a caller that seems to have left: it may have closed its
+/// sending side only.
 constexpr std::chrono::milliseconds LeavePatience{250};
 /// Targets that a request could not be sent to, one after the other, before the
 /// fault is taken for this entry's own.
@@ -280,40 +280,32 @@
       m_Try->resume(Now);
     return;
   }
-  if (!outlivesCaller())
-    leave();
-}
-
-bool Serving::outlivesCaller() {
-  const bool IsSent = (m_Try != nullptr && m_Try->hasSent()) ||
-                      (m_Forward != nullptr && m_Forward->hasSent());
-  const std::string_view Reason = m_Caller->goneReason();
-  if (m_Asked.m_Stream || !IsSent ||
-      Reason == http::closeReasonName(http::CloseReason::ServerEnded))
-    return false;
-  // Ended, it would have run all the same, and nobody could repeat it. Its
-  // deadline ends it.
-  if (m_Asked.m_NotRepeatable)
-    return true;
-  // The entry that has forwarded a request has waited already.
-  if (m_Asked.m_Forwarded || Reason != "hangup")
-    return false;
+  if (!mayStillBeRead())
+    return leave();
   m_Leave = std::make_unique<http::Timer>(
       m_Shared.m_Loop, LeavePatience, false, [Weak = weak_from_this()] {
         const auto Self = Weak.lock();
         if (Self != nullptr && Self->m_Phase != Phase::Ended)
           Self->leave();
       });
-  return true;
+}
+
+bool Serving::mayStillBeRead() const {
+  // A prefill or a forward may have its run still before it.
+  return !m_Asked.m_Stream && m_Asked.isService() && !m_Asked.m_Forwarded &&
+         m_Try != nullptr && m_Try->hasSent() &&
+         m_Caller->goneReason() == "hangup";
 }
 
 void Serving::leave() {
   if (m_Phase == Phase::Queued)
     limits::abandon(m_Shared.m_Limits, m_Ticket, BootClock::now());
-  if (m_Try != nullptr || m_Forward != nullptr)
+  // While a target is probed, its try has ended and is not judged yet.
+  if (m_Try != nullptr || m_Forward != nullptr || m_Phase == Phase::Probing)
     m_MayHaveRun = true;
   if (m_KeyGranted)
     m_Shared.m_Ledger.release(m_Asked);
+  m_Shared.m_Metrics.m_Registry.refusals(Refusal::CallerLeft).add();
   Rejection Told;
   Told.m_Reason = Refusal::CallerLeft;
   Told.m_Outcome = outcomeSoFar();
--- a/apps/entry/src/Serving.h
+++ b/apps/entry/src/Serving.h
@@ -72,8 +72,9 @@
 private:
   void enter(Phase Next);
   void takeGone();
-  /// Whether the caller's leaving does not end the request yet.
-  [[nodiscard]] bool outlivesCaller();
+  /// Whether an answer may still reach a caller that seems to have left, and
+  /// its target may be at work on it already.
+  [[nodiscard]] bool mayStillBeRead() const;
   /// Ends the request of a caller that has left; one that still reads is told.
   void leave();
   void reserve();
--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -3,6 +3,7 @@
 #include "events/events.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <cstring>
 #include <event2/bufferevent.h>
 #include <optional>
@@ -85,6 +86,13 @@
 
 /// Bytes of the peer that wait unread make no difference.
 PeerState peerState(evutil_socket_t Socket) {
+  char Byte = 0;
+  const ssize_t Count =
+      recv(Socket, &Byte, sizeof(Byte), MSG_PEEK | MSG_DONTWAIT);
+  if (Count == 0)
+    return PeerState::Closed;
+  if (Count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
+    return PeerState::Lost;
   pollfd Asked{Socket, POLLRDHUP, 0};
   if (poll(&Asked, 1, 0) <= 0)
     return PeerState::Open;
@@ -281,9 +289,13 @@
   /// The server ends and takes the request with it.
   void detach() {
     forgetConnection();
-    noteGone(closeReasonName(CloseReason::ServerEnded));
-    if (m_Raw != nullptr)
-      release();
+    release();
+    if (std::exchange(m_Gone, true))
+      return;
+    m_GoneReason = closeReasonName(CloseReason::ServerEnded);
+    // It may end this exchange.
+    if (const auto Callback = std::exchange(m_OnGone, nullptr))
+      Callback();
   }
 
 private:
--- a/libs/store/include/store/store.h
+++ b/libs/store/include/store/store.h
@@ -23,9 +23,8 @@
 /// - The last write to the newest log file is truncated at open if a power loss
 ///   left it incomplete: cut, or with zeros in place of what was not written.
 ///   It was never acknowledged.
-/// - Log files that the snapshot covers are ignored and removed at open,
-/// whether
-///   all of them are there or not.
+/// - Log files that the snapshot covers are ignored and removed at open; some
+///   of them may be missing.
 /// - Any other corruption is an error at open that names file and offset.
 /// - A folder of another cluster or member is an error, and so is one whose
 ///   identity file was copied or restored from a backup (its inode differs):
--- a/libs/store/src/Codec.cpp
+++ b/libs/store/src/Codec.cpp
@@ -112,14 +112,18 @@
 
 /// Whether a part of the file from byte \p Start on, at which an invalid record
 /// begins, was not written, and reads as zeros: the end of the file, a sector,
-/// or the part of the first sector that the write would have filled.
+/// or the part of the first sector that the write would have filled. With a
+/// valid header only the record itself counts.
 bool hasUnwrittenPart(std::string_view File, std::size_t Start,
                       const RecordFront &Front) {
+  const bool IsLast =
+      isZero(File.substr(std::min(File.size(), Start + Front.size())));
+  if (Front.m_HeaderIsValid)
+    File = File.substr(0, Start + Front.size());
   const std::string_view Bytes = File.substr(Start);
   if (isZero(Bytes.substr(Bytes.size() - std::min(Bytes.size(), NumberBytes))))
     return true;
-  if (Front.m_HeaderIsValid && Front.size() <= Bytes.size() &&
-      isZero(Bytes.substr(Front.size()))) {
+  if (Front.m_HeaderIsValid && Front.size() <= Bytes.size() && IsLast) {
     const std::string_view Payload =
         Bytes.substr(RecordHeaderBytes, Front.m_PayloadBytes);
     if (isCutNumber(Bytes.substr(Front.size() - NumberBytes, NumberBytes),
