Add customers, scaling bounds and machine speeds to the messages

Cause: configurations of two new deployments name customers with keys, bounds of the targets that may be ordered and prices, and targets tell how long work takes on their machine at the moment. Nothing here read them: keys were passed on to targets, and a load with a fourth figure was dropped whole.

Change: routes::Table holds customers by digests of their keys, each route says whether it takes anonymous requests, and services may have scaling bounds; two customers that share a key make a configuration invalid. A plain request without a key, or with one that nobody holds, gets 401 where the routes check keys; its target is told the customer and sees neither the key nor a customer that the caller names.

--- a/apps/entry/src/Arrival.h
+++ b/apps/entry/src/Arrival.h
@@ -57,6 +57,9 @@
   /// takes long by itself before the rest.
   std::uint32_t m_Urgency = 0;
   std::uint32_t m_TokensPerEvent = 1;
+  /// Whether the routes require keys, and whose key it was; empty: of nobody.
+  bool m_ChecksKeys = false;
+  std::string m_Customer;
 
   /// Whether it goes before others of its rank.
   [[nodiscard]] bool isLarge() const {
--- a/apps/entry/src/Passed.cpp
+++ b/apps/entry/src/Passed.cpp
@@ -23,6 +23,28 @@
              : std::min(Request.m_ExpectedTokens, Request.m_MaxTokens);
 }
 
+/// Finds out whose request it is. A key that nobody holds is refused on every
+/// route, since a request that carries one must not run.
+std::optional<Rejection> readCustomer(const routes::Index &Routes,
+                                      Passed &Request) {
+  Request.m_ChecksKeys = Routes.table().m_ChecksKeys;
+  if (!Request.m_ChecksKeys)
+    return std::nullopt;
+  const std::optional<std::string> Key =
+      std::exchange(Request.m_Ask.m_Key, std::nullopt);
+  if (!Key && Request.m_Route.m_AllowsAnonymous)
+    return std::nullopt;
+  if (!Key)
+    return notRun(Refusal::MissingKey, "routes.customer");
+  const routes::Customer *Holder = Routes.findCustomer(*Key);
+  if (Holder == nullptr)
+    return notRun(Refusal::UnknownKey, "routes.customer");
+  Request.m_Customer = Holder->m_Name;
+  if (Holder->m_Rank)
+    Request.m_Route.m_Rank = *Holder->m_Rank;
+  return std::nullopt;
+}
+
 } // namespace
 
 std::uint64_t outputTokens(const Passed &Request, std::uint64_t Events) {
@@ -74,16 +96,18 @@
   if (Route->m_Services.empty())
     return notRun(Refusal::NoTarget, "routes.services");
   Passing->m_Route = *Route;
+  if (auto Refused = readCustomer(Routes, *Passing))
+    return std::move(*Refused);
   // Its caller has part of the answer, and little of its time is left.
   const bool IsResumed = Route->m_Resumable && Ask.m_LastEventId > 0;
   Passing->m_Urgency =
-      IsResumed ? 0 : urgencyOf(*Route, Ask.m_PromptTokens, Means);
+      IsResumed ? 0 : urgencyOf(Passing->m_Route, Ask.m_PromptTokens, Means);
   Arrival Result;
   Result.m_Id = {Ask.m_Id};
   Result.m_Api = Api::Passed;
   Result.m_Caller = {Route->m_Name};
   Result.m_Priority =
-      IsResumed ? routing::MaxPriority : priorityOf(Route->m_Rank);
+      IsResumed ? routing::MaxPriority : priorityOf(Passing->m_Route.m_Rank);
   Result.m_ArrivedAt = Now;
   Result.m_Deadline = Now + Route->m_Timeout;
   if (Ask.m_CallerTimeout)
--- a/apps/entry/src/Try.cpp
+++ b/apps/entry/src/Try.cpp
@@ -234,6 +234,8 @@
   With.m_PrefillOnly = PrefillOnly;
   With.m_EventsOnly = m_Plan.m_HasBegun && !PrefillOnly;
   With.m_FreshConnection = m_Plan.m_IsRetry;
+  With.m_ChecksKeys = What->m_ChecksKeys;
+  With.m_Customer = What->m_Customer;
   // KV memory that is handed over holds all of the prompt.
   if (m_Plan.m_FetchFrom && KvSource.empty())
     With.m_FetchFrom = http::printAddress(*m_Plan.m_FetchFrom);
--- a/libs/relay/include/relay/relay.h
+++ b/libs/relay/include/relay/relay.h
@@ -54,6 +54,9 @@
   /// Id of the attempt that brought the first event of a resumed stream; empty
   /// if not given.
   std::string m_FirstAttempt;
+  /// Key of a customer; unset if none was given, or not in the one way in which
+  /// keys are given.
+  std::optional<std::string> m_Key;
 
   bool operator==(const CallerRequest &) const = default;
 };
@@ -74,6 +77,10 @@
   /// Set for a request that may have been sent before: a kept connection could
   /// repeat the answer to that try, which has the same id.
   bool m_FreshConnection = false;
+  /// Set where requests need keys: the target is told the customer, if there is
+  /// one, and neither the key nor a customer that the caller names.
+  bool m_ChecksKeys = false;
+  std::string m_Customer;
 };
 
 /// Metadata in the head of a target's response, besides the status.
@@ -89,6 +96,9 @@
     std::uint32_t m_Running = 0;
     std::uint32_t m_Waiting = 0;
     std::uint32_t m_Slots = 0;
+    /// Time that work takes there now over the usual time, which changes many
+    /// times a second; unset if it is not told.
+    std::optional<double> m_Slowdown{};
   };
   std::optional<Load> m_Load;
   /// Requests a second that the target accepts from all entries together; unset
--- a/libs/routes/include/routes/routes.h
+++ b/libs/routes/include/routes/routes.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace wasabivale::routes {
@@ -55,6 +56,8 @@
   std::uint32_t m_MaxAttempts = 1;
   bool m_Resumable = false;
   std::vector<Share> m_Services; ///< Not empty.
+  /// Whether requests without a customer's key run as well.
+  bool m_AllowsAnonymous = false;
 
   /// Whether a request may be sent again after it may have run.
   [[nodiscard]] bool isRepeatable() const {
@@ -64,6 +67,20 @@
   bool operator==(const Route &) const = default;
 };
 
+/// Bounds and prices of the targets that may be ordered for a service.
+struct Scaling {
+  std::uint32_t m_Min = 0; ///< In each zone, as is the maximum.
+  std::uint32_t m_Max = 0;
+  /// From an order until a new target serves.
+  std::chrono::nanoseconds m_BootTime{0};
+  /// Price of a target that may be reclaimed, over that of another one; zero:
+  /// there are none.
+  double m_ReclaimablePrice = 0;
+  std::map<std::string, double> m_ZonePrices; ///< Of a target's second.
+
+  bool operator==(const Scaling &) const = default;
+};
+
 struct Service {
   std::string m_Name;
   /// Connections per target; zero: not reported.
@@ -76,10 +93,23 @@
   std::uint64_t m_KvBytesPerToken = 0; ///< Zero: not reported.
   /// Bits per second at which one engine sends KV memory; zero: not reported.
   std::uint64_t m_KvLinkRate = 0;
+  std::optional<Scaling> m_Scaling{}; ///< Unset: its targets are not ordered.
 
   bool operator==(const Service &) const = default;
 };
 
+/// Who may send requests, by keys. Only digests of the keys are kept.
+struct Customer {
+  std::string m_Name;
+  std::vector<std::string> m_KeyDigests; ///< See `keyDigest`.
+  std::optional<std::uint32_t> m_Rank;   ///< In place of the ranks of routes.
+
+  bool operator==(const Customer &) const = default;
+};
+
+/// Digest by which a key is looked up: 128 bits of BLAKE2b in hexadecimal.
+std::string keyDigest(std::string_view Key);
+
 /// Limits on requests from callers.
 struct CallerLimits {
   std::uint64_t m_HeaderBytes = 16U << 10U;
@@ -95,6 +125,10 @@
   std::vector<Route> m_Routes;
   std::map<std::string, Service> m_Services;
   CallerLimits m_Limits;
+  /// Whether requests need the key of a customer, but for routes that allow
+  /// anonymous ones.
+  bool m_ChecksKeys = false;
+  std::vector<Customer> m_Customers;
 
   bool operator==(const Table &) const = default;
 };
@@ -102,7 +136,7 @@
 /// Validates a table. \returns a message that says why the table is invalid, or
 /// an empty string. Invalid are a version of zero, a route without services or
 /// with an undefined service, two routes with the same host and prefix, weights
-/// with a sum of zero, and a missing timeout.
+/// with a sum of zero, a missing timeout, and two customers with the same key.
 std::string checkTable(const Table &RouteTable);
 
 /// Looks up routes by host and path in logarithmic time.
@@ -116,9 +150,12 @@
   /// port in \p Host and the case of letters.
   [[nodiscard]] const Route *find(std::string_view Host,
                                   std::string_view Path) const;
+  /// Returns the customer whose key this is, or null.
+  [[nodiscard]] const Customer *findCustomer(std::string_view Key) const;
 
 private:
   Table m_Table;
+  std::unordered_map<std::string, std::size_t> m_ByKeyDigest;
   std::map<std::string, std::map<std::string, std::size_t>, std::less<>>
       m_ByHost;
 };
--- a/libs/routes/src/Codec.cpp
+++ b/libs/routes/src/Codec.cpp
@@ -20,6 +20,7 @@
   Message.set_rank(RouteEntry.m_Rank);
   Message.set_max_attempts(RouteEntry.m_MaxAttempts);
   Message.set_resumable(RouteEntry.m_Resumable);
+  Message.set_allow_anonymous(RouteEntry.m_AllowsAnonymous);
   for (const Share &ServiceShare : RouteEntry.m_Services) {
     wire::ServiceShare &ShareMessage = *Message.add_services();
     ShareMessage.set_service(ServiceShare.m_Service);
@@ -41,12 +42,56 @@
   RouteEntry.m_Rank = Message.rank();
   RouteEntry.m_MaxAttempts = Message.max_attempts();
   RouteEntry.m_Resumable = Message.resumable();
+  RouteEntry.m_AllowsAnonymous = Message.allow_anonymous();
   for (const wire::ServiceShare &ShareMessage : Message.services())
     RouteEntry.m_Services.push_back(
         {ShareMessage.service(), ShareMessage.weight()});
   return RouteEntry;
 }
 
+void writeScaling(const Scaling &Bounds, wire::ServiceScaling &Message) {
+  Message.set_min(Bounds.m_Min);
+  Message.set_max(Bounds.m_Max);
+  Message.set_boot_ns(toNanoseconds(Bounds.m_BootTime));
+  Message.set_reclaimable_price(Bounds.m_ReclaimablePrice);
+  for (const auto &[Zone, Price] : Bounds.m_ZonePrices) {
+    wire::ZonePrice &PriceMessage = *Message.add_zone_prices();
+    PriceMessage.set_zone(Zone);
+    PriceMessage.set_price(Price);
+  }
+}
+
+Scaling readScaling(const wire::ServiceScaling &Message) {
+  Scaling Bounds;
+  Bounds.m_Min = Message.min();
+  Bounds.m_Max = Message.max();
+  Bounds.m_BootTime = std::chrono::nanoseconds(Message.boot_ns());
+  Bounds.m_ReclaimablePrice = Message.reclaimable_price();
+  for (const wire::ZonePrice &PriceMessage : Message.zone_prices())
+    Bounds.m_ZonePrices[PriceMessage.zone()] = PriceMessage.price();
+  return Bounds;
+}
+
+wire::Customer toWire(const Customer &Holder) {
+  wire::Customer Message;
+  Message.set_name(Holder.m_Name);
+  for (const std::string &Digest : Holder.m_KeyDigests)
+    Message.add_key_digests(Digest);
+  if (Holder.m_Rank)
+    Message.set_rank(*Holder.m_Rank);
+  return Message;
+}
+
+Customer fromWire(const wire::Customer &Message) {
+  Customer Holder;
+  Holder.m_Name = Message.name();
+  Holder.m_KeyDigests.assign(Message.key_digests().begin(),
+                             Message.key_digests().end());
+  if (Message.has_rank())
+    Holder.m_Rank = Message.rank();
+  return Holder;
+}
+
 } // namespace
 
 wire::RouteTable toWire(const Table &RouteTable) {
@@ -64,7 +109,12 @@
     ServiceMessage.set_tokens_per_event(ServiceEntry.m_TokensPerEvent);
     ServiceMessage.set_kv_bytes_per_token(ServiceEntry.m_KvBytesPerToken);
     ServiceMessage.set_kv_link_bits_per_second(ServiceEntry.m_KvLinkRate);
+    if (ServiceEntry.m_Scaling)
+      writeScaling(*ServiceEntry.m_Scaling, *ServiceMessage.mutable_scaling());
   }
+  Message.set_checks_keys(RouteTable.m_ChecksKeys);
+  for (const Customer &Holder : RouteTable.m_Customers)
+    *Message.add_customers() = toWire(Holder);
   Message.set_header_bytes(RouteTable.m_Limits.m_HeaderBytes);
   Message.set_body_bytes(RouteTable.m_Limits.m_BodyBytes);
   Message.set_header_timeout_ns(
@@ -87,7 +137,13 @@
         ServiceMessage.health_path(),
         ServiceMessage.tokens_per_event(),
         ServiceMessage.kv_bytes_per_token(),
-        ServiceMessage.kv_link_bits_per_second()};
+        ServiceMessage.kv_link_bits_per_second(),
+        ServiceMessage.has_scaling()
+            ? std::optional(readScaling(ServiceMessage.scaling()))
+            : std::nullopt};
+  RouteTable.m_ChecksKeys = Message.checks_keys();
+  for (const wire::Customer &CustomerMessage : Message.customers())
+    RouteTable.m_Customers.push_back(fromWire(CustomerMessage));
   RouteTable.m_Limits.m_HeaderBytes = Message.header_bytes();
   RouteTable.m_Limits.m_BodyBytes = Message.body_bytes();
   RouteTable.m_Limits.m_HeaderTimeout =
--- a/libs/routes/src/Table.cpp
+++ b/libs/routes/src/Table.cpp
@@ -42,6 +42,19 @@
   return "";
 }
 
+/// The message names customers only: keys and their digests stay out of logs.
+std::string checkCustomers(const Table &RouteTable) {
+  std::unordered_map<std::string_view, const Customer *> Holders;
+  for (const Customer &Holder : RouteTable.m_Customers)
+    for (const std::string &Digest : Holder.m_KeyDigests) {
+      const auto [Found, IsNew] = Holders.try_emplace(Digest, &Holder);
+      if (!IsNew && Found->second != &Holder)
+        return "customers " + Found->second->m_Name + " and " + Holder.m_Name +
+               " share a key";
+    }
+  return "";
+}
+
 std::string normalizeHost(std::string_view HostAndPort) {
   std::string Host(HostAndPort.substr(0, HostAndPort.find(':')));
   std::transform(Host.begin(), Host.end(), Host.begin(), [](unsigned char C) {
@@ -78,7 +91,12 @@
       return "route " + RouteEntry.m_Name +
              ": another route has the same host and path prefix";
   }
-  return "";
+  return checkCustomers(RouteTable);
+}
+
+std::string keyDigest(std::string_view Key) {
+  constexpr std::size_t DigestLetters = 32;
+  return digestHex(Key).substr(0, DigestLetters);
 }
 
 Index::Index(Table RouteTable) : m_Table(std::move(RouteTable)) {
@@ -86,6 +104,15 @@
     const Route &RouteEntry = m_Table.m_Routes[I];
     m_ByHost[normalizeHost(RouteEntry.m_Host)][RouteEntry.m_PathPrefix] = I;
   }
+  for (std::size_t I = 0; I < m_Table.m_Customers.size(); ++I)
+    for (const std::string &Digest : m_Table.m_Customers[I].m_KeyDigests)
+      m_ByKeyDigest.emplace(Digest, I);
+}
+
+const Customer *Index::findCustomer(std::string_view Key) const {
+  const auto Found = m_ByKeyDigest.find(keyDigest(Key));
+  return Found == m_ByKeyDigest.end() ? nullptr
+                                      : &m_Table.m_Customers[Found->second];
 }
 
 const Route *Index::find(std::string_view Host, std::string_view Path) const {
