Accept customers' keys for a bounded time after control confirmed them

Cause: a key that a configuration has taken away must run nowhere later than a bound after its acknowledgement, also at an entry that is partitioned from control and has not heard of it. Entries kept the routes that they knew.

Change: libs/revocation decides. An entry is confirmed at the moment at which it sent a report, once a grant names committed routes that it has applied; it accepts keys for 0.9 of the bound after that, by a clock that counts suspensions, and refuses later requests with keys (503, not run). Anonymous callers are served on. Only where the settings have routes.revoke_within_ms, which the template writes for deployments with strict revocation. The test of the templates checks what is always written as before, and what only some deployments get.

--- a/apps/entry/src/Context.h
+++ b/apps/entry/src/Context.h
@@ -19,6 +19,7 @@
 #include "limits/limits.h"
 #include "relay/relay.h"
 #include "retries/retries.h"
+#include "revocation/revocation.h"
 #include "routing/routing.h"
 #include "shutdown/shutdown.h"
 
@@ -82,6 +83,7 @@
   RateLimits m_RateLimits{m_Fleet, m_Routing};
   StreamVersions m_StreamVersions{m_Loop, m_Fleet, m_Metrics};
   ForwardPeers m_ForwardPeers;
+  revocation::State m_Revocation; ///< Of customers' keys.
   std::map<std::string, ModelUse> m_Models; ///< By model; not services.
   /// Set once the process was asked to stop.
   std::optional<shutdown::Schedule> m_StopSchedule;
--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -54,6 +54,24 @@
           std::max(1.0, By.m_Running * Share)};
 }
 
+/// Whether a request was judged by customers' keys, and so by a configuration
+/// that may be out of date.
+bool dependsOnKeys(const std::variant<Arrival, Rejection> &Read) {
+  if (const auto *Why = std::get_if<Rejection>(&Read))
+    return Why->m_Reason == Refusal::UnknownKey;
+  return !std::get<Arrival>(Read).m_Passed->m_Customer.empty();
+}
+
+/// Control answers reports within this time once it is reached again.
+constexpr std::chrono::milliseconds KeysRetryAfter{500};
+
+Rejection keysNotConfirmed() {
+  Rejection Why = notRun(Refusal::NoConfiguration, "routes.customer",
+                         "control has not confirmed the customers' keys");
+  Why.m_RetryAfter = KeysRetryAfter;
+  return Why;
+}
+
 Rejection starting() { return notRun(Refusal::NoConfiguration, "start"); }
 
 Rejection stopping() {
@@ -125,6 +143,7 @@
     m_Shared.m_Retries.m_Settings.m_CallerShare =
         Settings.m_Routes->m_RetryShare;
     m_Shared.m_Retries.m_Settings.m_TargetShare = 1;
+    m_Shared.m_Revocation.m_Bound = Settings.m_Routes->m_RevokeWithin;
   }
   m_Shared.m_Routing.m_Settings.m_Zone = Settings.m_Zone;
   m_Shared.m_Routing.m_Settings.m_Region = Settings.m_Region;
@@ -191,6 +210,9 @@
     return refusePassed(*Arrived, {}, starting());
   auto Read = readPassed(Arrived->request(), m_Shared.m_Routes,
                          *m_Shared.m_Dialect, m_Shared.m_MeanPrompts, Now);
+  if (dependsOnKeys(Read) &&
+      !revocation::acceptsKeys(m_Shared.m_Revocation, Now))
+    return refusePassed(*Arrived, {}, keysNotConfirmed());
   if (const auto *Why = std::get_if<Rejection>(&Read))
     return refusePassed(*Arrived, {}, *Why);
   Arrival &Asked = std::get<Arrival>(Read);
@@ -225,6 +247,9 @@
   auto Read =
       readPassed(Arrived->request(), m_Shared.m_Routes, *m_Shared.m_Dialect,
                  m_Shared.m_MeanPrompts, Now, valueOf(Origin));
+  if (dependsOnKeys(Read) &&
+      !revocation::acceptsKeys(m_Shared.m_Revocation, Now))
+    return Refuse(keysNotConfirmed());
   if (const auto *Why = std::get_if<Rejection>(&Read))
     return Refuse(*Why);
   if (m_RefusesAll)
@@ -614,12 +639,14 @@
       m_Shared.m_Retries.m_Settings.m_MaxTokens = std::max(
           1.0, Routes->m_RetryReserve * RetryReserveUsed / Grant.entries());
   }
-  m_Shared.m_Suspects.takeGrant(Grant, Now);
-  m_Shared.m_Traits.takeGrant(
-      Grant,
+  const TimePoint ReportSentAt =
       LeaseEnd -
-          std::chrono::nanoseconds(static_cast<std::int64_t>(Grant.lease_ns())),
-      Now);
+      std::chrono::nanoseconds(static_cast<std::int64_t>(Grant.lease_ns()));
+  revocation::recordGrant(m_Shared.m_Revocation,
+                          {ReportSentAt, Grant.routes_version()},
+                          m_Shared.m_Routes.table().m_Version);
+  m_Shared.m_Suspects.takeGrant(Grant, Now);
+  m_Shared.m_Traits.takeGrant(Grant, ReportSentAt, Now);
   m_Shared.m_RateLimits.takeGrant(Grant, Now);
   m_Shared.m_ForwardPeers.takeGrant(Grant, Now);
   pumpSoon();
--- a/apps/entry/src/EntrySettings.cpp
+++ b/apps/entry/src/EntrySettings.cpp
@@ -63,7 +63,9 @@
           "forward_listen": {"$ref": "#/definitions/address"},
           "retry_share": {"type": "number", "minimum": 0, "maximum": 1},
           "retry_reserve": {"type": "number", "minimum": 0,
-                            "maximum": 1000000}}},
+                            "maximum": 1000000},
+          "revoke_within_ms": {"type": "integer", "minimum": 100,
+                               "maximum": 3600000}}},
       "stop_within_s": {"type": "number", "minimum": 1, "maximum": 3600},
       "stop_lag_ms": {"type": "integer", "minimum": 0, "maximum": 60000},
       "targets": {"type": "object", "additionalProperties": false,
@@ -130,6 +132,9 @@
   }
   Made.m_RetryShare = From.value("retry_share", Made.m_RetryShare);
   Made.m_RetryReserve = From.value("retry_reserve", Made.m_RetryReserve);
+  if (From.contains("revoke_within_ms"))
+    Made.m_RevokeWithin =
+        std::chrono::milliseconds(From["revoke_within_ms"].get<std::int64_t>());
   To.m_Routes = Made;
   return std::monostate{};
 }
--- a/apps/entry/src/EntrySettings.h
+++ b/apps/entry/src/EntrySettings.h
@@ -26,6 +26,9 @@
   double m_RetryShare = 0.2;
   /// Retries that the whole fleet may make beside that share, at once.
   double m_RetryReserve = 10;
+  /// Longest time for which a customer's key is accepted after control has
+  /// acknowledged its removal; unset: until this entry hears of it.
+  std::optional<std::chrono::milliseconds> m_RevokeWithin;
   /// Age of a load that comes with an answer.
   std::chrono::milliseconds m_ReportLag{10};
 };
--- a/apps/entry/tests/EntrySettingsTest.cpp
+++ b/apps/entry/tests/EntrySettingsTest.cpp
@@ -26,15 +26,26 @@
   return valueOf(Read).m_Routes->m_ForwardListen;
 }
 
-std::set<std::string> keysOfTemplate(const std::string &Program) {
+/// \param Conditional those of sections that only some deployments render, or
+/// all others.
+std::set<std::string> keysOfTemplate(const std::string &Program,
+                                     bool Conditional) {
   std::ifstream File(WASABIVALE_SOURCE_DIR "/deploy/" + Program + ".json");
-  std::ostringstream Text;
-  Text << File.rdbuf();
-  const std::string Template = Text.str();
+  std::ostringstream Read;
+  Read << File.rdbuf();
+  const std::regex Section("\\{\\{#([^}]*)\\}\\}([\\s\\S]*?)\\{\\{/\\1\\}\\}");
+  const std::string Whole = Read.str();
+  std::string Text;
+  if (Conditional)
+    for (std::sregex_iterator It(Whole.begin(), Whole.end(), Section), End;
+         It != End; ++It)
+      Text += (*It)[2];
+  else
+    Text = std::regex_replace(Whole, Section, "");
   const std::regex Key("\"([a-z_]+)\":");
   std::set<std::string> Keys;
-  for (std::sregex_iterator It(Template.begin(), Template.end(), Key), End;
-       It != End; ++It)
+  for (std::sregex_iterator It(Text.begin(), Text.end(), Key), End; It != End;
+       ++It)
     Keys.insert((*It)[1]);
   return Keys;
 }
@@ -65,15 +76,19 @@
 // Settings may change before or after the program, in both directions.
 SCENARIO("former versions read the templates of the settings") {
   THEN("the templates have only keys that all versions in service know") {
-    CHECK(keysOfTemplate("entry") ==
+    CHECK(keysOfTemplate("entry", false) ==
           std::set<std::string>{"admin", "discovery", "hub_port", "id",
                                 "listen", "readiness", "region",
                                 "retry_reserve", "retry_share", "routes",
                                 "seeds", "stop_within_s", "zone"});
-    CHECK(keysOfTemplate("control") ==
+    CHECK(keysOfTemplate("control", false) ==
           std::set<std::string>{"admin", "change_roles", "cluster_id",
                                 "data_folder", "discovery", "hub_port", "id",
                                 "listen", "losses", "may_form", "region",
                                 "registry", "seeds", "zone", "zones"});
   }
+  THEN("others are rendered for deployments that need this version only") {
+    CHECK(keysOfTemplate("entry", true) ==
+          std::set<std::string>{"revoke_within_ms"});
+  }
 }
--- a/apps/entry/tests/Shop.cpp
+++ b/apps/entry/tests/Shop.cpp
@@ -23,6 +23,8 @@
   const std::string Seen(http::field(Request.m_Fields, "Seen"));
   Result.m_LastEventId = Seen.empty() ? 0 : std::stoull(Seen);
   Result.m_FirstAttempt = http::field(Request.m_Fields, "First-Attempt");
+  if (const std::string Key(http::field(Request.m_Fields, "Key")); !Key.empty())
+    Result.m_Key = Key;
   const std::string Prompt(http::field(Request.m_Fields, "Prompt"));
   if (!Prompt.empty()) {
     Result.m_Model = "m";
@@ -44,6 +46,8 @@
   Fields.emplace_back("Only", Options.m_Target.m_Value);
   if (Options.m_LastEventId > 0)
     Fields.emplace_back("Seen", std::to_string(Options.m_LastEventId));
+  if (Options.m_ChecksKeys)
+    Fields.emplace_back("Customer", Options.m_Customer);
   if (Options.m_PrefillOnly)
     Fields.emplace_back("Prefill-Only", "1");
   if (!Options.m_KvSource.empty())
