Report the usage of customers and order targets, on the leader of control

Cause: a platform wants usage of each customer by windows of true time, and takes orders for the number of targets of a service; nobody held these duties, and 140 usual targets ran where reclaimable ones cost a fifth.

Change: libs/duties decides, without I/O or clock: counts at entries by a clock that does not follow jumps, windows that are closed once with what all processes have reported, and orders that replace usual targets by reclaimable ones one for one, never giving one up before its successor serves, and put usual ones in their place when those are taken away. The leader of control is the holder and its term the token; what is sent was committed before, and a new leader waits for the lease of the former one and its last calls. Engines that are about to be replaced get no other roles before the first request. Only where the settings have duties and services have scaling bounds.

--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -62,6 +62,7 @@
                           &Control::openOperators, &Control::openRegistry})
     if (Status Opened = (Self->*Open)(); failed(Opened))
       return errorOf(Opened);
+  Instance->openDuties();
   Instance->m_Timer = std::make_unique<http::Timer>(Loop, TickInterval, true,
                                                     [Self] { Self->tick(); });
   return Instance;
@@ -166,6 +167,18 @@
   return listenToRegistry();
 }
 
+void Control::openDuties() {
+  if (!m_Settings.m_Duties)
+    return;
+  PlatformDuties::LeaderHooks Hooks;
+  Hooks.m_MaySend = [this] { return maySendOrder(); };
+  Hooks.m_Propose = [this](const std::string &Key, wire::Command Command) {
+    proposeOnce(Key, std::move(Command));
+  };
+  m_Duties = std::make_unique<PlatformDuties>(
+      m_Loop, m_Registry, *m_Settings.m_Duties, std::move(Hooks));
+}
+
 Status Control::listenToRegistry() {
   auto Listening =
       http::listen(m_Loop, *m_Settings.m_RegistryListen, http::ServerLimits{},
@@ -313,6 +326,9 @@
     m_RoleOrders->startTerm(m_Replica->term(),
                             m_State.m_Fleet.m_Targets.m_HoldCount > 0,
                             m_LeaderSince);
+  if (m_Duties)
+    m_Duties->startTerm(m_Replica->term(), m_State.m_Fleet.m_Duties,
+                        m_LeaderSince);
   if (m_RegistryApi)
     m_RegistryApi->startTerm();
 }
@@ -322,6 +338,8 @@
   m_Sent.clear();
   if (m_RoleOrders)
     m_RoleOrders->endTerm();
+  if (m_Duties)
+    m_Duties->endTerm();
   if (m_RegistryApi)
     m_RegistryApi->endTerm();
 }
@@ -437,6 +455,9 @@
   control::handleReport(m_Roles, Report);
   if (m_RoleOrders)
     m_RoleOrders->handleReport(Sender, Report, Now);
+  if (m_Duties)
+    m_Duties->handleReport(Sender, Message.session(), Report,
+                           m_State.m_Fleet.m_Duties);
   for (fleet::Propose &Proposal : control::handleReport(
            m_Notices, Suspicion, Sender, Report, LeaseUntil, LogNow))
     proposeOnce(Proposal.m_Key, std::move(Proposal.m_Command));
@@ -456,6 +477,7 @@
   Grant.set_fleet_revision(m_State.m_Fleet.m_Targets.m_Revision);
   Grant.set_configuration_revision(m_State.m_Fleet.m_Configuration.m_Revision);
   Grant.set_routes_version(m_State.m_Fleet.m_Routes.m_Table.version());
+  Grant.set_usage_closed(m_State.m_Fleet.m_Duties.m_NewestClosed);
   adoptLimits(m_Shares, m_State.m_Fleet.m_Configuration);
   dropLostEntries(m_Shares, m_Observed);
   grantShares(m_Shares, Sender, Report, Now, LeaseUntil, MaxEntryLease, Grant);
@@ -651,6 +673,8 @@
   repairGroup(Now);
   if (m_RoleOrders)
     m_RoleOrders->tick(m_State.m_Fleet, m_Observed, m_SharedWork, Now);
+  if (m_Duties)
+    m_Duties->tick(m_State.m_Fleet, Now);
   if (m_RegistryApi) {
     m_RegistryApi->answerLeaving(Now);
     m_RegistryApi->expire(Now);
--- a/apps/control/src/Control.h
+++ b/apps/control/src/Control.h
@@ -9,6 +9,7 @@
 #include "ControlSettings.h"
 #include "Executor.h"
 #include "FleetUpdates.h"
+#include "PlatformDuties.h"
 #include "RoleOrders.h"
 #include "RolePlanner.h"
 #include "Shares.h"
@@ -79,6 +80,7 @@
   Status openReplica();
   Status openOperators();
   Status openRegistry();
+  void openDuties();
   Status listenToRegistry();
   /// Keeps connections to the group members, and to the seeds until this
   /// process is a member.
@@ -133,6 +135,7 @@
   std::unique_ptr<Executor> m_Executor;
   std::unique_ptr<http::Server> m_OperatorServer;
   std::unique_ptr<RoleOrders> m_RoleOrders;
+  std::unique_ptr<PlatformDuties> m_Duties;
   std::unique_ptr<RegistryApi> m_RegistryApi;
   std::unique_ptr<http::Server> m_RegistryServer;
   std::vector<NodeId> m_ConnectedMembers; ///< Members that the hub connects to.
--- a/apps/control/src/ControlSettings.cpp
+++ b/apps/control/src/ControlSettings.cpp
@@ -43,6 +43,14 @@
           "change_roles": {"type": "boolean"},
           "zones": {"type": "object",
                     "additionalProperties": {"type": "string"}}}},
+      "duties": {"type": "object", "additionalProperties": false,
+        "required": ["address", "holder", "names"],
+        "properties": {"address": {"$ref": "#/definitions/address"},
+          "holder": {"$ref": "#/definitions/name"},
+          "names": {"type": "array", "items": {"type": "string"}},
+          "lease_ms": {"type": "integer", "minimum": 0, "maximum": 3600000},
+          "usage_window_s": {"type": "number", "minimum": 0.1,
+                             "maximum": 86400}}},
       "members": {"type": "array", "minItems": 1, "maxItems": 7,
         "items": {"type": "object", "additionalProperties": false,
           "required": ["id", "address", "public_key", "operators"],
@@ -68,6 +76,27 @@
   Settings.m_Discovery = std::move(Discovery);
 }
 
+static Result<DutySettings> readDuties(const Json &Section) {
+  constexpr double MillisecondsPerSecond = 1000;
+  DutySettings Duties;
+  const auto Address =
+      http::parseAddress(Section["address"].get<std::string>());
+  if (failed(Address))
+    return errorOf(Address);
+  Duties.m_Address = valueOf(Address);
+  Duties.m_Holder = Section["holder"];
+  for (const Json &Name : Section["names"]) {
+    Duties.m_ReportsUsage = Duties.m_ReportsUsage || Name == "usage_report";
+    Duties.m_OrdersTargets = Duties.m_OrdersTargets || Name == "autoscale";
+  }
+  Duties.m_Lease = std::chrono::milliseconds(
+      Section.value("lease_ms", Duties.m_Lease.count()));
+  if (Section.contains("usage_window_s"))
+    Duties.m_UsageWindow = std::chrono::milliseconds(static_cast<std::int64_t>(
+        Section["usage_window_s"].get<double>() * MillisecondsPerSecond));
+  return Duties;
+}
+
 Result<ControlSettings> toControlSettings(const Json &Document) {
   ControlSettings Settings;
   Settings.m_Id = {Document["id"]};
@@ -115,6 +144,12 @@
     for (const auto &[Zone, Region] : Zones.items())
       Settings.m_Regions[{Zone}] = {Region.get<std::string>()};
   }
+  if (Document.contains("duties")) {
+    Result<DutySettings> Duties = readDuties(Document["duties"]);
+    if (failed(Duties))
+      return errorOf(Duties);
+    Settings.m_Duties = std::move(valueOf(Duties));
+  }
   return Settings;
 }
 
--- a/apps/control/src/ControlSettings.h
+++ b/apps/control/src/ControlSettings.h
@@ -28,6 +28,17 @@
   std::string m_OperatorsAddress; ///< For operators, `ip:port`.
 };
 
+/// Duties towards the platform; the leader of control holds them.
+struct DutySettings {
+  http::Address m_Address; ///< Of the platform's calls.
+  std::string m_Holder;    ///< Name that the calls carry.
+  bool m_ReportsUsage = false;
+  bool m_OrdersTargets = false;
+  /// Holders must not take turns within this time.
+  std::chrono::milliseconds m_Lease{3'000};
+  std::chrono::milliseconds m_UsageWindow{5'000};
+};
+
 struct ControlSettings {
   NodeId m_Id;
   RegionId m_Region;
@@ -49,6 +60,7 @@
   /// Whether the leader changes engine roles to match prefill and decode load.
   bool m_ChangesRoles = false;
   std::map<ZoneId, RegionId> m_Regions; ///< Region of each zone.
+  std::optional<DutySettings> m_Duties;
 };
 
 /// JSON schema of the settings file.
--- a/apps/control/src/RegistryApi.cpp
+++ b/apps/control/src/RegistryApi.cpp
@@ -42,6 +42,7 @@
       static_cast<std::uint64_t>(Beat.m_StartedAt.time_since_epoch().count()));
   Target.set_self_managed(true);
   Target.set_software_version(Announcement.m_SoftwareVersion);
+  Target.set_reclaimable(Beat.m_Reclaimable);
   return Target;
 }
 
--- a/apps/control/src/RoleOrders.cpp
+++ b/apps/control/src/RoleOrders.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds EvaluationInterval{1000};
+/// Longest wait for engines that are to be replaced before the first request:
+/// the number of targets settles, others boot, and these drain.
+constexpr std::chrono::seconds ReplacementTime{11};
 /// Weight of the last second in the smoothed load.
 constexpr double LoadAlpha = 0.4;
 /// Lifetime of an entry's streams without a further report.
@@ -53,6 +56,24 @@
   return Found == Work.m_Sums.end() ? 0 : Found->second.m_Requests;
 }
 
+/// Whether cheaper engines may take the place of some that serve now. Roles
+/// that these are given before the first request would be lost with them.
+bool isBeingReplaced(const fleet::State &Known, const std::string &Name) {
+  for (const wire::RoutedService &Service : Known.m_Routes.m_Table.services())
+    if (Service.name() == Name && Service.has_scaling() &&
+        Service.scaling().reclaimable_price() > 0 &&
+        Service.scaling().reclaimable_price() < 1)
+      return std::any_of(Known.m_Targets.m_ById.begin(),
+                         Known.m_Targets.m_ById.end(), [&](const auto &Item) {
+                           const fleet::Target &Target = Item.second;
+                           return Target.m_State ==
+                                      fleet::TargetState::Serving &&
+                                  !Target.m_IsReclaimable &&
+                                  Target.m_Models.count(Name) != 0;
+                         });
+  return false;
+}
+
 /// Time that an engine's link needs for the KV memory of one token; zero if the
 /// service does not state it.
 double transferSecondsPerToken(const wire::RouteTable &Routes,
@@ -174,7 +195,8 @@
     return Registered.count(Item.first) == 0;
   });
   for (const std::string &Name : Registered)
-    m_Services.try_emplace(Name);
+    if (const auto [Added, IsNew] = m_Services.try_emplace(Name); IsNew)
+      Added->second.m_FirstSeen = Now;
   std::erase_if(m_NotBefore,
                 [Now](const auto &Item) { return Item.second <= Now; });
   for (auto &[Name, Current] : m_Services) {
@@ -184,6 +206,10 @@
         transferSecondsPerToken(Known.m_Routes.m_Table, Name);
     Current.m_Load.m_NoTrafficYet = Known.m_Targets.m_HoldCount == 0 &&
                                     Current.m_Load.m_RequestsPerSecond <= 0;
+    if (Current.m_Load.m_NoTrafficYet &&
+        Now - Current.m_FirstSeen < ReplacementTime &&
+        isBeingReplaced(Known, Name))
+      continue;
     std::vector<roles::SplitEngine> Engines;
     for (const auto &[Id, Target] : Known.m_Targets.m_ById) {
       const bool Present = Target.m_State == fleet::TargetState::Serving ||
--- a/apps/control/src/RoleOrders.h
+++ b/apps/control/src/RoleOrders.h
@@ -59,6 +59,7 @@
   };
   struct Service {
     roles::ServiceLoad m_Load;
+    TimePoint m_FirstSeen;
     double m_Requests = 0; ///< Since the last evaluation.
     double m_PromptTokens = 0;
     /// Requests of entries that do not report their streams.
--- a/apps/entry/src/Context.h
+++ b/apps/entry/src/Context.h
@@ -16,6 +16,7 @@
 #include "StreamVersions.h"
 #include "Suspects.h"
 #include "TargetReach.h"
+#include "UsageCounter.h"
 #include "limits/limits.h"
 #include "relay/relay.h"
 #include "retries/retries.h"
@@ -51,7 +52,9 @@
           EntryMetrics &Metrics, LedgerClient &Ledger)
       : m_Loop(Loop), m_Settings(Settings), m_Metrics(Metrics),
         m_Ledger(Ledger), m_Connections(Loop, http::PoolSettings{}),
-        m_PeerConnections(Loop, http::PoolSettings{}) {}
+        m_PeerConnections(Loop, http::PoolSettings{}),
+        m_Usage(Settings.m_Routes ? Settings.m_Routes->m_UsageWindow
+                                  : std::nullopt) {}
 
   event_base *m_Loop;
   const EntrySettings &m_Settings;
@@ -84,6 +87,7 @@
   StreamVersions m_StreamVersions{m_Loop, m_Fleet, m_Metrics};
   ForwardPeers m_ForwardPeers;
   revocation::State m_Revocation; ///< Of customers' keys.
+  UsageCounter m_Usage;
   std::map<std::string, ModelUse> m_Models; ///< By model; not services.
   /// Set once the process was asked to stop.
   std::optional<shutdown::Schedule> m_StopSchedule;
--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -645,6 +645,7 @@
   revocation::recordGrant(m_Shared.m_Revocation,
                           {ReportSentAt, Grant.routes_version()},
                           m_Shared.m_Routes.table().m_Version);
+  m_Shared.m_Usage.takeGrant(Grant);
   m_Shared.m_Suspects.takeGrant(Grant, Now);
   m_Shared.m_Traits.takeGrant(Grant, ReportSentAt, Now);
   m_Shared.m_RateLimits.takeGrant(Grant, Now);
@@ -659,6 +660,7 @@
   m_Shared.m_Suspects.fillReport(Report, Now);
   m_Shared.m_Traits.fillReport(Report, Now);
   m_Shared.m_RateLimits.fillReport(Report);
+  m_Shared.m_Usage.fillReport(Report, Now);
   Report.set_targets_unreachable(m_Shared.m_Reach.isCut());
   Report.set_forward_peers_revision(m_Shared.m_ForwardPeers.revision());
   // A process that stops is named to nobody any more.
--- a/apps/entry/src/EntrySettings.cpp
+++ b/apps/entry/src/EntrySettings.cpp
@@ -64,6 +64,8 @@
           "retry_share": {"type": "number", "minimum": 0, "maximum": 1},
           "retry_reserve": {"type": "number", "minimum": 0,
                             "maximum": 1000000},
+          "usage_window_s": {"type": "number", "minimum": 0.1,
+                             "maximum": 86400},
           "revoke_within_ms": {"type": "integer", "minimum": 100,
                                "maximum": 3600000}}},
       "stop_within_s": {"type": "number", "minimum": 1, "maximum": 3600},
@@ -132,6 +134,10 @@
   }
   Made.m_RetryShare = From.value("retry_share", Made.m_RetryShare);
   Made.m_RetryReserve = From.value("retry_reserve", Made.m_RetryReserve);
+  constexpr double MillisecondsPerSecond = 1000;
+  if (From.contains("usage_window_s"))
+    Made.m_UsageWindow = std::chrono::milliseconds(static_cast<std::int64_t>(
+        From["usage_window_s"].get<double>() * MillisecondsPerSecond));
   if (From.contains("revoke_within_ms"))
     Made.m_RevokeWithin =
         std::chrono::milliseconds(From["revoke_within_ms"].get<std::int64_t>());
--- a/apps/entry/src/EntrySettings.h
+++ b/apps/entry/src/EntrySettings.h
@@ -29,6 +29,9 @@
   /// Longest time for which a customer's key is accepted after control has
   /// acknowledged its removal; unset: until this entry hears of it.
   std::optional<std::chrono::milliseconds> m_RevokeWithin;
+  /// Length of the windows in which the requests of customers are counted;
+  /// unset: they are not.
+  std::optional<std::chrono::milliseconds> m_UsageWindow;
   /// Age of a load that comes with an answer.
   std::chrono::milliseconds m_ReportLag{10};
 };
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -908,6 +908,9 @@
   EntryMetrics &Metrics = m_Shared.m_Metrics;
   if (m_FirstPieceAt == TimePoint())
     m_FirstPieceAt = Now;
+  // Another entry counts what it runs for this one.
+  if (m_Try != nullptr)
+    countUsage(Now);
   if (m_Offset == m_FirstOffset)
     Metrics.m_FirstToken.record(Now - m_Asked.m_ArrivedAt);
   else
@@ -976,10 +979,17 @@
     m_Shared.m_ReportSoon();
 }
 
+void Serving::countUsage(TimePoint BeganAt) {
+  if (m_Asked.m_Passed && !std::exchange(m_IsUsageCounted, true))
+    m_Shared.m_Usage.count(m_Asked.m_Passed->m_Customer, BeganAt);
+}
+
 void Serving::takeEnding(const TryEnding &Ending) {
   if (m_Phase != Phase::Running)
     return;
   const std::shared_ptr<Try> Over = std::exchange(m_Try, nullptr);
+  if (Ending.m_Whole || Ending.m_Failing)
+    countUsage(m_SentAt);
   if (Ending.m_Whole) {
     noteTryOver(true);
     return complete(Ending);
--- a/apps/entry/src/Serving.h
+++ b/apps/entry/src/Serving.h
@@ -142,6 +142,8 @@
   void passFailing();
   void endTry(routing::TryOutcome Evidence, TimePoint Now);
   void noteTryOver(bool Completed);
+  /// Counts the request as one of its customer, once.
+  void countUsage(TimePoint BeganAt);
   void end();
   void pauseIfSlow(TimePoint Now);
   void checkReader(TimePoint Now);
@@ -174,6 +176,7 @@
   std::vector<NodeId> m_UsedPeers;
   /// Targets in turn that could not be connected to, since one was.
   std::vector<TargetId> m_Unreached;
+  bool m_IsUsageCounted = false;
   bool m_RunNoted = false; ///< A run is registered with the suspects.
   TargetId m_LastTarget;
   std::string m_StreamId;
--- a/apps/entry/tests/EntrySettingsTest.cpp
+++ b/apps/entry/tests/EntrySettingsTest.cpp
@@ -89,6 +89,9 @@
   }
   THEN("others are rendered for deployments that need this version only") {
     CHECK(keysOfTemplate("entry", true) ==
-          std::set<std::string>{"revoke_within_ms"});
+          std::set<std::string>{"revoke_within_ms", "usage_window_s"});
+    CHECK(keysOfTemplate("control", true) ==
+          std::set<std::string>{"address", "duties", "holder", "lease_ms",
+                                "names", "usage_window_s"});
   }
 }
--- a/libs/fleet/include/fleet/fleet.h
+++ b/libs/fleet/include/fleet/fleet.h
@@ -127,6 +127,7 @@
   /// It joins and leaves without orders; only its role can be ordered.
   std::string m_SoftwareVersion;
   bool m_SelfManaged = false;
+  bool m_IsReclaimable = false; ///< The platform may take it away.
   bool m_Held = false; ///< Taken out of service while its role changes.
 
   TargetState m_State = TargetState::Announced;
@@ -353,6 +354,36 @@
   std::deque<std::pair<std::uint64_t, LogTime>> m_Expiries;
 };
 
+// --- Duties at the platform -------------------------------------------------
+
+/// Windows of usage that are closed and not yet taken by the platform. When it
+/// is away for longer, the oldest are given up.
+inline constexpr std::size_t MaxClosedWindows = 64;
+/// Ordered numbers of targets kept, one for each service, zone and kind.
+inline constexpr std::size_t MaxScaleOrders = 1'024;
+
+/// What holders of duties have decided; the next holder goes on from it.
+struct Duties {
+  std::map<std::uint64_t, wire::UsageWindow> m_Closed; ///< By window.
+  std::uint64_t m_NewestClosed = 0;
+  struct Kind {
+    std::string m_Service;
+    ZoneId m_Zone;
+    bool m_Reclaimable = false;
+
+    bool operator<(const Kind &Other) const {
+      return std::tie(m_Service, m_Zone, m_Reclaimable) <
+             std::tie(Other.m_Service, Other.m_Zone, Other.m_Reclaimable);
+    }
+  };
+  std::map<Kind, std::uint32_t> m_Ordered;
+
+  /// Whether nothing was ever due: no former holder can have sent anything.
+  [[nodiscard]] bool isUntouched() const {
+    return m_NewestClosed == 0 && m_Ordered.empty();
+  }
+};
+
 // --- Answered operator calls ----------------------------------------------
 
 /// Answer to a command.
@@ -398,6 +429,7 @@
   retries::TraitTable m_Traits;            ///< Its times are log times.
   limits::TargetLimitTable m_TargetLimits; ///< Its times are log times.
   StreamVersions m_StreamVersions;
+  Duties m_Duties;
 };
 
 /// Converts a log time to the time type of `retries::SuspectTable`.
--- a/libs/fleet/src/Apply.cpp
+++ b/libs/fleet/src/Apply.cpp
@@ -1,4 +1,5 @@
 #include "Configuration.h"
+#include "Duties.h"
 #include "FleetMutations.h"
 #include "Orders.h"
 #include "Plans.h"
@@ -99,6 +100,12 @@
     return accept();
   case wire::Command::kStreamVersions:
     return handleStreamVersions(Fleet, Command.stream_versions());
+  case wire::Command::kCloseUsage:
+    return handleCloseUsage(Fleet, Command.close_usage());
+  case wire::Command::kUsageReported:
+    return handleUsageReported(Fleet, Command.usage_reported());
+  case wire::Command::kScaleTargets:
+    return handleScaleTargets(Fleet, Command.scale_targets());
   case wire::Command::kTraitReport:
     return handleTraitReport(Fleet, Command.trait_report());
   case wire::Command::kPutRoutes:
--- a/libs/fleet/src/Snapshot.cpp
+++ b/libs/fleet/src/Snapshot.cpp
@@ -1,4 +1,5 @@
 #include "Configuration.h"
+#include "Duties.h"
 #include "StreamVersions.h"
 #include "Suspicion.h"
 #include "fleet/fleet.h"
@@ -73,6 +74,7 @@
   Target.m_StartedMs = Announcement.started_ms();
   Target.m_SelfManaged = Announcement.self_managed();
   Target.m_SoftwareVersion = Announcement.software_version();
+  Target.m_IsReclaimable = Announcement.reclaimable();
   Target.m_Held = Announcement.held();
   Target.m_PrefillTokensPerSecond = Announcement.prefill_tokens_per_second();
   Target.m_DecodeTokensPerSecond = Announcement.decode_tokens_per_second();
@@ -356,6 +358,9 @@
   write(*Message.mutable_stream_versions(), Fleet.m_StreamVersions);
   *Message.mutable_routes()->mutable_table() = Fleet.m_Routes.m_Table;
   Message.mutable_routes()->set_source(Fleet.m_Routes.m_Source);
+  // Builds without duties write the same bytes.
+  if (!Fleet.m_Duties.isUntouched())
+    *Message.mutable_duties() = write(Fleet.m_Duties);
   return Message.SerializeAsString();
 }
 
@@ -381,6 +386,7 @@
   if (!Message.has_stream_versions())
     deriveServedVersions(Fleet);
   Fleet.m_Routes = {Message.routes().table(), Message.routes().source()};
+  Fleet.m_Duties = read(Message.duties());
   return Fleet;
 }
 
--- a/libs/fleet/src/Targets.cpp
+++ b/libs/fleet/src/Targets.cpp
@@ -65,6 +65,7 @@
   Target.m_StartedMs = Announcement.started_ms();
   Target.m_SelfManaged = Announcement.self_managed();
   Target.m_SoftwareVersion = Announcement.software_version();
+  Target.m_IsReclaimable = Announcement.reclaimable();
 }
 
 /// Whether the announcing process started later than \p Holder at the same
--- a/libs/fleet/src/View.cpp
+++ b/libs/fleet/src/View.cpp
@@ -83,6 +83,7 @@
   Result.set_self_managed(Target.m_SelfManaged);
   Result.set_software_version(Target.m_SoftwareVersion);
   Result.set_held(Target.m_Held);
+  Result.set_reclaimable(Target.m_IsReclaimable);
   return Result;
 }
 
--- a/libs/routes/include/routes/routes.h
+++ b/libs/routes/include/routes/routes.h
@@ -164,6 +164,7 @@
 /// same \p Draw always selects the same service.
 const std::string &pickService(const Route &RouteEntry, std::uint64_t Draw);
 
+Scaling fromWire(const wire::ServiceScaling &Message);
 wire::RouteTable toWire(const Table &RouteTable);
 Table fromWire(const wire::RouteTable &Message);
 
--- a/libs/routes/src/Codec.cpp
+++ b/libs/routes/src/Codec.cpp
@@ -61,17 +61,6 @@
   }
 }
 
-Scaling readScaling(const wire::ServiceScaling &Message) {
-  Scaling Bounds;
-  Bounds.m_Min = Message.min();
-  Bounds.m_Max = Message.max();
-  Bounds.m_BootTime = std::chrono::nanoseconds(Message.boot_ns());
-  Bounds.m_ReclaimablePrice = Message.reclaimable_price();
-  for (const wire::ZonePrice &PriceMessage : Message.zone_prices())
-    Bounds.m_ZonePrices[PriceMessage.zone()] = PriceMessage.price();
-  return Bounds;
-}
-
 wire::Customer toWire(const Customer &Holder) {
   wire::Customer Message;
   Message.set_name(Holder.m_Name);
@@ -94,6 +83,17 @@
 
 } // namespace
 
+Scaling fromWire(const wire::ServiceScaling &Message) {
+  Scaling Bounds;
+  Bounds.m_Min = Message.min();
+  Bounds.m_Max = Message.max();
+  Bounds.m_BootTime = std::chrono::nanoseconds(Message.boot_ns());
+  Bounds.m_ReclaimablePrice = Message.reclaimable_price();
+  for (const wire::ZonePrice &PriceMessage : Message.zone_prices())
+    Bounds.m_ZonePrices[PriceMessage.zone()] = PriceMessage.price();
+  return Bounds;
+}
+
 wire::RouteTable toWire(const Table &RouteTable) {
   wire::RouteTable Message;
   Message.set_version(RouteTable.m_Version);
@@ -139,7 +139,7 @@
         ServiceMessage.kv_bytes_per_token(),
         ServiceMessage.kv_link_bits_per_second(),
         ServiceMessage.has_scaling()
-            ? std::optional(readScaling(ServiceMessage.scaling()))
+            ? std::optional(fromWire(ServiceMessage.scaling()))
             : std::nullopt};
   RouteTable.m_ChecksKeys = Message.checks_keys();
   for (const wire::Customer &CustomerMessage : Message.customers())
