Count a passing slowdown of a target's VM in estimates

Cause: targets share their VMs, and some are 2.5 times slower for 0.6 s. They tell how long work takes at the moment with each answer, which nothing used.

Change: estimates and choices multiply the times of a target by its last figure over the mean of its figures, which measured times contain already. The factor fades within 0.6 s, since slowdowns pass as fast, and is bounded. Targets that tell no figure are placed as before.

Measured: test-routing passes.

--- a/apps/entry/src/Try.cpp
+++ b/apps/entry/src/Try.cpp
@@ -305,7 +305,7 @@
 
 void Try::takeLoad(const relay::ResponseInfo::Load &Told) {
   const routing::LoadReport Report{Told.m_Running, Told.m_Waiting, std::nullopt,
-                                   std::nullopt};
+                                   std::nullopt, Told.m_Slowdown};
   routing::applyLoad(m_Tools.m_Routing, leg().m_Target, leg().m_Incarnation,
                      Report, BootClock::now());
 }
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -84,6 +84,9 @@
   /// prompt of mean length.
   std::optional<std::uint64_t> m_PrefillTokensWaiting = 0;
   std::optional<std::uint64_t> m_KvBlocksFree = 0; ///< None: not reported.
+  /// Time that work takes on the target's VM now over the usual time; none: not
+  /// reported.
+  std::optional<double> m_Slowdown{};
 };
 
 /// Work at an engine: of this entry, or of all other entries combined.
@@ -281,6 +284,14 @@
   Slowness m_HandoffSlowness;    ///< Of KV memory received for decoding.
 };
 
+/// Passing slowdown of a target's VM, which others use as well.
+struct Slowdown {
+  double m_Last = 1; ///< As last reported; 1 is usual.
+  TimePoint m_At;
+  /// Part of it that lasts, and that measured times contain already.
+  double m_Mean = 1;
+};
+
 /// Own work at a target: tries sent by this entry that have not ended.
 struct Work {
   std::uint32_t m_Requests = 0;
@@ -351,6 +362,7 @@
   /// False: removed or replaced, but tries may still be in flight.
   bool m_Current = false;
   Health m_Health;
+  Slowdown m_Slowdown;
   Work m_Own;
   PeerWork m_PeerWork;
   TimePoint m_ReportAt;
--- a/libs/routing/src/Estimates.cpp
+++ b/libs/routing/src/Estimates.cpp
@@ -23,13 +23,14 @@
 
 TargetView makeView(const State &Fleet, const Pool &TargetPool,
                     const Slot &TargetSlot, TimePoint Now) {
+  const double Passing = passingSlowdown(TargetSlot.m_Slowdown, Now);
   return {Fleet.m_Settings,
           TargetPool,
           TargetSlot,
           TargetSlot.m_Target,
           estimateLoad(Fleet, TargetPool, TargetSlot, Now),
-          firstTokenSlowness(TargetPool, TargetSlot),
-          tokenSlowness(TargetPool, TargetSlot),
+          firstTokenSlowness(TargetPool, TargetSlot) * Passing,
+          tokenSlowness(TargetPool, TargetSlot) * Passing,
           Now,
           nullptr};
 }
--- a/libs/routing/src/Health.cpp
+++ b/libs/routing/src/Health.cpp
@@ -239,6 +239,27 @@
       TargetPool.m_TokenSlowness[roleIndex(TargetSlot.m_Target.m_Role)]);
 }
 
+void recordSlowdown(Slowdown &Known, double Reported, TimePoint Now) {
+  /// Weight of a report in the mean.
+  constexpr double MeanWeight = 0.05;
+  Known.m_Last = Reported;
+  Known.m_At = Now;
+  Known.m_Mean += MeanWeight * (Reported - Known.m_Mean);
+}
+
+double passingSlowdown(const Slowdown &Known, TimePoint Now) {
+  /// Slowdowns pass within some hundred ms; a report counts for less the older
+  /// it is, and not at all after this time.
+  constexpr std::chrono::milliseconds Lifetime{600};
+  constexpr double MaxFactor = 4;
+  if (Known.m_At == TimePoint() || Now - Known.m_At >= Lifetime)
+    return 1;
+  const double Fresh = 1 - seconds(Now - Known.m_At) / seconds(Lifetime);
+  const double Factor = std::clamp(Known.m_Last / std::max(Known.m_Mean, 1e-2),
+                                   1 / MaxFactor, MaxFactor);
+  return std::pow(Factor, Fresh);
+}
+
 void recordSuccess(State &Fleet, SlotIndex Index, bool Probe, TimePoint Now) {
   Slot &TargetSlot = Fleet.m_Slots[Index];
   if (!TargetSlot.m_Current)
--- a/libs/routing/src/Internal.h
+++ b/libs/routing/src/Internal.h
@@ -135,6 +135,10 @@
 /// Returns the factor for that time at an engine. Transfers to an engine run
 /// one after another, so it tells how many wait there.
 double handoffSlowness(const Pool &TargetPool, const Slot &TargetSlot);
+void recordSlowdown(Slowdown &Known, double Reported, TimePoint Now);
+/// Returns the factor by which work takes longer now than on average at the
+/// target; one once the last report is too old.
+double passingSlowdown(const Slowdown &Known, TimePoint Now);
 void recordSuccess(State &Fleet, SlotIndex Index, bool Probe, TimePoint Now);
 void recordFailure(State &Fleet, SlotIndex Index, TryOutcome Outcome,
                    bool Probe, TimePoint Now);
--- a/libs/routing/src/Work.cpp
+++ b/libs/routing/src/Work.cpp
@@ -176,6 +176,8 @@
   Slot &TargetSlot = Fleet.m_Slots[Found->second];
   if (TargetSlot.m_Target.m_Incarnation != Incarnation)
     return;
+  if (Report.m_Slowdown)
+    recordSlowdown(TargetSlot.m_Slowdown, *Report.m_Slowdown, Now);
   const Work OwnWorkAtReport =
       ownWorkAt(TargetSlot, Now - Fleet.m_Settings.m_ReportLag);
   const std::uint32_t Requests = Report.m_Running + Report.m_Waiting;
