--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -162,6 +162,8 @@
     proposeOnce(Key, std::move(Command));
   };
   Hooks.m_Self = m_Settings.m_Id;
+  Hooks.m_OrdersTargets =
+      m_Settings.m_Duties && m_Settings.m_Duties->m_OrdersTargets;
   m_RoleOrders =
       std::make_unique<RoleOrders>(m_Loop, m_Registry, std::move(Hooks));
   return listenToRegistry();
@@ -667,6 +669,8 @@
 
 void Control::tick() {
   connectMembers();
+  if (m_Duties)
+    m_Duties->sampleClock(BootClock::now());
   if (!holdsLeaderLease())
     return;
   const TimePoint Now = BootClock::now();
--- a/apps/control/src/PlatformDuties.cpp
+++ b/apps/control/src/PlatformDuties.cpp
@@ -69,8 +69,8 @@
 
 PlatformDuties::PlatformDuties(event_base *Loop, metrics::Registry &Registry,
                                const DutySettings &Settings, LeaderHooks Hooks)
-    : m_Loop(Loop), m_Registry(Registry), m_Settings(Settings),
-      m_Hooks(std::move(Hooks)) {}
+    : m_Registry(Registry), m_Settings(Settings), m_Hooks(std::move(Hooks)),
+      m_Connections(Loop, http::PoolSettings{}) {}
 
 PlatformDuties::~PlatformDuties() { endTerm(); }
 
@@ -83,6 +83,8 @@
                    ? Now
                    : Now + m_Settings.m_Lease + CallTimeout + HandoverMargin;
   m_UsageSince.reset();
+  m_TakenWindow.reset();
+  m_NextUsageCall = {};
   m_Usage = {};
   m_Scaling = {};
   for (const auto &[Kind, Count] : Decided.m_Ordered)
@@ -92,18 +94,20 @@
 
 void PlatformDuties::endTerm() {
   m_Term = 0;
-  if (m_UsageCall != nullptr)
-    m_UsageCall->cancel();
-  m_UsageCall.reset();
+  if (const OpenCall Former = std::exchange(m_UsageCall, {}); Former.m_Call)
+    Former.m_Call->cancel();
   for (const auto &[Where, Calls] : std::exchange(m_ScaleCalls, {}))
-    for (const auto &Open : Calls)
-      if (Open != nullptr)
-        Open->cancel();
+    for (const OpenCall &Former : Calls)
+      if (Former.m_Call)
+        Former.m_Call->cancel();
 }
 
 void PlatformDuties::handleReport(const NodeId &Entry, std::uint64_t Session,
                                   const wire::EntryReport &Report,
                                   const fleet::Duties &Decided) {
+  if (!m_Settings.m_ReportsUsage)
+    return;
+  duties::dropClosed(m_Usage, Decided.m_NewestClosed);
   duties::WindowCounts Reported;
   for (const wire::UsageWindow &Row : Report.usage()) {
     duties::CustomerCounts &Counts = Reported[Row.window()];
@@ -114,8 +118,11 @@
                        Decided.m_NewestClosed);
 }
 
-void PlatformDuties::tick(const fleet::State &Known, TimePoint Now) {
+void PlatformDuties::sampleClock(TimePoint Now) {
   duties::addSample(m_Clock, timeOfDayNow(), Now);
+}
+
+void PlatformDuties::tick(const fleet::State &Known, TimePoint Now) {
   if (m_Term == 0 || m_IsFenced || Now < m_SendFrom)
     return;
   if (m_Settings.m_ReportsUsage) {
@@ -135,6 +142,7 @@
                      std::function<void(platform::DutyAnswer)> Done) {
   What.m_To = m_Settings.m_Address;
   What.m_Deadline = Now + CallTimeout;
+  What.m_FreshConnection = true;
   http::ClientHandlers Handlers;
   Handlers.m_OnDone = [this, Duty, Done = std::move(Done)](
                           const Result<http::Response> &Answer) {
@@ -146,7 +154,7 @@
         .add();
     Done(Read);
   };
-  return http::call(m_Loop, std::move(What), std::move(Handlers));
+  return m_Connections.call(std::move(What), std::move(Handlers), false);
 }
 
 // --- Usage
@@ -179,10 +187,13 @@
 }
 
 void PlatformDuties::reportUsage(const fleet::Duties &Decided, TimePoint Now) {
-  if (Decided.m_Closed.empty() || m_UsageCall != nullptr ||
+  if (Decided.m_Closed.empty() || m_UsageCall.m_IsOpen ||
       Now < m_NextUsageCall || !m_Hooks.m_MaySend())
     return;
   const auto &[Window, Usage] = *Decided.m_Closed.begin();
+  // Its end is not committed yet.
+  if (m_TakenWindow && Window <= *m_TakenWindow)
+    return proposeReported(Window);
   std::map<std::string, std::uint64_t> Counts;
   std::uint64_t Sum = 0;
   for (const wire::CustomerUsage &Row : Usage.customers()) {
@@ -190,10 +201,11 @@
     Sum += Row.requests();
   }
   m_NextUsageCall = Now + RepeatPause;
-  m_UsageCall =
+  m_UsageCall.m_IsOpen = true;
+  m_UsageCall.m_Call =
       call("usage", platform::writeUsage(holder(), Window, Counts), Now,
            [this, Number = Window, Sum](platform::DutyAnswer Answer) {
-             m_UsageCall.reset();
+             m_UsageCall.m_IsOpen = false;
              events::emit(events::Event::UsageReported,
                           {{"window", Number},
                            {"requests", Sum},
@@ -204,13 +216,18 @@
              if (Answer != platform::DutyAnswer::Accepted)
                return;
              m_NextUsageCall = {};
-             wire::Command Next;
-             Next.mutable_usage_reported()->set_window(Number);
-             m_Hooks.m_Propose("usage/reported/" + std::to_string(Number),
-                               std::move(Next));
+             m_TakenWindow = Number;
+             proposeReported(Number);
            });
 }
 
+void PlatformDuties::proposeReported(std::uint64_t Window) {
+  wire::Command Next;
+  Next.mutable_usage_reported()->set_window(Window);
+  m_Hooks.m_Propose("usage/reported/" + std::to_string(Window),
+                    std::move(Next));
+}
+
 // --- Number of targets
 // --------------------------------------------------------
 
@@ -246,28 +263,28 @@
                            const routes::Scaling &Bounds, TimePoint Now) {
   if (!m_Hooks.m_MaySend())
     return;
-  auto &Open = m_ScaleCalls[{Due.m_Service, Due.m_Zone}];
-  std::shared_ptr<http::ClientCall> &Call = Open[Due.m_Reclaimable ? 1 : 0];
-  if (Call != nullptr)
+  const std::size_t Kind = Due.m_Reclaimable ? 1 : 0;
+  OpenCall &Open = m_ScaleCalls[{Due.m_Service, Due.m_Zone}][Kind];
+  if (Open.m_IsOpen)
     return;
   duties::recordSent(m_Scaling, Due, Now);
-  Call = call(
-      "scale",
-      platform::writeScale(holder(), Due.m_Service, Due.m_Zone,
-                           Due.m_Reclaimable, Due.m_Count),
-      Now, [this, Due, Bounds](platform::DutyAnswer Answer) {
-        m_ScaleCalls[{Due.m_Service, Due.m_Zone}][Due.m_Reclaimable ? 1 : 0]
-            .reset();
-        events::emit(events::Event::TargetsOrdered,
-                     {{"service", Due.m_Service},
-                      {"zone", Due.m_Zone},
-                      {"reclaimable", Due.m_Reclaimable},
-                      {"count", Due.m_Count},
-                      {"term", m_Term},
-                      {"answer", answerName(Answer)}});
-        duties::recordAnswer(m_Scaling, Due, toScaleAnswer(Answer), Bounds,
-                             BootClock::now());
-      });
+  Open.m_IsOpen = true;
+  Open.m_Call =
+      call("scale",
+           platform::writeScale(holder(), Due.m_Service, Due.m_Zone,
+                                Due.m_Reclaimable, Due.m_Count),
+           Now, [this, Due, Bounds, Kind](platform::DutyAnswer Answer) {
+             m_ScaleCalls[{Due.m_Service, Due.m_Zone}][Kind].m_IsOpen = false;
+             events::emit(events::Event::TargetsOrdered,
+                          {{"service", Due.m_Service},
+                           {"zone", Due.m_Zone},
+                           {"reclaimable", Due.m_Reclaimable},
+                           {"count", Due.m_Count},
+                           {"term", m_Term},
+                           {"answer", answerName(Answer)}});
+             duties::recordAnswer(m_Scaling, Due, toScaleAnswer(Answer), Bounds,
+                                  BootClock::now());
+           });
 }
 
 } // namespace wasabivale::control
--- a/apps/control/src/PlatformDuties.h
+++ b/apps/control/src/PlatformDuties.h
@@ -13,6 +13,7 @@
 #include "metrics/metrics.h"
 #include "platform/platform.h"
 
+#include <array>
 #include <functional>
 #include <memory>
 
@@ -40,6 +41,9 @@
   void handleReport(const NodeId &Entry, std::uint64_t Session,
                     const wire::EntryReport &Report,
                     const fleet::Duties &Decided);
+  /// Follows the time of day, also while this process does not lead: a clock
+  /// that has just jumped is not believed at once.
+  void sampleClock(TimePoint Now);
   /// Does what is due. To be called several times a second.
   void tick(const fleet::State &Known, TimePoint Now);
 
@@ -51,14 +55,17 @@
   [[nodiscard]] platform::DutyHolder holder() const;
   void closeWindow(const fleet::State &Known, TimePoint Now);
   void reportUsage(const fleet::Duties &Decided, TimePoint Now);
+  void proposeReported(std::uint64_t Window);
   void orderTargets(const fleet::State &Known, TimePoint Now);
   void order(const duties::ScaleOrder &Due, const routes::Scaling &Bounds,
              TimePoint Now);
 
-  event_base *m_Loop;
   metrics::Registry &m_Registry;
   const DutySettings &m_Settings;
   LeaderHooks m_Hooks;
+  /// The kernel gives a connection up whose bytes stay unacknowledged, so that
+  /// a call does not arrive after the next holder's.
+  http::Pool m_Connections;
   std::uint64_t m_Term = 0; ///< Zero: this process does not lead.
   /// Nothing is sent before: calls of the former holder have ended by then.
   TimePoint m_SendFrom;
@@ -66,14 +73,22 @@
   std::optional<Duration> m_UsageSince; ///< Time of day.
   duties::UsageTable m_Usage;
   duties::ScalingState m_Scaling;
-  std::shared_ptr<http::ClientCall> m_UsageCall;
+  /// A call may end before it is returned, so that the reference alone does not
+  /// tell whether one is open.
+  struct OpenCall {
+    bool m_IsOpen = false;
+    std::shared_ptr<http::ClientCall> m_Call;
+  };
+  OpenCall m_UsageCall;
   TimePoint m_NextUsageCall;
+  /// The newest window that the platform has taken in this term.
+  std::optional<std::uint64_t> m_TakenWindow;
   /// The platform has seen a higher token: the term is over, which this process
   /// has not heard of.
   bool m_IsFenced = false;
-  std::map<std::pair<std::string, ZoneId>,
-           std::array<std::shared_ptr<http::ClientCall>, 2>>
-      m_ScaleCalls; ///< By service and zone; usual, reclaimable.
+  /// By service and zone; usual, reclaimable.
+  std::map<std::pair<std::string, ZoneId>, std::array<OpenCall, 2>>
+      m_ScaleCalls;
 };
 
 } // namespace wasabivale::control
--- a/apps/control/src/RoleOrders.cpp
+++ b/apps/control/src/RoleOrders.cpp
@@ -206,7 +206,7 @@
         transferSecondsPerToken(Known.m_Routes.m_Table, Name);
     Current.m_Load.m_NoTrafficYet = Known.m_Targets.m_HoldCount == 0 &&
                                     Current.m_Load.m_RequestsPerSecond <= 0;
-    if (Current.m_Load.m_NoTrafficYet &&
+    if (m_Hooks.m_OrdersTargets && Current.m_Load.m_NoTrafficYet &&
         Now - Current.m_FirstSeen < ReplacementTime &&
         isBeingReplaced(Known, Name))
       continue;
--- a/apps/control/src/RoleOrders.h
+++ b/apps/control/src/RoleOrders.h
@@ -22,7 +22,8 @@
     /// Whether this process may send an order now.
     std::function<bool()> m_MaySend;
     std::function<void(const std::string &Key, wire::Command)> m_Propose;
-    NodeId m_Self; ///< Issuer of the orders.
+    NodeId m_Self;                ///< Issuer of the orders.
+    bool m_OrdersTargets = false; ///< The leader replaces targets.
   };
 
   RoleOrders(event_base *Loop, metrics::Registry &Registry, LeaderHooks Hooks);
--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -54,12 +54,15 @@
           std::max(1.0, By.m_Running * Share)};
 }
 
-/// Whether a request was judged by customers' keys, and so by a configuration
-/// that may be out of date.
-bool dependsOnKeys(const std::variant<Arrival, Rejection> &Read) {
+/// Whether a request was judged by customers' keys that control has not
+/// confirmed, or that may be out of date.
+bool dependsOnOldKeys(const std::variant<Arrival, Rejection> &Read,
+                      const revocation::State &Keys, TimePoint Now) {
   if (const auto *Why = std::get_if<Rejection>(&Read))
-    return Why->m_Reason == Refusal::UnknownKey;
-  return !std::get<Arrival>(Read).m_Passed->m_Customer.empty();
+    return Why->m_Reason == Refusal::UnknownKey &&
+           !revocation::knowsAllKeys(Keys, Now);
+  return !std::get<Arrival>(Read).m_Passed->m_Customer.empty() &&
+         !revocation::acceptsKeys(Keys, Now);
 }
 
 /// Control answers reports within this time once it is reached again.
@@ -210,8 +213,7 @@
     return refusePassed(*Arrived, {}, starting());
   auto Read = readPassed(Arrived->request(), m_Shared.m_Routes,
                          *m_Shared.m_Dialect, m_Shared.m_MeanPrompts, Now);
-  if (dependsOnKeys(Read) &&
-      !revocation::acceptsKeys(m_Shared.m_Revocation, Now))
+  if (dependsOnOldKeys(Read, m_Shared.m_Revocation, Now))
     return refusePassed(*Arrived, {}, keysNotConfirmed());
   if (const auto *Why = std::get_if<Rejection>(&Read))
     return refusePassed(*Arrived, {}, *Why);
@@ -247,8 +249,7 @@
   auto Read =
       readPassed(Arrived->request(), m_Shared.m_Routes, *m_Shared.m_Dialect,
                  m_Shared.m_MeanPrompts, Now, valueOf(Origin));
-  if (dependsOnKeys(Read) &&
-      !revocation::acceptsKeys(m_Shared.m_Revocation, Now))
+  if (dependsOnOldKeys(Read, m_Shared.m_Revocation, Now))
     return Refuse(keysNotConfirmed());
   if (const auto *Why = std::get_if<Rejection>(&Read))
     return Refuse(*Why);
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -980,6 +980,9 @@
 }
 
 void Serving::countUsage(TimePoint BeganAt) {
+  // The entry where a stream began has counted it.
+  if (m_Asked.m_Forwarded && m_FirstOffset > 0)
+    return;
   if (m_Asked.m_Passed && !std::exchange(m_IsUsageCounted, true))
     m_Shared.m_Usage.count(m_Asked.m_Passed->m_Customer, BeganAt);
 }
--- a/libs/duties/include/duties/duties.h
+++ b/libs/duties/include/duties/duties.h
@@ -140,6 +140,8 @@
   /// Targets to keep in service, of both kinds together; unset until their
   /// number has settled.
   std::optional<std::uint32_t> m_Wanted;
+  /// Reclaimable targets that a former leader ordered in place of usual ones.
+  std::uint32_t m_WantedBefore = 0;
   ZoneTargets m_Seen;
   TimePoint m_SeenSince;
   struct Ordered {
--- a/libs/duties/src/Scaling.cpp
+++ b/libs/duties/src/Scaling.cpp
@@ -12,9 +12,10 @@
 /// The same before the number of targets to keep is known: each registers with
 /// its next message, and these are more than a second apart.
 constexpr std::chrono::seconds FirstSettleTime{3};
-/// Part of the targets of a zone that may be missing for a while: they mostly
-/// return by themselves.
+/// Part of the targets of a zone that may be missing for some time before
+/// others are ordered: they mostly return by themselves.
 constexpr std::uint32_t ToleratedPart = 10;
+constexpr std::chrono::seconds ReturnTime{5};
 /// Pause after an order for targets that were not available.
 constexpr std::chrono::seconds UnavailablePause{5};
 /// An order without an answer may still take effect; it is sent again as it
@@ -58,9 +59,8 @@
 void adoptOrder(ScalingState &State, const ScaleOrder &Former) {
   ZoneScaling &Zone = State.m_Zones[{Former.m_Service, Former.m_Zone}];
   ordersOf(Zone, Former.m_Reclaimable).m_Count = Former.m_Count;
-  // Reclaimable targets were ordered in place of all usual ones.
   if (Former.m_Reclaimable)
-    Zone.m_Wanted = std::max(Zone.m_Wanted.value_or(0), Former.m_Count);
+    Zone.m_WantedBefore = Former.m_Count;
 }
 
 std::vector<ScaleOrder> dueOrders(ScalingState &State,
@@ -77,9 +77,13 @@
     const bool IsSettled = Now - Zone.m_SeenSince >= SettleTime;
     if (!Zone.m_Wanted && Now - Zone.m_SeenSince >= FirstSettleTime &&
         Current.total() > 0)
-      Zone.m_Wanted = std::clamp(Current.total(), Bounds.m_Min, Bounds.m_Max);
+      Zone.m_Wanted = std::max(Current.total(), Zone.m_WantedBefore);
     if (!Zone.m_Wanted)
       continue;
+    // Others may have registered late, as long as none was given up.
+    if (!Zone.m_Usual.m_Count && IsSettled)
+      Zone.m_Wanted = std::max(*Zone.m_Wanted, Current.m_Usual);
+    Zone.m_Wanted = std::clamp(*Zone.m_Wanted, Bounds.m_Min, Bounds.m_Max);
     const std::uint32_t Room =
         Bounds.m_Max - std::min(Bounds.m_Max, Current.m_Usual);
     const std::uint32_t Reclaimable = std::min(*Zone.m_Wanted, Room);
@@ -89,7 +93,9 @@
         *Zone.m_Wanted - std::min(*Zone.m_Wanted, Current.m_Reclaimable);
     const bool IsUrgent =
         Usual > Current.m_Usual + *Zone.m_Wanted / ToleratedPart;
-    const bool MayOrder = IsUrgent || IsSettled;
+    const bool IsReturning =
+        Usual > Current.m_Usual && Now - Zone.m_SeenSince < ReturnTime;
+    const bool MayOrder = IsUrgent || (IsSettled && !IsReturning);
     if (MayOrder && isDue(Zone.m_Usual, Usual, Current.m_Usual, Now))
       Due.push_back({Service, Name, false, Usual});
   }
--- a/libs/duties/tests/ScalingTest.cpp
+++ b/libs/duties/tests/ScalingTest.cpp
@@ -124,6 +124,25 @@
   }
 }
 
+SCENARIO("a leader that follows in the middle of a replacement keeps all "
+         "targets") {
+  Platform Around;
+  Around.m_Bounds.m_Max = 50;
+  Around.turn(5s);
+  REQUIRE_FALSE(Around.m_Carried.empty());
+  const ScalingState Former = std::exchange(Around.m_State, {});
+  for (const auto &[Where, Known] : Former.m_Zones) {
+    if (Known.m_Reclaimable.m_Count)
+      adoptOrder(Around.m_State, {Where.first, Where.second, true,
+                                  *Known.m_Reclaimable.m_Count});
+    if (Known.m_Usual.m_Count)
+      adoptOrder(Around.m_State,
+                 {Where.first, Where.second, false, *Known.m_Usual.m_Count});
+  }
+  Around.turn(80s);
+  CHECK(Around.m_Targets.total() >= 40);
+}
+
 SCENARIO("an order whose fate is not known is sent again as it was") {
   ScalingState State;
   const routes::Scaling Bounds{1, 94, 4s, 0.18, {}};
--- a/libs/revocation/include/revocation/revocation.h
+++ b/libs/revocation/include/revocation/revocation.h
@@ -29,6 +29,8 @@
   std::optional<Duration> m_Bound;
   /// When keys were last confirmed; unset: never by this process.
   std::optional<TimePoint> m_ConfirmedAt;
+  /// The newest grant names routes that this process has not applied.
+  bool m_IsBehind = false;
 };
 
 /// What a grant of the leader says of the routes.
@@ -42,6 +44,10 @@
 void recordGrant(State &Entry, const Grant &Answer,
                  std::uint64_t AppliedVersion);
 
+/// Whether a key that is not known here may be called unknown. It may be new
+/// while this entry is behind.
+bool knowsAllKeys(const State &Entry, TimePoint Now);
+
 /// Whether keys may be accepted now.
 bool acceptsKeys(const State &Entry, TimePoint Now);
 
--- a/libs/revocation/tests/RevocationTest.cpp
+++ b/libs/revocation/tests/RevocationTest.cpp
@@ -30,8 +30,10 @@
     }
     WHEN("a later grant names routes that it has not applied") {
       recordGrant(Entry, {at(3s), 4}, 3);
-      THEN("that confirms nothing") {
+      THEN("that confirms nothing, and a key may be new") {
         CHECK_FALSE(acceptsKeys(Entry, at(4500ms)));
+        CHECK(acceptsKeys(Entry, at(4400ms)));
+        CHECK_FALSE(knowsAllKeys(Entry, at(4400ms)));
       }
       AND_WHEN("it has applied them") {
         recordGrant(Entry, {at(4s), 4}, 4);
@@ -60,9 +62,9 @@
 
 namespace {
 
-/// One entry, two leaders in turn and one removal of a key, in steps of a
-/// second. Messages may be lost and delayed; the entry may freeze or start
-/// again at any moment.
+/// One entry and one removal of a key, in steps of a second. Messages may be
+/// lost and delayed for any time, and the entry may start again at any moment.
+/// Whoever grants holds the leader's lease, and so knows what is committed.
 struct World {
   static constexpr int Bound = 3;
   static constexpr int Removed = 2; ///< Version without the key.
--- a/libs/routing/src/Health.cpp
+++ b/libs/routing/src/Health.cpp
@@ -254,7 +254,8 @@
   constexpr double MaxFactor = 4;
   if (Known.m_At == TimePoint() || Now - Known.m_At >= Lifetime)
     return 1;
-  const double Fresh = 1 - seconds(Now - Known.m_At) / seconds(Lifetime);
+  const double Fresh =
+      std::min(1.0, 1 - seconds(Now - Known.m_At) / seconds(Lifetime));
   const double Factor = std::clamp(Known.m_Last / std::max(Known.m_Mean, 1e-2),
                                    1 / MaxFactor, MaxFactor);
   return std::pow(Factor, Fresh);
