--- a/tools/system-tests/tests/Harness.h
+++ b/tools/system-tests/tests/Harness.h
@@ -27,6 +27,7 @@
   Process(const Process &) = delete;
   Process &operator=(const Process &) = delete;
 
+  [[nodiscard]] pid_t pid() const { return m_Pid; }
   void signal(int Number) const;
   /// Waits for its end. \returns the exit code; 128 + N for signal N; nothing
   /// when it did not end in time.
