Bound the memory that all clients of a process hold

The limits of heads and bodies held for one connection each, and nothing bounded their sum: 150 clients took an entry or a control member from 12 to 797 MB. Listeners now share one budget of half of memory_mb (default 256). Bytes are paid for after a read of at most 4 or 16 KiB and before evhttp sees them; what can't be paid for is held back and the connection is not read. Slow requests make room for waiting ones (408), a request that has waited for 5 s is refused (503), callers that leave answers unread are closed, and silent connections give their places to new ones. Refusals are counted by reason and logged once a second.

--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -168,7 +168,7 @@
 
 Status Control::listenToRegistry() {
   auto Listening =
-      http::listen(m_Loop, *m_Settings.m_RegistryListen, http::ServerLimits{},
+      http::listen(m_Loop, *m_Settings.m_RegistryListen, m_Settings.m_Limits,
                    [this](const std::shared_ptr<http::Exchange> &Call) {
                      m_RegistryApi->answer(Call);
                    });
@@ -182,7 +182,7 @@
   if (m_Settings.m_OperatorsListen.m_Port == 0)
     return std::monostate{};
   auto Operators =
-      http::listen(m_Loop, m_Settings.m_OperatorsListen, http::ServerLimits{},
+      http::listen(m_Loop, m_Settings.m_OperatorsListen, m_Settings.m_Limits,
                    [this](const std::shared_ptr<http::Exchange> &Call) {
                      OperatorApi(*this).answer(Call);
                    });
--- a/apps/control/src/ControlSettings.cpp
+++ b/apps/control/src/ControlSettings.cpp
@@ -17,6 +17,7 @@
       "id": {"$ref": "#/definitions/name"},
       "region": {"$ref": "#/definitions/name"},
       "zone": {"$ref": "#/definitions/name"},
+      "memory_mb": {"type": "integer", "minimum": 32, "maximum": 1048576},
       "keys": {"type": "object", "additionalProperties": false,
         "required": ["public", "secret"],
         "properties": {"public": {"$ref": "#/definitions/z85_key"},
@@ -77,6 +78,9 @@
     Settings.m_Keys = {Document["keys"]["public"], Document["keys"]["secret"]};
   Settings.m_Listen = Document["listen"];
   Settings.m_DataFolder = Document["data_folder"];
+  Settings.m_Limits.m_Memory = http::makeBudget(
+      Document.value("memory_mb", http::DefaultMachineMegabytes),
+      Settings.m_Limits.m_BodyBytes);
   Settings.m_ClusterId = Document["cluster_id"];
   if (Document.contains("operators")) {
     const Json &Section = Document["operators"];
--- a/apps/control/src/ControlSettings.h
+++ b/apps/control/src/ControlSettings.h
@@ -36,6 +36,8 @@
   std::string m_Listen;
   http::Address m_OperatorsListen;
   http::Address m_AdminListen;
+  /// Of every listener.
+  http::ServerLimits m_Limits;
   std::string m_DataFolder;
   std::string m_ClusterId;
   std::vector<MemberAddress> m_Members; ///< Includes this member.
--- a/apps/control/src/Main.cpp
+++ b/apps/control/src/Main.cpp
@@ -33,8 +33,10 @@
     return Member.now() == nullptr ? "the data folder failed"
                                    : Member.now()->notReady();
   };
-  auto Platform = daemon::listenForPlatform(Loop.base(), Settings.m_AdminListen,
-                                            Registry, NotReady);
+  auto Platform = daemon::listenForPlatform(
+      Loop.base(), Settings.m_AdminListen, Registry, NotReady,
+      [&] { daemon::recordMemory(Registry, *Settings.m_Limits.m_Memory); },
+      "/readyz", Settings.m_Limits.m_Memory);
   if (failed(Platform)) {
     events::emitError(events::Event::ListenFailed, errorOf(Platform));
     return daemon::ExitFailed;
--- a/apps/entry/src/Entry.cpp
+++ b/apps/entry/src/Entry.cpp
@@ -161,8 +161,10 @@
   }
   if (m_Settings.m_CallersListen.m_Port == 0)
     return std::monostate{};
+  http::ServerLimits OfTargets;
+  OfTargets.m_Memory = m_Settings.m_CallerLimits.m_Memory;
   auto Targets =
-      http::listen(m_Loop, m_Settings.m_TargetsListen, http::ServerLimits{},
+      http::listen(m_Loop, m_Settings.m_TargetsListen, OfTargets,
                    [this](const std::shared_ptr<http::Exchange> &Arrived) {
                      m_TargetsApi.take(Arrived);
                    });
@@ -213,6 +215,8 @@
 
 void Entry::updateGauges() {
   m_Requests->updateGauges();
+  if (m_Settings.m_CallerLimits.m_Memory != nullptr)
+    daemon::recordMemory(m_Registry, *m_Settings.m_CallerLimits.m_Memory);
   if (m_Callers == nullptr)
     return;
   m_Registry
--- a/apps/entry/src/EntrySettings.cpp
+++ b/apps/entry/src/EntrySettings.cpp
@@ -16,6 +16,7 @@
       "id": {"$ref": "#/definitions/name"},
       "region": {"$ref": "#/definitions/name"},
       "zone": {"$ref": "#/definitions/name"},
+      "memory_mb": {"type": "integer", "minimum": 32, "maximum": 1048576},
       "keys": {"type": "object", "additionalProperties": false,
         "required": ["public", "secret"],
         "properties": {"public": {"$ref": "#/definitions/z85_key"},
@@ -182,6 +183,9 @@
       if (Status Read = readAddress(Document[Name], *To); failed(Read))
         return errorOf(Read);
   readLimits(Document.value("callers", Json::object()), Made);
+  Made.m_CallerLimits.m_Memory = http::makeBudget(
+      Document.value("memory_mb", http::DefaultMachineMegabytes),
+      Made.m_CallerLimits.m_BodyBytes);
   if (Document.contains("discovery")) {
     const daemon::Discovery Found =
         daemon::readDiscovery(Document["discovery"]);
--- a/apps/entry/src/Main.cpp
+++ b/apps/entry/src/Main.cpp
@@ -21,7 +21,8 @@
   auto Platform = daemon::listenForPlatform(
       Loop.base(), Settings.m_AdminListen, Registry,
       [&] { return valueOf(Entry)->notReady(); },
-      [&] { valueOf(Entry)->updateGauges(); });
+      [&] { valueOf(Entry)->updateGauges(); }, "/readyz",
+      Settings.m_CallerLimits.m_Memory);
   if (failed(Platform)) {
     events::emitError(events::Event::ListenFailed, errorOf(Platform));
     return daemon::ExitFailed;
@@ -31,7 +32,7 @@
     Readiness = daemon::listenForPlatform(
         Loop.base(), Settings.m_Routes->m_ReadinessListen, Registry,
         [&] { return valueOf(Entry)->notReady(); }, nullptr,
-        platform::ReadinessPath);
+        platform::ReadinessPath, Settings.m_CallerLimits.m_Memory);
   if (failed(Readiness)) {
     events::emitError(events::Event::ListenFailed, errorOf(Readiness));
     return daemon::ExitFailed;
--- a/libs/daemon/include/daemon/daemon.h
+++ b/libs/daemon/include/daemon/daemon.h
@@ -199,13 +199,17 @@
 /// Answers `/healthz`, `/readyz` and `/metrics`.
 /// \param NotReady yields the reason why the process is not ready, or an empty
 /// string; \param BeforePrint brings gauges up to date; \param ReadyPath is
-/// answered like `/readyz`.
+/// answered like `/readyz`; \param Memory the budget of the process.
 Result<std::unique_ptr<http::Server>>
 listenForPlatform(event_base *Loop, const http::Address &At,
                   const metrics::Registry &Registry,
                   std::function<std::string()> NotReady,
                   std::function<void()> BeforePrint = nullptr,
-                  const std::string &ReadyPath = "/readyz");
+                  const std::string &ReadyPath = "/readyz",
+                  std::shared_ptr<http::MemoryBudget> Memory = nullptr);
+
+/// Brings the gauges of a process's memory budget up to date.
+void recordMemory(metrics::Registry &Registry, const http::MemoryBudget &Of);
 
 } // namespace wasabivale::daemon
 
--- a/libs/daemon/src/Platform.cpp
+++ b/libs/daemon/src/Platform.cpp
@@ -11,7 +11,8 @@
 Result<std::unique_ptr<http::Server>> listenForPlatform(
     event_base *Loop, const http::Address &At,
     const metrics::Registry &Registry, std::function<std::string()> NotReady,
-    std::function<void()> BeforePrint, const std::string &ReadyPath) {
+    std::function<void()> BeforePrint, const std::string &ReadyPath,
+    std::shared_ptr<http::MemoryBudget> Memory) {
   const auto Answer = [&Registry, ReadyPath, NotReady = std::move(NotReady),
                        BeforePrint = std::move(BeforePrint)](
                           const std::shared_ptr<http::Exchange> &Arrived) {
@@ -30,7 +31,33 @@
       Arrived->reply(404, PlainText, "no such path\n");
     }
   };
-  return http::listen(Loop, At, http::ServerLimits{}, Answer);
+  http::ServerLimits Limits;
+  Limits.m_Memory = std::move(Memory);
+  return http::listen(Loop, At, Limits, Answer);
+}
+
+void recordMemory(metrics::Registry &Registry, const http::MemoryBudget &Of) {
+  for (std::size_t I = 0; I < http::MemoryParts; ++I) {
+    const auto Part = static_cast<http::MemoryPart>(I);
+    const metrics::Labels With = {
+        {"part", std::string(http::memoryPartName(Part))}};
+    Registry
+        .gauge("wasabivale_client_memory_bytes",
+               "Memory that clients hold, by part of the budget", With)
+        .m_Value = static_cast<double>(Of.held(Part));
+    Registry
+        .gauge("wasabivale_client_memory_limit_bytes",
+               "Most memory of that part", With)
+        .m_Value = static_cast<double>(Of.shares().m_Most[I]);
+  }
+  for (std::size_t I = 0; I < http::MemoryRefusals; ++I) {
+    const auto Why = static_cast<http::MemoryRefusal>(I);
+    Registry
+        .gauge("wasabivale_refused_clients",
+               "Clients refused or closed to keep the memory budget",
+               {{"reason", std::string(http::memoryRefusalName(Why))}})
+        .m_Value = static_cast<double>(Of.refusals(Why));
+  }
 }
 
 } // namespace wasabivale::daemon
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -18,6 +18,7 @@
 
 #include "base/base.h"
 
+#include <array>
 #include <charconv>
 #include <event2/event.h>
 #include <functional>
@@ -137,6 +138,97 @@
   virtual void onGone(std::function<void()> Callback) = 0;
 };
 
+// --- Memory of clients ------------------------------------------------------
+
+/// Shares of a process's memory budget. None is used for another, so that what
+/// one kind of client fills leaves the rest to the others.
+enum class MemoryPart : std::uint8_t {
+  Connections, ///< Open connections with a first read of each.
+  Requests,    ///< Heads, and the start of each body.
+  Bodies,      ///< The rest of long bodies.
+  Answers,     ///< Answers that their callers have not taken.
+};
+inline constexpr std::size_t MemoryParts = 4;
+
+/// Why a client was refused or its connection was closed to keep the budget.
+enum class MemoryRefusal : std::uint8_t {
+  TooManyConnections,
+  SilentConnection, ///< It made room for a new connection.
+  SlowRequest,      ///< It made room for others (408).
+  RequestWaited,    ///< No memory came free for it in time (503).
+  AnswersUnread,    ///< Others' answers fill their part (503).
+  UnreadAnswer,     ///< Its answer was not read, and the part was full.
+};
+inline constexpr std::size_t MemoryRefusals = 6;
+
+/// Names in metrics and log lines, in lower case.
+std::string_view memoryPartName(MemoryPart Value);
+std::string_view memoryRefusalName(MemoryRefusal Value);
+
+struct MemoryShares {
+  /// Most bytes of each part.
+  std::array<std::size_t, MemoryParts> m_Most{};
+  /// Of `Bodies`, kept for one request at a time, which is whole with it. Long
+  /// bodies that each hold a part of the rest can't block one another.
+  std::size_t m_OneBody = 0;
+};
+
+/// Memory of a machine whose settings don't name it. Clients may hold half.
+inline constexpr std::size_t DefaultMachineMegabytes = 256;
+
+/// Shares for a process that may use \p MachineBytes and \p Descriptors, and
+/// takes bodies of up to \p BodyBytes.
+MemoryShares sharesOf(std::size_t MachineBytes, std::size_t Descriptors,
+                      std::size_t BodyBytes);
+
+/// Memory that a process lends to its clients over all its listeners. Its users
+/// take before they read or hold.
+class MemoryBudget {
+public:
+  explicit MemoryBudget(const MemoryShares &Shares) : m_Shares(Shares) {}
+
+  /// Takes all of it or nothing. \param Whose the one body for which
+  /// `m_OneBody` is kept may use it, if \p Whose was the first to claim it.
+  bool take(MemoryPart Of, std::size_t Bytes, const void *Whose = nullptr);
+  /// Takes it even if that is more than there is.
+  void charge(MemoryPart Of, std::size_t Bytes);
+  void give(MemoryPart Of, std::size_t Bytes);
+  /// Whether more is held than the part has.
+  [[nodiscard]] bool isOver(MemoryPart Of) const;
+  [[nodiscard]] std::size_t held(MemoryPart Of) const;
+  [[nodiscard]] const MemoryShares &shares() const { return m_Shares; }
+
+  /// \returns whether \p Who has `m_OneBody` now.
+  bool claimOneBody(const void *Who);
+  void releaseOneBody(const void *Who);
+  [[nodiscard]] bool hasOneBody(const void *Who) const {
+    return Who != nullptr && m_OneBodyOf == Who;
+  }
+
+  void noteRefusal(MemoryRefusal Why);
+  [[nodiscard]] std::uint64_t refusals(MemoryRefusal Why) const;
+  /// \returns whether refusals are to be logged now: at most once a second, and
+  /// only after new ones.
+  bool takeLogTurn(TimePoint Now);
+
+private:
+  [[nodiscard]] static std::size_t index(MemoryPart Of) {
+    return static_cast<std::size_t>(Of);
+  }
+
+  MemoryShares m_Shares;
+  std::array<std::size_t, MemoryParts> m_Held{};
+  std::array<std::uint64_t, MemoryRefusals> m_Refusals{};
+  const void *m_OneBodyOf = nullptr;
+  bool m_HasNews = false;
+  TimePoint m_NextLog;
+};
+
+/// The budget of a process on a machine with that much memory, for bodies of up
+/// to \p BodyBytes and no less than the default of `ServerLimits`.
+std::shared_ptr<MemoryBudget> makeBudget(std::size_t MachineMegabytes,
+                                         std::size_t BodyBytes);
+
 struct ServerLimits {
   std::size_t m_HeaderBytes = 16U << 10U;
   std::size_t m_BodyBytes = 4U << 20U;
@@ -145,6 +237,8 @@
   /// Longest time from a request's first byte to its last.
   std::chrono::milliseconds m_FirstRequest{10'000};
   std::size_t m_Connections = 20'000;
+  /// Shared by all listeners of the process; null: without bound.
+  std::shared_ptr<MemoryBudget> m_Memory;
 };
 
 using Handler = std::function<void(std::shared_ptr<Exchange>)>;
@@ -166,6 +260,7 @@
   Dropped,     ///< An exchange was given up before its answer was whole.
   Protocol,    ///< What was received is not HTTP, or is too large.
   ServerEnded, ///< The server was destroyed.
+  Memory,      ///< It held memory that others needed.
 };
 
 /// Name of a reason in log lines, in lower case.
--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -1,5 +1,6 @@
 #include "ErrorPages.h"
 #include "Headers.h"
+#include "MemoryCost.h"
 #include "events/events.h"
 
 #include <algorithm>
@@ -109,10 +110,78 @@
 /// Between two looks for a caller that has left with bytes unread.
 constexpr std::chrono::milliseconds LookInterval{100};
 
+/// Reads while the start of a request arrives, which `MemoryCost::Connection`
+/// covers, and while a long body does.
+constexpr std::size_t ShortRead = 4U << 10U;
+constexpr std::size_t LongRead = 16U << 10U;
+
+/// Memory of the budget that one client holds; given back when this ends.
+class Held {
+public:
+  Held(std::shared_ptr<MemoryBudget> From, MemoryPart Of)
+      : m_From(std::move(From)), m_Of(Of) {}
+  ~Held() { shrink(0); }
+  Held(const Held &) = delete;
+  Held &operator=(const Held &) = delete;
+  Held(Held &&Other) noexcept
+      : m_From(Other.m_From), m_Of(Other.m_Of),
+        m_Bytes(std::exchange(Other.m_Bytes, 0)) {}
+  Held &operator=(Held &&) = delete;
+
+  bool take(std::size_t Bytes, const void *Whose = nullptr) {
+    if (m_From != nullptr && !m_From->take(m_Of, Bytes, Whose))
+      return false;
+    m_Bytes += Bytes;
+    return true;
+  }
+  void charge(std::size_t Bytes) {
+    if (m_From != nullptr)
+      m_From->charge(m_Of, Bytes);
+    m_Bytes += Bytes;
+  }
+  void shrink(std::size_t To) {
+    if (To >= m_Bytes)
+      return;
+    if (m_From != nullptr)
+      m_From->give(m_Of, m_Bytes - To);
+    m_Bytes = To;
+  }
+  [[nodiscard]] std::size_t bytes() const { return m_Bytes; }
+
+private:
+  std::shared_ptr<MemoryBudget> m_From;
+  MemoryPart m_Of;
+  std::size_t m_Bytes = 0;
+};
+
 class ServerExchange;
+class ServerState;
 
 /// A caller's connection, known from its accept to its close.
 struct Connection {
+  explicit Connection(const std::shared_ptr<MemoryBudget> &Memory)
+      : m_Place(Memory, MemoryPart::Connections),
+        m_Short(Memory, MemoryPart::Requests),
+        m_Long(Memory, MemoryPart::Bodies),
+        m_Unread(Memory, MemoryPart::Answers) {}
+
+  ServerState *m_Server = nullptr;
+  bufferevent *m_Buffer = nullptr;
+  Held m_Place;
+  Held m_Short;  ///< Of the request that is not whole yet.
+  Held m_Long;   ///< The same.
+  Held m_Unread; ///< What the output holds.
+  HeadScan m_Head;
+  /// Read and kept from evhttp until the budget has memory for it.
+  std::string m_HeldBack;
+  std::size_t m_HeldBackCost = 0;
+  TimePoint m_WaitsSince = TimePoint::max(); ///< While something is held back.
+  Duration m_Waited{0};                      ///< Before that, in this request.
+  bool m_PuttingBack = false;
+  /// When the caller last took bytes of an answer, or one was begun.
+  TimePoint m_TakenAt;
+  /// When it was refused, and nothing is read any longer.
+  TimePoint m_RefusedAt = TimePoint::max();
   TimePoint m_AcceptedAt;
   /// When bytes were last received, or an answer was handed to it.
   TimePoint m_MovedAt;
@@ -136,7 +205,12 @@
   ServerExchange(event_base *Loop, evhttp_request *Raw,
                  const std::shared_ptr<Connection> &Arrival)
       : m_Raw(Raw), m_Connection(Arrival), m_AcceptedAt(Arrival->m_AcceptedAt),
-        m_Request(toRequest(Raw)) {
+        m_Request(toRequest(Raw)), m_Short(std::move(Arrival->m_Short)),
+        m_Long(std::move(Arrival->m_Long)) {
+    // What was received is copied and freed by now.
+    constexpr std::size_t Copies = 3;
+    m_Short.shrink(m_Short.bytes() / Copies * (Copies - 1));
+    m_Long.shrink(m_Long.bytes() / Copies * (Copies - 1));
     // evhttp does not read while a request is being answered, and would not
     // notice that the caller has gone until a write fails.
     bufferevent *Buffer =
@@ -370,6 +444,8 @@
   event *m_Hangup = nullptr;
   event *m_Look = nullptr; ///< Once bytes of the peer wait.
   Request m_Request;
+  Held m_Short; ///< For `m_Request` and its copies.
+  Held m_Long;
   bool m_Gone = false;
   std::string_view m_GoneReason;
   bool m_IsCut = false; ///< Pieces were not written.
@@ -378,6 +454,35 @@
 };
 
 constexpr std::chrono::milliseconds SweepInterval{250};
+/// Between two attempts to go on with requests that wait for memory.
+constexpr std::chrono::milliseconds RetryInterval{10};
+/// Longest wait of a request for memory, in all.
+constexpr std::chrono::seconds LongestWait{5};
+/// Age from which a silent connection, one whose request is not whole, one
+/// that has been answered, or one with an unread answer makes room.
+constexpr std::chrono::milliseconds SilentAge{500};
+constexpr std::chrono::milliseconds ReceivingAge{1'000};
+constexpr std::chrono::milliseconds IdleAge{5'000};
+constexpr std::chrono::milliseconds UnreadAge{500};
+/// Time that a refused caller has to read why.
+constexpr std::chrono::milliseconds RefusedTime{500};
+/// Connections that each listener takes beyond the budget, so that a crowd at
+/// one listener doesn't lock out the others.
+constexpr std::size_t ReservedConnections = 16;
+constexpr int StatusTimeout = 408;
+constexpr int StatusUnavailable = 503;
+
+/// A whole answer to a request that has not reached the handler.
+std::string refusalPage(int Status) {
+  const std::string Body =
+      Status == StatusTimeout
+          ? R"({"reason":"slow_request","outcome":"not_run"})"
+          : R"({"reason":"no_memory","outcome":"not_run"})";
+  return "HTTP/1.1 " + std::to_string(Status) +
+         " Refused\r\nContent-Type: application/json\r\nRetry-After: 1\r\n"
+         "Connection: close\r\nContent-Length: " +
+         std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
 
 class ServerState final : public Server {
 public:
@@ -385,17 +490,20 @@
               ErrorPage OnMalformed)
       : m_Loop(Loop), m_Limits(Limits), m_OnRequest(std::move(OnRequest)),
         m_OnMalformed(std::move(OnMalformed)),
-        m_Sweep(Loop, SweepInterval, true, [this] { closeSlowSenders(); }) {}
+        m_Sweep(Loop, SweepInterval, true, [this] { sweep(); }),
+        m_Retry(evtimer_new(Loop, onRetry, this)) {}
 
   ~ServerState() override {
     for (const auto &[Raw, Known] : std::exchange(m_Open, {})) {
       Known->m_Closing = CloseReason::ServerEnded;
       report(Raw, *Known);
+      stopObserving(*Known);
       if (Known->m_Current != nullptr)
         Known->m_Current->detach();
     }
     if (m_Http != nullptr)
       evhttp_free(m_Http);
+    event_free(m_Retry);
   }
 
   Status open(const Address &At) {
@@ -524,20 +632,76 @@
       return;
     auto *Raw = static_cast<evhttp_connection *>(Owner);
     ServerState &Self = *Made->m_Owner;
-    Self.adopt(Raw);
-    if (Self.m_Open.size() <= Self.m_Limits.m_Connections)
+    const std::shared_ptr<Connection> Known = Self.adopt(Raw);
+    if (Self.hasRoomFor(*Known))
       return;
     ++Self.m_Refused;
+    if (Self.m_Limits.m_Memory != nullptr)
+      Self.m_Limits.m_Memory->noteRefusal(MemoryRefusal::TooManyConnections);
     Self.close(Raw, CloseReason::TooMany);
   }
 
+  /// Takes the memory of a new connection, if need be from another one.
+  bool hasRoomFor(Connection &New) {
+    if (m_Limits.m_Memory == nullptr)
+      return m_Open.size() <= m_Limits.m_Connections;
+    if (m_Open.size() > m_Limits.m_Connections && !closeOneForRoom())
+      return false;
+    if (New.m_Place.take(MemoryCost::Connection) ||
+        (closeOneForRoom() && New.m_Place.take(MemoryCost::Connection)))
+      return true;
+    if (m_Open.size() > ReservedConnections)
+      return false;
+    New.m_Place.charge(MemoryCost::Connection);
+    return true;
+  }
+
+  /// Closes the connection that needs its place least: one that never sent
+  /// anything, before one that is slow with a request, before one that has been
+  /// answered. \returns whether there was one that is old enough.
+  bool closeOneForRoom() {
+    const TimePoint Now = BootClock::now();
+    evhttp_connection *Best = nullptr;
+    std::pair<int, TimePoint> BestRank;
+    for (const auto &[Raw, Known] : m_Open) {
+      std::pair<int, TimePoint> Rank;
+      if (Known->m_Current != nullptr || hasUnsent(Raw))
+        continue;
+      if (Known->m_FirstByte != TimePoint::max())
+        Rank = {1, Known->m_FirstByte + ReceivingAge};
+      else if (Known->m_Requests == 0)
+        Rank = {0, Known->m_AcceptedAt + SilentAge};
+      else
+        Rank = {2, Known->m_MovedAt + IdleAge};
+      if (Rank.second > Now || (Best != nullptr && BestRank <= Rank))
+        continue;
+      Best = Raw;
+      BestRank = Rank;
+    }
+    if (Best == nullptr)
+      return false;
+    const bool IsSlow = BestRank.first == 1;
+    m_Limits.m_Memory->noteRefusal(IsSlow ? MemoryRefusal::SlowRequest
+                                          : MemoryRefusal::SilentConnection);
+    if (IsSlow)
+      sendPage(*m_Open.at(Best), StatusTimeout);
+    close(Best, CloseReason::TooMany);
+    return true;
+  }
+
   /// \returns what is known of a connection, from now on if it is new.
   std::shared_ptr<Connection> adopt(evhttp_connection *Raw) {
     auto &Known = m_Open[Raw];
     if (Known != nullptr)
       return Known;
     bufferevent *Buffer = evhttp_connection_get_bufferevent(Raw);
-    Known = std::make_shared<Connection>();
+    Known = std::make_shared<Connection>(m_Limits.m_Memory);
+    Known->m_Server = this;
+    Known->m_Buffer = Buffer;
+    if (m_Limits.m_Memory != nullptr) {
+      bufferevent_set_max_single_read(Buffer, ShortRead);
+      evbuffer_add_cb(bufferevent_get_output(Buffer), onOutput, Known.get());
+    }
     Known->m_AcceptedAt = Known->m_MovedAt = BootClock::now();
     evhttp_connection_set_closecb(Raw, onClosed, this);
     evbuffer_add_cb(bufferevent_get_input(Buffer), onInput, Known.get());
@@ -560,9 +724,11 @@
                                                        : Status);
   }
 
-  static void onInput(evbuffer *, const evbuffer_cb_info *Info,
+  static void onInput(evbuffer *Input, const evbuffer_cb_info *Info,
                       void *Argument) {
     auto &Known = *static_cast<Connection *>(Argument);
+    if (Known.m_PuttingBack)
+      return;
     if (Known.m_Current == nullptr)
       Known.m_Received += Info->n_added;
     if (Info->n_added == 0)
@@ -570,6 +736,298 @@
     Known.m_MovedAt = BootClock::now();
     if (Known.m_Current == nullptr && Known.m_FirstByte == TimePoint::max())
       Known.m_FirstByte = Known.m_MovedAt;
+    if (Known.m_Server->m_Limits.m_Memory != nullptr)
+      Known.m_Server->admit(Known, Input, Info->n_added);
+  }
+
+  /// Its buffers live a little longer than what is known of a connection.
+  static void stopObserving(Connection &Known) {
+    evbuffer_remove_cb(bufferevent_get_input(Known.m_Buffer), onInput, &Known);
+    evbuffer_remove_cb(bufferevent_get_output(Known.m_Buffer), onOutput,
+                       &Known);
+  }
+
+  static void onOutput(evbuffer *, const evbuffer_cb_info *Info,
+                       void *Argument) {
+    auto &Known = *static_cast<Connection *>(Argument);
+    if (Info->n_deleted > 0 || Info->orig_size == 0)
+      Known.m_TakenAt = BootClock::now();
+    Known.m_Unread.shrink(
+        Known.m_Unread.bytes() -
+        std::min<std::size_t>(Known.m_Unread.bytes(), Info->n_deleted));
+    Known.m_Unread.charge(Info->n_added);
+  }
+
+  /// Whether a request that is not whole has been refused, by this server or by
+  /// a page of evhttp that is being written.
+  static bool isRefused(const Connection &Known) {
+    if (Known.m_RefusedAt != TimePoint::max())
+      return true;
+    if (Known.m_Current != nullptr || Known.m_Answering)
+      return false;
+    constexpr std::size_t ClassAt = 9; // After "HTTP/1.x ".
+    char Start[ClassAt + 1] = {};
+    const ev_ssize_t Length = evbuffer_copyout(
+        bufferevent_get_output(Known.m_Buffer), Start, sizeof(Start));
+    // An answer of class 1 asks for the body.
+    return Length == sizeof(Start) && Start[ClassAt] >= '4';
+  }
+
+  /// Takes memory for bytes that were just read, before evhttp sees them, or
+  /// keeps them from it. A read is no longer than `MemoryCost::Connection` or
+  /// the memory that a long body has already taken covers.
+  void admit(Connection &Known, evbuffer *Input, std::size_t Added) {
+    if (isRefused(Known)) {
+      bufferevent_disable(Known.m_Buffer, EV_READ);
+      evbuffer_drain(Input, evbuffer_get_length(Input));
+      return;
+    }
+    // It is scanned once that request has been answered.
+    if (Known.m_Current != nullptr)
+      return;
+    const std::size_t Cost = scan(Known, Input, Added);
+    if (Known.m_HeldBack.empty() && take(Known, Cost))
+      return;
+    holdBack(Known, Input, Added);
+    Known.m_HeldBackCost += Cost;
+    if (Known.m_WaitsSince == TimePoint::max())
+      Known.m_WaitsSince = Known.m_MovedAt;
+    bufferevent_disable(Known.m_Buffer, EV_READ);
+    retryLater();
+  }
+
+  /// Takes the last \p Added bytes out of an input; evhttp may leave the others
+  /// there until a body is whole.
+  static void holdBack(Connection &Known, evbuffer *Input, std::size_t Added) {
+    Known.m_PuttingBack = true;
+    evbuffer *Former = evbuffer_new();
+    evbuffer_remove_buffer(Input, Former, evbuffer_get_length(Input) - Added);
+    const std::size_t Before = Known.m_HeldBack.size();
+    Known.m_HeldBack.resize(Before + Added);
+    evbuffer_remove(Input, Known.m_HeldBack.data() + Before, Added);
+    evbuffer_prepend_buffer(Input, Former);
+    evbuffer_free(Former);
+    Known.m_PuttingBack = false;
+  }
+
+  /// Cost of the last \p Added bytes of an input.
+  static std::size_t scan(Connection &Known, evbuffer *Input,
+                          std::size_t Added) {
+    std::string Bytes(Added, '\0');
+    evbuffer_ptr From;
+    evbuffer_ptr_set(Input, &From, evbuffer_get_length(Input) - Added,
+                     EVBUFFER_PTR_SET);
+    evbuffer_copyout_from(Input, &From, Bytes.data(), Added);
+    return Known.m_Head.scan(Bytes);
+  }
+
+  bool take(Connection &Known, std::size_t Cost) {
+    const bool IsLong = Known.m_Head.isDone() &&
+                        Known.m_Short.bytes() + Cost > MemoryCost::ShortRequest;
+    if (!IsLong && Known.m_Short.take(Cost))
+      return true;
+    // Bodies go on with the other part, so that those that each hold some of
+    // this one don't block one another.
+    if (!Known.m_Head.isDone())
+      return false;
+    if (!Known.m_Long.take(Cost, &Known)) {
+      // Only a body that could go on alone may have the part kept for one.
+      if (Known.m_Long.bytes() + Cost > m_Limits.m_Memory->shares().m_OneBody ||
+          !m_Limits.m_Memory->claimOneBody(&Known) ||
+          !Known.m_Long.take(Cost, &Known))
+        return false;
+    }
+    bufferevent_set_max_single_read(Known.m_Buffer, LongRead);
+    return true;
+  }
+
+  void retryLater() {
+    const timeval Interval = toTimeval(RetryInterval);
+    if (!evtimer_pending(m_Retry, nullptr))
+      event_add(m_Retry, &Interval);
+  }
+
+  static void onRetry(evutil_socket_t, short, void *Argument) {
+    static_cast<ServerState *>(Argument)->retry();
+  }
+
+  /// Goes on with the requests that wait for memory, the oldest first.
+  void retry() {
+    std::vector<std::pair<TimePoint, evhttp_connection *>> Waiting;
+    for (const auto &[Raw, Known] : m_Open)
+      if (!Known->m_HeldBack.empty() &&
+          Known->m_RefusedAt == TimePoint::max())
+        Waiting.emplace_back(m_Limits.m_Memory->hasOneBody(Known.get())
+                                 ? TimePoint::min()
+                                 : Known->m_FirstByte,
+                             Raw);
+    std::sort(Waiting.begin(), Waiting.end());
+    const TimePoint Now = BootClock::now();
+    bool HasStuck[MemoryParts] = {};
+    for (const auto &[Since, Raw] : Waiting) {
+      const auto Found = m_Open.find(Raw);
+      if (Found == m_Open.end())
+        continue;
+      const std::shared_ptr<Connection> Known = Found->second;
+      const bool IsLong =
+          Known->m_Head.isDone() &&
+          Known->m_Short.bytes() + Known->m_HeldBackCost >
+              MemoryCost::ShortRequest;
+      const auto Part = IsLong ? MemoryPart::Bodies : MemoryPart::Requests;
+      bool &IsStuck = HasStuck[static_cast<std::size_t>(Part)];
+      // The younger don't overtake, or a crowd of short reads could.
+      if (!IsStuck && take(*Known, Known->m_HeldBackCost)) {
+        goOn(*Known, Now);
+        continue;
+      }
+      const bool IsTooLarge =
+          IsLong && Known->m_Long.bytes() + Known->m_HeldBackCost >
+                        m_Limits.m_Memory->shares().m_OneBody;
+      if (IsTooLarge ||
+          Known->m_Waited + (Now - Known->m_WaitsSince) >= LongestWait) {
+        refuse(*Known, StatusUnavailable, MemoryRefusal::RequestWaited);
+        continue;
+      }
+      if (!IsStuck)
+        makeRoom(*Known, Part, Now);
+      IsStuck = true;
+      retryLater();
+    }
+  }
+
+  /// Hands evhttp what was kept from it, and reads on.
+  static void goOn(Connection &Known, TimePoint Now) {
+    Known.m_Waited += Now - std::exchange(Known.m_WaitsSince, TimePoint::max());
+    Known.m_HeldBackCost = 0;
+    const std::string Bytes = std::exchange(Known.m_HeldBack, {});
+    evbuffer *Input = bufferevent_get_input(Known.m_Buffer);
+    Known.m_PuttingBack = true;
+    // A bufferevent keeps the end of its input to itself.
+    evbuffer_unfreeze(Input, 0);
+    evbuffer_add(Input, Bytes.data(), Bytes.size());
+    evbuffer_freeze(Input, 0);
+    Known.m_PuttingBack = false;
+    bufferevent_enable(Known.m_Buffer, EV_READ);
+    // It may end the connection.
+    bufferevent_trigger(Known.m_Buffer, EV_READ, BEV_TRIG_IGNORE_WATERMARKS);
+  }
+
+  /// Refuses the oldest requests that are not whole until \p For has memory.
+  void makeRoom(const Connection &For, MemoryPart Part, TimePoint Now) {
+    std::vector<std::pair<TimePoint, Connection *>> Old;
+    std::size_t Freed = 0;
+    const auto HeldBy = [Part](const Connection &Which) {
+      return Part == MemoryPart::Bodies ? Which.m_Long.bytes()
+                                        : Which.m_Short.bytes();
+    };
+    for (const auto &[Raw, Known] : m_Open) {
+      // Refused ones give theirs back when they are closed.
+      if (Known->m_RefusedAt != TimePoint::max())
+        Freed += HeldBy(*Known);
+      if (Known->m_FirstByte == TimePoint::max() || Known.get() == &For ||
+          Known->m_RefusedAt != TimePoint::max())
+        continue;
+      Candidate Who;
+      Who.m_Since = Known->m_FirstByte;
+      Who.m_IsWaiting = Known->m_WaitsSince != TimePoint::max();
+      Who.m_Waited = Known->m_Waited;
+      if (Who.m_IsWaiting)
+        Who.m_Waited += Now - Known->m_WaitsSince;
+      Who.m_Received = Known->m_Received;
+      Who.m_HasHead = Known->m_Head.isDone();
+      Who.m_HoldsBody = Known->m_Long.bytes() > 0;
+      if (mayGoForOthers(Who, Part, Now))
+        Old.emplace_back(Known->m_FirstByte, Known.get());
+    }
+    std::sort(Old.begin(), Old.end());
+    for (const auto &[Since, Known] : Old) {
+      if (Freed >= For.m_HeldBackCost)
+        return;
+      Freed += HeldBy(*Known);
+      refuse(*Known, StatusTimeout, MemoryRefusal::SlowRequest);
+    }
+  }
+
+  static void sendPage(const Connection &Known, int Status) {
+    if (evbuffer_get_length(bufferevent_get_output(Known.m_Buffer)) > 0)
+      return;
+    const std::string Page = refusalPage(Status);
+    // A page that the kernel does not take at once is not waited for.
+    static_cast<void>(::send(bufferevent_getfd(Known.m_Buffer), Page.data(),
+                             Page.size(), MSG_DONTWAIT | MSG_NOSIGNAL));
+  }
+
+  /// Answers a request that is not whole, and reads nothing more of it. The
+  /// connection is closed a little later, so that its caller can read the
+  /// answer.
+  void refuse(Connection &Known, int Status, MemoryRefusal Why) {
+    m_Limits.m_Memory->noteRefusal(Why);
+    m_Limits.m_Memory->releaseOneBody(&Known);
+    Known.m_RefusedAt = BootClock::now();
+    bufferevent_disable(Known.m_Buffer, EV_READ);
+    Known.m_HeldBack = {};
+    Known.m_HeldBackCost = 0;
+    Known.m_WaitsSince = TimePoint::max();
+    sendPage(Known, Status);
+    ::shutdown(bufferevent_getfd(Known.m_Buffer), SHUT_WR);
+  }
+
+  void closeRefused() {
+    const TimePoint Latest = BootClock::now() - RefusedTime;
+    std::vector<evhttp_connection *> Over;
+    for (const auto &[Raw, Known] : m_Open)
+      if (Known->m_RefusedAt <= Latest)
+        Over.push_back(Raw);
+    for (evhttp_connection *Raw : Over)
+      close(Raw, CloseReason::Memory);
+  }
+
+  /// Closes callers that take nothing of their answers, the largest first.
+  void closeUnread() {
+    if (!m_Limits.m_Memory->isOver(MemoryPart::Answers))
+      return;
+    const TimePoint Latest = BootClock::now() - UnreadAge;
+    std::vector<std::pair<std::size_t, evhttp_connection *>> Unread;
+    for (const auto &[Raw, Known] : m_Open)
+      if (Known->m_Unread.bytes() > 0 && Known->m_TakenAt <= Latest)
+        Unread.emplace_back(Known->m_Unread.bytes(), Raw);
+    std::sort(Unread.rbegin(), Unread.rend());
+    for (const auto &[Bytes, Raw] : Unread) {
+      if (!m_Limits.m_Memory->isOver(MemoryPart::Answers))
+        return;
+      if (m_Open.find(Raw) == m_Open.end())
+        continue;
+      m_Limits.m_Memory->noteRefusal(MemoryRefusal::UnreadAnswer);
+      close(Raw, CloseReason::Memory);
+    }
+  }
+
+  void sweep() {
+    closeSlowSenders();
+    if (m_Limits.m_Memory == nullptr)
+      return;
+    closeRefused();
+    closeUnread();
+    logRefusals();
+  }
+
+  void logRefusals() const {
+    MemoryBudget &Memory = *m_Limits.m_Memory;
+    if (!Memory.takeLogTurn(BootClock::now()))
+      return;
+    const auto Count = [&](MemoryRefusal Why) { return Memory.refusals(Why); };
+    events::emit(
+        events::Event::ClientsRefused,
+        {{"too_many_connections", Count(MemoryRefusal::TooManyConnections)},
+         {"silent_connection", Count(MemoryRefusal::SilentConnection)},
+         {"slow_request", Count(MemoryRefusal::SlowRequest)},
+         {"request_waited", Count(MemoryRefusal::RequestWaited)},
+         {"answers_unread", Count(MemoryRefusal::AnswersUnread)},
+         {"unread_answer", Count(MemoryRefusal::UnreadAnswer)},
+         {"connections", Memory.held(MemoryPart::Connections)},
+         {"requests", Memory.held(MemoryPart::Requests)},
+         {"bodies", Memory.held(MemoryPart::Bodies)},
+         {"answers", Memory.held(MemoryPart::Answers)}});
   }
 
   static void onClosed(evhttp_connection *Raw, void *Argument) {
@@ -580,6 +1038,9 @@
     const std::shared_ptr<Connection> Known = Found->second;
     Self.report(Raw, *Known);
     Self.m_Open.erase(Found);
+    stopObserving(*Known);
+    if (Self.m_Limits.m_Memory != nullptr)
+      Self.m_Limits.m_Memory->releaseOneBody(Known.get());
     // It watches a buffer that ends with the connection.
     Known->m_Pages.reset();
     ServerExchange *Current = Known->m_Current;
@@ -601,11 +1062,31 @@
     Known->m_Received = 0;
     Known->m_Answering = true;
     ++Known->m_Requests;
+    if (Self.m_Limits.m_Memory != nullptr)
+      Self.startNext(*Known);
     if (isAmbiguous(Made->request().m_Method, Made->request().m_Fields))
       return Self.refuseAmbiguous(*Made);
+    if (Self.m_Limits.m_Memory != nullptr &&
+        Self.m_Limits.m_Memory->isOver(MemoryPart::Answers)) {
+      Self.m_Limits.m_Memory->noteRefusal(MemoryRefusal::AnswersUnread);
+      Made->closeAfter();
+      return Made->reply(StatusUnavailable, {{"Retry-After", "1"}}, "");
+    }
     Self.m_OnRequest(std::move(Made));
   }
 
+  /// A request is whole. What its caller sent ahead, less than one read, is
+  /// paid for here, since evhttp goes on with it once the answer is written.
+  void startNext(Connection &Known) const {
+    m_Limits.m_Memory->releaseOneBody(&Known);
+    Known.m_Head = {};
+    Known.m_Waited = {};
+    bufferevent_set_max_single_read(Known.m_Buffer, ShortRead);
+    evbuffer *Input = bufferevent_get_input(Known.m_Buffer);
+    if (const std::size_t Ahead = evbuffer_get_length(Input); Ahead > 0)
+      Known.m_Short.charge(scan(Known, Input, Ahead));
+  }
+
   /// What follows on the connection may be a body that was taken for a
   /// request, so it ends here.
   void refuseAmbiguous(Exchange &Arrived) const {
@@ -639,6 +1120,7 @@
   std::uint64_t m_Refused = 0;
   std::uint64_t m_SlowSenders = 0;
   Timer m_Sweep;
+  event *m_Retry; ///< Pending while a request waits for memory.
 };
 
 } // namespace
@@ -663,6 +1145,8 @@
     return "protocol";
   case CloseReason::ServerEnded:
     return "server_ended";
+  case CloseReason::Memory:
+    return "memory";
   }
   return "";
 }
--- a/libs/http/tests/HttpTest.cpp
+++ b/libs/http/tests/HttpTest.cpp
@@ -410,3 +410,98 @@
   }
   ::close(Peer);
 }
+
+SCENARIO("a server that is short of memory reads less and breaks nothing") {
+  Loop Loop;
+  constexpr std::size_t Length = 3U << 20U;
+  http::ServerLimits Limits;
+  Limits.m_Memory = std::make_shared<http::MemoryBudget>(
+      http::sharesOf(8U << 20U, 1'000, Limits.m_BodyBytes));
+  const auto IsFree = [&] {
+    for (std::size_t I = 0; I < http::MemoryParts; ++I)
+      if (Limits.m_Memory->held(static_cast<http::MemoryPart>(I)) > 0)
+        return false;
+    return true;
+  };
+  std::size_t Most = 0;
+  auto Server = http::listen(
+      Loop.m_Base, At, Limits,
+      [&](const std::shared_ptr<http::Exchange> &Arrived) {
+        Most = std::max(Most, Limits.m_Memory->held(http::MemoryPart::Bodies));
+        Arrived->reply(200, {}, Arrived->request().m_Body);
+      });
+  REQUIRE(!failed(Server));
+  GIVEN("long bodies at once, for one of which there is room") {
+    std::vector<std::string> Bodies;
+    std::size_t Whole = 0;
+    for (char First = 'a'; First < 'g'; ++First) {
+      std::string Body(Length, First);
+      for (std::size_t I = 0; I < Body.size(); I += 1'001)
+        Body[I] = static_cast<char>('A' + I % 26);
+      Bodies.push_back(std::move(Body));
+    }
+    for (const std::string &Body : Bodies) {
+      http::ClientRequest What = get("/echo");
+      What.m_Method = "POST";
+      What.m_Body = Body;
+      http::ClientHandlers Handlers;
+      Handlers.m_OnDone = [&](const Result<http::Response> &Answer) {
+        Whole += !failed(Answer) && valueOf(Answer).m_Status == 200 &&
+                 valueOf(Answer).m_Body == Body;
+      };
+      http::call(Loop.m_Base, std::move(What), std::move(Handlers));
+    }
+    THEN("each is read and answered whole, and all memory is given back") {
+      CHECK(Loop.turnUntil([&] { return Whole == Bodies.size(); }));
+      const auto Bound = static_cast<std::size_t>(http::MemoryPart::Bodies);
+      CHECK(Most > 0);
+      CHECK(Most <= Limits.m_Memory->shares().m_Most[Bound]);
+      CHECK(Loop.turnUntil([&] { return IsFree(); }));
+    }
+  }
+  GIVEN("a body that is sent together with a head that asks for leave") {
+    const int Peer = connectRaw();
+    const std::string Bytes = "POST /a HTTP/1.1\r\nHost: any\r\nExpect: "
+                              "100-continue\r\nContent-Length: 5000\r\n\r\n";
+    REQUIRE(::send(Peer, Bytes.data(), Bytes.size(), 0) > 0);
+    const std::string Body(5'000, 'b');
+    REQUIRE(::send(Peer, Body.data(), Body.size(), 0) == 5'000);
+    THEN("it is not taken for one that was refused") {
+      std::string Got;
+      CHECK(Loop.turnUntil([&] {
+        char Piece[8192];
+        const ssize_t Count =
+            ::recv(Peer, Piece, sizeof(Piece), MSG_DONTWAIT);
+        if (Count > 0)
+          Got.append(Piece, static_cast<std::size_t>(Count));
+        return Got.find(Body) != std::string::npos;
+      }));
+    }
+    ::close(Peer);
+  }
+  GIVEN("requests sent ahead in one write") {
+    const int Peer = connectRaw();
+    std::string Bytes;
+    for (int I = 0; I < 300; ++I)
+      Bytes += "GET /a HTTP/1.1\r\nHost: any\r\n\r\n";
+    REQUIRE(::send(Peer, Bytes.data(), Bytes.size(), 0) > 0);
+    THEN("all are answered, and all memory is given back") {
+      std::string Got;
+      const auto Answers = [&] {
+        char Piece[65536];
+        const ssize_t Count =
+            ::recv(Peer, Piece, sizeof(Piece), MSG_DONTWAIT);
+        if (Count > 0)
+          Got.append(Piece, static_cast<std::size_t>(Count));
+        std::size_t Found = 0;
+        for (std::size_t I = Got.find("HTTP/1.1 200"); I != std::string::npos;
+             I = Got.find("HTTP/1.1 200", I + 1))
+          ++Found;
+        return Found;
+      };
+      CHECK(Loop.turnUntil([&] { return Answers() == 300; }));
+      ::close(Peer);
+      CHECK(Loop.turnUntil([&] { return IsFree(); }));
+    }
+  }
+}
