Take 120 MB for a machine whose settings don't name its memory

A test keeps the templates to the settings that all versions in service know, so memory_mb is taken out of them again. Without it the default must fit the smallest entries; 256 MB would lend them 128 of their 120 MB. The deployments of wasabivale-deployment name 1,024 MB.

--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -173,8 +173,9 @@
   std::size_t m_OneBody = 0;
 };
 
-/// Memory of a machine whose settings don't name it. Clients may hold half.
-inline constexpr std::size_t DefaultMachineMegabytes = 256;
+/// Memory of a machine whose settings don't name it: that of the smallest
+/// entries, so that the budget fits any machine in service.
+inline constexpr std::size_t DefaultMachineMegabytes = 120;
 
 /// Shares for a process that may use \p MachineBytes and \p Descriptors, and
 /// takes bodies of up to \p BodyBytes.
--- a/libs/http/src/MemoryCost.cpp
+++ b/libs/http/src/MemoryCost.cpp
@@ -38,8 +38,9 @@
   if (!Who.m_HoldsBody || Who.m_IsWaiting)
     return false;
   const double Seconds = std::chrono::duration<double>(Sending).count();
-  return Sending >= BodyAge && static_cast<double>(Who.m_Received) <
-                                   Seconds * static_cast<double>(BytesPerSecond);
+  return Sending >= BodyAge &&
+         static_cast<double>(Who.m_Received) <
+             Seconds * static_cast<double>(BytesPerSecond);
 }
 
 } // namespace wasabivale::http
--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -123,10 +123,8 @@
   ~Held() { shrink(0); }
   Held(const Held &) = delete;
   Held &operator=(const Held &) = delete;
-  Held(Held &&Other) noexcept
-      : m_From(Other.m_From), m_Of(Other.m_Of),
-        m_Bytes(std::exchange(Other.m_Bytes, 0)) {}
-  Held &operator=(Held &&) = delete;
+  /// \returns what is held, which is no longer held here.
+  Held handOver() { return {m_From, m_Of, std::exchange(m_Bytes, 0)}; }
 
   bool take(std::size_t Bytes, const void *Whose = nullptr) {
     if (m_From != nullptr && !m_From->take(m_Of, Bytes, Whose))
@@ -149,6 +147,9 @@
   [[nodiscard]] std::size_t bytes() const { return m_Bytes; }
 
 private:
+  Held(std::shared_ptr<MemoryBudget> From, MemoryPart Of, std::size_t Bytes)
+      : m_From(std::move(From)), m_Of(Of), m_Bytes(Bytes) {}
+
   std::shared_ptr<MemoryBudget> m_From;
   MemoryPart m_Of;
   std::size_t m_Bytes = 0;
@@ -205,8 +206,8 @@
   ServerExchange(event_base *Loop, evhttp_request *Raw,
                  const std::shared_ptr<Connection> &Arrival)
       : m_Raw(Raw), m_Connection(Arrival), m_AcceptedAt(Arrival->m_AcceptedAt),
-        m_Request(toRequest(Raw)), m_Short(std::move(Arrival->m_Short)),
-        m_Long(std::move(Arrival->m_Long)) {
+        m_Request(toRequest(Raw)), m_Short(Arrival->m_Short.handOver()),
+        m_Long(Arrival->m_Long.handOver()) {
     // What was received is copied and freed by now.
     constexpr std::size_t Copies = 3;
     m_Short.shrink(m_Short.bytes() / Copies * (Copies - 1));
@@ -859,8 +860,7 @@
   void retry() {
     std::vector<std::pair<TimePoint, evhttp_connection *>> Waiting;
     for (const auto &[Raw, Known] : m_Open)
-      if (!Known->m_HeldBack.empty() &&
-          Known->m_RefusedAt == TimePoint::max())
+      if (!Known->m_HeldBack.empty() && Known->m_RefusedAt == TimePoint::max())
         Waiting.emplace_back(m_Limits.m_Memory->hasOneBody(Known.get())
                                  ? TimePoint::min()
                                  : Known->m_FirstByte,
@@ -873,10 +873,9 @@
       if (Found == m_Open.end())
         continue;
       const std::shared_ptr<Connection> Known = Found->second;
-      const bool IsLong =
-          Known->m_Head.isDone() &&
-          Known->m_Short.bytes() + Known->m_HeldBackCost >
-              MemoryCost::ShortRequest;
+      const bool IsLong = Known->m_Head.isDone() &&
+                          Known->m_Short.bytes() + Known->m_HeldBackCost >
+                              MemoryCost::ShortRequest;
       const auto Part = IsLong ? MemoryPart::Bodies : MemoryPart::Requests;
       bool &IsStuck = HasStuck[static_cast<std::size_t>(Part)];
       // The younger don't overtake, or a crowd of short reads could.
--- a/libs/http/tests/HttpTest.cpp
+++ b/libs/http/tests/HttpTest.cpp
@@ -470,8 +470,7 @@
       std::string Got;
       CHECK(Loop.turnUntil([&] {
         char Piece[8192];
-        const ssize_t Count =
-            ::recv(Peer, Piece, sizeof(Piece), MSG_DONTWAIT);
+        const ssize_t Count = ::recv(Peer, Piece, sizeof(Piece), MSG_DONTWAIT);
         if (Count > 0)
           Got.append(Piece, static_cast<std::size_t>(Count));
         return Got.find(Body) != std::string::npos;
@@ -489,8 +488,7 @@
       std::string Got;
       const auto Answers = [&] {
         char Piece[65536];
-        const ssize_t Count =
-            ::recv(Peer, Piece, sizeof(Piece), MSG_DONTWAIT);
+        const ssize_t Count = ::recv(Peer, Piece, sizeof(Piece), MSG_DONTWAIT);
         if (Count > 0)
           Got.append(Piece, static_cast<std::size_t>(Count));
         std::size_t Found = 0;
--- a/tools/client-tests/tests/ClientsTest.cpp
+++ b/tools/client-tests/tests/ClientsTest.cpp
@@ -168,8 +168,7 @@
   std::error_code Ignored;
   const std::filesystem::directory_iterator Listed(
       fmt::format("/proc/{}/fd", Of.pid()), Ignored);
-  return static_cast<std::size_t>(
-      std::distance(begin(Listed), end(Listed)));
+  return static_cast<std::size_t>(std::distance(begin(Listed), end(Listed)));
 }
 
 std::string post(const std::string &Path, std::size_t BodyBytes) {
@@ -287,8 +286,8 @@
 SCENARIO("requests sent ahead with unread answers don't fill the memory") {
   WHEN("no route has their path") {
     checkCrowd(Many, [](const Listener &Place) {
-      return Script{"", "GET " + Place.m_Path +
-                            " HTTP/1.1\r\nHost: any\r\n\r\n"};
+      return Script{"",
+                    "GET " + Place.m_Path + " HTTP/1.1\r\nHost: any\r\n\r\n"};
     });
   }
   WHEN("a route has their path, or their answer is long") {
--- a/tools/client-tests/tests/Crowd.cpp
+++ b/tools/client-tests/tests/Crowd.cpp
@@ -59,8 +59,7 @@
   if (From.empty())
     return true;
   const std::size_t At =
-      IsFirst ? By.m_Sent
-              : (By.m_Sent - m_Script.m_First.size()) % From.size();
+      IsFirst ? By.m_Sent : (By.m_Sent - m_Script.m_First.size()) % From.size();
   std::size_t Length = From.size() - At;
   if (m_Script.m_Step > 0)
     Length = std::min(Length, m_Script.m_Step);
@@ -77,13 +76,12 @@
   while (BootClock::now() < End && !m_Clients.empty()) {
     std::vector<pollfd> Asked;
     for (const Client &Each : m_Clients) {
-      const bool HasMore = Each.m_Sent < m_Script.m_First.size() ||
-                           !m_Repeated.empty();
-      Asked.push_back({Each.m_Socket,
-                       static_cast<short>(HasMore ? POLLOUT : 0), 0});
+      const bool HasMore =
+          Each.m_Sent < m_Script.m_First.size() || !m_Repeated.empty();
+      Asked.push_back(
+          {Each.m_Socket, static_cast<short>(HasMore ? POLLOUT : 0), 0});
     }
-    ::poll(Asked.data(), Asked.size(),
-           static_cast<int>(PollTime.count()));
+    ::poll(Asked.data(), Asked.size(), static_cast<int>(PollTime.count()));
     for (std::size_t I = m_Clients.size(); I-- > 0;) {
       const short Got = Asked[I].revents;
       bool IsOpen = (Got & (POLLERR | POLLHUP)) == 0;
@@ -107,10 +105,10 @@
   constexpr std::size_t StatusLine = 12; // "HTTP/1.1 200"
   bool IsOpen = true;
   while (IsOpen && Answer.size() < StatusLine && BootClock::now() < End) {
-    pollfd Asked{Socket,
-                 static_cast<short>(Sent < Request.size() ? POLLIN | POLLOUT
-                                                          : POLLIN),
-                 0};
+    pollfd Asked{
+        Socket,
+        static_cast<short>(Sent < Request.size() ? POLLIN | POLLOUT : POLLIN),
+        0};
     ::poll(&Asked, 1, static_cast<int>(PollTime.count()));
     if ((Asked.revents & POLLOUT) != 0) {
       const ssize_t Count =
--- a/tools/deployment/src/Main.cpp
+++ b/tools/deployment/src/Main.cpp
@@ -62,6 +62,8 @@
       {"id", Process.m_Name},
       {"region", "region-1"},
       {"zone", Process.m_Zone},
+      // Of a developer's machine, which also runs benchmarks.
+      {"memory_mb", 1'024},
       {"keys",
        {{"public", Process.m_Keys.m_Public},
         {"secret", Process.m_Keys.m_Secret}}},
--- a/tools/fault-soak/src/Soak.cpp
+++ b/tools/fault-soak/src/Soak.cpp
@@ -221,7 +221,6 @@
       {"bootstrap", IsControl},
       {"data_dir", m_Folder + "/data-" + Ip},
       {"fault_tolerance", {{"machines", 1}}},
-      {"limits", {{"memory_mb", 256}}},
       {"bounds",
        {{"grace_s", 8}, {"retry_budget_ratio", 0.2}, {"budget_slack", 52}}}};
 }
