--- a/apps/control/tests/PlatformDutiesTest.cpp
+++ b/apps/control/tests/PlatformDutiesTest.cpp
@@ -86,6 +86,7 @@
     while (!Done() && BootClock::now() < GiveUpAt) {
       const http::Timer Tick(m_Loop, 10ms, false, [] {});
       event_base_loop(m_Loop, EVLOOP_ONCE);
+      m_Duties->sampleClock(BootClock::now());
       m_Duties->tick(m_Known, BootClock::now());
     }
     return Done();
