Leave sections of templates out in the soak as well

Cause: the soak fills the templates of deploy/ in by itself and did not know sections, so that since the keys for customers every program of it ended at its start with invalid settings (fault-soak-processes failed in the first whole run of the tests).

--- a/tools/fault-soak/src/Processes.cpp
+++ b/tools/fault-soak/src/Processes.cpp
@@ -1,5 +1,6 @@
 #include "Processes.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <csignal>
 #include <cstdlib>
@@ -31,20 +32,46 @@
   return Text.str();
 }
 
+/// \returns the field named `a.b`, null without one.
+Json findField(const Json &Fields, std::string_view Name) {
+  std::string Pointer = "/" + std::string(Name);
+  std::replace(Pointer.begin(), Pointer.end(), '.', '/');
+  return Fields.value(Json::json_pointer(Pointer), Json());
+}
+
+/// Leaves out the sections whose field is missing, null or false.
+std::string resolveSections(std::string Text, const Json &Fields) {
+  constexpr std::string_view Open = "{{#";
+  for (std::size_t Start = Text.find(Open); Start != std::string::npos;
+       Start = Text.find(Open, Start)) {
+    const std::size_t NameStart = Start + Open.size();
+    const std::size_t NameEnd = Text.find("}}", NameStart);
+    const std::string Name = Text.substr(NameStart, NameEnd - NameStart);
+    const std::string Close = "{{/" + Name + "}}";
+    const std::size_t End = Text.find(Close, NameEnd);
+    if (End == std::string::npos)
+      return Text;
+    const Json Value = findField(Fields, Name);
+    const bool IsKept = !Value.is_null() && Value != Json(false);
+    Text.replace(Start, End + Close.size() - Start,
+                 IsKept ? Text.substr(NameEnd + 2, End - NameEnd - 2)
+                        : std::string());
+  }
+  return Text;
+}
+
 } // namespace
 
 std::string fillTemplate(std::string Text, const Json &Fields) {
   constexpr std::string_view AsJson = "|json";
+  Text = resolveSections(std::move(Text), Fields);
   for (std::size_t Start = Text.find("{{"); Start != std::string::npos;
        Start = Text.find("{{", Start)) {
     const std::size_t End = Text.find("}}", Start);
     std::string Name = Text.substr(Start + 2, End - Start - 2);
     const std::size_t Option = Name.find(AsJson);
     const bool IsJson = Option != std::string::npos;
-    std::string Pointer = "/" + Name.substr(0, Option);
-    for (char &Letter : Pointer)
-      Letter = Letter == '.' ? '/' : Letter;
-    const Json Value = Fields.value(Json::json_pointer(Pointer), Json());
+    const Json Value = findField(Fields, Name.substr(0, Option));
     const std::string Filled =
         !IsJson && Value.is_string() ? Value.get<std::string>() : Value.dump();
     Text.replace(Start, End + 2 - Start, Filled);
--- a/tools/fault-soak/src/Processes.h
+++ b/tools/fault-soak/src/Processes.h
@@ -15,7 +15,8 @@
 
 using Json = nlohmann::json;
 
-/// Fills a template of deploy/ in: `{{a.b}}`, `{{a.0}}` and `{{a|json}}`.
+/// Fills a template of deploy/ in: `{{a.b}}`, `{{a.0}}`, `{{a|json}}`, and
+/// `{{#a}}...{{/a}}`, which is left out where `a` is missing, null or false.
 std::string fillTemplate(std::string Text, const Json &Fields);
 
 /// Where a build of the system has its programs and its settings' templates.
--- a/tools/fault-soak/tests/ProcessesTest.cpp
+++ b/tools/fault-soak/tests/ProcessesTest.cpp
@@ -18,3 +18,19 @@
   CHECK(Find("==7==ERROR: LeakSanitizer: detected memory leaks") ==
         "==7==ERROR: LeakSanitizer: detected memory leaks");
 }
+
+SCENARIO("a template is filled in as on the platform") {
+  const std::string Template =
+      R"({{#a.on}}"x": {{a.size}},{{/a.on}} "name": {{name|json}})";
+  const Json Named = {{"name", "n"}};
+  THEN("a section without its field is left out, also when it is false") {
+    CHECK(fillTemplate(Template, Named) == R"( "name": "n")");
+    CHECK(fillTemplate(Template, {{"name", "n"}, {"a", {{"on", false}}}}) ==
+          R"( "name": "n")");
+  }
+  THEN("a section with its field is filled in") {
+    CHECK(fillTemplate(Template,
+                       {{"name", "n"}, {"a", {{"on", true}, {"size", 5}}}}) ==
+          R"("x": 5, "name": "n")");
+  }
+}
