Reproduce resumed streams that don't go on in three tests

Callers saw that streams which they resumed were refused, or left before they went on, while new streams began.

--- a/apps/entry/tests/StreamVersionsTest.cpp
+++ b/apps/entry/tests/StreamVersionsTest.cpp
@@ -166,8 +166,34 @@
                        {"First-Attempt", First},
                        {"Waits-S", "4"}});
   }
+
+  /// Starts new streams that don't end, until others have to wait.
+  std::vector<std::shared_ptr<Answered>> takeAllPlaces() {
+    std::vector<std::shared_ptr<Answered>> Streams;
+    constexpr int Waiting = 4;
+    for (const wire::Target &Target : m_Shop.m_Fleet.targets())
+      for (std::uint32_t I = 0; I < Target.max_running(); ++I)
+        Streams.push_back(startNew(Streams.size()));
+    for (int I = 0; I < Waiting; ++I)
+      Streams.push_back(startNew(Streams.size()));
+    m_Shop.m_Loop.turnFor(std::chrono::milliseconds(200));
+    REQUIRE(m_Ran.size() < Streams.size());
+    return Streams;
+  }
+
+  std::shared_ptr<Answered> startNew(std::size_t Index) {
+    return m_Shop.start("POST", "/oracle/7",
+                        {{"Prompt", "10"},
+                         {"Attempt", fmt::format("new-{}", Index)},
+                         {"Waits-S", "4"}});
+  }
 };
 
+bool hasEnded(const std::vector<std::shared_ptr<Answered>> &Streams) {
+  return std::any_of(Streams.begin(), Streams.end(),
+                     [](const auto &One) { return One->m_Ended; });
+}
+
 } // namespace
 
 SCENARIO("a stream that its caller resumes does not go on at another software "
@@ -329,6 +355,58 @@
   }
 }
 
+SCENARIO("a resumed stream goes on although its first version was withdrawn "
+         "before its first event",
+         "[!shouldfail]") {
+  TwoVersions Fixture({"v1", "v2"});
+  Fixture.m_DrainsFirst = true;
+  (void)Fixture.begin("a-1");
+  REQUIRE(Fixture.m_Ran.size() == 2);
+  const std::string Began = Fixture.m_Ran[1];
+  REQUIRE(Fixture.m_Ran[0] != Began);
+  Fixture.m_Shop.m_Loop.turnFor(std::chrono::milliseconds(300));
+  Fixture.restart();
+  GIVEN("a target of the version that began it") {
+    CHECK(Fixture.resume("b-1", "a-1").m_Status == 200);
+    CHECK(Fixture.m_Ran == std::vector<std::string>{Began});
+  }
+  GIVEN("targets of other versions only") {
+    Fixture.add("v3");
+    Fixture.drain(Began);
+    Fixture.m_Shop.m_Loop.turnFor(std::chrono::milliseconds(1100));
+    CHECK(Fixture.resume("b-1", "a-1").m_Status == 503);
+    CHECK(Fixture.m_Ran.empty());
+  }
+}
+
+SCENARIO("a resumed stream does not wait behind new streams", "[!shouldfail]") {
+  TwoVersions Fixture;
+  Fixture.m_Control.record("a-1", "v1");
+  const auto New = Fixture.takeAllPlaces();
+  Fixture.m_Ran.clear();
+  CHECK(Fixture.resume("b-1", "a-1").m_Status == 200);
+  CHECK(Fixture.m_Ran == std::vector<std::string>{"v1"});
+  CHECK_FALSE(hasEnded(New));
+}
+
+SCENARIO("a resumed stream without a target of its version is refused before "
+         "it waits for a place",
+         "[!shouldfail]") {
+  TwoVersions Fixture;
+  Fixture.m_Control.record("a-1", "v1");
+  Fixture.m_Control.record("a-2", "v3");
+  const auto New = Fixture.takeAllPlaces();
+  Fixture.drain("v1");
+  Fixture.m_Ran.clear();
+  for (const char *First : {"a-1", "a-2", "a-3"}) {
+    const Answered Got = Fixture.resume("b-1", First);
+    CHECK(Got.m_Status == 503);
+    CHECK(http::field(Got.m_Fields, "wasabivale-outcome") == "not_run");
+  }
+  CHECK(Fixture.m_Ran.empty());
+  CHECK_FALSE(hasEnded(New));
+}
+
 SCENARIO("a try without events does not tell the version of a stream that "
          "began elsewhere") {
   TwoVersions Fixture;
