Find the version of a resumed stream before it waits, and start it first

Callers left while their resumed streams waited in an entry's queue, behind new streams. Cause: the queue counts places of all versions, and the version was asked for only when a place was free; a stream without any target of its version learned that last.

The version is now found when the request arrives, and decides with the other facts whether it is refused at once, forwarded, queued or started. What its callers have a part of starts without waiting for a place, for at most half of the slots that an entry counts with: targets put it first by its urgency. An entry forwards a stream for want of a target only if one of its version is ejected here, so that others may reach it.

--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -321,12 +321,10 @@
   m_OpenForwarded += Made->arrival().m_Forwarded ? 1 : 0;
   Made->watchCaller();
   const Arrival &For = Made->arrival();
-  ModelUse *Use = nullptr;
   if (!For.isService()) {
-    Use = &m_Shared.m_Models[For.m_Model];
-    Use->m_Demand.set_requests(Use->m_Demand.requests() + 1);
-    Use->m_Demand.set_prompt_tokens(Use->m_Demand.prompt_tokens() +
-                                    promptTokensOf(For));
+    wire::ModelDemand &Demand = m_Shared.m_Models[For.m_Model].m_Demand;
+    Demand.set_requests(Demand.requests() + 1);
+    Demand.set_prompt_tokens(Demand.prompt_tokens() + promptTokensOf(For));
   }
   if (const auto Until = Made->quarantinedUntil(Now))
     return Made->refuseUnstarted({Refusal::Quarantined, *Until - Now});
@@ -334,8 +332,20 @@
     return;
   if (For.m_Forwarded && Made->reachesNoTarget())
     return Made->refuseUnstarted({Refusal::NoTarget, Duration(0)});
+  if (Made->needsVersion())
+    return Made->findVersion([this](Serving &Found) { admitRead(Found); });
+  admitRead(*Made);
+}
+
+void DataPath::admitRead(Serving &Request) {
+  const TimePoint Now = BootClock::now();
+  const auto Made = Request.shared_from_this();
+  const Arrival &For = Made->arrival();
+  const ModelUse *Use =
+      For.isService() ? nullptr : &m_Shared.m_Models[For.m_Model];
   routing::Request Wanted =
       describeForRouting(For, blocksOf(For), Use ? outputShare(*Use) : 1);
+  Wanted.m_RequiredVersion = Made->requiredVersion();
   auto Expected =
       routing::estimate(m_Shared.m_Routing, Wanted, Now, m_Shared.m_Random);
   const bool IsLate =
@@ -376,6 +386,7 @@
   Ask.m_OutputTokens = Wanted.m_ExpectedOutputTokens;
   Ask.m_Deadline = For.m_Deadline;
   Ask.m_Capacity = capacity(Ask.m_Model, Now);
+  Ask.m_IsContinued = IsResumed;
   // While a target is free its own queue counts; otherwise ours stands for it.
   const TimePoint From =
       Ask.m_Capacity.m_FreeSlots > 0 ? Now : valueOf(Expected).m_Start;
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -75,7 +75,9 @@
       Fleet.m_Slots.begin(), Fleet.m_Slots.end(),
       [&](const routing::Slot &Candidate) {
         const std::vector<ModelId> &Models = Candidate.m_Target.m_Models;
+        const auto &Version = Wanted.m_RequiredVersion;
         return Candidate.m_Used && Candidate.m_Current &&
+               (!Version || *Version == Candidate.m_Target.m_SoftwareVersion) &&
                Candidate.m_Target.m_Kind == Wanted.m_Kind &&
                (Candidate.m_Health.m_State == routing::HealthState::Ejected ||
                 Candidate.m_Health.m_State == routing::HealthState::Probing) &&
@@ -226,6 +228,7 @@
       {{"request", m_Asked.m_Id},
        {"route", m_Asked.m_Caller},
        {"for", capacityName(m_Asked)},
+       {"offset", m_Offset},
        {"free", Room.m_FreeSlots},
        {"slots", Room.m_Slots},
        {"start_in_ms", milliseconds(ExpectedStart - BootClock::now())}});
@@ -380,13 +383,16 @@
   Wanted.m_Avoid = m_Avoid;
   if (m_Offset > m_FirstOffset)
     Wanted.m_MaySplit = false;
-  Wanted.m_RequiredVersion = m_StreamVersion;
-  if (!Wanted.m_RequiredVersion && isRecorded())
-    Wanted.m_RequiredVersion =
-        m_Shared.m_StreamVersions.reportedVersion(m_Stream, m_Asked.m_Model);
+  Wanted.m_RequiredVersion = requiredVersion();
   return Wanted;
 }
 
+std::optional<std::string> Serving::requiredVersion() const {
+  if (m_StreamVersion || !isRecorded())
+    return m_StreamVersion;
+  return m_Shared.m_StreamVersions.reportedVersion(m_Stream, m_Asked.m_Model);
+}
+
 void Serving::waitUntil(TimePoint When) {
   const auto Left = std::chrono::ceil<std::chrono::milliseconds>(
       std::max<Duration>(When - BootClock::now(), Duration(0)));
@@ -413,8 +419,9 @@
     m_Shared.m_Metrics.m_LeaseWaits.add();
     return waitUntil(Now + LeaseLook);
   }
-  if (isRecorded() && m_FirstOffset > 0 && !m_ResumedVersion)
-    return findVersion(Now);
+  // Another entry, to which it was forwarded first, could not be reached.
+  if (needsVersion())
+    return findVersion([](Serving &Found) { Found.place(); });
   routing::Request Wanted = routingRequest();
   if (!passGate(Wanted, Now))
     return;
@@ -425,19 +432,26 @@
   placeAt(std::move(Wanted), Now);
 }
 
-void Serving::findVersion(TimePoint Now) {
+bool Serving::needsVersion() const {
+  return isRecorded() && m_FirstOffset > 0 && !m_ResumedVersion;
+}
+
+void Serving::findVersion(std::function<void(Serving &)> Then) {
+  const TimePoint Now = BootClock::now();
   const bool IsNamed = !m_Asked.m_Passed->m_Ask.m_FirstAttempt.empty();
   m_Shared.m_StreamVersions.find(
       m_Asked.m_Model, IsNamed ? std::optional(m_Stream) : std::nullopt,
       std::min<TimePoint>(m_Asked.m_Deadline, Now + VersionPatience),
-      [Weak = weak_from_this()](const StreamVersions::Finding &Found) {
+      [Weak = weak_from_this(), Asking = m_Phase,
+       Then = std::move(Then)](const StreamVersions::Finding &Found) {
         const auto Self = Weak.lock();
-        if (Self != nullptr && Self->m_Phase == Phase::Placing)
-          Self->takeVersion(Found);
+        if (Self != nullptr && Self->m_Phase == Asking &&
+            Self->takeVersion(Found))
+          Then(*Self);
       });
 }
 
-void Serving::takeVersion(const StreamVersions::Finding &Found) {
+bool Serving::takeVersion(const StreamVersions::Finding &Found) {
   m_Shared.m_Metrics.countResume(Found.m_Version.has_value(), Found.m_Source);
   const std::string &First = m_Asked.m_Passed->m_Ask.m_FirstAttempt;
   if (!Found.m_Version) {
@@ -445,10 +459,11 @@
                                                 {"first_attempt", First},
                                                 {"offset", m_FirstOffset},
                                                 {"reason", Found.m_Source}});
-    return giveUp(Refusal::NoTarget, outcomeSoFar(),
-                  Error{"resume", "",
-                        "the software version of the stream is not known (" +
-                            Found.m_Source + ")"});
+    giveUp(Refusal::NoTarget, outcomeSoFar(),
+           Error{"resume", "",
+                 "the software version of the stream is not known (" +
+                     Found.m_Source + ")"});
+    return false;
   }
   events::emit(events::Event::StreamResumed, {{"request", m_Asked.m_Id},
                                               {"first_attempt", First},
@@ -457,7 +472,7 @@
                                               {"source", Found.m_Source}});
   m_ResumedVersion = Found.m_Version;
   m_StreamVersion = Found.m_Version;
-  place();
+  return true;
 }
 
 void Serving::releaseVersion(TimePoint Now) {
--- a/apps/entry/src/Serving.h
+++ b/apps/entry/src/Serving.h
@@ -48,6 +48,14 @@
   void refuseUnstarted(const limits::Refused &Why);
   /// Whether this entry is taken to be cut from the targets.
   [[nodiscard]] bool reachesNoTarget() const;
+  /// Whether the caller resumes a stream whose version is still to be found.
+  [[nodiscard]] bool needsVersion() const;
+  /// Finds the version of a stream that its caller resumes; the stream is
+  /// refused if it isn't known.
+  /// \param Then called once it is known, if the request still waits for it.
+  void findVersion(std::function<void(Serving &)> Then);
+  /// Version of the targets that the request must run at, if any.
+  [[nodiscard]] std::optional<std::string> requiredVersion() const;
   /// Starts a request that has just arrived at another entry, if this one
   /// reaches no target for it. \param NoTarget routing has found none.
   /// \returns whether it did.
@@ -85,9 +93,8 @@
   void placeAt(routing::Request Wanted, TimePoint Now);
   /// Whether the answer is a stream that its caller may resume elsewhere.
   [[nodiscard]] bool isRecorded() const;
-  /// Finds the version of a stream that its caller resumes, then places it.
-  void findVersion(TimePoint Now);
-  void takeVersion(const StreamVersions::Finding &Found);
+  /// \returns whether the version is known.
+  bool takeVersion(const StreamVersions::Finding &Found);
   /// Places a stream without events at any version, once control has forgotten
   /// the one that it was told.
   void releaseVersion(TimePoint Now);
--- a/apps/entry/tests/StreamVersionsTest.cpp
+++ b/apps/entry/tests/StreamVersionsTest.cpp
@@ -378,7 +378,7 @@
   }
 }
 
-SCENARIO("a resumed stream does not wait behind new streams", "[!shouldfail]") {
+SCENARIO("a resumed stream does not wait behind new streams") {
   TwoVersions Fixture;
   Fixture.m_Control.record("a-1", "v1");
   const auto New = Fixture.takeAllPlaces();
@@ -389,8 +389,7 @@
 }
 
 SCENARIO("a resumed stream without a target of its version is refused before "
-         "it waits for a place",
-         "[!shouldfail]") {
+         "it waits for a place") {
   TwoVersions Fixture;
   Fixture.m_Control.record("a-1", "v1");
   Fixture.m_Control.record("a-2", "v3");
--- a/libs/limits/include/limits/limits.h
+++ b/libs/limits/include/limits/limits.h
@@ -66,6 +66,10 @@
   /// Fraction of a model's slots that a caller over its fair share must leave
   /// free, so that a request of a caller below its own starts at once.
   double m_ReservedFraction = 0.05;
+  /// Fraction of a model's slots for which requests whose callers have part of
+  /// the answer start without waiting, at least one: their callers lose that
+  /// part with every wait, and targets put them before others.
+  double m_ContinuedFraction = 0.5;
   /// Retry-After of refusals that the next share grant may resolve.
   Duration m_ShareRenewal = std::chrono::seconds(1);
 };
@@ -100,7 +104,8 @@
   /// rough; it alone decides what misses the deadline. Unset: the service time,
   /// as corrected by the times of other requests.
   std::optional<Duration> m_MinServiceTime;
-  Capacity m_Capacity; ///< Current capacity of its model.
+  Capacity m_Capacity;        ///< Current capacity of its model.
+  bool m_IsContinued = false; ///< Its caller has part of the answer.
 };
 
 /// The request may start now and counts as running from now on.
@@ -188,7 +193,8 @@
   std::set<std::pair<TimePoint, CallerIndex>> m_RecentDemand;
   double m_DemandWeight = 0; ///< Sum over the flows in `m_RecentDemand`.
   DrainRate m_Drain;
-  std::uint32_t m_Running = 0; ///< Sum over all flows.
+  std::uint32_t m_Running = 0;   ///< Sum over all flows.
+  std::uint32_t m_Continued = 0; ///< Running, and of callers with a part.
   bool m_LastStartWasStarved = false;
   TimePoint m_LastStart;
   double m_Bias = 1; ///< Moving average of observed over expected service time.
@@ -200,6 +206,7 @@
   ModelId m_Model;
   unsigned m_Priority = 0;
   bool m_Running = false;
+  bool m_IsContinued = false;
   std::uint32_t m_PromptTokens = 0;
   std::uint32_t m_OutputTokens = 0;
   TimePoint m_ArrivedAt;
--- a/libs/limits/src/Admission.cpp
+++ b/libs/limits/src/Admission.cpp
@@ -102,6 +102,7 @@
   Active.m_Caller = Index;
   Active.m_Model = Request.m_Model;
   Active.m_Priority = std::min(Request.m_Priority, MaxPriority);
+  Active.m_IsContinued = Request.m_IsContinued;
   Active.m_PromptTokens = Request.m_PromptTokens;
   Active.m_OutputTokens = Request.m_OutputTokens;
   Active.m_ArrivedAt = Now;
@@ -156,6 +157,14 @@
   return Entry.m_Settings.m_DeadlineMargin;
 }
 
+/// Whether the request starts before those that wait.
+bool startsAhead(const State &Entry, const ModelQueue &Queue,
+                 const AdmissionRequest &Request) {
+  const double Most =
+      Entry.m_Settings.m_ContinuedFraction * Request.m_Capacity.m_Slots;
+  return Request.m_IsContinued && Queue.m_Continued < std::max(1.0, Most);
+}
+
 void updateBias(ModelQueue &Queue, const ActiveRequest &Request,
                 TimePoint Now) {
   const double Expected = seconds(Request.m_ServiceTime);
@@ -183,9 +192,11 @@
 
   ModelQueue &Queue = Entry.m_Models[Request.m_Model];
   recordDemand(Entry, Queue, Index, Now);
-  const bool StartNow = mayStart(Entry.m_Callers[Index], Now) &&
-                        Queue.m_Order.empty() &&
-                        hasFreeSlotFor(Entry, Queue, Index, Request.m_Capacity);
+  const bool StartNow =
+      mayStart(Entry.m_Callers[Index], Now) &&
+      (startsAhead(Entry, Queue, Request) ||
+       (Queue.m_Order.empty() &&
+        hasFreeSlotFor(Entry, Queue, Index, Request.m_Capacity)));
   const Forecast Expected =
       forecast(Entry, Queue, Index, Request, StartNow, Now);
   const double Margin = marginFor(Entry, Queue, Index, StartNow);
@@ -230,6 +241,7 @@
   WASABIVALE_INVARIANT(Queue.m_Running > 0 && Flow.m_Running > 0);
   --Queue.m_Running;
   --Flow.m_Running;
+  Queue.m_Continued -= Request.m_IsContinued ? 1 : 0;
   refill(Entry.m_Settings, Caller, Now);
   const double Prompt = Used.m_Ran ? Used.m_PromptTokens : 0;
   const double Output = Used.m_Ran ? Used.m_OutputTokens : 0;
--- a/libs/limits/src/Queue.cpp
+++ b/libs/limits/src/Queue.cpp
@@ -299,6 +299,7 @@
   ++Entry.m_RunningCount;
   ++Queue.m_Running;
   ++Flow.m_Running;
+  Queue.m_Continued += Request.m_IsContinued ? 1 : 0;
   WASABIVALE_INVARIANT(Caller.m_Running <= concurrencyShare(Caller));
   rescheduleFlow(Entry, Queue, Index, Flow, Now);
   reschedule(Entry, Index, Now);
--- a/libs/limits/src/Verify.cpp
+++ b/libs/limits/src/Verify.cpp
@@ -45,11 +45,14 @@
 
 void verify(const State &Entry) {
   std::vector<CallerCounts> Sums(Entry.m_Callers.size());
+  std::unordered_map<ModelId, std::uint32_t> Continued;
   std::size_t Queued = 0;
   for (const auto &[Id, Request] : Entry.m_Active) {
     CallerCounts &Sum = Sums[Request.m_Caller];
     ++(Request.m_Running ? Sum.m_Running : Sum.m_Queued);
     Queued += Request.m_Running ? 0 : 1;
+    Continued[Request.m_Model] +=
+        Request.m_Running && Request.m_IsContinued ? 1 : 0;
   }
   for (std::size_t I = 0; I < Sums.size(); ++I) {
     const CallerState &Caller = Entry.m_Callers[I];
@@ -60,8 +63,10 @@
   WASABIVALE_INVARIANT(Queued == Entry.m_ByLatestStart.size());
   WASABIVALE_INVARIANT(Entry.m_Active.size() == Queued + Entry.m_RunningCount);
   WASABIVALE_INVARIANT(Queued <= Entry.m_Settings.m_MaxQueued);
-  for (const auto &[Model, Queue] : Entry.m_Models)
+  for (const auto &[Model, Queue] : Entry.m_Models) {
     verifyQueue(Entry, Queue);
+    WASABIVALE_INVARIANT(Queue.m_Continued == Continued[Model]);
+  }
 }
 
 } // namespace wasabivale::limits
--- a/libs/limits/tests/AdmissionTest.cpp
+++ b/libs/limits/tests/AdmissionTest.cpp
@@ -234,3 +234,44 @@
     }
   }
 }
+
+SCENARIO("a request whose caller has part of the answer does not wait behind "
+         "new ones") {
+  State Entry = entryOf(2);
+  const Ticket New = ticketOf(admit(Entry, arrival(0, NoFreeSlots), at(0s)));
+  AdmissionRequest Rest = arrival(1, NoFreeSlots);
+  Rest.m_IsContinued = true;
+  const auto StartsNow = [&] {
+    const Decision Decided = admit(Entry, Rest, at(1s));
+    verify(Entry);
+    return std::holds_alternative<Admitted>(Decided.m_Verdict);
+  };
+  GIVEN("no free slot") {
+    THEN("as many start at once as half of the slots") {
+      for (int I = 0; I < 4; ++I)
+        CHECK(StartsNow());
+      CHECK_FALSE(StartsNow());
+    }
+    THEN("the end of one makes room for another") {
+      const Ticket First = ticketOf(admit(Entry, Rest, at(1s)));
+      for (int I = 0; I < 3; ++I)
+        CHECK(StartsNow());
+      finish(Entry, First, {}, at(2s));
+      CHECK(StartsNow());
+      CHECK_FALSE(StartsNow());
+    }
+    THEN("the limits of its caller hold") {
+      setShare(Entry, caller(1), 1, {NoLimit, NoLimit, NoLimit, 1},
+               TimePoint::max(), at(1s));
+      CHECK(StartsNow());
+      CHECK_FALSE(StartsNow());
+    }
+  }
+  GIVEN("less than two slots") {
+    Rest.m_Capacity = {0, 0.9};
+    CHECK(StartsNow());
+    CHECK_FALSE(StartsNow());
+  }
+  CHECK(nextToStart(Entry, at(3s), constantCapacity(AllSlotsFree)));
+  CHECK(Entry.m_Active.contains(New));
+}
