Keep a connection on which a request was sent ahead

Cause: bytes that a caller sends behind a request are read with it, and evhttp goes on with them after the answer without a read. The server noted the start of a request at a read only. A request whose head came ahead was taken for nothing under way: a stop closed its connection as idle without an answer, and its sender was never too slow.

Change: the end of an answer starts the request whose bytes wait. The time of a request does not run while the answer before it is written or another request runs, and no request is refused for memory while an answer is being written.

Measured: two new tests in HttpTest.cpp fail before (0 connections for 1; no close within 20 s) and pass after; test-http passes (22,450 assertions).

--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -193,7 +193,8 @@
   /// Set before the server closes it.
   std::optional<CloseReason> m_Closing;
   std::unique_ptr<ErrorPages> m_Pages;
-  /// Arrival of the first byte of a request that is not whole yet.
+  /// Arrival of the first byte of a request that is not whole yet; if it came
+  /// ahead, the end of the answer before it, which may not have been written.
   TimePoint m_FirstByte = TimePoint::max();
   std::size_t m_Received = 0; ///< Bytes of that request so far.
 };
@@ -394,6 +395,11 @@
     if (const auto Known = m_Connection.lock()) {
       Known->m_Answering = false;
       Known->m_MovedAt = BootClock::now();
+      // evhttp goes on with these in a later turn, without reading anything.
+      Known->m_Received =
+          evbuffer_get_length(bufferevent_get_input(Known->m_Buffer));
+      if (Known->m_Received > 0)
+        Known->m_FirstByte = Known->m_MovedAt;
     }
   }
 
@@ -927,8 +933,9 @@
       // Refused ones give theirs back when they are closed.
       if (Known->m_RefusedAt != TimePoint::max())
         Freed += HeldBy(*Known);
+      // To refuse a request would cut an answer that is being written.
       if (Known->m_FirstByte == TimePoint::max() || Known.get() == &For ||
-          Known->m_RefusedAt != TimePoint::max())
+          Known->m_RefusedAt != TimePoint::max() || hasUnsent(Raw))
         continue;
       Candidate Who;
       Who.m_Since = Known->m_FirstByte;
@@ -1103,9 +1110,14 @@
   void closeSlowSenders() {
     const TimePoint Oldest = BootClock::now() - m_Limits.m_FirstRequest;
     std::vector<evhttp_connection *> Slow;
-    for (const auto &[Raw, Known] : m_Open)
+    for (const auto &[Raw, Known] : m_Open) {
+      // Nothing is read meanwhile, so that the sender can't go on.
+      if (Known->m_FirstByte != TimePoint::max() &&
+          (Known->m_Current != nullptr || hasUnsent(Raw)))
+        Known->m_FirstByte = BootClock::now();
       if (Known->m_FirstByte < Oldest)
         Slow.push_back(Raw);
+    }
     for (evhttp_connection *Raw : Slow) {
       ++m_SlowSenders;
       close(Raw, CloseReason::SlowSender);
--- a/libs/http/tests/HttpTest.cpp
+++ b/libs/http/tests/HttpTest.cpp
@@ -17,8 +17,9 @@
 struct Loop {
   event_base *m_Base = event_base_new();
   ~Loop() { event_base_free(m_Base); }
-  bool turnUntil(const std::function<bool()> &Done) const {
-    const TimePoint End = BootClock::now() + 20s;
+  bool turnUntil(const std::function<bool()> &Done,
+                 std::chrono::milliseconds Longest = 20s) const {
+    const TimePoint End = BootClock::now() + Longest;
     while (!Done() && BootClock::now() < End) {
       const timeval Tick{0, 2000};
       event_base_loopexit(m_Base, &Tick);
@@ -297,6 +298,22 @@
       CHECK(valueOf(Server)->connections() == 1);
     }
   }
+  GIVEN("a request, and the head of the next one behind it") {
+    // Once evhttp has read that head, no byte of the request waits any longer.
+    Send(Request + "POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n");
+    REQUIRE(Loop.turnUntil([&] { return Open.size() == 1; }));
+    Open[0]->reply(200, {}, "first");
+    REQUIRE(ReadUntil("first"));
+    Loop.turnUntil([] { return false; }, 50ms);
+    THEN("the next one is under way, and is taken") {
+      valueOf(Server)->closeIdle();
+      REQUIRE(valueOf(Server)->connections() == 1);
+      Send("body");
+      REQUIRE(Loop.turnUntil([&] { return Open.size() == 2; }));
+      Open[1]->reply(200, {}, "second");
+      CHECK(ReadUntil("second"));
+    }
+  }
   GIVEN("a request that is being answered") {
     Send(Request);
     REQUIRE(Loop.turnUntil([&] { return Open.size() == 1; }));
@@ -376,6 +393,19 @@
       Ends(http::CloseReason::SlowSender, false);
     }
   }
+  GIVEN("a request, and a part of the next one behind it") {
+    Send("GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\n");
+    REQUIRE(Loop.turnUntil([&] { return Open.size() == 1; }));
+    THEN("its sender is not too slow while the first one runs, and is later") {
+      CHECK_FALSE(Loop.turnUntil([&] { return !Closed.empty(); }, 800ms));
+      Open[0]->reply(200, {}, "first");
+      Ends(http::CloseReason::SlowSender, false);
+    }
+    THEN("its sender is not too slow while a large answer is not read") {
+      Open[0]->reply(200, {}, std::string(std::size_t{16} << 20U, 'x'));
+      CHECK_FALSE(Loop.turnUntil([&] { return !Closed.empty(); }, 1s));
+    }
+  }
   GIVEN("bytes that are no request") {
     Send("what is this?\r\n\r\n");
     THEN("they are named as the reason") {
