Answer or refuse what a stopping member of control has taken

Cause: 300 ms after the handover a member ended whatever its calls of operators and targets waited for; their connections were closed without an answer and without a line.

Change: a decision of its own (nextCloseStep) ends the member when no call is open. A call that has no answer 0.9 s after the handover gets a 503, which says nothing of whether it was done, and end_delayed tells of it. connection_closed comes from the listeners of operators and targets too, and process_stopped counts connections and calls. The line's code moves from the entry to daemon.

--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -185,11 +185,13 @@
   auto Listening =
       http::listen(m_Loop, *m_Settings.m_RegistryListen, m_Settings.m_Limits,
                    [this](const std::shared_ptr<http::Exchange> &Call) {
+                     noteCall(Call);
                      m_RegistryApi->answer(Call);
                    });
   if (failed(Listening))
     return errorOf(Listening);
   m_RegistryServer = std::move(valueOf(Listening));
+  daemon::logCloses(*m_RegistryServer, "registry");
   return std::monostate{};
 }
 
@@ -199,11 +201,13 @@
   auto Operators =
       http::listen(m_Loop, m_Settings.m_OperatorsListen, m_Settings.m_Limits,
                    [this](const std::shared_ptr<http::Exchange> &Call) {
+                     noteCall(Call);
                      OperatorApi(*this).answer(Call);
                    });
   if (failed(Operators))
     return errorOf(Operators);
   m_OperatorServer = std::move(valueOf(Operators));
+  daemon::logCloses(*m_OperatorServer, "operators");
   return std::monostate{};
 }
 
@@ -222,6 +226,53 @@
   return Count;
 }
 
+std::size_t Control::exchanges() const {
+  std::size_t Count = 0;
+  for (const auto *Server : {&m_OperatorServer, &m_RegistryServer})
+    Count += *Server == nullptr ? 0 : (*Server)->exchanges();
+  return Count;
+}
+
+void Control::noteCall(const std::shared_ptr<http::Exchange> &Call) {
+  constexpr std::size_t Fewest = 64;
+  if (m_Calls.size() >= m_MostCalls) {
+    std::erase_if(m_Calls, [](const auto &Each) { return Each.expired(); });
+    m_MostCalls = std::max(Fewest, 2 * m_Calls.size());
+  }
+  m_Calls.push_back(Call);
+}
+
+/// What a call has asked for may be done all the same.
+void Control::refuseCalls() {
+  for (const auto &Each : std::exchange(m_Calls, {}))
+    if (const auto Call = Each.lock()) {
+      Call->closeAfter();
+      Call->reply(503,
+                  {{"Content-Type", "application/json"}, {"Retry-After", "1"}},
+                  R"({"error":{"step":"stop","message":"this member stops"}})");
+    }
+}
+
+bool Control::advanceClose(TimePoint Now) {
+  if (!m_Closing)
+    m_Closing = CloseDeadlines{Now + AnswerTimeout, Now + CloseTimeout};
+  closeIdle();
+  const std::size_t Open = exchanges();
+  switch (nextCloseStep(*m_Closing, Open, connections(), Now)) {
+  case CloseStep::Wait:
+    return false;
+  case CloseStep::Refuse:
+    events::emit(
+        events::Event::EndDelayed,
+        {{"exchanges", Open}, {"connections", connections()}, {"left_ms", 0}});
+    refuseCalls();
+    return false;
+  case CloseStep::End:
+    break;
+  }
+  return true;
+}
+
 std::string Control::notReady() const {
   return m_Replica->leader().empty() ? "no leader is known" : "";
 }
--- a/apps/control/src/Control.h
+++ b/apps/control/src/Control.h
@@ -9,6 +9,7 @@
 #include "ControlSettings.h"
 #include "Executor.h"
 #include "FleetUpdates.h"
+#include "Handover.h"
 #include "PlatformDuties.h"
 #include "RoleOrders.h"
 #include "RolePlanner.h"
@@ -21,6 +22,7 @@
 #include "wire/wire.h"
 
 #include <map>
+#include <optional>
 #include <set>
 
 namespace wasabivale::control {
@@ -53,8 +55,14 @@
   void prepareStop() { m_Replica->transferLeadership(); }
   /// Takes no new connections, and closes those on which nothing is under way.
   void closeIdle();
+  /// Looks at the calls of operators and targets once the handover is over, and
+  /// refuses those that wait for too long.
+  /// \returns whether the process may end.
+  [[nodiscard]] bool advanceClose(TimePoint Now);
   /// Open connections of operators and targets.
   [[nodiscard]] std::size_t connections() const;
+  /// Calls of theirs that have no answer yet.
+  [[nodiscard]] std::size_t exchanges() const;
   /// Number of group members that this member knows.
   [[nodiscard]] std::size_t members() const {
     return m_Replica->status().m_Members.size();
@@ -82,6 +90,9 @@
   Status openRegistry();
   void openDuties();
   Status listenToRegistry();
+  /// Keeps sight of a call until it is answered.
+  void noteCall(const std::shared_ptr<http::Exchange> &Call);
+  void refuseCalls();
   /// Keeps connections to the group members, and to the seeds until this
   /// process is a member.
   void connectMembers();
@@ -138,6 +149,9 @@
   std::unique_ptr<PlatformDuties> m_Duties;
   std::unique_ptr<RegistryApi> m_RegistryApi;
   std::unique_ptr<http::Server> m_RegistryServer;
+  std::vector<std::weak_ptr<http::Exchange>> m_Calls; ///< Some have ended.
+  std::size_t m_MostCalls = 64; ///< Number at which ended ones are removed.
+  std::optional<CloseDeadlines> m_Closing;
   std::vector<NodeId> m_ConnectedMembers; ///< Members that the hub connects to.
   std::vector<NodeId> m_Seeds;            ///< From the newest settings.
   std::vector<NodeId> m_DiscoveredMembers; ///< Reported while not yet a member.
--- a/apps/control/src/Main.cpp
+++ b/apps/control/src/Main.cpp
@@ -6,7 +6,7 @@
 #include "daemon/daemon.h"
 #include "events/events.h"
 
-#include <optional>
+#include <utility>
 
 using namespace wasabivale;
 
@@ -42,7 +42,7 @@
     return daemon::ExitFailed;
   }
   std::unique_ptr<http::Timer> Ending;
-  std::optional<TimePoint> CloseBy;
+  bool IsClosing = false;
   Loop.onStop([&] {
     Stopping = true;
     daemon::noteStage("stopping");
@@ -55,13 +55,12 @@
           control::Control *Now = Member.now();
           if (Now == nullptr)
             return Loop.end();
-          if (!CloseBy && !control::mayEnd(Now->isLeader(), Now->members(),
-                                           BootClock::now(), Deadline))
+          if (!IsClosing && !control::mayEnd(Now->isLeader(), Now->members(),
+                                             BootClock::now(), Deadline))
             return;
-          if (!CloseBy)
-            CloseBy = BootClock::now() + control::CloseTimeout;
-          Now->closeIdle();
-          if (Now->connections() == 0 || BootClock::now() >= *CloseBy)
+          if (!std::exchange(IsClosing, true))
+            daemon::noteStage("closing");
+          if (Now->advanceClose(BootClock::now()))
             Loop.end();
         });
   });
@@ -85,7 +84,10 @@
        {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
                       daemon::processAge())
                       .count()},
-       {"stage", daemon::currentStage()}});
+       {"stage", daemon::currentStage()},
+       {"connections",
+        Member.now() == nullptr ? 0 : Member.now()->connections()},
+       {"exchanges", Member.now() == nullptr ? 0 : Member.now()->exchanges()}});
   return failed(Ended) ? daemon::ExitFailed : daemon::ExitOk;
 }
 
--- a/apps/control/tests/HandoverTest.cpp
+++ b/apps/control/tests/HandoverTest.cpp
@@ -27,3 +27,28 @@
                  StopTime + HandoverTimeout) == Case.m_MayEnd);
   }
 }
+
+SCENARIO("a stopping member ends when every call has its answer") {
+  using namespace std::chrono_literals;
+  const TimePoint Start{1000s};
+  CloseDeadlines By{Start + AnswerTimeout, Start + CloseTimeout};
+  THEN("it ends at once when no connection is open") {
+    CHECK(nextCloseStep(By, 0, 0, Start) == CloseStep::End);
+  }
+  THEN("answers that were given have a while to be read") {
+    CHECK(nextCloseStep(By, 0, 1, Start + 299ms) == CloseStep::Wait);
+    CHECK(nextCloseStep(By, 0, 1, Start + 300ms) == CloseStep::End);
+  }
+  GIVEN("a call without an answer") {
+    THEN("it may still be answered") {
+      CHECK(nextCloseStep(By, 1, 1, Start + 899ms) == CloseStep::Wait);
+      CHECK(nextCloseStep(By, 0, 1, Start + 920ms) == CloseStep::Wait);
+    }
+    THEN("it is refused in the end, however late the look, never dropped") {
+      CHECK(nextCloseStep(By, 1, 1, Start + 900ms) == CloseStep::Refuse);
+      CHECK(nextCloseStep(By, 0, 1, Start + 1199ms) == CloseStep::Wait);
+      CHECK(nextCloseStep(By, 1, 1, Start + 60s) == CloseStep::Refuse);
+      CHECK(nextCloseStep(By, 0, 1, Start + 61s) == CloseStep::End);
+    }
+  }
+}
--- a/apps/control/tests/RegistryTest.cpp
+++ b/apps/control/tests/RegistryTest.cpp
@@ -235,3 +235,18 @@
         200);
   CHECK(Real.beat() == 200);
 }
+
+TEST_CASE("a member that stops answers the calls that it has taken") {
+  // It closed them 300 ms after the handover, without an answer.
+  Cluster Cluster;
+  Process Real(Cluster, "i-1");
+  REQUIRE(Real.beatUntil(200, 5s) == 200);
+  const auto Leaving =
+      Real.send("i-1", Real.m_Born, ++Real.m_Sequence, true, Real.m_Address);
+  REQUIRE(Cluster.m_Loop.until(
+      [&] { return Cluster.m_Member->exchanges() == 1; }, 500ms));
+  CHECK(Cluster.m_Loop.until(
+      [&] { return Cluster.m_Member->advanceClose(BootClock::now()); }, 2s));
+  Cluster.m_Member.reset();
+  CHECK(Cluster.wait(Leaving) == 503);
+}
--- a/apps/entry/src/Entry.cpp
+++ b/apps/entry/src/Entry.cpp
@@ -35,29 +35,6 @@
       m_TargetsApi(controlCall(), m_Requests->fleet(), m_Requests->routing(),
                    Registry) {}
 
-void Entry::logCloses(http::Server &Server, std::string_view Listener) {
-  Server.onConnectionClosed([Listener](const http::ClosedConnection &Ended) {
-    if (Ended.m_Reason == http::CloseReason::PeerClosed && !Ended.m_IsAnswerDue)
-      return;
-    using std::chrono::milliseconds;
-    const auto Age = BootClock::now() - Ended.m_AcceptedAt;
-    events::emit(
-        events::Event::ConnectionClosed,
-        {{"listener", Listener},
-         {"peer", Ended.m_Peer},
-         {"reason", http::closeReasonName(Ended.m_Reason)},
-         {"age_ms", std::chrono::duration_cast<milliseconds>(Age).count()},
-         {"requests", Ended.m_Requests},
-         {"answer_due", Ended.m_IsAnswerDue},
-         {"unread", Ended.m_HasUnread},
-         {"unsent", Ended.m_UnsentBytes},
-         {"stage", daemon::currentStage()},
-         {"process_age_ms",
-          std::chrono::duration_cast<milliseconds>(daemon::processAge())
-              .count()}});
-  });
-}
-
 Entry::~Entry() {
   // Nothing may call back into what is already gone.
   m_Forwards.reset();
@@ -133,7 +110,7 @@
   if (failed(Callers))
     return errorOf(Callers);
   m_PlainCallers = std::move(valueOf(Callers));
-  logCloses(*m_PlainCallers, "plain");
+  daemon::logCloses(*m_PlainCallers, "plain");
   return std::monostate{};
 }
 
@@ -148,7 +125,7 @@
   if (failed(Forwards))
     return errorOf(Forwards);
   m_Forwards = std::move(valueOf(Forwards));
-  logCloses(*m_Forwards, "forwards");
+  daemon::logCloses(*m_Forwards, "forwards");
   return std::monostate{};
 }
 
@@ -182,7 +159,7 @@
   if (failed(Callers))
     return errorOf(Callers);
   m_Callers = std::move(valueOf(Callers));
-  logCloses(*m_Callers, "callers");
+  daemon::logCloses(*m_Callers, "callers");
   return std::monostate{};
 }
 
--- a/apps/entry/src/Entry.h
+++ b/apps/entry/src/Entry.h
@@ -57,9 +57,6 @@
   void fillReport(wire::EntryReport &Report);
   void reportSoon();
   [[nodiscard]] LedgerClient::Call controlCall();
-  /// Logs closes of \p Server: those of the entry, and those that took an
-  /// answer with them.
-  static void logCloses(http::Server &Server, std::string_view Listener);
 
   event_base *m_Loop;
   const EntrySettings &m_Settings;
--- a/libs/daemon/include/daemon/daemon.h
+++ b/libs/daemon/include/daemon/daemon.h
@@ -208,6 +208,10 @@
                   const std::string &ReadyPath = "/readyz",
                   std::shared_ptr<http::MemoryBudget> Memory = nullptr);
 
+/// Logs closes of \p Server: those of this process, and those that took an
+/// answer with them. \param Listener is kept: a text that lasts as long.
+void logCloses(http::Server &Server, std::string_view Listener);
+
 /// Brings the gauges of a process's memory budget up to date.
 void recordMemory(metrics::Registry &Registry, const http::MemoryBudget &Of);
 
--- a/libs/daemon/src/Platform.cpp
+++ b/libs/daemon/src/Platform.cpp
@@ -36,6 +36,28 @@
   return http::listen(Loop, At, Limits, Answer);
 }
 
+void logCloses(http::Server &Server, std::string_view Listener) {
+  Server.onConnectionClosed([Listener](const http::ClosedConnection &Ended) {
+    if (Ended.m_Reason == http::CloseReason::PeerClosed && !Ended.m_IsAnswerDue)
+      return;
+    using std::chrono::milliseconds;
+    const auto Age = BootClock::now() - Ended.m_AcceptedAt;
+    events::emit(
+        events::Event::ConnectionClosed,
+        {{"listener", Listener},
+         {"peer", Ended.m_Peer},
+         {"reason", http::closeReasonName(Ended.m_Reason)},
+         {"age_ms", std::chrono::duration_cast<milliseconds>(Age).count()},
+         {"requests", Ended.m_Requests},
+         {"answer_due", Ended.m_IsAnswerDue},
+         {"unread", Ended.m_HasUnread},
+         {"unsent", Ended.m_UnsentBytes},
+         {"stage", currentStage()},
+         {"process_age_ms",
+          std::chrono::duration_cast<milliseconds>(processAge()).count()}});
+  });
+}
+
 void recordMemory(metrics::Registry &Registry, const http::MemoryBudget &Of) {
   for (std::size_t I = 0; I < http::MemoryParts; ++I) {
     const auto Part = static_cast<http::MemoryPart>(I);
