Sample only targets of the version that a request requires

Samples were drawn from the targets of all versions, and redrawn at most four times. Of the few targets of a version that is being replaced most were missed: the first one met was taken however busy it was, and a request that could be split ran whole. No request was refused for this, since all targets are considered when sampling finds none.

Requests with a required version now sample the targets of that version. Those without one draw the same random numbers from the same lists as before.

New test, 200 choices each, before: 119 went to the free one of three engines (the other two busy, 30 engines of another version), 58 were split.

--- a/libs/routing/src/Choose.cpp
+++ b/libs/routing/src/Choose.cpp
@@ -143,8 +143,9 @@
 }
 
 template <typename ConsiderFunction>
-void considerSamples(TargetSearch &Search, const std::vector<SlotIndex> &List,
-                     std::uint32_t Count, ConsiderFunction Consider) {
+void considerSampledSlots(TargetSearch &Search,
+                          const std::vector<SlotIndex> &List,
+                          std::uint32_t Count, ConsiderFunction Consider) {
   if (List.size() <= std::max<std::size_t>(Count, MaxExhaustiveListSize)) {
     // A random starting index breaks ties evenly.
     const std::size_t Start =
@@ -164,6 +165,22 @@
   }
 }
 
+/// Samples the targets of the required version only: samples of all targets
+/// mostly miss the few of a version that is being replaced, and the first one
+/// found would be taken however busy it is.
+template <typename ConsiderFunction>
+void considerSamples(TargetSearch &Search, const std::vector<SlotIndex> &List,
+                     std::uint32_t Count, ConsiderFunction Consider) {
+  const auto &Version = Search.m_Request.m_RequiredVersion;
+  if (!Version)
+    return considerSampledSlots(Search, List, Count, Consider);
+  std::vector<SlotIndex> OfVersion;
+  for (const SlotIndex Index : List)
+    if (Search.slot(Index).m_Target.m_SoftwareVersion == *Version)
+      OfVersion.push_back(Index);
+  considerSampledSlots(Search, OfVersion, Count, Consider);
+}
+
 const std::vector<SlotIndex> &slotsWithRole(const TargetSearch &Search,
                                             Role TargetRole) {
   return Search.m_Pool.m_ByRole[roleIndex(TargetRole)];
--- a/libs/routing/tests/SplitTest.cpp
+++ b/libs/routing/tests/SplitTest.cpp
@@ -179,3 +179,83 @@
     }
   }
 }
+
+SCENARIO("the few engines of a required version are compared") {
+  constexpr int OthersPerRole = 30;
+  constexpr int Rounds = 200;
+  // The first engines of each role have the version that the request needs.
+  const auto MakeFleet = [](const std::vector<std::pair<Role, int>> &Required,
+                            const std::vector<Role> &Roles) {
+    State Fleet;
+    Fleet.m_Settings.m_Zone = {"attiki-1"};
+    Fleet.m_Settings.m_Region = {"attiki"};
+    Fleet.m_Settings.m_PrefillRunsWhole = false;
+    Fleet.m_Settings.m_DecodeOnlyPerPrefill = 0.5;
+    int Number = 0;
+    const auto Add = [&](Role EngineRole, const std::string &Version) {
+      Target Engine = makeEngine(Number++, "attiki-1", EngineRole);
+      Engine.m_SoftwareVersion = Version;
+      updateTarget(Fleet, Engine, at(-600s));
+    };
+    for (const auto &[EngineRole, Count] : Required)
+      for (int I = 0; I < Count; ++I)
+        Add(EngineRole, "1.0");
+    for (const Role EngineRole : Roles)
+      for (int I = 0; I < OthersPerRole; ++I)
+        Add(EngineRole, "1.1");
+    return Fleet;
+  };
+  Request Req = makeRequest();
+  Req.m_RequiredVersion = "1.0";
+  Random Rng(53);
+  GIVEN("three of the version among many, two of them busy") {
+    State Fleet = MakeFleet({{Role::Mixed, 3}}, {Role::Mixed});
+    // A sample of all engines that meets one of the version by chance took that
+    // one, however busy.
+    for (const char *Busy : {"engine-0", "engine-1"})
+      for (int I = 0; I < 24; ++I) {
+        Request Other = makeRequest(1024, 500);
+        Other.m_RequiredTarget = TargetId{Busy};
+        REQUIRE_FALSE(failed(choose(Fleet, Other, at(0s), Rng)));
+      }
+    THEN("the free one gets the request") {
+      int Free = 0;
+      for (int I = 0; I < Rounds; ++I) {
+        State Copy = Fleet;
+        const auto Where = choose(Copy, Req, at(0s), Rng);
+        REQUIRE_FALSE(failed(Where));
+        Free += valueOf(Where).m_Run.m_Target == TargetId{"engine-2"} ? 1 : 0;
+      }
+      CHECK(Free == Rounds);
+    }
+  }
+  GIVEN("two that prefill and two that decode among many of each") {
+    State Fleet = MakeFleet({{Role::Prefill, 2}, {Role::Decode, 2}},
+                            {Role::Prefill, Role::Decode});
+    Req.m_PromptTokens = PromptTokens;
+    Req.m_MaySplit = true;
+    THEN("a request that may be split is always split between them") {
+      int Split = 0;
+      for (int I = 0; I < Rounds; ++I) {
+        State Copy = Fleet;
+        const auto Where = choose(Copy, Req, at(0s), Rng);
+        REQUIRE_FALSE(failed(Where));
+        Split += valueOf(Where).m_Prefill ? 1 : 0;
+      }
+      CHECK(Split == Rounds);
+    }
+  }
+  GIVEN("one that decodes, and none that prefills") {
+    State Fleet = MakeFleet({{Role::Decode, 1}}, {Role::Prefill, Role::Decode});
+    Req.m_MaySplit = true;
+    THEN("it runs the whole request") {
+      for (int I = 0; I < Rounds; ++I) {
+        State Copy = Fleet;
+        const auto Where = choose(Copy, Req, at(0s), Rng);
+        REQUIRE_FALSE(failed(Where));
+        CHECK(valueOf(Where).m_Run.m_Target == TargetId{"engine-0"});
+        CHECK_FALSE(valueOf(Where).m_Prefill.has_value());
+      }
+    }
+  }
+}
