Keep a decoding engine of each software version when roles change

Streams go on only at the version that began them, but the plan of roles did not know versions: during a release it moved all engines of the old version to prefill when they were the idlest, and its streams could not go on although its engines were in service.

Plans now leave the last decoding engine of each version in its role, and take the next idlest engine instead. Engines that are changing do not count. The leader passes the version that it already has in the replicated registry. With a single version nothing changes: a test compares the hash of 756 plans with the one taken before this change.

--- a/apps/control/src/RoleOrders.cpp
+++ b/apps/control/src/RoleOrders.cpp
@@ -226,7 +226,8 @@
                          Open == m_Open.end() ? *Role : Open->second.m_NewRole,
                          Open != m_Open.end(),
                          Pause != m_NotBefore.end() && Now < Pause->second,
-                         Target.m_MaxRunning, requestsAt(Work, Id)});
+                         Target.m_MaxRunning, requestsAt(Work, Id),
+                         Target.m_SoftwareVersion});
     }
     if (Engines.empty())
       continue;
--- a/libs/roles/include/roles/roles.h
+++ b/libs/roles/include/roles/roles.h
@@ -225,12 +225,15 @@
   std::uint32_t m_StreamSlots = 1; ///< Concurrent requests.
   /// Requests in progress, which delay a change; the idlest change first.
   std::uint32_t m_Running = 0;
+  std::string m_SoftwareVersion = {}; ///< Versions have no order.
 };
 
 /// \returns the engines to change now with their new roles. For fleets that
 /// prefill and decode on different engines and change a role within seconds:
 /// decoders are sized for the streams, and engines move to prefill while its
-/// load requires more. They return only when streams lack slots.
+/// load requires more. They return only when streams lack slots. No change
+/// takes the last decoding engine of a software version: streams go on only at
+/// the version that began them.
 ///
 /// \param Engines of one service, in a stable order.
 std::vector<std::pair<TargetId, Role>>
--- a/libs/roles/src/Split.cpp
+++ b/libs/roles/src/Split.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 
 namespace wasabivale::roles {
 
@@ -38,6 +39,38 @@
       std::ceil(UncachedTokens / (Rate * Settings.m_MaxPrefillUtilisation)));
 }
 
+/// Engines that decode now, by software version. Those that are changing do not
+/// count in either role: they are not in service.
+using VersionDecoders = std::map<std::string, std::uint32_t>;
+
+VersionDecoders countDecoders(const std::vector<SplitEngine> &Engines) {
+  VersionDecoders Counts;
+  for (const SplitEngine &Candidate : Engines)
+    if (Candidate.m_Role != Role::Prefill && !Candidate.m_Changing)
+      ++Counts[Candidate.m_SoftwareVersion];
+  return Counts;
+}
+
+bool haveOneVersion(const std::vector<SplitEngine> &Engines) {
+  return std::all_of(
+      Engines.begin(), Engines.end(), [&](const SplitEngine &Candidate) {
+        return Candidate.m_SoftwareVersion == Engines.front().m_SoftwareVersion;
+      });
+}
+
+/// Takes a decoding engine from its version. \returns false if it is the last
+/// one. With a single version, the number of decoders for the load decides.
+bool takeDecoder(VersionDecoders &Decoders, const SplitEngine &Candidate,
+                 bool OneVersion) {
+  if (OneVersion)
+    return true;
+  std::uint32_t &Left = Decoders[Candidate.m_SoftwareVersion];
+  if (Left <= 1)
+    return false;
+  --Left;
+  return true;
+}
+
 std::vector<std::pair<TargetId, Role>>
 planInitialChanges(const std::vector<SplitEngine> &Engines,
                    const SplitSettings &Settings) {
@@ -48,12 +81,15 @@
   std::uint32_t Prefilling = 0;
   for (const SplitEngine &Candidate : Engines)
     Prefilling += Candidate.m_Role == Role::Prefill ? 1 : 0;
+  const bool OneVersion = haveOneVersion(Engines);
+  VersionDecoders Decoders = countDecoders(Engines);
   std::vector<std::pair<TargetId, Role>> Changes;
   for (const SplitEngine &Candidate : Engines) {
     if (Prefilling >= Prefillers)
       break;
     if (Candidate.m_Role == Role::Prefill || Candidate.m_Changing ||
-        Candidate.m_CoolingDown)
+        Candidate.m_CoolingDown ||
+        !takeDecoder(Decoders, Candidate, OneVersion))
       continue;
     Changes.emplace_back(Candidate.m_Id, Role::Prefill);
     ++Prefilling;
@@ -96,12 +132,15 @@
                    [](const SplitEngine &Left, const SplitEngine &Right) {
                      return Left.m_Running < Right.m_Running;
                    });
+  const bool OneVersion = haveOneVersion(Engines);
+  VersionDecoders OfVersion = countDecoders(Engines);
   for (const SplitEngine &Candidate : IdlestFirst) {
     if (Remaining == 0 || Changing >= MaxChanging)
       break;
     const bool Eligible = !Candidate.m_Changing && !Candidate.m_CoolingDown &&
                           (Candidate.m_Role == Role::Prefill) == ToDecode;
-    if (!Eligible)
+    if (!Eligible ||
+        (ToPrefill && !takeDecoder(OfVersion, Candidate, OneVersion)))
       continue;
     Changes.emplace_back(Candidate.m_Id,
                          ToPrefill ? Role::Prefill : Role::Decode);
--- a/libs/roles/tests/SplitTest.cpp
+++ b/libs/roles/tests/SplitTest.cpp
@@ -1,5 +1,6 @@
 #include "roles/roles.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 using namespace wasabivale;
@@ -151,3 +152,97 @@
       }
     }
 }
+
+TEST_CASE("each version keeps an engine that decodes") {
+  // Streams go on only at the version that began them, so those of a version
+  // whose engines all prefill would be lost.
+  auto Fleet = engines(6, 12);
+  const auto SetVersion = [&](std::size_t First, std::size_t End) {
+    for (std::size_t I = First; I < End; ++I) {
+      Fleet[I].m_SoftwareVersion = "1.0";
+      Fleet[I].m_Running = 0;
+    }
+  };
+  // Engines of the newer version are busy: those of the old one change first.
+  for (SplitEngine &Member : Fleet) {
+    Member.m_SoftwareVersion = "1.1";
+    Member.m_Running = 40;
+  }
+  SplitSettings Rules;
+  Rules.m_MinDecoderShare = 0;
+  const auto CountDecoders = [&](const std::string &Version) {
+    return std::count_if(
+        Fleet.begin(), Fleet.end(), [&](const SplitEngine &Member) {
+          return Member.m_SoftwareVersion == Version && !Member.m_Changing &&
+                 Member.m_Role == Role::Decode;
+        });
+  };
+  const auto Apply = [&](const ServiceLoad &Load, bool Finish) {
+    const auto Changes = planRoleChanges(Fleet, Load, Rules);
+    for (const auto &[Id, To] : Changes)
+      for (SplitEngine &Member : Fleet)
+        if (Member.m_Id == Id) {
+          Member.m_Role = To;
+          Member.m_Changing = !Finish;
+        }
+    return Changes.size();
+  };
+  SECTION("while the load requires more to prefill") {
+    SetVersion(6, 8);
+    CHECK(Apply(Heavy, true) == 4);
+    CHECK(CountDecoders("1.0") == 1);
+    for (int Round = 0; Round < 10; ++Round)
+      Apply(Heavy, true);
+    CHECK(CountDecoders("1.0") == 1);
+    CHECK(CountDecoders("1.1") >= 1);
+  }
+  SECTION("also if its other engine is still changing to decode") {
+    SetVersion(6, 8);
+    Fleet[7].m_Changing = true;
+    Apply(Heavy, true);
+    CHECK(CountDecoders("1.0") == 1);
+  }
+  SECTION("also before the first request") {
+    SetVersion(6, 8);
+    ServiceLoad BeforeTraffic;
+    BeforeTraffic.m_NoTrafficYet = true;
+    CHECK(Apply(BeforeTraffic, true) == 5);
+    CHECK(CountDecoders("1.0") == 1);
+  }
+  SECTION("engines that change to decode need no other of their version") {
+    Fleet = engines(17, 1);
+    SetVersion(0, 1);
+    CHECK(Apply(Heavy, true) == 3);
+    CHECK(CountDecoders("1.0") == 1);
+  }
+}
+
+TEST_CASE("plans for engines of one version stay as they were") {
+  // The hash was taken before plans took versions into account.
+  constexpr std::uint64_t HashBefore = 11'830'046'592'452'213'176U;
+  ServiceLoad BeforeTraffic;
+  BeforeTraffic.m_NoTrafficYet = true;
+  for (const std::string Version : {"", "1.0"}) {
+    std::uint64_t Hash = 14'695'981'039'346'656'037U; // FNV-1a
+    const auto Add = [&](const std::string &Text) {
+      for (const char Letter : Text) {
+        Hash ^= static_cast<unsigned char>(Letter);
+        Hash *= 1'099'511'628'211U;
+      }
+    };
+    for (int Count = 1; Count <= 18; ++Count)
+      for (int Prefill = 0; Prefill <= Count; ++Prefill)
+        for (const ServiceLoad &Load :
+             {Heavy, BeforeTraffic, ServiceLoad{2000, 14'000'000, 10},
+              ServiceLoad{5, 20'000, 7.5}}) {
+          auto Fleet = engines(Prefill, Count - Prefill);
+          for (SplitEngine &Member : Fleet)
+            Member.m_SoftwareVersion = Version;
+          Fleet.back().m_Changing = Count % 2 == 0;
+          for (const auto &[Id, To] : planRoleChanges(Fleet, Load, {}))
+            Add(Id.m_Value + std::string(roleName(To)));
+          Add(";");
+        }
+    CHECK(Hash == HashBefore);
+  }
+}
