Stop all entries of a soak in waves, and call late on idle connections

Cause: the users lost calls that were sent more than 4 s after SIGTERM on connections from before it, while all entries were stopped in turn. The late soak presses connections continuously: an answered call after SIGTERM ends its connection, so few calls come late on connections that were idle until then.

Change: `--waves` stops all entries in turn, 0.25 s apart, again every 8 to 9 s. The run reports how many calls came later than 2.8, 4 and 6 s, and how they ended, and fails (`COVERAGE`) if none came later than 4 s. `LOST` is judged as before.

Not yet run with real processes at this commit.

--- a/tools/fault-soak/src/Judge.cpp
+++ b/tools/fault-soak/src/Judge.cpp
@@ -326,6 +326,36 @@
            Got.m_EndedAt);
 }
 
+void Judge::countOldConnection(const Record &Request) {
+  const Ending &Got = *Request.m_Ending;
+  const TimePoint SentAt = Request.m_Sent.m_SentAt;
+  const auto Stop = stopBefore(Request.m_Sent.m_Entry, SentAt);
+  if (!Got.m_IsOnOldConnection || !Stop)
+    return;
+  const auto Count = [&](OldCalls &Calls, std::chrono::milliseconds Later) {
+    if (SentAt - *Stop <= Later)
+      return;
+    ++Calls.m_Sent;
+    if (!Request.m_Runs.empty())
+      ++Calls.m_Taken;
+    else if (Got.m_IsBroken)
+      Calls.m_Closed += Got.m_IsTimeout ? 0 : 1;
+    else if (promisesNotRun(Got.m_Status))
+      ++Calls.m_Refused;
+  };
+  Count(m_Counts.m_OldAfter2800, 2'800ms);
+  Count(m_Counts.m_OldAfter4000, 4'000ms);
+  Count(m_Counts.m_OldAfter6000, 6'000ms);
+}
+
+void Judge::checkOldConnections(TimePoint Now) {
+  if (m_Counts.m_OldAfter4000.m_Sent == 0)
+    m_Violations.push_back({"COVERAGE", "",
+                            "no call was sent later than 4 s after a SIGTERM "
+                            "on a connection from before it",
+                            Now});
+}
+
 void Judge::countDuringCuts(const Record &Request) {
   const Sent &Call = Request.m_Sent;
   const Ending &Got = *Request.m_Ending;
@@ -395,6 +425,7 @@
     ++m_Windows[Request.m_Sent.m_Entry].m_Served;
   } else
     ++(promisesNotRun(Got.m_Status) ? m_Counts.m_Refused : m_Counts.m_Failed);
+  countOldConnection(Request);
   countDuringCuts(Request);
   checkAnswer(Request);
   if (Got.m_IsBroken) {
--- a/tools/fault-soak/src/Judge.h
+++ b/tools/fault-soak/src/Judge.h
@@ -66,6 +66,8 @@
   std::string m_Id;    ///< Id of the request that the answer names.
   std::string m_Stamp; ///< Signature of the answer.
   std::string m_Body;
+  /// Its only call since a SIGTERM, on a connection that was idle before it.
+  bool m_IsOnOldConnection = false;
   TimePoint m_EndedAt;
 };
 
@@ -156,9 +158,21 @@
   /// served meanwhile; to be called once, at the end.
   void checkCuts(TimePoint Now);
 
+  /// Looks whether a call was sent later than 4 s after a SIGTERM on a
+  /// connection from before it; to be called once, at the end of a run of
+  /// waves.
+  void checkOldConnections(TimePoint Now);
+
   /// Violations since the last call.
   std::vector<Violation> take();
 
+  /// Calls late in a stop on connections that were idle before it.
+  struct OldCalls {
+    std::uint64_t m_Sent = 0;
+    std::uint64_t m_Taken = 0;   ///< Reached a target.
+    std::uint64_t m_Refused = 0; ///< Have not run, and the answer says so.
+    std::uint64_t m_Closed = 0;  ///< Their connections were closed unread.
+  };
   struct Counts {
     std::uint64_t m_Sent = 0;
     std::uint64_t m_Served = 0;
@@ -178,6 +192,10 @@
     std::uint64_t m_ServedAtCut = 0;
     std::uint64_t m_SentAtOthers = 0;
     std::uint64_t m_ServedAtOthers = 0;
+    /// Sent later than 2.8 s, 4 s and 6 s after the SIGTERM.
+    OldCalls m_OldAfter2800;
+    OldCalls m_OldAfter4000;
+    OldCalls m_OldAfter6000;
   };
   [[nodiscard]] const Counts &counts() const { return m_Counts; }
 
@@ -213,6 +231,7 @@
   void checkLost(const Record &Request);
   void checkAnswer(const Record &Request);
   void checkDenied(const Record &Request);
+  void countOldConnection(const Record &Request);
   void countDuringCuts(const Record &Request);
 
   Bounds m_Bounds;
--- a/tools/fault-soak/src/Main.cpp
+++ b/tools/fault-soak/src/Main.cpp
@@ -18,6 +18,7 @@
   std::uint64_t Seed = 1;
   std::uint64_t Seeds = 1;
   unsigned Seconds = 20;
+  unsigned WaveGap = 250;
   std::string OtherFolder;
   soak::Options Wanted;
   Wanted.m_Folder = std::filesystem::temp_directory_path() / "fault-soak";
@@ -41,6 +42,11 @@
       "as --versions, and upgrade targets while an entry is paused")(
       "stops", po::bool_switch(&Wanted.m_Shape.m_Stops),
       "only stop entries one after the other, beside reloads and changes")(
+      "waves", po::bool_switch(&Wanted.m_Shape.m_Waves),
+      "stop all entries in turn, several times, and use idle connections once "
+      "2.8 to 7 s after a SIGTERM")("wave-gap",
+                                    po::value(&WaveGap)->default_value(WaveGap),
+                                    "milliseconds between the stops of a wave")(
       "late", po::bool_switch(&Wanted.m_Shape.m_Late),
       "as --stops, and press entries 3.5 to 6 s after their SIGTERM and new "
       "processes")("other-build", po::value(&OtherFolder),
@@ -75,7 +81,13 @@
       return 2;
     }
   }
-  Wanted.m_Shape.m_Stops |= Wanted.m_Shape.m_Late;
+  if (Wanted.m_Shape.m_Waves && Wanted.m_Shape.m_Late) {
+    fmt::print(stderr, "wasabivale-fault-soak: --waves and --late are "
+                       "schedules of their own, give one\n");
+    return 2;
+  }
+  Wanted.m_Shape.m_Stops |= Wanted.m_Shape.m_Late || Wanted.m_Shape.m_Waves;
+  Wanted.m_Shape.m_WaveGap = std::chrono::milliseconds(WaveGap);
   Wanted.m_Shape.m_Length = std::chrono::seconds(Seconds);
   Wanted.m_ChecksVersions |= Wanted.m_Shape.m_Releases;
   Wanted.m_Shape.m_Upgrades = Wanted.m_ChecksVersions;
--- a/tools/fault-soak/src/Schedule.cpp
+++ b/tools/fault-soak/src/Schedule.cpp
@@ -140,6 +140,43 @@
   }
 }
 
+/// Adds waves: all entries are stopped in turn. Some get a second SIGTERM or a
+/// SIGHUP in their stop.
+void addWaves(std::vector<Step> &Steps, std::mt19937_64 &Random,
+              const Shape &Size) {
+  // The first entry of a wave has just started again then; an entry at work
+  // ends within 7 s of its SIGTERM.
+  constexpr Span Period{8'000, 9'000};
+  constexpr Span Downtime{50, 600};
+  constexpr Span InStop{500, 7'000};
+  constexpr unsigned StopsToSignal = 3;
+  const auto Add = [&](milliseconds Offset, Fault Kind, unsigned Machine,
+                       milliseconds Length) {
+    Step Next;
+    Next.m_Offset = Offset;
+    Next.m_Length = Length;
+    Next.m_Fault = Kind;
+    Next.m_Machine = Machine;
+    Next.m_Variant = pick(Random, 1U << 16U);
+    if (Offset < Size.m_Length)
+      Steps.push_back(Next);
+  };
+  const unsigned First = pick(Random, Size.m_Entries);
+  for (milliseconds Wave{0}; Wave < Size.m_Length;
+       Wave +=
+       std::max(pickTime(Random, Period), Size.m_WaveGap * Size.m_Entries))
+    for (unsigned I = 0; I < Size.m_Entries; ++I) {
+      const unsigned Entry = (First + I) % Size.m_Entries;
+      const milliseconds Stop = Wave + Size.m_WaveGap * I;
+      Add(Stop, Fault::StopEntry, Entry, pickTime(Random, Downtime));
+      for (const Fault Signal : {Fault::StopAgain, Fault::ReloadEntry}) {
+        const milliseconds At = Stop + pickTime(Random, InStop);
+        if (pick(Random, StopsToSignal) == 0)
+          Add(At, Signal, Entry, {});
+      }
+    }
+}
+
 } // namespace
 
 const char *faultName(Fault Kind) {
@@ -156,7 +193,9 @@
   std::mt19937_64 Random(Seed);
   const std::vector<Fault> Kinds = kinds(Size);
   std::vector<Step> Steps;
-  if (Size.m_Stops)
+  if (Size.m_Waves)
+    addWaves(Steps, Random, Size);
+  else if (Size.m_Stops)
     addStops(Steps, Random, Size);
   milliseconds ControlFreeAt{0};
   for (milliseconds Now{0}; Now < Size.m_Length && !Size.m_Stops;) {
--- a/tools/fault-soak/src/Schedule.h
+++ b/tools/fault-soak/src/Schedule.h
@@ -61,6 +61,11 @@
   /// With `m_Stops`: reloads, changes and further SIGTERMs come late in a stop
   /// and as the next process starts.
   bool m_Late = false;
+  /// With `m_Stops`: all entries are stopped in turn, again and again; a wave
+  /// begins while entries of the one before still start.
+  bool m_Waves = false;
+  /// Between the stops of a wave.
+  std::chrono::milliseconds m_WaveGap{250};
   /// Processes are stopped and started more often.
   bool m_HasTwoBuilds = false;
 };
--- a/tools/fault-soak/src/Soak.cpp
+++ b/tools/fault-soak/src/Soak.cpp
@@ -5,6 +5,7 @@
 #include "Links.h"
 #include "Operator.h"
 #include "Targets.h"
+#include "WaveCallers.h"
 
 #include "platform/platform.h"
 
@@ -97,6 +98,7 @@
   std::unique_ptr<Balancer> m_Balancer;
   std::vector<std::unique_ptr<Caller>> m_Callers;
   std::vector<std::vector<std::unique_ptr<LateCaller>>> m_LateCallers;
+  std::vector<std::vector<std::unique_ptr<WaveCaller>>> m_WaveCallers;
   std::unique_ptr<http::Timer> m_Turn;
   std::function<bool()> m_IsDone;
   std::ofstream m_Log;
@@ -155,6 +157,14 @@
       Late.push_back(std::make_unique<LateCaller>(
           m_Loop, m_Judge, m_Fronts[Entry], Entry, I, m_Seed));
   }
+  for (unsigned Entry = 0;
+       m_Options.m_Shape.m_Waves && Entry < m_Options.m_Shape.m_Entries;
+       ++Entry) {
+    auto &Waiting = m_WaveCallers.emplace_back();
+    for (unsigned I = 0; I < m_Options.m_WaveCallersOfEntry; ++I)
+      Waiting.push_back(std::make_unique<WaveCaller>(
+          m_Loop, m_Judge, m_Fronts[Entry], Entry, I, m_Seed));
+  }
   m_Turn = std::make_unique<http::Timer>(m_Loop, TurnInterval, true,
                                          [this] { turn(); });
 }
@@ -169,6 +179,7 @@
   event_base_dispatch(m_Loop);
   m_Callers.clear();
   m_LateCallers.clear();
+  m_WaveCallers.clear();
   m_Targets.reset();
   m_Links.reset();
   m_Operator.reset();
@@ -285,6 +296,9 @@
     if (IsEntry) {
       m_Judge.disturbed(Part::Start, Number, Now, Now);
       m_Judge.started(Number, Now);
+      if (m_Options.m_Shape.m_Waves)
+        for (const auto &Client : m_WaveCallers[Number])
+          Client->started(Now);
     } else
       m_Judge.disturbed(Part::Core, 0, Now, Now);
     return;
@@ -329,6 +343,9 @@
       if (m_Options.m_Shape.m_Late)
         for (const auto &Client : m_LateCallers[Planned.m_Machine])
           Client->stopAsked(Now);
+      if (m_Options.m_Shape.m_Waves)
+        for (const auto &Client : m_WaveCallers[Planned.m_Machine])
+          Client->stopAsked(Now);
       m_Judge.disturbed(Part::Start, Planned.m_Machine, Now, Now + Grace);
     } else {
       m_Judge.disturbed(Part::Core, 0, Now, Now);
@@ -472,6 +489,9 @@
     for (const auto &Callers : m_LateCallers)
       for (const auto &Client : Callers)
         Client->turn(Now);
+    for (const auto &Callers : m_WaveCallers)
+      for (const auto &Client : Callers)
+        Client->turn(Now);
   }
   if (Now >= m_CheckStart)
     m_Judge.checkService(Now);
@@ -526,15 +546,19 @@
         const auto IsWaiting = [](const auto &Client) {
           return Client->isWaiting();
         };
-        return std::none_of(m_Callers.begin(), m_Callers.end(), IsWaiting) &&
+        const auto AreWaiting = [&](const auto &Callers) {
+          return std::any_of(Callers.begin(), Callers.end(), IsWaiting);
+        };
+        return !AreWaiting(m_Callers) &&
                std::none_of(m_LateCallers.begin(), m_LateCallers.end(),
-                            [&](const auto &Callers) {
-                              return std::any_of(Callers.begin(), Callers.end(),
-                                                 IsWaiting);
-                            });
+                            AreWaiting) &&
+               std::none_of(m_WaveCallers.begin(), m_WaveCallers.end(),
+                            AreWaiting);
       },
       SettlePatience);
   m_Judge.checkCuts(BootClock::now());
+  if (m_Options.m_Shape.m_Waves)
+    m_Judge.checkOldConnections(BootClock::now());
   checkLogs(BootClock::now());
   checkStates(BootClock::now());
   report();
@@ -548,6 +572,15 @@
              Seen.m_RunsWhileStopping, Seen.m_RunsLate, Seen.m_RunsAtStart,
              Seen.m_ServedAtCut, Seen.m_SentAtCut, Seen.m_ServedAtOthers,
              Seen.m_SentAtOthers, m_Pauses, m_Violations);
+  if (m_Options.m_Shape.m_Waves)
+    for (const auto &[LaterThan, Calls] :
+         {std::pair{2'800ms, Seen.m_OldAfter2800},
+          std::pair{4'000ms, Seen.m_OldAfter4000},
+          std::pair{6'000ms, Seen.m_OldAfter6000}})
+      fmt::print("seed={} old_connections later_than_ms={} sent={} taken={} "
+                 "refused={} closed_unread={}\n",
+                 m_Seed, LaterThan.count(), Calls.m_Sent, Calls.m_Taken,
+                 Calls.m_Refused, Calls.m_Closed);
   std::fflush(stdout);
   return m_Violations;
 }
--- a/tools/fault-soak/src/Soak.h
+++ b/tools/fault-soak/src/Soak.h
@@ -17,7 +17,8 @@
 struct Options {
   Shape m_Shape;
   unsigned m_CallersOfEntry = 12;
-  unsigned m_LateCallersOfEntry = 6; ///< Where stops are late.
+  unsigned m_LateCallersOfEntry = 6;  ///< Where stops are late.
+  unsigned m_WaveCallersOfEntry = 11; ///< Where entries stop in waves.
   /// Second octet of the addresses, `127.N.x.y`.
   unsigned m_Network = 77;
   /// Two software versions in one stream are a violation.
--- a/tools/fault-soak/tests/JudgeTest.cpp
+++ b/tools/fault-soak/tests/JudgeTest.cpp
@@ -15,6 +15,7 @@
 struct Story {
   Judge m_Judge{{}, true};
   Sent m_Sent;
+  bool m_IsOnOldConnection = false;
 
   explicit Story(Kind Value) {
     m_Judge.routesSent(1, {{"book", {"alpha"}}});
@@ -42,6 +43,7 @@
     Got.m_Stamp = "stamp";
     Got.m_Body = Body;
     Got.m_EndedAt = m_Sent.m_SentAt + After;
+    Got.m_IsOnOldConnection = m_IsOnOldConnection;
     m_Judge.ended("r-1", Got);
   }
   void cut(Duration After, const std::string &Body = "") {
@@ -50,6 +52,7 @@
     Got.m_Status = Body.empty() ? 0 : 200;
     Got.m_Body = Body;
     Got.m_EndedAt = m_Sent.m_SentAt + After;
+    Got.m_IsOnOldConnection = m_IsOnOldConnection;
     m_Judge.ended("r-1", Got);
   }
   std::string rules() {
@@ -409,3 +412,65 @@
   Case.m_Judge.stateDiverged("error 6012 state_diverged member=c2", Start);
   CHECK(Case.rules() == "STATE ");
 }
+
+SCENARIO("a run of waves shows that calls came late on old connections") {
+  Story Case(Kind::Unsafe);
+  const auto Check = [&] {
+    Case.m_Judge.checkOldConnections(Start + 80s);
+    return Case.rules();
+  };
+  const Judge::Counts &Seen = Case.m_Judge.counts();
+  GIVEN("no call on an old connection") {
+    THEN("the run shows nothing, and fails") { CHECK(Check() == "COVERAGE "); }
+  }
+  GIVEN("a call 3 s after the SIGTERM") {
+    Case.m_IsOnOldConnection = true;
+    Case.m_Judge.stopAsked(0, Case.m_Sent.m_SentAt - 3s);
+    Case.send();
+    Case.run(1ms);
+    Case.end(5ms, 200);
+    THEN("it is too early to show anything") {
+      CHECK(Seen.m_OldAfter2800.m_Sent == 1);
+      CHECK(Seen.m_OldAfter4000.m_Sent == 0);
+      CHECK(Check() == "COVERAGE ");
+    }
+  }
+  GIVEN("a call 4.5 s after the SIGTERM") {
+    Case.m_Judge.stopAsked(0, Case.m_Sent.m_SentAt - 4500ms);
+    Case.send();
+    WHEN("it is on a connection that was made after the SIGTERM") {
+      Case.run(1ms);
+      Case.end(5ms, 200);
+      CHECK(Seen.m_OldAfter2800.m_Sent == 0);
+      CHECK(Check() == "COVERAGE ");
+    }
+    Case.m_IsOnOldConnection = true;
+    WHEN("it is taken and answered") {
+      Case.run(1ms);
+      Case.end(5ms, 200);
+      CHECK(Seen.m_OldAfter4000.m_Sent == 1);
+      CHECK(Seen.m_OldAfter4000.m_Taken == 1);
+      CHECK(Seen.m_OldAfter6000.m_Sent == 0);
+      CHECK(Check().empty());
+    }
+    WHEN("it is refused") {
+      Case.end(5ms, 503);
+      CHECK(Seen.m_OldAfter4000.m_Refused == 1);
+      CHECK(Seen.m_OldAfter4000.m_Taken == 0);
+      CHECK(Check().empty());
+    }
+    WHEN("its connection is closed unread") {
+      Case.cut(5ms);
+      CHECK(Seen.m_OldAfter4000.m_Closed == 1);
+      CHECK(Check().empty());
+    }
+    WHEN("it is taken, and its connection is closed before the answer") {
+      Case.run(1ms);
+      Case.cut(15ms);
+      THEN("it is lost, as the users saw it") {
+        CHECK(Seen.m_OldAfter4000.m_Taken == 1);
+        CHECK(Check() == "LOST ");
+      }
+    }
+  }
+}
--- a/tools/fault-soak/tests/ScheduleTest.cpp
+++ b/tools/fault-soak/tests/ScheduleTest.cpp
@@ -1,5 +1,6 @@
 #include "Schedule.h"
 #include "LateCallers.h"
+#include "WaveCallers.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -170,6 +171,111 @@
   }
 }
 
+SCENARIO("waves stop all entries in turn, again and again") {
+  using std::chrono::milliseconds;
+  constexpr unsigned Entries = 12;
+  constexpr milliseconds Grace{8'000};
+  Shape Size;
+  Size.m_Length = std::chrono::minutes(5);
+  Size.m_Entries = Entries;
+  Size.m_Stops = Size.m_Waves = true;
+  const std::vector<Step> Steps = makeSchedule(7, Size);
+  std::vector<Step> Stops;
+  std::copy_if(
+      Steps.begin(), Steps.end(), std::back_inserter(Stops),
+      [](const Step &Planned) { return Planned.m_Fault == Fault::StopEntry; });
+  constexpr unsigned LeastWaves = 30;
+  REQUIRE(Stops.size() > LeastWaves * Entries);
+  THEN("an entry's neighbour is stopped 0.25 s after it") {
+    for (unsigned I = 0; I + Entries <= Stops.size(); I += Entries)
+      for (unsigned J = 1; J < Entries; ++J) {
+        CHECK(Stops[I + J].m_Offset - Stops[I + J - 1].m_Offset ==
+              milliseconds(250));
+        CHECK(Stops[I + J].m_Machine ==
+              (Stops[I + J - 1].m_Machine + 1) % Entries);
+      }
+  }
+  THEN("a wave begins after the stop of its first entry, and before the end of "
+       "the last one's") {
+    // A later wave would meet no entry that still stops or starts.
+    for (unsigned I = Entries; I < Stops.size(); I += Entries) {
+      CHECK(Stops[I].m_Machine == Stops[I - Entries].m_Machine);
+      CHECK(Stops[I].m_Offset >= Stops[I - Entries].m_Offset + Grace);
+      CHECK(Stops[I].m_Offset < Stops[I - 1].m_Offset + Grace);
+    }
+  }
+  THEN("some stops get a second SIGTERM or a SIGHUP, and nothing else is "
+       "disturbed") {
+    std::size_t Again = 0;
+    std::size_t Reloads = 0;
+    for (const Step &Planned : Steps) {
+      CHECK(Planned.m_Offset < Size.m_Length);
+      Again += Planned.m_Fault == Fault::StopAgain ? 1 : 0;
+      Reloads += Planned.m_Fault == Fault::ReloadEntry ? 1 : 0;
+    }
+    CHECK(Steps.size() == Stops.size() + Again + Reloads);
+    for (const std::size_t Count : {Again, Reloads}) {
+      CHECK(Count > Stops.size() / 5);
+      CHECK(Count < Stops.size() / 2);
+    }
+  }
+  THEN("the gap can be chosen, and the seed decides the rest") {
+    Size.m_WaveGap = milliseconds(100);
+    const std::vector<Step> Closer = makeSchedule(7, Size);
+    const std::vector<Step> Again = makeSchedule(7, Size);
+    const std::vector<Step> Other = makeSchedule(8, Size);
+    const auto IsSame = [](const Step &Left, const Step &Right) {
+      return Left.m_Offset == Right.m_Offset &&
+             Left.m_Length == Right.m_Length && Left.m_Fault == Right.m_Fault &&
+             Left.m_Machine == Right.m_Machine &&
+             Left.m_Variant == Right.m_Variant;
+    };
+    CHECK(std::equal(Closer.begin(), Closer.end(), Again.begin(), Again.end(),
+                     IsSame));
+    CHECK_FALSE(std::equal(Closer.begin(), Closer.end(), Other.begin(),
+                           Other.end(), IsSame));
+    CHECK_FALSE(std::equal(Closer.begin(), Closer.end(), Steps.begin(),
+                           Steps.end(), IsSame));
+  }
+}
+
+SCENARIO("a wave caller uses its idle connection once in a stop") {
+  using std::chrono::milliseconds;
+  const TimePoint Stop{std::chrono::hours(1)};
+  constexpr milliseconds Step{10};
+  for (std::uint64_t Seed = 0; Seed < 50; ++Seed) {
+    const auto FirstDue = [&](WavePace &Pace, TimePoint Start,
+                              milliseconds For) {
+      TimePoint Now = Start;
+      while (Now < Start + For && !Pace.isDue(Now))
+        Now += Step;
+      return Now - Start;
+    };
+    constexpr milliseconds Long{20'000};
+    WavePace Pace(Seed);
+    Pace.ended(Stop);
+    // Without a stop, calls keep the connection.
+    CHECK(FirstDue(Pace, Stop, Long) <= milliseconds(900));
+    Pace.stopAsked(Stop, true);
+    const Duration After = FirstDue(Pace, Stop, Long);
+    CHECK(After >= milliseconds(2'800));
+    CHECK(After <= milliseconds(7'000) + Step);
+    // A second call would be one on a new connection.
+    Pace.used();
+    Pace.ended(Stop + After);
+    CHECK(FirstDue(Pace, Stop, Long) >= Long);
+    Pace.started(Stop + Long);
+    CHECK(FirstDue(Pace, Stop + Long, Long) <= milliseconds(900));
+    // A connection that was in use at the SIGTERM is not an old one later.
+    Pace.stopAsked(Stop + Long, false);
+    CHECK(FirstDue(Pace, Stop + Long, Long) >= Long);
+    // A call that is still due when the next process starts is dropped.
+    Pace.stopAsked(Stop + Long, true);
+    Pace.started(Stop + Long + Step);
+    CHECK_FALSE(Pace.isStopping());
+  }
+}
+
 SCENARIO("each start of a process draws one of two builds") {
   constexpr unsigned Starts = 400;
   unsigned Others = 0;
