Count the waves of a test in std::size_t

Cause: clang-tidy reports the widening of a product of two unsigned numbers in ScheduleTest.cpp.

The bound is the same.

--- a/tools/fault-soak/tests/ScheduleTest.cpp
+++ b/tools/fault-soak/tests/ScheduleTest.cpp
@@ -184,7 +184,7 @@
   std::copy_if(
       Steps.begin(), Steps.end(), std::back_inserter(Stops),
       [](const Step &Planned) { return Planned.m_Fault == Fault::StopEntry; });
-  constexpr unsigned LeastWaves = 30;
+  constexpr std::size_t LeastWaves = 30;
   REQUIRE(Stops.size() > LeastWaves * Entries);
   THEN("an entry's neighbour is stopped 0.25 s after it") {
     for (unsigned I = 0; I + Entries <= Stops.size(); I += Entries)
