Show two ways in which a stream's version stays unrecorded or wrong

Both tests fail on, run alone: a stream reported at one version and then sent at another is not reported anew, and goes on at the first version (v1 for v2); an entry that forwarded a stream released by another records it under the released key, and the caller gets 503 for 200. They drive StreamVersions directly; the forwards that lead there were read, not run.

--- a/apps/entry/tests/StreamVersionsTest.cpp
+++ b/apps/entry/tests/StreamVersionsTest.cpp
@@ -405,6 +405,42 @@
   CHECK_FALSE(hasEnded(New));
 }
 
+// A stream that was forwarded may begin at another version than the one that
+// was reported of it meanwhile.
+SCENARIO("a stream whose head tells another version than control was told does "
+         "not go on at the version that control was told") {
+  TwoVersions Fixture({"v1", "v2"});
+  StreamVersions &Versions = Fixture.m_Shop.m_Path->streamVersions();
+  const auto Stream = hashBytes("a-1");
+  Versions.recordSent(Stream, "llm", "v1", BootClock::now());
+  Fixture.m_Shop.m_Loop.turnFor(std::chrono::milliseconds(200));
+  Versions.recordSent(Stream, "llm", "v2", BootClock::now());
+  Versions.recordEvent(Stream);
+  Fixture.m_Shop.m_Loop.turnFor(std::chrono::milliseconds(300));
+  Fixture.restart();
+  (void)Fixture.resume("b-1", "a-1");
+  for (const std::string &Version : Fixture.m_Ran)
+    CHECK(Version == "v2");
+}
+
+// The record that the other entry has made expires once that entry has ended.
+SCENARIO("a stream that another entry released and began is recorded by the "
+         "entry that forwarded it and goes on with it") {
+  TwoVersions Fixture({"v1", "v2"});
+  const auto Stream = hashBytes("a-1");
+  Fixture.m_Control.record("a-1", "v1");
+  wire::Command Released;
+  Released.mutable_stream_versions()->add_released(Stream);
+  REQUIRE(Fixture.m_Control.answer(Released).refusal() == 0);
+  StreamVersions &Versions = Fixture.m_Shop.m_Path->streamVersions();
+  Versions.recordSent(Stream, "llm", "v2", BootClock::now());
+  Versions.recordEvent(Stream);
+  Fixture.m_Shop.m_Loop.turnFor(std::chrono::milliseconds(300));
+  Fixture.restart();
+  CHECK(Fixture.resume("b-1", "a-1").m_Status == 200);
+  CHECK(Fixture.m_Ran == std::vector<std::string>{"v2"});
+}
+
 SCENARIO("a try without events does not tell the version of a stream that "
          "began elsewhere") {
   TwoVersions Fixture;
