Guard the questions for later records of a stream that name no service

No test failed when these questions named the service: a withdrawn stream would go on at the only version that the service has.

--- a/apps/entry/tests/StreamVersionsTest.cpp
+++ b/apps/entry/tests/StreamVersionsTest.cpp
@@ -405,6 +405,18 @@
   CHECK_FALSE(hasEnded(New));
 }
 
+// The answer for a record that does not exist is the only version of a service.
+SCENARIO("a stream whose record was withdrawn does not go on at the only "
+         "version of its service") {
+  TwoVersions Fixture({"v2", "v2"});
+  Fixture.m_Control.record("a-1", "v1");
+  wire::Command Released;
+  Released.mutable_stream_versions()->add_released(hashBytes("a-1"));
+  REQUIRE(Fixture.m_Control.answer(Released).refusal() == 0);
+  CHECK(Fixture.resume("b-1", "a-1").m_Status == 503);
+  CHECK(Fixture.m_Ran.empty());
+}
+
 // A stream that was forwarded may begin at another version than the one that
 // was reported of it meanwhile.
 SCENARIO("a stream whose head tells another version than control was told does "
