--- a/apps/entry/src/StreamVersions.cpp
+++ b/apps/entry/src/StreamVersions.cpp
@@ -19,7 +19,11 @@
 constexpr std::chrono::seconds RepeatInterval{25};
 constexpr std::chrono::seconds Retention{60};
 constexpr std::size_t MaxStreams = 65'536;
-/// A stream that has lost more records than this is not recorded any longer.
+/// Resumed streams for which control is asked at once. Anybody can claim to
+/// resume one.
+constexpr std::size_t MaxQuestions = 256;
+/// A stream with more records withdrawn is not recorded any longer: a resume
+/// asks for each of them in turn.
 constexpr std::uint32_t MaxReleases = 3;
 constexpr std::chrono::seconds SweepInterval{1};
 
@@ -287,7 +291,14 @@
   // What this entry knows of the fleet may be older than the stream.
   if (!m_Control)
     return Done({std::nullopt, "no_control"});
-  ask({Service, Stream, Deadline}, std::move(Done));
+  if (m_OpenQuestions >= MaxQuestions)
+    return Done({std::nullopt, "too_many"});
+  ++m_OpenQuestions;
+  ask({Service, Stream, Deadline},
+      [this, Done = std::move(Done)](const Finding &Found) {
+        --m_OpenQuestions;
+        Done(Found);
+      });
 }
 
 void StreamVersions::ask(Question Asked, OnFound Done) {
--- a/apps/entry/src/StreamVersions.h
+++ b/apps/entry/src/StreamVersions.h
@@ -69,7 +69,7 @@
     bool m_HasEvent = false; ///< From this entry, at this version.
     bool m_IsReported = false;
     bool m_IsQueued = false; ///< In `m_Unsent`.
-    /// Records that control has forgotten; each was followed by another.
+    /// Records of it that were withdrawn. Each is followed by another.
     std::uint32_t m_Releases = 0;
     TimePoint m_ExpiresAt; ///< Once it is not open any longer.
     TimePoint m_NextReport;
@@ -114,6 +114,7 @@
   std::unordered_map<StreamKey, Row> m_Streams;
   ServiceVersions m_Versions;
   std::vector<StreamKey> m_Unsent;
+  std::size_t m_OpenQuestions = 0;
   TimePoint m_NextSend;
   std::unique_ptr<http::Timer> m_SendTimer;
   std::unique_ptr<http::Timer> m_Sweep;
