--- a/apps/entry/src/DataPath.cpp
+++ b/apps/entry/src/DataPath.cpp
@@ -386,7 +386,7 @@
   Ask.m_OutputTokens = Wanted.m_ExpectedOutputTokens;
   Ask.m_Deadline = For.m_Deadline;
   Ask.m_Capacity = capacity(Ask.m_Model, Now);
-  Ask.m_IsContinued = IsResumed;
+  Ask.m_IsContinued = IsResumed && For.m_Stream;
   // While a target is free its own queue counts; otherwise ours stands for it.
   const TimePoint From =
       Ask.m_Capacity.m_FreeSlots > 0 ? Now : valueOf(Expected).m_Start;
--- a/apps/entry/src/DataPath.h
+++ b/apps/entry/src/DataPath.h
@@ -92,7 +92,8 @@
   void applyRoutes(const wire::RouteTable &Given, TimePoint Now);
   void answerModels(http::Exchange &Arrived);
   void admit(const std::shared_ptr<http::Exchange> &Arrived, Arrival Asked);
-  /// Starts, queues or refuses a request of which all that decides is known.
+  /// Starts, queues or refuses a request whose version is known, if it needs
+  /// one.
   void admitRead(Serving &Request);
   /// Refuses waiting requests that can't be answered before the process exits.
   void refuseWaitingForStop(TimePoint Now);
--- a/libs/limits/include/limits/limits.h
+++ b/libs/limits/include/limits/limits.h
@@ -66,9 +66,9 @@
   /// Fraction of a model's slots that a caller over its fair share must leave
   /// free, so that a request of a caller below its own starts at once.
   double m_ReservedFraction = 0.05;
-  /// Fraction of a model's slots for which requests whose callers have part of
-  /// the answer start without waiting, at least one: their callers lose that
-  /// part with every wait, and targets put them before others.
+  /// Fraction of a model's slots, at least one, for which continued requests
+  /// start without waiting: their callers lose what they have of the answer
+  /// with every wait, and targets put them before others.
   double m_ContinuedFraction = 0.5;
   /// Retry-After of refusals that the next share grant may resolve.
   Duration m_ShareRenewal = std::chrono::seconds(1);
@@ -194,7 +194,7 @@
   double m_DemandWeight = 0; ///< Sum over the flows in `m_RecentDemand`.
   DrainRate m_Drain;
   std::uint32_t m_Running = 0;   ///< Sum over all flows.
-  std::uint32_t m_Continued = 0; ///< Running, and of callers with a part.
+  std::uint32_t m_Continued = 0; ///< Running continued requests.
   bool m_LastStartWasStarved = false;
   TimePoint m_LastStart;
   double m_Bias = 1; ///< Moving average of observed over expected service time.
