Let clients that send a request take the places of silent connections

A connection that found all places taken was closed without an answer unless a silent one was 0.5 s old. Connections dropped by the listen queue come again 1 s later, all at once, so that all 256 places may be held by younger ones when an ordinary client arrives.

A connection without a place now waits, 32 at each listener, until its first bytes arrive. They take the place of the oldest silent connection, whatever its age, or are answered 503 (not run). Silent ones are closed after 0.5 s or when others come.

--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -169,6 +169,8 @@
   ServerState *m_Server = nullptr;
   bufferevent *m_Buffer = nullptr;
   Held m_Place;
+  /// Accepted beyond the budget: it is given a place once it sends something.
+  bool m_IsWaiting = false;
   Held m_Short;  ///< Of the request that is not whole yet.
   Held m_Long;   ///< The same.
   Held m_Unread; ///< What the output holds.
@@ -476,6 +478,9 @@
 /// Connections that each listener takes beyond the budget, so that a crowd at
 /// one listener doesn't lock out the others.
 constexpr std::size_t ReservedConnections = 16;
+/// Connections of each listener that wait for a place, so that their clients
+/// have time to send the first bytes of a request.
+constexpr std::size_t WaitingConnections = 32;
 constexpr int StatusTimeout = 408;
 constexpr int StatusUnavailable = 503;
 
@@ -640,22 +645,27 @@
     auto *Raw = static_cast<evhttp_connection *>(Owner);
     ServerState &Self = *Made->m_Owner;
     const std::shared_ptr<Connection> Known = Self.adopt(Raw);
-    if (Self.hasRoomFor(*Known))
+    if (Self.hasRoomFor(*Known) || Self.waitForPlace(*Known))
       return;
-    ++Self.m_Refused;
-    if (Self.m_Limits.m_Memory != nullptr)
-      Self.m_Limits.m_Memory->noteRefusal(MemoryRefusal::TooManyConnections);
+    Self.noteTooMany();
     Self.close(Raw, CloseReason::TooMany);
   }
 
-  /// Takes the memory of a new connection, if need be from another one.
+  void noteTooMany() {
+    ++m_Refused;
+    if (m_Limits.m_Memory != nullptr)
+      m_Limits.m_Memory->noteRefusal(MemoryRefusal::TooManyConnections);
+  }
+
+  /// Takes the memory of a connection that has none, if need be from another
+  /// one.
   bool hasRoomFor(Connection &New) {
     if (m_Limits.m_Memory == nullptr)
       return m_Open.size() <= m_Limits.m_Connections;
-    if (m_Open.size() > m_Limits.m_Connections && !closeOneForRoom())
+    if (m_Open.size() > m_Limits.m_Connections && !closeOneForRoom(New))
       return false;
     if (New.m_Place.take(MemoryCost::Connection) ||
-        (closeOneForRoom() && New.m_Place.take(MemoryCost::Connection)))
+        (closeOneForRoom(New) && New.m_Place.take(MemoryCost::Connection)))
       return true;
     if (m_Open.size() > ReservedConnections)
       return false;
@@ -663,36 +673,103 @@
     return true;
   }
 
+  /// Keeps a new connection without a place. If too many wait, one that has
+  /// sent nothing is closed, or one that has been refused; the oldest first.
+  bool waitForPlace(Connection &New) {
+    if (m_Limits.m_Memory == nullptr)
+      return false;
+    using Rank = std::pair<bool, TimePoint>;
+    std::vector<std::pair<Rank, evhttp_connection *>> Waiting;
+    for (const auto &[Raw, Known] : m_Open)
+      if (Known->m_IsWaiting)
+        Waiting.push_back({{isRefused(*Known), Known->m_AcceptedAt}, Raw});
+    if (Waiting.size() >= WaitingConnections) {
+      std::sort(Waiting.begin(), Waiting.end());
+      const auto Found =
+          std::find_if(Waiting.begin(), Waiting.end(), [](const auto &Each) {
+            return Each.first.first || !hasUnread(Each.second);
+          });
+      if (Found == Waiting.end())
+        return false;
+      if (!Found->first.first)
+        noteTooMany();
+      close(Found->second, CloseReason::TooMany);
+    }
+    New.m_IsWaiting = true;
+    return true;
+  }
+
+  /// Gives places that came free to connections that wait for one, and closes
+  /// those that were silent for too long.
+  void closeWaiting() {
+    const TimePoint Latest = BootClock::now() - SilentAge;
+    std::vector<evhttp_connection *> Over;
+    for (const auto &[Raw, Known] : m_Open) {
+      // `closeRefused` closes the refused ones.
+      if (!Known->m_IsWaiting || isRefused(*Known))
+        continue;
+      if (Known->m_Place.take(MemoryCost::Connection))
+        Known->m_IsWaiting = false;
+      else if (Known->m_AcceptedAt <= Latest && !hasUnread(Raw))
+        Over.push_back(Raw);
+    }
+    for (evhttp_connection *Raw : Over) {
+      noteTooMany();
+      close(Raw, CloseReason::TooMany);
+    }
+  }
+
+  /// A connection with a place that may be closed for another one.
+  struct Removable {
+    int m_Rank = 0;
+    TimePoint m_Since;
+    evhttp_connection *m_Raw = nullptr;
+
+    bool operator<(const Removable &Other) const {
+      return std::pair(m_Rank, m_Since) <
+             std::pair(Other.m_Rank, Other.m_Since);
+    }
+  };
+
   /// Closes the connection that needs its place least: one that never sent
   /// anything, before one that is slow with a request, before one that has been
-  /// answered. \returns whether there was one that is old enough.
-  bool closeOneForRoom() {
+  /// answered. Those that are too young make no room, except silent ones for a
+  /// client that sends. \returns whether there was one.
+  bool closeOneForRoom(const Connection &New) {
+    constexpr int SilentRank = 0;
+    constexpr int SlowRank = 1;
+    constexpr int AnsweredRank = 2;
     const TimePoint Now = BootClock::now();
-    evhttp_connection *Best = nullptr;
-    std::pair<int, TimePoint> BestRank;
+    const bool IsSending = New.m_FirstByte != TimePoint::max();
+    std::vector<Removable> Found;
     for (const auto &[Raw, Known] : m_Open) {
-      std::pair<int, TimePoint> Rank;
-      if (Known->m_Current != nullptr || hasUnsent(Raw))
+      if (Known.get() == &New || Known->m_IsWaiting ||
+          Known->m_Current != nullptr || hasUnsent(Raw))
         continue;
-      if (Known->m_FirstByte != TimePoint::max())
-        Rank = {1, Known->m_FirstByte + ReceivingAge};
-      else if (Known->m_Requests == 0)
-        Rank = {0, Known->m_AcceptedAt + SilentAge};
-      else
-        Rank = {2, Known->m_MovedAt + IdleAge};
-      if (Rank.second > Now || (Best != nullptr && BestRank <= Rank))
-        continue;
-      Best = Raw;
-      BestRank = Rank;
+      if (Known->m_FirstByte != TimePoint::max()) {
+        if (Now - Known->m_FirstByte >= ReceivingAge)
+          Found.push_back({SlowRank, Known->m_FirstByte, Raw});
+      } else if (Known->m_Requests == 0) {
+        if (IsSending || Now - Known->m_AcceptedAt >= SilentAge)
+          Found.push_back({SilentRank, Known->m_AcceptedAt, Raw});
+      } else if (Now - Known->m_MovedAt >= IdleAge) {
+        Found.push_back({AnsweredRank, Known->m_MovedAt, Raw});
+      }
     }
-    if (Best == nullptr)
+    std::sort(Found.begin(), Found.end());
+    // The first bytes of a young one may not have been read yet.
+    const auto Best =
+        std::find_if(Found.begin(), Found.end(), [](const Removable &Each) {
+          return Each.m_Rank != SilentRank || !hasUnread(Each.m_Raw);
+        });
+    if (Best == Found.end())
       return false;
-    const bool IsSlow = BestRank.first == 1;
+    const bool IsSlow = Best->m_Rank == SlowRank;
     m_Limits.m_Memory->noteRefusal(IsSlow ? MemoryRefusal::SlowRequest
                                           : MemoryRefusal::SilentConnection);
     if (IsSlow)
-      sendPage(*m_Open.at(Best), StatusTimeout);
-    close(Best, CloseReason::TooMany);
+      sendPage(*m_Open.at(Best->m_Raw), StatusTimeout);
+    close(Best->m_Raw, CloseReason::TooMany);
     return true;
   }
 
@@ -789,6 +866,13 @@
       evbuffer_drain(Input, evbuffer_get_length(Input));
       return;
     }
+    if (Known.m_IsWaiting && !hasRoomFor(Known)) {
+      ++m_Refused;
+      refuse(Known, StatusUnavailable, MemoryRefusal::TooManyConnections);
+      evbuffer_drain(Input, evbuffer_get_length(Input));
+      return;
+    }
+    Known.m_IsWaiting = false;
     // It is scanned once that request has been answered.
     if (Known.m_Current != nullptr)
       return;
@@ -1017,6 +1101,7 @@
     if (m_Limits.m_Memory == nullptr)
       return;
     closeRefused();
+    closeWaiting();
     closeUnread();
     logRefusals();
   }
--- a/libs/http/tests/HttpTest.cpp
+++ b/libs/http/tests/HttpTest.cpp
@@ -441,6 +441,94 @@
   ::close(Peer);
 }
 
+SCENARIO("clients that took all places a moment ago don't lock others out") {
+  Loop Loop;
+  constexpr std::size_t Places = 40;
+  constexpr std::size_t Descriptors = 2 * Places;
+  http::ServerLimits Limits;
+  Limits.m_Memory = std::make_shared<http::MemoryBudget>(
+      http::sharesOf(256U << 20U, Descriptors, Limits.m_BodyBytes));
+  auto Server =
+      http::listen(Loop.m_Base, At, Limits,
+                   [](const std::shared_ptr<http::Exchange> &Arrived) {
+                     Arrived->reply(200, {}, Arrived->request().m_Path);
+                   });
+  REQUIRE(!failed(Server));
+  const auto Refusals = [&](http::MemoryRefusal Why) {
+    return Limits.m_Memory->refusals(Why);
+  };
+  std::vector<int> Crowd;
+  const auto Connect = [&](std::size_t Count, const std::string &Bytes) {
+    for (std::size_t I = 0; I < Count; ++I) {
+      Crowd.push_back(connectRaw());
+      if (!Bytes.empty())
+        REQUIRE(::send(Crowd.back(), Bytes.data(), Bytes.size(), 0) > 0);
+    }
+  };
+  const auto Ask = [&] {
+    int Status = 0;
+    http::ClientHandlers Handlers;
+    Handlers.m_OnDone = [&](const Result<http::Response> &Answer) {
+      Status = failed(Answer) ? -1 : valueOf(Answer).m_Status;
+    };
+    http::call(Loop.m_Base, get("/a"), std::move(Handlers));
+    REQUIRE(Loop.turnUntil([&] { return Status != 0; }));
+    return Status;
+  };
+  GIVEN("connections on all places that have sent nothing yet") {
+    Connect(Places, "");
+    REQUIRE(Loop.turnUntil(
+        [&] { return valueOf(Server)->connections() == Places; }));
+    THEN("one of them makes room for clients that send a request in turn") {
+      for (std::size_t I = 0; I < 3; ++I)
+        CHECK(Ask() == 200);
+      CHECK(Refusals(http::MemoryRefusal::SilentConnection) == 1);
+      CHECK(Refusals(http::MemoryRefusal::TooManyConnections) == 0);
+    }
+    THEN(
+        "of many more silent ones a bounded number is kept, for a short time") {
+      Connect(100, "");
+      REQUIRE(Loop.turnUntil([&] {
+        return Refusals(http::MemoryRefusal::TooManyConnections) >= 60;
+      }));
+      CHECK(valueOf(Server)->connections() > Places);
+      CHECK(valueOf(Server)->connections() <= Places + 40);
+      CHECK(Ask() == 200);
+      CHECK(Loop.turnUntil(
+          [&] { return valueOf(Server)->connections() <= Places; }));
+    }
+    WHEN("the request of one of them is on its way") {
+      const std::string Request = "GET /b HTTP/1.1\r\nHost: any\r\n\r\n";
+      REQUIRE(::send(Crowd.front(), Request.data(), Request.size(), 0) > 0);
+      THEN("it is not the one that makes room") {
+        CHECK(Ask() == 200);
+        std::string Got;
+        CHECK(Loop.turnUntil([&] {
+          char Piece[1024];
+          const ssize_t Count =
+              ::recv(Crowd.front(), Piece, sizeof(Piece), MSG_DONTWAIT);
+          if (Count > 0)
+            Got.append(Piece, static_cast<std::size_t>(Count));
+          return Got.find("/b") != std::string::npos;
+        }));
+      }
+    }
+  }
+  GIVEN("connections on all places whose requests are being received") {
+    Connect(Places, "GET /a HTTP/1.1\r\n");
+    REQUIRE(Loop.turnUntil([&] {
+      return valueOf(Server)->connections() == Places &&
+             Limits.m_Memory->held(http::MemoryPart::Requests) > 0;
+    }));
+    THEN("another client is told at once that its request has not run") {
+      CHECK(Ask() == 503);
+      CHECK(Refusals(http::MemoryRefusal::TooManyConnections) == 1);
+    }
+  }
+  for (const int Each : Crowd)
+    ::close(Each);
+}
+
 SCENARIO("a server that is short of memory reads less and breaks nothing") {
   Loop Loop;
   constexpr std::size_t Length = 3U << 20U;
--- a/tools/client-tests/tests/ClientsTest.cpp
+++ b/tools/client-tests/tests/ClientsTest.cpp
@@ -2,6 +2,7 @@
 #include "Harness.h"
 
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <fcntl.h>
 #include <filesystem>
 #include <fmt/format.h>
@@ -195,17 +196,28 @@
 };
 
 constexpr std::chrono::milliseconds PlayTime{1'500};
+/// Ends shortly after the first repeated handshakes, which come after 1 s.
+constexpr std::chrono::milliseconds TimeToSecondHandshake{1'200};
+
+/// Whether the process runs while a crowd connects. If not, the connections
+/// that its listen queue has no room for come again a second later.
+enum class WhileConnecting : std::uint8_t { Runs, Stopped };
 
 /// Plays one crowd against every listener, each time with new processes.
 void checkCrowd(std::size_t Count,
-                const std::function<Script(const Listener &)> &What) {
+                const std::function<Script(const Listener &)> &What,
+                WhileConnecting During = WhileConnecting::Runs) {
   for (const Listener &Place : Listeners) {
     const Programs Running;
     const Process &Subject =
         Place.m_IsEntry ? *Running.m_Entry : *Running.m_Control;
     {
+      if (During == WhileConnecting::Stopped)
+        ::kill(Subject.pid(), SIGSTOP);
       Crowd Clients(Place.m_At, Count, What(Place));
-      Clients.play(PlayTime);
+      ::kill(Subject.pid(), SIGCONT);
+      Clients.play(During == WhileConnecting::Stopped ? TimeToSecondHandshake
+                                                      : PlayTime);
       const std::size_t Resident = mostResident(Subject);
       const std::size_t Open = openDescriptors(Subject);
       UNSCOPED_INFO(fmt::format("{}: {} kB resident, {} descriptors",
@@ -310,6 +322,12 @@
   rlimit Raised = Former;
   Raised.rlim_cur = Former.rlim_max;
   ::setrlimit(RLIMIT_NOFILE, &Raised);
-  checkCrowd(MoreThanDescriptors, [](const Listener &) { return Script{}; });
+  const auto Silent = [](const Listener &) { return Script{}; };
+  WHEN("they are accepted as they come") {
+    checkCrowd(MoreThanDescriptors, Silent);
+  }
+  WHEN("most of them come at once, a second later") {
+    checkCrowd(MoreThanDescriptors, Silent, WhileConnecting::Stopped);
+  }
   ::setrlimit(RLIMIT_NOFILE, &Former);
 }
