Keep idle connections whose next request has arrived

When all places are taken, a connection that has been answered and is idle for 5 s makes room for another one. If its caller had just sent the next request, which was not read yet, that request was closed without an answer. Bytes that wait in the kernel are looked for now, as for silent ones.

--- a/libs/http/src/Server.cpp
+++ b/libs/http/src/Server.cpp
@@ -757,10 +757,10 @@
       }
     }
     std::sort(Found.begin(), Found.end());
-    // The first bytes of a young one may not have been read yet.
+    // The first bytes of a request may not have been read yet.
     const auto Best =
         std::find_if(Found.begin(), Found.end(), [](const Removable &Each) {
-          return Each.m_Rank != SilentRank || !hasUnread(Each.m_Raw);
+          return Each.m_Rank == SlowRank || !hasUnread(Each.m_Raw);
         });
     if (Best == Found.end())
       return false;
--- a/libs/http/tests/HttpTest.cpp
+++ b/libs/http/tests/HttpTest.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <map>
 #include <optional>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -514,6 +515,37 @@
       }
     }
   }
+  GIVEN("connections on all places that have been answered") {
+    const std::string Request = "GET /c HTTP/1.1\r\nHost: any\r\n\r\n";
+    Connect(Places, Request);
+    std::map<int, std::string> Got;
+    const auto IsAnswered = [&](int Peer) {
+      char Piece[1024];
+      const ssize_t Count = ::recv(Peer, Piece, sizeof(Piece), MSG_DONTWAIT);
+      if (Count > 0)
+        Got[Peer].append(Piece, static_cast<std::size_t>(Count));
+      return Got[Peer].find("/c") != std::string::npos;
+    };
+    for (const int Peer : Crowd)
+      REQUIRE(Loop.turnUntil([&] { return IsAnswered(Peer); }));
+    WHEN("they are idle, and the next requests of all but one arrive with "
+         "another client's") {
+      const int Silent = Crowd.back();
+      (void)Loop.turnUntil([] { return false; }, 4'700ms);
+      Crowd.insert(Crowd.begin(), connectRaw());
+      (void)Loop.turnUntil([] { return false; }, 350ms);
+      REQUIRE(valueOf(Server)->connections() == Places + 1);
+      Got.clear();
+      for (const int Peer : Crowd)
+        if (Peer != Silent)
+          REQUIRE(::send(Peer, Request.data(), Request.size(), 0) > 0);
+      THEN("that one makes room") {
+        for (const int Peer : Crowd)
+          if (Peer != Silent)
+            CHECK(Loop.turnUntil([&] { return IsAnswered(Peer); }, 2s));
+      }
+    }
+  }
   GIVEN("connections on all places whose requests are being received") {
     Connect(Places, "GET /a HTTP/1.1\r\n");
     REQUIRE(Loop.turnUntil([&] {
