Check heads of responses by their bytes before evhttp parses them

Cause: evhttp is more lenient than the grammar. It parses lines as C strings, so that a NUL hides the rest before any callback sees it, reads the status by atoi, takes a status below 200 for an interim response whatever it is, and passes names on as they are. Nothing judged a response afterwards.

Change: ResponseReader judges the head from the bytes of the connection, in the callback of its input buffer, which runs before evhttp parses them, and gives evhttp a head with one reading once the whole of it is valid. Interim responses are left out, so that 103 is followed by the answer. A malformed head fails its call at once with an error of its own step; the connection is closed, counts as no sign that its server is out of reach, and is logged (response_malformed) and counted by reason (wasabivale_malformed_responses_total). All calls go through it: http::call and Pool::call share ClientCallState.

Why it works: no byte reaches evhttp that the check has not passed, and each line is judged with its length, not up to its first NUL.

--- a/apps/control/src/Main.cpp
+++ b/apps/control/src/Main.cpp
@@ -35,7 +35,10 @@
   };
   auto Platform = daemon::listenForPlatform(
       Loop.base(), Settings.m_AdminListen, Registry, NotReady,
-      [&] { daemon::recordMemory(Registry, *Settings.m_Limits.m_Memory); },
+      [&] {
+        daemon::recordMemory(Registry, *Settings.m_Limits.m_Memory);
+        daemon::recordMalformedResponses(Registry);
+      },
       "/readyz", Settings.m_Limits.m_Memory);
   if (failed(Platform)) {
     events::emitError(events::Event::ListenFailed, errorOf(Platform));
--- a/apps/entry/src/Entry.cpp
+++ b/apps/entry/src/Entry.cpp
@@ -192,6 +192,7 @@
 
 void Entry::updateGauges() {
   m_Requests->updateGauges();
+  daemon::recordMalformedResponses(m_Registry);
   if (m_Settings.m_CallerLimits.m_Memory != nullptr)
     daemon::recordMemory(m_Registry, *m_Settings.m_CallerLimits.m_Memory);
   if (m_Callers == nullptr)
--- a/libs/daemon/include/daemon/daemon.h
+++ b/libs/daemon/include/daemon/daemon.h
@@ -215,6 +215,9 @@
 /// Brings the gauges of a process's memory budget up to date.
 void recordMemory(metrics::Registry &Registry, const http::MemoryBudget &Of);
 
+/// Brings the counters of malformed responses up to date, one for each reason.
+void recordMalformedResponses(metrics::Registry &Registry);
+
 } // namespace wasabivale::daemon
 
 #endif // WASABIVALE_DAEMON_DAEMON_H
--- a/libs/daemon/src/Platform.cpp
+++ b/libs/daemon/src/Platform.cpp
@@ -82,4 +82,15 @@
   }
 }
 
+void recordMalformedResponses(metrics::Registry &Registry) {
+  for (std::size_t I = 0; I < http::ResponseFaults; ++I) {
+    const auto Fault = static_cast<http::ResponseFault>(I);
+    Registry
+        .counter("wasabivale_malformed_responses_total",
+                 "Responses that failed their call because they are malformed",
+                 {{"reason", std::string(http::responseFaultName(Fault))}})
+        .m_Value = http::malformedResponses(Fault);
+  }
+}
+
 } // namespace wasabivale::daemon
--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -4,7 +4,7 @@
 /// gone, the bytes that a slow reader has not taken yet, and a client that
 /// never sends a request twice and knows whether its first byte has left.
 /// Requests whose length two readers could take differently are refused before
-/// the handler sees them.
+/// the handler sees them; responses that are malformed fail their call.
 ///
 /// `listen` and `call` make the process ignore SIGPIPE: a peer that has closed
 /// its connection is an error of that connection only.
@@ -308,6 +308,28 @@
 
 // --- Client ---------------------------------------------------------------
 
+/// Why a response is none of HTTP/1.1 (RFC 9110, 5; RFC 9112, 2.2 and 4 to 7).
+/// Such a response ends its call with an error, for which `isMalformedResponse`
+/// holds, and its connection. Nothing is passed on of a malformed head.
+enum class ResponseFault : std::uint8_t {
+  StatusLine, ///< No `HTTP/1.x`, status of three digits and reason.
+  StatusCode, ///< Not within 100 to 599, or 101, which is not asked for.
+  FieldLine,  ///< Without a colon, or it continues the line before it.
+  FieldName,  ///< Empty, or with characters that no name has.
+  FieldValue, ///< Holds a control character other than a tab.
+  LineEnd,    ///< A CR within a line, or CRLF and LF in one response.
+  TooLong,    ///< A head, size of a chunk or trailer over `m_HeadBytes`.
+};
+inline constexpr std::size_t ResponseFaults = 7;
+
+/// Name in metrics and log lines, in lower case.
+std::string_view responseFaultName(ResponseFault Value);
+/// Malformed responses that this process has received.
+std::uint64_t malformedResponses(ResponseFault Fault);
+/// Whether a call has failed because its peer's response is malformed. The peer
+/// was reached, and may have acted on the request.
+bool isMalformedResponse(const Error &Failure);
+
 struct ClientRequest {
   Address m_To;
   std::string m_Method = "POST";
@@ -327,6 +349,7 @@
   std::size_t m_HeadBytes = 64U << 10U;
   /// Whether a pool must open a connection for it.
   bool m_FreshConnection = false;
+  std::string m_LogId; ///< `request=` in log lines; may be empty.
 };
 
 struct ClientHandlers {
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -1,5 +1,8 @@
 #include "Headers.h"
 #include "Pool.h"
+#include "ResponseReader.h"
+
+#include "events/events.h"
 
 #include <algorithm>
 #include <event2/bufferevent.h>
@@ -23,6 +26,8 @@
   return std::nullopt;
 }
 
+constexpr const char *MalformedStep = "http.response";
+
 const char *textOf(evhttp_request_error Kind) {
   switch (Kind) {
   case EVREQ_HTTP_TIMEOUT:
@@ -50,7 +55,8 @@
   ClientCallState(event_base *Loop, ClientRequest What, ClientHandlers Handlers,
                   std::shared_ptr<Pool::State> Keep, bool Repeatable)
       : m_Loop(Loop), m_What(std::move(What)), m_Handlers(std::move(Handlers)),
-        m_Pool(std::move(Keep)), m_Repeatable(Repeatable) {}
+        m_Reader(m_What.m_HeadBytes), m_Pool(std::move(Keep)),
+        m_Repeatable(Repeatable) {}
 
   ~ClientCallState() override {
     unwatch();
@@ -159,19 +165,57 @@
   static void onInput(evbuffer *Buffer, const evbuffer_cb_info *Info,
                       void *Argument) {
     auto &Self = *static_cast<ClientCallState *>(Argument);
-    if (Info->n_added > 0)
-      Self.recordReceived();
-    if (Self.m_Ended || Self.m_BadInput)
+    if (Info->n_added == 0 || Self.m_IsRewriting)
+      return;
+    Self.recordReceived();
+    if (Self.m_Ended)
       return;
-    if (Info->n_added > 0)
+    if (!Self.m_BadInput)
       Self.checkEarlyBytes();
-    // evhttp bounds heads and bodies, but not the line that states a chunk's
-    // size.
+    if (!Self.m_BadInput)
+      Self.checkResponse(Buffer, Info->n_added);
+    if (Self.m_Fault)
+      return;
+    // evhttp bounds what it takes of the buffer, but takes nothing while the
+    // request is written.
     if (evbuffer_get_length(Buffer) >
         Self.m_What.m_AnswerBytes + Self.m_What.m_HeadBytes)
       Self.endSoon("the answer is too long");
   }
 
+  /// Replaces the last \p Added bytes of the buffer by what evhttp may parse of
+  /// them. evhttp has not seen them yet.
+  void checkResponse(evbuffer *Buffer, std::size_t Added) {
+    if (m_Reader.skipContent(Added))
+      return;
+    m_IsRewriting = true;
+    const std::unique_ptr<evbuffer, decltype(&evbuffer_free)> Former(
+        evbuffer_new(), evbuffer_free);
+    evbuffer_remove_buffer(Buffer, Former.get(),
+                           evbuffer_get_length(Buffer) - Added);
+    std::string Checked;
+    const std::optional<ResponseFault> Fault =
+        m_Reader.feed(takeBody(Buffer), Checked);
+    evbuffer_add_buffer(Buffer, Former.get());
+    evbuffer_add(Buffer, Checked.data(), Checked.size());
+    m_IsRewriting = false;
+    if (Fault)
+      rejectResponse(*Fault);
+  }
+
+  void rejectResponse(ResponseFault Fault) {
+    m_Fault = Fault;
+    countMalformedResponse(Fault);
+    events::emit(events::Event::ResponseMalformed,
+                 {{"peer", printAddress(m_What.m_To)},
+                  {"request", m_What.m_LogId},
+                  {"reason", responseFaultName(Fault)},
+                  {"reused", m_IsReused}});
+    bufferevent_disable(evhttp_connection_get_bufferevent(m_Connection),
+                        EV_READ);
+    endSoon(responseFaultText(Fault));
+  }
+
   /// Bytes that arrive before the request has been written answer something
   /// else.
   void checkEarlyBytes() {
@@ -219,20 +263,10 @@
       m_Pool->m_Observer.m_OnFailure(m_What.m_To, m_HeardAt);
   }
 
-  static bool isInterim(evhttp_request *Raw) {
-    constexpr int FirstFinal = 200;
-    return evhttp_request_get_response_code(Raw) < FirstFinal;
-  }
-
   static int onHead(evhttp_request *Raw, void *Argument) {
     auto &Self = *static_cast<ClientCallState *>(Argument);
     if (Self.m_Ended)
       return 0;
-    // evhttp would add the fields of the next head to those of this one.
-    if (isInterim(Raw)) {
-      evhttp_clear_headers(evhttp_request_get_input_headers(Raw));
-      return 0;
-    }
     Self.m_Response.m_Status = evhttp_request_get_response_code(Raw);
     Self.m_Response.m_Headers =
         toHeaders(evhttp_request_get_input_headers(Raw));
@@ -287,22 +321,23 @@
   static void onComplete(evhttp_request *Raw, void *Argument) {
     auto &Self = *static_cast<ClientCallState *>(Argument);
     if (Raw == nullptr || evhttp_request_get_response_code(Raw) == 0) {
-      if (!Self.m_Ended && !Self.m_IsPeerError)
+      if (!Self.m_Ended && !Self.m_IsPeerError && !Self.m_Fault)
         Self.recordFailure();
       Self.end(Self.m_ErrorText);
       return;
     }
-    // evhttp goes on after 100 only.
-    if (isInterim(Raw))
-      return Self.end("an interim answer came instead of the final one");
     Self.m_Response.m_Body += takeBody(evhttp_request_get_input_buffer(Raw));
     Self.m_Response.m_Status = evhttp_request_get_response_code(Raw);
     Self.m_IsWhole = true;
     Self.endWith(std::move(Self.m_Response));
   }
 
+  /// \param Message unless the response is malformed.
   void end(const char *Message) {
-    endWith(Error{"http.call", printAddress(m_What.m_To), Message});
+    const std::string Peer = printAddress(m_What.m_To);
+    if (m_Fault)
+      return endWith(Error{MalformedStep, Peer, responseFaultText(*m_Fault)});
+    endWith(Error{"http.call", Peer, Message});
   }
 
   void endWith(Result<Response> Ending) {
@@ -347,6 +382,8 @@
   ClientRequest m_What;
   ClientHandlers m_Handlers;
   Response m_Response;
+  ResponseReader m_Reader;
+  std::optional<ResponseFault> m_Fault;
   const char *m_ErrorText = "the connection failed";
   evhttp_connection *m_Connection = nullptr;
   std::optional<Timer> m_Deadline;
@@ -362,6 +399,7 @@
   TimePoint m_HeardAt;        ///< Newest bytes received, or the start.
   bool m_IsPeerError = false; ///< The peer's bytes are at fault.
   bool m_InCallback = false;
+  bool m_IsRewriting = false; ///< The input buffer is being changed here.
   bool m_HasSent = false;
   bool m_IsReused = false;
   bool m_IsEarly = false; ///< Bytes came before the request was written.
@@ -371,6 +409,10 @@
 
 } // namespace
 
+bool isMalformedResponse(const Error &Failure) {
+  return Failure.m_Step == MalformedStep;
+}
+
 std::shared_ptr<ClientCall> call(event_base *Loop, ClientRequest What,
                                  ClientHandlers Handlers) {
   ignoreBrokenPipes();
--- a/libs/http/src/Headers.cpp
+++ b/libs/http/src/Headers.cpp
@@ -65,8 +65,6 @@
       [&](std::string_view Each) { return isSameName(Each, Name); });
 }
 
-namespace {
-
 bool isToken(std::string_view Name) {
   constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
   return !Name.empty() &&
@@ -76,6 +74,8 @@
          });
 }
 
+namespace {
+
 bool isLength(std::string_view Value) {
   return !Value.empty() &&
          std::all_of(Value.begin(), Value.end(),
--- a/libs/http/src/Headers.h
+++ b/libs/http/src/Headers.h
@@ -19,6 +19,8 @@
 /// Whether the length of a request is stated in a way that another reader could
 /// take differently, or it has a body where evhttp reads none.
 bool isAmbiguous(const std::string &Method, const Fields &Of);
+/// Whether it may be the name of a field (RFC 9110, 5.6.2).
+bool isToken(std::string_view Name);
 std::string takeBody(evbuffer *From);
 /// Writing to a connection that the peer has closed must not end the process.
 void ignoreBrokenPipes();
