Check lengths, transfer codings, chunks and trailers of responses

Some were answered at the deadline only (504).

Cause: evhttp takes the first of several lengths, reads lengths and sizes with strtoll, takes any coding but "chunked" for none, a length beside chunks as if it were not there, skips what stands between a chunk and the next line, and adds trailers to the fields of the head.

Change: ResponseReader goes on behind the head. One length, also if it is told several times; `chunked` alone and once, not in HTTP/1.0, beside a length or in a 204; sizes of hexadecimal digits with well-formed extensions, which are left out; a line end behind each chunk; trailers that are fields and state no framing. evhttp gets each length once, in one spelling. Extensions of chunks, tabs before a length or coding and lists of equal lengths, valid and refused before, now pass.

--- a/libs/http/include/http/http.h
+++ b/libs/http/include/http/http.h
@@ -312,15 +312,19 @@
 /// Such a response ends its call with an error, for which `isMalformedResponse`
 /// holds, and its connection. Nothing is passed on of a malformed head.
 enum class ResponseFault : std::uint8_t {
-  StatusLine, ///< No `HTTP/1.x`, status of three digits and reason.
-  StatusCode, ///< Not within 100 to 599, or 101, which is not asked for.
-  FieldLine,  ///< Without a colon, or it continues the line before it.
-  FieldName,  ///< Empty, or with characters that no name has.
-  FieldValue, ///< Holds a control character other than a tab.
-  LineEnd,    ///< A CR within a line, or CRLF and LF in one response.
-  TooLong,    ///< A head, size of a chunk or trailer over `m_HeadBytes`.
+  StatusLine,       ///< No `HTTP/1.x`, status of three digits and reason.
+  StatusCode,       ///< Not within 100 to 599, or 101, which is not asked for.
+  FieldLine,        ///< Without a colon, or it continues the line before it.
+  FieldName,        ///< Empty, or with characters that no name has.
+  FieldValue,       ///< Holds a control character other than a tab.
+  LineEnd,          ///< A CR within a line, or CRLF and LF in one response.
+  ContentLength,    ///< No decimal number, several, or where none may stand.
+  TransferEncoding, ///< Not `chunked` once, or where none may stand.
+  ChunkSize,        ///< No hexadecimal number, or a malformed extension.
+  ChunkEnd,         ///< No line end behind a chunk's bytes.
+  TooLong,          ///< A head, size of a chunk or trailer over `m_HeadBytes`.
 };
-inline constexpr std::size_t ResponseFaults = 7;
+inline constexpr std::size_t ResponseFaults = 11;
 
 /// Name in metrics and log lines, in lower case.
 std::string_view responseFaultName(ResponseFault Value);
--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -55,7 +55,7 @@
   ClientCallState(event_base *Loop, ClientRequest What, ClientHandlers Handlers,
                   std::shared_ptr<Pool::State> Keep, bool Repeatable)
       : m_Loop(Loop), m_What(std::move(What)), m_Handlers(std::move(Handlers)),
-        m_Reader(m_What.m_HeadBytes), m_Pool(std::move(Keep)),
+        m_Reader(m_What.m_Method, m_What.m_HeadBytes), m_Pool(std::move(Keep)),
         m_Repeatable(Repeatable) {}
 
   ~ClientCallState() override {
--- a/libs/http/testing/src/Cases.cpp
+++ b/libs/http/testing/src/Cases.cpp
@@ -152,10 +152,115 @@
          "line_end");
 }
 
+void addLengths(Builder &To) {
+  const std::size_t Size = To.m_Body.size();
+  for (const char *Pattern :
+       {"+{}", "-{}", "0x{:x}", "{}x", "x{}", "{};", "{}.0", "{}e0", "{} {}",
+        "{}, {}x", "{},", ",{}", "\"{}\"", "{}\xc2\xa0"})
+    To.addLength("Content-Length: " +
+                     fmt::vformat(Pattern, fmt::make_format_args(Size, Size)),
+                 "content_length");
+  for (const char *Value :
+       {"", " ", "\t", ",", "x", "-1", "9223372036854775808",
+        "18446744073709551616", "18446744073709551621",
+        "99999999999999999999999999"})
+    To.addLength(std::string("Content-Length: ") + Value, "content_length");
+  for (const std::size_t Other : {Size + 1, Size - 1, std::size_t(0)}) {
+    To.addLength(
+        fmt::format("Content-Length: {}\r\ncontent-length: {}", Size, Other),
+        "content_length");
+    To.addLength(
+        fmt::format("CONTENT-LENGTH: {}\r\nContent-Length: {}", Other, Size),
+        "content_length");
+    To.addLength(fmt::format("Content-Length: {}, {}", Size, Other),
+                 "content_length");
+  }
+  To.addLength(fmt::format("Content-Length: {}", Size) + with("", '\0', "0"),
+               "field_value");
+  To.add("a length where no content may be",
+         To.head("HTTP/1.1 204 No", To.lengthLine()) + To.m_Body,
+         "content_length");
+}
+
+void addCodings(Builder &To) {
+  for (const char *Value :
+       {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked",
+        "chunked,", "identity", "", "chunked;a=b", "xchunked", "chunked x",
+        "\"chunked\"", "chunke", "chunked\x0b"})
+    To.addCoding(std::string("Transfer-Encoding: ") + Value,
+                 std::string_view(Value).find('\x0b') != std::string_view::npos
+                     ? "field_value"
+                     : "transfer_encoding");
+  To.addCoding("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+               "transfer_encoding");
+  To.addCoding("Transfer-Encoding: identity\r\nTransfer-Encoding: chunked",
+               "transfer_encoding");
+  To.addCoding("Transfer-Encoding: chunked\r\n" +
+                   To.lengthLine().substr(0, To.lengthLine().size() - 2),
+               "transfer_encoding");
+  To.addCoding(To.lengthLine() + "Transfer-Encoding: chunked",
+               "transfer_encoding");
+  To.add("chunks in HTTP/1.0",
+         To.head("HTTP/1.0 200 OK", CodingLine) + chunked(To.m_Body),
+         "transfer_encoding");
+  To.add("chunks where no content may be",
+         To.head("HTTP/1.1 204 No", CodingLine) + chunked(To.m_Body),
+         "transfer_encoding");
+}
+
+void addChunkFaults(Builder &To) {
+  const std::size_t Size = To.m_Body.size();
+  for (const char *Pattern :
+       {"+{:x}",    "-{:x}",      "0x{:x}",        " {:x}",
+        "\t{:x}",   "{:x} ",      "{:x}\t",        "{:x}g",
+        "g{:x}",    "{:x},",      "{:x};",         "{:x};=b",
+        "{:x};a=",  "{:x};a=\"b", "{:x};a=\"b\"c", "{:x};a b",
+        "{:x};a ",  "{:x} {:x}",  "{:x};a=b;",     "fffffffffffffffff{:x}",
+        "8{:015x}", "{:x};a=\x01"})
+    To.addSize(fmt::vformat(Pattern, fmt::make_format_args(Size, Size)),
+               "chunk_size");
+  To.addSize("", "chunk_size");
+  To.addSize(fmt::format("{:x}", Size) + '\0', "chunk_size");
+  To.addSize(with("", '\0', "") + fmt::format("{:x}", Size), "chunk_size");
+  const std::string SizeLine = fmt::format("{:x}\r\n", Size);
+  const std::string Last = "0\r\n\r\n";
+  To.addChunks("a chunk without a line end", SizeLine + To.m_Body + Last,
+               "chunk_end");
+  To.addChunks("a chunk that is longer than its size",
+               SizeLine + To.m_Body + "x\r\n" + Last, "chunk_end");
+  To.addChunks("a chunk that is shorter than its size",
+               fmt::format("{:x}\r\n", Size + 1) + To.m_Body + CrLf + Last,
+               "line_end");
+  To.addChunks("a chunk that ends with an LF",
+               SizeLine + To.m_Body + "\n" + Last, "line_end");
+  To.addChunks("a size that ends with an LF",
+               fmt::format("{:x}\n", Size) + To.m_Body + CrLf + Last,
+               "line_end");
+  const auto AddTrailer = [&](const std::string &Line, const char *Fault) {
+    To.addChunks("the trailer " + Line, chunked(To.m_Body, "", Line + CrLf),
+                 Fault);
+  };
+  AddTrailer("no field", "field_line");
+  AddTrailer(" X-A: b", "field_line");
+  AddTrailer("X A: b", "field_name");
+  AddTrailer("X-A : b", "field_name");
+  AddTrailer(with("X-A: b", '\0', ""), "field_value");
+  AddTrailer("X-A: b\rc", "line_end");
+  AddTrailer("Content-Length: 3", "content_length");
+  AddTrailer("Transfer-Encoding: chunked", "transfer_encoding");
+}
+
 void addInterim(Builder &To) {
   const std::string Final = To.head(Ok, To.lengthLine()) + To.m_Body;
   To.add("an interim response with a malformed field",
          "HTTP/1.1 103 Early\r\nX A: b\r\n\r\n" + Final, "field_name");
+  To.add("an interim response with content",
+         "HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\nok" + Final,
+         "content_length");
+  To.add("an interim response with chunks",
+         "HTTP/1.1 100 Continue\r\n" + CodingLine + CrLf + chunked("ok") +
+             Final,
+         "transfer_encoding");
   To.add("a malformed response behind an interim one",
          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 2000 OK\r\n" + To.m_FieldLines +
              To.lengthLine() + CrLf + To.m_Body,
@@ -180,6 +285,9 @@
   addStatusLines(To);
   addFieldLines(To);
   addLineEnds(To);
+  addLengths(To);
+  addCodings(To);
+  addChunkFaults(To);
   addInterim(To);
   return To.m_Cases;
 }
@@ -187,6 +295,7 @@
 std::vector<ResponseCase> unusualCases(const std::string &FieldLines,
                                        const std::string &Body) {
   Builder To{FieldLines, Body};
+  const std::size_t Size = Body.size();
   for (const char *Line :
        {"HTTP/1.1 200 ", "HTTP/1.1 200", "HTTP/1.0 200 OK", "HTTP/1.9 200 OK",
         "HTTP/1.1 200 a\treason: with 3 words and \xc3\xa4"})
@@ -198,6 +307,20 @@
              "X-A: a\tb, \"c:d\" \xc3\xa4\xff");
   To.addLine("all characters of a name", "aZ09!#$%&'*+-.^_`|~: b");
   To.addLine("a name twice", "X-A: b\r\nx-a: c");
+  To.addLength(fmt::format("content-LENGTH:\t{} \t", Size));
+  To.addLength(fmt::format("Content-Length: 00{}", Size));
+  To.addLength(fmt::format("Content-Length: {0}\r\ncontent-length: {0}", Size));
+  To.addLength(fmt::format("Content-Length: {0}, {0} ,{0}", Size));
+  for (const char *Line :
+       {"Transfer-Encoding: CHUNKED", "transfer-encoding:\tchunked\t"})
+    To.addCoding(Line);
+  To.addSize(fmt::format("{:X}", Size));
+  To.addSize(fmt::format("000{:x}", Size));
+  for (const char *Extension :
+       {";a", ";a=b", ";a=b;c", " ; a = b", ";a=\"b; \\\" c\""})
+    To.addChunks(std::string("chunks with the extension ") + Extension,
+                 chunked(Body, Extension));
+  To.addChunks("trailers", chunked(Body, "", "X-A: b\r\nX-B:\r\n"));
   const std::string Final = To.head(Ok, To.lengthLine()) + Body;
   for (const char *Status : {"100 Continue", "102 Processing", "103 Early"})
     To.add(std::string("an interim response ") + Status,
@@ -211,6 +334,9 @@
     return Text;
   };
   To.add("lines that end with LF", WithLf(To.head(Ok, To.lengthLine())) + Body);
+  To.add("chunks whose lines end with LF",
+         WithLf(To.head(Ok, CodingLine)) +
+             fmt::format("{:x}\n{}\n0\n\n", Size, Body));
   To.add("no length", To.head(Ok, "") + Body);
   To.m_Cases.back().m_EndsWithConnection = true;
   To.add("no length in HTTP/1.0", To.head("HTTP/1.0 200 OK", "") + Body);
