Take a malformed answer for a failure of its target that promises nothing

Cause: a failed call was either truncated or not answered at all. A head with a proof of "not run" was conclusive whatever followed it; an answer that was cut counted as a connection that broke, so as a possible crash of the target; a malformed answer to a health check counted as none.

Change: an error of the response itself is `malformed` for tries of targets, prefills, resumed streams, forwards and calls of the own interface: 502 or a retry where the route and the budget allow one, never a promise, also where the head alone was sound. It counts against its target as other failures do (three in a row eject it), not as a crash; as an answer to a health check it shows that the target is reached. The line response_malformed names the peer, the request and the reason.

--- a/apps/entry/src/Forward.cpp
+++ b/apps/entry/src/Forward.cpp
@@ -36,6 +36,7 @@
   Out.m_Body = Caller.m_Body;
   Out.m_Deadline = Origin.m_Deadline;
   Out.m_AnswerBytes = MaxAnswerBytes;
+  Out.m_LogId = Request.m_Id.m_Value;
   const std::weak_ptr<Forward> Weak = Started;
   http::ClientHandlers Callbacks;
   Callbacks.m_OnFields = [Weak](int Status, const http::Fields &Fields) {
@@ -98,6 +99,8 @@
 void Forward::takeEnd(const Result<http::Response> &Ending) {
   if (m_Ended)
     return;
+  if (failed(Ending) && http::isMalformedResponse(errorOf(Ending)))
+    return finish({ForwardEnding::Broken{true, true, false, errorOf(Ending)}});
   // The head of a refusal says all of it, even if its body is cut.
   if (m_Rejection)
     return finish({*m_Rejection});
--- a/apps/entry/src/TargetReach.cpp
+++ b/apps/entry/src/TargetReach.cpp
@@ -116,9 +116,11 @@
                        Deadline](const Result<http::Response> &Answer) {
     m_Questions.erase(Address);
     const bool IsLate = BootClock::now() + TimerError >= Deadline;
-    recordProbe(Address, !failed(Answer) ? reach::ProbeResult::Answered
-                         : IsLate        ? reach::ProbeResult::Silent
-                                         : reach::ProbeResult::Rejected);
+    const bool HasAnswered =
+        !failed(Answer) || http::isMalformedResponse(errorOf(Answer));
+    recordProbe(Address, HasAnswered ? reach::ProbeResult::Answered
+                         : IsLate    ? reach::ProbeResult::Silent
+                                     : reach::ProbeResult::Rejected);
   };
   m_Questions[Address] =
       http::call(m_Loop, std::move(Out), std::move(Handlers));
--- a/apps/entry/src/Try.cpp
+++ b/apps/entry/src/Try.cpp
@@ -48,7 +48,7 @@
 }
 
 Reading readBroken(int HttpStatus, const Error &Why) {
-  if (Why.m_Step == StreamStep)
+  if (Why.m_Step == StreamStep || http::isMalformedResponse(Why))
     return {FailureKind::Malformed, TryOutcome::Failed, false, false};
   constexpr int HttpOk = 200;
   if (HttpStatus != 0 && HttpStatus != HttpOk)
--- a/apps/entry/tests/Shop.cpp
+++ b/apps/entry/tests/Shop.cpp
@@ -1,6 +1,9 @@
 #include "Shop.h"
 
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <fmt/format.h>
+#include <netinet/in.h>
 #include <sstream>
 
 namespace wasabivale::entry::test {
@@ -152,6 +155,38 @@
       });
 }
 
+std::string Shop::askRaw(const std::string &Method, const std::string &Path,
+                         const std::string &Body) {
+  bufferevent *Caller =
+      bufferevent_socket_new(m_Loop.m_Base, -1, BEV_OPT_CLOSE_ON_FREE);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(EntryPort);
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  bool IsClosed = false;
+  bufferevent_setcb(
+      Caller, nullptr, nullptr,
+      [](bufferevent *, short Events, void *Closed) {
+        if ((Events & BEV_EVENT_CONNECTED) == 0)
+          *static_cast<bool *>(Closed) = true;
+      },
+      &IsClosed);
+  bufferevent_socket_connect(Caller, reinterpret_cast<sockaddr *>(&Address),
+                             sizeof(Address));
+  bufferevent_enable(Caller, EV_READ | EV_WRITE);
+  const std::string Request =
+      fmt::format("{} {} HTTP/1.1\r\nHost: shop.example\r\nAttempt: r-1\r\n"
+                  "Connection: close\r\nContent-Length: {}\r\n\r\n{}",
+                  Method, Path, Body.size(), Body);
+  bufferevent_write(Caller, Request.data(), Request.size());
+  CHECK(m_Loop.until([&] { return IsClosed; }));
+  evbuffer *Input = bufferevent_get_input(Caller);
+  std::string Bytes(evbuffer_get_length(Input), '\0');
+  evbuffer_remove(Input, Bytes.data(), Bytes.size());
+  bufferevent_free(Caller);
+  return Bytes;
+}
+
 Shop::Shop() {
   events::setMinimumLevel(events::Level::Error);
   m_Settings.m_Id = {"entry-1"};
--- a/apps/entry/tests/Shop.h
+++ b/apps/entry/tests/Shop.h
@@ -203,6 +203,10 @@
     return *Got;
   }
 
+  /// \returns every byte that the caller receives, heads and framing included.
+  std::string askRaw(const std::string &Method, const std::string &Path,
+                     const std::string &Body = {});
+
 private:
   void openEntry();
 };
--- a/apps/entry/tests/TargetAnswersTest.cpp
+++ b/apps/entry/tests/TargetAnswersTest.cpp
@@ -4,10 +4,7 @@
 #include "Shop.h"
 
 #include <catch2/catch.hpp>
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
 #include <fmt/format.h>
-#include <netinet/in.h>
 
 namespace wasabivale::entry::test {
 
@@ -27,38 +24,6 @@
   return Fields;
 }
 
-/// Every byte that a caller of a stream receives, heads and framing included.
-std::string askRaw(Shop &Fixture, const std::string &Path) {
-  bufferevent *Caller =
-      bufferevent_socket_new(Fixture.m_Loop.m_Base, -1, BEV_OPT_CLOSE_ON_FREE);
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_port = htons(EntryPort);
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  bool IsClosed = false;
-  bufferevent_setcb(
-      Caller, nullptr, nullptr,
-      [](bufferevent *, short Events, void *Closed) {
-        if ((Events & BEV_EVENT_CONNECTED) == 0)
-          *static_cast<bool *>(Closed) = true;
-      },
-      &IsClosed);
-  bufferevent_socket_connect(Caller, reinterpret_cast<sockaddr *>(&Address),
-                             sizeof(Address));
-  bufferevent_enable(Caller, EV_READ | EV_WRITE);
-  const std::string Request = "POST " + Path +
-                              " HTTP/1.1\r\nHost: shop.example\r\n"
-                              "Attempt: r-1\r\nConnection: close\r\n"
-                              "Content-Length: 0\r\n\r\n";
-  bufferevent_write(Caller, Request.data(), Request.size());
-  CHECK(Fixture.m_Loop.until([&] { return IsClosed; }));
-  evbuffer *Input = bufferevent_get_input(Caller);
-  std::string Bytes(evbuffer_get_length(Input), '\0');
-  evbuffer_remove(Input, Bytes.data(), Bytes.size());
-  bufferevent_free(Caller);
-  return Bytes;
-}
-
 } // namespace
 
 SCENARIO("an error does not stand in the middle of a stream") {
@@ -73,7 +38,7 @@
         errors(Status, IsSigned)(Arrived);
       };
       Fixture.open({Target, Target});
-      const std::string Got = askRaw(Fixture, "/note/7");
+      const std::string Got = Fixture.askRaw("POST", "/note/7");
       CHECK(Fixture.m_Seen.size() >= 2);
       CHECK(Got.find(eventText(2)) != Got.npos);
       CHECK(Got.rfind("HTTP/1.1") == 0);
--- a/libs/relay/src/Send.cpp
+++ b/libs/relay/src/Send.cpp
@@ -124,6 +124,12 @@
     Result.m_LastEventId = m_EventReader->lastEventId();
     Result.m_Duplicates = m_EventReader->duplicates();
   }
+  // Nothing that a malformed response says is conclusive.
+  if (failed(Response) && http::isMalformedResponse(errorOf(Response))) {
+    Result.m_InvalidResponse = true;
+    Result.m_Failure = errorOf(Response);
+    return Result;
+  }
   // The head alone is conclusive, even if the body is truncated.
   if (provesNotRun()) {
     Result.m_Outcome = TryCompletion::NotRun;
@@ -191,6 +197,7 @@
   Outgoing.m_Deadline = Options.m_Deadline;
   Outgoing.m_AnswerBytes = MaxResponseBytes;
   Outgoing.m_FreshConnection = Options.m_FreshConnection;
+  Outgoing.m_LogId = Request.m_Id;
   auto NewTask = std::make_shared<Task>(
       Format, Request, http::printAddress(Address), std::move(Handlers));
   NewTask->m_PrefillOnly = Options.m_PrefillOnly;
--- a/libs/targets/tests/ClientTest.cpp
+++ b/libs/targets/tests/ClientTest.cpp
@@ -1,5 +1,7 @@
 #include "targets/targets.h"
 
+#include "http_testing/http_testing.h"
+
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <optional>
@@ -267,3 +269,33 @@
     CHECK(errorOf(Got).m_Peer == "127.0.0.1:28461");
   }
 }
+
+SCENARIO("a malformed answer is none, and is told from a broken connection") {
+  Stage Stage;
+  GIVEN("an engine") {
+    for (const auto &Case :
+         http::testing::malformedCases("", std::string(Piece) + End)) {
+      // Behind a sound head the stream's own end says whether it is whole.
+      if (Case.m_IsHeadSound)
+        continue;
+      INFO(Case.m_Name);
+      const http::testing::ByteServer Engine(
+          Stage.m_Loop, {Case.m_Bytes, http::testing::Ending::Reset});
+      const RunEnding Got = Stage.run(Engine.address());
+      CHECK(Got.m_Result == RunResult::Broken);
+      CHECK(http::isMalformedResponse(Got.m_Failure));
+      CHECK(Stage.m_Text.empty());
+    }
+  }
+  GIVEN("a service") {
+    for (const auto &Case : http::testing::malformedCases(
+             "", R"({"status": 200, "body": "x", "content_type": "t/p"})")) {
+      INFO(Case.m_Name);
+      const http::testing::ByteServer Service(
+          Stage.m_Loop, {Case.m_Bytes, http::testing::Ending::Reset});
+      const CallEnding Got = Stage.call(Service.address());
+      CHECK(Got.m_Result == CallResult::Unknown);
+      CHECK(http::isMalformedResponse(Got.m_Failure));
+    }
+  }
+}
