Test early answers to uploads that are reset while the upload is written

Such a reset fails the write, and evhttp does not take it for the end of the answer. The tests stay. No change of the product.

--- a/apps/entry/tests/MalformedAnswersTest.cpp
+++ b/apps/entry/tests/MalformedAnswersTest.cpp
@@ -397,4 +397,41 @@
   CHECK(HealthChecks > 0);
 }
 
+SCENARIO("an early answer to an upload that is reset is not whole to callers") {
+  for (const Row &Asked : rows()) {
+    if (std::string(Asked.m_Method) == "GET")
+      continue;
+    const std::string Head = "HTTP/1.1 200 OK\r\n" + Asked.m_FieldLines;
+    const std::string Part =
+        Asked.m_FieldLines == Streamed ? eventText(1) : "part of it";
+    for (const std::string &Bytes :
+         {Head + "\r\n" + Part,
+          Head + "Transfer-Encoding: chunked\r\n\r\n" +
+              fmt::format("{:x}\r\n{}\r\n", Part.size(), Part),
+          Head + "Content-Length: 1000\r\n\r\n" + Part})
+      for (const std::size_t UploadBytes : {70'000, 1'000'000, 4'000'000})
+        for (const auto Delay : {0ms, 1ms, 30ms, 150ms}) {
+          INFO(Asked.m_Path << " " << UploadBytes << " " << Delay.count()
+                            << " ms " << Bytes);
+          Shop Fixture;
+          Fixture.addForeign();
+          ByteServerSettings Settings = at(FirstPort, Bytes, Ending::Reset);
+          Settings.m_AnswersEarly = true;
+          Settings.m_EndDelay = Delay;
+          const ByteServer Target(Fixture.m_Loop.m_Base, Settings);
+          tellFleet(Fixture);
+          const std::string Raw = Fixture.askRaw("POST", Asked.m_Path,
+                                                 std::string(UploadBytes, 'u'));
+          CHECK(Target.requests() >= 1);
+          // A stream that has begun is broken off: its last chunk is missing.
+          const bool IsBrokenOff =
+              Asked.m_FieldLines == Streamed &&
+              startsWith(Raw, "HTTP/1.1 200") &&
+              Raw.find("Transfer-Encoding: chunked") != Raw.npos &&
+              Raw.find("\r\n0\r\n") == Raw.npos;
+          CHECK((IsBrokenOff || startsWith(Raw, "HTTP/1.1 502")));
+        }
+  }
+}
+
 } // namespace wasabivale::entry::test
--- a/libs/http/tests/MalformedResponsesTest.cpp
+++ b/libs/http/tests/MalformedResponsesTest.cpp
@@ -157,3 +157,29 @@
                                                  {"X-A", "e"},
                                                  {"Content-Length", "0"}});
 }
+
+TEST_CASE("an answer to a long upload that ends early is not whole") {
+  const Client Caller;
+  const std::string Part = "part of the answer";
+  const std::string Heads[] = {
+      "HTTP/1.1 200 OK\r\n\r\n",
+      "HTTP/1.0 200 OK\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n12\r\n",
+      "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n",
+  };
+  const std::size_t UploadBytes = GENERATE(70'000, 1'000'000, 4'000'000);
+  const auto EndDelay = GENERATE(0ms, 1ms, 20ms, 150ms);
+  const bool IsStream = GENERATE(false, true);
+  for (const Way Through : {Way::Alone, Way::Pool})
+    for (const std::string &Head : Heads) {
+      INFO(Head << UploadBytes << " after " << EndDelay.count() << " ms");
+      const http::testing::ByteServer Server(
+          Caller.m_Loop,
+          {Head + Part, http::testing::Ending::Reset, 0, 0, true, EndDelay});
+      const Heard Got =
+          Caller.hear(Server, Through, IsStream, std::string(UploadBytes, 'u'));
+      CHECK_FALSE(Got.m_Response);
+      CHECK(Got.m_Failure.m_Message != "timed out");
+      CHECK(Got.m_Idle == 0);
+    }
+}
