Give evhttp nothing further of a response that is malformed

Found by reading: a call whose response is malformed ends in the next turn of the loop. Where the request was still being written, evhttp reads on when that is done, and bytes that arrived in between were not checked any longer, as the call had its fault already. They are dropped now, as are those behind an answer that is too long or too early.

--- a/libs/http/src/Client.cpp
+++ b/libs/http/src/Client.cpp
@@ -170,11 +170,15 @@
     Self.recordReceived();
     if (Self.m_Ended)
       return;
-    if (!Self.m_BadInput)
-      Self.checkEarlyBytes();
+    // The call ends within a turn of the loop, in which evhttp may read on.
+    if (Self.m_BadInput) {
+      evbuffer_drain(Buffer, evbuffer_get_length(Buffer));
+      return;
+    }
+    Self.checkEarlyBytes();
     if (!Self.m_BadInput)
       Self.checkResponse(Buffer, Info->n_added);
-    if (Self.m_Fault)
+    if (Self.m_BadInput)
       return;
     // evhttp bounds what it takes of the buffer, but takes nothing while the
     // request is written.
@@ -211,8 +215,6 @@
                   {"request", m_What.m_LogId},
                   {"reason", responseFaultName(Fault)},
                   {"reused", m_IsReused}});
-    bufferevent_disable(evhttp_connection_get_bufferevent(m_Connection),
-                        EV_READ);
     endSoon(responseFaultText(Fault));
   }
 
--- a/libs/http/tests/MalformedResponsesTest.cpp
+++ b/libs/http/tests/MalformedResponsesTest.cpp
@@ -122,6 +122,25 @@
     }
 }
 
+TEST_CASE("a malformed response ends the upload that it answers") {
+  const Client Caller;
+  const std::string Upload(4'000'000, 'u');
+  for (const auto &Case : http::testing::malformedCases(FieldLines, Body)) {
+    // evhttp reads on only once the upload is written, and takes the rest then.
+    const std::string More = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    INFO(Case.m_Name);
+    http::testing::ByteServerSettings Settings{Case.m_Bytes + More};
+    Settings.m_AnswersEarly = true;
+    Settings.m_PieceBytes = Case.m_Bytes.size();
+    const http::testing::ByteServer Server(Caller.m_Loop, Settings);
+    const Heard Got = Caller.hear(Server, Way::Pool, false, Upload);
+    CHECK_FALSE(Got.m_Response);
+    CHECK(http::isMalformedResponse(Got.m_Failure));
+    CHECK(Got.m_Failures == 0);
+    CHECK(Got.m_Idle == 0);
+  }
+}
+
 TEST_CASE("unusual responses that are valid are whole") {
   const Client Caller;
   const Way Through = GENERATE(Way::Alone, Way::Pool);
--- a/libs/http/tests/ResponseReaderTest.cpp
+++ b/libs/http/tests/ResponseReaderTest.cpp
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 #include <fmt/format.h>
+#include <random>
 
 using namespace wasabivale;
 using namespace wasabivale::http;
@@ -70,6 +71,33 @@
   }
 }
 
+TEST_CASE("what has passed the check passes it unchanged") {
+  for (const auto &Case : testing::unusualCases(FieldLines, Body)) {
+    INFO(Case.m_Name);
+    const std::string Checked = read(Case.m_Bytes, 50).m_Checked;
+    CHECK(read(Checked, 50).m_Checked == Checked);
+  }
+}
+
+TEST_CASE("any byte that is changed is judged alike wherever bytes are split") {
+  std::mt19937 Random(56);
+  std::size_t Malformed = 0;
+  constexpr int Rounds = 200;
+  for (const auto &Case : testing::unusualCases(FieldLines, Body))
+    for (int I = 0; I < Rounds; ++I) {
+      std::string Bytes = Case.m_Bytes;
+      Bytes[Random() % Bytes.size()] = static_cast<char>(Random());
+      INFO(Case.m_Name << " " << I);
+      const Reading Whole = read(Bytes, Bytes.size());
+      const Reading InPieces = read(Bytes, 1 + Random() % 9);
+      REQUIRE(Whole.m_Fault.empty() == InPieces.m_Fault.empty());
+      REQUIRE(Whole.m_Checked == InPieces.m_Checked);
+      REQUIRE(read(Whole.m_Checked, 50).m_Checked == Whole.m_Checked);
+      Malformed += Whole.m_Fault.empty() ? 0 : 1;
+    }
+  CHECK(Malformed > 0);
+}
+
 TEST_CASE("a line that can't become valid is refused before its end") {
   const char *Starts[] = {"x", "HTTP/2", "HTTP/1.1 2x", "HTTP/1.1 200x",
                           "HTTP/1.1 200 O\x01"};
