--- a/apps/entry/tests/MalformedAnswersTest.cpp
+++ b/apps/entry/tests/MalformedAnswersTest.cpp
@@ -23,14 +23,14 @@
 constexpr std::uint16_t SecondPort = FirstPort + 1;
 
 /// A request of each kind of route.
-struct Row {
+struct RequestKind {
   const char *m_Method;
   const char *m_Path;
   std::string m_FieldLines;
   std::string m_Body;
 };
 
-std::vector<Row> rows() {
+std::vector<RequestKind> requestKinds() {
   const std::string Events = eventText(1) + eventText(2);
   return {{"GET", "/stock/7", Signed, "the answer"},
           {"POST", "/book/7", Signed, "the answer"},
@@ -75,11 +75,11 @@
   }
 
   /// \returns every byte that the caller receives.
-  std::string askWith(const Row &Asked, const std::string &Bytes) {
+  std::string askWith(const RequestKind &Kind, const std::string &Bytes) {
     m_Bytes = Bytes;
     grant();
     const std::size_t Before = m_Target->requests();
-    const std::string Raw = askRaw(Asked.m_Method, Asked.m_Path);
+    const std::string Raw = askRaw(Kind.m_Method, Kind.m_Path);
     CHECK(m_Target->requests() > Before);
     return Raw;
   }
@@ -103,17 +103,17 @@
 } // namespace
 
 SCENARIO("a malformed answer of a target reaches no caller") {
-  for (const Row &Asked : rows()) {
+  for (const RequestKind &Kind : requestKinds()) {
     ByteShop Fixture;
     for (const ResponseCase &Case :
-         malformedCases(Asked.m_FieldLines, Asked.m_Body)) {
-      INFO(Asked.m_Path << " " << Case.m_Name);
+         malformedCases(Kind.m_FieldLines, Kind.m_Body)) {
+      INFO(Kind.m_Path << " " << Case.m_Name);
       const TimePoint SentAt = BootClock::now();
-      const std::string Raw = Fixture.askWith(Asked, Case.m_Bytes);
-      CHECK_FALSE(looksWhole(Raw, Asked.m_Body));
+      const std::string Raw = Fixture.askWith(Kind, Case.m_Bytes);
+      CHECK_FALSE(looksWhole(Raw, Kind.m_Body));
       // A stream that has begun can only be broken off.
       const bool IsBrokenOff = Case.m_IsHeadSound &&
-                               Asked.m_FieldLines == Streamed &&
+                               Kind.m_FieldLines == Streamed &&
                                startsWith(Raw, "HTTP/1.1 200");
       if (!IsBrokenOff) {
         CHECK(startsWith(Raw, "HTTP/1.1 502"));
@@ -128,18 +128,18 @@
 }
 
 SCENARIO("a malformed answer is counted, and is no crash of its target") {
-  for (const Row &Asked : rows()) {
-    INFO(Asked.m_Path);
+  for (const RequestKind &Kind : requestKinds()) {
+    INFO(Kind.m_Path);
     Shop Fixture;
     Fixture.addForeign();
     const ByteServer Target(
         Fixture.m_Loop.m_Base,
-        at(FirstPort, "HTTP/1.1 2000 OK\r\n" + Asked.m_FieldLines + "\r\n",
+        at(FirstPort, "HTTP/1.1 2000 OK\r\n" + Kind.m_FieldLines + "\r\n",
            Ending::Reset));
     tellFleet(Fixture);
     const std::uint64_t Before = malformedCount();
     for (int I = 0; I < 4; ++I)
-      CHECK(startsWith(Fixture.askRaw(Asked.m_Method, Asked.m_Path),
+      CHECK(startsWith(Fixture.askRaw(Kind.m_Method, Kind.m_Path),
                        "HTTP/1.1 502"));
     CHECK(malformedCount() - Before == Target.requests());
     CHECK(Fixture.m_Path->context().m_Traits.crashes() == 0);
@@ -172,10 +172,10 @@
 }
 
 SCENARIO("unusual answers that are valid pass unchanged") {
-  for (const Row &Asked : rows())
+  for (const RequestKind &Kind : requestKinds())
     for (const ResponseCase &Case :
-         unusualCases(Asked.m_FieldLines, Asked.m_Body)) {
-      INFO(Asked.m_Path << " " << Case.m_Name);
+         unusualCases(Kind.m_FieldLines, Kind.m_Body)) {
+      INFO(Kind.m_Path << " " << Case.m_Name);
       Shop Fixture;
       Fixture.addForeign();
       const ByteServer Target(
@@ -183,9 +183,9 @@
           at(FirstPort, Case.m_Bytes,
              Case.m_EndsWithConnection ? Ending::ClosedLater : Ending::Open));
       tellFleet(Fixture);
-      const Answered Got = Fixture.ask(Asked.m_Method, Asked.m_Path);
+      const Answered Got = Fixture.ask(Kind.m_Method, Kind.m_Path);
       CHECK(Got.m_Status == 200);
-      CHECK(Got.m_Body == Asked.m_Body);
+      CHECK(Got.m_Body == Kind.m_Body);
       CHECK(http::field(Got.m_Fields, "signed") == "s-1");
       CHECK(Target.requests() == 1);
     }
@@ -195,14 +195,14 @@
   const std::string Refusal = "Not-Run: 1\r\nAttempt: r-1\r\n";
   constexpr int Statuses[] = {408, 421, 429, 503};
   std::size_t Next = 0;
-  for (const Row &Asked : rows()) {
+  for (const RequestKind &Kind : requestKinds()) {
     ByteShop Fixture;
     // Each status stands in each case once.
     std::size_t Index = Next++;
     for (const ResponseCase &Case : malformedCases(Refusal, "busy")) {
       const int Status = Statuses[Index++ % std::size(Statuses)];
-      INFO(Asked.m_Path << " " << Status << " " << Case.m_Name);
-      CHECK(startsWith(Fixture.askWith(Asked, withStatus(Case.m_Bytes, Status)),
+      INFO(Kind.m_Path << " " << Status << " " << Case.m_Name);
+      CHECK(startsWith(Fixture.askWith(Kind, withStatus(Case.m_Bytes, Status)),
                        "HTTP/1.1 502"));
     }
   }
@@ -334,16 +334,16 @@
   };
   const std::string Result(ForwardResultField);
   GIVEN("answers of targets") {
-    for (const Row &Asked : rows())
+    for (const RequestKind &Kind : requestKinds())
       for (const ResponseCase &Case : malformedCases(
-               Asked.m_FieldLines + Result + ": answer\r\n", Asked.m_Body)) {
-        INFO(Asked.m_Path << " " << Case.m_Name);
+               Kind.m_FieldLines + Result + ": answer\r\n", Kind.m_Body)) {
+        INFO(Kind.m_Path << " " << Case.m_Name);
         Bytes = Case.m_Bytes;
         const std::size_t Before = Peer.requests();
         NamePeer();
-        const std::string Raw = Fixture.askRaw(Asked.m_Method, Asked.m_Path);
+        const std::string Raw = Fixture.askRaw(Kind.m_Method, Kind.m_Path);
         CHECK(Peer.requests() > Before);
-        CHECK_FALSE(looksWhole(Raw, Asked.m_Body));
+        CHECK_FALSE(looksWhole(Raw, Kind.m_Body));
         if (!Case.m_IsHeadSound)
           CHECK(startsWith(Raw, "HTTP/1.1 502"));
         CHECK(
@@ -398,12 +398,12 @@
 }
 
 SCENARIO("an early answer to an upload that is reset is not whole to callers") {
-  for (const Row &Asked : rows()) {
-    if (std::string(Asked.m_Method) == "GET")
+  for (const RequestKind &Kind : requestKinds()) {
+    if (std::string(Kind.m_Method) == "GET")
       continue;
-    const std::string Head = "HTTP/1.1 200 OK\r\n" + Asked.m_FieldLines;
+    const std::string Head = "HTTP/1.1 200 OK\r\n" + Kind.m_FieldLines;
     const std::string Part =
-        Asked.m_FieldLines == Streamed ? eventText(1) : "part of it";
+        Kind.m_FieldLines == Streamed ? eventText(1) : "part of it";
     for (const std::string &Bytes :
          {Head + "\r\n" + Part,
           Head + "Transfer-Encoding: chunked\r\n\r\n" +
@@ -411,8 +411,8 @@
           Head + "Content-Length: 1000\r\n\r\n" + Part})
       for (const std::size_t UploadBytes : {70'000, 1'000'000, 4'000'000})
         for (const auto Delay : {0ms, 1ms, 30ms, 150ms}) {
-          INFO(Asked.m_Path << " " << UploadBytes << " " << Delay.count()
-                            << " ms " << Bytes);
+          INFO(Kind.m_Path << " " << UploadBytes << " " << Delay.count()
+                           << " ms " << Bytes);
           Shop Fixture;
           Fixture.addForeign();
           ByteServerSettings Settings = at(FirstPort, Bytes, Ending::Reset);
@@ -420,12 +420,12 @@
           Settings.m_EndDelay = Delay;
           const ByteServer Target(Fixture.m_Loop.m_Base, Settings);
           tellFleet(Fixture);
-          const std::string Raw = Fixture.askRaw("POST", Asked.m_Path,
+          const std::string Raw = Fixture.askRaw("POST", Kind.m_Path,
                                                  std::string(UploadBytes, 'u'));
           CHECK(Target.requests() >= 1);
           // A stream that has begun is broken off: its last chunk is missing.
           const bool IsBrokenOff =
-              Asked.m_FieldLines == Streamed &&
+              Kind.m_FieldLines == Streamed &&
               startsWith(Raw, "HTTP/1.1 200") &&
               Raw.find("Transfer-Encoding: chunked") != Raw.npos &&
               Raw.find("\r\n0\r\n") == Raw.npos;
--- a/libs/http/testing/src/Cases.cpp
+++ b/libs/http/testing/src/Cases.cpp
@@ -75,7 +75,7 @@
   return std::string(Before) + Letter + Behind;
 }
 
-void addStatusLines(Builder &To) {
+void addStatusLines(Builder &Table) {
   for (const char *Line : {"HTTP/1.1 20 OK",   "HTTP/1.1 20x OK",
                            "HTTP/1.1 200x OK", "HTTP/1.1 x200 OK",
                            "HTTP/1.1 +200 OK", "HTTP/1.1 -200 OK",
@@ -91,125 +91,132 @@
                            "200 OK",           "",
                            "X-A: b",           "SSH-2.0-x",
                            "{\"answer\": 1}"})
-    To.addStatusLine(Line, "status_line");
+    Table.addStatusLine(Line, "status_line");
   for (const char Letter : controls())
-    To.add(named("a reason with", Letter),
-           To.head(Ok + Letter, To.lengthLine()) + To.m_Body, "status_line");
+    Table.add(named("a reason with", Letter),
+              Table.head(Ok + Letter, Table.lengthLine()) + Table.m_Body,
+              "status_line");
   for (const char *Status : {"000", "001", "099", "101", "600", "999"})
-    To.addStatusLine(fmt::format("HTTP/1.1 {} OK", Status), "status_code");
+    Table.addStatusLine(fmt::format("HTTP/1.1 {} OK", Status), "status_code");
 }
 
-void addFieldLines(Builder &To) {
-  To.addLine("a line without a colon", "no field", "field_line");
-  To.addLine("a word alone", "word", "field_line");
-  To.addLine("a NUL alone", std::string(1, '\0'), "field_line");
-  To.addLine("a line that continues", "X-A: b\r\n c", "field_line");
-  To.addLine("a line that continues behind a tab", "X-A: b\r\n\tc",
-             "field_line");
-  To.addLine("a blank line that is not empty", " ", "field_line");
-  To.add("a first line that begins with a blank",
-         Ok + CrLf + " X-A: b\r\n" + To.m_FieldLines + To.lengthLine() + CrLf +
-             To.m_Body,
-         "field_line");
-  To.addLine("an empty name", ": b", "field_name");
-  To.addLine("a name that begins with a NUL", with("", '\0', "X-A: b"),
-             "field_name");
+void addFieldLines(Builder &Table) {
+  Table.addLine("a line without a colon", "no field", "field_line");
+  Table.addLine("a word alone", "word", "field_line");
+  Table.addLine("a NUL alone", std::string(1, '\0'), "field_line");
+  Table.addLine("a line that continues", "X-A: b\r\n c", "field_line");
+  Table.addLine("a line that continues behind a tab", "X-A: b\r\n\tc",
+                "field_line");
+  Table.addLine("a blank line that is not empty", " ", "field_line");
+  Table.add("a first line that begins with a blank",
+            Ok + CrLf + " X-A: b\r\n" + Table.m_FieldLines +
+                Table.lengthLine() + CrLf + Table.m_Body,
+            "field_line");
+  Table.addLine("an empty name", ": b", "field_name");
+  Table.addLine("a name that begins with a NUL", with("", '\0', "X-A: b"),
+                "field_name");
   for (const std::string &Letters :
        {std::string(Separators), controls(), std::string("\x80\xe9\xff")})
     for (const char Letter : Letters) {
-      To.addLine(named("a name with", Letter), with("X", Letter, "A: b"),
-                 "field_name");
-      To.addLine(named("a name that ends with", Letter),
-                 with("X-A", Letter, ": b"), "field_name");
+      Table.addLine(named("a name with", Letter), with("X", Letter, "A: b"),
+                    "field_name");
+      Table.addLine(named("a name that ends with", Letter),
+                    with("X-A", Letter, ": b"), "field_name");
     }
   for (const char Letter : {' ', '\t', '\0', '\x7f', '\x01'}) {
-    To.add(named("a length whose name ends with", Letter),
-           To.head(Ok, with("Content-Length", Letter, ":") +
-                           To.lengthLine().substr(15)) +
-               To.m_Body,
-           "field_name");
-    To.add(named("a coding whose name ends with", Letter),
-           To.head(Ok, with("Transfer-Encoding", Letter, ": chunked\r\n")) +
-               chunked(To.m_Body),
-           "field_name");
+    Table.add(named("a length whose name ends with", Letter),
+              Table.head(Ok, with("Content-Length", Letter, ":") +
+                                 Table.lengthLine().substr(15)) +
+                  Table.m_Body,
+              "field_name");
+    Table.add(
+        named("a coding whose name ends with", Letter),
+        Table.head(Ok, with("Transfer-Encoding", Letter, ": chunked\r\n")) +
+            chunked(Table.m_Body),
+        "field_name");
   }
   for (const char Letter : controls())
-    To.addLine(named("a value with", Letter), with("X-A: b", Letter, "c"),
-               "field_value");
+    Table.addLine(named("a value with", Letter), with("X-A: b", Letter, "c"),
+                  "field_value");
 }
 
-void addLineEnds(Builder &To) {
-  To.addLine("a CR within a value", "X-A: b\rX-B: c", "line_end");
-  To.addLine("a CR within a name", "X\rA: b", "line_end");
-  To.addLine("two CRs before an LF", "X-A: b\r", "line_end");
-  To.addLine("a lone CR", "\r", "line_end");
-  To.addLine("an LF among lines with CRLF", "X-A: b\nX-B: c", "line_end");
-  To.add("a head that ends with an LF",
-         Ok + CrLf + To.m_FieldLines + To.lengthLine() + "\n" + To.m_Body,
-         "line_end");
-  To.add("a status line alone that ends with an LF",
-         Ok + "\n" + To.m_FieldLines + To.lengthLine() + CrLf + To.m_Body,
-         "line_end");
+void addLineEnds(Builder &Table) {
+  Table.addLine("a CR within a value", "X-A: b\rX-B: c", "line_end");
+  Table.addLine("a CR within a name", "X\rA: b", "line_end");
+  Table.addLine("two CRs before an LF", "X-A: b\r", "line_end");
+  Table.addLine("a lone CR", "\r", "line_end");
+  Table.addLine("an LF among lines with CRLF", "X-A: b\nX-B: c", "line_end");
+  Table.add("a head that ends with an LF",
+            Ok + CrLf + Table.m_FieldLines + Table.lengthLine() + "\n" +
+                Table.m_Body,
+            "line_end");
+  Table.add("a status line alone that ends with an LF",
+            Ok + "\n" + Table.m_FieldLines + Table.lengthLine() + CrLf +
+                Table.m_Body,
+            "line_end");
 }
 
-void addLengths(Builder &To) {
-  const std::size_t Size = To.m_Body.size();
+void addLengths(Builder &Table) {
+  const std::size_t Size = Table.m_Body.size();
   for (const char *Pattern :
        {"+{}", "-{}", "0x{:x}", "{}x", "x{}", "{};", "{}.0", "{}e0", "{} {}",
         "{}, {}x", "{},", ",{}", "\"{}\"", "{}\xc2\xa0"})
-    To.addLength("Content-Length: " +
-                     fmt::vformat(Pattern, fmt::make_format_args(Size, Size)),
-                 "content_length");
+    Table.addLength(
+        "Content-Length: " +
+            fmt::vformat(Pattern, fmt::make_format_args(Size, Size)),
+        "content_length");
   for (const char *Value :
        {"", " ", "\t", ",", "x", "-1", "9223372036854775808",
         "18446744073709551616", "18446744073709551621",
         "99999999999999999999999999"})
-    To.addLength(std::string("Content-Length: ") + Value, "content_length");
+    Table.addLength(std::string("Content-Length: ") + Value, "content_length");
   for (const std::size_t Other : {Size + 1, Size - 1, std::size_t(0)}) {
-    To.addLength(
+    Table.addLength(
         fmt::format("Content-Length: {}\r\ncontent-length: {}", Size, Other),
         "content_length");
-    To.addLength(
+    Table.addLength(
         fmt::format("CONTENT-LENGTH: {}\r\nContent-Length: {}", Other, Size),
         "content_length");
-    To.addLength(fmt::format("Content-Length: {}, {}", Size, Other),
-                 "content_length");
+    Table.addLength(fmt::format("Content-Length: {}, {}", Size, Other),
+                    "content_length");
   }
-  To.addLength(fmt::format("Content-Length: {}", Size) + with("", '\0', "0"),
-               "field_value");
-  To.add("a length where no content may be",
-         To.head("HTTP/1.1 204 No", To.lengthLine()) + To.m_Body,
-         "content_length");
+  Table.addLength(fmt::format("Content-Length: {}", Size) + with("", '\0', "0"),
+                  "field_value");
+  Table.add("a length where no content may be",
+            Table.head("HTTP/1.1 204 No", Table.lengthLine()) + Table.m_Body,
+            "content_length");
 }
 
-void addCodings(Builder &To) {
+void addCodings(Builder &Table) {
   for (const char *Value :
        {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked",
         "chunked,", "identity", "", "chunked;a=b", "xchunked", "chunked x",
         "\"chunked\"", "chunke", "chunked\x0b"})
-    To.addCoding(std::string("Transfer-Encoding: ") + Value,
-                 std::string_view(Value).find('\x0b') != std::string_view::npos
-                     ? "field_value"
-                     : "transfer_encoding");
-  To.addCoding("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
-               "transfer_encoding");
-  To.addCoding("Transfer-Encoding: identity\r\nTransfer-Encoding: chunked",
-               "transfer_encoding");
-  To.addCoding("Transfer-Encoding: chunked\r\n" +
-                   To.lengthLine().substr(0, To.lengthLine().size() - 2),
-               "transfer_encoding");
-  To.addCoding(To.lengthLine() + "Transfer-Encoding: chunked",
-               "transfer_encoding");
-  To.add("chunks in HTTP/1.0",
-         To.head("HTTP/1.0 200 OK", CodingLine) + chunked(To.m_Body),
-         "transfer_encoding");
-  To.add("chunks where no content may be",
-         To.head("HTTP/1.1 204 No", CodingLine) + chunked(To.m_Body),
-         "transfer_encoding");
+    Table.addCoding(std::string("Transfer-Encoding: ") + Value,
+                    std::string_view(Value).find('\x0b') !=
+                            std::string_view::npos
+                        ? "field_value"
+                        : "transfer_encoding");
+  Table.addCoding("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+                  "transfer_encoding");
+  Table.addCoding("Transfer-Encoding: identity\r\nTransfer-Encoding: chunked",
+                  "transfer_encoding");
+  Table.addCoding(
+      "Transfer-Encoding: chunked\r\n" +
+          Table.lengthLine().substr(0, Table.lengthLine().size() - 2),
+      "transfer_encoding");
+  Table.addCoding(Table.lengthLine() + "Transfer-Encoding: chunked",
+                  "transfer_encoding");
+  Table.add("chunks in HTTP/1.0",
+            Table.head("HTTP/1.0 200 OK", CodingLine) + chunked(Table.m_Body),
+            "transfer_encoding");
+  Table.add("chunks where no content may be",
+            Table.head("HTTP/1.1 204 No", CodingLine) + chunked(Table.m_Body),
+            "transfer_encoding");
 }
 
-void addChunkFaults(Builder &To) {
-  const std::size_t Size = To.m_Body.size();
+void addChunkFaults(Builder &Table) {
+  const std::size_t Size = Table.m_Body.size();
   for (const char *Pattern :
        {"+{:x}",    "-{:x}",      "0x{:x}",        " {:x}",
         "\t{:x}",   "{:x} ",      "{:x}\t",        "{:x}g",
@@ -217,28 +224,29 @@
         "{:x};a=",  "{:x};a=\"b", "{:x};a=\"b\"c", "{:x};a b",
         "{:x};a ",  "{:x} {:x}",  "{:x};a=b;",     "fffffffffffffffff{:x}",
         "8{:015x}", "{:x};a=\x01"})
-    To.addSize(fmt::vformat(Pattern, fmt::make_format_args(Size, Size)),
-               "chunk_size");
-  To.addSize("", "chunk_size");
-  To.addSize(fmt::format("{:x}", Size) + '\0', "chunk_size");
-  To.addSize(with("", '\0', "") + fmt::format("{:x}", Size), "chunk_size");
+    Table.addSize(fmt::vformat(Pattern, fmt::make_format_args(Size, Size)),
+                  "chunk_size");
+  Table.addSize("", "chunk_size");
+  Table.addSize(fmt::format("{:x}", Size) + '\0', "chunk_size");
+  Table.addSize(with("", '\0', "") + fmt::format("{:x}", Size), "chunk_size");
   const std::string SizeLine = fmt::format("{:x}\r\n", Size);
   const std::string Last = "0\r\n\r\n";
-  To.addChunks("a chunk without a line end", SizeLine + To.m_Body + Last,
-               "chunk_end");
-  To.addChunks("a chunk that is longer than its size",
-               SizeLine + To.m_Body + "x\r\n" + Last, "chunk_end");
-  To.addChunks("a chunk that is shorter than its size",
-               fmt::format("{:x}\r\n", Size + 1) + To.m_Body + CrLf + Last,
-               "line_end");
-  To.addChunks("a chunk that ends with an LF",
-               SizeLine + To.m_Body + "\n" + Last, "line_end");
-  To.addChunks("a size that ends with an LF",
-               fmt::format("{:x}\n", Size) + To.m_Body + CrLf + Last,
-               "line_end");
+  Table.addChunks("a chunk without a line end", SizeLine + Table.m_Body + Last,
+                  "chunk_end");
+  Table.addChunks("a chunk that is longer than its size",
+                  SizeLine + Table.m_Body + "x\r\n" + Last, "chunk_end");
+  Table.addChunks("a chunk that is shorter than its size",
+                  fmt::format("{:x}\r\n", Size + 1) + Table.m_Body + CrLf +
+                      Last,
+                  "line_end");
+  Table.addChunks("a chunk that ends with an LF",
+                  SizeLine + Table.m_Body + "\n" + Last, "line_end");
+  Table.addChunks("a size that ends with an LF",
+                  fmt::format("{:x}\n", Size) + Table.m_Body + CrLf + Last,
+                  "line_end");
   const auto AddTrailer = [&](const std::string &Line, const char *Fault) {
-    To.addChunks("the trailer " + Line, chunked(To.m_Body, "", Line + CrLf),
-                 Fault);
+    Table.addChunks("the trailer " + Line,
+                    chunked(Table.m_Body, "", Line + CrLf), Fault);
   };
   AddTrailer("no field", "field_line");
   AddTrailer(" X-A: b", "field_line");
@@ -250,21 +258,21 @@
   AddTrailer("Transfer-Encoding: chunked", "transfer_encoding");
 }
 
-void addInterim(Builder &To) {
-  const std::string Final = To.head(Ok, To.lengthLine()) + To.m_Body;
-  To.add("an interim response with a malformed field",
-         "HTTP/1.1 103 Early\r\nX A: b\r\n\r\n" + Final, "field_name");
-  To.add("an interim response with content",
-         "HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\nok" + Final,
-         "content_length");
-  To.add("an interim response with chunks",
-         "HTTP/1.1 100 Continue\r\n" + CodingLine + CrLf + chunked("ok") +
-             Final,
-         "transfer_encoding");
-  To.add("a malformed response behind an interim one",
-         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 2000 OK\r\n" + To.m_FieldLines +
-             To.lengthLine() + CrLf + To.m_Body,
-         "status_line");
+void addInterim(Builder &Table) {
+  const std::string Final = Table.head(Ok, Table.lengthLine()) + Table.m_Body;
+  Table.add("an interim response with a malformed field",
+            "HTTP/1.1 103 Early\r\nX A: b\r\n\r\n" + Final, "field_name");
+  Table.add("an interim response with content",
+            "HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\nok" + Final,
+            "content_length");
+  Table.add("an interim response with chunks",
+            "HTTP/1.1 100 Continue\r\n" + CodingLine + CrLf + chunked("ok") +
+                Final,
+            "transfer_encoding");
+  Table.add("a malformed response behind an interim one",
+            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 2000 OK\r\n" +
+                Table.m_FieldLines + Table.lengthLine() + CrLf + Table.m_Body,
+            "status_line");
 }
 
 } // namespace
@@ -281,67 +289,70 @@
 
 std::vector<ResponseCase> malformedCases(const std::string &FieldLines,
                                          const std::string &Body) {
-  Builder To{FieldLines, Body};
-  addStatusLines(To);
-  addFieldLines(To);
-  addLineEnds(To);
-  addLengths(To);
-  addCodings(To);
-  addChunkFaults(To);
-  addInterim(To);
-  return To.m_Cases;
+  Builder Table{FieldLines, Body};
+  addStatusLines(Table);
+  addFieldLines(Table);
+  addLineEnds(Table);
+  addLengths(Table);
+  addCodings(Table);
+  addChunkFaults(Table);
+  addInterim(Table);
+  return Table.m_Cases;
 }
 
 std::vector<ResponseCase> unusualCases(const std::string &FieldLines,
                                        const std::string &Body) {
-  Builder To{FieldLines, Body};
+  Builder Table{FieldLines, Body};
   const std::size_t Size = Body.size();
   for (const char *Line :
        {"HTTP/1.1 200 ", "HTTP/1.1 200", "HTTP/1.0 200 OK", "HTTP/1.9 200 OK",
         "HTTP/1.1 200 a\treason: with 3 words and \xc3\xa4"})
-    To.addStatusLine(Line);
-  To.addLine("no blank before a value", "X-A:b");
-  To.addLine("blanks and tabs around a value", "X-A: \t b \t ");
-  To.addLine("an empty value", "X-A:\r\nX-B: \t");
-  To.addLine("a tab, quotes and other letters in a value",
-             "X-A: a\tb, \"c:d\" \xc3\xa4\xff");
-  To.addLine("all characters of a name", "aZ09!#$%&'*+-.^_`|~: b");
-  To.addLine("a name twice", "X-A: b\r\nx-a: c");
-  To.addLength(fmt::format("content-LENGTH:\t{} \t", Size));
-  To.addLength(fmt::format("Content-Length: 00{}", Size));
-  To.addLength(fmt::format("Content-Length: {0}\r\ncontent-length: {0}", Size));
-  To.addLength(fmt::format("Content-Length: {0}, {0} ,{0}", Size));
+    Table.addStatusLine(Line);
+  Table.addLine("no blank before a value", "X-A:b");
+  Table.addLine("blanks and tabs around a value", "X-A: \t b \t ");
+  Table.addLine("an empty value", "X-A:\r\nX-B: \t");
+  Table.addLine("a tab, quotes and other letters in a value",
+                "X-A: a\tb, \"c:d\" \xc3\xa4\xff");
+  Table.addLine("all characters of a name", "aZ09!#$%&'*+-.^_`|~: b");
+  Table.addLine("a name twice", "X-A: b\r\nx-a: c");
+  Table.addLength(fmt::format("content-LENGTH:\t{} \t", Size));
+  Table.addLength(fmt::format("Content-Length: 00{}", Size));
+  Table.addLength(
+      fmt::format("Content-Length: {0}\r\ncontent-length: {0}", Size));
+  Table.addLength(fmt::format("Content-Length: {0}, {0} ,{0}", Size));
   for (const char *Line :
        {"Transfer-Encoding: CHUNKED", "transfer-encoding:\tchunked\t"})
-    To.addCoding(Line);
-  To.addSize(fmt::format("{:X}", Size));
-  To.addSize(fmt::format("000{:x}", Size));
+    Table.addCoding(Line);
+  Table.addSize(fmt::format("{:X}", Size));
+  Table.addSize(fmt::format("000{:x}", Size));
   for (const char *Extension :
        {";a", ";a=b", ";a=b;c", " ; a = b", ";a=\"b; \\\" c\""})
-    To.addChunks(std::string("chunks with the extension ") + Extension,
-                 chunked(Body, Extension));
-  To.addChunks("trailers", chunked(Body, "", "X-A: b\r\nX-B:\r\n"));
-  const std::string Final = To.head(Ok, To.lengthLine()) + Body;
+    Table.addChunks(std::string("chunks with the extension ") + Extension,
+                    chunked(Body, Extension));
+  Table.addChunks("trailers", chunked(Body, "", "X-A: b\r\nX-B:\r\n"));
+  const std::string Final = Table.head(Ok, Table.lengthLine()) + Body;
   for (const char *Status : {"100 Continue", "102 Processing", "103 Early"})
-    To.add(std::string("an interim response ") + Status,
-           fmt::format("HTTP/1.1 {}\r\nLink: </a>\r\n\r\n", Status) + Final);
-  To.add("several interim responses",
-         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nX-A: b\r\n\r\n" +
-             Final);
+    Table.add(std::string("an interim response ") + Status,
+              fmt::format("HTTP/1.1 {}\r\nLink: </a>\r\n\r\n", Status) + Final);
+  Table.add(
+      "several interim responses",
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nX-A: b\r\n\r\n" +
+          Final);
   const auto WithLf = [](std::string Text) {
     for (std::size_t At = 0; (At = Text.find(CrLf, At)) != Text.npos;)
       Text.erase(At, 1);
     return Text;
   };
-  To.add("lines that end with LF", WithLf(To.head(Ok, To.lengthLine())) + Body);
-  To.add("chunks whose lines end with LF",
-         WithLf(To.head(Ok, CodingLine)) +
-             fmt::format("{:x}\n{}\n0\n\n", Size, Body));
-  To.add("no length", To.head(Ok, "") + Body);
-  To.m_Cases.back().m_EndsWithConnection = true;
-  To.add("no length in HTTP/1.0", To.head("HTTP/1.0 200 OK", "") + Body);
-  To.m_Cases.back().m_EndsWithConnection = true;
-  return To.m_Cases;
+  Table.add("lines that end with LF",
+            WithLf(Table.head(Ok, Table.lengthLine())) + Body);
+  Table.add("chunks whose lines end with LF",
+            WithLf(Table.head(Ok, CodingLine)) +
+                fmt::format("{:x}\n{}\n0\n\n", Size, Body));
+  Table.add("no length", Table.head(Ok, "") + Body);
+  Table.m_Cases.back().m_EndsWithConnection = true;
+  Table.add("no length in HTTP/1.0", Table.head("HTTP/1.0 200 OK", "") + Body);
+  Table.m_Cases.back().m_EndsWithConnection = true;
+  return Table.m_Cases;
 }
 
 } // namespace wasabivale::http::testing
