--- a/apps/control/tests/TargetQuestionsTest.cpp
+++ b/apps/control/tests/TargetQuestionsTest.cpp
@@ -31,9 +31,10 @@
   /// \returns the id that the process names, or an empty one.
   [[nodiscard]] std::string ask(const http::testing::ByteServer &Target) const {
     std::optional<std::string> Id;
-    REQUIRE(m_Questions->ask(
-        http::printAddress(Target.address()), "/health",
-        [&](const platform::Identity &Answer) { Id = Answer.m_Target.m_Value; }));
+    REQUIRE(m_Questions->ask(http::printAddress(Target.address()), "/health",
+                             [&](const platform::Identity &Answer) {
+                               Id = Answer.m_Target.m_Value;
+                             }));
     const TimePoint Deadline = BootClock::now() + 10s;
     while (!Id && BootClock::now() < Deadline) {
       const timeval Tick{0, 1'000};
--- a/apps/entry/tests/MalformedAnswersTest.cpp
+++ b/apps/entry/tests/MalformedAnswersTest.cpp
@@ -79,7 +79,7 @@
     m_Bytes = Bytes;
     grant();
     const std::size_t Before = m_Target->requests();
-    const std::string Raw = askRaw(Kind.m_Method, Kind.m_Path);
+    std::string Raw = askRaw(Kind.m_Method, Kind.m_Path);
     CHECK(m_Target->requests() > Before);
     return Raw;
   }
@@ -405,10 +405,10 @@
     const std::string Part =
         Kind.m_FieldLines == Streamed ? eventText(1) : "part of it";
     for (const std::string &Bytes :
-         {Head + "\r\n" + Part,
-          Head + "Transfer-Encoding: chunked\r\n\r\n" +
-              fmt::format("{:x}\r\n{}\r\n", Part.size(), Part),
-          Head + "Content-Length: 1000\r\n\r\n" + Part})
+         {fmt::format("{}\r\n{}", Head, Part),
+          fmt::format("{}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n",
+                      Head, Part.size(), Part),
+          fmt::format("{}Content-Length: 1000\r\n\r\n{}", Head, Part)})
       for (const std::size_t UploadBytes : {70'000, 1'000'000, 4'000'000})
         for (const auto Delay : {0ms, 1ms, 30ms, 150ms}) {
           INFO(Kind.m_Path << " " << UploadBytes << " " << Delay.count()
