Send malformed answers to prefills that are really asked for

The scenario warms the engine and checks that it was asked, that no memory is handed on and that the caller gets the whole stream, with one response of each fault, since an engine that has failed three times is ejected.

No change of the product.

--- a/apps/entry/tests/MalformedAnswersTest.cpp
+++ b/apps/entry/tests/MalformedAnswersTest.cpp
@@ -6,6 +6,7 @@
 #include "http_testing/http_testing.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 namespace wasabivale::entry::test {
 
@@ -295,21 +296,31 @@
 
 SCENARIO("a malformed answer to a prefill hands no memory on") {
   const http::Fields LongPrompt = {{"prompt", "30000"}};
+  // An engine that has failed is not asked again, and a new one warms up for a
+  // second: one response of each fault.
+  std::set<std::string> Faults;
   for (const ResponseCase &Case : malformedCases("", "h1")) {
+    if (!Faults.insert(Case.m_Fault).second)
+      continue;
     INFO(Case.m_Name);
     Shop Fixture;
     Fixture.addEngine("prefill", [](const Exchange &) {});
     Fixture.m_Targets.back().reset();
     Fixture.addEngine("decode", streams(2, true));
-    const ByteServer Prefill(Fixture.m_Loop.m_Base,
-                             at(FirstPort, Case.m_Bytes));
-    REQUIRE(Fixture.m_Path->takeFleet(Fixture.m_Fleet));
+    std::size_t Prefills = 0;
+    ByteServerSettings Settings = at(FirstPort, "");
+    Settings.m_Choose = [&](const std::string &Request) {
+      Prefills += Request.find("Prefill-Only: ") != Request.npos ? 1 : 0;
+      return Case.m_Bytes;
+    };
+    const ByteServer Prefill(Fixture.m_Loop.m_Base, Settings);
+    Fixture.warmUp();
     const Answered Got = Fixture.ask("POST", "/oracle/7", LongPrompt);
+    CHECK(Prefills >= 1);
     CHECK(Fixture.seen("Kv") == 0);
-    if (Got.m_Status == 200)
-      CHECK(Got.m_Body == eventText(1) + eventText(2));
-    else
-      CHECK(Got.m_Status >= 500);
+    // The engine that decodes reads the prompt itself.
+    CHECK(Got.m_Status == 200);
+    CHECK(Got.m_Body == eventText(1) + eventText(2));
   }
 }
 
