Show that a NUL in a length lets a request through inside another one

A length with a NUL is taken for 0, and the body behind it for the next request, which the runner runs.

--- a/review/standin-2/standin.cpp
+++ b/review/standin-2/standin.cpp
@@ -3,6 +3,7 @@
 // over plain sockets, and use nothing of the project.
 //
 //   standin ports COUNT
+//   standin raw IP:PORT MS <BYTES
 //   standin call METHOD URL [-H "Name: value"]... [-d BODY] [-t MS] [-r HOPS]
 //   standin runner --id ID --listen IP:PORT --zone ZONE --service NAME
 //                  --slots N --control IP:PORT,IP:PORT,... [--stage STAGE]
@@ -391,6 +392,32 @@
   return Got.m_Broken.empty() ? 0 : 1;
 }
 
+/// Sends what stands on the input as it is, and prints all that comes back.
+static int runRaw(int Count, char **Arguments) {
+  if (Count < 2)
+    return 2;
+  const auto Until =
+      Clock::now() + std::chrono::milliseconds(std::atoll(Arguments[1]));
+  std::string Bytes;
+  char Part[4096];
+  while (const std::size_t Size = fread(Part, 1, sizeof(Part), stdin))
+    Bytes.append(Part, Size);
+  std::string Broken;
+  const int Socket = openTo(Arguments[0], Until, Broken);
+  if (Socket < 0) {
+    printf("END broken: %s\n", Broken.c_str());
+    return 1;
+  }
+  Link Peer(Socket);
+  if (!Peer.write(Bytes))
+    printf("END broken: the bytes could not be written\n");
+  while (Peer.more(Until)) {
+  }
+  fwrite(Peer.m_Buffer.data(), 1, Peer.m_Buffer.size(), stdout);
+  printf("\nEND %s\n", Peer.m_Reason.c_str());
+  return 0;
+}
+
 // --- Runner -----------------------------------------------------------------
 
 struct RunnerOptions {
@@ -718,10 +745,12 @@
   const std::string What = Count > 1 ? Arguments[1] : "";
   if (What == "call")
     return runCall(Count - 2, Arguments + 2);
+  if (What == "raw")
+    return runRaw(Count - 2, Arguments + 2);
   if (What == "runner")
     return runRunner(Count - 2, Arguments + 2);
   if (What == "ports" && Count > 2)
     return runPorts(std::atoi(Arguments[2]));
-  fprintf(stderr, "usage: standin ports|call|runner ...\n");
+  fprintf(stderr, "usage: standin ports|raw|call|runner ...\n");
   return 2;
 }
