--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -46,7 +46,7 @@
     start core-$n
     sleep 3
   done
-  sleep 3
+  sleep 6
 fi
 
 # The operator picks any node that serves control, and moves on from those that
