Let a disk record the start at which it was formatted, its group and its contacts

A disk that is not empty does not show whether it was formatted at the first start of the cluster or by a machine that was added later, and a member outside the group keeps nothing of it over a restart.

format() records the kind of start and the seeds of a first one in the identity file, behind the inode: together with the incarnation, which is all that other members know of a disk, so that no power loss separates the two. Builds that do not know the part ignore it. Two further files hold the identity of the group and the members to ask for admission; a failure to store the latter does not fail the store.

--- a/libs/store/src/Codec.cpp
+++ b/libs/store/src/Codec.cpp
@@ -26,6 +26,12 @@
   Output.append(Text);
 }
 
+void appendNodes(std::string &Output, const std::vector<NodeId> &Nodes) {
+  appendNumber(Output, Nodes.size());
+  for (const NodeId &Node : Nodes)
+    appendText(Output, Node.m_Value);
+}
+
 /// Reads values from the front of a byte sequence. `m_Valid` becomes false if
 /// there are too few bytes.
 struct Reader {
@@ -54,6 +60,12 @@
     m_Remaining.remove_prefix(Size);
     return Value;
   }
+  std::vector<NodeId> readNodes() {
+    std::vector<NodeId> Nodes;
+    for (std::uint64_t Left = readNumber(); m_Valid && Left > 0; --Left)
+      Nodes.push_back({readText()});
+    return Nodes;
+  }
 };
 
 Error corruptionError(const std::string &Path, std::uint64_t Offset,
@@ -206,6 +218,11 @@
   appendText(Body, Value.m_Identity.m_Member.m_Value);
   appendText(Body, Value.m_Identity.m_Incarnation);
   appendNumber(Body, Value.m_Inode);
+  const Origin &Start = Value.m_Identity.m_Origin;
+  if (Start.m_Kind == StartKind::Unknown)
+    return Body;
+  appendNumber(Body, static_cast<std::uint64_t>(Start.m_Kind));
+  appendNodes(Body, Start.m_Seeds);
   return Body;
 }
 
@@ -217,11 +234,48 @@
   Value.m_Identity.m_Member = {Input.readText()};
   Value.m_Identity.m_Incarnation = Input.readText();
   Value.m_Inode = Input.readNumber();
+  Origin &Start = Value.m_Identity.m_Origin;
+  if (Input.m_Valid && !Input.m_Remaining.empty()) {
+    const std::uint64_t Kind = Input.readNumber();
+    if (Kind > static_cast<std::uint64_t>(StartKind::Later))
+      return corruptionError(Path, 0, "unknown kind of start");
+    Start = {static_cast<StartKind>(Kind), Input.readNodes()};
+  }
   if (!Input.m_Valid)
     return corruptionError(Path, 0, "unexpected end of data");
   return Value;
 }
 
+std::string encodeNodes(const std::vector<NodeId> &Nodes) {
+  std::string Body;
+  appendNodes(Body, Nodes);
+  return Body;
+}
+
+Result<std::vector<NodeId>> decodeNodes(const std::string &Body,
+                                        const std::string &Path) {
+  Reader Input{Body};
+  std::vector<NodeId> Nodes = Input.readNodes();
+  if (!Input.m_Valid)
+    return corruptionError(Path, 0, "unexpected end of data");
+  return Nodes;
+}
+
+std::string encodeGroup(std::uint64_t Group) {
+  std::string Body;
+  appendNumber(Body, Group);
+  return Body;
+}
+
+Result<std::uint64_t> decodeGroup(const std::string &Body,
+                                  const std::string &Path) {
+  Reader Input{Body};
+  const std::uint64_t Group = Input.readNumber();
+  if (!Input.m_Valid)
+    return corruptionError(Path, 0, "unexpected end of data");
+  return Group;
+}
+
 std::string encodeVote(const consensus::HardState &Value) {
   std::string Body;
   appendNumber(Body, Value.m_Term);
--- a/libs/store/src/Codec.h
+++ b/libs/store/src/Codec.h
@@ -14,7 +14,9 @@
 Result<std::string> decodeFile(std::string_view Kind, const std::string &Bytes,
                                const std::string &Path);
 
-/// Content of `identity`, including the inode of the file itself.
+/// Content of `identity`, including the inode of the file itself. Builds that
+/// do not record the origin end the file behind the inode, and ignore what
+/// follows it.
 struct IdentityFile {
   Identity m_Identity;
   std::uint64_t m_Inode = 0;
@@ -23,6 +25,14 @@
 Result<IdentityFile> decodeIdentity(const std::string &Body,
                                     const std::string &Path);
 
+std::string encodeNodes(const std::vector<NodeId> &Nodes);
+Result<std::vector<NodeId>> decodeNodes(const std::string &Body,
+                                        const std::string &Path);
+
+std::string encodeGroup(std::uint64_t Group);
+Result<std::uint64_t> decodeGroup(const std::string &Body,
+                                  const std::string &Path);
+
 std::string encodeVote(const consensus::HardState &Value);
 Result<consensus::HardState> decodeVote(const std::string &Body,
                                         const std::string &Path);
--- a/libs/store/src/Store.cpp
+++ b/libs/store/src/Store.cpp
@@ -58,6 +58,8 @@
   FileSizes m_Sizes;
   consensus::PersistedState m_Loaded;
   std::string m_Promise;
+  std::uint64_t m_Group = 0;
+  std::vector<NodeId> m_Contacts;
   std::uint64_t m_TruncatedBytes = 0;
   std::uint64_t m_SyncCount = 0;
   Error m_Failure;
@@ -85,6 +87,8 @@
                       CopyGuard Guard);
   Status readVote();
   Status readPromise(const std::vector<std::string> &Names);
+  Status readGroup(const std::vector<std::string> &Names);
+  Status readContacts(const std::vector<std::string> &Names);
   Status readSnapshot(const std::vector<std::string> &Names);
   Status readSegments(const std::vector<std::string> &Names);
   Status readChain(const std::vector<std::string> &Names,
@@ -456,8 +460,39 @@
   return std::monostate{};
 }
 
+static bool contains(const std::vector<std::string> &Names,
+                     std::string_view Name) {
+  return std::find(Names.begin(), Names.end(), Name) != Names.end();
+}
+
+Status Store::Impl::readGroup(const std::vector<std::string> &Names) {
+  if (!contains(Names, "group"))
+    return std::monostate{};
+  const auto Body = readFile(*m_Files, "group", path("group"));
+  if (failed(Body))
+    return errorOf(Body);
+  const auto Decoded = decodeGroup(valueOf(Body), path("group"));
+  if (failed(Decoded))
+    return errorOf(Decoded);
+  m_Group = valueOf(Decoded);
+  return std::monostate{};
+}
+
+Status Store::Impl::readContacts(const std::vector<std::string> &Names) {
+  if (!contains(Names, "contacts"))
+    return std::monostate{};
+  const auto Body = readFile(*m_Files, "contacts", path("contacts"));
+  if (failed(Body))
+    return errorOf(Body);
+  auto Decoded = decodeNodes(valueOf(Body), path("contacts"));
+  if (failed(Decoded))
+    return errorOf(Decoded);
+  m_Contacts = std::move(valueOf(Decoded));
+  return std::monostate{};
+}
+
 Status Store::Impl::readPromise(const std::vector<std::string> &Names) {
-  if (std::find(Names.begin(), Names.end(), "formation") == Names.end())
+  if (!contains(Names, "formation"))
     return std::monostate{};
   const auto Body = readFile(*m_Files, "formation", path("formation"));
   if (failed(Body))
@@ -666,7 +701,8 @@
 }
 
 Status Store::format(Files &FileOps, const std::string &Folder,
-                     const std::string &Cluster, const NodeId &Member) {
+                     const std::string &Cluster, const NodeId &Member,
+                     const Origin &Start) {
   const Result<bool> Empty = isEmpty(FileOps, Folder);
   if (failed(Empty))
     return errorOf(Empty);
@@ -679,7 +715,7 @@
           State.replaceFile("vote", encodeFile("vote", encodeVote({})));
       failed(Done))
     return Done;
-  const Identity NewIdentity{Cluster, Member, randomIdentity()};
+  const Identity NewIdentity{Cluster, Member, randomIdentity(), Start};
   return State.replaceFile("identity", [&](std::uint64_t Inode) {
     return encodeFile("identity", encodeIdentity({NewIdentity, Inode}));
   });
@@ -714,6 +750,10 @@
     Done = State->readVote();
   if (!failed(Done))
     Done = State->readPromise(valueOf(Names));
+  if (!failed(Done))
+    Done = State->readGroup(valueOf(Names));
+  if (!failed(Done))
+    Done = State->readContacts(valueOf(Names));
   if (!failed(Done))
     Done = State->removeTemporaries(valueOf(Names));
   if (!failed(Done))
@@ -758,6 +798,32 @@
   return Done;
 }
 
+std::uint64_t Store::group() const { return m_Impl->m_Group; }
+
+Status Store::saveGroup(std::uint64_t Group) {
+  if (!m_Impl->m_Failure.m_Step.empty())
+    return m_Impl->m_Failure;
+  Status Done = m_Impl->recordFailure(
+      m_Impl->replaceFile("group", encodeFile("group", encodeGroup(Group))));
+  if (!failed(Done))
+    m_Impl->m_Group = Group;
+  return Done;
+}
+
+const std::vector<NodeId> &Store::contacts() const {
+  return m_Impl->m_Contacts;
+}
+
+Status Store::saveContacts(const std::vector<NodeId> &Contacts) {
+  if (!m_Impl->m_Failure.m_Step.empty())
+    return m_Impl->m_Failure;
+  Status Done = m_Impl->replaceFile(
+      "contacts", encodeFile("contacts", encodeNodes(Contacts)));
+  if (!failed(Done))
+    m_Impl->m_Contacts = Contacts;
+  return Done;
+}
+
 std::uint64_t Store::syncCount() const { return m_Impl->m_SyncCount; }
 
 const Error &Store::failure() const { return m_Impl->m_Failure; }
--- a/libs/store/tests/PowerLossTest.cpp
+++ b/libs/store/tests/PowerLossTest.cpp
@@ -666,3 +666,92 @@
     CHECK(Result.m_Problem == "");
   }
 }
+
+namespace {
+
+constexpr const char *DataFolder = Member::Folder;
+
+/// Loses the power after each number of changes that \p Work makes, with every
+/// outcome, and calls \p Check with the disk after it.
+template <typename Prepare, typename Work, typename Check>
+std::size_t loseInEachMoment(Prepare Before, Work During, Check After) {
+  Odometer Choices;
+  std::size_t Outcomes = 0;
+  do {
+    const Choose Pick = [&](std::size_t Count) {
+      return pickByte(Choices, Count);
+    };
+    ModelDisk Disk;
+    Before(Disk);
+    Disk.m_ChangesLeft = static_cast<int>(Choices.pick(14));
+    During(Disk);
+    Disk.losePower(Pick);
+    After(Disk);
+    ++Outcomes;
+  } while (Choices.next());
+  return Outcomes;
+}
+
+Result<std::unique_ptr<Store>> openDisk(ModelDisk &Disk) {
+  return Store::open(Disk, DataFolder, "test", {"c1"}, store::CopyGuard::None);
+}
+
+} // namespace
+
+// Guards against a disk that may form a group and must not (review case 6).
+TEST_CASE("a power loss during the format leaves the whole origin of a disk or "
+          "none of it") {
+  using store::Origin;
+  using store::StartKind;
+  const std::vector<Origin> Table = {
+      {StartKind::First, {{"c1"}, {"c2"}, {"c3"}}}, {StartKind::Later, {}}};
+  for (const Origin &Start : Table) {
+    std::size_t Whole = 0;
+    std::size_t Wrong = 0;
+    const std::size_t Outcomes = loseInEachMoment(
+        [](ModelDisk &) {},
+        [&](ModelDisk &Disk) {
+          (void)Store::format(Disk, DataFolder, "test", {"c1"}, Start);
+        },
+        [&](ModelDisk &Disk) {
+          const Result<bool> IsEmpty = Store::isEmpty(Disk, DataFolder);
+          if (failed(IsEmpty) || valueOf(IsEmpty)) {
+            Wrong += failed(IsEmpty) ? 1 : 0;
+            return;
+          }
+          const auto Opened = openDisk(Disk);
+          const bool IsWhole =
+              !failed(Opened) &&
+              valueOf(Opened)->identity().m_Origin.m_Kind == Start.m_Kind &&
+              valueOf(Opened)->identity().m_Origin.m_Seeds == Start.m_Seeds;
+          ++(IsWhole ? Whole : Wrong);
+        });
+    INFO(Outcomes << " outcomes, " << Whole << " with an origin");
+    CHECK(Wrong == 0);
+    CHECK(Whole > 0);
+  }
+}
+
+TEST_CASE("a power loss leaves the former or the new contacts of a disk") {
+  const std::vector<NodeId> Former = {{"c1"}};
+  const std::vector<NodeId> New = {{"c2"}, {"c3"}};
+  std::size_t Wrong = 0;
+  const std::size_t Outcomes = loseInEachMoment(
+      [&](ModelDisk &Disk) {
+        REQUIRE(!failed(Store::format(Disk, DataFolder, "test", {"c1"})));
+        REQUIRE(!failed(valueOf(openDisk(Disk))->saveContacts(Former)));
+      },
+      [&](ModelDisk &Disk) {
+        const auto Opened = openDisk(Disk);
+        if (!failed(Opened))
+          (void)valueOf(Opened)->saveContacts(New);
+      },
+      [&](ModelDisk &Disk) {
+        const auto Opened = openDisk(Disk);
+        if (failed(Opened) || (valueOf(Opened)->contacts() != Former &&
+                               valueOf(Opened)->contacts() != New))
+          ++Wrong;
+      });
+  INFO(Outcomes << " outcomes");
+  CHECK(Wrong == 0);
+}
--- a/libs/store/tests/StoreTest.cpp
+++ b/libs/store/tests/StoreTest.cpp
@@ -190,6 +190,68 @@
   }
 }
 
+SCENARIO("a folder keeps the start at which it was formatted") {
+  TempFolder Folder;
+  store::Files &Files = store::systemFiles();
+
+  GIVEN("a folder of a first start") {
+    REQUIRE(
+        !failed(Store::format(Files, Folder.m_Path, "test", {"c1"},
+                              {store::StartKind::First, {{"c1"}, {"c2"}}})));
+    THEN("each open has its seeds") {
+      for (int Open = 0; Open < 2; ++Open) {
+        const auto Disk = open(Folder);
+        CHECK(Disk->identity().m_Origin.m_Kind == store::StartKind::First);
+        CHECK(Disk->identity().m_Origin.m_Seeds ==
+              std::vector<NodeId>{{"c1"}, {"c2"}});
+      }
+    }
+  }
+  GIVEN("a folder of a later start") {
+    REQUIRE(!failed(Store::format(Files, Folder.m_Path, "test", {"c1"},
+                                  {store::StartKind::Later, {}})));
+    THEN("it says so") {
+      CHECK(open(Folder)->identity().m_Origin.m_Kind ==
+            store::StartKind::Later);
+    }
+  }
+  GIVEN("a folder of a build that did not record it") {
+    // Bytes that such a build has written: they end behind the inode.
+    const auto Disk = openFresh(Folder);
+    THEN("its start is unknown") {
+      CHECK(Disk->identity().m_Origin.m_Kind == store::StartKind::Unknown);
+      CHECK(Disk->identity().m_Origin.m_Seeds.empty());
+    }
+  }
+}
+
+SCENARIO("a folder keeps its group and its contacts") {
+  TempFolder Folder;
+  FaultyFiles Files;
+  auto Disk = openFresh(Folder, Files);
+  CHECK(Disk->group() == 0);
+  CHECK(Disk->contacts().empty());
+  REQUIRE(!failed(Disk->saveGroup(7)));
+  REQUIRE(!failed(Disk->saveContacts({{"c2"}, {"c3"}})));
+
+  THEN("they are read at the next open") {
+    Disk.reset();
+    Disk = open(Folder, Files);
+    CHECK(Disk->group() == 7);
+    CHECK(Disk->contacts() == std::vector<NodeId>{{"c2"}, {"c3"}});
+  }
+  WHEN("the disk is full while contacts are stored") {
+    Files.m_Fault = Fault::Full;
+    CHECK(failed(Disk->saveContacts({{"c4"}})));
+    Files.m_Fault = Fault::None;
+    THEN("the former ones stay, and the store goes on") {
+      CHECK(Disk->contacts() == std::vector<NodeId>{{"c2"}, {"c3"}});
+      save(*Disk, records(1, 1));
+      CHECK(!failed(Disk->saveContacts({{"c4"}})));
+    }
+  }
+}
+
 SCENARIO("a store opens only the folder of its own member") {
   TempFolder Folder;
   auto Disk = openFresh(Folder);
