Form a group only from disks of the first start, and find the group again after a restart

Cause: openStore took each folder that was not empty for one of the first start, and formation asks whichever machines the settings list.

Only a disk that was formatted at the first start forms the cluster now, and only with the seeds of that start; a bare disk of an older build waits for admission unless its settings still call this start the first one. All listed disks must agree, so one such disk among them prevents a second group, also beside older builds.

The same cause on related paths: what a member outside the group knew of it was lost with its process. It stores the members, asks them after a restart, and tells them to entries and newcomers; members tell seeds outside their group of it, and newer seeds are asked without a restart. Messages carry the identity of the group: those of another group are dropped, logged and counted.

--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -39,9 +39,7 @@
 Control::Control(event_base *Loop, const ControlSettings &Settings,
                  metrics::Registry &Registry, std::function<void()> OnFatal)
     : m_Loop(Loop), m_Settings(Settings), m_Registry(Registry),
-      m_OnFatal(std::move(OnFatal)) {
-  reload(Settings);
-}
+      m_OnFatal(std::move(OnFatal)) {}
 
 Result<std::unique_ptr<Control>> Control::open(event_base *Loop,
                                                const ControlSettings &Settings,
@@ -103,6 +101,7 @@
   for (const MemberAddress &Member : m_Settings.m_Members)
     Options.m_Listed.push_back(Member.m_Id);
   if (m_Settings.m_Discovery) {
+    Options.m_ListKind = replication::ListKind::Seeds;
     Options.m_MayForm = m_Settings.m_Discovery->m_MayForm;
     // Disks move between machines there, which changes inode numbers.
     Options.m_CopyGuard = store::CopyGuard::None;
@@ -126,16 +125,6 @@
     m_State = std::move(valueOf(Read));
     return std::monostate{};
   };
-  Callbacks.m_OnMembersFound = [this](const consensus::Membership &Membership) {
-    std::vector<NodeId> Members;
-    for (const consensus::Member &Member : Membership.m_Members)
-      Members.push_back(Member.m_Id);
-    if (Members == m_DiscoveredMembers)
-      return;
-    m_DiscoveredMembers = std::move(Members);
-    events::emit(events::Event::MembersFound,
-                 {{"members", m_DiscoveredMembers.size()}});
-  };
   Callbacks.m_OnLeadershipGained = [this] { handleLeadershipGained(); };
   Callbacks.m_OnLeadershipLost = [this] { handleLeadershipLost(); };
   Callbacks.m_OnFailure = [this](const Error &Failure) {
@@ -302,18 +291,8 @@
 void Control::connectMembers() {
   if (!m_Settings.m_Discovery)
     return;
-  std::vector<NodeId> Peers = memberIds();
-  // A process outside the group asks every member and seed that it knows.
-  const bool IsMember =
-      std::find(Peers.begin(), Peers.end(), m_Settings.m_Id) != Peers.end();
-  if (!IsMember) {
-    Peers.insert(Peers.end(), m_DiscoveredMembers.begin(),
-                 m_DiscoveredMembers.end());
-    Peers.insert(Peers.end(), m_Seeds.begin(), m_Seeds.end());
-  }
-  std::sort(Peers.begin(), Peers.end());
-  Peers.erase(std::unique(Peers.begin(), Peers.end()), Peers.end());
-  if (Peers != m_ConnectedMembers)
+  if (const std::vector<NodeId> Peers = m_Replica->peers();
+      Peers != m_ConnectedMembers)
     connectTo(Peers);
 }
 
@@ -471,7 +450,7 @@
     Message.mutable_redirect()->set_leader(Leader.m_Value);
   else
     Message.mutable_redirect();
-  for (const NodeId &Member : memberIds())
+  for (const NodeId &Member : m_Replica->knownMembers())
     Message.mutable_redirect()->add_members()->set_id(Member.m_Value);
   (void)m_Hub->send(Entry, std::move(Message)); // The entry retries.
 }
--- a/apps/control/src/Control.h
+++ b/apps/control/src/Control.h
@@ -46,7 +46,7 @@
   /// Applies the setting that may change without a restart: the seeds.
   void reload(const ControlSettings &Next) {
     if (Next.m_Discovery)
-      m_Seeds = Next.m_Discovery->m_Seeds;
+      m_Replica->updateSeeds(Next.m_Discovery->m_Seeds);
   }
 
   /// \returns why this member is not ready; empty when it is.
@@ -93,8 +93,7 @@
   /// Keeps sight of a call until it is answered.
   void noteCall(const std::shared_ptr<http::Exchange> &Call);
   void refuseCalls();
-  /// Keeps connections to the group members, and to the seeds until this
-  /// process is a member.
+  /// Keeps connections to all processes that the replica sends messages to.
   void connectMembers();
   void connectTo(const std::vector<NodeId> &Members);
   void repairGroup(TimePoint Now);
@@ -153,8 +152,6 @@
   std::size_t m_MostCalls = 64; ///< Number at which ended ones are removed.
   std::optional<CloseDeadlines> m_Closing;
   std::vector<NodeId> m_ConnectedMembers; ///< Members that the hub connects to.
-  std::vector<NodeId> m_Seeds;            ///< From the newest settings.
-  std::vector<NodeId> m_DiscoveredMembers; ///< Reported while not yet a member.
   bool m_Repairing = false;
   TimePoint m_NextRepair;
   std::unique_ptr<http::Timer> m_Timer;
--- a/apps/control/src/OperatorApi.cpp
+++ b/apps/control/src/OperatorApi.cpp
@@ -275,6 +275,7 @@
           {"term", Known.m_Term},
           {"last_index", Known.m_LastIndex},
           {"commit_index", Known.m_CommitIndex},
+          {"group", replication::groupName(Known.m_Group)},
           {"members", Rows},
           {"newcomers", Newcomers}};
 }
--- a/apps/entry/src/ControlLink.cpp
+++ b/apps/entry/src/ControlLink.cpp
@@ -27,6 +27,9 @@
 /// The leader sends updates to some of its entries at a time; one that has not
 /// come after this time is asked for.
 constexpr std::chrono::milliseconds UpdatePatience{600};
+/// Control members that an entry asks: those of the settings, of the group, and
+/// of a former membership.
+constexpr std::size_t MaxMembers = 24;
 
 } // namespace
 
@@ -85,6 +88,11 @@
 }
 
 void ControlLink::take(const NodeId &From, const wire::Envelope &Message) {
+  // A member that has fallen behind, or a process outside the group, may still
+  // know members that this entry does not.
+  if (Message.term() < m_HighestTerm && !m_Leader &&
+      Message.body_case() == wire::Envelope::kRedirect)
+    return addMembers(Message.redirect());
   // What a former leader sent before a partition may arrive after it.
   if (Message.term() < m_HighestTerm) {
     m_Registry
@@ -146,21 +154,39 @@
   }
 }
 
-/// Adds members that the settings do not name. Those that they name are still
-/// asked: they are all that is known after a longer time alone.
-void ControlLink::learnMembers(const wire::Redirect &Told) {
-  if (m_Settings.m_HubPort == 0 || Told.members_size() == 0)
-    return;
-  std::vector<wire::Peer> Known = m_Named;
-  for (const wire::Member &Each : Told.members()) {
+/// Adds the members of \p Redirect that are not in \p Known, up to
+/// `MaxMembers`.
+void ControlLink::appendMembers(const wire::Redirect &Redirect,
+                                std::vector<wire::Peer> &Known) const {
+  for (const wire::Member &Each : Redirect.members()) {
     const wire::Peer Member{
         {Each.id()}, "", fmt::format("{}:{}", Each.id(), m_Settings.m_HubPort)};
     const auto IsSame = [&](const wire::Peer &One) {
       return One.m_Id == Member.m_Id;
     };
-    if (std::none_of(Known.begin(), Known.end(), IsSame))
+    if (Known.size() < MaxMembers &&
+        std::none_of(Known.begin(), Known.end(), IsSame))
       Known.push_back(Member);
   }
+}
+
+void ControlLink::addMembers(const wire::Redirect &Redirect) {
+  if (m_Settings.m_HubPort == 0)
+    return;
+  const std::size_t Before = m_Members.size();
+  appendMembers(Redirect, m_Members);
+  for (std::size_t Added = Before; Added < m_Members.size(); ++Added)
+    if (Status Connected = m_Hub->connect(m_Members[Added]); failed(Connected))
+      events::emitError(events::Event::ListenFailed, errorOf(Connected));
+}
+
+/// Adds members that the settings do not name. Those that they name are still
+/// asked: they are all that is known after a longer time alone.
+void ControlLink::learnMembers(const wire::Redirect &Told) {
+  if (m_Settings.m_HubPort == 0 || Told.members_size() == 0)
+    return;
+  std::vector<wire::Peer> Known = m_Named;
+  appendMembers(Told, Known);
   for (const wire::Peer &Former : m_Members)
     if (std::none_of(Known.begin(), Known.end(), [&](const wire::Peer &One) {
           return One.m_Id == Former.m_Id;
--- a/apps/entry/src/ControlLink.h
+++ b/apps/entry/src/ControlLink.h
@@ -89,6 +89,9 @@
   void follow(const NodeId &Leader);
   void loseLeader();
   void learnMembers(const wire::Redirect &Told);
+  void appendMembers(const wire::Redirect &Redirect,
+                     std::vector<wire::Peer> &Known) const;
+  void addMembers(const wire::Redirect &Redirect);
   void turn();
   void sendCalls(TimePoint Now);
   void sendHello(const NodeId &To);
--- a/libs/replication/include/replication/replication.h
+++ b/libs/replication/include/replication/replication.h
@@ -12,7 +12,18 @@
 /// part in no other initial membership. Once it knows that all listed members
 /// have made the same promise, it starts with that membership. From then on
 /// only the log defines the membership. A member that finds the cluster formed
-/// without its disk waits until a membership change admits it.
+/// without its disk waits until a membership change admits it. It stores the
+/// members that it has found, to ask them again after a restart.
+///
+/// Seeds may be exchanged after the first start. A disk therefore records at
+/// its format whether that start was the first one of the cluster, and its
+/// seeds; only such a disk forms the cluster, with these seeds. A disk without
+/// such a record takes part only while the settings still call this start the
+/// first.
+///
+/// **Groups.** Messages carry the identity of the sender's group, which its
+/// first membership defines. A member does not act on messages of another
+/// group; it logs and counts them.
 
 #ifndef WASABIVALE_REPLICATION_REPLICATION_H
 #define WASABIVALE_REPLICATION_REPLICATION_H
@@ -33,6 +44,12 @@
 
 namespace wasabivale::replication {
 
+/// What the settings list.
+enum class ListKind : std::uint8_t {
+  Members, ///< All members, as given by the operator.
+  Seeds,   ///< Processes to ask, which need not be members of the group.
+};
+
 struct ReplicaOptions {
   std::string m_Folder;  ///< Data folder; formatted if it is empty.
   std::string m_Cluster; ///< Same for all members; detects foreign disks.
@@ -40,8 +57,10 @@
   /// Initial members of the cluster, the same on each of them. A member that
   /// joins later lists the members that it can contact.
   std::vector<NodeId> m_Listed;
-  /// Whether an empty disk may take part in forming the cluster. False if the
-  /// cluster is known to exist: the disk then waits for admission.
+  ListKind m_ListKind = ListKind::Members;
+  /// Whether this is the first start of the cluster, in which an empty disk
+  /// takes part in forming it. False if the cluster is known to exist: the disk
+  /// then waits for admission.
   bool m_MayForm = true;
   store::CopyGuard m_CopyGuard = store::CopyGuard::Inode;
   consensus::Timing m_Timing;
@@ -78,11 +97,12 @@
   /// The data folder or the state failed and the process must exit. This member
   /// no longer takes part in consensus.
   std::function<void(const Error &)> m_OnFailure;
-  /// Members of the formed cluster, as reported to this newcomer, which asks
-  /// all of them for admission once the hub reaches them. Optional.
-  std::function<void(const consensus::Membership &)> m_OnMembersFound;
 };
 
+/// Identity of a group for logs and operators: 16 hexadecimal digits, all zero
+/// if it is not known.
+std::string groupName(std::uint64_t Group);
+
 /// Replication progress of a member, as known to the leader.
 struct MemberStatus {
   consensus::Member m_Member;
@@ -100,6 +120,7 @@
   consensus::Index m_LastIndex = 0;
   consensus::Index m_CommitIndex = 0;
   std::string m_Incarnation;
+  std::uint64_t m_Group = 0; ///< Identity of the group; zero: not known.
   std::vector<MemberStatus> m_Members;
   /// Incarnations of processes that asked for admission and are not members, as
   /// needed by `AddLearner` or `ReplaceMember`.
@@ -150,6 +171,17 @@
   Replica(const Replica &) = delete;
   Replica &operator=(const Replica &) = delete;
 
+  /// Replaces the seeds with those of newer settings.
+  void updateSeeds(std::vector<NodeId> Seeds);
+
+  /// \returns the processes that this member sends messages to, and that the
+  /// hub should connect to: the members and seeds, and while it is outside the
+  /// group also its contacts. Sorted, without this member.
+  [[nodiscard]] std::vector<NodeId> peers() const;
+  /// \returns the members of the group as far as this member knows them: its
+  /// own membership or, while it has none, those that were reported to it.
+  [[nodiscard]] std::vector<NodeId> knownMembers() const;
+
   /// Handles a message received by the hub.
   void receive(const NodeId &Sender, const wire::ConsensusMessage &Message);
 
--- a/libs/replication/local/include/replication_local/replication_local.h
+++ b/libs/replication/local/include/replication_local/replication_local.h
@@ -32,7 +32,10 @@
   std::unique_ptr<wire::Hub> m_Hub;
   std::unique_ptr<Replica> m_Replica; ///< Null while it is stopped.
   std::vector<std::string> m_Applied;
-  bool m_TakesDigests = true;      ///< False: like a build that has none.
+  bool m_TakesDigests = true; ///< False: like a build that has none.
+  /// Seeds of its settings; empty: they list all members.
+  std::vector<NodeId> m_Seeds;
+  bool m_MayForm = true;           ///< Whether its settings say so.
   store::Files *m_Files = nullptr; ///< Null: the file system.
   std::vector<Error> m_Failures;   ///< Reported by `m_OnFailure`.
 };
--- a/libs/replication/local/src/LocalCluster.cpp
+++ b/libs/replication/local/src/LocalCluster.cpp
@@ -95,6 +95,11 @@
   if (failed(Hub))
     return errorOf(Hub);
   Member.m_Hub = std::move(valueOf(Hub));
+  if (!Member.m_Seeds.empty()) {
+    Settings.m_Listed = Member.m_Seeds;
+    Settings.m_ListKind = ListKind::Seeds;
+  }
+  Settings.m_MayForm = Member.m_MayForm;
   Settings.m_Folder = Member.m_Folder;
   Settings.m_Files = Member.m_Files;
   Settings.m_Cluster = "local";
--- a/libs/replication/src/Formation.cpp
+++ b/libs/replication/src/Formation.cpp
@@ -25,6 +25,28 @@
   return IsComplete ? FormationStep::Form : FormationStep::Wait;
 }
 
+static std::vector<NodeId> promisedMembers(const std::string &Promise) {
+  std::vector<NodeId> Members;
+  if (const auto Decoded = consensus::decodeMembership(Promise);
+      !failed(Decoded))
+    for (const consensus::Member &Member : valueOf(Decoded).m_Members)
+      Members.push_back(Member.m_Id);
+  return Members;
+}
+
+void applyOrigin(Formation &State, const store::Origin &Recorded,
+                 ListKind Kind) {
+  if (Kind == ListKind::Seeds) {
+    if (!State.m_Own.m_Promise.empty()) {
+      State.m_Listed = promisedMembers(State.m_Own.m_Promise);
+    } else if (Recorded.m_Kind != store::StartKind::Unknown) {
+      State.m_MayForm = Recorded.m_Kind == store::StartKind::First;
+      State.m_Listed = Recorded.m_Seeds;
+    }
+  }
+  std::sort(State.m_Listed.begin(), State.m_Listed.end());
+}
+
 FormationStep nextStep(const Formation &State) {
   const bool IsListed = std::find(State.m_Listed.begin(), State.m_Listed.end(),
                                   State.m_Self) != State.m_Listed.end();
--- a/libs/replication/src/Formation.h
+++ b/libs/replication/src/Formation.h
@@ -5,6 +5,8 @@
 #define WASABIVALE_REPLICATION_FORMATION_H
 
 #include "consensus/consensus.h"
+#include "replication/replication.h"
+#include "store/store.h"
 
 #include <map>
 #include <string>
@@ -36,6 +38,12 @@
   Passive, ///< The cluster exists without this disk: wait for admission.
 };
 
+/// Takes from a disk what it has recorded of its first start: only a disk that
+/// was formatted then may form the cluster, and only with the seeds of that
+/// start, whatever later settings say. \pre `m_Own` and `m_Listed` are set.
+void applyOrigin(Formation &State, const store::Origin &Recorded,
+                 ListKind Kind);
+
 FormationStep nextStep(const Formation &State);
 
 /// \returns the encoded membership of the listed members with their reported
--- a/libs/replication/src/Replica.cpp
+++ b/libs/replication/src/Replica.cpp
@@ -1,9 +1,12 @@
+#include "Contacts.h"
 #include "Formation.h"
+#include "OtherGroups.h"
 #include "StateDigests.h"
 #include "events/events.h"
 #include "replication/replication.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace wasabivale::replication {
 
@@ -18,6 +21,11 @@
 /// A newcomer sends a request every heartbeat interval. It is considered gone
 /// after this time without one.
 constexpr std::chrono::milliseconds NewcomerTimeout{1500};
+/// Newcomers above which those that are gone are forgotten.
+constexpr std::size_t MaxNewcomers = 64;
+/// How often a member tells the seeds outside its group of the group.
+constexpr std::chrono::seconds SeedInterval{2};
+constexpr std::chrono::seconds ContactsRetryInterval{1};
 
 timeval toTimeval(Duration Value) {
   const auto Micros =
@@ -26,6 +34,18 @@
   return {Micros / MicrosPerSecond, Micros % MicrosPerSecond};
 }
 
+std::string_view startName(store::StartKind Kind) {
+  switch (Kind) {
+  case store::StartKind::First:
+    return "first";
+  case store::StartKind::Later:
+    return "later";
+  case store::StartKind::Unknown:
+    break;
+  }
+  return "unknown";
+}
+
 struct FreeEvent {
   void operator()(event *Owned) const { event_free(Owned); }
 };
@@ -57,7 +77,14 @@
     TimePoint m_HeardAt;
   };
   std::map<NodeId, Newcomer> m_Newcomers;
-  std::vector<NodeId> m_FoundMembers; ///< Reported by the formed cluster.
+  std::vector<NodeId> m_Seeds; ///< Of the newest settings.
+  Contacts m_Contacts;
+  bool m_ContactsAreStored = true;
+  TimePoint m_StoreContactsAt;
+  TimePoint m_NextSeedMessageAt;
+  /// Zero while it is not known.
+  GroupId m_Group = 0;
+  OtherGroups m_OtherGroups;
 
   EventPointer m_TickEvent;
   EventPointer m_ProcessEvent;
@@ -97,16 +124,32 @@
   void updateMetrics() const;
 
   // Formation.
-  void handleFormation(const NodeId &Sender, const std::string &Incarnation,
-                       const wire::Formation &Report);
+  void handleFormation(const NodeId &Sender,
+                       const wire::ConsensusMessage &Message);
+  void recordNewcomer(const NodeId &Sender, const std::string &Incarnation);
   void sendFormation(const NodeId &Receiver) const;
   void broadcastFormation() const;
-  void handleFoundMembers(const wire::Membership &Reported);
+  void informSeeds();
+  void handleContacts(const wire::Formation &Report);
+  void storeContacts();
   void advanceFormation();
   void makePromise();
   void formCluster();
+
+  // Groups and peers.
+  [[nodiscard]] std::vector<NodeId> members() const;
+  [[nodiscard]] std::vector<NodeId> peers() const;
+  [[nodiscard]] bool isFromMember(const NodeId &Sender,
+                                  const wire::ConsensusMessage &Message) const;
+  void handleOtherGroup(const NodeId &Sender,
+                        const wire::ConsensusMessage &Message);
+  void joinGroup(GroupId Group);
 };
 
+std::string groupName(std::uint64_t Group) {
+  return fmt::format("{:016x}", Group);
+}
+
 // --- Start ----------------------------------------------------------------
 
 Status Replica::Impl::openStore() {
@@ -114,12 +157,13 @@
   const Result<bool> IsEmpty = store::Store::isEmpty(Files, m_Options.m_Folder);
   if (failed(IsEmpty))
     return errorOf(IsEmpty);
-  // A disk that was formatted while the cluster could be formed may still form
-  // it.
-  m_Formation.m_MayForm = m_Options.m_MayForm || !valueOf(IsEmpty);
   if (valueOf(IsEmpty)) {
-    if (Status Formatted = store::Store::format(
-            Files, m_Options.m_Folder, m_Options.m_Cluster, m_Options.m_Self);
+    store::Origin Start{store::StartKind::Later, {}};
+    if (m_Options.m_MayForm)
+      Start = {store::StartKind::First, m_Options.m_Listed};
+    if (Status Formatted =
+            store::Store::format(Files, m_Options.m_Folder, m_Options.m_Cluster,
+                                 m_Options.m_Self, Start);
         failed(Formatted))
       return Formatted;
     events::emit(events::Event::MemberFormatted,
@@ -153,12 +197,27 @@
   Settings.m_Limits = m_Options.m_Limits;
   m_State =
       consensus::start(Settings, std::move(Stored), BootClock::now(), m_Rng);
+  m_Formation.m_MayForm = m_Options.m_MayForm;
   m_Formation.m_Cluster = m_Options.m_Cluster;
   m_Formation.m_Self = m_Options.m_Self;
   m_Formation.m_Listed = m_Options.m_Listed;
-  std::sort(m_Formation.m_Listed.begin(), m_Formation.m_Listed.end());
   m_Formation.m_Own = {Settings.m_Incarnation, m_Store->formationPromise(),
                        m_Formed};
+  const store::Origin &Recorded = m_Store->identity().m_Origin;
+  applyOrigin(m_Formation, Recorded, m_Options.m_ListKind);
+  m_Seeds = m_Options.m_Listed;
+  m_Contacts = {m_Options.m_Self, m_Store->contacts()};
+  if (m_Formed)
+    m_Group = m_Formation.m_Own.m_Promise.empty()
+                  ? m_Store->group()
+                  : groupId(m_Formation.m_Own.m_Promise);
+  else
+    events::emit(events::Event::MemberOutside,
+                 {{"start", startName(Recorded.m_Kind)},
+                  {"may_form", m_Formation.m_MayForm},
+                  {"promised", !m_Formation.m_Own.m_Promise.empty()},
+                  {"listed", m_Formation.m_Listed.size()},
+                  {"contacts", m_Contacts.m_Nodes.size()}});
   return std::monostate{};
 }
 
@@ -205,6 +264,8 @@
   const consensus::Propose Proposals = std::exchange(m_Proposals, {});
   if (!m_Formed)
     advanceFormation();
+  else
+    informSeeds();
   if (m_HasFailed)
     return;
   std::vector<Actions> Results;
@@ -386,6 +447,7 @@
 void Replica::Impl::send(const NodeId &Receiver,
                          wire::ConsensusMessage Message) const {
   wire::Envelope Envelope;
+  Message.set_group(m_Group);
   Envelope.set_term(m_State.m_HardState.m_Term);
   *Envelope.mutable_consensus() = std::move(Message);
   m_Registry
@@ -427,43 +489,91 @@
   if (m_Formed)
     Message.mutable_formation()->mutable_members()->ParseFromString(
         consensus::encodeMembership(m_State.m_Membership));
+  else
+    for (const NodeId &Contact : m_Contacts.m_Nodes)
+      Message.mutable_formation()->add_contacts(Contact.m_Value);
   send(Receiver, std::move(Message));
 }
 
 void Replica::Impl::broadcastFormation() const {
-  for (const auto &Group : {m_Formation.m_Listed, m_FoundMembers})
-    for (const NodeId &Member : Group)
-      if (Member != m_Options.m_Self)
-        sendFormation(Member);
+  for (const NodeId &Peer : peers())
+    sendFormation(Peer);
 }
 
-/// Records the members of the cluster that this newcomer wants to join.
-void Replica::Impl::handleFoundMembers(const wire::Membership &Reported) {
-  const auto Members =
-      consensus::decodeMembership(Reported.SerializeAsString());
-  if (failed(Members) || !m_Callbacks.m_OnMembersFound)
+/// Tells seeds outside the group of its members. A newcomer that knows only
+/// other newcomers finds the group by it, and two groups find each other.
+void Replica::Impl::informSeeds() {
+  if (m_Options.m_ListKind != ListKind::Seeds ||
+      BootClock::now() < m_NextSeedMessageAt)
     return;
-  m_FoundMembers.clear();
-  for (const consensus::Member &Member : valueOf(Members).m_Members)
-    if (std::find(m_Formation.m_Listed.begin(), m_Formation.m_Listed.end(),
-                  Member.m_Id) == m_Formation.m_Listed.end())
-      m_FoundMembers.push_back(Member.m_Id);
-  m_Callbacks.m_OnMembersFound(valueOf(Members));
+  m_NextSeedMessageAt = BootClock::now() + SeedInterval;
+  m_Formation.m_Own.m_Formed = true;
+  for (const NodeId &Seed : m_Seeds)
+    if (Seed != m_Options.m_Self &&
+        consensus::findMember(m_State.m_Membership, Seed) == nullptr)
+      sendFormation(Seed);
+}
+
+/// Records whom a member outside the group may ask for admission.
+void Replica::Impl::handleContacts(const wire::Formation &Report) {
+  std::vector<NodeId> Reported;
+  for (const wire::Member &Member : Report.members().members())
+    Reported.push_back({Member.id()});
+  for (const std::string &Contact : Report.contacts())
+    Reported.push_back({Contact});
+  const bool HasChanged = Report.formed() ? recordMembers(m_Contacts, Reported)
+                                          : recordHearsay(m_Contacts, Reported);
+  if (!HasChanged)
+    return;
+  events::emit(events::Event::MembersFound,
+               {{"members", m_Contacts.m_Nodes.size()}});
+  storeContacts();
+}
+
+void Replica::Impl::storeContacts() {
+  const Status Stored = m_Store->saveContacts(m_Contacts.m_Nodes);
+  if (failed(Stored) && m_ContactsAreStored)
+    events::emitError(events::Event::ContactsNotStored, errorOf(Stored));
+  m_ContactsAreStored = !failed(Stored);
+  m_StoreContactsAt = BootClock::now() + ContactsRetryInterval;
+}
+
+void Replica::Impl::recordNewcomer(const NodeId &Sender,
+                                   const std::string &Incarnation) {
+  const TimePoint Now = BootClock::now();
+  if (m_Newcomers.size() >= MaxNewcomers)
+    std::erase_if(m_Newcomers, [&](const auto &Known) {
+      return Now - Known.second.m_HeardAt > NewcomerTimeout;
+    });
+  m_Newcomers[Sender] = {Incarnation, Now};
 }
 
 void Replica::Impl::handleFormation(const NodeId &Sender,
-                                    const std::string &Incarnation,
-                                    const wire::Formation &Report) {
+                                    const wire::ConsensusMessage &Message) {
+  const wire::Formation &Report = Message.formation();
+  const std::string &Incarnation = Message.disk_incarnation();
   m_Formation.m_Own.m_Formed = m_Formed;
-  if (m_Formed &&
-      (Report.formed() || Report.cluster() != m_Formation.m_Cluster))
+  if (Report.cluster() != m_Formation.m_Cluster)
     return;
+  if (m_Formed && Report.formed()) {
+    // A member that was removed while it was down asks for admission again.
+    if (consensus::findMember(m_State.m_Membership, Sender) == nullptr)
+      recordNewcomer(Sender, Incarnation);
+    return;
+  }
   if (m_Formed) {
-    m_Newcomers[Sender] = {Incarnation, BootClock::now()};
+    recordNewcomer(Sender, Incarnation);
     return sendFormation(Sender);
   }
-  if (Report.formed() && Report.cluster() == m_Formation.m_Cluster)
-    handleFoundMembers(Report.members());
+  const bool IsAsking = !Report.formed() && Report.contacts().empty();
+  const std::vector<NodeId> Peers = peers();
+  // A disk that has promised an initial membership joins no other.
+  if (m_Formation.m_Own.m_Promise.empty())
+    handleContacts(Report);
+  // A peer is told by the broadcast.
+  if (IsAsking && !m_Contacts.m_Nodes.empty() &&
+      !std::binary_search(Peers.begin(), Peers.end(), Sender))
+    sendFormation(Sender);
   if (recordReport(m_Formation, Sender, Incarnation, Report))
     scheduleProcessing();
 }
@@ -493,9 +603,11 @@
                              BootClock::now(), m_Rng);
   m_Formed = true;
   m_Formation.m_Own.m_Formed = true;
+  m_Group = groupId(m_Formation.m_Own.m_Promise);
   broadcastFormation();
   events::emit(events::Event::ClusterFormed,
-               {{"members", valueOf(Members).m_Members.size()}});
+               {{"members", valueOf(Members).m_Members.size()},
+                {"group", groupName(m_Group)}});
 }
 
 void Replica::Impl::advanceFormation() {
@@ -503,6 +615,8 @@
     m_NextBroadcastAt = BootClock::now() + m_Options.m_Timing.m_Heartbeat;
     broadcastFormation();
   }
+  if (!m_ContactsAreStored && BootClock::now() >= m_StoreContactsAt)
+    storeContacts();
   FormationStep Next = nextStep(m_Formation);
   if (Next == FormationStep::Promise) {
     makePromise();
@@ -518,6 +632,66 @@
   events::emit(events::Event::FormationStalled, {{"member", m_Options.m_Self}});
 }
 
+// --- Groups and peers -----------------------------------------------------
+
+std::vector<NodeId> Replica::Impl::members() const {
+  std::vector<NodeId> Members;
+  for (const consensus::Member &Member : m_State.m_Membership.m_Members)
+    Members.push_back(Member.m_Id);
+  return Members;
+}
+
+std::vector<NodeId> Replica::Impl::peers() const {
+  std::vector<NodeId> Peers = members();
+  const auto Add = [&](const std::vector<NodeId> &Nodes) {
+    Peers.insert(Peers.end(), Nodes.begin(), Nodes.end());
+  };
+  Add(m_Seeds);
+  if (!m_Formed) {
+    Add(m_Formation.m_Listed);
+    Add(m_Contacts.m_Nodes);
+  }
+  std::sort(Peers.begin(), Peers.end());
+  Peers.erase(std::unique(Peers.begin(), Peers.end()), Peers.end());
+  std::erase(Peers, m_Options.m_Self);
+  return Peers;
+}
+
+bool Replica::Impl::isFromMember(const NodeId &Sender,
+                                 const wire::ConsensusMessage &Message) const {
+  const consensus::Member *Member =
+      consensus::findMember(m_State.m_Membership, Sender);
+  return Member != nullptr &&
+         Member->m_Incarnation == Message.disk_incarnation();
+}
+
+/// Logs a message of another group. If it tells of that group, its sender is
+/// told of this one, so that it shows at both.
+void Replica::Impl::handleOtherGroup(const NodeId &Sender,
+                                     const wire::ConsensusMessage &Message) {
+  m_Registry
+      ->counter("wasabivale_other_group_messages_total",
+                "Messages of members of a group with another first membership")
+      .add();
+  const OtherGroupStep Step = recordOtherGroup(
+      m_OtherGroups, Sender, Message.group(), BootClock::now());
+  if (Step.m_IsNew)
+    events::emit(events::Event::OtherGroupMet,
+                 {{"member", Sender},
+                  {"group", groupName(m_Group)},
+                  {"other_group", groupName(Message.group())}});
+  if (m_Formed && Message.has_formation() && Step.m_MayReply)
+    sendFormation(Sender);
+}
+
+/// Records the group of a member that did not form it, before it acts on the
+/// first message of the group.
+void Replica::Impl::joinGroup(GroupId Group) {
+  if (const Status Stored = m_Store->saveGroup(Group); failed(Stored))
+    return fail(errorOf(Stored));
+  m_Group = Group;
+}
+
 // --- Public ---------------------------------------------------------------
 
 Replica::Replica(std::unique_ptr<Impl> Owned) : m_Impl(std::move(Owned)) {}
@@ -553,15 +727,21 @@
   Impl &Self = *m_Impl;
   if (Self.m_HasFailed)
     return;
+  if (areDifferent(Self.m_Group, Message.group()))
+    return Self.handleOtherGroup(Sender, Message);
   if (Message.has_formation())
-    return Self.handleFormation(Sender, Message.disk_incarnation(),
-                                Message.formation());
+    return Self.handleFormation(Sender, Message);
   // A member that was removed while it was down asks for admission again.
   if (consensus::findMember(Self.m_State.m_Membership, Sender) == nullptr)
-    Self.m_Newcomers[Sender] = {Message.disk_incarnation(), BootClock::now()};
+    Self.recordNewcomer(Sender, Message.disk_incarnation());
   // A disk that has promised an initial membership takes part in no other.
   if (!Self.m_Formed && !Self.m_Formation.m_Own.m_Promise.empty())
     return;
+  if (Self.m_Group == 0 && Message.group() != 0 &&
+      (!Self.m_Formed || Self.isFromMember(Sender, Message)))
+    Self.joinGroup(Message.group());
+  if (Self.m_HasFailed)
+    return;
   auto Decoded = consensus::fromWire(Sender, Self.m_Options.m_Self, Message);
   if (failed(Decoded)) {
     Self.m_Registry
@@ -575,6 +755,16 @@
   Self.scheduleProcessing();
 }
 
+void Replica::updateSeeds(std::vector<NodeId> Seeds) {
+  m_Impl->m_Seeds = std::move(Seeds);
+}
+
+std::vector<NodeId> Replica::peers() const { return m_Impl->peers(); }
+
+std::vector<NodeId> Replica::knownMembers() const {
+  return m_Impl->m_Formed ? m_Impl->members() : m_Impl->m_Contacts.m_Nodes;
+}
+
 void Replica::propose(std::string Payload, OnDecided Callback) {
   Impl &Self = *m_Impl;
   const std::uint64_t Token = Self.addCallback(std::move(Callback));
@@ -631,6 +821,7 @@
   Status.m_LastIndex = consensus::lastIndex(State);
   Status.m_CommitIndex = State.m_CommitIndex;
   Status.m_Incarnation = State.m_Options.m_Incarnation;
+  Status.m_Group = m_Impl->m_Group;
   for (const consensus::Member &Member : State.m_Membership.m_Members) {
     MemberStatus Known{Member, 0, false, "", {}};
     if (Member.m_Id == State.m_Options.m_Self)
