Quarantine requests that crash their targets after the first event

Entries report begun runs with the place at which they ended, without delaying their resumes. Control quarantines a content that ran at four crashes, each time sent after the one before and ended within two events of the same place, if no other content explains the same crashes; six, and more than the others, where targets crashed without it. Runs that complete or get past the place acquit it. The crashes are part of the replicated state. This works because a guilty request is at all of its crashes and ends at the same place, while bystanders scatter.

--- a/apps/control/src/Control.cpp
+++ b/apps/control/src/Control.cpp
@@ -496,7 +496,7 @@
   for (fleet::Propose &Proposal : fleet::proposeLeaves(m_State.m_Fleet, Report))
     proposeOnce(Proposal.m_Key, std::move(Proposal.m_Command));
   const retries::TraitTable &Traits = m_State.m_Fleet.m_Traits;
-  if (auto Proposal = proposeTraits(Traits, Sender, Report))
+  if (auto Proposal = proposeTraits(Traits, Sender, Report, LogNow))
     proposeOnce(Proposal->m_Key, std::move(Proposal->m_Command));
   const limits::TargetLimitTable &Limits = m_State.m_Fleet.m_TargetLimits;
   if (auto Proposal = proposeTargetLimits(Limits, Sender, Report, LogNow))
--- a/apps/control/src/SuspectNotices.cpp
+++ b/apps/control/src/SuspectNotices.cpp
@@ -207,16 +207,19 @@
 
 std::optional<fleet::Propose> proposeTraits(const retries::TraitTable &Known,
                                             const NodeId &Entry,
-                                            const wire::EntryReport &Report) {
+                                            const wire::EntryReport &Report,
+                                            TimePoint LogNow) {
   fleet::Propose Proposal;
   wire::TraitReport &Due = *Proposal.m_Command.mutable_trait_report();
   for (const wire::TraitCrash &Crash : Report.trait_crashes())
-    if (!retries::isKnownCrash(Known, fleet::readTraitCrash(Crash)))
+    if (!retries::isKnownCrash(Known, fleet::readTraitCrash(Crash), LogNow))
       *Due.add_crashes() = Crash;
   for (const retries::Trait Value : Report.sound_traits())
     if (retries::isSuspectTrait(Known, Value))
       Due.add_sound(Value);
-  if (Due.crashes().empty() && Due.sound().empty())
+  // Any command lets the table decide.
+  if (Due.crashes().empty() && Due.sound().empty() &&
+      LogNow < Known.m_BegunDecisionAt)
     return std::nullopt;
   Proposal.m_Key = fmt::format("traits/{}/{}", Entry.m_Value, Report.renewal());
   return Proposal;
--- a/apps/control/src/SuspectNotices.h
+++ b/apps/control/src/SuspectNotices.h
@@ -44,10 +44,12 @@
                wire::ControlGrant &Grant);
 
 /// \returns the command to propose for what an entry's report says of traits
-/// that the state does not hold yet, or nothing.
+/// that the state does not hold yet, or when a decision on crashes is due; else
+/// nothing.
 std::optional<fleet::Propose> proposeTraits(const retries::TraitTable &Known,
                                             const NodeId &Entry,
-                                            const wire::EntryReport &Report);
+                                            const wire::EntryReport &Report,
+                                            TimePoint LogNow);
 
 /// Ends of the quarantines and of the pauses of routes of which entries have
 /// been notified.
--- a/apps/control/tests/SuspectNoticesTest.cpp
+++ b/apps/control/tests/SuspectNoticesTest.cpp
@@ -211,7 +211,7 @@
     return Message;
   };
   const auto Commit = [&](const wire::EntryReport &Message) {
-    auto Due = proposeTraits(State.m_Fleet.m_Traits, {"entry-1"}, Message);
+    auto Due = proposeTraits(State.m_Fleet.m_Traits, {"entry-1"}, Message, Now);
     if (!Due)
       return false;
     Now += 1s;
@@ -257,6 +257,63 @@
   }
 }
 
+// Guards against a new leader that forgets crashes of runs that had begun, and
+// against decisions that no command triggers (review case 10).
+SCENARIO("crashes of begun runs are decided on, also by a new leader") {
+  ReplicatedState State;
+  TimePoint Now(1000s);
+  const auto Commit = [&](const wire::EntryReport &Message) {
+    auto Due = proposeTraits(State.m_Fleet.m_Traits, {"entry-1"}, Message, Now);
+    if (!Due)
+      return false;
+    Due->m_Command.set_log_time_ns(
+        static_cast<std::uint64_t>(Now.time_since_epoch().count()));
+    REQUIRE(applyPayload(State, Due->m_Command.SerializeAsString()).refusal() ==
+            0);
+    return true;
+  };
+  const auto Quarantines = [&] {
+    wire::ControlGrant Answer;
+    fillTraits(State.m_Fleet.m_Traits, {}, Now, Answer);
+    return Answer.trait_quarantines_size();
+  };
+  for (int Crashed = 1; Crashed <= 4; ++Crashed) {
+    Now += 2s;
+    wire::EntryReport Message;
+    wire::TraitCrash &Crash = *Message.add_trait_crashes();
+    Crash.set_target("t-" + std::to_string(Crashed));
+    Crash.set_incarnation("1");
+    wire::BegunRun &Run = *Crash.add_begun();
+    Run.set_content(7);
+    Run.set_route(5);
+    Run.set_events(1);
+    Run.set_offset(static_cast<std::uint64_t>(Crashed));
+    Run.set_ran_ns(40'000'000);
+    CHECK(Commit(Message));
+    CHECK_FALSE(Commit(Message));
+  }
+  CHECK(Quarantines() == 0);
+  WHEN("entries have had time to report, and report nothing new") {
+    Now += 1s;
+    THEN("the leader decides") {
+      CHECK(Commit({}));
+      CHECK(Quarantines() == 1);
+      CHECK_FALSE(Commit({}));
+    }
+  }
+  WHEN("a new leader restores a snapshot before that") {
+    auto Restored = fromSnapshot(takeSnapshot(State));
+    REQUIRE_FALSE(failed(Restored));
+    CHECK(takeSnapshot(valueOf(Restored)) == takeSnapshot(State));
+    State = std::move(valueOf(Restored));
+    Now += 1s;
+    THEN("it decides") {
+      CHECK(Commit({}));
+      CHECK(Quarantines() == 1);
+    }
+  }
+}
+
 SCENARIO("a route that crashes targets is paused at every entry") {
   constexpr retries::Trait Route = 77;
   ReplicatedState State;
--- a/apps/entry/src/CrashTraits.cpp
+++ b/apps/entry/src/CrashTraits.cpp
@@ -44,11 +44,24 @@
                         const http::Address &Address,
                         retries::RequestTraits Request,
                         std::function<void(bool)> Done) {
-  const retries::CrashKey Key{Target, Incarnation};
+  openProbe({Target, Incarnation}, Address)
+      .m_Waiting.push_back({std::move(Request), std::move(Done)});
+}
+
+void CrashTraits::probeBegun(const TargetId &Target,
+                             const std::string &Incarnation,
+                             const http::Address &Address,
+                             const retries::BegunRun &Run,
+                             std::function<void()> Done) {
+  openProbe({Target, Incarnation}, Address)
+      .m_Begun.push_back({Run, std::move(Done)});
+}
+
+CrashTraits::Probe &CrashTraits::openProbe(const retries::CrashKey &Key,
+                                           const http::Address &Address) {
   Probe &Open = m_Probes[Key];
-  Open.m_Waiting.push_back({std::move(Request), std::move(Done)});
-  if (Open.m_Waiting.size() > 1)
-    return;
+  if (Open.m_Start != nullptr)
+    return Open;
   Open.m_Address = Address;
   Open.m_BrokenAt = BootClock::now();
   Open.m_Start =
@@ -60,6 +73,7 @@
               takeListenerState(Key, State);
             });
       });
+  return Open;
 }
 
 void CrashTraits::takeListenerState(const retries::CrashKey &Key,
@@ -91,18 +105,25 @@
     events::emit(events::Event::TargetCrashSeen,
                  {{"target", Key.first},
                   {"incarnation", Key.second},
-                  {"running", Ended.m_Waiting.size()}});
+                  {"running", Ended.m_Waiting.size()},
+                  {"begun", Ended.m_Begun.size()}});
     for (const Probe::Waiting &Each : Ended.m_Waiting)
       queueReport(retries::recordWaitingAtCrash(
                       m_Tracker, Key.first, Key.second, Each.m_Request, Now),
                   Now);
+    for (const Probe::Begun &Each : Ended.m_Begun) {
+      queueReport(retries::recordBegunAtCrash(m_Tracker, Key.first, Key.second,
+                                              Each.m_Run, Now),
+                  Now);
+      Each.m_Done();
+    }
   }
   for (const Probe::Waiting &Each : Ended.m_Waiting)
     Each.m_Done(Crashed);
 }
 
 void CrashTraits::queueReport(const retries::TraitCrash &Crash, TimePoint Now) {
-  if (Crash.m_Waiting.empty())
+  if (Crash.m_Waiting.empty() && Crash.m_Begun.empty())
     return;
   const bool Known =
       !m_Reports.empty() &&
@@ -112,6 +133,8 @@
     auto &Waiting = m_Reports.back().m_Crash.m_Waiting;
     Waiting.insert(Waiting.end(), Crash.m_Waiting.begin(),
                    Crash.m_Waiting.end());
+    auto &Begun = m_Reports.back().m_Crash.m_Begun;
+    Begun.insert(Begun.end(), Crash.m_Begun.begin(), Crash.m_Begun.end());
     return;
   }
   if (m_Reports.size() >= MaxReports)
@@ -138,6 +161,14 @@
       Row.mutable_parts()->Assign(Request.m_Parts.begin(),
                                   Request.m_Parts.end());
     }
+    for (const retries::BegunRun &Run : Each.m_Crash.m_Begun) {
+      wire::BegunRun &Row = *Crash.add_begun();
+      Row.set_content(Run.m_Content);
+      Row.set_route(Run.m_Route);
+      Row.set_events(Run.m_Events);
+      Row.set_offset(Run.m_Offset);
+      Row.set_ran_ns(static_cast<std::uint64_t>(Run.m_Ran.count()));
+    }
   }
   Message.mutable_sound_traits()->Assign(m_Tracker.m_Sound.begin(),
                                          m_Tracker.m_Sound.end());
--- a/apps/entry/src/CrashTraits.h
+++ b/apps/entry/src/CrashTraits.h
@@ -48,6 +48,20 @@
     retries::recordSound(m_Tracker, Request, Now, HoldsTrial);
   }
 
+  [[nodiscard]] std::optional<std::uint64_t>
+  eventsToPass(retries::Trait Content, TimePoint Now) const {
+    return retries::eventsToPass(m_Tracker, Content, Now);
+  }
+  void recordPassed(retries::Trait Content) {
+    retries::recordPassed(m_Tracker, Content);
+  }
+
+  /// Finds out whether a target's process ended while a run had begun there,
+  /// and records the crash if so. \p Done is called then.
+  void probeBegun(const TargetId &Target, const std::string &Incarnation,
+                  const http::Address &Address, const retries::BegunRun &Run,
+                  std::function<void()> Done);
+
   /// Finds out whether a target's process ended while the request waited there.
   /// \p Done gets true when it did; the crash is recorded by then. A target
   /// that can't be reached while no other can is not taken for crashed.
@@ -70,7 +84,12 @@
       retries::RequestTraits m_Request;
       std::function<void(bool)> m_Done;
     };
+    struct Begun {
+      retries::BegunRun m_Run;
+      std::function<void()> m_Done;
+    };
     std::vector<Waiting> m_Waiting;
+    std::vector<Begun> m_Begun;
     http::Address m_Address;
     TimePoint m_BrokenAt;
     std::unique_ptr<http::Timer> m_Start;
@@ -82,6 +101,8 @@
     unsigned m_Grants = 0; ///< Received from control since.
   };
 
+  /// Starts the probe of a target unless it is under way.
+  Probe &openProbe(const retries::CrashKey &Key, const http::Address &Address);
   void takeListenerState(const retries::CrashKey &Key,
                          http::ListenerState State);
   /// Probes the listener again, now that other targets are reached: the first
--- a/apps/entry/src/Serving.cpp
+++ b/apps/entry/src/Serving.cpp
@@ -14,9 +14,8 @@
 
 namespace {
 
-/// Waits before another look for a target: for a lease, for a suspect's turn.
+/// Wait for a lease before another look for a target.
 constexpr std::chrono::milliseconds LeaseLook{50};
-constexpr std::chrono::milliseconds SuspectLook{100};
 /// Longest wait for the ledger's word.
 constexpr std::chrono::seconds LedgerPatience{3};
 /// Longest wait for control's word on the version of a stream; covers the
@@ -187,12 +186,6 @@
   });
 }
 
-std::optional<TimePoint> Serving::quarantinedUntil(TimePoint Now) const {
-  if (!m_Asked.m_Passed)
-    return std::nullopt;
-  return m_Shared.m_Traits.quarantinedUntil(m_Traits, Now);
-}
-
 void Serving::enter(Phase Next) {
   WASABIVALE_INVARIANT(isLegal(m_Phase, Next));
   m_Phase = Next;
@@ -492,88 +485,6 @@
       });
 }
 
-bool Serving::passGate(routing::Request &Wanted, TimePoint Now) {
-  if (const auto Until = quarantinedUntil(Now)) {
-    giveUp(Refusal::Quarantined, outcomeSoFar(), Error{"quarantine", "", ""},
-           *Until - Now);
-    return false;
-  }
-  // Equal plain requests are common; they are judged by what they share.
-  if (m_Asked.m_Passed)
-    return true;
-  const retries::GateDecision Decided = m_Shared.m_Suspects.gate(m_Print, Now);
-  switch (Decided.m_Gate) {
-  case Gate::Open:
-    return true;
-  case Gate::SameTarget: {
-    const FleetView::Known *There = m_Shared.m_Fleet.find(Decided.m_Target);
-    // Copies of a popular request may outgrow one target.
-    if (There != nullptr &&
-        routing::inFlight(m_Shared.m_Routing, Decided.m_Target) <
-            There->m_Description.max_running())
-      Wanted.m_RequiredTarget = Decided.m_Target;
-    return true;
-  }
-  case Gate::Hold: {
-    auto Where =
-        routing::choose(m_Shared.m_Routing, Wanted, Now, m_Shared.m_Random);
-    if (!failed(Where)) {
-      m_Shared.m_Suspects.want(m_Print, valueOf(Where).m_Run.m_Target);
-      routing::recordEnded(m_Shared.m_Routing, valueOf(Where).m_Try,
-                           TryOutcome::NotSent, Now);
-    }
-    waitUntil(Now + SuspectLook);
-    return false;
-  }
-  case Gate::Isolated:
-    Wanted.m_MaySplit = false;
-    Wanted.m_MayProbe = false;
-    if (!Decided.m_Target.empty())
-      Wanted.m_RequiredTarget = Decided.m_Target;
-    return true;
-  case Gate::Quarantined:
-    giveUp(Refusal::Quarantined, outcomeSoFar(), Error{"quarantine", "", ""});
-    return false;
-  }
-  return true;
-}
-
-bool Serving::passRouteGate(TimePoint Now) {
-  // One that a target has answered does not crash targets.
-  if (!m_Asked.m_Passed || m_Failing)
-    return true;
-  const retries::RouteDecision Decided =
-      m_Shared.m_Traits.evaluateRoute(m_Traits, Now, m_InTrial);
-  if (Decided.m_Gate == retries::RouteGate::Closed) {
-    giveUp(Refusal::Quarantined, outcomeSoFar(), Error{"route_pause", "", ""},
-           Decided.m_RetryAt - Now);
-    return false;
-  }
-  if (Decided.m_Gate == retries::RouteGate::Trial) {
-    m_InTrial = true;
-    m_Shared.m_Traits.startTrial(m_Traits.m_Route);
-  }
-  return true;
-}
-
-bool Serving::isolate(routing::Request &Wanted) {
-  // One that a target has answered does not crash targets.
-  if (!m_Asked.m_Passed || !m_Asked.isService() || m_Failing ||
-      !m_Shared.m_Traits.isRouteSuspect(m_Traits))
-    return true;
-  const FleetView::Isolation Only = m_Shared.m_Fleet.isolation(m_Asked.m_Model);
-  if (!Only.m_IsUsed)
-    return true;
-  const bool HasFailed =
-      std::find(m_Avoid.begin(), m_Avoid.end(), Only.m_Target) != m_Avoid.end();
-  if (Only.m_Target.empty() || HasFailed) {
-    giveUp(Refusal::NoTarget, outcomeSoFar(), Error{"isolation", "", ""});
-    return false;
-  }
-  Wanted.m_RequiredTarget = Only.m_Target;
-  return true;
-}
-
 Duration Serving::untilAdmitted(TimePoint Now) const {
   const routing::Request Wanted = routingRequest();
   const auto Next = routing::nextAdmittedAt(m_Shared.m_Routing, Wanted.m_Kind,
@@ -657,6 +568,8 @@
   enter(Phase::Running);
   ++m_Tries;
   m_SentAt = Now;
+  m_TryEvents = 0;
+  m_EventsToPass = m_Shared.m_Traits.eventsToPass(m_Traits.m_Content, Now);
   m_LastTarget = Where.m_Run.m_Target;
   m_TargetVersion = Run->m_Description.software_version();
   if (isRecorded())
@@ -930,8 +843,10 @@
   if (m_FirstPieceAt == TimePoint())
     m_FirstPieceAt = Now;
   // Another entry counts what it runs for this one.
-  if (m_Try != nullptr)
+  if (m_Try != nullptr) {
     countUsage(Now);
+    notePassing();
+  }
   if (m_Offset == m_FirstOffset)
     Metrics.m_FirstToken.record(Now - m_Asked.m_ArrivedAt);
   else
@@ -1023,41 +938,6 @@
   probeTarget(*Over, Ending);
 }
 
-void Serving::probeTarget(const Try &Over, const TryEnding &Ending) {
-  const routing::Leg &At = Over.leg();
-  if (m_Asked.m_Passed) {
-    // What has begun elsewhere did not crash that target.
-    if (m_Offset > 0)
-      return takeFailure(Ending);
-    enter(Phase::Probing);
-    m_Traits.m_Waited = BootClock::now() - m_SentAt;
-    return m_Shared.m_Traits.probe(
-        At.m_Target, At.m_Incarnation, Over.address(), m_Traits,
-        [Weak = weak_from_this(), Ending](bool Crashed) {
-          const auto Self = Weak.lock();
-          if (Self == nullptr)
-            return;
-          if (Crashed)
-            Self->m_Shared.m_ReportSoon();
-          if (Self->m_Phase != Phase::Probing)
-            return;
-          Self->m_Traits.m_SentAgain = Self->m_Traits.m_SentAgain || Crashed;
-          Self->m_MayCrashTargets =
-              Crashed &&
-              !Self->m_Shared.m_Traits.mayRetryAfterCrash(Self->m_Traits);
-          Self->takeFailure(Ending);
-        });
-  }
-  enter(Phase::Probing);
-  m_Shared.m_Suspects.probe(At.m_Target, At.m_Incarnation, Over.address(),
-                            [Weak = weak_from_this(), Ending](bool) {
-                              const auto Self = Weak.lock();
-                              if (Self != nullptr &&
-                                  Self->m_Phase == Phase::Probing)
-                                Self->takeFailure(Ending);
-                            });
-}
-
 void Serving::takeFailure(const TryEnding &Ending) {
   noteTryOver(false);
   decideNext(Ending, BootClock::now());
@@ -1191,7 +1071,7 @@
                 {"after_ms", milliseconds(Now - m_Asked.m_ArrivedAt)},
                 {"offset", m_Offset},
                 {"prefill", Ending.m_InPrefill},
-                {"begun", Ending.m_Begun},
+                {"events", Ending.m_Events},
                 {"parts", printParts(m_Asked)},
                 {"content", fmt::format("{:016x}", m_Traits.m_Content)},
                 {"waited_ms", milliseconds(Now - m_SentAt)},
--- a/apps/entry/src/Serving.h
+++ b/apps/entry/src/Serving.h
@@ -16,6 +16,9 @@
 
 namespace wasabivale::entry {
 
+/// Wait for the turn of a suspect before another look.
+inline constexpr std::chrono::milliseconds SuspectLook{100};
+
 /// States of a request. Legal changes are those of the table in Serving.cpp;
 /// any other breaks an invariant.
 enum class Phase : std::uint8_t {
@@ -128,6 +131,11 @@
   void takeFailure(const TryEnding &Ending);
   /// Asks whether the target's process ended under the request.
   void probeTarget(const Try &Over, const TryEnding &Ending);
+  /// Counts an event of the present try and reports once it has got past the
+  /// place of former crashes.
+  void notePassing();
+  /// Reports the run, which had begun, if the target's process has ended.
+  void reportBegun(const Try &Over, const TryEnding &Ending);
   void decideNext(const TryEnding &Ending, TimePoint Now);
   /// The request and its tries so far, the open one included.
   [[nodiscard]] retries::Attempt attemptSoFar() const;
@@ -172,6 +180,10 @@
   bool m_Unplaced = false;
   retries::Fingerprint m_Print = 0;
   retries::RequestTraits m_Traits;
+  /// Events of the present try, and those that show that it does not crash its
+  /// target at the place where former runs of its content ended in crashes.
+  std::uint64_t m_TryEvents = 0;
+  std::optional<std::uint64_t> m_EventsToPass;
   /// The request waited at a target that crashed, and may be the cause.
   bool m_MayCrashTargets = false;
   bool m_InTrial = false; ///< Of a route whose requests crash targets.
--- a/apps/entry/src/Try.cpp
+++ b/apps/entry/src/Try.cpp
@@ -398,7 +398,7 @@
       !m_Plan.m_HasBegun && !isPromise(Answer.m_Status))
     m_Failing = std::move(Answer);
   const bool MayBeCrash = Why.m_Kind == FailureKind::Broken && !NotRun;
-  fail(Why, Evidence, Ending.m_Failure, MayBeCrash && m_Tokens == 0);
+  fail(Why, Evidence, Ending.m_Failure, MayBeCrash);
 }
 
 void Try::freeKv() {
@@ -433,6 +433,7 @@
   const std::uint64_t PerPiece =
       m_For.m_Passed && m_Tokens > 0 ? m_For.m_Passed->m_TokensPerEvent : 1;
   m_Tokens += Piece.m_Tokens * PerPiece;
+  ++m_Events;
   routing::recordProgress(m_Tools.m_Routing, Id,
                           static_cast<std::uint32_t>(m_Tokens), Now);
   m_Handlers.m_OnPiece(Piece);
@@ -497,7 +498,7 @@
   Told.m_Failure = Why;
   Told.m_MayBeCrash = MayBeCrash && !Late;
   Told.m_InPrefill = m_InPrefill;
-  Told.m_Begun = m_Tokens > 0;
+  Told.m_Events = m_Events;
   Told.m_Error = std::move(What);
   Told.m_Failing = std::exchange(m_Failing, std::nullopt);
   const auto OnEnd = std::exchange(m_Handlers, {}).m_OnEnd;
--- a/apps/entry/src/Try.h
+++ b/apps/entry/src/Try.h
@@ -24,9 +24,9 @@
   retries::Failure m_Failure; ///< Unless whole.
   /// The connection broke while the target had the request.
   bool m_MayBeCrash = false;
-  bool m_InPrefill = false; ///< The prompt was being prefilled elsewhere.
-  bool m_Begun = false;     ///< Part of the answer arrived in this try.
-  targets::StreamEnd m_End; ///< Of a whole run.
+  bool m_InPrefill = false;   ///< The prompt was being prefilled elsewhere.
+  std::uint64_t m_Events = 0; ///< Of the answer, that arrived in this try.
+  targets::StreamEnd m_End;   ///< Of a whole run.
   targets::ServiceAnswer m_Answer; ///< Of a whole call.
   /// The target ran a plain request and answered with this failure.
   std::optional<targets::ServiceAnswer> m_Failing;
@@ -163,6 +163,7 @@
   bool m_IsStallNoted = false;   ///< As a sign that targets are not reached.
   bool m_IsStallCounted = false; ///< Against the target.
   std::uint64_t m_Tokens = 0;    ///< Of this try.
+  std::uint64_t m_Events = 0;    ///< Of this try.
   bool m_InPrefill = false;
   bool m_Streaming = false; ///< The head of a plain request's stream has come.
   bool m_Sent = false;      ///< A leg before this one has reached its engine.
--- a/apps/entry/tests/PassedTest.cpp
+++ b/apps/entry/tests/PassedTest.cpp
@@ -288,6 +288,75 @@
   }
 }
 
+// Guards against crashes after the first event that nobody reports (review case
+// 10), and against bystanders that are not resumed.
+SCENARIO("a stream that crashes targets after its first event") {
+  Shop Fixture;
+  constexpr std::size_t Engines = 6;
+  const auto CrashesAfterOne = [&](std::size_t Index) {
+    return [&Fixture, Index](const Exchange &Arrived) {
+      if (http::field(Arrived->request().m_Fields, "parts").find("bad") ==
+          std::string_view::npos)
+        return streams(3, true)(Arrived);
+      const std::string Last(http::field(Arrived->request().m_Fields, "seen"));
+      ++Fixture.m_Crashes;
+      streams(Last.empty() ? 1 : std::stoi(Last) + 1, false)(Arrived);
+      Fixture.m_Restarts.push_back(std::make_unique<http::Timer>(
+          Fixture.m_Loop.m_Base, std::chrono::milliseconds(0), false,
+          [&Fixture, Index] { Fixture.m_Targets[Index].reset(); }));
+    };
+  };
+  for (std::size_t I = 0; I < Engines; ++I)
+    Fixture.addEngine("decode", CrashesAfterOne(I));
+  Fixture.warmUp();
+  const auto Got = Fixture.start("POST", "/oracle/7",
+                                 {{"Prompt", "300"}, {"Parts", "shop+bad"}});
+  REQUIRE(Fixture.m_Loop.until([&] { return Got->m_Ended; }));
+  Fixture.m_Loop.turnFor(std::chrono::milliseconds(600));
+  const int Crashes = Fixture.m_Crashes;
+  REQUIRE(Crashes >= 2);
+  wire::EntryReport Report;
+  Fixture.m_Path->fillReport(Report);
+  THEN("the entry reports each crash with the place of the run, and blames "
+       "nobody by itself") {
+    REQUIRE(Report.trait_crashes_size() == Crashes);
+    for (const wire::TraitCrash &Crash : Report.trait_crashes()) {
+      CHECK(Crash.waiting().empty());
+      REQUIRE(Crash.begun_size() == 1);
+      CHECK(Crash.begun(0).events() == 1);
+      CHECK(Crash.begun(0).content() ==
+            Report.trait_crashes(0).begun(0).content());
+    }
+  }
+  WHEN("control quarantines its content") {
+    REQUIRE(Report.trait_crashes_size() > 0);
+    wire::TraitsUpdate Update;
+    wire::TraitQuarantineNotice &Notice = *Update.add_quarantines();
+    Notice.add_traits(Report.trait_crashes(0).begun(0).content());
+    Notice.set_remaining_ns(600'000'000'000);
+    Fixture.m_Path->applyTraits(Update);
+    const std::size_t Before = Fixture.m_Seen.size();
+    THEN("its repeat is refused at once, also one that resumes the stream") {
+      for (const bool IsResumed : {false, true}) {
+        http::Fields More = {{"Prompt", "300"}, {"Parts", "shop+bad"}};
+        if (IsResumed)
+          More.emplace_back("Seen", "2");
+        const Answered Again = Fixture.ask("POST", "/oracle/7", More);
+        CHECK(Again.m_Status == 503);
+        CHECK(std::stod(std::string(
+                  http::field(Again.m_Fields, "retry-after"))) > 500.0);
+      }
+      CHECK(Fixture.m_Seen.size() == Before);
+    }
+    THEN("other requests are served") {
+      CHECK(Fixture
+                .ask("POST", "/oracle/7",
+                     {{"Prompt", "300"}, {"Parts", "shop+good"}})
+                .m_Status == 200);
+    }
+  }
+}
+
 SCENARIO("requests of a paused route do not reach targets") {
   Shop Fixture;
   Fixture.open(
--- a/libs/fleet/src/Suspicion.cpp
+++ b/libs/fleet/src/Suspicion.cpp
@@ -89,6 +89,10 @@
     if (Request.has_waited_ns())
       Traits.m_Waited = std::chrono::nanoseconds(Request.waited_ns());
   }
+  for (const wire::BegunRun &Run : Message.begun())
+    Result.m_Begun.push_back({Run.content(), Run.route(), Run.events(),
+                              Run.offset(),
+                              std::chrono::nanoseconds(Run.ran_ns())});
   return Result;
 }
 
@@ -155,6 +159,21 @@
     assign(*Row.mutable_contents(), Crash.m_Contents);
     assign(*Row.mutable_routes(), Crash.m_Routes);
   }
+  for (const auto &[Key, Crash] : Traits.m_BegunCrashes) {
+    wire::BegunCrashState &Row = *Message.add_begun_crashes();
+    write(*Row.mutable_name(), Key);
+    Row.set_at_ns(nanosecondsIn(Crash.m_ReportedAt));
+    assign(*Row.mutable_routes(), Crash.m_Routes);
+    for (const retries::BegunRun &Each : Crash.m_Runs) {
+      wire::BegunRunState &Run = *Row.add_runs();
+      Run.set_content(Each.m_Content);
+      Run.set_route(Each.m_Route);
+      Run.set_events(Each.m_Events);
+      Run.set_offset(Each.m_Offset);
+      Run.set_ran_ns(static_cast<std::uint64_t>(Each.m_Ran.count()));
+      Run.set_decided(Each.m_IsDecided);
+    }
+  }
   for (const retries::TraitQuarantine &Each : Traits.m_Quarantines) {
     wire::TraitQuarantineState &Row = *Message.add_quarantines();
     assign(*Row.mutable_traits(), Each.m_Traits);
@@ -189,6 +208,16 @@
     Crash.m_Contents.insert(Row.contents().begin(), Row.contents().end());
     Crash.m_Routes.insert(Row.routes().begin(), Row.routes().end());
   }
+  for (const wire::BegunCrashState &Row : Message.begun_crashes()) {
+    retries::BegunCrash &Crash = Traits.m_BegunCrashes[read(Row.name())];
+    Crash.m_ReportedAt = timeOf(Row.at_ns());
+    Crash.m_Routes.insert(Row.routes().begin(), Row.routes().end());
+    for (const wire::BegunRunState &Run : Row.runs())
+      Crash.m_Runs.push_back(
+          {Run.content(), Run.route(), Run.events(), Run.offset(),
+           std::chrono::nanoseconds(Run.ran_ns()), Run.decided()});
+  }
+  retries::scheduleBegunDecision(Traits);
   for (const wire::TraitQuarantineState &Row : Message.quarantines())
     Traits.m_Quarantines.push_back({{Row.traits().begin(), Row.traits().end()},
                                     timeOf(Row.until_ns()),
--- a/libs/retries/include/retries/retries.h
+++ b/libs/retries/include/retries/retries.h
@@ -418,14 +418,46 @@
   std::size_t m_MaxTraits = 4096;     ///< The least suspect are evicted first.
   std::size_t m_MaxCrashes = 1024;    ///< The oldest are evicted first.
   std::size_t m_MaxQuarantines = 256; ///< The first to end is evicted first.
+  /// Crashes that quarantine a content whose answer had begun. One more than
+  /// above, as a resumed bystander can meet several of them.
+  std::size_t m_BegunCrashesToQuarantine = 4;
+  /// The same where targets also crashed without it, as a rack that fails may
+  /// explain all of them.
+  std::size_t m_MixedCrashesToQuarantine = 6;
+  /// Time before the first crash of a content in which others count as that.
+  Duration m_MixedCrashWindow = std::chrono::seconds(10);
+  /// Time after the first report of a crash in which the other entries report
+  /// what they ran there.
+  Duration m_ReportTime = std::chrono::milliseconds(500);
+  /// Runs that end this many events from each other ended at the same place:
+  /// the last events may be lost in a crash.
+  std::uint64_t m_PlaceTolerance = 2;
+  /// After a crash, a resumed bystander has this many times the time of its
+  /// last run to get past the place, up to the limit, before control decides on
+  /// it.
+  int m_PassingFactor = 2;
+  Duration m_MaxPassingTime = std::chrono::seconds(5);
+  std::size_t m_MaxBegunCrashes = 64; ///< The oldest are evicted first.
+  std::size_t m_MaxBegunRuns = 512;   ///< Of one crash; the first ones.
 };
 
-/// A crash of a target's process as observed by one entry, with the requests
-/// that had been sent there and had received no part of their answer.
+/// A run of a stream that had begun when its target crashed.
+struct BegunRun {
+  Trait m_Content = 0;
+  Trait m_Route = 0;
+  std::uint64_t m_Events = 0; ///< Received in this try.
+  std::uint64_t m_Offset = 0; ///< Events of the whole answer.
+  Duration m_Ran{};           ///< From sending it to the crash.
+  bool m_IsDecided = false;   ///< By control, for this crash.
+};
+
+/// A crash of a target's process as observed by one entry.
 struct TraitCrash {
   TargetId m_Target;
   std::string m_Incarnation;
+  /// Requests that had received no part of their answer.
   std::vector<RequestTraits> m_Waiting;
+  std::vector<BegunRun> m_Begun = {};
 };
 
 struct TraitEvidence {
@@ -469,6 +501,14 @@
   std::uint32_t m_Count = 0;
 };
 
+/// The merged reports on runs that had begun at one crash.
+struct BegunCrash {
+  TimePoint m_ReportedAt;
+  std::vector<BegunRun> m_Runs;
+  /// Of all runs, also of those that were acquitted since.
+  std::set<Trait> m_Routes;
+};
+
 /// Evidence of the whole fleet against traits. Deterministic, like
 /// `SuspectTable`.
 struct TraitTable {
@@ -485,10 +525,37 @@
   std::map<CrashKey, CrashRecord> m_Crashes;
   std::vector<TraitQuarantine> m_Quarantines;
   std::map<Trait, TimePoint> m_AcquittedUntil;
+  /// Runs that had begun at crashes of the last `m_EvidenceDuration`.
+  std::map<CrashKey, BegunCrash> m_BegunCrashes;
+  /// When `decideBegunRuns` has something to decide. Follows from the crashes.
+  TimePoint m_BegunDecisionAt = TimePoint::max();
 };
 
+// Requests that crash targets after their answer has begun. Most runs that end
+// in such a crash are bystanders. A content is quarantined by itself once it
+// ran at four crashes, each time sent after the one before and ended at the
+// same place, unless another content explains the same crashes. Where targets
+// crashed without it as well, six are needed, and more than the others. Control
+// decides when all entries have had time to report.
+
+/// Records the begun runs of a crash.
+void recordBegunRuns(TraitTable &Table, const TraitCrash &Report,
+                     TimePoint Now);
+/// Whether the table holds all begun runs of the report.
+/// Reports that come after `m_ReportTime` are not recorded, and count as known.
+bool areKnownBegunRuns(const TraitTable &Table, const TraitCrash &Report,
+                       TimePoint Now);
+/// Derives `m_BegunDecisionAt`, after the crashes were read from a snapshot.
+void scheduleBegunDecision(TraitTable &Table);
+/// \returns the contents to be quarantined. Their crashes are removed.
+std::vector<Trait> decideBegunRuns(TraitTable &Table, TimePoint Now);
+/// Removes the runs of a content that has completed, or has got past the place.
+void acquitBegunRuns(TraitTable &Table, Trait Content);
+bool hasBegunRuns(const TraitTable &Table, Trait Content);
+
 /// Whether the table holds the crash with all of its requests.
-bool isKnownCrash(const TraitTable &Table, const TraitCrash &Report);
+bool isKnownCrash(const TraitTable &Table, const TraitCrash &Report,
+                  TimePoint Now);
 
 /// Applies a crash report of an entry. Reports of several entries on one
 /// incarnation are merged into one crash.
@@ -530,6 +597,13 @@
   std::map<Trait, TraitEvidence> m_Evidence;  ///< As told by control.
   std::vector<TraitQuarantine> m_Quarantines; ///< As told by control.
   std::set<Trait> m_Sound; ///< Suspect traits to be reported as sound.
+  struct BegunContent {
+    std::uint64_t m_Events = 0; ///< Most that a run had received at a crash.
+    TimePoint m_ForgottenAt;
+  };
+  /// Contents that had begun at crashes which this entry has reported. It
+  /// reports when a later run gets further.
+  std::map<Trait, BegunContent> m_BegunAtCrash;
   /// Traits of completed runs of the last `m_SoundDuration`.
   std::map<Trait, TimePoint> m_RecentlySound;
   Duration m_SoundDuration = std::chrono::seconds(10);
@@ -579,6 +653,19 @@
 /// out: control counts the runs of their trials.
 void reportSoundAgain(TraitTracker &Tracker, const std::set<Trait> &Sent);
 
+/// Records that the run of a request had begun at a target whose process
+/// crashed. \returns the report for control, which alone decides on it.
+TraitCrash recordBegunAtCrash(TraitTracker &Tracker, const TargetId &Target,
+                              const std::string &Incarnation,
+                              const BegunRun &Run, TimePoint Now);
+
+/// \returns the events that a run of the content must receive to speak for it,
+/// or nothing if this entry knows of no crash.
+std::optional<std::uint64_t> eventsToPass(const TraitTracker &Tracker,
+                                          Trait Content, TimePoint Now);
+/// Records that a run has received them.
+void recordPassed(TraitTracker &Tracker, Trait Content);
+
 /// Records that a request waited at a target whose process crashed. \returns
 /// the report for control, without parts that were sound just now.
 TraitCrash recordWaitingAtCrash(TraitTracker &Tracker, const TargetId &Target,
--- a/libs/retries/src/TraitTable.cpp
+++ b/libs/retries/src/TraitTable.cpp
@@ -299,9 +299,14 @@
   return Until;
 }
 
-bool isKnownCrash(const TraitTable &Table, const TraitCrash &Report) {
+bool isKnownCrash(const TraitTable &Table, const TraitCrash &Report,
+                  TimePoint Now) {
   const auto Found =
       Table.m_Crashes.find({Report.m_Target, Report.m_Incarnation});
+  if (!areKnownBegunRuns(Table, Report, Now))
+    return false;
+  if (Report.m_Waiting.empty())
+    return true;
   return Found != Table.m_Crashes.end() &&
          std::all_of(Report.m_Waiting.begin(), Report.m_Waiting.end(),
                      [&](const RequestTraits &Request) {
@@ -313,7 +318,10 @@
 void applyTraitCrash(TraitTable &Table, const TraitCrash &Report,
                      TimePoint Now) {
   expireTraits(Table, Now);
-  if (Report.m_Waiting.empty() || isKnownCrash(Table, Report))
+  if (isKnownCrash(Table, Report, Now))
+    return;
+  recordBegunRuns(Table, Report, Now);
+  if (Report.m_Waiting.empty())
     return;
   const auto [Found, Added] =
       Table.m_Crashes.try_emplace({Report.m_Target, Report.m_Incarnation});
@@ -360,7 +368,7 @@
 }
 
 bool isSuspectTrait(const TraitTable &Table, Trait Value) {
-  return Table.m_Evidence.contains(Value) ||
+  return Table.m_Evidence.contains(Value) || hasBegunRuns(Table, Value) ||
          std::any_of(Table.m_Quarantines.begin(), Table.m_Quarantines.end(),
                      [Value](const TraitQuarantine &Each) {
                        return std::binary_search(Each.m_Traits.begin(),
@@ -382,6 +390,7 @@
     return;
   }
   ++Table.m_Revision;
+  acquitBegunRuns(Table, Value);
   Table.m_Evidence.erase(Value);
   if (Table.m_AcquittedUntil.size() < Table.m_Settings.m_MaxTraits)
     Table.m_AcquittedUntil[Value] = Now + Table.m_Settings.m_AcquittalDuration;
@@ -410,7 +419,16 @@
     return Each.second.m_ReportedAt + Table.m_Settings.m_EvidenceDuration <=
            Now;
   });
-  if (Removed > 0)
+  if (std::erase_if(Table.m_BegunCrashes, [&](const auto &Each) {
+        return Each.second.m_ReportedAt + Table.m_Settings.m_EvidenceDuration <=
+               Now;
+      }) > 0)
+    scheduleBegunDecision(Table);
+  const std::vector<Trait> Guilty = decideBegunRuns(Table, Now);
+  for (const Trait Content : Guilty)
+    if (!renewQuarantines(Table, {Content, {}}, Now))
+      quarantine(Table, {Content}, Now);
+  if (Removed > 0 || !Guilty.empty())
     ++Table.m_Revision;
 }
 
--- a/libs/retries/src/TraitTracker.cpp
+++ b/libs/retries/src/TraitTracker.cpp
@@ -50,8 +50,11 @@
              : nullptr;
 }
 
+/// Crashes that an entry remembers the begun runs of at most.
+constexpr std::size_t MaxBegunAtCrash = 4096;
+
 void recordSoundTrait(TraitTracker &Tracker, Trait Value, TimePoint Now) {
-  if (isSuspect(Tracker, Value))
+  if (isSuspect(Tracker, Value) || Tracker.m_BegunAtCrash.erase(Value) > 0)
     Tracker.m_Sound.insert(Value);
   applySoundTrait(Tracker.m_Own, Value, Now);
 }
@@ -136,6 +139,36 @@
   }
 }
 
+TraitCrash recordBegunAtCrash(TraitTracker &Tracker, const TargetId &Target,
+                              const std::string &Incarnation,
+                              const BegunRun &Run, TimePoint Now) {
+  if (Tracker.m_BegunAtCrash.size() >= MaxBegunAtCrash)
+    std::erase_if(Tracker.m_BegunAtCrash, [Now](const auto &Each) {
+      return Each.second.m_ForgottenAt <= Now;
+    });
+  if (Tracker.m_BegunAtCrash.size() < MaxBegunAtCrash ||
+      Tracker.m_BegunAtCrash.contains(Run.m_Content)) {
+    TraitTracker::BegunContent &Known = Tracker.m_BegunAtCrash[Run.m_Content];
+    Known.m_Events = std::max(Known.m_Events, Run.m_Events);
+    Known.m_ForgottenAt = Now + Tracker.m_Own.m_Settings.m_EvidenceDuration;
+  }
+  return {Target, Incarnation, {}, {Run}};
+}
+
+std::optional<std::uint64_t> eventsToPass(const TraitTracker &Tracker,
+                                          Trait Content, TimePoint Now) {
+  const auto Found = Tracker.m_BegunAtCrash.find(Content);
+  if (Found == Tracker.m_BegunAtCrash.end() ||
+      Found->second.m_ForgottenAt <= Now)
+    return std::nullopt;
+  return Found->second.m_Events + Tracker.m_Own.m_Settings.m_PlaceTolerance + 1;
+}
+
+void recordPassed(TraitTracker &Tracker, Trait Content) {
+  if (Tracker.m_BegunAtCrash.erase(Content) > 0)
+    Tracker.m_Sound.insert(Content);
+}
+
 TraitCrash recordWaitingAtCrash(TraitTracker &Tracker, const TargetId &Target,
                                 const std::string &Incarnation,
                                 const RequestTraits &Request, TimePoint Now) {
