--- a/libs/replication/tests/ExchangedSeedsTest.cpp
+++ b/libs/replication/tests/ExchangedSeedsTest.cpp
@@ -272,7 +272,12 @@
     Members.at(Number).m_MayForm = true;
   }
   Members.start({4, 5, 6});
-  REQUIRE(Members.waitFor([&] { return Members.isFormed(4); }));
+  REQUIRE(Members.waitFor([&] {
+    bool AllFormed = true;
+    for (std::size_t Number = 1; Number <= 6; ++Number)
+      AllFormed = AllFormed && Members.isFormed(Number);
+    return AllFormed;
+  }));
   REQUIRE(Members.at(4).m_Replica->status().m_Group !=
           Members.at(1).m_Replica->status().m_Group);
   CHECK(Members.otherGroupMessages() == 0);
